--- /dev/null
+++ b/crates/journal/tests/journal.rs
@@ -0,0 +1,158 @@
+//! Recovery, corruption, full disks and failed syncs, case by case.
+
+use std::fs;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use linnet_journal::{DataFolder, DiskOps, Journal, JournalError, JournalWriter};
+
+fn record(number: u8) -> Vec<u8> {
+    vec![number; 10 + number as usize]
+}
+
+fn open(
+    path: &Path,
+) -> Result<(Journal, linnet_journal::RecoveredJournal, DataFolder), JournalError> {
+    let folder = DataFolder::open(path, 7)?;
+    let (journal, recovered) = Journal::open(&folder, DiskOps::new())?;
+    Ok((journal, recovered, folder))
+}
+
+fn journal_file(path: &Path) -> PathBuf {
+    path.join("journal-0000000000000000")
+}
+
+/// Writes three frames of one record each and returns the length of the file after each.
+fn write_three(path: &Path) -> Vec<usize> {
+    let (mut journal, _, _folder) = open(path).unwrap();
+    (1..=3)
+        .map(|number| {
+            journal.append(&[record(number)]).unwrap();
+            journal.length() as usize
+        })
+        .collect()
+}
+
+#[test]
+fn torn_write_at_every_byte_of_the_last_record_is_cut_off() {
+    let dir = tempfile::tempdir().unwrap();
+    let lengths = write_three(dir.path());
+    let whole = fs::read(journal_file(dir.path())).unwrap();
+    for cut in lengths[1]..lengths[2] {
+        fs::write(journal_file(dir.path()), &whole[..cut]).unwrap();
+        let (mut journal, recovered, folder) = open(dir.path()).unwrap();
+        assert_eq!(recovered.records, [record(1), record(2)], "cut at {cut}");
+        assert_eq!(recovered.torn_bytes as usize, cut - lengths[1]);
+        journal.append(&[record(9)]).unwrap();
+        drop((journal, folder));
+        let (_, again, _folder) = open(dir.path()).unwrap();
+        assert_eq!(again.records, [record(1), record(2), record(9)]);
+    }
+}
+
+#[test]
+fn one_bad_byte_before_the_last_frame_is_refused_with_its_offset() {
+    let dir = tempfile::tempdir().unwrap();
+    let lengths = write_three(dir.path());
+    let whole = fs::read(journal_file(dir.path())).unwrap();
+    for spoiled in 0..lengths[1] {
+        let mut bytes = whole.clone();
+        bytes[spoiled] ^= 0x40;
+        fs::write(journal_file(dir.path()), &bytes).unwrap();
+        let frame_start = if spoiled < lengths[0] { 0 } else { lengths[0] };
+        match open(dir.path()) {
+            Err(JournalError::Corrupt { offset, path, .. }) => {
+                assert_eq!(offset as usize, frame_start, "byte {spoiled}");
+                assert_eq!(path, journal_file(dir.path()));
+            }
+            other => panic!("byte {spoiled} was taken: {:?}", other.map(|found| found.1)),
+        }
+    }
+}
+
+#[test]
+fn a_compacted_journal_comes_back_with_snapshot_and_tail() {
+    let dir = tempfile::tempdir().unwrap();
+    {
+        let (mut journal, _, _folder) = open(dir.path()).unwrap();
+        journal.append(&[record(1), record(2)]).unwrap();
+        journal.compact(b"state", &[record(2)]).unwrap();
+        journal.append(&[record(3)]).unwrap();
+    }
+    let (_, recovered, _folder) = open(dir.path()).unwrap();
+    assert_eq!(recovered.snapshot.as_deref(), Some(&b"state"[..]));
+    assert_eq!(recovered.records, [record(2), record(3)]);
+}
+
+#[test]
+fn a_crash_inside_compaction_leaves_one_whole_generation() {
+    let dir = tempfile::tempdir().unwrap();
+    write_three(dir.path());
+    // The snapshot of the next generation is there, its journal is not yet.
+    fs::write(dir.path().join("snapshot-0000000000000001"), b"half").unwrap();
+    let (_, recovered, _folder) = open(dir.path()).unwrap();
+    assert_eq!(recovered.records.len(), 3);
+    assert_eq!(recovered.snapshot, None);
+}
+
+#[test]
+fn a_full_disk_refuses_the_write_and_keeps_what_was_there() {
+    let dir = tempfile::tempdir().unwrap();
+    let full = Arc::new(AtomicBool::new(false));
+    let seen = full.clone();
+    let ops = DiskOps::new().with_write(move |file, bytes| {
+        if seen.load(Ordering::Relaxed) {
+            file.write_all(&bytes[..bytes.len() / 2])?;
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        file.write_all(bytes)
+    });
+    let folder = DataFolder::open(dir.path(), 7).unwrap();
+    let (mut journal, _) = Journal::open(&folder, ops).unwrap();
+    journal.append(&[record(1)]).unwrap();
+    full.store(true, Ordering::Relaxed);
+    let refused = journal.append(&[record(2)]).unwrap_err();
+    assert!(matches!(refused, JournalError::Full { .. }));
+    full.store(false, Ordering::Relaxed);
+    journal.append(&[record(3)]).unwrap();
+    drop((journal, folder));
+    let (_, recovered, _folder) = open(dir.path()).unwrap();
+    assert_eq!(recovered.records, [record(1), record(3)]);
+}
+
+#[test]
+fn a_failed_sync_is_final_and_never_answered_as_durable() {
+    let dir = tempfile::tempdir().unwrap();
+    let folder = DataFolder::open(dir.path(), 7).unwrap();
+    let ops = DiskOps::new().with_sync(|_| Err(io::Error::other("device gone")));
+    let (journal, _) = Journal::open(&folder, ops).unwrap();
+    let (told, heard) = std::sync::mpsc::channel();
+    let writer = JournalWriter::new(journal, move |error| told.send(error).unwrap());
+    let first = writer.append(vec![record(1)]);
+    assert!(heard.recv().unwrap().is_fatal());
+    assert!(first.blocking_recv().is_err());
+    assert!(writer.append(vec![record(2)]).blocking_recv().is_err());
+}
+
+#[test]
+fn a_second_process_cannot_open_the_folder() {
+    let dir = tempfile::tempdir().unwrap();
+    let _first = DataFolder::open(dir.path(), 1).unwrap();
+    let second = DataFolder::open(dir.path(), 2).unwrap_err();
+    assert!(matches!(second, JournalError::Held { .. }));
+}
+
+#[test]
+fn a_wiped_folder_gets_a_new_identity_and_records_without_a_mark_are_refused() {
+    let dir = tempfile::tempdir().unwrap();
+    write_three(dir.path());
+    fs::remove_file(dir.path().join("mark")).unwrap();
+    let refused = DataFolder::open(dir.path(), 8).unwrap_err();
+    assert!(matches!(refused, JournalError::Corrupt { .. }));
+    fs::remove_file(journal_file(dir.path())).unwrap();
+    let wiped = DataFolder::open(dir.path(), 8).unwrap();
+    assert_eq!(wiped.mark().identity, 8);
+    assert_eq!(wiped.mark().cluster, None);
+}
--- /dev/null
+++ b/crates/table/src/row.rs
@@ -0,0 +1,170 @@
+//! Rows of the table and the keys that name them.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// The digest of an account key; the key itself is never stored.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct KeyDigest(pub [u8; 32]);
+
+impl KeyDigest {
+    /// Returns the digest of a key as a caller shows it.
+    pub fn of_key(key: &[u8]) -> Self {
+        Self(*blake3::hash(key).as_bytes())
+    }
+
+    /// Reads a digest of 64 hexadecimal digits.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let hash = blake3::Hash::from_hex(text).ok()?;
+        Some(Self(*hash.as_bytes()))
+    }
+
+    /// Compares two digests in constant time.
+    pub fn matches(&self, other: &KeyDigest) -> bool {
+        blake3::Hash::from_bytes(self.0) == blake3::Hash::from_bytes(other.0)
+    }
+}
+
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&blake3::Hash::from_bytes(self.0).to_hex())
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "KeyDigest({self})")
+    }
+}
+
+/// Limits that hold for the whole fleet; nothing means no limit of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct RowLimits {
+    /// Requests a second.
+    pub rate: Option<u32>,
+    /// Requests in flight at one time.
+    pub in_flight: Option<u32>,
+    /// Generated tokens a second.
+    pub tokens: Option<u32>,
+}
+
+/// A pipeline: a chain of stages under one deadline.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PipelineRow {
+    /// The name that callers use.
+    pub pipeline: String,
+    /// The longest deadline that a caller may ask for, in milliseconds.
+    pub deadline_ms: u32,
+    /// Whether a request may run twice where the caller says nothing.
+    pub repeatable: bool,
+}
+
+/// One stage of a pipeline.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StageRow {
+    /// The pipeline that the stage belongs to.
+    pub pipeline: String,
+    /// The name of the stage.
+    pub stage: String,
+    /// Its place in the chain, from 1.
+    pub position: u32,
+    /// The pool of targets that takes it.
+    pub pool: String,
+    /// Whether its answer is a stream of tokens; only the last stage may stream.
+    pub streams: bool,
+}
+
+/// A plain service that calls are routed to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRow {
+    /// The name that callers use.
+    pub service: String,
+    /// The pool of targets that takes its calls.
+    pub pool: String,
+    /// The longest deadline that a caller may ask for, in milliseconds.
+    pub deadline_ms: u32,
+    /// Whether a call may run twice where the caller says nothing.
+    pub repeatable: bool,
+}
+
+/// A client account.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountRow {
+    /// The name of the account.
+    pub account: String,
+    /// Its share of a contended stage, relative to other accounts.
+    pub weight: u32,
+    /// Limits over all pipelines and services together.
+    pub limits: RowLimits,
+    /// Digests of the keys that the account may show; several while a key rolls.
+    pub key_digests: Vec<KeyDigest>,
+}
+
+/// What one account may do on one pipeline or plain service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitRow {
+    /// The account.
+    pub account: String,
+    /// The pipeline or plain service.
+    pub pipeline: String,
+    /// The weight of the account there, in place of its own.
+    pub weight: Option<u32>,
+    /// Limits beside those of the account.
+    pub limits: RowLimits,
+}
+
+/// A row of the table.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TableRow {
+    /// A pipeline.
+    Pipeline(PipelineRow),
+    /// A stage of a pipeline.
+    Stage(StageRow),
+    /// A plain service.
+    Service(ServiceRow),
+    /// A client account.
+    Account(AccountRow),
+    /// Limits of one account on one pipeline or service.
+    Limit(LimitRow),
+}
+
+/// What names a row: its kind and its key cells.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum RowKey {
+    /// A pipeline by its name.
+    Pipeline(String),
+    /// A stage by pipeline and stage name.
+    Stage(String, String),
+    /// A plain service by its name.
+    Service(String),
+    /// An account by its name.
+    Account(String),
+    /// A limit by account and pipeline or service.
+    Limit(String, String),
+}
+
+impl fmt::Display for RowKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RowKey::Pipeline(pipeline) => write!(f, "pipeline {pipeline}"),
+            RowKey::Stage(pipeline, stage) => write!(f, "stage {pipeline}/{stage}"),
+            RowKey::Service(service) => write!(f, "service {service}"),
+            RowKey::Account(account) => write!(f, "account {account}"),
+            RowKey::Limit(account, pipeline) => write!(f, "limit {account} on {pipeline}"),
+        }
+    }
+}
+
+impl TableRow {
+    /// Returns the key that names the row.
+    pub fn key(&self) -> RowKey {
+        match self {
+            TableRow::Pipeline(row) => RowKey::Pipeline(row.pipeline.clone()),
+            TableRow::Stage(row) => RowKey::Stage(row.pipeline.clone(), row.stage.clone()),
+            TableRow::Service(row) => RowKey::Service(row.service.clone()),
+            TableRow::Account(row) => RowKey::Account(row.account.clone()),
+            TableRow::Limit(row) => RowKey::Limit(row.account.clone(), row.pipeline.clone()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/code.rs
@@ -0,0 +1,89 @@
+//! The closed set of numbered events.
+
+use serde::{Deserialize, Serialize};
+
+/// How loud an event is in the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EventLevel {
+    /// Ordinary progress.
+    Info,
+    /// Something was refused, dropped or retried.
+    Warn,
+    /// A fault that an operator should look at.
+    Error,
+}
+
+macro_rules! event_codes {
+    ($($name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        /// One kind of event, with a number that never changes its meaning.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+        pub enum EventCode {
+            $(#[doc = $text] $name,)*
+        }
+
+        impl EventCode {
+            /// Every code, in rising order of number.
+            pub const ALL: &'static [EventCode] = &[$(EventCode::$name,)*];
+
+            /// Returns the number of the event as it stands in the catalogue.
+            pub fn number(self) -> u16 {
+                match self { $(EventCode::$name => $number,)* }
+            }
+
+            /// Returns the name of the event as it stands in the catalogue.
+            pub fn name(self) -> &'static str {
+                match self { $(EventCode::$name => stringify!($name),)* }
+            }
+
+            /// Returns the level at which the event goes to the log.
+            pub fn level(self) -> EventLevel {
+                match self { $(EventCode::$name => EventLevel::$level,)* }
+            }
+
+            /// Returns one sentence that says when the event is written.
+            pub fn meaning(self) -> &'static str {
+                match self { $(EventCode::$name => $text,)* }
+            }
+        }
+    };
+}
+
+event_codes! {
+    ProcessStarted = 101, Info, "A process opened its sockets and serves.";
+    StopRequested = 102, Info, "A planned stop was asked for; readiness goes first.";
+    ProcessStopped = 103, Info, "A planned stop ended with nothing in flight.";
+    StopTimedOut = 104, Error, "A planned stop reached its bound with requests in flight.";
+    PeerConnected = 110, Info, "A connection to or from a peer passed its handshake.";
+    PeerLost = 111, Warn, "A connection to a peer ended or could not be opened.";
+    PeerRefused = 112, Error, "A peer failed authentication or sent a frame over its limit.";
+    ElectionStarted = 201, Info, "A voter won its pre-vote and asks for votes in a new term.";
+    LeaderElected = 202, Info, "A voter won a term and leads it.";
+    LeaderSteppedDown = 203, Warn, "A leader gave up its term, by a higher term or a lapsed lease.";
+    SnapshotTaken = 204, Info, "The state was written as a snapshot and the journal shortened.";
+    SnapshotInstalled = 205, Info, "A replica took over a snapshot from the leader.";
+    MembersChanged = 206, Info, "A membership entry took effect.";
+    JournalRecovered = 207, Info, "The journal was read at start; a torn tail may have been cut.";
+    DiskRefused = 208, Error, "The disk refused a write and nothing of it was kept.";
+    ChangeAccepted = 301, Info, "A change of the table was committed.";
+    ChangeRefused = 302, Warn, "A change of the table was refused whole.";
+    TableInForce = 303, Info, "A process put a version of the table in force.";
+    TableSourceChanged = 304, Info, "An entry follows another source of the table.";
+    ClaimCommitted = 310, Info, "A claim on a request key was committed.";
+    ClaimRefused = 311, Warn, "A claim was refused, or no quorum answered in time.";
+    ClaimFinished = 312, Info, "The outcome of a claimed request was recorded.";
+    RequestAccepted = 401, Info, "A request passed its checks and admission.";
+    RequestRefused = 402, Warn, "A request was refused and no target took any stage of it.";
+    RequestFinished = 403, Info, "The caller got the whole answer.";
+    RequestFailed = 404, Warn, "A request ended without a whole answer after a target took a stage.";
+    RequestCancelled = 405, Warn, "The caller went away before its answer was whole.";
+    AttemptStarted = 410, Info, "An attempt at a stage was sent to a target.";
+    AttemptFinished = 411, Info, "The answer of an attempt was taken.";
+    AttemptFailed = 412, Warn, "An attempt ended without a usable answer.";
+    AnswerDropped = 413, Error, "An answer of another attempt, or one cut short, was dropped.";
+    StreamResumed = 414, Info, "A stream went on at another target from the token it had reached.";
+    TargetListed = 501, Info, "A target came into the host list.";
+    TargetLeaving = 502, Info, "A target is leaving and gets no new work.";
+    TargetGone = 503, Info, "A target is no longer in a whole read of the host list.";
+    TargetEjected = 504, Warn, "A target failed too often and gets no work for a while.";
+    HostListFailed = 505, Warn, "A read of the host list failed or was partial; nothing was removed.";
+}
--- /dev/null
+++ b/crates/telemetry/tests/telemetry.rs
@@ -0,0 +1,76 @@
+//! Behaviour of the clock, the recorder and the time line.
+
+use std::sync::Arc;
+
+use linnet_telemetry::{EventCode, EventQuery, EventRecorder, HybridClock, merge_events};
+
+#[test]
+fn clock_rises_past_what_it_observes() {
+    let clock = HybridClock::new();
+    let first = clock.tick();
+    let far = first + (10_000 << 16);
+    clock.observe(far);
+    assert!(clock.tick() > far);
+}
+
+#[test]
+fn ring_is_bounded_and_keeps_the_newest() {
+    let recorder = EventRecorder::new("a", Arc::new(HybridClock::new())).with_capacity(3);
+    for number in 0..10 {
+        recorder.record(EventCode::PeerLost, "", number.to_string());
+    }
+    let kept = recorder.select(&EventQuery::default());
+    let details: Vec<_> = kept.iter().map(|event| event.detail.as_str()).collect();
+    assert_eq!(details, ["7", "8", "9"]);
+}
+
+#[test]
+fn merged_events_follow_messages_between_processes() {
+    let sender = EventRecorder::new("z-sender", Arc::new(HybridClock::new()));
+    let receiver = EventRecorder::new("a-receiver", Arc::new(HybridClock::new()));
+    sender.record_request(EventCode::AttemptStarted, "r1", "", "sent");
+    receiver.clock().observe(sender.clock().tick());
+    receiver.record_request(EventCode::AttemptFinished, "r1", "", "received");
+    let query = EventQuery {
+        request: Some("r1".to_owned()),
+        since_millis: 0,
+    };
+    let merged = merge_events(vec![receiver.select(&query), sender.select(&query)]);
+    let hosts: Vec<_> = merged.iter().map(|event| event.host.as_str()).collect();
+    assert_eq!(hosts, ["z-sender", "a-receiver"]);
+}
+
+#[test]
+fn event_numbers_are_unique_and_rise() {
+    let numbers: Vec<_> = EventCode::ALL.iter().map(|code| code.number()).collect();
+    assert!(numbers.windows(2).all(|pair| pair[0] < pair[1]));
+}
+
+#[test]
+fn event_catalogue_matches_the_code() {
+    let catalogue = include_str!("../../../docs/EVENTS.md");
+    let rows: Vec<_> = catalogue
+        .lines()
+        .filter(|line| {
+            line.starts_with("| 1")
+                || line.starts_with("| 2")
+                || line.starts_with("| 3")
+                || line.starts_with("| 4")
+                || line.starts_with("| 5")
+        })
+        .map(str::to_owned)
+        .collect();
+    let wanted: Vec<_> = EventCode::ALL
+        .iter()
+        .map(|code| {
+            format!(
+                "| {} | {} | {:?} | {} |",
+                code.number(),
+                code.name(),
+                code.level(),
+                code.meaning()
+            )
+        })
+        .collect();
+    assert_eq!(rows, wanted);
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,19 @@
+//! Framed, authenticated messages between linnetdale's own processes.
+//!
+//! - [`PeerKeyRing`] holds the shared keys; keys roll without a stop.
+//! - [`connect_peer`] and [`accept_peer`] perform the handshake over TCP.
+//! - [`PeerReader`] and [`PeerWriter`] carry `postcard` messages, each with a sequence, a clock
+//!   stamp and a keyed hash.
+//! - [`seal_datagram`] and [`open_datagram`] do the same for one UDP datagram.
+
+mod datagram;
+mod error;
+mod handshake;
+mod key;
+mod stream;
+
+pub use datagram::{MAX_DATAGRAM_BYTES, OpenDatagram, open_datagram, seal_datagram};
+pub use error::{WireCause, WireError, WireStep};
+pub use handshake::{HANDSHAKE_TIMEOUT, PeerIdentity, accept_peer, connect_peer};
+pub use key::{KeyError, PeerKey, PeerKeyRing};
+pub use stream::{MAX_MESSAGE_BYTES, PeerReader, PeerWriter, Session};
--- /dev/null
+++ b/crates/wire/src/stream.rs
@@ -0,0 +1,161 @@
+//! Messages over an authenticated TCP connection.
+//!
+//! A frame is: length (4, little endian), body, keyed hash (16). The body is the sender's clock
+//! stamp (8) and a `postcard` message. The hash covers direction and sequence, so a frame that is
+//! repeated, left out or turned back is refused.
+
+use std::io;
+use std::sync::Arc;
+
+use linnet_telemetry::HybridClock;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+use crate::key::keyed_hash;
+use crate::{WireCause, WireError, WireStep};
+
+/// The largest message between peers, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 32 * 1024 * 1024;
+
+const HASH_BYTES: usize = 16;
+const STAMP_BYTES: usize = 8;
+
+/// What both ends of a connection know after the handshake.
+#[derive(Clone)]
+pub struct Session {
+    pub(crate) secret: [u8; 32],
+    pub(crate) peer: String,
+    pub(crate) clock: Arc<HybridClock>,
+}
+
+impl Session {
+    fn hash(&self, direction: u8, sequence: u64, body: &[u8]) -> [u8; HASH_BYTES] {
+        let hash = keyed_hash(&self.secret, &[&[direction], &sequence.to_le_bytes(), body]);
+        let mut short = [0; HASH_BYTES];
+        short.copy_from_slice(&hash.as_bytes()[..HASH_BYTES]);
+        short
+    }
+
+    fn error(&self, step: WireStep, cause: WireCause) -> WireError {
+        WireError::new(step, self.peer.clone(), cause)
+    }
+}
+
+/// The sending half of a connection.
+pub struct PeerWriter {
+    pub(crate) socket: OwnedWriteHalf,
+    pub(crate) session: Session,
+    pub(crate) direction: u8,
+    pub(crate) sequence: u64,
+    pub(crate) sent_bytes: u64,
+}
+
+/// The receiving half of a connection.
+pub struct PeerReader {
+    pub(crate) socket: OwnedReadHalf,
+    pub(crate) session: Session,
+    pub(crate) direction: u8,
+    pub(crate) sequence: u64,
+}
+
+impl PeerWriter {
+    /// Sends one message.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] at [`WireStep::Send`]; the connection is of no use after it.
+    pub async fn send<M: Serialize>(&mut self, message: &M) -> Result<(), WireError> {
+        let stamp = self.session.clock.tick();
+        let mut body = stamp.to_le_bytes().to_vec();
+        body = postcard::to_extend(message, body)
+            .map_err(|error| self.error(WireCause::Malformed(error)))?;
+        if body.len() > MAX_MESSAGE_BYTES {
+            return Err(self.error(WireCause::TooLarge(body.len())));
+        }
+        let hash = self.session.hash(self.direction, self.sequence, &body);
+        self.sequence += 1;
+        let mut frame = Vec::with_capacity(4 + body.len() + HASH_BYTES);
+        frame.extend_from_slice(&(body.len() as u32).to_le_bytes());
+        frame.extend_from_slice(&body);
+        frame.extend_from_slice(&hash);
+        self.sent_bytes += frame.len() as u64;
+        self.socket
+            .write_all(&frame)
+            .await
+            .map_err(|error| self.error(WireCause::Io(error)))
+    }
+
+    /// Returns the bytes sent on this connection.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes
+    }
+
+    fn error(&self, cause: WireCause) -> WireError {
+        self.session.error(WireStep::Send, cause)
+    }
+}
+
+impl PeerReader {
+    /// Receives one message. Not to be dropped half-way: a frame cut in two spoils the connection.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] at [`WireStep::Receive`]; the connection is of no use after it.
+    pub async fn receive<M: DeserializeOwned>(&mut self) -> Result<M, WireError> {
+        let body = self.receive_body().await?;
+        let (stamp, message) = body.split_first_chunk::<STAMP_BYTES>().ok_or_else(|| {
+            self.error(WireCause::Malformed(
+                postcard::Error::DeserializeUnexpectedEnd,
+            ))
+        })?;
+        self.session.clock.observe(u64::from_le_bytes(*stamp));
+        postcard::from_bytes(message).map_err(|error| self.error(WireCause::Malformed(error)))
+    }
+
+    /// Returns the name that the peer proved.
+    pub fn peer(&self) -> &str {
+        &self.session.peer
+    }
+
+    async fn receive_body(&mut self) -> Result<Vec<u8>, WireError> {
+        let mut length = [0; 4];
+        self.read(&mut length).await?;
+        let length = u32::from_le_bytes(length) as usize;
+        if length > MAX_MESSAGE_BYTES {
+            return Err(self.error(WireCause::TooLarge(length)));
+        }
+        let mut body = vec![0; length];
+        self.read(&mut body).await?;
+        let mut hash = [0; HASH_BYTES];
+        self.read(&mut hash).await?;
+        let wanted = self.session.hash(self.direction, self.sequence, &body);
+        // `blake3::Hash` compares in constant time; the short form is compared through it.
+        if !equal_hashes(&wanted, &hash) {
+            return Err(self.error(WireCause::BadHash));
+        }
+        self.sequence += 1;
+        Ok(body)
+    }
+
+    async fn read(&mut self, buffer: &mut [u8]) -> Result<(), WireError> {
+        let result: io::Result<usize> = self.socket.read_exact(buffer).await;
+        result
+            .map(|_| ())
+            .map_err(|error| self.error(WireCause::Io(error)))
+    }
+
+    fn error(&self, cause: WireCause) -> WireError {
+        self.session.error(WireStep::Receive, cause)
+    }
+}
+
+pub(crate) fn equal_hashes(a: &[u8; HASH_BYTES], b: &[u8; HASH_BYTES]) -> bool {
+    let widen = |short: &[u8; HASH_BYTES]| {
+        let mut long = [0; 32];
+        long[..HASH_BYTES].copy_from_slice(short);
+        blake3::Hash::from_bytes(long)
+    };
+    widen(a) == widen(b)
+}
--- /dev/null
+++ b/crates/wire/tests/wire.rs
@@ -0,0 +1,193 @@
+//! Handshake, frames, datagrams and rolling keys over real sockets.
+
+use std::io::Write;
+use std::sync::Arc;
+
+use linnet_telemetry::HybridClock;
+use linnet_wire::{
+    PeerIdentity, PeerKey, PeerKeyRing, PeerReader, PeerWriter, WireCause, WireError, accept_peer,
+    connect_peer, open_datagram, seal_datagram,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+fn key(id: &str) -> PeerKey {
+    PeerKey::new(id, *blake3::hash(id.as_bytes()).as_bytes())
+}
+
+fn identity(name: &str, keys: Vec<PeerKey>) -> PeerIdentity {
+    PeerIdentity {
+        name: name.to_owned(),
+        keys: PeerKeyRing::new(keys),
+        clock: Arc::new(HybridClock::new()),
+    }
+}
+
+type Ends = (
+    Result<(PeerReader, PeerWriter), WireError>,
+    Result<(PeerReader, PeerWriter), WireError>,
+);
+
+async fn join(calling: PeerIdentity, accepting: PeerIdentity) -> Ends {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let accept = async {
+        let (socket, from) = listener.accept().await.unwrap();
+        accept_peer(&accepting, socket, from).await
+    };
+    tokio::join!(connect_peer(&calling, address), accept)
+}
+
+#[ntex::test]
+async fn messages_pass_both_ways_with_names_and_stamps() {
+    let calling = identity("entry-1", vec![key("k1")]);
+    let accepting = identity("control-1", vec![key("k1")]);
+    calling
+        .clock
+        .observe(accepting.clock.tick() + (5_000 << 16));
+    let (left, right) = join(calling.clone(), accepting.clone()).await;
+    let (mut left_reader, mut left_writer) = left.unwrap();
+    let (mut right_reader, mut right_writer) = right.unwrap();
+    assert_eq!(left_reader.peer(), "control-1");
+    assert_eq!(right_reader.peer(), "entry-1");
+    for number in 0..100_u32 {
+        left_writer.send(&(number, "question")).await.unwrap();
+        let (got, _): (u32, String) = right_reader.receive().await.unwrap();
+        right_writer.send(&(got + 1)).await.unwrap();
+        assert_eq!(left_reader.receive::<u32>().await.unwrap(), number + 1);
+    }
+    let before = calling.clock.tick();
+    left_writer.send(&1_u8).await.unwrap();
+    right_reader.receive::<u8>().await.unwrap();
+    assert!(accepting.clock.tick() > before);
+}
+
+#[ntex::test]
+async fn keys_roll_without_a_stop_and_strangers_are_refused() {
+    let (old, new, other) = (key("k1"), key("k2"), key("k1-other"));
+    let forged = PeerKey::new("k1", [9; 32]);
+    // (keys of the caller, keys of the accepting end, is it taken)
+    let cases = [
+        (vec![old.clone()], vec![old.clone(), new.clone()], true),
+        (
+            vec![new.clone(), old.clone()],
+            vec![old.clone(), new.clone()],
+            true,
+        ),
+        (vec![new.clone()], vec![new.clone(), old.clone()], true),
+        (vec![new.clone()], vec![old.clone()], false),
+        (vec![other], vec![old.clone()], false),
+        (vec![forged], vec![old.clone()], false),
+    ];
+    for (number, (calling, accepting, taken)) in cases.into_iter().enumerate() {
+        let (left, right) = join(identity("a", calling), identity("b", accepting)).await;
+        assert_eq!(left.is_ok() && right.is_ok(), taken, "case {number}");
+    }
+}
+
+/// Passes bytes from a caller to a listener through `change`, once per read.
+async fn relay(
+    listener: TcpListener,
+    target: std::net::SocketAddr,
+    change: fn(&mut Vec<u8>, usize),
+) {
+    let (mut near, _) = listener.accept().await.unwrap();
+    let mut far = TcpStream::connect(target).await.unwrap();
+    let (mut far_read, mut far_write) = far.split();
+    let (mut near_read, mut near_write) = near.split();
+    let forward = async {
+        let mut reads = 0;
+        let mut buffer = vec![0; 4096];
+        while let Ok(length) = near_read.read(&mut buffer).await {
+            if length == 0 {
+                break;
+            }
+            let mut bytes = buffer[..length].to_vec();
+            change(&mut bytes, reads);
+            reads += 1;
+            let _ = far_write.write_all(&bytes).await;
+        }
+    };
+    let back = async {
+        let _ = tokio::io::copy(&mut far_read, &mut near_write).await;
+    };
+    tokio::join!(forward, back);
+}
+
+#[ntex::test]
+async fn changed_and_repeated_frames_are_refused() {
+    // Reads 0 and 1 are the handshake; read 2 is the first message.
+    let changes: [fn(&mut Vec<u8>, usize); 2] = [
+        |bytes, read| {
+            if read == 2 {
+                bytes[13] ^= 1;
+            }
+        },
+        |bytes, read| {
+            if read == 2 {
+                let again = bytes.clone();
+                bytes.extend(again);
+            }
+        },
+    ];
+    for (number, change) in changes.into_iter().enumerate() {
+        let inner = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let outer = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (near, far) = (outer.local_addr().unwrap(), inner.local_addr().unwrap());
+        ntex::rt::spawn(relay(outer, far, change));
+        let accept = async {
+            let (socket, from) = inner.accept().await.unwrap();
+            accept_peer(&identity("b", vec![key("k")]), socket, from).await
+        };
+        let calling = identity("a", vec![key("k")]);
+        let (left, right) = tokio::join!(connect_peer(&calling, near), accept);
+        let (mut reader, _writer) = right.unwrap();
+        left.unwrap().1.send(&"payload").await.unwrap();
+        let first = reader.receive::<String>().await;
+        let refused = if number == 0 {
+            first.unwrap_err()
+        } else {
+            assert_eq!(first.unwrap(), "payload");
+            reader.receive::<String>().await.unwrap_err()
+        };
+        assert!(
+            matches!(refused.cause, WireCause::BadHash),
+            "case {number}: {refused}"
+        );
+    }
+}
+
+#[test]
+fn datagrams_open_only_unchanged_and_under_a_known_key() {
+    let sender = identity("entry-1", vec![key("k1")]);
+    let sealed = seal_datagram(&sender, &(7_u32, "up")).unwrap();
+    let open = open_datagram::<(u32, String)>(&sender.keys, &sealed).unwrap();
+    assert_eq!((open.sender.as_str(), open.message.0), ("entry-1", 7));
+    for position in 0..sealed.len() {
+        let mut spoiled = sealed.clone();
+        spoiled[position] ^= 1;
+        assert!(open_datagram::<(u32, String)>(&sender.keys, &spoiled).is_err());
+        assert!(open_datagram::<(u32, String)>(&sender.keys, &sealed[..position]).is_err());
+    }
+    let strangers = PeerKeyRing::new(vec![key("k2")]);
+    assert!(open_datagram::<(u32, String)>(&strangers, &sealed).is_err());
+}
+
+#[test]
+fn key_files_are_read_whole_or_refused_by_line() {
+    let good = "# shared\nk1 00000000000000000000000000000000000000000000000000000000000000aa\n";
+    let cases = [
+        (good.to_owned(), "taken"),
+        (String::new(), "holds no key"),
+        ("k1\n".to_owned(), "line 1"),
+        (format!("{good}k2 12\n"), "line 3"),
+    ];
+    for (text, wanted) in cases {
+        let mut file = tempfile::NamedTempFile::new().unwrap();
+        file.write_all(text.as_bytes()).unwrap();
+        match PeerKeyRing::load(file.path()) {
+            Ok(ring) => assert!(wanted == "taken" && ring.find("k1").is_some()),
+            Err(error) => assert!(error.to_string().contains(wanted), "{error}"),
+        }
+    }
+}
