Quorum, feed, claims and the control daemon, not yet run as processes

Cause: the path needs voters that keep the table. Agreement is our own: terms, pre-vote, commit after sync, lease with step-down, learners, one change of members at a time.

--- /dev/null
+++ b/crates/control/src/board.rs
@@ -0,0 +1,57 @@
+//! What entry hosts last told of themselves and their halls.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use linnet_feed::HostReport;
+
+/// A host that was not told of for so long is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(3_600);
+
+/// Hosts that are remembered at one time.
+const MAX_HOSTS: usize = 4_096;
+
+/// The newest report on each host.
+#[derive(Default)]
+pub(crate) struct HostBoard {
+    hosts: Mutex<HashMap<String, (HostReport, Instant)>>,
+}
+
+impl HostBoard {
+    /// Takes reports in; of two on one host the younger counts.
+    pub(crate) fn take_reports(&self, reports: Vec<HostReport>) {
+        let now = Instant::now();
+        let mut hosts = self.lock();
+        hosts.retain(|_, (_, at)| now - *at < FORGET_AFTER);
+        for report in reports {
+            let room = hosts.len() < MAX_HOSTS || hosts.contains_key(&report.name);
+            let newer = hosts.get(&report.name).is_none_or(|(known, at)| {
+                let known_age = known.age_ms + (now - *at).as_millis() as u64;
+                report.age_ms <= known_age
+            });
+            if room && newer {
+                hosts.insert(report.name.clone(), (report, now));
+            }
+        }
+    }
+
+    /// Returns what is known of every host, with its age as of now, by name.
+    pub(crate) fn list_hosts(&self) -> Vec<HostReport> {
+        let now = Instant::now();
+        let mut reports: Vec<_> = self
+            .lock()
+            .values()
+            .map(|(report, at)| HostReport {
+                age_ms: report.age_ms + (now - *at).as_millis() as u64,
+                ..report.clone()
+            })
+            .collect();
+        reports.sort_by(|a, b| a.name.cmp(&b.name));
+        reports
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, (HostReport, Instant)>> {
+        self.hosts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/control/src/daemon.rs
@@ -0,0 +1,171 @@
+//! Runs the control daemon.
+
+use std::process::ExitCode;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use linnet_daemon::{OpsContext, accept_peers, ops_routes, refresh_keys, stop_signal};
+use linnet_feed::{TableFeed, serve_follower};
+use linnet_journal::DiskOps;
+use linnet_quorum::{QuorumTiming, Replica, ReplicaConfig, serve_peer};
+use linnet_telemetry::{EventCode, EventRecorder, HybridClock};
+use linnet_wire::{PeerGreeting, PeerIdentity};
+use ntex::web::{App, HttpServer};
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use tokio::net::TcpListener;
+
+use crate::board::HostBoard;
+use crate::claims::serve_claims;
+use crate::machine::ControlMachine;
+use crate::ops::{ControlContext, control_routes};
+use crate::settings::{CheckedControl, ControlSettings};
+
+/// How often the gauges are brought up to date.
+const GAUGE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Runs the daemon until a planned stop; must run inside an ntex runtime.
+pub async fn run_control(settings: ControlSettings) -> ExitCode {
+    let checked = match settings.check() {
+        Ok(checked) => checked,
+        Err(check) => return check.report().unwrap_or(ExitCode::FAILURE),
+    };
+    match serve(checked).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!(target: "linnetdale", "{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(checked: CheckedControl) -> Result<(), Box<dyn std::error::Error>> {
+    let settings = checked.settings;
+    let clock = Arc::new(HybridClock::new());
+    let recorder = Arc::new(EventRecorder::new(settings.name.clone(), clock.clone()));
+    let identity = PeerIdentity {
+        name: settings.name.clone(),
+        keys: checked.keys.clone(),
+        clock,
+    };
+    let feed = Arc::new(TableFeed::new());
+    let machine = ControlMachine::new(feed.clone(), recorder.clone());
+    let config = ReplicaConfig {
+        identity: identity.clone(),
+        recorder: recorder.clone(),
+        timing: QuorumTiming::new(),
+        disk: DiskOps::new(),
+        on_fatal: Box::new(|error| {
+            log::error!(target: "linnetdale", "{error}");
+            std::process::exit(1);
+        }),
+    };
+    let replica = Replica::start(&settings.data, machine.hooks(), config)?;
+    let board = Arc::new(HostBoard::default());
+    refresh_keys(checked.keys, settings.peer_keys.clone());
+
+    let listener = TcpListener::bind(settings.peer_listen).await?;
+    let context = ControlContext {
+        name: settings.name.clone(),
+        hall: settings.hall.clone(),
+        replica,
+        machine,
+        feed,
+        board,
+    };
+    let serving = context.clone();
+    let events = recorder.clone();
+    let serve_one = move |greeting, reader, writer| {
+        let (context, events) = (serving.clone(), events.clone());
+        async move {
+            match greeting {
+                PeerGreeting::Quorum => serve_peer(&context.replica, reader, writer).await,
+                PeerGreeting::Claims => {
+                    serve_claims(&context.replica, &events, reader, writer).await
+                }
+                PeerGreeting::Follow => {
+                    let board = context.board.clone();
+                    let take = move |report: linnet_feed::FollowReport| {
+                        board.take_reports(report.hosts);
+                    };
+                    serve_follower(&context.feed, reader, writer, take).await
+                }
+            }
+        }
+    };
+    ntex::rt::spawn(accept_peers(
+        listener,
+        identity,
+        recorder.clone(),
+        serve_one,
+    ));
+
+    let registry = Arc::new(Mutex::new(Registry::with_prefix("linnet_control")));
+    ntex::rt::spawn(update_gauges(context.clone(), registry.clone()));
+    let ops = OpsContext {
+        keys: checked.operators,
+        recorder: recorder.clone(),
+        registry,
+    };
+    let server = HttpServer::new(async move || {
+        App::new()
+            .state(ops.clone())
+            .state(context.clone())
+            .configure(ops_routes)
+            .configure(control_routes)
+    })
+    .workers(1)
+    .disable_signals()
+    .bind(settings.ops_listen)?
+    .run();
+    let detail = format!(
+        "hall={} peer={} ops={}",
+        settings.hall, settings.peer_listen, settings.ops_listen
+    );
+    recorder.record(EventCode::ProcessStarted, "", detail);
+
+    stop_signal().await?;
+    recorder.record(EventCode::StopRequested, "", "");
+    // Requests of operators that wait for a commit get their answer before the port closes.
+    server.stop(true).await;
+    recorder.record(EventCode::ProcessStopped, "", "");
+    Ok(())
+}
+
+async fn update_gauges(context: ControlContext, registry: Arc<Mutex<Registry>>) {
+    let gauges: [(&str, &str, Gauge); 6] = [
+        ("term", "Term of the replica", Gauge::default()),
+        ("commit_index", "Last committed index", Gauge::default()),
+        ("is_leader", "1 while the lease lasts", Gauge::default()),
+        ("table_version", "Version of the table", Gauge::default()),
+        ("claims", "Claims that are kept", Gauge::default()),
+        (
+            "hosts_behind",
+            "Entry hosts below the version here",
+            Gauge::default(),
+        ),
+    ];
+    if let Ok(mut registry) = registry.lock() {
+        for (name, help, gauge) in &gauges {
+            registry.register(*name, *help, gauge.clone());
+        }
+    }
+    loop {
+        let status = context.replica.status();
+        let version = context.feed.version();
+        let hosts = context.board.list_hosts();
+        let behind = hosts.iter().filter(|host| host.version < version).count();
+        let values = [
+            status.term as i64,
+            status.commit as i64,
+            i64::from(status.lease_lasts),
+            version as i64,
+            context.machine.claim_count() as i64,
+            behind as i64,
+        ];
+        for ((_, _, gauge), value) in gauges.iter().zip(values) {
+            gauge.set(value);
+        }
+        tokio::time::sleep(GAUGE_PERIOD).await;
+    }
+}
--- /dev/null
+++ b/crates/control/src/machine.rs
@@ -0,0 +1,164 @@
+//! The replicated state machine: the table, the change keys and the claims.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use linnet_claim::{ClaimAnswer, ClaimCommand, ClaimTable};
+use linnet_feed::TableFeed;
+use linnet_quorum::MachineHooks;
+use linnet_table::{ChangeRefusal, RowKey, TableChange, TableStore, VersionedRow};
+use linnet_telemetry::{EventCode, EventRecorder};
+use serde::{Deserialize, Serialize};
+
+use crate::ledger::{ChangeLedger, ChangeRecord, content_of};
+
+/// A command of the replicated log.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum ControlCommand {
+    /// A change of the table.
+    Change(TableChange),
+    /// A step of a claim.
+    Claim(ClaimCommand),
+}
+
+/// The answer to a [`ControlCommand`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ControlAnswer {
+    /// The version that the change made, or why it was refused.
+    Change(Result<u64, ChangeRefusal>),
+    /// The answer of the claim table.
+    Claim(ClaimAnswer),
+    /// The command was none that this program knows.
+    Unreadable,
+}
+
+/// What a snapshot holds.
+#[derive(Serialize, Deserialize)]
+struct MachineImage {
+    version: u64,
+    rows: Vec<VersionedRow>,
+    tombstones: Vec<(RowKey, u64)>,
+    ledger: ChangeLedger,
+    claims: ClaimTable,
+}
+
+#[derive(Default)]
+struct MachineState {
+    ledger: ChangeLedger,
+    claims: ClaimTable,
+}
+
+/// The state machine. The table is shared with those who serve it to followers.
+#[derive(Clone)]
+pub struct ControlMachine {
+    feed: Arc<TableFeed>,
+    state: Arc<Mutex<MachineState>>,
+    recorder: Arc<EventRecorder>,
+}
+
+impl ControlMachine {
+    /// Creates a machine that keeps its table in `feed`.
+    pub fn new(feed: Arc<TableFeed>, recorder: Arc<EventRecorder>) -> Self {
+        Self {
+            feed,
+            state: Arc::default(),
+            recorder,
+        }
+    }
+
+    /// Returns the closures that the replicated log calls.
+    pub fn hooks(&self) -> MachineHooks {
+        let (apply, snapshot, restore) = (self.clone(), self.clone(), self.clone());
+        MachineHooks::new(
+            move |_, command| apply.apply(command),
+            move || snapshot.snapshot(),
+            move |bytes| restore.restore(bytes),
+        )
+    }
+
+    /// Finds what became of a change key.
+    pub fn find_change(&self, change_key: &str) -> Option<ChangeRecord> {
+        self.lock().ledger.find(change_key)
+    }
+
+    /// Returns the number of claims that are kept.
+    pub fn claim_count(&self) -> usize {
+        self.lock().claims.len()
+    }
+
+    /// Takes one committed command and returns its encoded answer.
+    pub fn apply(&self, command: &[u8]) -> Vec<u8> {
+        let answer = match postcard::from_bytes(command) {
+            Ok(ControlCommand::Change(change)) => ControlAnswer::Change(self.apply_change(&change)),
+            Ok(ControlCommand::Claim(step)) => ControlAnswer::Claim(self.lock().claims.apply(step)),
+            Err(_) => ControlAnswer::Unreadable,
+        };
+        postcard::to_stdvec(&answer).unwrap_or_default()
+    }
+
+    fn apply_change(&self, change: &TableChange) -> Result<u64, ChangeRefusal> {
+        let mut state = self.lock();
+        if let Some(record) = state.ledger.find(&change.change_key) {
+            return if record.content == content_of(change) {
+                Ok(record.version)
+            } else {
+                Err(ChangeRefusal::KeyReused(record.version))
+            };
+        }
+        let result = self.feed.decide(change);
+        match &result {
+            Ok(version) => {
+                state.ledger.note(change, *version);
+                let detail = format!(
+                    "version={version} key={} rows={} deleted={}",
+                    change.change_key,
+                    change.upserts.len(),
+                    change.deletes.len()
+                );
+                self.recorder
+                    .record(EventCode::ChangeAccepted, &change.author, detail);
+            }
+            Err(refusal) => {
+                let detail = format!("key={} {refusal}", change.change_key);
+                self.recorder
+                    .record(EventCode::ChangeRefused, &change.author, detail);
+            }
+        }
+        result
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        let state = self.lock();
+        let table = self.feed.read();
+        let image = MachineImage {
+            version: table.version(),
+            rows: table.image_rows(),
+            tombstones: table.tombstones(),
+            ledger: state.ledger.clone(),
+            claims: state.claims.clone(),
+        };
+        postcard::to_stdvec(&image).unwrap_or_default()
+    }
+
+    fn restore(&self, bytes: &[u8]) {
+        // A snapshot passed its checksum, so bytes that cannot be read come from a newer program.
+        // Going on with an empty state would lose what was accepted.
+        let image: MachineImage = match postcard::from_bytes(bytes) {
+            Ok(image) => image,
+            Err(error) => {
+                log::error!(target: "linnetdale", "the snapshot cannot be read: {error}");
+                std::process::exit(1);
+            }
+        };
+        let mut table = TableStore::new();
+        table.put_image_rows(image.rows);
+        table.finish_image(image.version, image.tombstones);
+        let mut state = self.lock();
+        state.ledger = image.ledger;
+        state.claims = image.claims;
+        self.feed.restore(table);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, MachineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/control/src/ops.rs
@@ -0,0 +1,281 @@
+//! The operators' interface of the control daemon, as JSON over HTTP.
+
+use std::sync::Arc;
+
+use linnet_daemon::{OpsContext, error_body, json_reply};
+use linnet_feed::{HostReport, TableFeed};
+use linnet_quorum::{
+    FormError, Member, MemberChange, Members, ProposeError, Replica, ReplicaStatus,
+};
+use linnet_table::{ChangeRefusal, TableChange, write_csv};
+use ntex::util::Bytes;
+use ntex::web::types::{Path, PayloadConfig, State};
+use ntex::web::{self, HttpRequest, HttpResponse};
+use serde::{Deserialize, Serialize};
+
+use crate::board::HostBoard;
+use crate::machine::{ControlAnswer, ControlCommand, ControlMachine};
+
+/// The largest change that an operator may send, in bytes of JSON.
+pub const MAX_CHANGE_BYTES: usize = 96 * 1024 * 1024;
+
+/// What the operators' pages of a control daemon need.
+#[derive(Clone)]
+pub(crate) struct ControlContext {
+    pub(crate) name: String,
+    pub(crate) hall: String,
+    pub(crate) replica: Replica,
+    pub(crate) machine: ControlMachine,
+    pub(crate) feed: Arc<TableFeed>,
+    pub(crate) board: Arc<HostBoard>,
+}
+
+/// What a control daemon tells of itself and of the hosts that follow it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ControlStatus {
+    /// The name of the host.
+    pub name: String,
+    /// Its data hall.
+    pub hall: String,
+    /// Its part in agreement.
+    pub replica: ReplicaStatus,
+    /// The version of the table that it holds.
+    pub table_version: u64,
+    /// Rows of the table.
+    pub table_rows: usize,
+    /// Claims that are kept.
+    pub claims: usize,
+    /// Entry hosts as they were last told of.
+    pub hosts: Vec<HostReport>,
+}
+
+/// The answer to a change.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "result")]
+pub enum ChangeReply {
+    /// It was taken, now or when it was first sent.
+    Taken {
+        /// The version that it made.
+        version: u64,
+    },
+    /// It was refused whole.
+    Refused {
+        /// Why.
+        refusal: ChangeRefusal,
+    },
+    /// It was not taken here; another host leads.
+    NotLeader {
+        /// The leader, where it is known.
+        leader: Option<Member>,
+    },
+    /// Nobody here can tell yet. Sending it again under the same key is safe and tells.
+    Unknown,
+    /// It was not taken; try again.
+    Busy {
+        /// Why.
+        cause: String,
+    },
+}
+
+/// A request to form a cluster.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FormRequest {
+    /// A random number that names the cluster.
+    pub cluster: u64,
+    /// The founders, all of them voters.
+    pub founders: Members,
+}
+
+/// Adds the pages of the control daemon.
+pub(crate) fn control_routes(config: &mut web::ServiceConfig) {
+    config
+        .state(PayloadConfig::new(MAX_CHANGE_BYTES))
+        .route("/v1/status", web::get().to(show_status))
+        .route("/v1/table", web::get().to(show_table))
+        .route("/v1/changes", web::post().to(take_change))
+        .route("/v1/changes/{key}", web::get().to(show_change))
+        .route("/v1/form", web::post().to(form_cluster))
+        .route("/v1/members", web::post().to(change_members));
+}
+
+async fn show_status(
+    request: HttpRequest,
+    ops: State<OpsContext>,
+    context: State<ControlContext>,
+) -> HttpResponse {
+    if let Some(refused) = refuse(&request, &ops) {
+        return refused;
+    }
+    let (table_version, table_rows) = {
+        let table = context.feed.read();
+        (table.version(), table.row_count())
+    };
+    let status = ControlStatus {
+        name: context.name.clone(),
+        hall: context.hall.clone(),
+        replica: context.replica.status(),
+        table_version,
+        table_rows,
+        claims: context.machine.claim_count(),
+        hosts: context.board.list_hosts(),
+    };
+    json_reply(200, &status)
+}
+
+async fn show_table(
+    request: HttpRequest,
+    ops: State<OpsContext>,
+    context: State<ControlContext>,
+) -> HttpResponse {
+    if let Some(refused) = refuse(&request, &ops) {
+        return refused;
+    }
+    // The lease is checked after the request came in, so no newer version was accepted elsewhere
+    // before the operator asked. `?stale=1` takes what this host holds.
+    let stale = request.query_string() == "stale=1";
+    if !stale && !context.replica.lease_lasts() {
+        return not_leader(&context);
+    }
+    let (version, rows) = {
+        let table = context.feed.read();
+        (table.version(), table.rows())
+    };
+    HttpResponse::Ok()
+        .header("x-table-version", version.to_string())
+        .content_type("text/csv")
+        .body(write_csv(&rows))
+}
+
+async fn take_change(
+    request: HttpRequest,
+    body: Bytes,
+    ops: State<OpsContext>,
+    context: State<ControlContext>,
+) -> HttpResponse {
+    if let Some(refused) = refuse(&request, &ops) {
+        return refused;
+    }
+    let change: TableChange = match serde_json::from_slice(&body) {
+        Ok(change) => change,
+        Err(error) => return json_reply(400, &error_body("malformed", error.to_string())),
+    };
+    let key_fits = (1..=128).contains(&change.change_key.len());
+    if !key_fits {
+        return json_reply(
+            400,
+            &error_body("malformed", "a change key has 1 to 128 bytes"),
+        );
+    }
+    let reply = propose_change(&context, change).await;
+    json_reply(change_status(&reply), &reply)
+}
+
+fn change_status(reply: &ChangeReply) -> u16 {
+    match reply {
+        ChangeReply::Taken { .. } => 200,
+        ChangeReply::Refused {
+            refusal: ChangeRefusal::Faults(_),
+        } => 422,
+        ChangeReply::Refused { .. } => 409,
+        ChangeReply::NotLeader { .. } => 421,
+        ChangeReply::Unknown | ChangeReply::Busy { .. } => 503,
+    }
+}
+
+async fn propose_change(context: &ControlContext, change: TableChange) -> ChangeReply {
+    let command = ControlCommand::Change(change);
+    let bytes = postcard::to_stdvec(&command).unwrap_or_default();
+    match context.replica.propose(bytes).await {
+        Ok(answer) => match postcard::from_bytes(&answer) {
+            Ok(ControlAnswer::Change(Ok(version))) => ChangeReply::Taken { version },
+            Ok(ControlAnswer::Change(Err(refusal))) => ChangeReply::Refused { refusal },
+            _ => ChangeReply::Unknown,
+        },
+        Err(ProposeError::NotLeader { leader }) => ChangeReply::NotLeader { leader },
+        Err(ProposeError::Unknown) => ChangeReply::Unknown,
+        Err(other) => ChangeReply::Busy {
+            cause: other.to_string(),
+        },
+    }
+}
+
+async fn show_change(
+    request: HttpRequest,
+    key: Path<String>,
+    ops: State<OpsContext>,
+    context: State<ControlContext>,
+) -> HttpResponse {
+    if let Some(refused) = refuse(&request, &ops) {
+        return refused;
+    }
+    if !context.replica.lease_lasts() {
+        return not_leader(&context);
+    }
+    match context.machine.find_change(&key) {
+        Some(record) => json_reply(
+            200,
+            &ChangeReply::Taken {
+                version: record.version,
+            },
+        ),
+        // A change that still waits for its commit may be taken yet.
+        None => json_reply(404, &ChangeReply::Unknown),
+    }
+}
+
+async fn form_cluster(
+    request: HttpRequest,
+    body: Bytes,
+    ops: State<OpsContext>,
+    context: State<ControlContext>,
+) -> HttpResponse {
+    if let Some(refused) = refuse(&request, &ops) {
+        return refused;
+    }
+    let form: FormRequest = match serde_json::from_slice(&body) {
+        Ok(form) => form,
+        Err(error) => return json_reply(400, &error_body("malformed", error.to_string())),
+    };
+    match context.replica.form(form.cluster, form.founders).await {
+        Ok(()) => json_reply(200, &serde_json::json!({ "result": "formed" })),
+        Err(error @ FormError::Disk(_)) => json_reply(503, &error_body("disk", error.to_string())),
+        Err(error) => json_reply(409, &error_body("refused", error.to_string())),
+    }
+}
+
+async fn change_members(
+    request: HttpRequest,
+    body: Bytes,
+    ops: State<OpsContext>,
+    context: State<ControlContext>,
+) -> HttpResponse {
+    if let Some(refused) = refuse(&request, &ops) {
+        return refused;
+    }
+    let change: MemberChange = match serde_json::from_slice(&body) {
+        Ok(change) => change,
+        Err(error) => return json_reply(400, &error_body("malformed", error.to_string())),
+    };
+    match context.replica.change_members(&change).await {
+        Ok(()) => json_reply(200, &serde_json::json!({ "result": "taken" })),
+        Err(ProposeError::NotLeader { .. }) => not_leader(&context),
+        Err(ProposeError::Members(error)) => {
+            json_reply(409, &error_body("refused", error.to_string()))
+        }
+        Err(error) => json_reply(503, &error_body("unknown", error.to_string())),
+    }
+}
+
+fn refuse(request: &HttpRequest, ops: &OpsContext) -> Option<HttpResponse> {
+    let body = || error_body("unauthorized", "an operator's key is needed");
+    (!ops.keys.admits(request)).then(|| json_reply(401, &body()))
+}
+
+fn not_leader(context: &ControlContext) -> HttpResponse {
+    let status = context.replica.status();
+    let leader = status
+        .leader
+        .filter(|id| *id != status.id)
+        .and_then(|id| status.members.find(id).cloned());
+    json_reply(421, &ChangeReply::NotLeader { leader })
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,18 @@
+//! What every linnetdale daemon does the same way.
+//!
+//! - [`SettingCheck`] collects every wrong setting before a socket opens.
+//! - [`OperatorKeys`] guard the operators' port; [`ops_routes`] are its common pages.
+//! - [`accept_peers`] serves the port for peers; [`refresh_keys`] lets keys roll.
+//! - [`stop_signal`] resolves when a planned stop is asked for; [`start_logging`] sets up the log.
+
+mod logging;
+mod ops;
+mod peer;
+mod setting;
+mod stop;
+
+pub use logging::start_logging;
+pub use ops::{OperatorKeys, OpsContext, error_body, json_reply, ops_routes};
+pub use peer::{accept_peers, refresh_keys};
+pub use setting::{SettingCheck, SettingFault};
+pub use stop::stop_signal;
--- /dev/null
+++ b/crates/feed/src/feed.rs
@@ -0,0 +1,166 @@
+//! The table in force in one process.
+
+use std::collections::VecDeque;
+use std::sync::{Mutex, PoisonError, RwLock, RwLockReadGuard};
+
+use linnet_table::{ChangeRefusal, TableChange, TableStore};
+use tokio::sync::watch;
+
+use std::sync::Arc;
+
+/// Changes that are kept for followers which are a little behind.
+const KEPT_CHANGES: usize = 1_024;
+
+/// Rows that the kept changes may have together; more are dropped from the oldest on.
+const KEPT_ROWS: usize = 20_000;
+
+/// What a follower at some version needs next.
+#[derive(Debug)]
+pub enum FeedStep {
+    /// Nothing; it has the newest.
+    Current,
+    /// These changes, in order.
+    Deltas(Vec<(u64, Arc<TableChange>)>),
+    /// The whole table, because it is too far behind.
+    Image,
+}
+
+/// A change with the version that it made and its number of rows.
+struct KeptChange {
+    version: u64,
+    rows: usize,
+    change: Arc<TableChange>,
+}
+
+/// The table in force, the newest changes, and a signal for those who wait for the next.
+///
+/// Invariant: the version seen by any reader never falls, but for [`TableFeed::restore`].
+pub struct TableFeed {
+    table: RwLock<TableStore>,
+    kept: Mutex<VecDeque<KeptChange>>,
+    version: watch::Sender<u64>,
+}
+
+impl Default for TableFeed {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl TableFeed {
+    /// Creates a feed that has no table yet.
+    pub fn new() -> Self {
+        Self {
+            table: RwLock::new(TableStore::new()),
+            kept: Mutex::new(VecDeque::new()),
+            version: watch::Sender::new(0),
+        }
+    }
+
+    /// Returns the table in force. Held only for a moment, never over an await.
+    pub fn read(&self) -> RwLockReadGuard<'_, TableStore> {
+        self.table.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the version in force; 0 for none.
+    pub fn version(&self) -> u64 {
+        *self.version.borrow()
+    }
+
+    /// Returns a receiver that wakes with each version.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.version.subscribe()
+    }
+
+    /// Checks a change and takes it as the next version; for the process that decides.
+    ///
+    /// # Errors
+    ///
+    /// [`ChangeRefusal`]; the table is as it was.
+    pub fn decide(&self, change: &TableChange) -> Result<u64, ChangeRefusal> {
+        let version = self.write().apply(change)?;
+        self.keep(version, change.clone());
+        Ok(version)
+    }
+
+    /// Takes a change that another process has checked; false when it is not the next one.
+    pub fn take_change(&self, version: u64, change: TableChange) -> bool {
+        {
+            let mut table = self.write();
+            if version != table.version() + 1 {
+                return false;
+            }
+            table.apply_checked(&change, version);
+        }
+        self.keep(version, change);
+        true
+    }
+
+    /// Puts a whole table in force; false when it is not newer.
+    pub fn take_image(&self, image: TableStore) -> bool {
+        let version = image.version();
+        {
+            let mut table = self.write();
+            if version <= table.version() {
+                return false;
+            }
+            *table = image;
+        }
+        self.lock_kept().clear();
+        self.version.send_replace(version);
+        true
+    }
+
+    /// Sets the table whatever its version; only for the start of a replica and its snapshots.
+    pub fn restore(&self, image: TableStore) {
+        let version = image.version();
+        *self.write() = image;
+        self.lock_kept().clear();
+        self.version.send_replace(version);
+    }
+
+    /// Returns what a follower at a version needs next.
+    pub fn step_after(&self, version: u64) -> FeedStep {
+        if version >= self.version() {
+            return FeedStep::Current;
+        }
+        let kept = self.lock_kept();
+        let deltas: Vec<_> = kept
+            .iter()
+            .filter(|entry| entry.version > version)
+            .map(|entry| (entry.version, entry.change.clone()))
+            .collect();
+        match deltas.first() {
+            Some((first, _)) if *first == version + 1 => FeedStep::Deltas(deltas),
+            _ => FeedStep::Image,
+        }
+    }
+
+    fn keep(&self, version: u64, change: TableChange) {
+        let rows = change.upserts.len() + change.deletes.len();
+        let change = Arc::new(change);
+        let mut kept = self.lock_kept();
+        kept.push_back(KeptChange {
+            version,
+            rows,
+            change,
+        });
+        let mut total: usize = kept.iter().map(|entry| entry.rows).sum();
+        while kept.len() > KEPT_CHANGES || total > KEPT_ROWS {
+            match kept.pop_front() {
+                Some(oldest) => total -= oldest.rows,
+                None => break,
+            }
+        }
+        drop(kept);
+        self.version.send_replace(version);
+    }
+
+    fn write(&self) -> std::sync::RwLockWriteGuard<'_, TableStore> {
+        self.table.write().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_kept(&self) -> std::sync::MutexGuard<'_, VecDeque<KeptChange>> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/feed/src/follow.rs
@@ -0,0 +1,114 @@
+//! Takes the table in from one source.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use linnet_table::TableStore;
+use linnet_wire::{PeerGreeting, PeerIdentity, PeerReader, PeerWriter, WireError, connect_peer};
+use tokio::time::{sleep, timeout};
+
+use crate::serve::IDLE_PERIOD;
+use crate::{FeedMessage, FollowHello, FollowReport, TableFeed};
+
+/// A source that is silent for so long is taken as gone or cut off.
+const SOURCE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Why following a source ended.
+#[derive(Debug)]
+pub enum FollowError {
+    /// The connection failed.
+    Wire(WireError),
+    /// The source was silent for too long.
+    Silent,
+    /// The source sent what does not follow what is in force.
+    OutOfOrder,
+}
+
+impl fmt::Display for FollowError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FollowError::Wire(error) => write!(f, "{error}"),
+            FollowError::Silent => f.write_str("the source was silent for too long"),
+            FollowError::OutOfOrder => f.write_str("the source sent a change out of order"),
+        }
+    }
+}
+
+impl std::error::Error for FollowError {}
+
+impl From<WireError> for FollowError {
+    fn from(error: WireError) -> Self {
+        FollowError::Wire(error)
+    }
+}
+
+/// Follows one source until it is lost. `heard` runs with the source's version for each message,
+/// `report` gives what is told to the source now and then.
+///
+/// # Errors
+///
+/// [`FollowError`]; what was taken in so far stays in force.
+pub async fn follow_source(
+    feed: &TableFeed,
+    identity: &PeerIdentity,
+    source: SocketAddr,
+    heard: impl Fn(u64),
+    report: impl Fn() -> FollowReport,
+) -> Result<(), FollowError> {
+    let (reader, mut writer) = connect_peer(identity, source).await?;
+    writer.send(&PeerGreeting::Follow).await?;
+    let have_version = feed.version();
+    writer.send(&FollowHello { have_version }).await?;
+    tokio::select! {
+        result = take_messages(feed, reader, heard) => result,
+        result = send_reports(writer, report) => result,
+    }
+}
+
+async fn send_reports(
+    mut writer: PeerWriter,
+    report: impl Fn() -> FollowReport,
+) -> Result<(), FollowError> {
+    loop {
+        writer.send(&report()).await?;
+        sleep(IDLE_PERIOD).await;
+    }
+}
+
+async fn take_messages(
+    feed: &TableFeed,
+    mut reader: PeerReader,
+    heard: impl Fn(u64),
+) -> Result<(), FollowError> {
+    let mut image: Option<TableStore> = None;
+    loop {
+        let message = timeout(SOURCE_TIMEOUT, reader.receive::<FeedMessage>())
+            .await
+            .map_err(|_| FollowError::Silent)??;
+        match message {
+            FeedMessage::Delta { version, change } => {
+                // A change that another source brought already is passed over.
+                if version > feed.version() && !feed.take_change(version, change) {
+                    return Err(FollowError::OutOfOrder);
+                }
+                heard(version);
+            }
+            FeedMessage::ImageStart => image = Some(TableStore::new()),
+            FeedMessage::ImageRows(rows) => match &mut image {
+                Some(image) => image.put_image_rows(rows),
+                None => return Err(FollowError::OutOfOrder),
+            },
+            FeedMessage::ImageEnd {
+                version,
+                tombstones,
+            } => {
+                let mut whole = image.take().ok_or(FollowError::OutOfOrder)?;
+                whole.finish_image(version, tombstones);
+                feed.take_image(whole);
+                heard(version);
+            }
+            FeedMessage::Idle { version } => heard(version),
+        }
+    }
+}
--- /dev/null
+++ b/crates/feed/src/serve.rs
@@ -0,0 +1,93 @@
+//! Pushes the table to one follower.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use linnet_wire::{PeerReader, PeerWriter, WireError};
+use tokio::time::timeout;
+
+use crate::{FeedMessage, FeedStep, FollowHello, FollowReport, TableFeed};
+
+/// Rows of a whole table that one message carries.
+const IMAGE_ROWS: usize = 2_000;
+
+/// How long a source stays silent.
+pub(crate) const IDLE_PERIOD: Duration = Duration::from_secs(1);
+
+/// A follower that is silent for so long is taken as gone.
+const FOLLOWER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Serves one follower until its connection ends. `on_report` takes what the follower tells.
+///
+/// # Errors
+///
+/// [`WireError`] of the connection.
+pub async fn serve_follower(
+    feed: &Arc<TableFeed>,
+    mut reader: PeerReader,
+    writer: PeerWriter,
+    on_report: impl Fn(FollowReport),
+) -> Result<(), WireError> {
+    let hello: FollowHello = reader.receive().await?;
+    let pushing = push_changes(feed, hello.have_version, writer);
+    let reports = take_reports(reader, on_report);
+    // Whichever ends first ends the connection: both halves are dropped together.
+    tokio::select! {
+        result = pushing => result,
+        result = reports => result,
+    }
+}
+
+async fn take_reports(
+    mut reader: PeerReader,
+    on_report: impl Fn(FollowReport),
+) -> Result<(), WireError> {
+    while let Ok(report) = timeout(FOLLOWER_TIMEOUT, reader.receive()).await {
+        on_report(report?);
+    }
+    Ok(())
+}
+
+async fn push_changes(
+    feed: &TableFeed,
+    mut sent: u64,
+    mut writer: PeerWriter,
+) -> Result<(), WireError> {
+    let mut versions = feed.subscribe();
+    loop {
+        versions.mark_unchanged();
+        match feed.step_after(sent) {
+            FeedStep::Deltas(deltas) => {
+                for (version, change) in deltas {
+                    let change = change.as_ref().clone();
+                    writer.send(&FeedMessage::Delta { version, change }).await?;
+                    sent = version;
+                }
+            }
+            FeedStep::Image => sent = push_image(feed, &mut writer).await?,
+            FeedStep::Current => {
+                if timeout(IDLE_PERIOD, versions.changed()).await.is_err() {
+                    let version = feed.version();
+                    writer.send(&FeedMessage::Idle { version }).await?;
+                }
+            }
+        }
+    }
+}
+
+async fn push_image(feed: &TableFeed, writer: &mut PeerWriter) -> Result<u64, WireError> {
+    let (version, rows, tombstones) = {
+        let table = feed.read();
+        (table.version(), table.image_rows(), table.tombstones())
+    };
+    writer.send(&FeedMessage::ImageStart).await?;
+    for part in rows.chunks(IMAGE_ROWS) {
+        writer.send(&FeedMessage::ImageRows(part.to_vec())).await?;
+    }
+    let end = FeedMessage::ImageEnd {
+        version,
+        tombstones,
+    };
+    writer.send(&end).await?;
+    Ok(version)
+}
--- a/crates/journal/src/writer.rs
+++ b/crates/journal/src/writer.rs
@@ -23,9 +23,13 @@
         Vec<Vec<u8>>,
         oneshot::Sender<Result<(), JournalRefusal>>,
     ),
+    Resume,
 }
 
 /// A handle to the thread that owns a journal. Jobs are done in the order they were given.
+///
+/// After a refused write every later job is refused too, until [`JournalWriter::resume`]: the
+/// records after a refused one would stand in the journal with a gap before them.
 #[derive(Clone)]
 pub struct JournalWriter {
     jobs: Sender<Job>,
@@ -48,6 +52,11 @@
         ticket
     }
 
+    /// Says that the owner took back what was refused; jobs queued from here on are done again.
+    pub fn resume(&self) {
+        let _ = self.jobs.send(Job::Resume);
+    }
+
     /// Queues a snapshot together with the records that continue it.
     pub fn compact(&self, snapshot: Vec<u8>, records: Vec<Vec<u8>>) -> JournalTicket {
         let (done, ticket) = oneshot::channel();
@@ -61,27 +70,33 @@
     queue: Receiver<Job>,
     on_fatal: impl FnOnce(JournalError) + Send + 'static,
 ) {
+    let mut blocked = false;
     let mut held: Option<Job> = None;
     loop {
-        let job = match held.take() {
-            Some(job) => job,
-            None => match queue.recv() {
-                Ok(job) => job,
-                Err(_) => return,
-            },
+        let Some(job) = held.take().or_else(|| queue.recv().ok()) else {
+            return;
         };
-        let result = match job {
-            Job::Append(records, done) => {
-                let mut records = records;
+        let (result, waiting) = match job {
+            Job::Resume => {
+                blocked = false;
+                continue;
+            }
+            Job::Append(_, done) | Job::Compact(_, _, done) if blocked => {
+                let _ = done.send(Err("an earlier write was refused".to_owned()));
+                continue;
+            }
+            Job::Append(mut records, done) => {
                 let mut waiting = vec![done];
                 held = gather_group(&queue, &mut records, &mut waiting);
-                finish(journal.append(&records), waiting)
+                let result = journal.append(&records);
+                blocked = result.is_err();
+                (result, waiting)
             }
             Job::Compact(snapshot, records, done) => {
-                finish(journal.compact(&snapshot, &records), vec![done])
+                (journal.compact(&snapshot, &records), vec![done])
             }
         };
-        if let Err(error) = result {
+        if let Err(error) = finish(result, waiting) {
             on_fatal(error);
             return;
         }
--- a/crates/journal/tests/journal.rs
+++ b/crates/journal/tests/journal.rs
@@ -156,3 +156,48 @@
     assert_eq!(wiped.mark().identity, 8);
     assert_eq!(wiped.mark().cluster, None);
 }
+
+#[test]
+fn nothing_is_written_behind_a_refused_record_until_the_owner_resumes() {
+    let dir = tempfile::tempdir().unwrap();
+    let full = Arc::new(AtomicBool::new(true));
+    let seen = full.clone();
+    let ops = DiskOps::new().with_write(move |file, bytes| {
+        if seen.load(Ordering::Relaxed) {
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        file.write_all(bytes)
+    });
+    let folder = DataFolder::open(dir.path(), 7).unwrap();
+    let (journal, _) = Journal::open(&folder, ops).unwrap();
+    let writer = JournalWriter::new(journal, |error| panic!("{error}"));
+    assert!(
+        writer
+            .append(vec![record(1)])
+            .blocking_recv()
+            .unwrap()
+            .is_err()
+    );
+    full.store(false, Ordering::Relaxed);
+    assert!(
+        writer
+            .append(vec![record(2)])
+            .blocking_recv()
+            .unwrap()
+            .is_err()
+    );
+    writer.resume();
+    assert!(
+        writer
+            .append(vec![record(3)])
+            .blocking_recv()
+            .unwrap()
+            .is_ok()
+    );
+    drop((writer, folder));
+    let mut reopened = open(dir.path());
+    while matches!(reopened, Err(JournalError::Held { .. })) {
+        reopened = open(dir.path());
+    }
+    assert_eq!(reopened.unwrap().1.records, [record(3)]);
+}
--- /dev/null
+++ b/crates/quorum/src/election.rs
@@ -0,0 +1,186 @@
+//! Elections: when a voter stands, and when a leader gives up.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use linnet_telemetry::EventCode;
+use linnet_wire::connect_peer;
+use tokio::time::{sleep, timeout};
+
+use crate::message::Addressed;
+use crate::replica::ReplicaShared;
+use crate::{LogPosition, Member, PeerReply, PeerRequest, Role, VoteRequest, replicate};
+
+/// How often the task looks at the clock.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Stands for election when no leader is heard, and steps down when no majority is.
+pub(crate) async fn run_elections(shared: Arc<ReplicaShared>) {
+    loop {
+        sleep(TICK).await;
+        step_down_without_majority(&shared);
+        if should_stand(&shared) {
+            stand(&shared).await;
+            shared.lock().put_off_election(&shared.timing);
+        }
+    }
+}
+
+fn step_down_without_majority(shared: &ReplicaShared) {
+    let mut state = shared.lock();
+    if state.role != Role::Leader || state.heard_majority_within(shared.timing.election_min) {
+        return;
+    }
+    let term = state.term;
+    state.step_down(term, &shared.timing);
+    drop(state);
+    let detail = format!("term={term} cause=no majority within the lease");
+    shared
+        .recorder
+        .record(EventCode::LeaderSteppedDown, "", detail);
+    shared.bump();
+}
+
+fn should_stand(shared: &ReplicaShared) -> bool {
+    let state = shared.lock();
+    let quiet = state.leader_heard.elapsed() >= shared.timing.election_min;
+    let due = Instant::now() >= state.election_due;
+    state.role != Role::Leader && state.members.is_voter(state.me) && quiet && due
+}
+
+async fn stand(shared: &Arc<ReplicaShared>) {
+    // A pre-vote changes nothing anywhere: a voter that is cut off cannot drive the term up and
+    // unseat a leader when it returns.
+    let ahead = {
+        let state = shared.lock();
+        VoteRequest {
+            term: state.term + 1,
+            last: state.log.last(),
+        }
+    };
+    if !win_round(shared, PeerRequest::PreVote(ahead)).await {
+        return;
+    }
+    let Some(request) = enter_term(shared, ahead.term).await else {
+        return;
+    };
+    shared.recorder.record(
+        EventCode::ElectionStarted,
+        "",
+        format!("term={}", request.term),
+    );
+    if win_round(shared, PeerRequest::Vote(request)).await {
+        lead(shared, request.term).await;
+    }
+}
+
+/// Votes for itself in a new term, durably, unless something changed since the pre-vote.
+async fn enter_term(shared: &ReplicaShared, term: u64) -> Option<VoteRequest> {
+    let (ticket, request) = {
+        let mut state = shared.lock();
+        let heard = state.leader_heard.elapsed() < shared.timing.election_min;
+        if state.term + 1 != term || heard {
+            return None;
+        }
+        let me = state.me;
+        state.set_ballot(term, Some(me));
+        state.role = Role::Candidate;
+        let request = VoteRequest {
+            term,
+            last: state.log.last(),
+        };
+        (state.flush(&shared.writer), request)
+    };
+    shared
+        .await_synced(ticket, LogPosition::default())
+        .await
+        .ok()?;
+    Some(request)
+}
+
+async fn lead(shared: &Arc<ReplicaShared>, term: u64) {
+    let (ticket, position) = {
+        let mut state = shared.lock();
+        if state.term != term || state.role != Role::Candidate {
+            return;
+        }
+        state.begin_leading();
+        (state.flush(&shared.writer), state.log.last())
+    };
+    shared
+        .recorder
+        .record(EventCode::LeaderElected, "", format!("term={term}"));
+    replicate::start_peers(shared, term);
+    shared.bump();
+    let _ = shared.await_synced(ticket, position).await;
+}
+
+/// Asks every voter at once and says whether a majority, this replica among it, agrees.
+async fn win_round(shared: &ReplicaShared, request: PeerRequest) -> bool {
+    let (me, voters) = {
+        let state = shared.lock();
+        (state.me, state.members.voters.clone())
+    };
+    let others: Vec<_> = voters.iter().filter(|voter| voter.id != me).collect();
+    let asked = others.iter().map(|voter| ask_vote(shared, voter, &request));
+    let granted = join_all(asked).await.into_iter().filter(|granted| *granted);
+    let own = voters.iter().filter(|voter| voter.id == me).count();
+    (granted.count() + own) * 2 > voters.len()
+}
+
+async fn ask_vote(shared: &ReplicaShared, voter: &Member, request: &PeerRequest) -> bool {
+    let work = async {
+        let (mut reader, mut writer) = connect_peer(&shared.identity, voter.peer).await.ok()?;
+        let message = address_request(shared, voter, request.clone())?;
+        writer.send(&linnet_greeting()).await.ok()?;
+        writer.send(&message).await.ok()?;
+        reader.receive::<PeerReply>().await.ok()
+    };
+    match timeout(shared.timing.vote_timeout, work).await {
+        Ok(Some(PeerReply::Vote { term, granted })) => {
+            note_term(shared, term);
+            granted
+        }
+        _ => false,
+    }
+}
+
+/// Enters a higher term that a peer told of.
+pub(crate) fn note_term(shared: &ReplicaShared, term: u64) {
+    let mut state = shared.lock();
+    if term <= state.term {
+        return;
+    }
+    let led = state.role == Role::Leader;
+    state.step_down(term, &shared.timing);
+    // The new term reaches the journal with the next records, before any answer that rests on it.
+    drop(state);
+    if led {
+        let detail = format!("term={term} cause=a higher term");
+        shared
+            .recorder
+            .record(EventCode::LeaderSteppedDown, "", detail);
+    }
+    shared.bump();
+}
+
+/// Puts the address of a peer on a request; nothing before the replica has a cluster.
+pub(crate) fn address_request(
+    shared: &ReplicaShared,
+    to: &Member,
+    request: PeerRequest,
+) -> Option<Addressed> {
+    let state = shared.lock();
+    Some(Addressed {
+        cluster: state.cluster?,
+        from: state.me,
+        to: to.id,
+        request,
+    })
+}
+
+/// The first message on a connection that carries agreement.
+pub(crate) fn linnet_greeting() -> linnet_wire::PeerGreeting {
+    linnet_wire::PeerGreeting::Quorum
+}
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -1,1 +1,31 @@
-//! x
+//! Agreement over a replicated log: terms, pre-vote, commit after sync, leases, membership.
+//!
+//! - [`Replica`] is the handle: it starts the tasks, takes proposals and answers peers.
+//! - [`MachineHooks`] are the state machine that committed commands go to.
+//! - [`Members`] are the voters and learners; [`MemberChange`] changes one of them at a time.
+//! - [`grant_vote`], [`quorum_index`] and [`quorum_instant`] are the rules, kept as functions so
+//!   that tests can check them over many inputs.
+
+mod clock;
+mod election;
+mod log;
+mod machine;
+mod member;
+mod message;
+mod propose;
+mod replica;
+mod replicate;
+mod rule;
+mod serve;
+mod state;
+mod storage;
+
+pub use clock::QuorumTiming;
+pub use log::{LogEntry, LogPayload};
+pub use machine::MachineHooks;
+pub use member::{Member, MemberChange, MemberError, Members, NodeId};
+pub use message::{PeerReply, PeerRequest, VoteRequest};
+pub use propose::ProposeError;
+pub use replica::{FormError, Replica, ReplicaConfig, ReplicaStatus, Role, StartError};
+pub use rule::{LogPosition, VoteFacts, grant_vote, quorum_index, quorum_instant};
+pub use serve::serve_peer;
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -22,5 +22,7 @@
 pub use row::{
     AccountRow, KeyDigest, LimitRow, PipelineRow, RowKey, RowLimits, ServiceRow, StageRow, TableRow,
 };
-pub use store::{AccountEntry, AccountId, RouteEntry, RouteId, RouteKind, TableStore};
+pub use store::{
+    AccountEntry, AccountId, RouteEntry, RouteId, RouteKind, TableStore, VersionedRow,
+};
 pub use verify::{MAX_STAGES, verify_change, verify_rows};
--- a/crates/table/src/store.rs
+++ b/crates/table/src/store.rs
@@ -6,6 +6,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use cranelift_entity::{PrimaryMap, entity_impl};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     AccountRow, ChangeConflict, ChangeRefusal, KeyDigest, LimitRow, PipelineRow, RowKey, RowLimits,
@@ -73,6 +74,15 @@
     version: u64,
 }
 
+/// A row with the version that wrote it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionedRow {
+    /// The row.
+    pub row: TableRow,
+    /// The version.
+    pub version: u64,
+}
+
 /// A version of the table.
 #[derive(Debug, Clone, Default)]
 pub struct TableStore {
@@ -92,14 +102,32 @@
         Self::default()
     }
 
-    /// Rebuilds a table from its rows at a version.
-    pub fn with_rows(version: u64, rows: Vec<TableRow>) -> Self {
-        let mut store = Self::new();
-        for row in rows {
-            store.put_row(row, version);
+    /// Rebuilds a table from an image, part by part; [`TableStore::finish_image`] ends it.
+    pub fn put_image_rows(&mut self, rows: Vec<VersionedRow>) {
+        for VersionedRow { row, version } in rows {
+            self.put_row(row, version);
         }
-        store.version = version;
-        store
+    }
+
+    /// Sets version and deletions after the last part of an image.
+    pub fn finish_image(&mut self, version: u64, tombstones: Vec<(RowKey, u64)>) {
+        self.version = version;
+        self.tombstones = tombstones.into();
+    }
+
+    /// Returns every row with the version that wrote it; together with
+    /// [`TableStore::tombstones`] this is all that a replica needs to decide as this one does.
+    pub fn image_rows(&self) -> Vec<VersionedRow> {
+        let rows = self.rows().into_iter().map(|row| VersionedRow {
+            version: self.row_version(&row.key()),
+            row,
+        });
+        rows.collect()
+    }
+
+    /// Returns the deletions that are remembered to find clashes, oldest first.
+    pub fn tombstones(&self) -> Vec<(RowKey, u64)> {
+        self.tombstones.iter().cloned().collect()
     }
 
     /// Returns the version; it only rises.
--- /dev/null
+++ b/crates/wire/src/greeting.rs
@@ -0,0 +1,14 @@
+//! The first message on a peer connection, which says what it is for.
+
+use serde::{Deserialize, Serialize};
+
+/// What a connection is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerGreeting {
+    /// Agreement between voters.
+    Quorum,
+    /// An entry host follows the table.
+    Follow,
+    /// An entry host commits claims on request keys.
+    Claims,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,12 +8,14 @@
 
 mod datagram;
 mod error;
+mod greeting;
 mod handshake;
 mod key;
 mod stream;
 
 pub use datagram::{MAX_DATAGRAM_BYTES, OpenDatagram, open_datagram, seal_datagram};
 pub use error::{WireCause, WireError, WireStep};
+pub use greeting::PeerGreeting;
 pub use handshake::{HANDSHAKE_TIMEOUT, PeerIdentity, accept_peer, connect_peer};
 pub use key::{KeyError, PeerKey, PeerKeyRing};
 pub use stream::{MAX_MESSAGE_BYTES, PeerReader, PeerWriter, Session};
