--- a/crates/claim/src/command.rs
+++ b/crates/claim/src/command.rs
@@ -118,6 +118,8 @@
 pub struct ClaimRequest {
     /// Names the request on its connection.
     pub number: u64,
+    /// The caller's request that the step is for, for the time line.
+    pub request: String,
     /// The step.
     pub command: ClaimCommand,
 }
--- a/crates/claim/tests/claim.rs
+++ b/crates/claim/tests/claim.rs
@@ -1,5 +1,7 @@
 //! At most one run for each request key, whatever the order of steps.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
 use linnet_claim::{CLAIM_KEEP_MS, ClaimAnswer, ClaimCommand, ClaimKey, ClaimOutcome, ClaimTable};
 use proptest::prelude::*;
 
--- a/crates/control/src/board.rs
+++ b/crates/control/src/board.rs
@@ -9,6 +9,9 @@
 /// A host that was not told of for so long is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(3_600);
 
+/// A host that was heard within so many milliseconds lives.
+const LIVE_MS: u64 = 5_000;
+
 /// Hosts that are remembered at one time.
 const MAX_HOSTS: usize = 4_096;
 
@@ -51,6 +54,13 @@
         reports
     }
 
+    /// Returns the number of hosts that were heard lately.
+    pub(crate) fn count_live(&self) -> u32 {
+        let hosts = self.list_hosts();
+        let live = hosts.iter().filter(|host| host.age_ms < LIVE_MS);
+        live.count() as u32
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<String, (HostReport, Instant)>> {
         self.hosts.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -46,7 +46,7 @@
         let (recorder, peer) = (recorder.clone(), peer.to_owned());
         ntex::rt::spawn(async move {
             let _permit = permit;
-            let note = ClaimNote::of(&request.command);
+            let note = ClaimNote::of(&request);
             let reply = commit_claim(&replica, request).await;
             note.record(&recorder, &peer, &reply);
             let _ = replies.send(reply).await;
@@ -88,25 +88,31 @@
     code: EventCode,
     step: &'static str,
     claim: u64,
+    request: String,
 }
 
 impl ClaimNote {
-    fn of(command: &ClaimCommand) -> Self {
-        let (code, step, claim) = match command {
+    fn of(request: &ClaimRequest) -> Self {
+        let (code, step, claim) = match &request.command {
             ClaimCommand::Open { claim, .. } => (EventCode::ClaimCommitted, "open", *claim),
             ClaimCommand::Finish { claim, .. } => (EventCode::ClaimFinished, "finish", *claim),
             ClaimCommand::Release { claim, .. } => (EventCode::ClaimFinished, "release", *claim),
         };
-        Self { code, step, claim }
+        Self {
+            code,
+            step,
+            claim,
+            request: request.request.clone(),
+        }
     }
 
     fn record(&self, recorder: &EventRecorder, peer: &str, reply: &ClaimReply) {
         let detail = format!("{} claim={:016x}", self.step, self.claim);
         match &reply.answer {
             Some(ClaimAnswer::Granted | ClaimAnswer::Recorded) => {
-                recorder.record(self.code, peer, detail);
+                recorder.record_request(self.code, &self.request, peer, detail);
             }
-            _ => recorder.record(EventCode::ClaimRefused, peer, detail),
+            _ => recorder.record_request(EventCode::ClaimRefused, &self.request, peer, detail),
         }
     }
 }
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -68,6 +68,8 @@
     let context = ControlContext {
         name: settings.name.clone(),
         hall: settings.hall.clone(),
+        peer: settings.peer_advertise.unwrap_or(settings.peer_listen),
+        ops: settings.ops_listen,
         replica,
         machine,
         feed,
@@ -153,6 +155,7 @@
     loop {
         let status = context.replica.status();
         let version = context.feed.version();
+        context.feed.set_fleet(context.board.count_live());
         let hosts = context.board.list_hosts();
         let behind = hosts.iter().filter(|host| host.version < version).count();
         let values = [
--- a/crates/control/src/ops.rs
+++ b/crates/control/src/ops.rs
@@ -1,5 +1,6 @@
 //! The operators' interface of the control daemon, as JSON over HTTP.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use linnet_daemon::{OpsContext, error_body, json_reply};
@@ -24,6 +25,8 @@
 pub(crate) struct ControlContext {
     pub(crate) name: String,
     pub(crate) hall: String,
+    pub(crate) peer: SocketAddr,
+    pub(crate) ops: SocketAddr,
     pub(crate) replica: Replica,
     pub(crate) machine: ControlMachine,
     pub(crate) feed: Arc<TableFeed>,
@@ -37,6 +40,10 @@
     pub name: String,
     /// Its data hall.
     pub hall: String,
+    /// Where peers reach it.
+    pub peer: SocketAddr,
+    /// Where operators reach it.
+    pub ops: SocketAddr,
     /// Its part in agreement.
     pub replica: ReplicaStatus,
     /// The version of the table that it holds.
@@ -113,6 +120,8 @@
     let status = ControlStatus {
         name: context.name.clone(),
         hall: context.hall.clone(),
+        peer: context.peer,
+        ops: context.ops,
         replica: context.replica.status(),
         table_version,
         table_rows,
@@ -191,7 +200,9 @@
             Ok(ControlAnswer::Change(Err(refusal))) => ChangeReply::Refused { refusal },
             _ => ChangeReply::Unknown,
         },
-        Err(ProposeError::NotLeader { leader }) => ChangeReply::NotLeader { leader },
+        Err(ProposeError::NotLeader { leader }) => ChangeReply::NotLeader {
+            leader: leader.map(|leader| *leader),
+        },
         Err(ProposeError::Unknown) => ChangeReply::Unknown,
         Err(other) => ChangeReply::Busy {
             cause: other.to_string(),
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -26,6 +26,9 @@
     /// Address for other linnetdale processes, as IP:PORT
     #[arg(long, env = "LINNET_PEER_LISTEN")]
     pub peer_listen: SocketAddr,
+    /// Address at which other processes reach --peer-listen, where that is another
+    #[arg(long, env = "LINNET_PEER_ADVERTISE")]
+    pub peer_advertise: Option<SocketAddr>,
     /// Address for operators, as IP:PORT
     #[arg(long, env = "LINNET_OPS_LISTEN")]
     pub ops_listen: SocketAddr,
--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,195 @@
+//! Asks control hosts over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use linnet_control::{ChangeReply, ControlStatus};
+use ntex::SharedCfg;
+use ntex::client::{Client, ClientResponse};
+use ntex::http::Method;
+use ntex::util::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::{Instant, sleep};
+
+use crate::{CtlError, CtlSettings, CtlStep};
+
+/// The largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 128 * 1024 * 1024;
+
+/// Wait before the leader is looked for again.
+const LEADER_WAIT: Duration = Duration::from_millis(150);
+
+/// A client with the operator's key.
+pub(crate) struct OpsClient {
+    http: Client,
+    control: Vec<SocketAddr>,
+    key: String,
+    timeout: Duration,
+}
+
+/// An answer with its status.
+pub(crate) struct OpsAnswer {
+    pub(crate) status: u16,
+    pub(crate) version: Option<u64>,
+    pub(crate) body: Bytes,
+}
+
+impl OpsClient {
+    /// Creates a client from the arguments.
+    pub(crate) async fn new(settings: &CtlSettings) -> Result<Self, CtlError> {
+        let http = Client::builder()
+            .disable_timeout()
+            .build(SharedCfg::new("linnetctl"))
+            .await
+            .map_err(|error| CtlError::refused(CtlStep::Ask, "", error.to_string()))?;
+        Ok(Self {
+            http,
+            control: settings.control.clone(),
+            key: settings.operator_key.clone(),
+            timeout: Duration::from_millis(settings.timeout_ms),
+        })
+    }
+
+    /// Returns the control hosts that were named.
+    pub(crate) fn control(&self) -> Result<&[SocketAddr], CtlError> {
+        if self.control.is_empty() {
+            let message = "no control host is named; use --control or LINNET_CONTROL_OPS";
+            return Err(CtlError::refused(CtlStep::Ask, "", message));
+        }
+        Ok(&self.control)
+    }
+
+    /// Asks one host.
+    pub(crate) async fn ask(
+        &self,
+        host: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<OpsAnswer, CtlError> {
+        let failed = |message: String| CtlError::refused(CtlStep::Ask, host.to_string(), message);
+        let request = self
+            .http
+            .request(method, format!("http://{host}{path}"))
+            .header("authorization", format!("Bearer {}", self.key))
+            .content_type("application/json")
+            .force_close();
+        let work = async {
+            let response = request
+                .send_body(body)
+                .await
+                .map_err(|error| failed(error.to_string()))?;
+            read_answer(response).await.map_err(failed)
+        };
+        match tokio::time::timeout(self.timeout, work).await {
+            Ok(answer) => answer,
+            Err(_) => Err(failed("no answer in time".to_owned())),
+        }
+    }
+
+    /// Reads a JSON page of one host.
+    pub(crate) async fn get<T: DeserializeOwned>(
+        &self,
+        host: SocketAddr,
+        path: &str,
+    ) -> Result<T, CtlError> {
+        let answer = self.ask(host, Method::GET, path, Bytes::new()).await?;
+        parse_ok(host, &answer)
+    }
+
+    /// Returns the status of every control host, or why it could not be had.
+    pub(crate) async fn all_status(
+        &self,
+    ) -> Result<Vec<(SocketAddr, Result<ControlStatus, CtlError>)>, CtlError> {
+        let mut all = Vec::new();
+        for host in self.control()? {
+            all.push((*host, self.get(*host, "/v1/status").await));
+        }
+        Ok(all)
+    }
+
+    /// Asks the leader, looking for it until the time is up.
+    ///
+    /// A connection lost after the request was sent leaves the outcome open; the caller decides
+    /// whether sending it again is safe.
+    pub(crate) async fn ask_leader<T: Serialize>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&T>,
+    ) -> Result<OpsAnswer, CtlError> {
+        let bytes = match body {
+            Some(body) => serde_json::to_vec(body)
+                .map_err(|error| CtlError::refused(CtlStep::Ask, "", error.to_string()))?,
+            None => Vec::new(),
+        };
+        let bytes = Bytes::from(bytes);
+        let until = Instant::now() + self.timeout;
+        let mut hint: Option<SocketAddr> = None;
+        let mut turn = 0;
+        loop {
+            let control = self.control()?;
+            let host = hint.take().unwrap_or(control[turn % control.len()]);
+            turn += 1;
+            let failure = match self.ask(host, method.clone(), path, bytes.clone()).await {
+                Ok(answer) if answer.status == 421 => {
+                    hint = leader_hint(&answer);
+                    CtlError::refused(CtlStep::Ask, host.to_string(), "no host leads")
+                }
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            if Instant::now() >= until {
+                return Err(failure);
+            }
+            if hint.is_none() {
+                sleep(LEADER_WAIT).await;
+            }
+        }
+    }
+}
+
+fn leader_hint(answer: &OpsAnswer) -> Option<SocketAddr> {
+    match serde_json::from_slice(&answer.body) {
+        Ok(ChangeReply::NotLeader { leader }) => leader.map(|leader| leader.ops),
+        _ => None,
+    }
+}
+
+/// Parses the body of an answer that must be a success.
+pub(crate) fn parse_ok<T: DeserializeOwned>(
+    host: SocketAddr,
+    answer: &OpsAnswer,
+) -> Result<T, CtlError> {
+    let refused = |message: String| CtlError::refused(CtlStep::Ask, host.to_string(), message);
+    if answer.status != 200 {
+        return Err(refused(error_text(answer)));
+    }
+    serde_json::from_slice(&answer.body).map_err(|error| refused(error.to_string()))
+}
+
+/// Returns what an answer that is no success says.
+pub(crate) fn error_text(answer: &OpsAnswer) -> String {
+    let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    let message = body.get("message").and_then(|message| message.as_str());
+    match message {
+        Some(message) => message.to_owned(),
+        None => format!("status {}", answer.status),
+    }
+}
+
+async fn read_answer(response: ClientResponse) -> Result<OpsAnswer, String> {
+    let version = response
+        .headers()
+        .get("x-table-version")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok());
+    let status = response.status().as_u16();
+    let body = response.body().limit(MAX_ANSWER_BYTES).await;
+    Ok(OpsAnswer {
+        status,
+        version,
+        body: body.map_err(|error| error.to_string())?,
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/form.rs
@@ -0,0 +1,97 @@
+//! Forms a cluster of blank control hosts.
+
+use std::net::SocketAddr;
+
+use linnet_control::{ControlStatus, FormRequest};
+use linnet_quorum::{Member, Members};
+use ntex::http::Method;
+use ntex::util::Bytes;
+
+use crate::client::{OpsClient, error_text};
+use crate::{CtlError, CtlStep};
+
+/// Forms a cluster of the hosts named by `--control`. Run again after a failure half-way, it goes
+/// on with the cluster that was begun.
+pub(crate) async fn form_cluster(client: &OpsClient) -> Result<(), CtlError> {
+    let mut found: Vec<(SocketAddr, ControlStatus)> = Vec::new();
+    for (host, status) in client.all_status().await? {
+        found.push((host, status?));
+    }
+    let begun = found
+        .iter()
+        .find(|(_, status)| status.replica.cluster.is_some());
+    let request = match begun {
+        Some((host, status)) => begun_cluster(*host, status, &found)?,
+        None => new_cluster(&found)?,
+    };
+    let body = serde_json::to_vec(&request)
+        .map_err(|error| CtlError::refused(CtlStep::Apply, "", error.to_string()))?;
+    for (host, status) in &found {
+        let answer = client
+            .ask(*host, Method::POST, "/v1/form", Bytes::from(body.clone()))
+            .await?;
+        if answer.status != 200 {
+            let message = error_text(&answer);
+            return Err(CtlError::refused(
+                CtlStep::Apply,
+                status.name.clone(),
+                message,
+            ));
+        }
+    }
+    println!(
+        "cluster {:016x} with {} voters",
+        request.cluster,
+        found.len()
+    );
+    Ok(())
+}
+
+fn new_cluster(found: &[(SocketAddr, ControlStatus)]) -> Result<FormRequest, CtlError> {
+    let cluster = getrandom::u64()
+        .map_err(|error| CtlError::refused(CtlStep::Apply, "", error.to_string()))?;
+    let voters = found.iter().map(|(_, status)| member_of(status));
+    Ok(FormRequest {
+        cluster,
+        founders: Members {
+            voters: voters.collect(),
+            learners: Vec::new(),
+        },
+    })
+}
+
+// Only identities that were named at the beginning may be formed: a host whose disk was wiped
+// since then has another one, and must be repaired instead.
+fn begun_cluster(
+    host: SocketAddr,
+    begun: &ControlStatus,
+    found: &[(SocketAddr, ControlStatus)],
+) -> Result<FormRequest, CtlError> {
+    let members = &begun.replica.members;
+    let stranger = found
+        .iter()
+        .find(|(_, status)| !members.is_voter(status.replica.id));
+    if let Some((_, stranger)) = stranger {
+        let message = format!(
+            "{} is no founder of the cluster that was begun here; see `linnetctl member repair`",
+            stranger.name
+        );
+        return Err(CtlError::refused(CtlStep::Check, host.to_string(), message));
+    }
+    Ok(FormRequest {
+        cluster: begun.replica.cluster.unwrap_or_default(),
+        founders: members.clone(),
+    })
+}
+
+/// Returns a control host as a member.
+pub(crate) fn member_of(status: &ControlStatus) -> Member {
+    Member {
+        id: status.replica.id,
+        name: status.name.clone(),
+        hall: status.hall.clone(),
+        peer: status.peer,
+        ops: status.ops,
+        replaces: None,
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,55 @@
-//! x
+//! `linnetctl`: the operators' command line.
+//!
+//! - [`CtlSettings`] are its arguments; [`run_ctl`] runs one command.
+//! - `client` asks the control hosts and finds the one that leads.
+//! - `table`, `status`, `timeline`, `member` and `form` hold one family of commands each.
+
+mod client;
+mod error;
+mod form;
+mod member;
+mod settings;
+mod status;
+mod table;
+mod timeline;
+
+pub use error::{CtlError, CtlStep};
+pub use settings::CtlSettings;
+
+use std::process::ExitCode;
+
+use client::OpsClient;
+use settings::CtlCommand;
+
+/// Runs one command and prints its result; must run inside an ntex runtime.
+///
+/// The exit status is 0 where the command did what it says, 1 where it was refused, 2 for wrong
+/// arguments, 3 where the outcome is unknown.
+pub async fn run_ctl(settings: CtlSettings) -> ExitCode {
+    let result = match OpsClient::new(&settings).await {
+        Ok(client) => run_command(&client, settings.command).await,
+        Err(error) => Err(error),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("linnetctl: {error}");
+            ExitCode::from(error.exit_status())
+        }
+    }
+}
+
+async fn run_command(client: &OpsClient, command: CtlCommand) -> Result<(), CtlError> {
+    match command {
+        CtlCommand::Init => form::form_cluster(client).await,
+        CtlCommand::Table(command) => table::run_table(client, command).await,
+        CtlCommand::Status { json } => status::show_status(client, json).await,
+        CtlCommand::Targets => status::show_targets(client).await,
+        CtlCommand::Timeline(query) => timeline::show_timeline(client, query).await,
+        CtlCommand::Member(command) => member::run_member(client, command).await,
+        CtlCommand::Key { key } => {
+            println!("{}", linnet_table::KeyDigest::of_key(key.as_bytes()));
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/settings.rs
@@ -0,0 +1,155 @@
+//! Arguments of the command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand};
+
+/// Operates a linnetdale system.
+#[derive(Debug, Clone, Parser)]
+#[command(name = "linnetctl", version)]
+pub struct CtlSettings {
+    /// Operators' addresses of the control hosts, parted by commas
+    #[arg(long, env = "LINNET_CONTROL_OPS", value_delimiter = ',', global = true)]
+    pub control: Vec<SocketAddr>,
+    /// The operator's key
+    #[arg(
+        long,
+        env = "LINNET_OPERATOR_KEY",
+        global = true,
+        default_value = "",
+        hide_env_values = true
+    )]
+    pub operator_key: String,
+    /// How long one answer is waited for, in milliseconds
+    #[arg(
+        long,
+        env = "LINNET_CTL_TIMEOUT_MS",
+        global = true,
+        default_value_t = 8_000
+    )]
+    pub timeout_ms: u64,
+    /// What to do
+    #[command(subcommand)]
+    pub(crate) command: CtlCommand,
+}
+
+/// What to do.
+#[derive(Debug, Clone, Subcommand)]
+pub(crate) enum CtlCommand {
+    /// Form a cluster of the blank control hosts named by --control
+    Init,
+    /// Read and change the table
+    #[command(subcommand)]
+    Table(TableCommand),
+    /// Show control hosts, entry hosts and their versions
+    Status {
+        /// Print JSON
+        #[arg(long)]
+        json: bool,
+    },
+    /// Show the targets as each entry host sees them
+    Targets,
+    /// Show the events of all processes in causal order
+    Timeline(TimelineArgs),
+    /// Show and change the voters
+    #[command(subcommand)]
+    Member(MemberCommand),
+    /// Print the digest of a key, for the table or for settings
+    Key {
+        /// The key
+        key: String,
+    },
+}
+
+/// Commands on the table.
+#[derive(Debug, Clone, Subcommand)]
+pub(crate) enum TableCommand {
+    /// Print the table as CSV; its version goes to standard error
+    Get {
+        /// Take what any reachable control host holds, even if it may be old
+        #[arg(long)]
+        stale: bool,
+    },
+    /// Check a CSV file without any host
+    Check {
+        /// The file
+        file: PathBuf,
+    },
+    /// Print what a CSV file would change
+    Diff {
+        /// The file
+        file: PathBuf,
+    },
+    /// Make the table what a CSV file says
+    Apply(ApplyArgs),
+}
+
+/// Arguments of `table apply`.
+#[derive(Debug, Clone, Args)]
+pub(crate) struct ApplyArgs {
+    /// The file
+    pub(crate) file: PathBuf,
+    /// The version that the file was made from; without it, the version in force now
+    #[arg(long)]
+    pub(crate) base: Option<u64>,
+    /// The table as it was at --base, as CSV; needed to rebase onto a later version
+    #[arg(long, requires = "base")]
+    pub(crate) base_file: Option<PathBuf>,
+    /// Take the change on a later version too, if no row of it changed since --base
+    #[arg(long, requires = "base_file")]
+    pub(crate) rebase: bool,
+    /// The change key; sending the same change again under it is safe
+    #[arg(long)]
+    pub(crate) key: Option<String>,
+    /// Wait until the change is in force on every host that can be reached
+    #[arg(long)]
+    pub(crate) wait: bool,
+    /// The operator's name, for the time line
+    #[arg(long, env = "USER", default_value = "operator")]
+    pub(crate) author: String,
+}
+
+/// Arguments of `timeline`.
+#[derive(Debug, Clone, Args)]
+pub(crate) struct TimelineArgs {
+    /// Only events of this request
+    #[arg(long)]
+    pub(crate) request: Option<String>,
+    /// Only events of the last so many seconds
+    #[arg(long)]
+    pub(crate) since_s: Option<u64>,
+    /// Only events of this host
+    #[arg(long)]
+    pub(crate) host: Option<String>,
+    /// Print JSON
+    #[arg(long)]
+    pub(crate) json: bool,
+    /// Operators' addresses of entry hosts to ask beside those that control knows
+    #[arg(long, env = "LINNET_ENTRY_OPS", value_delimiter = ',')]
+    pub(crate) entries: Vec<SocketAddr>,
+}
+
+/// Commands on voters.
+#[derive(Debug, Clone, Subcommand)]
+pub(crate) enum MemberCommand {
+    /// Show the members
+    List,
+    /// Add the blank control host at an operators' address
+    Add {
+        /// Its operators' address
+        ops: SocketAddr,
+        /// Its peer address
+        peer: SocketAddr,
+    },
+    /// Take a member out, by name
+    Remove {
+        /// Its name
+        name: String,
+    },
+    /// Put a host whose disk was lost back in, under its new identity
+    Repair {
+        /// Its operators' address
+        ops: SocketAddr,
+    },
+}
--- /dev/null
+++ b/crates/ctl/src/table.rs
@@ -0,0 +1,244 @@
+//! Reads and changes the table.
+
+use std::path::Path;
+use std::time::Duration;
+
+use linnet_control::ChangeReply;
+use linnet_table::{
+    ChangeRefusal, RowDiff, RowFault, TableChange, TableRow, diff_rows, parse_csv, verify_rows,
+};
+use ntex::http::Method;
+use tokio::time::{Instant, sleep};
+
+use crate::client::{OpsClient, error_text};
+use crate::settings::{ApplyArgs, TableCommand};
+use crate::{CtlError, CtlStep};
+
+/// How long `--wait` waits.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How often `--wait` looks.
+const WAIT_TICK: Duration = Duration::from_millis(50);
+
+/// A host that was not heard for so long cannot be reached, in milliseconds.
+const UNREACHABLE_MS: u64 = 5_000;
+
+/// Rows that are printed of a long difference or conflict.
+const MAX_SHOWN: usize = 200;
+
+/// Runs a command on the table.
+pub(crate) async fn run_table(client: &OpsClient, command: TableCommand) -> Result<(), CtlError> {
+    match command {
+        TableCommand::Get { stale } => get_table(client, stale).await,
+        TableCommand::Check { file } => {
+            let rows = read_checked(&file)?;
+            println!("{} rows, no fault", rows.len());
+            Ok(())
+        }
+        TableCommand::Diff { file } => {
+            let rows = read_checked(&file)?;
+            let (version, current) = fetch_table(client, "/v1/table").await?;
+            print_diff(version, &diff_rows(&current, &rows));
+            Ok(())
+        }
+        TableCommand::Apply(args) => apply_table(client, args).await,
+    }
+}
+
+async fn get_table(client: &OpsClient, stale: bool) -> Result<(), CtlError> {
+    let (version, text) = if stale {
+        fetch_stale(client).await?
+    } else {
+        fetch_text(client, "/v1/table").await?
+    };
+    eprintln!("version {version}");
+    print!("{text}");
+    Ok(())
+}
+
+async fn fetch_text(client: &OpsClient, path: &str) -> Result<(u64, String), CtlError> {
+    let answer = client.ask_leader(Method::GET, path, None::<&()>).await?;
+    match (answer.status, answer.version) {
+        (200, Some(version)) => Ok((version, String::from_utf8_lossy(&answer.body).into_owned())),
+        _ => Err(CtlError::refused(CtlStep::Ask, "", error_text(&answer))),
+    }
+}
+
+/// Returns the newest table that any reachable control host holds.
+async fn fetch_stale(client: &OpsClient) -> Result<(u64, String), CtlError> {
+    let mut newest: Option<(u64, String)> = None;
+    for host in client.control()? {
+        let asked = client
+            .ask(*host, Method::GET, "/v1/table?stale=1", Default::default())
+            .await;
+        if let Ok(answer) = asked
+            && let (200, Some(version)) = (answer.status, answer.version)
+            && newest.as_ref().is_none_or(|(known, _)| *known < version)
+        {
+            newest = Some((version, String::from_utf8_lossy(&answer.body).into_owned()));
+        }
+    }
+    newest.ok_or_else(|| CtlError::refused(CtlStep::Ask, "", "no control host answers"))
+}
+
+async fn fetch_table(client: &OpsClient, path: &str) -> Result<(u64, Vec<TableRow>), CtlError> {
+    let (version, text) = fetch_text(client, path).await?;
+    Ok((version, parse_csv(&text).rows))
+}
+
+/// Reads a file and prints every fault of it.
+fn read_checked(file: &Path) -> Result<Vec<TableRow>, CtlError> {
+    let shown = file.display().to_string();
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| CtlError::refused(CtlStep::Read, &shown, error.to_string()))?;
+    let parsed = parse_csv(&text);
+    let mut faults = parsed.faults.clone();
+    for fault in verify_rows(&parsed.rows) {
+        let line = fault.key.as_ref().and_then(|key| parsed.line_of(key));
+        faults.push(fault.with_line(line));
+    }
+    if faults.is_empty() {
+        return Ok(parsed.rows);
+    }
+    print_faults(&faults);
+    let message = format!("{} faults", faults.len());
+    Err(CtlError::refused(CtlStep::Check, shown, message))
+}
+
+fn print_faults(faults: &[RowFault]) {
+    for fault in faults {
+        eprintln!("{fault}");
+    }
+}
+
+fn print_diff(version: u64, diff: &RowDiff) {
+    println!(
+        "against version {version}: {} rows put, {} rows deleted",
+        diff.upserts.len(),
+        diff.deletes.len()
+    );
+    for row in diff.upserts.iter().take(MAX_SHOWN) {
+        println!("put {}", row.key());
+    }
+    for key in diff.deletes.iter().take(MAX_SHOWN) {
+        println!("delete {key}");
+    }
+}
+
+async fn apply_table(client: &OpsClient, args: ApplyArgs) -> Result<(), CtlError> {
+    let rows = read_checked(&args.file)?;
+    let (base_version, base_rows) = match (&args.base, &args.base_file) {
+        (Some(base), Some(file)) => (*base, read_checked(file)?),
+        (Some(base), None) => {
+            let (version, current) = fetch_table(client, "/v1/table").await?;
+            if version != *base {
+                let message = format!(
+                    "the table is at version {version}, not {base}; with --base-file and --rebase the change may still be taken"
+                );
+                return Err(CtlError::refused(CtlStep::Apply, "", message));
+            }
+            (version, current)
+        }
+        _ => fetch_table(client, "/v1/table").await?,
+    };
+    let diff = diff_rows(&base_rows, &rows);
+    // A change that is sent again under its key is empty by then, and must still be answered.
+    if diff.is_empty() && args.key.is_none() {
+        println!("no change; version {base_version}");
+        return Ok(());
+    }
+    let change = TableChange {
+        change_key: args.key.clone().unwrap_or_else(fresh_key),
+        author: args.author.clone(),
+        base_version,
+        rebase: args.rebase,
+        upserts: diff.upserts,
+        deletes: diff.deletes,
+    };
+    let version = send_change(client, &change).await?;
+    println!("version {version}");
+    if args.wait {
+        wait_in_force(client, version).await?;
+    }
+    Ok(())
+}
+
+fn fresh_key() -> String {
+    format!("{:032x}", fastrand::u128(..))
+}
+
+/// Sends a change until it is answered; the change key makes sending it again safe.
+async fn send_change(client: &OpsClient, change: &TableChange) -> Result<u64, CtlError> {
+    let unknown = || CtlError::Unknown {
+        step: CtlStep::Apply,
+        key: change.change_key.clone(),
+    };
+    let answer = client
+        .ask_leader(Method::POST, "/v1/changes", Some(change))
+        .await
+        .map_err(|_| unknown())?;
+    let reply: ChangeReply = serde_json::from_slice(&answer.body)
+        .map_err(|_| CtlError::refused(CtlStep::Apply, "", error_text(&answer)))?;
+    match reply {
+        ChangeReply::Taken { version } => Ok(version),
+        ChangeReply::Refused { refusal } => Err(show_refusal(refusal)),
+        ChangeReply::Busy { cause } => Err(CtlError::refused(CtlStep::Apply, "", cause)),
+        ChangeReply::Unknown | ChangeReply::NotLeader { .. } => Err(unknown()),
+    }
+}
+
+fn show_refusal(refusal: ChangeRefusal) -> CtlError {
+    match &refusal {
+        ChangeRefusal::Faults(faults) => print_faults(faults),
+        ChangeRefusal::Conflict(conflict) => {
+            for key in conflict.clashing.iter().take(MAX_SHOWN) {
+                eprintln!("changed on both sides: {key}");
+            }
+        }
+        ChangeRefusal::KeyReused(_) => {}
+    }
+    CtlError::refused(CtlStep::Apply, "", refusal.to_string())
+}
+
+/// Waits until a version is in force on every host that can be reached, and names the rest.
+async fn wait_in_force(client: &OpsClient, version: u64) -> Result<(), CtlError> {
+    let until = Instant::now() + WAIT_TIMEOUT;
+    loop {
+        let (behind, unreachable) = hosts_behind(client, version).await?;
+        if behind.is_empty() {
+            println!("in force on every host that can be reached");
+            if !unreachable.is_empty() {
+                println!("not reached: {}", unreachable.join(", "));
+            }
+            return Ok(());
+        }
+        if Instant::now() >= until {
+            let message = format!("not in force yet on {}", behind.join(", "));
+            return Err(CtlError::refused(CtlStep::Wait, "", message));
+        }
+        sleep(WAIT_TICK).await;
+    }
+}
+
+async fn hosts_behind(
+    client: &OpsClient,
+    version: u64,
+) -> Result<(Vec<String>, Vec<String>), CtlError> {
+    let mut behind = Vec::new();
+    let mut unreachable = Vec::new();
+    for (host, status) in client.all_status().await? {
+        match status {
+            Ok(status) if status.table_version < version => behind.push(status.name),
+            Ok(_) => {}
+            Err(_) => unreachable.push(host.to_string()),
+        }
+    }
+    for report in crate::status::newest_reports(client).await? {
+        if report.age_ms >= UNREACHABLE_MS {
+            unreachable.push(report.name);
+        } else if report.version < version {
+            behind.push(report.name);
+        }
+    }
+    Ok((behind, unreachable))
+}
--- /dev/null
+++ b/crates/ctl/src/timeline.rs
@@ -0,0 +1,66 @@
+//! Gathers the events of all processes.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use linnet_telemetry::{Event, format_event, merge_events};
+
+use crate::CtlError;
+use crate::client::OpsClient;
+use crate::settings::TimelineArgs;
+
+/// Prints the events of all processes that can be reached, in causal order.
+pub(crate) async fn show_timeline(client: &OpsClient, args: TimelineArgs) -> Result<(), CtlError> {
+    let path = timeline_path(&args);
+    let mut rings: Vec<Vec<Event>> = Vec::new();
+    for host in known_hosts(client, &args).await? {
+        match client.get(host, &path).await {
+            Ok(ring) => rings.push(ring),
+            Err(error) => eprintln!("left out: {error}"),
+        }
+    }
+    let mut events = merge_events(rings);
+    if let Some(host) = &args.host {
+        events.retain(|event| event.host == *host);
+    }
+    if args.json {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&events).unwrap_or_default()
+        );
+    } else {
+        for event in &events {
+            println!("{}", format_event(event));
+        }
+    }
+    Ok(())
+}
+
+fn timeline_path(args: &TimelineArgs) -> String {
+    let now_ms = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64);
+    let since_ms = args
+        .since_s
+        .map_or(0, |seconds| now_ms.saturating_sub(seconds * 1_000));
+    match &args.request {
+        Some(request) => format!("/v1/timeline?since_ms={since_ms}&request={request}"),
+        None => format!("/v1/timeline?since_ms={since_ms}"),
+    }
+}
+
+async fn known_hosts(
+    client: &OpsClient,
+    args: &TimelineArgs,
+) -> Result<BTreeSet<SocketAddr>, CtlError> {
+    let mut hosts: BTreeSet<SocketAddr> = client.control()?.iter().copied().collect();
+    hosts.extend(&args.entries);
+    let reports = crate::status::newest_reports(client).await?;
+    hosts.extend(
+        reports
+            .iter()
+            .filter_map(|report| report.ops.parse::<SocketAddr>().ok()),
+    );
+    Ok(hosts)
+}
--- /dev/null
+++ b/crates/entry/src/caller/check.rs
@@ -0,0 +1,182 @@
+//! Checks what a caller sends, before anything else is done with it.
+
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use linnet_table::{AccountId, KeyDigest, RouteEntry, RouteId, TableStore};
+use ntex::http::HeaderMap;
+use ntex::util::{Bytes, BytesMut};
+use ntex::web::types::Payload;
+
+use crate::{CallerError, ErrorCode};
+
+/// The largest body, in bytes.
+pub(crate) const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
+
+/// The largest headers together, in bytes.
+const MAX_HEADER_BYTES: usize = 16 * 1024;
+
+/// The longest request key, in bytes.
+const MAX_REQUEST_KEY_BYTES: usize = 256;
+
+/// How long a body may take to come.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The step that errors of these checks name.
+const STEP: &str = "check";
+
+/// What the head of a request asks for.
+#[derive(Debug, Clone)]
+pub(crate) struct CheckedHead {
+    pub(crate) account: AccountId,
+    pub(crate) route: RouteId,
+    pub(crate) deadline: Duration,
+    pub(crate) repeatable: bool,
+    pub(crate) request_key: Option<String>,
+}
+
+/// Checks key, route and headers against the table in force.
+///
+/// # Errors
+///
+/// [`CallerError`] that says `ran: no`.
+pub(crate) fn check_head(
+    table: &TableStore,
+    headers: &HeaderMap,
+    route_name: &str,
+    wants_pipeline: bool,
+) -> Result<CheckedHead, CallerError> {
+    check_header_size(headers)?;
+    let account = find_account(table, headers)?;
+    let kind_fits = |route: &RouteEntry| {
+        matches!(route.kind, linnet_table::RouteKind::Pipeline(_)) == wants_pipeline
+    };
+    let route = table
+        .route_id(route_name)
+        .filter(|id| kind_fits(table.route(*id)))
+        .ok_or_else(|| {
+            let message = format!("the table has no {route_name:?} of this kind");
+            CallerError::new(ErrorCode::UnknownRoute, STEP, message)
+        })?;
+    let entry = table.route(route);
+    Ok(CheckedHead {
+        account,
+        route,
+        deadline: read_deadline(headers, entry.deadline_ms)?,
+        repeatable: read_repeatable(headers)?.unwrap_or(entry.repeatable),
+        request_key: read_request_key(headers)?,
+    })
+}
+
+fn check_header_size(headers: &HeaderMap) -> Result<(), CallerError> {
+    let size: usize = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
+    if size > MAX_HEADER_BYTES {
+        let message = format!("{size} bytes of headers; at most {MAX_HEADER_BYTES}");
+        return Err(CallerError::new(ErrorCode::HeaderTooLarge, STEP, message));
+    }
+    Ok(())
+}
+
+// A missing, malformed and wrong key get the same answer, so that nothing is learned from it.
+fn find_account(table: &TableStore, headers: &HeaderMap) -> Result<AccountId, CallerError> {
+    let key = headers
+        .get("authorization")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "));
+    key.and_then(|key| table.find_account(&KeyDigest::of_key(key.as_bytes())))
+        .ok_or_else(|| CallerError::new(ErrorCode::Unauthorized, STEP, "no account has this key"))
+}
+
+fn read_deadline(headers: &HeaderMap, most_ms: u32) -> Result<Duration, CallerError> {
+    let text = header_text(headers, "x-deadline-ms", ErrorCode::BadDeadline)?;
+    let millis = text.and_then(|text| text.parse::<u32>().ok());
+    match millis {
+        Some(millis) if (1..=most_ms).contains(&millis) => Ok(Duration::from_millis(millis.into())),
+        _ => {
+            let message = format!("x-deadline-ms is {text:?}; want 1 to {most_ms}");
+            Err(CallerError::new(ErrorCode::BadDeadline, STEP, message))
+        }
+    }
+}
+
+fn read_repeatable(headers: &HeaderMap) -> Result<Option<bool>, CallerError> {
+    match header_text(headers, "x-repeatable", ErrorCode::BadHeader)? {
+        None => Ok(None),
+        Some("yes") => Ok(Some(true)),
+        Some("no") => Ok(Some(false)),
+        Some(other) => {
+            let message = format!("x-repeatable is {other:?}; want yes or no");
+            Err(CallerError::new(ErrorCode::BadHeader, STEP, message))
+        }
+    }
+}
+
+fn read_request_key(headers: &HeaderMap) -> Result<Option<String>, CallerError> {
+    match header_text(headers, "x-request-key", ErrorCode::BadHeader)? {
+        None => Ok(None),
+        Some(key) if (1..=MAX_REQUEST_KEY_BYTES).contains(&key.len()) => Ok(Some(key.to_owned())),
+        Some(key) => {
+            let message = format!(
+                "x-request-key has {} bytes; want 1 to {MAX_REQUEST_KEY_BYTES}",
+                key.len()
+            );
+            Err(CallerError::new(ErrorCode::BadHeader, STEP, message))
+        }
+    }
+}
+
+fn header_text<'a>(
+    headers: &'a HeaderMap,
+    name: &str,
+    code: ErrorCode,
+) -> Result<Option<&'a str>, CallerError> {
+    if headers.get_all(name).count() > 1 {
+        let message = format!("{name} stands twice");
+        return Err(CallerError::new(code, STEP, message));
+    }
+    match headers.get(name).map(|value| value.to_str()) {
+        None => Ok(None),
+        Some(Ok(text)) => Ok(Some(text)),
+        Some(Err(_)) => {
+            let message = format!("{name} holds other than printable ASCII");
+            Err(CallerError::new(code, STEP, message))
+        }
+    }
+}
+
+/// Reads a body up to its limit.
+///
+/// # Errors
+///
+/// [`CallerError`] that says `ran: no`.
+pub(crate) async fn read_limited(mut payload: Payload) -> Result<Bytes, CallerError> {
+    let reading = async {
+        let mut body = BytesMut::new();
+        while let Some(part) = payload.next().await {
+            let part = part.map_err(|error| {
+                CallerError::new(
+                    ErrorCode::BadBody,
+                    STEP,
+                    format!("the body did not come whole: {error}"),
+                )
+            })?;
+            if body.len() + part.len() > MAX_BODY_BYTES {
+                let message = format!("the body is over {MAX_BODY_BYTES} bytes");
+                return Err(CallerError::new(ErrorCode::BodyTooLarge, STEP, message));
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok(body.freeze())
+    };
+    match tokio::time::timeout(BODY_TIMEOUT, reading).await {
+        Ok(body) => body,
+        Err(_) => Err(CallerError::new(
+            ErrorCode::BadBody,
+            STEP,
+            "the body did not come in time",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/caller/mod.rs
@@ -0,0 +1,9 @@
+//! The callers' interface: checks of requests, answers, errors.
+
+mod check;
+mod error;
+mod routes;
+
+pub(crate) use check::{CheckedHead, check_head, read_limited};
+pub use error::{CallerError, ErrorCode, RanState};
+pub(crate) use routes::{caller_routes, refuse_path};
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,261 @@
+//! Runs the entry daemon.
+
+use std::process::ExitCode;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use linnet_daemon::{OpsContext, accept_peers, ops_routes, refresh_keys, stop_signal};
+use linnet_dispatch::{QuotaTable, RetryBudget, TargetDispatcher};
+use linnet_feed::{TableFeed, serve_follower};
+use linnet_telemetry::{EventCode, EventRecorder, HybridClock};
+use linnet_wire::{PeerGreeting, PeerIdentity};
+use ntex::SharedCfg;
+use ntex::http::HttpServiceConfig;
+use ntex::time::Seconds;
+use ntex::web::{self, App, HttpServer};
+use prometheus_client::registry::Registry;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::time::{Instant, sleep};
+
+use crate::adapter::TargetClients;
+use crate::caller::{caller_routes, refuse_path};
+use crate::claim_link::{ClaimLink, run_claim_link};
+use crate::context::{EntryContext, RequestFlow, WorkerContext};
+use crate::hall::{HallView, receive_beats, send_beats};
+use crate::hosts::follow_host_list;
+use crate::ops::entry_ops_routes;
+use crate::settings::{CheckedEntry, EntrySettings};
+use crate::source::follow_table;
+use crate::stats::EntryStats;
+
+/// Connections of callers at one time, for each thread.
+const MAX_CALLERS: usize = 25_000;
+
+/// How long a caller's connection is kept without a request.
+const CALLER_KEEP_ALIVE: Seconds = Seconds(30);
+
+/// How often gauges and the share of limits are brought up to date.
+const UPKEEP_PERIOD: Duration = Duration::from_secs(1);
+
+/// How often a planned stop looks whether requests are in flight.
+const STOP_TICK: Duration = Duration::from_millis(20);
+
+/// Runs the daemon until a planned stop; must run inside an ntex runtime.
+pub async fn run_entry(settings: EntrySettings) -> ExitCode {
+    let checked = match settings.check() {
+        Ok(checked) => checked,
+        Err(check) => return check.report().unwrap_or(ExitCode::FAILURE),
+    };
+    match serve(checked).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!(target: "linnetdale", "{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(checked: CheckedEntry) -> Result<(), Box<dyn std::error::Error>> {
+    let settings = checked.settings.clone();
+    let clock = Arc::new(HybridClock::new());
+    let identity = PeerIdentity {
+        name: settings.name.clone(),
+        keys: checked.keys.clone(),
+        clock: clock.clone(),
+    };
+    let registry = Arc::new(Mutex::new(Registry::with_prefix("linnet_entry")));
+    let (claims, claim_queues) = ClaimLink::new();
+    let entry = Arc::new(build_context(&checked, clock, claims.clone(), &registry)?);
+    refresh_keys(checked.keys, settings.peer_keys.clone());
+
+    let peers: Vec<_> = settings
+        .hall_peers
+        .iter()
+        .copied()
+        .filter(|peer| *peer != settings.peer_listen)
+        .collect();
+    let view = Arc::new(HallView::new(peers.len(), settings.ops_listen));
+    let listener = TcpListener::bind(settings.peer_listen).await?;
+    let socket = Arc::new(UdpSocket::bind(settings.peer_listen).await?);
+    let clients = TargetClients::new().await?;
+
+    start_peer_port(&entry, listener, &identity);
+    let control = settings.control.clone();
+    ntex::rt::spawn(send_beats(
+        entry.clone(),
+        view.clone(),
+        identity.clone(),
+        socket.clone(),
+        peers,
+    ));
+    ntex::rt::spawn(receive_beats(
+        entry.clone(),
+        view.clone(),
+        identity.clone(),
+        socket,
+    ));
+    ntex::rt::spawn(follow_table(
+        entry.clone(),
+        view.clone(),
+        identity.clone(),
+        control.clone(),
+    ));
+    ntex::rt::spawn(run_claim_link(claims, claim_queues, identity, control));
+    ntex::rt::spawn(follow_host_list(entry.clone(), clients, settings.host_list));
+    ntex::rt::spawn(keep_up(entry.clone(), settings.hall_peers.len()));
+
+    let ops = OpsContext {
+        keys: checked.operators,
+        recorder: entry.recorder.clone(),
+        registry,
+    };
+    let ops_server = start_ops_server(&settings, ops, &entry, &view)?;
+    let caller_server = start_caller_server(&settings, &entry)?;
+    let detail = format!(
+        "hall={} callers={} peer={} ops={}",
+        settings.hall, settings.caller_listen, settings.peer_listen, settings.ops_listen
+    );
+    entry.recorder.record(EventCode::ProcessStarted, "", detail);
+
+    stop_signal().await?;
+    drain(&entry, &settings).await;
+    caller_server.stop(true).await;
+    ops_server.stop(true).await;
+    Ok(())
+}
+
+fn build_context(
+    checked: &CheckedEntry,
+    clock: Arc<HybridClock>,
+    claims: ClaimLink,
+    registry: &Mutex<Registry>,
+) -> Result<EntryContext, std::io::Error> {
+    let settings = &checked.settings;
+    let incarnation = getrandom::u32().map_err(|_| std::io::Error::other("no random number"))?;
+    Ok(EntryContext {
+        name: settings.name.clone(),
+        hall: settings.hall.clone(),
+        incarnation: incarnation.into(),
+        feed: Arc::new(TableFeed::new()),
+        dispatcher: Arc::new(TargetDispatcher::new(checked.policy, settings.hall.clone())),
+        quotas: Arc::new(QuotaTable::new()),
+        retries: Mutex::new(RetryBudget::new()),
+        recorder: Arc::new(EventRecorder::new(settings.name.clone(), clock)),
+        claims,
+        stats: EntryStats::new(registry),
+        claim_time: Duration::from_millis(settings.claim_ms),
+        flow: RequestFlow::default(),
+        hall_news: tokio::sync::Notify::new(),
+    })
+}
+
+fn start_peer_port(entry: &Arc<EntryContext>, listener: TcpListener, identity: &PeerIdentity) {
+    let feed = entry.feed.clone();
+    let serve_one = move |greeting, reader, writer| {
+        let feed = feed.clone();
+        async move {
+            match greeting {
+                // What followers tell goes to control by the hall's messages instead.
+                PeerGreeting::Follow => serve_follower(&feed, reader, writer, |_| {}).await,
+                PeerGreeting::Quorum | PeerGreeting::Claims => Ok(()),
+            }
+        }
+    };
+    let recorder = entry.recorder.clone();
+    ntex::rt::spawn(accept_peers(
+        listener,
+        identity.clone(),
+        recorder,
+        serve_one,
+    ));
+}
+
+fn start_ops_server(
+    settings: &EntrySettings,
+    ops: OpsContext,
+    entry: &Arc<EntryContext>,
+    view: &Arc<HallView>,
+) -> std::io::Result<ntex::server::Server> {
+    let (entry, view) = (entry.clone(), view.clone());
+    let server = HttpServer::new(async move || {
+        App::new()
+            .state(ops.clone())
+            .state(entry.clone())
+            .state(view.clone())
+            .configure(ops_routes)
+            .configure(entry_ops_routes)
+    });
+    Ok(server
+        .workers(1)
+        .disable_signals()
+        .bind(settings.ops_listen)?
+        .run())
+}
+
+fn start_caller_server(
+    settings: &EntrySettings,
+    entry: &Arc<EntryContext>,
+) -> std::io::Result<ntex::server::Server> {
+    let entry = entry.clone();
+    let server = HttpServer::new(async move || {
+        let entry = entry.clone();
+        App::new()
+            .state_factory(async move || {
+                let clients = TargetClients::new().await?;
+                Ok::<_, std::io::Error>(WorkerContext { entry, clients })
+            })
+            .configure(caller_routes)
+            .default_service(web::route().to(refuse_path))
+    });
+    let config = HttpServiceConfig::new().set_keepalive(CALLER_KEEP_ALIVE);
+    let stop_time = Seconds((settings.stop_ms / 1_000).clamp(1, 600) as u16);
+    Ok(server
+        .workers(settings.workers)
+        .maxconn(MAX_CALLERS)
+        .disable_signals()
+        .shutdown_timeout(stop_time)
+        .config(SharedCfg::new("callers").add(config))
+        .bind(settings.caller_listen)?
+        .run())
+}
+
+/// Stops without cutting a request: first the host is shown as not ready, long enough for the
+/// balancer to see it, then new requests are refused, then those in flight end.
+async fn drain(entry: &Arc<EntryContext>, settings: &EntrySettings) {
+    entry.recorder.record(EventCode::StopRequested, "", "");
+    entry.flow.begin_draining();
+    sleep(Duration::from_millis(settings.drain_ms)).await;
+    entry.flow.close();
+    let until = Instant::now() + Duration::from_millis(settings.stop_ms);
+    while entry.flow.in_flight() > 0 && Instant::now() < until {
+        sleep(STOP_TICK).await;
+    }
+    match entry.flow.in_flight() {
+        0 => entry.recorder.record(EventCode::ProcessStopped, "", ""),
+        left => {
+            let detail = format!("in_flight={left}");
+            entry.recorder.record(EventCode::StopTimedOut, "", detail);
+        }
+    }
+}
+
+/// Keeps gauges true, notes new versions, and sets this host's share of the fleet's limits.
+async fn keep_up(entry: Arc<EntryContext>, hall_size: usize) {
+    let mut versions = entry.feed.subscribe();
+    loop {
+        let changed = tokio::time::timeout(UPKEEP_PERIOD, versions.changed()).await;
+        let version = entry.feed.version();
+        if changed.is_ok() {
+            let detail = format!("version={version}");
+            entry.recorder.record(EventCode::TableInForce, "", detail);
+        }
+        entry.stats.table_version.set(version as i64);
+        entry.stats.in_flight.set(entry.flow.in_flight() as i64);
+        // Until the fleet is known, the hall counts as the whole of it.
+        let fleet = match entry.feed.fleet() {
+            0 => hall_size.max(1) as u32,
+            known => known,
+        };
+        entry.quotas.set_share(1.0 / f64::from(fleet));
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,131 @@
+//! Settings of the entry daemon.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::Parser;
+use linnet_daemon::{OperatorKeys, SettingCheck};
+use linnet_dispatch::PolicyChoice;
+use linnet_wire::PeerKeyRing;
+
+/// The most threads that serve callers.
+const MAX_WORKERS: usize = 64;
+
+/// An entry host of linnetdale: takes callers' requests and sends each stage to a target.
+///
+/// Needs no disk. It serves once it has the operators' table and a host list.
+#[derive(Debug, Clone, Parser)]
+#[command(name = "linnet-entry", version)]
+pub struct EntrySettings {
+    /// Name of this host
+    #[arg(long, env = "LINNET_NAME")]
+    pub name: String,
+    /// Data hall that this host stands in
+    #[arg(long, env = "LINNET_HALL")]
+    pub hall: String,
+    /// Address for callers, as IP:PORT
+    #[arg(long, env = "LINNET_CALLER_LISTEN")]
+    pub caller_listen: SocketAddr,
+    /// Address for other linnetdale processes, TCP and UDP, as IP:PORT
+    #[arg(long, env = "LINNET_PEER_LISTEN")]
+    pub peer_listen: SocketAddr,
+    /// Address for operators, as IP:PORT
+    #[arg(long, env = "LINNET_OPS_LISTEN")]
+    pub ops_listen: SocketAddr,
+    /// Peer addresses of the control hosts, parted by commas, nearest first
+    #[arg(long, env = "LINNET_CONTROL", value_delimiter = ',')]
+    pub control: Vec<SocketAddr>,
+    /// Peer addresses of the entry hosts of this hall, parted by commas; its own may be among them
+    #[arg(long, env = "LINNET_HALL_PEERS", value_delimiter = ',')]
+    pub hall_peers: Vec<SocketAddr>,
+    /// Address of the platform's host list, as IP:PORT
+    #[arg(long, env = "LINNET_HOST_LIST")]
+    pub host_list: SocketAddr,
+    /// File of shared keys, one `ID HEX` a line; the first is offered, all are accepted
+    #[arg(long, env = "LINNET_PEER_KEYS")]
+    pub peer_keys: PathBuf,
+    /// Digests of operators' keys, parted by commas (see `linnetctl key`)
+    #[arg(long, env = "LINNET_OPERATOR_DIGESTS")]
+    pub operator_digests: String,
+    /// Threads that serve callers
+    #[arg(long, env = "LINNET_WORKERS", default_value_t = 1)]
+    pub workers: usize,
+    /// Rules of dispatch: linnetdale, or a baseline to compare with
+    #[arg(long, env = "LINNET_POLICY", default_value = "linnetdale")]
+    pub policy: String,
+    /// At a planned stop: how long the host is shown as not ready before it stops taking
+    /// requests, in milliseconds; longer than the balancer needs to see it
+    #[arg(long, env = "LINNET_DRAIN_MS", default_value_t = 3_000)]
+    pub drain_ms: u64,
+    /// At a planned stop: the longest wait for requests in flight, in milliseconds
+    #[arg(long, env = "LINNET_STOP_MS", default_value_t = 60_000)]
+    pub stop_ms: u64,
+    /// How long a claim on a request key may take before the request is answered "not run", in
+    /// milliseconds
+    #[arg(long, env = "LINNET_CLAIM_MS", default_value_t = 400)]
+    pub claim_ms: u64,
+}
+
+/// Settings that passed their checks.
+pub(crate) struct CheckedEntry {
+    pub(crate) settings: EntrySettings,
+    pub(crate) keys: PeerKeyRing,
+    pub(crate) operators: OperatorKeys,
+    pub(crate) policy: PolicyChoice,
+}
+
+impl EntrySettings {
+    /// Checks every setting; all faults are in the check where anything is wrong.
+    pub(crate) fn check(self) -> Result<CheckedEntry, SettingCheck> {
+        let mut check = SettingCheck::new();
+        check.require_name("--name", &self.name);
+        check.require_name("--hall", &self.hall);
+        let distinct =
+            self.caller_listen != self.ops_listen && self.caller_listen != self.peer_listen;
+        check.require(
+            distinct,
+            "--caller-listen",
+            self.caller_listen,
+            "another address than --ops-listen and --peer-listen",
+        );
+        check.require(
+            !self.control.is_empty(),
+            "--control",
+            "",
+            "at least one address",
+        );
+        let workers = (1..=MAX_WORKERS).contains(&self.workers);
+        check.require(
+            workers,
+            "--workers",
+            self.workers,
+            format!("1 to {MAX_WORKERS}"),
+        );
+        let claim = (10..=10_000).contains(&self.claim_ms);
+        check.require(claim, "--claim-ms", self.claim_ms, "10 to 10000");
+        let keys = check.take(
+            PeerKeyRing::load(&self.peer_keys),
+            "--peer-keys",
+            self.peer_keys.display(),
+        );
+        let operators = check.take(
+            OperatorKeys::parse(&self.operator_digests),
+            "--operator-digests",
+            &self.operator_digests,
+        );
+        let policy = PolicyChoice::find(&self.policy)
+            .ok_or_else(|| format!("one of {}", PolicyChoice::NAMES.join(", ")));
+        let policy = check.take(policy, "--policy", &self.policy);
+        match (keys, operators, policy) {
+            (Some(keys), Some(operators), Some(policy)) if check.faults().is_empty() => {
+                Ok(CheckedEntry {
+                    settings: self,
+                    keys,
+                    operators,
+                    policy,
+                })
+            }
+            _ => Err(check),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/host_list.rs
@@ -0,0 +1,105 @@
+//! A fake of the platform's host list, which lags and may be partial.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use serde::{Deserialize, Serialize};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::http::plain_answer;
+use crate::read_request;
+
+/// One host of the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostEntry {
+    /// Its name.
+    pub name: String,
+    /// The pool it belongs to.
+    pub pool: String,
+    /// Where it is reached, as IP:PORT.
+    pub address: String,
+    /// Its data hall.
+    pub hall: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+/// The list as it is served.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct HostListBody {
+    /// Whether the list names every host.
+    pub complete: bool,
+    /// The hosts.
+    pub hosts: Vec<HostEntry>,
+}
+
+/// A host list; clones share it. `GET /hosts` reads it, `POST /hosts` replaces it.
+#[derive(Clone, Default)]
+pub struct FakeHostList {
+    body: Arc<Mutex<HostListBody>>,
+}
+
+impl FakeHostList {
+    /// Creates a list.
+    pub fn new(body: HostListBody) -> Self {
+        Self {
+            body: Arc::new(Mutex::new(body)),
+        }
+    }
+
+    /// Replaces the list.
+    pub fn set(&self, body: HostListBody) {
+        *self.body.lock().unwrap_or_else(PoisonError::into_inner) = body;
+    }
+
+    /// Binds an address and serves it on this runtime; returns the address.
+    ///
+    /// # Errors
+    ///
+    /// The socket's error.
+    pub async fn spawn(self, address: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(address).await?;
+        let bound = listener.local_addr()?;
+        tokio::spawn(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                let list = self.clone();
+                tokio::spawn(async move {
+                    let _ = list.serve_connection(socket).await;
+                });
+            }
+        });
+        Ok(bound)
+    }
+
+    async fn serve_connection(&self, mut socket: TcpStream) -> io::Result<()> {
+        let mut buffer = Vec::new();
+        while let Some(request) = read_request(&mut socket, &mut buffer).await? {
+            let answer = match request.method.as_str() {
+                "POST" => match serde_json::from_slice(&request.body) {
+                    Ok(body) => {
+                        self.set(body);
+                        plain_answer(200, &[], b"ok\n")
+                    }
+                    Err(error) => plain_answer(400, &[], error.to_string().as_bytes()),
+                },
+                _ => {
+                    let body = self
+                        .body
+                        .lock()
+                        .unwrap_or_else(PoisonError::into_inner)
+                        .clone();
+                    let text = serde_json::to_string(&body).unwrap_or_default();
+                    plain_answer(
+                        200,
+                        &[("content-type", "application/json")],
+                        text.as_bytes(),
+                    )
+                }
+            };
+            socket.write_all(&answer).await?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/target.rs
@@ -0,0 +1,427 @@
+//! A fake stage pool, model engine or plain service.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+
+use crate::answer::{engine_tokens, stage_output};
+use crate::http::{chunk, chunked_head, plain_answer};
+use crate::{FakeRequest, FaultKind, FaultOrder, read_request};
+
+/// How much later a late answer comes.
+const LATE_BY: Duration = Duration::from_secs(1);
+
+/// How long a frozen request is held before its connection is closed.
+const FREEZE_FOR: Duration = Duration::from_secs(600);
+
+/// Tokens that an engine sends before it cuts a stream.
+const TOKENS_BEFORE_CUT: usize = 2;
+
+/// What a fake target stands in for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetKind {
+    /// A pool of encoders, retrievers or rerankers.
+    Stage,
+    /// A model engine that streams tokens.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// How fast a fake target is.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct TargetBehaviour {
+    /// The mean time of a request, in milliseconds; for an engine, up to the first token.
+    pub service_ms: f64,
+    /// The time between two tokens, in milliseconds.
+    pub token_ms: f64,
+    /// Requests that are worked on at one time; more wait inside the target.
+    pub slots: u32,
+    /// How much each request beside it slows a request, as a share.
+    pub batch_cost: f64,
+    /// The share of the time that is drawn by chance, exponentially.
+    pub spread: f64,
+}
+
+impl Default for TargetBehaviour {
+    fn default() -> Self {
+        Self {
+            service_ms: 2.0,
+            token_ms: 1.0,
+            slots: 16,
+            batch_cost: 0.0,
+            spread: 0.0,
+        }
+    }
+}
+
+/// One run of one attempt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunRecord {
+    /// The attempt, as the caller of the target named it.
+    pub attempt: String,
+    /// The `marker` of the input, or the path of a call.
+    pub marker: String,
+}
+
+struct TargetState {
+    behaviour: TargetBehaviour,
+    fault: Option<FaultOrder>,
+    running: u32,
+    ledger: Vec<RunRecord>,
+    busy_ms: f64,
+}
+
+/// A fake target; clones share its state.
+#[derive(Clone)]
+pub struct FakeTarget {
+    kind: TargetKind,
+    name: String,
+    state: Arc<Mutex<TargetState>>,
+    slots: Arc<Semaphore>,
+}
+
+impl FakeTarget {
+    /// Creates a target.
+    pub fn new(kind: TargetKind, name: impl Into<String>, behaviour: TargetBehaviour) -> Self {
+        Self {
+            kind,
+            name: name.into(),
+            state: Arc::new(Mutex::new(TargetState {
+                behaviour,
+                fault: None,
+                running: 0,
+                ledger: Vec::new(),
+                busy_ms: 0.0,
+            })),
+            slots: Arc::new(Semaphore::new(behaviour.slots as usize)),
+        }
+    }
+
+    /// Orders faults.
+    pub fn order_fault(&self, order: FaultOrder) {
+        self.lock().fault = (order.count > 0).then_some(order);
+    }
+
+    /// Changes how fast the target is, slots aside.
+    pub fn set_behaviour(&self, behaviour: TargetBehaviour) {
+        self.lock().behaviour = behaviour;
+    }
+
+    /// Returns every run so far.
+    pub fn ledger(&self) -> Vec<RunRecord> {
+        self.lock().ledger.clone()
+    }
+
+    /// Returns the time that runs took so far, in milliseconds.
+    pub fn busy_ms(&self) -> f64 {
+        self.lock().busy_ms
+    }
+
+    /// Serves connections until the task is dropped.
+    pub async fn serve(self, listener: TcpListener) {
+        while let Ok((socket, _)) = listener.accept().await {
+            let target = self.clone();
+            let _ = socket.set_nodelay(true);
+            tokio::spawn(async move {
+                let _ = target.serve_connection(socket).await;
+            });
+        }
+    }
+
+    /// Binds an address and serves it on this runtime; returns the address.
+    ///
+    /// # Errors
+    ///
+    /// The socket's error.
+    pub async fn spawn(self, address: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(address).await?;
+        let bound = listener.local_addr()?;
+        tokio::spawn(self.serve(listener));
+        Ok(bound)
+    }
+
+    async fn serve_connection(&self, mut socket: TcpStream) -> io::Result<()> {
+        let mut buffer = Vec::new();
+        loop {
+            let mut peek = [0; 1];
+            if socket.peek(&mut peek).await? == 0 {
+                return Ok(());
+            }
+            if self.next_fault_is(FaultKind::CloseBefore) {
+                self.take_fault();
+                return Ok(());
+            }
+            let Some(request) = read_request(&mut socket, &mut buffer).await? else {
+                return Ok(());
+            };
+            match (request.method.as_str(), request.path.as_str()) {
+                ("GET", "/ledger") => {
+                    let body = json!({ "runs": self.ledger(), "busy_ms": self.busy_ms() });
+                    let bytes = plain_answer(200, &[], body.to_string().as_bytes());
+                    socket.write_all(&bytes).await?;
+                }
+                ("POST", "/control") => {
+                    let answer = self.take_order(&request.body);
+                    socket.write_all(&answer).await?;
+                }
+                _ => {
+                    if !self.answer(&mut socket, &request).await? {
+                        return Ok(());
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_order(&self, body: &[u8]) -> Vec<u8> {
+        if let Ok(order) = serde_json::from_slice::<FaultOrder>(body) {
+            self.order_fault(order);
+        } else if let Ok(behaviour) = serde_json::from_slice::<TargetBehaviour>(body) {
+            self.set_behaviour(behaviour);
+        } else {
+            return plain_answer(400, &[], b"neither a fault order nor a behaviour\n");
+        }
+        plain_answer(200, &[], b"ok\n")
+    }
+
+    /// Answers one request; false when the connection is to be closed.
+    async fn answer(&self, socket: &mut TcpStream, request: &FakeRequest) -> io::Result<bool> {
+        let fault = self.take_fault();
+        let attempt = request.header("x-attempt-id").to_owned();
+        let shown = if fault == Some(FaultKind::Foreign) {
+            "somebody-else/0/0".to_owned()
+        } else {
+            attempt.clone()
+        };
+        if let Some(refusal) = refusal_of(fault, &shown) {
+            socket.write_all(&refusal).await?;
+            return Ok(true);
+        }
+        let input: Value = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
+        let _run = self.begin_run(&attempt, &input, request).await;
+        match fault {
+            Some(FaultKind::CloseAfterRun) => return Ok(false),
+            Some(FaultKind::Freeze) => {
+                sleep(FREEZE_FOR).await;
+                return Ok(false);
+            }
+            Some(FaultKind::Late) => sleep(LATE_BY).await,
+            Some(FaultKind::Garbage) => {
+                socket
+                    .write_all(b"\x00\x01 this is no http\r\n\r\n")
+                    .await?;
+                return Ok(false);
+            }
+            Some(FaultKind::Error) => {
+                let bytes = plain_answer(500, &[("x-attempt-id", &shown)], b"{}");
+                socket.write_all(&bytes).await?;
+                return Ok(true);
+            }
+            _ => {}
+        }
+        match self.kind {
+            TargetKind::Engine => self.stream_tokens(socket, &shown, &input, fault).await,
+            TargetKind::Stage => {
+                let inner = input.get("input").cloned().unwrap_or(Value::Null);
+                let stage = input
+                    .get("stage")
+                    .and_then(Value::as_str)
+                    .unwrap_or_default();
+                let body = json!({ "output": stage_output(stage, &inner) });
+                self.send_body(socket, &shown, body.to_string().as_bytes(), fault)
+                    .await
+            }
+            TargetKind::Service => {
+                let text = format!("{} {} {}", request.method, request.path, self.name);
+                let mut body = text.into_bytes();
+                body.push(b'\n');
+                body.extend_from_slice(&request.body);
+                self.send_body(socket, &shown, &body, fault).await
+            }
+        }
+    }
+
+    /// Waits for a slot, notes the run and works for its time.
+    async fn begin_run(&self, attempt: &str, input: &Value, request: &FakeRequest) -> RunGuard {
+        let slot = self.slots.clone().acquire_owned().await.ok();
+        let marker = input
+            .pointer("/input/marker")
+            .and_then(Value::as_str)
+            .unwrap_or(request.path.as_str());
+        let wait = {
+            let mut state = self.lock();
+            state.running += 1;
+            state.ledger.push(RunRecord {
+                attempt: attempt.to_owned(),
+                marker: marker.to_owned(),
+            });
+            let wait = draw_time(&state.behaviour, state.running);
+            state.busy_ms += wait.as_secs_f64() * 1_000.0;
+            wait
+        };
+        let guard = RunGuard {
+            state: self.state.clone(),
+            _slot: slot,
+        };
+        if wait > Duration::ZERO {
+            sleep(wait).await;
+        }
+        guard
+    }
+
+    async fn send_body(
+        &self,
+        socket: &mut TcpStream,
+        attempt: &str,
+        body: &[u8],
+        fault: Option<FaultKind>,
+    ) -> io::Result<bool> {
+        let body = if fault == Some(FaultKind::BadBody) {
+            &b"{ this is no json"[..]
+        } else {
+            body
+        };
+        let (running, slots) = self.load();
+        let headers = [
+            ("x-attempt-id", attempt),
+            ("x-load-in-flight", &running),
+            ("x-load-slots", &slots),
+        ];
+        let mut answer = plain_answer(200, &headers, body);
+        match fault {
+            Some(FaultKind::Short) => {
+                answer.truncate(answer.len() - body.len().div_ceil(2));
+                socket.write_all(&answer).await?;
+                Ok(false)
+            }
+            Some(FaultKind::Twice) => {
+                let again = answer.clone();
+                answer.extend(again);
+                socket.write_all(&answer).await?;
+                Ok(true)
+            }
+            _ => {
+                socket.write_all(&answer).await?;
+                Ok(true)
+            }
+        }
+    }
+
+    async fn stream_tokens(
+        &self,
+        socket: &mut TcpStream,
+        attempt: &str,
+        input: &Value,
+        fault: Option<FaultKind>,
+    ) -> io::Result<bool> {
+        let inner = input.get("input").cloned().unwrap_or(Value::Null);
+        let resume_from = input
+            .get("resume_from")
+            .and_then(Value::as_u64)
+            .unwrap_or(0) as usize;
+        let tokens = engine_tokens(&inner);
+        let (running, slots) = self.load();
+        let headers = [
+            ("x-attempt-id", attempt),
+            ("x-load-in-flight", &running),
+            ("x-load-slots", &slots),
+        ];
+        socket.write_all(&chunked_head(&headers)).await?;
+        let token_ms = self.lock().behaviour.token_ms;
+        for (index, token) in tokens.iter().enumerate().skip(resume_from) {
+            let sent = index - resume_from;
+            if fault == Some(FaultKind::CutStream) && sent == TOKENS_BEFORE_CUT {
+                return Ok(false);
+            }
+            if fault == Some(FaultKind::SkipToken) && sent == 1 {
+                continue;
+            }
+            if token_ms > 0.0 && sent > 0 {
+                sleep(Duration::from_secs_f64(token_ms / 1_000.0)).await;
+            }
+            let line = format!(
+                "{}\n",
+                json!({ "attempt": attempt, "index": index, "token": token })
+            );
+            socket.write_all(&chunk(line.as_bytes())).await?;
+            if fault == Some(FaultKind::DoubleToken) && sent == 1 {
+                socket.write_all(&chunk(line.as_bytes())).await?;
+            }
+        }
+        if fault != Some(FaultKind::NoEndMark) {
+            let count = tokens.len();
+            let line = format!(
+                "{}\n",
+                json!({ "attempt": attempt, "end": true, "count": count })
+            );
+            socket.write_all(&chunk(line.as_bytes())).await?;
+        }
+        socket.write_all(&chunk(b"")).await?;
+        Ok(true)
+    }
+
+    fn load(&self) -> (String, String) {
+        let state = self.lock();
+        (state.running.to_string(), state.behaviour.slots.to_string())
+    }
+
+    fn next_fault_is(&self, kind: FaultKind) -> bool {
+        self.lock().fault.is_some_and(|order| order.kind == kind)
+    }
+
+    fn take_fault(&self) -> Option<FaultKind> {
+        let mut state = self.lock();
+        let order = state.fault.as_mut()?;
+        let kind = order.kind;
+        order.count -= 1;
+        if order.count == 0 {
+            state.fault = None;
+        }
+        Some(kind)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, TargetState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Counts a run as running until it is dropped.
+struct RunGuard {
+    state: Arc<Mutex<TargetState>>,
+    _slot: Option<tokio::sync::OwnedSemaphorePermit>,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.running -= 1;
+    }
+}
+
+fn refusal_of(fault: Option<FaultKind>, attempt: &str) -> Option<Vec<u8>> {
+    let mut headers = vec![("x-attempt-id", attempt), ("x-not-run", "yes")];
+    match fault {
+        Some(FaultKind::Busy) => {}
+        Some(FaultKind::Leaving) => headers.push(("x-leaving", "yes")),
+        _ => return None,
+    }
+    Some(plain_answer(503, &headers, b"{}"))
+}
+
+fn draw_time(behaviour: &TargetBehaviour, running: u32) -> Duration {
+    let beside = f64::from(running.saturating_sub(1));
+    let mean = behaviour.service_ms * (1.0 + behaviour.batch_cost * beside);
+    let chance = -(1.0 - fastrand::f64()).ln();
+    let drawn = mean * (1.0 - behaviour.spread) + mean * behaviour.spread * chance;
+    Duration::from_secs_f64(drawn / 1_000.0)
+}
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -1,13 +1,12 @@
 //! The table in force in one process.
 
 use std::collections::VecDeque;
-use std::sync::{Mutex, PoisonError, RwLock, RwLockReadGuard};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, RwLock, RwLockReadGuard};
 
 use linnet_table::{ChangeRefusal, TableChange, TableStore};
 use tokio::sync::watch;
 
-use std::sync::Arc;
-
 /// Changes that are kept for followers which are a little behind.
 const KEPT_CHANGES: usize = 1_024;
 
@@ -39,6 +38,7 @@
     table: RwLock<TableStore>,
     kept: Mutex<VecDeque<KeptChange>>,
     version: watch::Sender<u64>,
+    fleet: AtomicU32,
 }
 
 impl Default for TableFeed {
@@ -54,6 +54,7 @@
             table: RwLock::new(TableStore::new()),
             kept: Mutex::new(VecDeque::new()),
             version: watch::Sender::new(0),
+            fleet: AtomicU32::new(0),
         }
     }
 
@@ -67,6 +68,16 @@
         *self.version.borrow()
     }
 
+    /// Returns how many entry hosts live in the whole fleet; 0 for unknown.
+    pub fn fleet(&self) -> u32 {
+        self.fleet.load(Ordering::Relaxed)
+    }
+
+    /// Sets how many entry hosts live in the whole fleet.
+    pub fn set_fleet(&self, hosts: u32) {
+        self.fleet.store(hosts, Ordering::Relaxed);
+    }
+
     /// Returns a receiver that wakes with each version.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.version.subscribe()
--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -108,7 +108,10 @@
                 feed.take_image(whole);
                 heard(version);
             }
-            FeedMessage::Idle { version } => heard(version),
+            FeedMessage::Idle { version, fleet } => {
+                feed.set_fleet(fleet);
+                heard(version);
+            }
         }
     }
 }
--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -57,5 +57,7 @@
     Idle {
         /// The version of the source.
         version: u64,
+        /// Entry hosts that live in the whole fleet, as far as the source knows; 0 for unknown.
+        fleet: u32,
     },
 }
--- a/crates/feed/src/serve.rs
+++ b/crates/feed/src/serve.rs
@@ -67,8 +67,8 @@
             FeedStep::Image => sent = push_image(feed, &mut writer).await?,
             FeedStep::Current => {
                 if timeout(IDLE_PERIOD, versions.changed()).await.is_err() {
-                    let version = feed.version();
-                    writer.send(&FeedMessage::Idle { version }).await?;
+                    let (version, fleet) = (feed.version(), feed.fleet());
+                    writer.send(&FeedMessage::Idle { version, fleet }).await?;
                 }
             }
         }
--- a/crates/journal/tests/journal.rs
+++ b/crates/journal/tests/journal.rs
@@ -1,5 +1,7 @@
 //! Recovery, corruption, full disks and failed syncs, case by case.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
 use std::fs;
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
--- /dev/null
+++ b/crates/linnetdale/src/bin/linnet-fakes.rs
@@ -0,0 +1,10 @@
+//! Stand-ins for targets and the host list.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+#[ntex::main]
+async fn main() -> ExitCode {
+    linnetdale::fakes::run_fakes(linnetdale::fakes::FakeSettings::parse()).await
+}
--- /dev/null
+++ b/crates/linnetdale/src/bin/linnetctl.rs
@@ -0,0 +1,10 @@
+//! The operators' command line.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+#[ntex::main]
+async fn main() -> ExitCode {
+    linnetdale::ctl::run_ctl(linnetdale::ctl::CtlSettings::parse()).await
+}
--- a/crates/quorum/src/propose.rs
+++ b/crates/quorum/src/propose.rs
@@ -23,7 +23,7 @@
     #[display("not the leader")]
     NotLeader {
         /// The leader, where it is known.
-        leader: Option<Member>,
+        leader: Option<Box<Member>>,
     },
     /// Too many proposals wait. The proposal was not taken.
     #[display("too many proposals wait")]
@@ -88,7 +88,9 @@
         if !state.lease_lasts(&self.timing) {
             let leader = state.leader.filter(|id| *id != state.me);
             return Err(ProposeError::NotLeader {
-                leader: leader.and_then(|id| state.members.find(id).cloned()),
+                leader: leader
+                    .and_then(|id| state.members.find(id))
+                    .map(|member| Box::new(member.clone())),
             });
         }
         if state.waiters.len() >= MAX_WAITERS {
--- a/crates/table/tests/table.rs
+++ b/crates/table/tests/table.rs
@@ -1,5 +1,7 @@
 //! CSV, verification, conflicts and deltas of the table.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
 use linnet_table::{
     ChangeRefusal, KeyDigest, RowKey, TableChange, TableRow, TableStore, diff_rows, parse_csv,
     verify_rows, write_csv,
--- a/crates/telemetry/tests/telemetry.rs
+++ b/crates/telemetry/tests/telemetry.rs
@@ -1,5 +1,7 @@
 //! Behaviour of the clock, the recorder and the time line.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
 use std::sync::Arc;
 
 use linnet_telemetry::{EventCode, EventQuery, EventRecorder, HybridClock, merge_events};
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -1,5 +1,7 @@
 //! Handshake, frames, datagrams and rolling keys over real sockets.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
 use std::io::Write;
 use std::sync::Arc;
 
