Rules of voting and commit checked over many orders of steps

An exhaustive check of 32,768 votes and a model of elections that decides by the functions of the code itself. The model's first form asked a leader that was unseated without knowing it to hold later commits; the check now holds for every leader of the commit's term or a later one, which is the promise.

--- /dev/null
+++ b/crates/quorum/tests/rules.rs
@@ -0,0 +1,206 @@
+//! The rules of voting, commit and lease, over many inputs and many orders of steps.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::time::{Duration, Instant};
+
+use linnet_quorum::{LogPosition, NodeId, VoteFacts, grant_vote, quorum_index, quorum_instant};
+use proptest::prelude::*;
+
+/// Every combination of a voter's facts and a request, with small numbers.
+#[test]
+fn a_vote_is_given_only_to_a_log_as_long_in_a_free_term_without_a_lease() {
+    let mut granted = 0;
+    for case in 0..4_u64.pow(7) * 2 {
+        let digit = |place: u32| case / 2 / 4_u64.pow(place) % 4;
+        let candidate = NodeId(digit(6));
+        let facts = VoteFacts {
+            term: digit(0),
+            vote: (digit(1) > 0).then(|| NodeId(digit(1))),
+            last: LogPosition {
+                term: digit(2),
+                index: digit(3),
+            },
+            lease_may_last: case % 2 == 1,
+        };
+        let (term, last) = (
+            digit(4),
+            LogPosition {
+                term: digit(5),
+                index: digit(3) / 2,
+            },
+        );
+        if !grant_vote(&facts, term, candidate, last) {
+            continue;
+        }
+        granted += 1;
+        assert!(!facts.lease_may_last);
+        assert!(term >= facts.term);
+        assert!((last.term, last.index) >= (facts.last.term, facts.last.index));
+        if term == facts.term {
+            assert!(facts.vote.is_none_or(|vote| vote == candidate));
+        }
+    }
+    assert!(granted > 1_000, "{granted}");
+}
+
+proptest! {
+    #[test]
+    fn the_quorum_index_is_the_greatest_that_a_majority_has(synced in prop::collection::vec(0..20_u64, 1..8)) {
+        let index = quorum_index(synced.clone());
+        let holders = |at: u64| synced.iter().filter(|own| **own >= at).count();
+        prop_assert!(holders(index) * 2 > synced.len());
+        prop_assert!(holders(index + 1) * 2 <= synced.len());
+    }
+
+    #[test]
+    fn a_lease_counts_from_the_sending_that_a_majority_answered(ages in prop::collection::vec(prop::option::of(0..50_u64), 1..8)) {
+        let now = Instant::now() + Duration::from_secs(1);
+        let answered: Vec<_> = ages.iter().map(|age| age.map(|age| now - Duration::from_millis(age))).collect();
+        let instant = quorum_instant(answered.clone());
+        let within = answered.iter().filter(|own| instant.is_some() && **own >= instant).count();
+        match instant {
+            Some(_) => prop_assert!(within * 2 > ages.len()),
+            None => prop_assert!(ages.iter().flatten().count() * 2 <= ages.len()),
+        }
+    }
+}
+
+/// A voter of the model: what it has synced.
+#[derive(Debug, Clone, Default)]
+struct ModelVoter {
+    term: u64,
+    vote: Option<NodeId>,
+    /// The term of each entry; an entry is named by its index and term.
+    log: Vec<u64>,
+    leads: Option<u64>,
+    matched: Vec<u64>,
+}
+
+impl ModelVoter {
+    fn last(&self) -> LogPosition {
+        LogPosition {
+            term: self.log.last().copied().unwrap_or(0),
+            index: self.log.len() as u64,
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+enum ModelStep {
+    /// A voter stands; the bits say which voters its requests reach.
+    Stand(usize, u8),
+    /// A leader appends an entry.
+    Append(usize),
+    /// A leader brings a voter's log in line with its own.
+    Replicate(usize, usize),
+}
+
+fn model_steps() -> impl Strategy<Value = Vec<ModelStep>> {
+    let voter = 0..5_usize;
+    let step = prop_oneof![
+        1 => (voter.clone(), any::<u8>()).prop_map(|(who, reach)| ModelStep::Stand(who, reach)),
+        2 => voter.clone().prop_map(ModelStep::Append),
+        4 => (voter.clone(), voter).prop_map(|(from, to)| ModelStep::Replicate(from, to)),
+    ];
+    prop::collection::vec(step, 1..120)
+}
+
+fn stand(voters: &mut [ModelVoter], who: usize, reach: u8) {
+    let term = voters[who].term + 1;
+    let last = voters[who].last();
+    let me = NodeId(who as u64);
+    let mut votes = 0;
+    for (number, voter) in voters.iter_mut().enumerate() {
+        let reached = number == who || reach & (1 << number) != 0;
+        if !reached {
+            continue;
+        }
+        let facts = VoteFacts {
+            term: voter.term,
+            vote: voter.vote,
+            last: voter.last(),
+            lease_may_last: false,
+        };
+        let granted = grant_vote(&facts, term, me, last);
+        if term > voter.term {
+            voter.term = term;
+            voter.vote = None;
+            voter.leads = None;
+        }
+        if granted {
+            voter.vote = Some(me);
+            votes += 1;
+        }
+    }
+    if votes * 2 > voters.len() {
+        voters[who].leads = Some(term);
+        voters[who].log.push(term);
+        voters[who].matched = vec![0; voters.len()];
+    }
+}
+
+fn replicate(voters: &mut [ModelVoter], from: usize, to: usize) {
+    let Some(term) = voters[from].leads else {
+        return;
+    };
+    if from == to || voters[to].term > term {
+        return;
+    }
+    let log = voters[from].log.clone();
+    voters[from].matched[to] = log.len() as u64;
+    let peer = &mut voters[to];
+    if term > peer.term {
+        peer.term = term;
+        peer.vote = None;
+    }
+    peer.leads = None;
+    peer.log = log;
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever the order of elections, appends and replication, no term has two leaders and a
+    /// committed entry is in the log of every later leader.
+    #[test]
+    fn committed_entries_stay_through_every_election(count in 3..=5_usize, steps in model_steps()) {
+        let mut voters = vec![ModelVoter::default(); count];
+        let mut committed: Vec<u64> = Vec::new();
+        let mut committed_in = 0;
+        let mut leaders = std::collections::HashMap::new();
+        for step in steps {
+            match step {
+                ModelStep::Stand(who, reach) => stand(&mut voters, who % count, reach),
+                ModelStep::Append(who) => {
+                    let voter = &mut voters[who % count];
+                    if let Some(term) = voter.leads {
+                        voter.log.push(term);
+                    }
+                }
+                ModelStep::Replicate(from, to) => replicate(&mut voters, from % count, to % count),
+            }
+            for (number, voter) in voters.iter().enumerate() {
+                let Some(term) = voter.leads else { continue };
+                prop_assert_eq!(*leaders.entry(term).or_insert(number), number);
+                let mut synced = voter.matched.clone();
+                synced[number] = voter.log.len() as u64;
+                let index = quorum_index(synced) as usize;
+                let own_term = index > 0 && voter.log[index - 1] == term;
+                // A leader of an earlier term may not know yet that it was unseated; every leader
+                // of this or a later term than the last commit's holds all that is committed.
+                if term >= committed_in {
+                    prop_assert!(voter.log.len() >= committed.len());
+                    prop_assert_eq!(&voter.log[..committed.len()], &committed[..]);
+                }
+                if own_term && index > committed.len() {
+                    prop_assert!(term >= committed_in);
+                    committed_in = term;
+                    committed = voter.log[..index].to_vec();
+                } else if own_term {
+                    prop_assert_eq!(&voter.log[..index], &committed[..index]);
+                }
+            }
+        }
+    }
+}
