--- a/crates/linnetdale/tests/support/mod.rs
+++ b/crates/linnetdale/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod cluster;
 pub mod daemon;
 pub mod http;
+pub mod ledger;
 pub mod operator;
 pub mod relay;
 pub mod watch;
