--- a/crates/entry/src/caller/check.rs
+++ b/crates/entry/src/caller/check.rs
@@ -96,7 +96,8 @@
     match millis {
         Some(millis) if (1..=most_ms).contains(&millis) => Ok(Duration::from_millis(millis.into())),
         _ => {
-            let message = format!("x-deadline-ms is {text:?}; want 1 to {most_ms}");
+            let given = text.unwrap_or_default();
+            let message = format!("x-deadline-ms is {given:?}; want 1 to {most_ms}");
             Err(CallerError::new(ErrorCode::BadDeadline, STEP, message))
         }
     }
--- a/crates/entry/src/caller/error.rs
+++ b/crates/entry/src/caller/error.rs
@@ -85,6 +85,9 @@
     pub peer: String,
     /// Whether any target ran any part.
     pub ran: RanState,
+    /// Whether an earlier sending under the same request key may have run. `ran` speaks of this
+    /// sending alone; without an answer of the claim table nobody here knows of others.
+    pub earlier_unknown: bool,
     /// When asking again may help.
     pub retry_after: Option<Duration>,
     /// Details for people.
@@ -99,6 +102,7 @@
             step: step.into(),
             peer: String::new(),
             ran: RanState::No,
+            earlier_unknown: false,
             retry_after: None,
             message: message.into(),
         }
@@ -122,6 +126,12 @@
         self
     }
 
+    /// Says that an earlier sending under the same request key may have run, if there is a key.
+    pub fn with_earlier_unknown(mut self, has_key: bool) -> Self {
+        self.earlier_unknown |= has_key;
+        self
+    }
+
     /// Creates the error of a refusal by the dispatcher or a limit.
     pub fn refused(refusal: DispatchRefusal, step: &str, ran: RanState) -> Self {
         let code = match refusal.cause {
@@ -144,6 +154,7 @@
             "step": self.step,
             "peer": self.peer,
             "ran": self.ran,
+            "earlier_sendings": if self.earlier_unknown { "unknown" } else { "none" },
             "retry_after_ms": self.retry_after.map(|wait| wait.as_millis() as u64),
             "message": self.message,
             "request": request,
--- a/crates/entry/src/caller/routes.rs
+++ b/crates/entry/src/caller/routes.rs
@@ -63,18 +63,18 @@
     let begun = begin_request(&worker, &request, &pipeline, true, payload).await;
     let (head, body, flight) = match begun {
         Ok(begun) => begun,
-        Err(error) => return refuse(&worker, &pipeline, &id, &error),
+        Err(error) => return refuse(&worker, &request, &pipeline, &id, error),
     };
     let input: Value = match serde_json::from_slice(&body) {
         Ok(input) => input,
         Err(error) => {
             let error = CallerError::new(ErrorCode::BadBody, "check", error.to_string());
-            return refuse(&worker, &pipeline, &id, &error);
+            return refuse(&worker, &request, &pipeline, &id, error);
         }
     };
     let Some(target) = pipeline_target(&worker, &head, input) else {
         let error = CallerError::new(ErrorCode::UnknownRoute, "check", "the pipeline is gone");
-        return refuse(&worker, &pipeline, &id, &error);
+        return refuse(&worker, &request, &pipeline, &id, error);
     };
     let plan = build_plan(&worker, id, head, target, &body);
     // An answer under a request key is recorded, so it is given in one piece.
@@ -97,11 +97,11 @@
     let begun = begin_request(&worker, &request, &service, false, payload).await;
     let (head, body, flight) = match begun {
         Ok(begun) => begun,
-        Err(error) => return refuse(&worker, &service, &id, &error),
+        Err(error) => return refuse(&worker, &request, &service, &id, error),
     };
     let call = match service_call(&request, &tail, body.clone()) {
         Ok(call) => call,
-        Err(error) => return refuse(&worker, &service, &id, &error),
+        Err(error) => return refuse(&worker, &request, &service, &id, error),
     };
     let pool = match &worker.entry.feed.read().route(head.route).kind {
         RouteKind::Service(pool) => pool.clone(),
@@ -150,9 +150,7 @@
     tail: &str,
     body: Bytes,
 ) -> Result<ServiceCall, CallerError> {
-    let climbs = tail.split('/').any(|part| part == ".." || part == ".");
-    let printable = tail.bytes().all(|byte| byte.is_ascii_graphic());
-    if climbs || !printable {
+    if !is_plain_path(tail) {
         return Err(CallerError::new(
             ErrorCode::BadPath,
             "check",
@@ -178,6 +176,38 @@
     })
 }
 
+// The path is judged as the service may decode it: an encoded dot, slash or line end must not pass
+// where a plain one would not.
+fn is_plain_path(tail: &str) -> bool {
+    let Some(decoded) = decode_percent(tail) else {
+        return false;
+    };
+    let climbs = decoded
+        .split(|byte| *byte == b'/')
+        .any(|part| part == b".." || part == b".");
+    let printable = decoded
+        .iter()
+        .all(|byte| byte.is_ascii_graphic() || *byte >= 0x80 || *byte == b' ');
+    let encoded_slash = tail.to_ascii_lowercase().contains("%2f");
+    !climbs && printable && !encoded_slash && !decoded.contains(&b'\\')
+}
+
+/// Decodes `%XX`; nothing where a `%` is not followed by two hexadecimal digits.
+fn decode_percent(text: &str) -> Option<Vec<u8>> {
+    let mut decoded = Vec::with_capacity(text.len());
+    let mut bytes = text.bytes();
+    while let Some(byte) = bytes.next() {
+        if byte != b'%' {
+            decoded.push(byte);
+            continue;
+        }
+        let mut digit = || char::from(bytes.next()?).to_digit(16);
+        let (high, low) = (digit()?, digit()?);
+        decoded.push((high * 16 + low) as u8);
+    }
+    Some(decoded)
+}
+
 fn build_plan(
     worker: &WorkerContext,
     id: String,
@@ -303,7 +333,15 @@
         .body(answer.body)
 }
 
-fn refuse(worker: &WorkerContext, route: &str, id: &str, error: &CallerError) -> HttpResponse {
+fn refuse(
+    worker: &WorkerContext,
+    request: &HttpRequest,
+    route: &str,
+    id: &str,
+    error: CallerError,
+) -> HttpResponse {
+    let has_key = request.headers().contains_key("x-request-key");
+    let error = error.with_earlier_unknown(has_key);
     let known = worker.entry.feed.read().route_id(route).is_some();
     // Unknown names are counted together: a caller must not be able to make metrics grow.
     let label = if known { route } else { "unknown" };
--- a/crates/entry/src/run/claim.rs
+++ b/crates/entry/src/run/claim.rs
@@ -82,7 +82,9 @@
 }
 
 fn no_quorum(message: String) -> CallerError {
-    CallerError::new(ErrorCode::NoQuorum, STEP, message).with_retry_after(NO_QUORUM_WAIT)
+    CallerError::new(ErrorCode::NoQuorum, STEP, message)
+        .with_earlier_unknown(true)
+        .with_retry_after(NO_QUORUM_WAIT)
 }
 
 // While the run may go on a resend is told to wait; after that its end cannot be known.
--- a/crates/entry/src/run/request.rs
+++ b/crates/entry/src/run/request.rs
@@ -42,7 +42,8 @@
     plan: &RequestPlan,
     lines: Option<&mpsc::Sender<Bytes>>,
 ) -> Result<RunAnswer, CallerError> {
-    let hold = admit(worker, plan)?;
+    let has_key = plan.claim.is_some();
+    let hold = admit(worker, plan).map_err(|error| error.with_earlier_unknown(has_key))?;
     let detail = format!("route={} account={}", plan.route_name, plan.account_name);
     worker
         .entry
--- a/crates/linnetdale/tests/callers.rs
+++ b/crates/linnetdale/tests/callers.rs
@@ -98,6 +98,68 @@
     assert!(answer.tokens().is_some(), "{answer:?}");
 }
 
+#[test]
+fn raw_bytes_that_no_client_library_sends_are_refused_case_by_case() {
+    let cluster = Cluster::start(ClusterPlan {
+        entries: 1,
+        halls: 1,
+        replicas: 1,
+        ..ClusterPlan::default()
+    });
+    let head =
+        "host: x\r\nconnection: close\r\nauthorization: Bearer yard-key\r\nx-deadline-ms: 1000\r\n";
+    let call = |path: &str| {
+        format!("POST /v1/services/orders/{path} HTTP/1.1\r\n{head}content-length: 0\r\n\r\n")
+    };
+    let cases = [
+        ("path that climbs", call("a/../../secret")),
+        ("path that climbs, encoded", call("a/%2e%2e/%2e%2e/secret")),
+        ("path with an encoded line end", call("a%0d%0ax-evil:%201")),
+        (
+            "deadline twice",
+            format!(
+                "POST /v1/pipelines/yard-desk HTTP/1.1\r\n{head}x-deadline-ms: 2\r\ncontent-length: 2\r\n\r\n{{}}"
+            ),
+        ),
+        (
+            "body cut short",
+            format!(
+                "POST /v1/pipelines/yard-desk HTTP/1.1\r\n{head}content-length: 50\r\n\r\n{{}}"
+            ),
+        ),
+        ("no HTTP", "hello\r\n\r\n".to_owned()),
+        (
+            "two lengths",
+            format!(
+                "POST /v1/pipelines/yard-desk HTTP/1.1\r\n{head}content-length: 2\r\ncontent-length: 3\r\n\r\n{{}}"
+            ),
+        ),
+        (
+            "chunks that are none",
+            format!(
+                "POST /v1/pipelines/yard-desk HTTP/1.1\r\n{head}transfer-encoding: chunked\r\n\r\nzz\r\n"
+            ),
+        ),
+    ];
+    let shown: Vec<_> = cases
+        .iter()
+        .map(|(name, text)| {
+            format!(
+                "{name}: {}",
+                support::http::send_raw(cluster.callers(0), text.as_bytes())
+            )
+        })
+        .collect();
+    insta::assert_snapshot!(shown.join("\n"));
+    let ran: usize = cluster
+        .world
+        .targets
+        .iter()
+        .map(|target| target.fake.ledger().len())
+        .sum();
+    assert_eq!(ran, 0);
+}
+
 #[test]
 fn wrong_settings_are_named_all_at_once_before_any_socket_opens() {
     let output = std::process::Command::new(env!("CARGO_BIN_EXE_linnet-entry"))
--- a/crates/linnetdale/tests/support/http.rs
+++ b/crates/linnetdale/tests/support/http.rs
@@ -30,6 +30,11 @@
         }
     }
 
+    /// Says whether the error leaves open that an earlier sending under the same key ran.
+    pub fn earlier_unknown(&self) -> bool {
+        self.body.contains("\"earlier_sendings\":\"unknown\"")
+    }
+
     pub fn code(&self) -> String {
         let line = self.body.lines().last().unwrap_or_default();
         let error: Value = serde_json::from_str(line).unwrap_or(Value::Null);
@@ -162,3 +167,31 @@
         }
     }
 }
+
+/// Sends bytes as they are and returns the status line and the last line of what comes back.
+pub fn send_raw(host: SocketAddr, bytes: &[u8]) -> String {
+    use std::io::{Read, Write};
+    let mut socket = std::net::TcpStream::connect(host).unwrap();
+    socket
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .unwrap();
+    socket.write_all(bytes).unwrap();
+    let mut answer = Vec::new();
+    let _ = socket.read_to_end(&mut answer);
+    let text = String::from_utf8_lossy(&answer).into_owned();
+    let first = text.lines().next().unwrap_or("closed").to_owned();
+    let error: Value =
+        serde_json::from_str(text.lines().last().unwrap_or_default()).unwrap_or(Value::Null);
+    let field = |name: &str| {
+        error
+            .pointer(&format!("/error/{name}"))
+            .cloned()
+            .unwrap_or_default()
+    };
+    format!(
+        "{first} code={} ran={} {}",
+        field("code"),
+        field("ran"),
+        field("message")
+    )
+}
--- a/crates/linnetdale/tests/support/world.rs
+++ b/crates/linnetdale/tests/support/world.rs
@@ -142,6 +142,15 @@
         self.order_fault("", FaultKind::Busy, 0);
     }
 
+    /// Returns how often any target ran an attempt of one sending.
+    pub fn runs_of_request(&self, request: &str) -> usize {
+        let attempts = format!("{request}/");
+        let targets = self.targets.iter().flat_map(|target| target.fake.ledger());
+        targets
+            .filter(|run| run.attempt.starts_with(&attempts))
+            .count()
+    }
+
     /// Returns how often targets whose name begins so ran a request with this marker.
     pub fn runs(&self, prefix: &str, marker: &str) -> usize {
         let targets = self
