--- a/crates/daemon/src/ops.rs
+++ b/crates/daemon/src/ops.rs
@@ -4,6 +4,7 @@
 
 use linnet_table::KeyDigest;
 use linnet_telemetry::{EventQuery, EventRecorder};
+use linnet_wire::PEER_TRAFFIC;
 use ntex::web::{self, HttpRequest, HttpResponse, types::State};
 use prometheus_client::registry::Registry;
 use serde::{Deserialize, Serialize};
@@ -86,8 +87,23 @@
     json_reply(200, &context.recorder.select(&query))
 }
 
+/// Writes the counters of the traffic with peers, ahead of the registered metrics.
+fn write_traffic(text: &mut String) {
+    let counters = [
+        ("peer_sent_bytes", PEER_TRAFFIC.sent()),
+        ("peer_received_bytes", PEER_TRAFFIC.received()),
+        ("peer_messages", PEER_TRAFFIC.messages()),
+    ];
+    for (name, value) in counters {
+        text.push_str(&format!(
+            "# TYPE linnet_{name} counter\nlinnet_{name}_total {value}\n"
+        ));
+    }
+}
+
 async fn show_metrics(context: State<OpsContext>) -> HttpResponse {
     let mut text = String::new();
+    write_traffic(&mut text);
     let registry = context
         .registry
         .lock()
--- a/crates/entry/src/hall.rs
+++ b/crates/entry/src/hall.rs
@@ -12,7 +12,7 @@
 
 use linnet_feed::HostReport;
 use linnet_telemetry::{EventCode, Stamp};
-use linnet_wire::{MAX_DATAGRAM_BYTES, PeerIdentity, open_datagram, seal_datagram};
+use linnet_wire::{MAX_DATAGRAM_BYTES, PEER_TRAFFIC, PeerIdentity, open_datagram, seal_datagram};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
@@ -203,6 +203,7 @@
             let _ = socket
                 .send_to(&bytes, peers[(turn + offset) % peers.len()])
                 .await;
+            PEER_TRAFFIC.count_sent(bytes.len());
         }
         turn = (turn + count) % peers.len();
     }
--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -3,11 +3,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
@@ -71,6 +72,8 @@
     pub attempt: String,
     /// The `marker` of the input, or the path of a call.
     pub marker: String,
+    /// How long it held its slot, in microseconds; 0 while it runs.
+    pub held_us: u64,
 }
 
 struct TargetState {
@@ -78,7 +81,6 @@
     fault: Option<FaultOrder>,
     running: u32,
     ledger: Vec<RunRecord>,
-    busy_ms: f64,
 }
 
 /// A fake target; clones share its state.
@@ -101,7 +103,6 @@
                 fault: None,
                 running: 0,
                 ledger: Vec::new(),
-                busy_ms: 0.0,
             })),
             slots: Arc::new(Semaphore::new(behaviour.slots as usize)),
         }
@@ -122,11 +123,6 @@
         self.lock().ledger.clone()
     }
 
-    /// Returns the time that runs took so far, in milliseconds.
-    pub fn busy_ms(&self) -> f64 {
-        self.lock().busy_ms
-    }
-
     /// Serves connections until the task is dropped.
     pub async fn serve(self, listener: TcpListener) {
         while let Ok((socket, _)) = listener.accept().await {
@@ -166,7 +162,7 @@
             };
             match (request.method.as_str(), request.path.as_str()) {
                 ("GET", "/ledger") => {
-                    let body = json!({ "runs": self.ledger(), "busy_ms": self.busy_ms() });
+                    let body = json!({ "runs": self.ledger() });
                     let bytes = plain_answer(200, &[], body.to_string().as_bytes());
                     socket.write_all(&bytes).await?;
                 }
@@ -175,8 +171,15 @@
                     socket.write_all(&answer).await?;
                 }
                 _ => {
-                    if !self.answer(&mut socket, &request).await? {
-                        return Ok(());
+                    let (mut incoming, mut outgoing) = socket.split();
+                    // A caller that closes its connection lets the slot go, as engines do.
+                    tokio::select! {
+                        open = self.answer(&mut outgoing, &request) => {
+                            if !open? {
+                                return Ok(());
+                            }
+                        }
+                        () = until_closed(&mut incoming, &mut buffer) => return Ok(()),
                     }
                 }
             }
@@ -195,7 +198,7 @@
     }
 
     /// Answers one request; false when the connection is to be closed.
-    async fn answer(&self, socket: &mut TcpStream, request: &FakeRequest) -> io::Result<bool> {
+    async fn answer(&self, socket: &mut WriteHalf<'_>, request: &FakeRequest) -> io::Result<bool> {
         let fault = self.take_fault();
         let attempt = request.header("x-attempt-id").to_owned();
         let shown = if fault == Some(FaultKind::Foreign) {
@@ -258,19 +261,21 @@
             .pointer("/input/marker")
             .and_then(Value::as_str)
             .unwrap_or(request.path.as_str());
-        let wait = {
+        let (wait, place) = {
             let mut state = self.lock();
             state.running += 1;
             state.ledger.push(RunRecord {
                 attempt: attempt.to_owned(),
                 marker: marker.to_owned(),
+                held_us: 0,
             });
-            let wait = draw_time(&state.behaviour, state.running);
-            state.busy_ms += wait.as_secs_f64() * 1_000.0;
-            wait
+            let place = state.ledger.len() - 1;
+            (draw_time(&state.behaviour, state.running), place)
         };
         let guard = RunGuard {
             state: self.state.clone(),
+            place,
+            since: Instant::now(),
             _slot: slot,
         };
         if wait > Duration::ZERO {
@@ -281,7 +286,7 @@
 
     async fn send_body(
         &self,
-        socket: &mut TcpStream,
+        socket: &mut WriteHalf<'_>,
         attempt: &str,
         body: &[u8],
         fault: Option<FaultKind>,
@@ -319,7 +324,7 @@
 
     async fn stream_tokens(
         &self,
-        socket: &mut TcpStream,
+        socket: &mut WriteHalf<'_>,
         attempt: &str,
         input: &Value,
         fault: Option<FaultKind>,
@@ -398,6 +403,8 @@
 /// Counts a run as running until it is dropped.
 struct RunGuard {
     state: Arc<Mutex<TargetState>>,
+    place: usize,
+    since: Instant,
     _slot: Option<tokio::sync::OwnedSemaphorePermit>,
 }
 
@@ -405,9 +412,21 @@
     fn drop(&mut self) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.running -= 1;
+        let held = self.since.elapsed().as_micros() as u64;
+        if let Some(run) = state.ledger.get_mut(self.place) {
+            run.held_us = held.max(1);
+        }
     }
 }
 
+async fn until_closed(incoming: &mut ReadHalf<'_>, buffer: &mut Vec<u8>) {
+    while incoming
+        .read_buf(buffer)
+        .await
+        .is_ok_and(|length| length > 0)
+    {}
+}
+
 fn refusal_of(fault: Option<FaultKind>, attempt: &str) -> Option<Vec<u8>> {
     let mut headers = vec![("x-attempt-id", attempt), ("x-not-run", "yes")];
     match fault {
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::{PeerIdentity, PeerKeyRing, WireCause, WireError, WireStep};
+use crate::{PEER_TRAFFIC, PeerIdentity, PeerKeyRing, WireCause, WireError, WireStep};
 
 /// The largest datagram, in bytes; it fits into one packet on usual links.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -77,6 +77,7 @@
         .and_then(|end| bytes.split_at_checked(end))
         .ok_or_else(|| error(WireCause::BadHash))?;
     // Only the key id is read before the hash is checked.
+    PEER_TRAFFIC.count_received(bytes.len());
     let (key_id, _): (String, _) =
         postcard::take_from_bytes(body).map_err(|cause| error(WireCause::Malformed(cause)))?;
     let key = keys
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -216,7 +216,6 @@
         session,
         direction: sending,
         sequence: 0,
-        sent_bytes: 0,
     };
     (reader, writer)
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 mod handshake;
 mod key;
 mod stream;
+mod traffic;
 
 pub use datagram::{MAX_DATAGRAM_BYTES, OpenDatagram, open_datagram, seal_datagram};
 pub use error::{WireCause, WireError, WireStep};
@@ -19,3 +20,4 @@
 pub use handshake::{HANDSHAKE_TIMEOUT, PeerIdentity, accept_peer, connect_peer};
 pub use key::{KeyError, PeerKey, PeerKeyRing};
 pub use stream::{MAX_MESSAGE_BYTES, PeerReader, PeerWriter, Session};
+pub use traffic::{PEER_TRAFFIC, PeerTraffic};
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -14,7 +14,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
 use crate::key::keyed_hash;
-use crate::{WireCause, WireError, WireStep};
+use crate::{PEER_TRAFFIC, WireCause, WireError, WireStep};
 
 /// The largest message between peers, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 32 * 1024 * 1024;
@@ -49,7 +49,6 @@
     pub(crate) session: Session,
     pub(crate) direction: u8,
     pub(crate) sequence: u64,
-    pub(crate) sent_bytes: u64,
 }
 
 /// The receiving half of a connection.
@@ -80,18 +79,13 @@
         frame.extend_from_slice(&(body.len() as u32).to_le_bytes());
         frame.extend_from_slice(&body);
         frame.extend_from_slice(&hash);
-        self.sent_bytes += frame.len() as u64;
+        PEER_TRAFFIC.count_sent(frame.len());
         self.socket
             .write_all(&frame)
             .await
             .map_err(|error| self.error(WireCause::Io(error)))
     }
 
-    /// Returns the bytes sent on this connection.
-    pub fn sent_bytes(&self) -> u64 {
-        self.sent_bytes
-    }
-
     fn error(&self, cause: WireCause) -> WireError {
         self.session.error(WireStep::Send, cause)
     }
@@ -136,6 +130,7 @@
             return Err(self.error(WireCause::BadHash));
         }
         self.sequence += 1;
+        PEER_TRAFFIC.count_received(4 + body.len() + HASH_BYTES);
         Ok(body)
     }
 
