Load program with policies, scenarios and baselines; admission counts requests on their way

Cause, found by the load program: (1) attempts were bounded by the time left less the estimated waits of later stages, so under overload first stages timed out at once and good targets were blamed; waits now count at admission only, and an attempt that had little time blames nobody. (2) The same bound let baselines without admission shed early, which hid the difference. (3) Admission did not count requests that were admitted and still on their way to a pool. (4) An error that came right after the first token of a stream could be lost between status and stream. Ruled out on the way: a loss inside the entry host for requests without an answer; they never reached it.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -9,8 +9,9 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    AttemptOutcome, DispatchRefusal, FairQueue, ListedState, LoadReport, PolicyChoice, PoolId,
-    RefusalCause, StageEstimate, TargetId, TargetPermit, TargetSample, TargetState, choose_target,
+    AdmittedRequest, AttemptOutcome, DispatchRefusal, FairQueue, ListedState, LoadReport,
+    PolicyChoice, PoolId, RefusalCause, StageEstimate, TargetId, TargetPermit, TargetSample,
+    TargetState, choose_target,
 };
 
 /// Requests that may wait for one pool.
@@ -94,6 +95,8 @@
     targets: Vec<TargetId>,
     queue: FairQueue<QueuedAsk>,
     estimate: StageEstimate,
+    /// Admitted requests that have not reached the pool yet.
+    promised: usize,
 }
 
 #[derive(Default)]
@@ -177,43 +180,62 @@
             .collect()
     }
 
-    /// Returns the time that a chain of pools takes, waiting in our queues included.
-    pub fn work_through<'a>(&self, pools: impl Iterator<Item = &'a str>) -> Duration {
-        let now = Instant::now();
+    /// Returns the usual time of a chain of pools, without waiting.
+    ///
+    /// Waiting is left out on purpose: it counts at admission, before anything is spent. A request
+    /// that has been worked on is given up only when even empty queues could not save it. Without
+    /// admission nothing is known, as for a plain proxy.
+    pub fn usual_through<'a>(&self, pools: impl Iterator<Item = &'a str>) -> Duration {
+        if !self.policy.admission {
+            return Duration::ZERO;
+        }
         let context = self.lock();
         pools
             .filter_map(|name| context.pool_names.get(name))
-            .map(|pool| context.wait_of(*pool, now) + context.pools[*pool].estimate.usual())
+            .map(|pool| context.pools[*pool].estimate.usual())
             .sum()
     }
 
-    /// Refuses a request, before its first stage, that its time left cannot hold.
+    /// Admits a request, or refuses it before its first stage because its time left cannot hold
+    /// the work.
     ///
     /// # Errors
     ///
     /// The refusal, with the drain time of the longest queue.
     pub fn admit<'a>(
-        &self,
-        pools: impl Iterator<Item = &'a str> + Clone,
+        self: &Arc<Self>,
+        pools: impl Iterator<Item = &'a str>,
         time_left: Duration,
-    ) -> Result<(), DispatchRefusal> {
+    ) -> Result<AdmittedRequest, DispatchRefusal> {
         let now = Instant::now();
-        let longest_wait = {
-            let context = self.lock();
-            let mut longest = Duration::ZERO;
-            for name in pools.clone() {
-                let pool = context.pool_names.get(name).copied();
-                let Some(pool) = pool.filter(|pool| context.has_usable(*pool, now)) else {
-                    return Err(DispatchRefusal::new(RefusalCause::NoTarget, NO_TARGET_WAIT));
-                };
-                longest = longest.max(context.wait_of(pool, now));
-            }
-            longest
-        };
-        if self.policy.admission && self.work_through(pools) > time_left {
-            return Err(DispatchRefusal::new(RefusalCause::NoTime, longest_wait));
+        let mut context = self.lock();
+        let mut ids = Vec::new();
+        for name in pools {
+            let pool = context.pool_names.get(name).copied();
+            let Some(pool) = pool.filter(|pool| context.has_usable(*pool, now)) else {
+                return Err(DispatchRefusal::new(RefusalCause::NoTarget, NO_TARGET_WAIT));
+            };
+            ids.push(pool);
         }
-        Ok(())
+        let work: Duration = ids.iter().map(|pool| context.work_of(*pool, now)).sum();
+        if self.policy.admission && work > time_left {
+            let waits = ids.iter().map(|pool| context.wait_of(*pool, now));
+            let longest = waits.max().unwrap_or_default();
+            return Err(DispatchRefusal::new(RefusalCause::NoTime, longest));
+        }
+        for pool in &ids {
+            context.pools[*pool].promised += 1;
+        }
+        Ok(AdmittedRequest {
+            dispatcher: self.clone(),
+            pools: ids,
+        })
+    }
+
+    pub(crate) fn forget_promise(&self, pool: PoolId) {
+        let mut context = self.lock();
+        let promised = &mut context.pools[pool].promised;
+        *promised = promised.saturating_sub(1);
     }
 
     /// Waits for a target of a pool.
@@ -443,6 +465,7 @@
             targets: Vec::new(),
             queue: FairQueue::new(policy.queue),
             estimate: StageEstimate::default(),
+            promised: 0,
         });
         self.pool_names.insert(name.to_owned(), pool);
         pool
@@ -453,22 +476,28 @@
         targets.any(|id| self.targets[*id].is_usable(now))
     }
 
-    /// Returns how long a request that joins the queue now will wait.
+    /// Returns the time that a pool takes for a request: waiting and the usual time.
+    fn work_of(&self, pool: PoolId, now: Instant) -> Duration {
+        self.wait_of(pool, now) + self.pools[pool].estimate.usual()
+    }
+
+    /// Returns how long a request that is admitted now will wait at a pool.
+    ///
+    /// By Little's law a pool serves as many requests in its mean time as its windows hold.
     fn wait_of(&self, pool: PoolId, now: Instant) -> Duration {
         let state = &self.pools[pool];
-        let waiting = state.queue.len();
-        if waiting == 0 {
-            return Duration::ZERO;
-        }
         let usable = state.targets.iter().map(|id| &self.targets[*id]);
-        let room: u32 = usable
-            .filter(|target| target.is_usable(now))
-            .map(|target| target.window.limit(now))
-            .sum();
+        let (mut places, mut free) = (0, 0);
+        for target in usable.filter(|target| target.is_usable(now)) {
+            let limit = target.window.limit(now);
+            places += limit;
+            free += limit.saturating_sub(target.in_flight);
+        }
+        let ahead = (state.queue.len() + state.promised).saturating_sub(free as usize);
         state
             .estimate
             .mean()
-            .mul_f64(waiting as f64 / f64::from(room.max(1)))
+            .mul_f64(ahead as f64 / f64::from(places.max(1)))
     }
 
     fn take_stranded(&mut self, pool: PoolId) -> Vec<QueuedAsk> {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //!   made of.
 //! - [`PolicyChoice`] switches each mechanism to its baseline, so that they can be compared.
 
+mod admission;
 mod choose;
 mod dispatcher;
 mod estimate;
@@ -19,6 +20,7 @@
 mod target;
 mod window;
 
+pub use admission::AdmittedRequest;
 pub use choose::{TargetSample, choose_target};
 pub use dispatcher::{
     ListingChange, PoolReport, StageAsk, TargetDispatcher, TargetListing, TargetReport,
--- a/crates/entry/src/caller/routes.rs
+++ b/crates/entry/src/caller/routes.rs
@@ -312,12 +312,18 @@
                 .to_response(&id),
         };
     };
-    // From here on an error must go into the stream.
+    // From here on an error must go into the stream; one that came just before goes there too.
     end.close();
+    let early_error = end
+        .try_recv()
+        .ok()
+        .map(|error| Bytes::from(format!("{}\n", error.body(&id))));
     let rest = futures_util::stream::unfold(incoming, async |mut incoming| {
         incoming.recv().await.map(|line| (line, incoming))
     });
-    let body = futures_util::stream::once(async { first }).chain(rest);
+    let body = futures_util::stream::once(async { first })
+        .chain(rest)
+        .chain(futures_util::stream::iter(early_error));
     let body = body.map(Ok::<_, std::io::Error>);
     HttpResponse::Ok()
         .header("x-request-id", id)
--- a/crates/entry/src/run/attempt.rs
+++ b/crates/entry/src/run/attempt.rs
@@ -6,7 +6,7 @@
 use linnet_telemetry::EventCode;
 
 use super::RequestPlan;
-use crate::adapter::{AttemptCall, AttemptError};
+use crate::adapter::{AttemptCall, AttemptCause, AttemptError};
 use crate::context::WorkerContext;
 use crate::stats::note_dropped;
 use crate::{CallerError, ErrorCode, RanState};
@@ -145,7 +145,7 @@
             );
         }
         self.avoid.push(permit.target());
-        permit.finish(error.outcome(), error.load);
+        permit.finish(self.blame(error, held), error.load);
         if error.outcome() == AttemptOutcome::Leaving {
             entry.dispatcher.mark_leaving(&peer);
             entry.hall_news.notify_one();
@@ -165,6 +165,15 @@
         Err(refusal.with_retry_after(LEAST_PATIENCE))
     }
 
+    // An attempt that had little time because its request came late says nothing of the target.
+    fn blame(&self, error: &AttemptError, held: Duration) -> AttemptOutcome {
+        let fair_chance = (self.usual_time() * PATIENCE_RATIO).max(LEAST_PATIENCE);
+        if error.cause == AttemptCause::TimedOut && held < fair_chance {
+            return AttemptOutcome::Cancelled;
+        }
+        error.outcome()
+    }
+
     fn may_follow(&self, error: &AttemptError) -> bool {
         let allowed = self.plan.repeatable || error.ran() == RanState::No;
         let own_work = self.usual_time();
--- a/crates/entry/src/run/request.rs
+++ b/crates/entry/src/run/request.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use linnet_dispatch::QuotaHold;
+use linnet_dispatch::{AdmittedRequest, QuotaHold};
 use linnet_table::StageRow;
 use linnet_telemetry::EventCode;
 use ntex::util::Bytes;
@@ -43,58 +43,75 @@
     lines: Option<&mpsc::Sender<Bytes>>,
 ) -> Result<RunAnswer, CallerError> {
     let has_key = plan.claim.is_some();
-    let hold = admit(worker, plan).map_err(|error| error.with_earlier_unknown(has_key))?;
+    let mut admitted = admit(worker, plan).map_err(|error| error.with_earlier_unknown(has_key))?;
     let detail = format!("route={} account={}", plan.route_name, plan.account_name);
     worker
         .entry
         .recorder
         .record_request(EventCode::RequestAccepted, &plan.id, "", detail);
     let Some(planned) = &plan.claim else {
-        return run_target(worker, plan, lines, &hold).await;
+        return run_target(worker, plan, lines, &mut admitted).await;
     };
     match open_claim(worker, plan, planned).await? {
         ClaimStart::Recorded(answer) => Ok(answer),
         ClaimStart::Run(held) => {
-            let result = run_target(worker, plan, lines, &hold).await;
+            let result = run_target(worker, plan, lines, &mut admitted).await;
             held.settle(worker, &plan.id, &result).await;
             result
         }
     }
 }
 
+/// What an admitted request holds until its end.
+struct AdmittedPlan {
+    places: AdmittedRequest,
+    quota: QuotaHold,
+}
+
 /// Refuses, before the first stage, what limits or time do not allow.
-fn admit(worker: &WorkerContext, plan: &RequestPlan) -> Result<QuotaHold, CallerError> {
+fn admit(worker: &WorkerContext, plan: &RequestPlan) -> Result<AdmittedPlan, CallerError> {
     let entry = &worker.entry;
     let refused = |refusal| CallerError::refused(refusal, "admission", RanState::No);
     let pools = plan.pools();
-    entry
+    let places = entry
         .dispatcher
         .admit(pools.iter().copied(), plan.time_left())
         .map_err(refused)?;
-    entry
-        .quotas
-        .take(
-            plan.account,
-            plan.account_limits,
-            plan.route,
-            plan.route_limits,
-            Instant::now(),
-        )
-        .map_err(refused)
+    let quota = entry.quotas.take(
+        plan.account,
+        plan.account_limits,
+        plan.route,
+        plan.route_limits,
+        Instant::now(),
+    );
+    Ok(AdmittedPlan {
+        places,
+        quota: quota.map_err(refused)?,
+    })
 }
 
 async fn run_target(
     worker: &WorkerContext,
     plan: &RequestPlan,
     lines: Option<&mpsc::Sender<Bytes>>,
-    hold: &QuotaHold,
+    admitted: &mut AdmittedPlan,
 ) -> Result<RunAnswer, CallerError> {
     let mut ran = RanState::No;
     match &plan.target {
         RunTarget::Pipeline { stages, input } => {
-            run_stages(worker, plan, stages, input.clone(), lines, hold, &mut ran).await
+            run_stages(
+                worker,
+                plan,
+                stages,
+                input.clone(),
+                lines,
+                admitted,
+                &mut ran,
+            )
+            .await
         }
         RunTarget::Service { pool, call } => {
+            admitted.places.reach_next();
             let mut trial = StageTrial::new(worker, plan, "call", 0, pool, Duration::ZERO);
             try_call(&mut trial, call, &mut ran).await
         }
@@ -107,18 +124,19 @@
     stages: &[StageRow],
     mut value: Value,
     lines: Option<&mpsc::Sender<Bytes>>,
-    hold: &QuotaHold,
+    admitted: &mut AdmittedPlan,
     ran: &mut RanState,
 ) -> Result<RunAnswer, CallerError> {
     for (place, stage) in stages.iter().enumerate() {
+        admitted.places.reach_next();
         let after = stages[place + 1..].iter().map(|stage| stage.pool.as_str());
-        let work_after = worker.entry.dispatcher.work_through(after);
+        let work_after = worker.entry.dispatcher.usual_through(after);
         let mut trial = StageTrial::new(worker, plan, &stage.stage, place, &stage.pool, work_after);
         if stage.streams {
             let mut sink = TokenSink {
                 tokens: Vec::new(),
                 lines,
-                hold,
+                hold: &admitted.quota,
             };
             try_stream(&mut trial, &value, ran, &mut sink).await?;
             return Ok(json_answer(
--- a/crates/linnetdale/src/lib.rs
+++ b/crates/linnetdale/src/lib.rs
@@ -12,6 +12,7 @@
 pub use linnet_fakes as fakes;
 pub use linnet_feed as feed;
 pub use linnet_journal as journal;
+pub use linnet_load as load;
 pub use linnet_quorum as quorum;
 pub use linnet_table as table;
 pub use linnet_telemetry as telemetry;
--- /dev/null
+++ b/crates/load/src/policy.rs
@@ -0,0 +1,83 @@
+//! Runs policies over scenarios.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use linnet_dispatch::PolicyChoice;
+
+use crate::driver::drive;
+use crate::report::{ScoreRow, write_report};
+use crate::score::score_run;
+use crate::settings::PolicyArgs;
+use crate::world::{CAPACITY, LoadWorld};
+use crate::{Scenario, draw_arrivals, find_scenario, scenario_names};
+
+/// Runs every policy over every scenario, interleaved, and writes the results.
+pub(crate) fn run_policies(args: &PolicyArgs) -> io::Result<()> {
+    let wrong = |what: &str, name: &str| io::Error::other(format!("there is no {what} {name:?}"));
+    let names: Vec<String> = if args.scenarios.is_empty() {
+        scenario_names().into_iter().map(str::to_owned).collect()
+    } else {
+        args.scenarios.clone()
+    };
+    let scenarios: Vec<Scenario> = names
+        .iter()
+        .map(|name| find_scenario(name).ok_or_else(|| wrong("scenario", name)))
+        .collect::<Result<_, _>>()?;
+    for policy in &args.policies {
+        PolicyChoice::find(policy).ok_or_else(|| wrong("policy", policy))?;
+    }
+    std::fs::create_dir_all(&args.out)?;
+    let mut rows = Vec::new();
+    for round in 0..args.rounds {
+        for scenario in &scenarios {
+            for policy in &args.policies {
+                let row = run_one(args, scenario, policy, args.seed + round)?;
+                eprintln!("{row}");
+                rows.push(row);
+                write_report(&args.out, &rows)?;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn run_one(
+    args: &PolicyArgs,
+    scenario: &Scenario,
+    policy: &str,
+    seed: u64,
+) -> io::Result<ScoreRow> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    let world = LoadWorld::start(policy, runtime.handle())?;
+    let measured = Duration::from_secs(args.seconds);
+    let warm = measured / 2;
+    let arrivals = draw_arrivals(scenario, CAPACITY, warm, measured, seed);
+    let begin = Instant::now() + Duration::from_millis(50);
+    let sent = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            std::thread::sleep((begin + warm).saturating_duration_since(Instant::now()));
+            world.act(scenario);
+        });
+        drive(&world.callers, arrivals.clone(), begin)
+    })?;
+    if sent.len() != arrivals.len() {
+        let text = format!(
+            "{} of {} requests have a result",
+            sent.len(),
+            arrivals.len()
+        );
+        return Err(io::Error::other(text));
+    }
+    let score = score_run(scenario, &sent, &world.spent(), warm, measured);
+    runtime.shutdown_background();
+    Ok(ScoreRow {
+        scenario: scenario.name.to_owned(),
+        policy: policy.to_owned(),
+        seed,
+        score,
+    })
+}
