--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -20,6 +20,10 @@
 /// The most of a pool's targets that may be ejected at one time.
 const EJECTED_SHARE: f64 = 0.5;
 
+/// How many times the expected work must fit into the time left; estimates are not exact, and a
+/// request that is shed late has cost its early stages.
+const ADMISSION_MARGIN: f64 = 1.2;
+
 /// A wait that is told where a pool has no usable target and no drain time is known.
 const NO_TARGET_WAIT: Duration = Duration::from_secs(1);
 
@@ -218,7 +222,7 @@
             ids.push(pool);
         }
         let work: Duration = ids.iter().map(|pool| context.work_of(*pool, now)).sum();
-        if self.policy.admission && work > time_left {
+        if self.policy.admission && work.mul_f64(ADMISSION_MARGIN) > time_left {
             let waits = ids.iter().map(|pool| context.wait_of(*pool, now));
             let longest = waits.max().unwrap_or_default();
             return Err(DispatchRefusal::new(RefusalCause::NoTime, longest));
--- a/crates/entry/src/adapter/client.rs
+++ b/crates/entry/src/adapter/client.rs
@@ -22,6 +22,10 @@
 /// meet a connection that is being closed.
 const KEEP_ALIVE: Seconds = Seconds(4);
 
+/// Connections of one thread to all targets together. Not 0, which the library documents as "no
+/// limit": with it a request that waits for a connection being opened is never woken.
+const MOST_CONNECTIONS: usize = 1_000_000;
+
 /// One attempt: where it goes, how it is named, what is left of its time.
 #[derive(Debug, Clone)]
 pub struct AttemptCall {
@@ -50,7 +54,9 @@
     /// The library's word that it cannot build a client.
     pub async fn new() -> std::io::Result<Self> {
         let build = || {
-            let connector = Connector::new().limit(0).keep_alive(KEEP_ALIVE);
+            let connector = Connector::new()
+                .limit(MOST_CONNECTIONS)
+                .keep_alive(KEEP_ALIVE);
             Client::builder()
                 .connector::<()>(connector)
                 .disable_timeout()
--- a/crates/linnetdale/tests/attempts.rs
+++ b/crates/linnetdale/tests/attempts.rs
@@ -222,3 +222,39 @@
         status.in_flight == 0 && status.targets.iter().all(|target| target.in_flight == 0)
     });
 }
+
+#[test]
+fn a_burst_of_new_connections_to_one_target_is_answered() {
+    let cluster = one_entry(1);
+    marked_request("warm").send(cluster.callers(0)).unwrap();
+    // Each of these needs a connection of its own to the only target of each stage.
+    for round in 0..5 {
+        let told: Vec<_> = std::thread::scope(|scope| {
+            let senders: Vec<_> = (0..24)
+                .map(|number| {
+                    let marker = format!("burst-{round}-{number}");
+                    let request = marked_request(&marker).with("x-repeatable", "no");
+                    let host = cluster.callers(0);
+                    scope.spawn(move || Told {
+                        marker,
+                        once: true,
+                        answer: request.send(host),
+                    })
+                })
+                .collect();
+            senders
+                .into_iter()
+                .map(|sender| sender.join().unwrap())
+                .collect()
+        });
+        for told in told {
+            assert_eq!(
+                told.answer.as_ref().unwrap().ran(),
+                "whole",
+                "{:?}",
+                told.answer
+            );
+            assert_eq!(differences(&cluster.world, &told), Vec::<String>::new());
+        }
+    }
+}
--- a/crates/load/src/rate.rs
+++ b/crates/load/src/rate.rs
@@ -142,7 +142,7 @@
     tokens: u64,
     length: Duration,
 ) -> io::Result<RateRun> {
-    let connector = Connector::new().limit(0);
+    let connector = Connector::new().limit(BUSY_STREAMS * 2);
     let client = Client::builder()
         .connector::<()>(connector)
         .disable_timeout()
