Target choice measures load against the slots that a target reports

The score divided own requests by the adapted window, which is larger than what the target works on at one time, and looked at 4 of 20 targets.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -4,8 +4,9 @@
 
 use crate::{TargetId, TargetRule, TargetState};
 
-/// Targets that are looked at for one choice.
-const SAMPLE_SIZE: usize = 4;
+/// Targets that are looked at for one choice. A pool of today's size is looked at whole; of a larger
+/// one a sample, which keeps many hosts from falling on the same target at the same time.
+const SAMPLE_SIZE: usize = 24;
 
 /// What standing in another hall costs, as a share of a full target.
 const OTHER_HALL_COST: f64 = 0.25;
@@ -44,8 +45,8 @@
     hall: &str,
     now: Instant,
 ) -> Option<&'a TargetSample<'b>> {
-    // A few, spread evenly from a random start, keep many hosts from falling on the same target at the same time. One that
-    // holds the prefix is always looked at.
+    // The sample is spread evenly from a random start. A target that holds the prefix is always
+    // looked at.
     let start = fastrand::usize(..usable.len().max(1));
     let step = usable.len().div_ceil(SAMPLE_SIZE).max(1);
     let count = usable.len().min(SAMPLE_SIZE);
@@ -55,12 +56,10 @@
     looked_at.min_by(|a, b| score(a, hall, now).total_cmp(&score(b, hall, now)))
 }
 
-// Own requests are fresh and count whole; reports lag and fade; hall and prefix come last, so a
-// stale hit never beats a queue.
+// The load comes first; hall and prefix only decide between targets of like load, so a stale hit
+// never beats a queue.
 fn score(sample: &TargetSample<'_>, hall: &str, now: Instant) -> f64 {
     let state = sample.state;
-    let window = f64::from(state.window.limit(now).max(1));
-    let own = f64::from(state.in_flight) / window;
     let away = if state.hall == hall {
         0.0
     } else {
@@ -71,5 +70,5 @@
     } else {
         0.0
     };
-    own + state.reported_share(now) + away - prefix
+    state.load_share(now) + away - prefix
 }
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -103,15 +103,19 @@
         self.in_flight < self.window.limit(now)
     }
 
-    /// Returns the load that others put on the target, as a share of its slots; old reports fade.
-    pub fn reported_share(&self, now: Instant) -> f64 {
+    /// Returns the load of the target as a share of what it can work on at one time.
+    ///
+    /// Own requests are fresh and count whole. Those of other hosts are known by reports that lag,
+    /// so they fade with age. A target that reports no slots is measured by its window.
+    pub fn load_share(&self, now: Instant) -> f64 {
+        let own = f64::from(self.in_flight);
         let Some(report) = self.report else {
-            return 0.0;
+            return own / f64::from(self.window.limit(now).max(1));
         };
         let age = now.saturating_duration_since(report.at);
         let freshness = 1.0 - (age.as_secs_f64() / REPORT_LIFE.as_secs_f64()).min(1.0);
-        let others = report.in_flight.saturating_sub(self.in_flight);
-        freshness * f64::from(others) / f64::from(report.slots.max(1))
+        let others = f64::from(report.in_flight.saturating_sub(self.in_flight));
+        (own + freshness * others) / f64::from(report.slots.max(1))
     }
 
     /// Takes a success.
