Admission by account, estimates by route, shares of limits by demand

Admission now waits for an account's own requests at its share, estimates are kept by route, and a window compares with the floor of the same route. An attempt is given 4 times its usual time instead of 6, for lost targets.

Also: shares of fleet-wide limits follow demand inside a hall; followers served at one time share one image of the table; bodies kept with claims are bounded; the dispatcher is split into listing, context and handle; PROOFS.csv is checked.

--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -19,4 +19,4 @@
     JobLease, MAX_INPUT_BYTES, MAX_RESULT_BYTES,
 };
 pub use deferred_table::{DeferredTable, JOB_KEEP_MS, MAX_JOB_BYTES, MAX_JOBS};
-pub use table::{CLAIM_KEEP_MS, ClaimTable, MAX_CLAIMS};
+pub use table::{CLAIM_KEEP_MS, ClaimTable, MAX_CLAIM_BYTES, MAX_CLAIMS};
--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -10,6 +10,9 @@
 /// callers must not resend later than this.
 pub const CLAIM_KEEP_MS: u64 = 24 * 3_600 * 1_000;
 
+/// Bytes of answers that are kept with claims; past it the oldest answers go, not the claims.
+pub const MAX_CLAIM_BYTES: usize = 64 * 1024 * 1024;
+
 /// Claims that are kept at one time.
 pub const MAX_CLAIMS: usize = 200_000;
 
@@ -21,6 +24,18 @@
     opened_ms: u64,
     until_ms: u64,
     outcome: Option<ClaimOutcome>,
+    /// The place of the outcome in the order of all outcomes; 0 while there is none.
+    ended: u64,
+}
+
+impl ClaimEntry {
+    fn body_bytes(&self) -> usize {
+        let body = self
+            .outcome
+            .as_ref()
+            .and_then(|outcome| outcome.body.as_ref());
+        body.map_or(0, Vec::len)
+    }
 }
 
 /// Every claim that is kept. Equal commands in equal order give equal tables and answers.
@@ -29,6 +44,12 @@
     claims: HashMap<ClaimKey, ClaimEntry>,
     /// Claims in order of opening, for forgetting the oldest; may name claims already gone.
     order: VecDeque<(u64, ClaimKey, u64)>,
+    /// Outcomes with a body in order of ending, as place and key; may name some already gone.
+    bodies: VecDeque<(u64, ClaimKey)>,
+    /// Bytes of all bodies.
+    body_bytes: usize,
+    /// Outcomes recorded so far.
+    ended: u64,
     /// The latest time that any command carried.
     now_ms: u64,
 }
@@ -59,6 +80,7 @@
                     opened_ms: self.now_ms,
                     until_ms,
                     outcome: None,
+                    ended: 0,
                 };
                 self.open(key, entry)
             }
@@ -66,7 +88,7 @@
                 key,
                 claim,
                 outcome,
-            } => self.finish(&key, claim, outcome),
+            } => self.finish(key, claim, outcome),
             ClaimCommand::Release { key, claim } => self.release(&key, claim),
         }
     }
@@ -89,6 +111,7 @@
             .collect();
         ClaimImage {
             now_ms: self.now_ms,
+            ended: self.ended,
             rows: rows.into_iter().collect(),
         }
     }
@@ -106,21 +129,55 @@
         ClaimAnswer::Granted
     }
 
-    fn finish(&mut self, key: &ClaimKey, claim: u64, outcome: ClaimOutcome) -> ClaimAnswer {
-        match self.claims.get_mut(key) {
-            Some(entry) if entry.claim == claim => {
-                // The first end counts; a repeated step changes nothing.
-                entry.outcome.get_or_insert(outcome);
-                ClaimAnswer::Recorded
+    fn finish(&mut self, key: ClaimKey, claim: u64, outcome: ClaimOutcome) -> ClaimAnswer {
+        let Some(entry) = self
+            .claims
+            .get_mut(&key)
+            .filter(|entry| entry.claim == claim)
+        else {
+            return ClaimAnswer::NoSuchClaim;
+        };
+        // The first end counts; a repeated step changes nothing.
+        if entry.outcome.is_none() {
+            self.ended += 1;
+            entry.ended = self.ended;
+            entry.outcome = Some(outcome);
+            self.body_bytes += entry.body_bytes();
+            self.bodies.push_back((self.ended, key));
+            self.drop_old_bodies();
+        }
+        ClaimAnswer::Recorded
+    }
+
+    // A claim whose answer is gone still says that the request has run.
+    fn drop_old_bodies(&mut self) {
+        while self.body_bytes > MAX_CLAIM_BYTES {
+            let Some((ended, key)) = self.bodies.pop_front() else {
+                return;
+            };
+            let entry = self
+                .claims
+                .get_mut(&key)
+                .filter(|entry| entry.ended == ended);
+            if let Some(entry) = entry {
+                self.body_bytes -= entry.body_bytes();
+                if let Some(outcome) = &mut entry.outcome {
+                    outcome.body = None;
+                }
             }
-            _ => ClaimAnswer::NoSuchClaim,
+        }
+    }
+
+    fn remove(&mut self, key: &ClaimKey) {
+        if let Some(entry) = self.claims.remove(key) {
+            self.body_bytes -= entry.body_bytes();
         }
     }
 
     fn release(&mut self, key: &ClaimKey, claim: u64) -> ClaimAnswer {
         match self.claims.get(key) {
             Some(entry) if entry.claim == claim && entry.outcome.is_none() => {
-                self.claims.remove(key);
+                self.remove(key);
                 ClaimAnswer::Recorded
             }
             _ => ClaimAnswer::NoSuchClaim,
@@ -128,18 +185,20 @@
     }
 
     fn forget_old(&mut self) {
-        while let Some((opened_ms, key, claim)) = self.order.front() {
+        while let Some((opened_ms, ..)) = self.order.front() {
             if opened_ms + CLAIM_KEEP_MS > self.now_ms {
                 return;
             }
+            let Some((_, key, claim)) = self.order.pop_front() else {
+                return;
+            };
             let same = self
                 .claims
-                .get(key)
-                .is_some_and(|entry| entry.claim == *claim);
+                .get(&key)
+                .is_some_and(|entry| entry.claim == claim);
             if same {
-                self.claims.remove(key);
+                self.remove(&key);
             }
-            self.order.pop_front();
         }
     }
 }
@@ -162,6 +221,7 @@
 #[derive(Serialize, Deserialize)]
 struct ClaimImage {
     now_ms: u64,
+    ended: u64,
     rows: Vec<(ClaimKey, ClaimEntry)>,
 }
 
@@ -174,9 +234,21 @@
             .map(|(key, entry)| (entry.opened_ms, key.clone(), entry.claim))
             .collect();
         order.sort();
+        let with_body = image
+            .rows
+            .iter()
+            .filter(|(_, entry)| entry.body_bytes() > 0);
+        let mut bodies: Vec<_> = with_body
+            .map(|(key, entry)| (entry.ended, key.clone()))
+            .collect();
+        bodies.sort();
+        let body_bytes = image.rows.iter().map(|(_, entry)| entry.body_bytes()).sum();
         Ok(Self {
             claims: image.rows.into_iter().collect(),
             order: order.into(),
+            bodies: bodies.into(),
+            body_bytes,
+            ended: image.ended,
             now_ms: image.now_ms,
         })
     }
--- a/crates/claim/tests/claim.rs
+++ b/crates/claim/tests/claim.rs
@@ -2,7 +2,10 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use linnet_claim::{CLAIM_KEEP_MS, ClaimAnswer, ClaimCommand, ClaimKey, ClaimOutcome, ClaimTable};
+use linnet_claim::{
+    CLAIM_KEEP_MS, ClaimAnswer, ClaimCommand, ClaimKey, ClaimOutcome, ClaimTable, MAX_CLAIM_BYTES,
+    MAX_OUTCOME_BYTES,
+};
 use proptest::prelude::*;
 
 fn open(account: &str, claim: u64, body: &[u8], now_ms: u64) -> ClaimCommand {
@@ -67,6 +70,39 @@
     }
 }
 
+#[test]
+fn kept_answers_are_bounded_and_the_claims_outlive_them() {
+    let mut table = ClaimTable::new();
+    let body = vec![7; MAX_OUTCOME_BYTES];
+    let count = MAX_CLAIM_BYTES / MAX_OUTCOME_BYTES + 3;
+    for number in 0..count {
+        let account = format!("account-{number}");
+        table.apply(open(&account, 1, b"x", 0));
+        let outcome = ClaimOutcome {
+            status: 200,
+            body: Some(body.clone()),
+        };
+        let key = ClaimKey::new(&account, "order-7");
+        table.apply(ClaimCommand::Finish {
+            key,
+            claim: 1,
+            outcome,
+        });
+    }
+    let kept = |table: &mut ClaimTable, number: usize| {
+        let answer = table.apply(open(&format!("account-{number}"), 2, b"x", 1));
+        match answer {
+            ClaimAnswer::Finished(outcome) => outcome.body.is_some(),
+            other => panic!("{other:?}"),
+        }
+    };
+    let kept: Vec<bool> = [0, 2, 3, count - 1]
+        .into_iter()
+        .map(|number| kept(&mut table, number))
+        .collect();
+    assert_eq!(kept, [false, false, true, true]);
+}
+
 proptest! {
     /// Between an opening and its release no second asking is ever granted.
     #[test]
--- a/crates/dispatch/src/fair_queue.rs
+++ b/crates/dispatch/src/fair_queue.rs
@@ -120,6 +120,16 @@
             .map_or(0, |queue| queue.items.len())
     }
 
+    /// Says whether the queue is shared by weight.
+    pub fn is_fair(&self) -> bool {
+        self.rule == QueueRule::Fair
+    }
+
+    /// Returns the accounts that wait.
+    pub fn waiting_accounts(&self) -> impl Iterator<Item = u32> {
+        self.ready.iter().map(|(_, account)| *account)
+    }
+
     /// Returns the number of accounts that wait.
     pub fn account_count(&self) -> usize {
         self.ready.len()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,28 +9,31 @@
 
 mod admission;
 mod choose;
+mod context;
 mod dispatcher;
 mod estimate;
 mod fair_queue;
+mod listing;
 mod permit;
 mod policy;
 mod quota;
 mod refusal;
 mod retry;
+mod share;
 mod target;
 mod window;
 
-pub use admission::AdmittedRequest;
+pub use admission::{AdmissionAsk, AdmittedRequest};
 pub use choose::{TargetSample, choose_target};
-pub use dispatcher::{
-    ListingChange, PoolReport, StageAsk, TargetDispatcher, TargetListing, TargetReport,
-};
+pub use dispatcher::{StageAsk, TargetDispatcher};
 pub use estimate::StageEstimate;
 pub use fair_queue::FairQueue;
+pub use listing::{ListingChange, PoolReport, TargetListing, TargetReport};
 pub use permit::{AttemptOutcome, TargetPermit};
 pub use policy::{PolicyChoice, QueueRule, TargetRule};
 pub use quota::{QuotaHold, QuotaTable};
 pub use refusal::{DispatchRefusal, RefusalCause};
 pub use retry::RetryBudget;
+pub use share::{ShareFacts, share_of};
 pub use target::{ListedState, LoadReport, PoolId, TargetId, TargetState};
 pub use window::TargetWindow;
--- a/crates/dispatch/src/permit.rs
+++ b/crates/dispatch/src/permit.rs
@@ -21,10 +21,21 @@
     Cancelled,
 }
 
+/// The end of an attempt, as the dispatcher takes it in.
+pub(crate) struct AttemptFinish {
+    pub(crate) pool: PoolId,
+    pub(crate) route: u32,
+    pub(crate) target: TargetId,
+    pub(crate) outcome: AttemptOutcome,
+    pub(crate) elapsed: Duration,
+    pub(crate) report: Option<LoadReport>,
+}
+
 /// A place at a target. Dropped without [`TargetPermit::finish`] it counts as cancelled.
 pub struct TargetPermit {
     pub(crate) dispatcher: Arc<TargetDispatcher>,
     pub(crate) pool: PoolId,
+    pub(crate) route: u32,
     pub(crate) target: TargetId,
     pub(crate) name: String,
     pub(crate) address: SocketAddr,
@@ -61,9 +72,15 @@
     fn settle(&mut self, outcome: AttemptOutcome, report: Option<LoadReport>) {
         if !self.settled {
             self.settled = true;
-            let elapsed = self.since.elapsed();
-            self.dispatcher
-                .release(self.pool, self.target, outcome, elapsed, report);
+            let finish = AttemptFinish {
+                pool: self.pool,
+                route: self.route,
+                target: self.target,
+                outcome,
+                elapsed: self.since.elapsed(),
+                report,
+            };
+            self.dispatcher.release(finish);
         }
     }
 }
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -14,6 +14,9 @@
 /// How many seconds of its rate an account may save up.
 const BURST_SECONDS: f64 = 1.0;
 
+/// Demand below this is forgotten.
+const LEAST_DEMAND: f64 = 0.1;
+
 /// Scopes that are kept; past it idle ones are dropped.
 const KEPT_SCOPES: usize = 50_000;
 
@@ -26,13 +29,22 @@
     tokens: f64,
     refilled: Instant,
     in_flight: u32,
+    /// Requests of late, taken or refused; halves with each report.
+    demand: f64,
 }
 
 /// The use of each scope, and the share of the fleet's limits that this host has.
 #[derive(Debug)]
 pub struct QuotaTable {
     uses: Mutex<HashMap<QuotaScope, ScopeUse>>,
-    share: Mutex<f64>,
+    shares: Mutex<QuotaShares>,
+}
+
+/// The shares of limits that a host enforces.
+#[derive(Debug, Default)]
+struct QuotaShares {
+    common: f64,
+    by_account: HashMap<u32, f64>,
 }
 
 /// Requests in flight that count against limits until this is dropped.
@@ -53,13 +65,31 @@
     pub fn new() -> Self {
         Self {
             uses: Mutex::default(),
-            share: Mutex::new(1.0),
+            shares: Mutex::new(QuotaShares {
+                common: 1.0,
+                by_account: HashMap::new(),
+            }),
         }
     }
 
-    /// Sets the share of each limit that this host enforces.
-    pub fn set_share(&self, share: f64) {
-        *self.share.lock().unwrap_or_else(PoisonError::into_inner) = share.clamp(0.0, 1.0);
+    /// Sets the share of each limit that this host enforces: for some accounts their own, for all
+    /// others a common one.
+    pub fn set_shares(&self, common: f64, by_account: HashMap<u32, f64>) {
+        let mut shares = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
+        *shares = QuotaShares { common, by_account };
+    }
+
+    /// Returns what each account asked of this host of late; asked again, half of it counts still.
+    pub fn report_demand(&self) -> Vec<(u32, f64)> {
+        let mut uses = self.lock();
+        let mut report = Vec::new();
+        for ((account, route), usage) in uses.iter_mut() {
+            if route.is_none() && usage.demand >= LEAST_DEMAND {
+                report.push((*account, usage.demand));
+                usage.demand /= 2.0;
+            }
+        }
+        report
     }
 
     /// Takes one request of an account on a route, or refuses it; nothing is taken by halves.
@@ -79,7 +109,7 @@
             ((account, None), account_limits),
             ((account, Some(route)), route_limits),
         ];
-        let share = self.share();
+        let share = self.share(account);
         let mut uses = self.lock();
         if uses.len() > KEPT_SCOPES {
             uses.retain(|_, usage| usage.in_flight > 0);
@@ -90,7 +120,9 @@
                 tokens: f64::INFINITY,
                 refilled: now,
                 in_flight: 0,
+                demand: 0.0,
             });
+            usage.demand += 1.0;
             usage.refill(limits, share, now);
             usage.check(limits, share)?;
         }
@@ -107,8 +139,10 @@
         })
     }
 
-    fn share(&self) -> f64 {
-        *self.share.lock().unwrap_or_else(PoisonError::into_inner)
+    fn share(&self, account: u32) -> f64 {
+        let shares = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
+        let own = shares.by_account.get(&account).copied();
+        own.unwrap_or(shares.common).clamp(0.0, 1.0)
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<QuotaScope, ScopeUse>> {
--- a/crates/dispatch/src/window.rs
+++ b/crates/dispatch/src/window.rs
@@ -15,10 +15,6 @@
 /// What is added to the slow bound, so that tiny times do not count as load.
 const SLOW_MARGIN: Duration = Duration::from_millis(5);
 
-/// The share of the floor that it rises by with each sample above it. It forgets a lucky minimum
-/// after some hundreds of samples.
-const FLOOR_RISE: f64 = 0.002;
-
 /// The factor of a window on a slow answer, and on a refusal by the target.
 const SLOW_FACTOR: f64 = 0.97;
 const BUSY_FACTOR: f64 = 0.7;
@@ -30,7 +26,6 @@
 #[derive(Debug, Clone)]
 pub struct TargetWindow {
     size: f64,
-    floor_s: f64,
     started: Instant,
 }
 
@@ -39,7 +34,6 @@
     pub fn new(now: Instant) -> Self {
         Self {
             size: FIRST_WINDOW,
-            floor_s: 0.0,
             started: now,
         }
     }
@@ -57,17 +51,13 @@
         self.size = self.size.min(FIRST_WINDOW);
     }
 
-    /// Takes the time of a finished attempt that had `in_flight` requests beside it.
-    pub fn take_finish(&mut self, elapsed: Duration, in_flight: u32) {
-        let sample = elapsed.as_secs_f64();
-        if self.floor_s == 0.0 || sample < self.floor_s {
-            self.floor_s = sample;
-        } else {
-            self.floor_s += self.floor_s * FLOOR_RISE;
-        }
-        let slow_bound = self.floor_s * SLOW_RATIO + SLOW_MARGIN.as_secs_f64();
+    /// Takes the time of a finished attempt that had `in_flight` requests beside it. `floor` is what
+    /// the same stage of the same route takes at a target without load, so that a long request does
+    /// not look like a loaded target.
+    pub fn take_finish(&mut self, elapsed: Duration, floor: Duration, in_flight: u32) {
+        let slow_bound = floor.mul_f64(SLOW_RATIO) + SLOW_MARGIN;
         let window_was_used = f64::from(in_flight) + 1.0 >= self.size * 0.8;
-        if sample > slow_bound {
+        if elapsed > slow_bound {
             self.scale(SLOW_FACTOR);
         } else if window_was_used {
             self.size = (self.size + 1.0 / self.size).min(GREATEST_WINDOW);
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use linnet_dispatch::{
-    AttemptOutcome, FairQueue, PolicyChoice, QueueRule, QuotaTable, RefusalCause, RetryBudget,
-    StageAsk, TargetDispatcher, TargetListing, TargetWindow,
+    AdmissionAsk, AttemptOutcome, FairQueue, PolicyChoice, QueueRule, QuotaTable, RefusalCause,
+    RetryBudget, ShareFacts, StageAsk, TargetDispatcher, TargetListing, TargetWindow, share_of,
 };
 use linnet_table::RowLimits;
 
@@ -37,6 +37,7 @@
         pool: "pool".to_owned(),
         account,
         weight: 1,
+        route: 1,
         deadline: Instant::now() + deadline,
         work_after: Duration::ZERO,
         avoid: Vec::new(),
@@ -102,12 +103,12 @@
     let first = window.limit(settled);
     for _ in 0..200 {
         let beside = window.limit(settled) - 1;
-        window.take_finish(Duration::from_millis(10), beside);
+        window.take_finish(Duration::from_millis(10), Duration::from_millis(10), beside);
     }
     let grown = window.limit(settled);
     assert!(grown > first, "{grown}");
     for _ in 0..200 {
-        window.take_finish(Duration::from_millis(100), 0);
+        window.take_finish(Duration::from_millis(100), Duration::from_millis(10), 0);
     }
     assert_eq!(window.limit(settled), 1);
 }
@@ -172,7 +173,7 @@
     );
 
     // With a ninth of the fleet a host gives a ninth of the rate.
-    table.set_share(1.0 / 9.0);
+    table.set_shares(1.0 / 9.0, HashMap::from([(6, 0.5)]));
     let ninety = RowLimits {
         rate: Some(90),
         ..RowLimits::default()
@@ -181,6 +182,48 @@
         .filter(|_| table.take(5, ninety, 1, none, now).is_ok())
         .count();
     assert_eq!(count, 10);
+    let count = (0..100)
+        .filter(|_| table.take(6, ninety, 1, none, now).is_ok())
+        .count();
+    assert_eq!(count, 45, "an account with a share of its own");
+}
+
+#[test]
+fn shares_follow_demand_and_never_add_up_to_much_more_than_the_limit() {
+    let facts = |own, others, heard| ShareFacts {
+        fleet: 9,
+        hall: 3,
+        heard,
+        own_demand: own,
+        heard_demand: others,
+    };
+    // (own demand, demand of the heard, hosts heard, share of the fleet's limit)
+    let cases = [
+        (0.0, 0.0, 2, 1.0 / 9.0),
+        (10.0, 20.0, 2, 1.0 / 9.0),
+        (30.0, 0.0, 2, 3.0 / 9.0),
+        (0.0, 30.0, 2, 0.25 / 9.0),
+        // Cut off from the hall, a host keeps no more than an even share.
+        (30.0, 0.0, 0, 1.0 / 9.0),
+        (30.0, 0.0, 1, 2.0 / 9.0),
+    ];
+    for (number, (own, others, heard, wanted)) in cases.into_iter().enumerate() {
+        let share = share_of(&facts(own, others, heard));
+        assert!(
+            (share - wanted).abs() < 1e-9,
+            "case {number}: {share} of {wanted}"
+        );
+    }
+    let mut chance = fastrand::Rng::with_seed(5);
+    for _ in 0..10_000 {
+        let demands: Vec<f64> = (0..3).map(|_| f64::from(chance.u32(0..50))).collect();
+        let total: f64 = demands.iter().sum();
+        let hall: f64 = demands
+            .iter()
+            .map(|own| share_of(&facts(*own, total - own, 2)))
+            .sum();
+        assert!(hall <= 3.0 / 9.0 * 1.5 + 1e-9, "{demands:?}: {hall}");
+    }
 }
 
 #[test]
@@ -278,28 +321,47 @@
     assert!(names[1..].iter().any(|name| name != "near"), "{names:?}");
 }
 
-#[ntex::test]
-async fn admission_counts_what_is_promised_before_it_queues() {
-    let dispatcher = dispatcher(&[("a", "home")]);
+fn admission(account: u32) -> AdmissionAsk {
+    AdmissionAsk {
+        account,
+        weight: 1,
+        route: 1,
+        time_left: Duration::from_secs(1),
+    }
+}
+
+/// Teaches a dispatcher that a stage takes about 10 ms.
+async fn learn(dispatcher: &Arc<TargetDispatcher>) {
     for _ in 0..20 {
         let permit = dispatcher.acquire(ask(1, LONG)).await.unwrap();
         tokio::time::sleep(Duration::from_millis(10)).await;
         permit.finish(AttemptOutcome::Success, None);
     }
+}
+
+#[ntex::test]
+async fn admission_counts_what_is_promised_and_a_burst_shuts_out_only_its_own_account() {
+    let dispatcher = dispatcher(&[("a", "home")]);
+    learn(&dispatcher).await;
     // Each takes about 10 ms, so a second holds some hundreds of them and not thousands.
     let mut admitted = Vec::new();
     let refusal = loop {
-        match dispatcher.admit(["pool"].into_iter(), Duration::from_secs(1)) {
+        match dispatcher.admit(["pool"].into_iter(), &admission(1)) {
             Ok(place) => admitted.push(place),
             Err(refusal) => break refusal,
         }
         assert!(admitted.len() < 10_000, "nothing was ever refused");
     };
     assert_eq!(refusal.cause, RefusalCause::NoTime);
+    let other = dispatcher.admit(["pool"].into_iter(), &admission(2));
+    assert!(
+        other.is_ok(),
+        "another account waits for its own requests only"
+    );
     admitted.clear();
     assert!(
         dispatcher
-            .admit(["pool"].into_iter(), Duration::from_secs(1))
+            .admit(["pool"].into_iter(), &admission(1))
             .is_ok()
     );
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::hosts::follow_host_list;
 use crate::ops::entry_ops_routes;
 use crate::settings::{CheckedEntry, EntrySettings};
+use crate::shares::follow_demand;
 use crate::source::follow_table;
 use crate::stats::EntryStats;
 
@@ -35,7 +36,7 @@
 /// How long a caller's connection is kept without a request.
 const CALLER_KEEP_ALIVE: Seconds = Seconds(30);
 
-/// How often gauges and the share of limits are brought up to date.
+/// How often gauges are brought up to date.
 const UPKEEP_PERIOD: Duration = Duration::from_secs(1);
 
 /// How often a planned stop looks whether requests are in flight.
@@ -108,7 +109,8 @@
     };
     ntex::rt::spawn(sweep_lost(sweeper, view.clone()));
     ntex::rt::spawn(follow_host_list(entry.clone(), clients, settings.host_list));
-    ntex::rt::spawn(keep_up(entry.clone(), settings.hall_peers.len()));
+    ntex::rt::spawn(keep_up(entry.clone()));
+    ntex::rt::spawn(follow_demand(entry.clone(), view.clone()));
 
     let ops = OpsContext {
         keys: checked.operators,
@@ -246,8 +248,8 @@
     }
 }
 
-/// Keeps gauges true, notes new versions, and sets this host's share of the fleet's limits.
-async fn keep_up(entry: Arc<EntryContext>, hall_size: usize) {
+/// Keeps gauges true and notes new versions.
+async fn keep_up(entry: Arc<EntryContext>) {
     let mut versions = entry.feed.subscribe();
     loop {
         let changed = tokio::time::timeout(UPKEEP_PERIOD, versions.changed()).await;
@@ -258,11 +260,5 @@
         }
         entry.stats.table_version.set(version as i64);
         entry.stats.in_flight.set(entry.flow.in_flight() as i64);
-        // Until the fleet is known, the hall counts as the whole of it.
-        let fleet = match entry.feed.fleet() {
-            0 => hall_size.max(1) as u32,
-            known => known,
-        };
-        entry.quotas.set_share(1.0 / f64::from(fleet));
     }
 }
--- a/crates/entry/src/hall.rs
+++ b/crates/entry/src/hall.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 
 use crate::context::EntryContext;
+use crate::shares::{AccountDemand, DEMAND_LIFE, HeardDemand};
 
 /// Between two messages to the same few peers.
 pub(crate) const BEAT_PERIOD: Duration = Duration::from_millis(500);
@@ -43,6 +44,7 @@
     version: u64,
     linked: bool,
     leaving: Vec<String>,
+    demand: Vec<AccountDemand>,
 }
 
 /// A host of the hall as it was last heard.
@@ -53,6 +55,7 @@
     pub(crate) version: u64,
     pub(crate) linked: bool,
     ops: SocketAddr,
+    demand: Vec<AccountDemand>,
     stamp: Stamp,
     heard: Instant,
 }
@@ -63,6 +66,8 @@
     patience: Duration,
     linked: AtomicBool,
     control_lost: Mutex<Option<Instant>>,
+    own_demand: Mutex<Vec<AccountDemand>>,
+    hall_size: u32,
     ops: SocketAddr,
 }
 
@@ -75,6 +80,8 @@
             patience: BEAT_PERIOD * rounds * MISSED_ROUNDS,
             linked: AtomicBool::new(false),
             control_lost: Mutex::new(None),
+            own_demand: Mutex::default(),
+            hall_size: peer_count as u32 + 1,
             ops,
         }
     }
@@ -106,6 +113,39 @@
         lost.is_some_and(|at| at.elapsed() < CONTROL_PAUSE)
     }
 
+    /// Returns the number of entry hosts that the hall is set up with.
+    pub(crate) fn hall_size(&self) -> u32 {
+        self.hall_size
+    }
+
+    /// Sets what the hall is told of the demand at this host.
+    pub(crate) fn tell_demand(&self, demand: Vec<AccountDemand>) {
+        *self.lock_demand() = demand;
+    }
+
+    /// Returns what accounts ask of the other hosts of the hall.
+    pub(crate) fn heard_demand(&self) -> HeardDemand {
+        let mut heard = HeardDemand::default();
+        let patience = self.patience.max(DEMAND_LIFE);
+        for peer in self
+            .lock()
+            .values()
+            .filter(|peer| peer.heard.elapsed() < patience)
+        {
+            heard.hosts += 1;
+            for (account, amount) in &peer.demand {
+                *heard.by_account.entry(*account).or_default() += f64::from(*amount);
+            }
+        }
+        heard
+    }
+
+    fn lock_demand(&self) -> MutexGuard<'_, Vec<AccountDemand>> {
+        self.own_demand
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the peers that live, by name.
     pub(crate) fn live_peers(&self) -> Vec<HallPeer> {
         let now = Instant::now();
@@ -151,6 +191,7 @@
             version: beat.version,
             linked: beat.linked,
             ops: beat.ops,
+            demand: beat.demand.clone(),
             stamp,
             heard: Instant::now(),
         };
@@ -189,6 +230,7 @@
                 .into_iter()
                 .take(MAX_LEAVING)
                 .collect(),
+            demand: view.lock_demand().clone(),
         };
         let Ok(bytes) = seal_datagram(&identity, &beat) else {
             continue;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod ops;
 mod run;
 mod settings;
+mod shares;
 mod source;
 mod stats;
 
--- a/crates/entry/src/run/attempt.rs
+++ b/crates/entry/src/run/attempt.rs
@@ -15,7 +15,7 @@
 const MAX_ATTEMPTS: u32 = 4;
 
 /// An attempt at a stage that may be tried elsewhere gets so many times its usual time.
-const PATIENCE_RATIO: u32 = 6;
+const PATIENCE_RATIO: u32 = 4;
 
 /// The least time that an attempt is given before another is tried.
 const LEAST_PATIENCE: Duration = Duration::from_millis(150);
@@ -66,6 +66,7 @@
             pool: self.pool.to_owned(),
             account: self.plan.account,
             weight: self.plan.weight,
+            route: self.plan.route,
             deadline: self.plan.deadline,
             work_after: self.work_after,
             avoid: self.avoid.clone(),
@@ -201,7 +202,7 @@
 
     fn usual_time(&self) -> Duration {
         let dispatcher = &self.worker.entry.dispatcher;
-        dispatcher.usual_time(self.pool)
+        dispatcher.usual_time(self.pool, self.plan.route)
     }
 
     /// Records an event of this request.
--- a/crates/entry/src/run/request.rs
+++ b/crates/entry/src/run/request.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use linnet_dispatch::{AdmittedRequest, QuotaHold};
+use linnet_dispatch::{AdmissionAsk, AdmittedRequest, QuotaHold};
 use linnet_table::StageRow;
 use linnet_telemetry::EventCode;
 use ntex::util::Bytes;
@@ -73,9 +73,15 @@
     let entry = &worker.entry;
     let refused = |refusal| CallerError::refused(refusal, "admission", RanState::No);
     let pools = plan.pools();
+    let ask = AdmissionAsk {
+        account: plan.account,
+        weight: plan.weight,
+        route: plan.route,
+        time_left: plan.time_left(),
+    };
     let places = entry
         .dispatcher
-        .admit(pools.iter().copied(), plan.time_left())
+        .admit(pools.iter().copied(), &ask)
         .map_err(refused)?;
     let quota = entry.quotas.take(
         plan.account,
@@ -130,7 +136,7 @@
     for (place, stage) in stages.iter().enumerate() {
         admitted.places.reach_next();
         let after = stages[place + 1..].iter().map(|stage| stage.pool.as_str());
-        let work_after = worker.entry.dispatcher.usual_through(after);
+        let work_after = worker.entry.dispatcher.usual_through(after, plan.route);
         let mut trial = StageTrial::new(worker, plan, &stage.stage, place, &stage.pool, work_after);
         if stage.streams {
             let mut sink = TokenSink {
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -2,9 +2,9 @@
 
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError, RwLock, RwLockReadGuard};
+use std::sync::{Arc, Mutex, PoisonError, RwLock, RwLockReadGuard, Weak};
 
-use linnet_table::{ChangeRefusal, TableChange, TableStore};
+use linnet_table::{ChangeRefusal, RowKey, TableChange, TableStore, VersionedRow};
 use tokio::sync::watch;
 
 /// Changes that are kept for followers which are a little behind.
@@ -31,12 +31,27 @@
     change: Arc<TableChange>,
 }
 
+/// The whole table of one version, in parts, as it is sent to followers.
+#[derive(Debug)]
+pub struct TableImage {
+    /// The version.
+    pub version: u64,
+    /// The rows, in parts of one message each.
+    pub parts: Vec<Vec<VersionedRow>>,
+    /// Deletions that are remembered.
+    pub tombstones: Vec<(RowKey, u64)>,
+}
+
+/// Rows of an image that one message carries.
+const IMAGE_ROWS: usize = 2_000;
+
 /// The table in force, the newest changes, and a signal for those who wait for the next.
 ///
 /// Invariant: the version seen by any reader never falls, but for [`TableFeed::restore`].
 pub struct TableFeed {
     table: RwLock<TableStore>,
     kept: Mutex<VecDeque<KeptChange>>,
+    image: Mutex<Weak<TableImage>>,
     version: watch::Sender<u64>,
     fleet: AtomicU32,
 }
@@ -53,6 +68,7 @@
         Self {
             table: RwLock::new(TableStore::new()),
             kept: Mutex::new(VecDeque::new()),
+            image: Mutex::new(Weak::new()),
             version: watch::Sender::new(0),
             fleet: AtomicU32::new(0),
         }
@@ -147,6 +163,29 @@
         }
     }
 
+    /// Returns the whole table in parts. Followers that are served at one time share one image, so
+    /// that a hall that starts at once does not take its memory many times over.
+    pub fn image(&self) -> Arc<TableImage> {
+        let mut cached = self.image.lock().unwrap_or_else(PoisonError::into_inner);
+        let table = self.read();
+        if let Some(image) = cached.upgrade()
+            && image.version == table.version()
+        {
+            return image;
+        }
+        let rows = table.image_rows();
+        let image = Arc::new(TableImage {
+            version: table.version(),
+            parts: rows
+                .chunks(IMAGE_ROWS)
+                .map(<[VersionedRow]>::to_vec)
+                .collect(),
+            tombstones: table.tombstones(),
+        });
+        *cached = Arc::downgrade(&image);
+        image
+    }
+
     fn keep(&self, version: u64, change: TableChange) {
         let rows = change.upserts.len() + change.deletes.len();
         let change = Arc::new(change);
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -9,7 +9,7 @@
 mod message;
 mod serve;
 
-pub use feed::{FeedStep, TableFeed};
+pub use feed::{FeedStep, TableFeed, TableImage};
 pub use follow::{FollowError, follow_source};
 pub use message::{FeedMessage, FollowHello, FollowReport, HostReport};
 pub use serve::serve_follower;
--- a/crates/feed/src/serve.rs
+++ b/crates/feed/src/serve.rs
@@ -8,9 +8,6 @@
 
 use crate::{FeedMessage, FeedStep, FollowHello, FollowReport, TableFeed};
 
-/// Rows of a whole table that one message carries.
-const IMAGE_ROWS: usize = 2_000;
-
 /// How long a source stays silent.
 pub(crate) const IDLE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -76,18 +73,15 @@
 }
 
 async fn push_image(feed: &TableFeed, writer: &mut PeerWriter) -> Result<u64, WireError> {
-    let (version, rows, tombstones) = {
-        let table = feed.read();
-        (table.version(), table.image_rows(), table.tombstones())
-    };
+    let image = feed.image();
     writer.send(&FeedMessage::ImageStart).await?;
-    for part in rows.chunks(IMAGE_ROWS) {
-        writer.send(&FeedMessage::ImageRows(part.to_vec())).await?;
+    for part in &image.parts {
+        writer.send(&FeedMessage::ImageRows(part.clone())).await?;
     }
     let end = FeedMessage::ImageEnd {
-        version,
-        tombstones,
+        version: image.version,
+        tombstones: image.tombstones.clone(),
     };
     writer.send(&end).await?;
-    Ok(version)
+    Ok(image.version)
 }
--- a/crates/linnetdale/tests/capacity.rs
+++ b/crates/linnetdale/tests/capacity.rs
@@ -542,3 +542,69 @@
     }
     println!("leader killed to next commit: {}", quantiles(times));
 }
+
+/// Sends for some seconds at a rate to entry hosts by turns and returns the taken requests a second.
+fn taken_rate(cluster: &Cluster, hosts: &[usize], rate: f64, seconds: f64) -> f64 {
+    let taken = std::sync::atomic::AtomicUsize::new(0);
+    let count = (rate * seconds) as usize;
+    let begin = Instant::now();
+    std::thread::scope(|scope| {
+        for number in 0..count {
+            let due = begin + Duration::from_secs_f64(number as f64 / rate);
+            std::thread::sleep(due.saturating_duration_since(Instant::now()));
+            let host = cluster.callers(hosts[number % hosts.len()]);
+            let taken = &taken;
+            scope.spawn(move || {
+                let request = CallerRequest::to_path("POST", "/v1/services/orders/x", b"")
+                    .with("authorization", "Bearer limited-key");
+                if request
+                    .send(host)
+                    .is_some_and(|answer| answer.status == 200)
+                {
+                    taken.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                }
+            });
+        }
+    });
+    taken.into_inner() as f64 / seconds
+}
+
+#[test]
+#[ignore = "measures for docs/CAPACITY.md"]
+fn limits_over_entries() {
+    const LIMIT: u32 = 90;
+    for (entries, halls) in [(9, 3), (9, 1), (60, 10)] {
+        let cluster = Cluster::start(ClusterPlan {
+            entries,
+            halls,
+            ..ClusterPlan::default()
+        });
+        let mut change = add_account("limited", 1);
+        if let TableRow::Account(row) = &mut change.upserts[0] {
+            row.limits.rate = Some(LIMIT);
+        }
+        let version = cluster.apply(&change);
+        for entry in 0..entries {
+            cluster.wait_entry_version(entry, version);
+        }
+        std::thread::sleep(Duration::from_secs(3));
+        let all: Vec<usize> = (0..entries).collect();
+        let own_hall: Vec<usize> = all
+            .iter()
+            .copied()
+            .filter(|entry| entry % halls == 0)
+            .collect();
+        for (label, hosts) in [
+            ("all hosts", &all),
+            ("the hosts of one hall", &own_hall),
+            ("one host", &vec![0]),
+        ] {
+            taken_rate(&cluster, hosts, 180.0, 3.0);
+            let rate = taken_rate(&cluster, hosts, 180.0, 5.0);
+            println!(
+                "limit of {LIMIT}/s over {entries} entries in {halls} halls, 180/s to {label}: {rate:.0}/s taken, {:.2} of the limit",
+                rate / f64::from(LIMIT)
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/linnetdale/tests/proofs.rs
@@ -0,0 +1,62 @@
+//! Keeps docs/PROOFS.csv and docs/CALLERS.md true.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::path::{Path, PathBuf};
+
+use linnetdale::entry::ErrorCode;
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// Returns the text of every test file of the workspace.
+fn test_sources() -> String {
+    let mut text = String::new();
+    for krate in std::fs::read_dir(root().join("crates")).unwrap() {
+        let Ok(files) = std::fs::read_dir(krate.unwrap().path().join("tests")) else {
+            continue;
+        };
+        for file in files.map(|file| file.unwrap().path()) {
+            if file.extension().is_some_and(|ending| ending == "rs") {
+                text.push_str(&std::fs::read_to_string(file).unwrap());
+            }
+        }
+    }
+    text
+}
+
+#[test]
+fn every_proof_names_a_test_that_exists_or_says_why_there_is_none() {
+    let sources = test_sources();
+    let table = std::fs::read_to_string(root().join("docs/PROOFS.csv")).unwrap();
+    let mut rows = csv::Reader::from_reader(table.as_bytes());
+    assert_eq!(
+        rows.headers().unwrap(),
+        vec!["promise", "fault", "test", "kind", "result"]
+    );
+    let mut count = 0;
+    for row in rows.records().map(Result::unwrap) {
+        let (test, result) = (&row[2], &row[4]);
+        let defined =
+            sources.contains(&format!("fn {test}(")) || sources.contains(&format!("    {test}: "));
+        assert!(test.is_empty() || defined, "no test {test}");
+        assert!(!result.is_empty(), "{row:?} has no result");
+        count += 1;
+    }
+    assert!(count > 50, "{count} rows");
+}
+
+#[test]
+fn the_callers_page_lists_every_error_as_it_is() {
+    let page = std::fs::read_to_string(root().join("docs/CALLERS.md")).unwrap();
+    for code in ErrorCode::ALL {
+        let row = format!(
+            "| `{}` | {} | {} |",
+            code.text(),
+            code.status(),
+            code.meaning()
+        );
+        assert!(page.contains(&row), "{row}");
+    }
+}
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -5,7 +5,7 @@
 
 use futures_util::future::join_all;
 use linnet_telemetry::EventCode;
-use linnet_wire::connect_peer;
+use linnet_wire::{PeerGreeting, connect_peer};
 use tokio::time::{sleep, timeout};
 
 use crate::message::Addressed;
@@ -133,7 +133,7 @@
     let work = async {
         let (mut reader, mut writer) = connect_peer(&shared.identity, voter.peer).await.ok()?;
         let message = address_request(shared, voter, request.clone())?;
-        writer.send(&linnet_greeting()).await.ok()?;
+        writer.send(&PeerGreeting::Quorum).await.ok()?;
         writer.send(&message).await.ok()?;
         reader.receive::<PeerReply>().await.ok()
     };
@@ -179,8 +179,3 @@
         request,
     })
 }
-
-/// The first message on a connection that carries agreement.
-pub(crate) fn linnet_greeting() -> linnet_wire::PeerGreeting {
-    linnet_wire::PeerGreeting::Quorum
-}
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -6,7 +6,6 @@
 //! - [`grant_vote`], [`quorum_index`] and [`quorum_instant`] are the rules, kept as functions so
 //!   that tests can check them over many inputs.
 
-mod clock;
 mod election;
 mod log;
 mod machine;
@@ -19,8 +18,8 @@
 mod serve;
 mod state;
 mod storage;
+mod timing;
 
-pub use clock::QuorumTiming;
 pub use log::{LogEntry, LogPayload};
 pub use machine::MachineHooks;
 pub use member::{Member, MemberChange, MemberError, Members, NodeId};
@@ -29,3 +28,4 @@
 pub use replica::{FormError, Replica, ReplicaConfig, ReplicaStatus, Role, StartError};
 pub use rule::{LogPosition, VoteFacts, grant_vote, quorum_index, quorum_instant};
 pub use serve::serve_peer;
+pub use timing::QuorumTiming;
--- a/crates/quorum/src/replicate.rs
+++ b/crates/quorum/src/replicate.rs
@@ -7,10 +7,10 @@
 use std::time::{Duration, Instant};
 
 use linnet_telemetry::EventCode;
-use linnet_wire::{PeerReader, PeerWriter, connect_peer};
+use linnet_wire::{PeerGreeting, PeerReader, PeerWriter, connect_peer};
 use tokio::time::{sleep, timeout};
 
-use crate::election::{address_request, linnet_greeting, note_term};
+use crate::election::{address_request, note_term};
 use crate::replica::{ReplicaShared, members_at};
 use crate::state::{PeerProgress, ReplicaState};
 use crate::{
@@ -134,7 +134,7 @@
     peer: &Member,
 ) -> Option<(PeerReader, PeerWriter)> {
     let (reader, mut writer) = connect_peer(&shared.identity, peer.peer).await.ok()?;
-    writer.send(&linnet_greeting()).await.ok()?;
+    writer.send(&PeerGreeting::Quorum).await.ok()?;
     Some((reader, writer))
 }
 
