Checks that could not fail under three breaks of the code now do

Cause: trials on a scratch copy broke the code on purpose. Taking what is meant for another identity, taking an answer that names another attempt, and a lease that never lapses each passed the tests meant for them: the wiped host was asked only while no leader called it, the foreign answer held the right content, and nobody asked a cut-off leader for a read of authority. Each is asked now.

--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -211,6 +211,13 @@
             return Ok(true);
         }
         let input: Value = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
+        // Another attempt's answer is the answer to another input.
+        let answered = match fault {
+            Some(FaultKind::Foreign) => {
+                json!({ "stage": "foreign", "input": { "marker": "somebody-else" } })
+            }
+            _ => input.clone(),
+        };
         let _run = self.begin_run(&attempt, &input, request).await;
         match fault {
             Some(FaultKind::CloseAfterRun) => return Ok(false),
@@ -233,10 +240,10 @@
             _ => {}
         }
         match self.kind {
-            TargetKind::Engine => self.stream_tokens(socket, &shown, &input, fault).await,
+            TargetKind::Engine => self.stream_tokens(socket, &shown, &answered, fault).await,
             TargetKind::Stage => {
-                let inner = input.get("input").cloned().unwrap_or(Value::Null);
-                let stage = input
+                let inner = answered.get("input").cloned().unwrap_or(Value::Null);
+                let stage = answered
                     .get("stage")
                     .and_then(Value::as_str)
                     .unwrap_or_default();
--- a/crates/linnetdale/tests/agreement.rs
+++ b/crates/linnetdale/tests/agreement.rs
@@ -71,6 +71,9 @@
     acknowledged.extend(cluster.add_accounts("during", 0..4));
     if matches!(fault, VoterFault::FreezeLeader | VoterFault::CutLeader) {
         assert_ne!(cluster.wait_other_leader(leader), leader);
+        // A change that it does not know of is acknowledged, so it must not claim authority.
+        let host = cluster.control_ops(leader);
+        assert_eq!(cluster.operator.authoritative_version(host), None);
     }
     end(&mut cluster, fault, leader);
     acknowledged.extend(cluster.add_accounts("after", 0..4));
--- a/crates/linnetdale/tests/members.rs
+++ b/crates/linnetdale/tests/members.rs
@@ -68,6 +68,16 @@
     wipe(&mut cluster, wiped);
     assert_ne!(as_member(&cluster, wiped).id, former);
     acknowledged.extend(cluster.add_accounts("wiped", 0..5));
+    // The leader goes on calling the former identity at the same address; the new one must not
+    // answer in its name.
+    let status = cluster
+        .operator
+        .control_status(cluster.control_ops(wiped))
+        .unwrap();
+    assert_eq!(
+        (status.replica.cluster, status.replica.last.index),
+        (None, 0)
+    );
     let output = cluster.ctl(&["member", "repair", &cluster.control_ops(wiped).to_string()]);
     assert!(output.status.success(), "{output:?}");
     wait_voters(&cluster, 3);
--- a/crates/linnetdale/tests/support/operator.rs
+++ b/crates/linnetdale/tests/support/operator.rs
@@ -97,6 +97,18 @@
         Some((version, parse_csv(&body).rows))
     }
 
+    /// Returns the version of the table where the host says that it has authority.
+    pub fn authoritative_version(&self, host: SocketAddr) -> Option<u64> {
+        let response = self
+            .agent
+            .get(format!("http://{host}/v1/table"))
+            .header("authorization", format!("Bearer {OPERATOR_KEY}"))
+            .call()
+            .ok()?;
+        let version = response.headers().get("x-table-version")?;
+        version.to_str().ok()?.parse().ok()
+    }
+
     pub fn change(&self, host: SocketAddr, change: &TableChange) -> Option<ChangeReply> {
         Some(self.post(host, "/v1/changes", change)?.1)
     }
