The repaired voter is called under its former identity for long enough

Cause: the check came before the leader had called the wiped host again, so the break of the identity check still passed.

--- a/crates/linnetdale/tests/members.rs
+++ b/crates/linnetdale/tests/members.rs
@@ -68,8 +68,9 @@
     wipe(&mut cluster, wiped);
     assert_ne!(as_member(&cluster, wiped).id, former);
     acknowledged.extend(cluster.add_accounts("wiped", 0..5));
-    // The leader goes on calling the former identity at the same address; the new one must not
-    // answer in its name.
+    // The leader goes on calling the former identity at the same address, ten times a second; the
+    // new one must not answer in its name, however often it is called.
+    std::thread::sleep(std::time::Duration::from_millis(1_500));
     let status = cluster
         .operator
         .control_status(cluster.control_ops(wiped))
