The watch tells a restarted entry host by its process, not by a missed answer

The status now carries the incarnation, and the watch compares versions inside one process, as it does for control hosts. A fall inside a process is found as before.

--- a/crates/entry/src/ops.rs
+++ b/crates/entry/src/ops.rs
@@ -18,6 +18,8 @@
     pub name: String,
     /// Its data hall.
     pub hall: String,
+    /// A random number of the process; another after a restart.
+    pub incarnation: u64,
     /// Whether the balancer should send requests here.
     pub ready: bool,
     /// The version of the table in force.
@@ -61,6 +63,7 @@
     let status = EntryStatus {
         name: entry.name.clone(),
         hall: entry.hall.clone(),
+        incarnation: entry.incarnation,
         ready: entry.is_ready(),
         table_version,
         table_rows,
--- a/crates/linnetdale/tests/support/watch.rs
+++ b/crates/linnetdale/tests/support/watch.rs
@@ -59,19 +59,19 @@
             });
         }
         for host in entries.iter().copied() {
-            let mut last = 0;
+            let mut last = (0, 0);
             watch.spawn(move |operator, faults| {
                 let Some(status) = operator.entry_status(host) else {
-                    last = 0;
                     return false;
                 };
-                if status.table_version < last {
+                // A process that was started again begins without a table, however quickly.
+                if last.0 == status.incarnation && status.table_version < last.1 {
                     faults.push(format!(
-                        "{host}: version {} after {last}",
-                        status.table_version
+                        "{host}: version {} after {}",
+                        status.table_version, last.1
                     ));
                 }
-                last = status.table_version;
+                last = (status.incarnation, status.table_version);
                 true
             });
         }
