--- a/crates/entry/src/caller/routes.rs
+++ b/crates/entry/src/caller/routes.rs
@@ -276,9 +276,7 @@
     match result {
         Ok(Ok(answer)) => answer_response(&id, answer),
         Ok(Err(error)) => error.to_response(&id),
-        Err(_) => CallerError::new(ErrorCode::TargetFailed, "run", "the request was given up")
-            .with_ran(crate::RanState::Unknown)
-            .to_response(&id),
+        Err(_) => given_up_error().to_response(&id),
     }
 }
 
@@ -325,9 +323,7 @@
     let Some(first) = first else {
         return match end.try_recv() {
             Ok(error) => error.to_response(&id),
-            Err(_) => CallerError::new(ErrorCode::TargetFailed, "run", "the request was given up")
-                .with_ran(crate::RanState::Unknown)
-                .to_response(&id),
+            Err(_) => given_up_error().to_response(&id),
         };
     };
     // From here on an error must go into the stream; one that came just before goes there too.
@@ -349,6 +345,12 @@
         .streaming(Box::pin(body))
 }
 
+/// Returns the error of a request whose task ended without a result.
+fn given_up_error() -> CallerError {
+    CallerError::new(ErrorCode::TargetFailed, "run", "the request was given up")
+        .with_ran(crate::RanState::Unknown)
+}
+
 fn answer_response(id: &str, answer: RunAnswer) -> HttpResponse {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
     HttpResponse::build(status)
