--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,7 +12,7 @@
 mod setting;
 mod stop;
 
-pub use logging::start_logging;
+pub use logging::{LineQueue, flush_logs, start_logging};
 pub use ops::{OperatorKeys, OpsContext, error_body, json_reply, ops_routes};
 pub use peer::{accept_peers, refresh_keys};
 pub use setting::{SettingCheck, SettingFault};
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -22,11 +22,13 @@
 
 /// Returns the exit code of a daemon that has ended, and logs why it failed.
 pub fn exit_code(result: Result<(), Box<dyn Error>>) -> ExitCode {
-    match result {
+    let code = match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!(target: "linnetdale", "{error}");
             ExitCode::FAILURE
         }
-    }
+    };
+    crate::flush_logs();
+    code
 }
--- /dev/null
+++ b/crates/directory/src/call.rs
@@ -0,0 +1,41 @@
+//! One question to a control host, on a connection of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::Display;
+use linnet_wire::{PeerGreeting, PeerIdentity, WireError, connect_peer};
+use tokio::time::timeout;
+
+use crate::message::{DirectoryCall, DirectoryReply};
+
+/// Why a question to a control host has no answer.
+#[derive(Debug, Display, derive_more::Error, derive_more::From)]
+pub enum CallError {
+    /// The connection failed.
+    #[display("{_0}")]
+    Wire(WireError),
+    /// No answer came in time.
+    #[display("call to {_0}: no answer in time")]
+    #[from(ignore)]
+    #[error(ignore)]
+    TimedOut(SocketAddr),
+}
+
+pub(crate) async fn call(
+    identity: &PeerIdentity,
+    address: SocketAddr,
+    request: &DirectoryCall,
+    bound: Duration,
+) -> Result<DirectoryReply, CallError> {
+    let work = async {
+        let (mut reader, mut writer) = connect_peer(identity, address).await?;
+        writer.send(&PeerGreeting::DirectoryCall).await?;
+        writer.send(request).await?;
+        Ok(reader.receive::<DirectoryReply>().await?)
+    };
+    match timeout(bound, work).await {
+        Ok(result) => result,
+        Err(_) => Err(CallError::TimedOut(address)),
+    }
+}
--- /dev/null
+++ b/crates/directory/src/lib.rs
@@ -0,0 +1,30 @@
+//! The directory: the routing configuration, the targets and the processes of the system.
+//!
+//! - [`DirectoryNode`] keeps it on a control host: the configuration by agreement, the rest as
+//!   state that every control host relearns from heartbeats and from the others.
+//! - [`follow_directory`] keeps a copy of it in an entry host, as a [`DirectoryView`].
+//! - [`form_or_join`] makes control hosts a cluster without an operator's hand.
+
+mod call;
+mod document;
+mod follow;
+mod form;
+mod machine;
+mod message;
+mod node;
+mod registry;
+mod serve;
+mod view;
+
+pub use call::CallError;
+pub use document::Document;
+pub use follow::{FollowConfig, follow_directory};
+pub use form::{FormConfig, form_or_join};
+pub use machine::{DocumentMachine, DocumentParser};
+pub use message::{
+    DirectoryUpdate, GatewayRecord, SubscriberHello, SubscriberReport, TargetRecord, TargetState,
+};
+pub use node::{DirectoryError, DirectoryNode, DirectoryTiming};
+pub use registry::{Registry, RegistryChange};
+pub use serve::{serve_call, serve_subscriber};
+pub use view::DirectoryView;
--- /dev/null
+++ b/crates/directory/src/machine.rs
@@ -0,0 +1,113 @@
+//! The replicated state: the configuration with the highest version.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use linnet_quorum::MachineHooks;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::Document;
+
+/// Reads the version of a valid document, or says what is wrong with it.
+pub type DocumentParser = Arc<dyn Fn(&[u8]) -> Result<u64, String> + Send + Sync>;
+
+/// A command of the replicated log.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum DocumentCommand {
+    /// Hold this document unless one of the same or a higher version is held.
+    Put(Document),
+    /// Answer the document that is held.
+    Read,
+}
+
+/// The answer to a [`DocumentCommand`].
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum DocumentAnswer {
+    /// To `Put`: the version that is held now.
+    Held(u64),
+    /// To `Read`.
+    Document(Option<Document>),
+}
+
+/// The state machine of the replicated log.
+#[derive(Clone, Default)]
+pub struct DocumentMachine {
+    held: Arc<Mutex<Option<Arc<Document>>>>,
+    changed: Arc<watch::Sender<u64>>,
+}
+
+impl DocumentMachine {
+    /// Creates a machine that holds nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the closures that the replicated log calls.
+    pub fn hooks(&self) -> MachineHooks {
+        let (apply, snapshot, restore) = (self.clone(), self.clone(), self.clone());
+        MachineHooks::new(
+            move |_, command| apply.apply(command),
+            move || snapshot.snapshot(),
+            move |bytes| restore.restore(bytes),
+        )
+    }
+
+    /// Returns the committed document that this replica has reached.
+    pub fn held(&self) -> Option<Arc<Document>> {
+        self.lock().clone()
+    }
+
+    /// Returns a receiver that wakes when a newer document is held.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    fn apply(&self, command: &[u8]) -> Vec<u8> {
+        let answer = match postcard::from_bytes(command) {
+            Ok(DocumentCommand::Put(document)) => DocumentAnswer::Held(self.put(document)),
+            Ok(DocumentCommand::Read) => {
+                DocumentAnswer::Document(self.held().map(|held| (*held).clone()))
+            }
+            // A command of another program version changes nothing here.
+            Err(_) => DocumentAnswer::Held(self.held().map_or(0, |held| held.version)),
+        };
+        postcard::to_stdvec(&answer).unwrap_or_default()
+    }
+
+    fn put(&self, document: Document) -> u64 {
+        let mut held = self.lock();
+        let version = held.as_ref().map_or(0, |held| held.version);
+        if held.is_some() && document.version <= version {
+            return version;
+        }
+        let version = document.version;
+        *held = Some(Arc::new(document));
+        drop(held);
+        self.changed.send_replace(version);
+        version
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        let held = self.held().map(|held| (*held).clone());
+        postcard::to_stdvec(&held).unwrap_or_default()
+    }
+
+    fn restore(&self, bytes: &[u8]) {
+        // A snapshot passed its checksum, so bytes that cannot be read come from a newer program.
+        // Going on with an empty state would lose what was accepted.
+        let document: Option<Document> = match postcard::from_bytes(bytes) {
+            Ok(document) => document,
+            Err(error) => {
+                log::error!(target: "linnetdale", "the snapshot cannot be read: {error}");
+                std::process::exit(1);
+            }
+        };
+        let version = document.as_ref().map_or(0, |document| document.version);
+        *self.lock() = document.map(Arc::new);
+        self.changed.send_replace(version);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Arc<Document>>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/directory/src/message.rs
@@ -0,0 +1,134 @@
+//! What control hosts and the processes that follow them tell each other.
+
+use std::net::SocketAddr;
+
+use linnet_quorum::{Member, Members, NodeId};
+use serde::{Deserialize, Serialize};
+
+use crate::Document;
+
+/// What a target says of its readiness. A later state never gives way to an earlier one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum TargetState {
+    /// It takes new work.
+    Ready,
+    /// It finishes what it has and takes no new work.
+    Draining,
+    /// It has left for good.
+    Gone,
+}
+
+/// One start of a target, as it registered itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetRecord {
+    /// Identity of this start; another start has another.
+    pub id: String,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its data hall.
+    pub hall: String,
+    /// Requests that it works on at one time.
+    pub slots: u32,
+    /// What it says of its readiness.
+    pub state: TargetState,
+    /// Rises with each heartbeat.
+    pub sequence: u64,
+    /// Whether several heartbeats were missed.
+    pub silent: bool,
+}
+
+/// A process that takes callers' requests.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct GatewayRecord {
+    /// Name of its host.
+    pub name: String,
+    /// Its data hall.
+    pub hall: String,
+    /// Where peers reach it.
+    pub peer: SocketAddr,
+    /// Whether it is about to end.
+    pub stopping: bool,
+}
+
+/// The first message of a subscriber.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SubscriberHello {
+    /// The version of the configuration that it has; 0 for none.
+    pub document_version: u64,
+    /// Whether it is a control host, which wants to know of every heartbeat.
+    pub control: bool,
+}
+
+/// What a subscriber sends now and then, and whenever it took an update.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SubscriberReport {
+    /// The subscriber, where it takes callers' requests.
+    pub gateway: Option<GatewayRecord>,
+    /// The number of the last update that it took.
+    pub acknowledged: u64,
+}
+
+/// What a control host pushes to a subscriber. An empty one is a sign of life.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct DirectoryUpdate {
+    /// Number of the change that the update brings the subscriber to.
+    pub number: u64,
+    /// The configuration, where the subscriber has an older one.
+    pub document: Option<Document>,
+    /// Targets that changed.
+    pub targets: Vec<TargetRecord>,
+    /// All entry hosts that this control host hears, where that changed.
+    pub gateways: Option<Vec<GatewayRecord>>,
+    /// Peer addresses of all members of the cluster, where that changed.
+    pub controls: Option<Vec<SocketAddr>>,
+    /// Targets that were heard since the last update; for control hosts only.
+    pub heard: Vec<HeardTarget>,
+}
+
+/// A heartbeat that a control host passes on.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct HeardTarget {
+    /// The target.
+    pub id: String,
+    /// The sequence of the heartbeat.
+    pub sequence: u64,
+    /// How long ago it came, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// What one process asks of a control host.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum DirectoryCall {
+    /// Who are you, and of which cluster?
+    Identify,
+    /// Become a founder of this cluster.
+    Form { cluster: u64, founders: Members },
+    /// Take this replica in as a member.
+    Join(Member),
+    /// Commit this command and answer what the state machine answered.
+    Command(Vec<u8>),
+}
+
+/// What a control host answers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum DirectoryReply {
+    /// To `Identify`.
+    Identity {
+        member: Member,
+        cluster: Option<u64>,
+        members: Members,
+        leader: Option<NodeId>,
+        /// Whether the log holds nothing but the founding entry.
+        unled: bool,
+    },
+    /// It is done.
+    Done,
+    /// To `Command`.
+    Answer(Vec<u8>),
+    /// Ask the leader, where it is known.
+    NotLeader(Option<SocketAddr>),
+    /// It was refused.
+    Refused(String),
+}
--- /dev/null
+++ b/crates/directory/src/node.rs
@@ -0,0 +1,403 @@
+//! A control host's part of the directory.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use linnet_quorum::{Member, ProposeError, Replica};
+use linnet_telemetry::{EventCode, EventRecorder};
+use linnet_wire::PeerIdentity;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use crate::call::call;
+use crate::machine::{DocumentAnswer, DocumentCommand};
+use crate::message::{DirectoryCall, DirectoryReply};
+use crate::{
+    DirectoryUpdate, Document, DocumentMachine, DocumentParser, GatewayRecord, Registry,
+    RegistryChange, TargetRecord,
+};
+
+/// Wait before a command is tried again where no leader is known.
+const LEADER_RETRY_WAIT: Duration = Duration::from_millis(40);
+
+/// How often targets are checked for silence.
+const EXPIRY_TICK: Duration = Duration::from_millis(250);
+
+/// Spans of time of the directory.
+#[derive(Debug, Clone, Copy)]
+pub struct DirectoryTiming {
+    /// How long a target may be silent before it is marked so.
+    pub silence: Duration,
+    /// How long a command may take until it is given up.
+    pub commit: Duration,
+    /// How long the followers' word is waited for before a withdrawal is acknowledged.
+    pub spread: Duration,
+}
+
+impl DirectoryTiming {
+    /// Creates the spans for targets that send a heartbeat each `heartbeat`.
+    pub fn new(heartbeat: Duration) -> Self {
+        Self {
+            silence: heartbeat * 5,
+            commit: Duration::from_millis(900),
+            spread: Duration::from_millis(600),
+        }
+    }
+}
+
+/// Why the directory did not do what was asked.
+#[derive(Debug, Clone, PartialEq, Eq, Display, derive_more::Error)]
+pub enum DirectoryError {
+    /// The document is invalid.
+    #[display("invalid: {_0}")]
+    #[error(ignore)]
+    Invalid(String),
+    /// No quorum committed it in time; whether it is in force later is not known.
+    #[display("no quorum in time")]
+    NoQuorum,
+    /// No other control host has taken the word of the target.
+    #[display("no other control host has taken it")]
+    NotSpread,
+}
+
+/// What subscribers acknowledged, by subscriber number.
+#[derive(Debug, Clone)]
+pub(crate) struct SubscriberState {
+    pub(crate) control: bool,
+    pub(crate) acknowledged: u64,
+    pub(crate) gateway: Option<GatewayRecord>,
+}
+
+#[derive(Default)]
+pub(crate) struct NodeState {
+    pub(crate) registry: Registry,
+    pub(crate) subscribers: BTreeMap<u64, SubscriberState>,
+    pub(crate) next_subscriber: u64,
+    /// Number of the last change of the gateways that are heard.
+    pub(crate) gateways_changed: u64,
+}
+
+struct Shared {
+    replica: Replica,
+    machine: DocumentMachine,
+    parser: DocumentParser,
+    identity: PeerIdentity,
+    recorder: Arc<EventRecorder>,
+    timing: DirectoryTiming,
+    me: SocketAddr,
+    ops: SocketAddr,
+    hall: String,
+    state: Mutex<NodeState>,
+    changed: watch::Sender<u64>,
+}
+
+/// The directory of one control host. Cheap to clone.
+#[derive(Clone)]
+pub struct DirectoryNode {
+    shared: Arc<Shared>,
+}
+
+impl DirectoryNode {
+    /// Creates the node and starts its tasks. `me` is where peers reach it, `ops` where operators
+    /// do.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        replica: Replica,
+        machine: DocumentMachine,
+        parser: DocumentParser,
+        identity: PeerIdentity,
+        recorder: Arc<EventRecorder>,
+        timing: DirectoryTiming,
+        (me, ops): (SocketAddr, SocketAddr),
+        hall: String,
+    ) -> Self {
+        let node = Self {
+            shared: Arc::new(Shared {
+                replica,
+                machine,
+                parser,
+                identity,
+                recorder,
+                timing,
+                me,
+                ops,
+                hall,
+                state: Mutex::default(),
+                changed: watch::Sender::new(0),
+            }),
+        };
+        ntex::rt::spawn(expire_targets(node.clone()));
+        ntex::rt::spawn(announce_documents(node.clone()));
+        node
+    }
+
+    /// Takes a configuration; the version that is held then.
+    ///
+    /// # Errors
+    ///
+    /// [`DirectoryError::Invalid`] changes nothing; [`DirectoryError::NoQuorum`] leaves open
+    /// whether the configuration comes into force.
+    pub async fn put_document(&self, body: Vec<u8>) -> Result<u64, DirectoryError> {
+        let version = (self.shared.parser)(&body).map_err(|fault| {
+            self.record(EventCode::RoutingRefused, &fault);
+            DirectoryError::Invalid(fault)
+        })?;
+        let bytes = body.len();
+        let command = DocumentCommand::Put(Document { version, body });
+        let outcome = self.commit(&command).await;
+        let detail = |held| format!("version={version} bytes={bytes} held={held}");
+        match outcome {
+            Ok(DocumentAnswer::Held(held)) => {
+                self.record(EventCode::RoutingAccepted, &detail(held.to_string()));
+                Ok(held)
+            }
+            _ => {
+                self.record(EventCode::RoutingRefused, &detail("unknown".to_owned()));
+                Err(DirectoryError::NoQuorum)
+            }
+        }
+    }
+
+    /// Returns the newest configuration, after a round of the quorum that began with this call.
+    ///
+    /// # Errors
+    ///
+    /// [`DirectoryError::NoQuorum`].
+    pub async fn read_document(&self) -> Result<Option<Document>, DirectoryError> {
+        match self.commit(&DocumentCommand::Read).await? {
+            DocumentAnswer::Document(document) => {
+                let version = document.as_ref().map_or(0, |document| document.version);
+                self.record(EventCode::RoutingRead, &format!("version={version}"));
+                Ok(document)
+            }
+            DocumentAnswer::Held(_) => Err(DirectoryError::NoQuorum),
+        }
+    }
+
+    /// Takes a heartbeat of a target. Returns once it may be acknowledged: a withdrawal only when
+    /// another control host has it too and the entry hosts that are heard took it, or had time to.
+    ///
+    /// # Errors
+    ///
+    /// [`DirectoryError::NotSpread`]: no other control host has it yet; the target should ask
+    /// another one.
+    pub async fn take_heartbeat(&self, record: TargetRecord) -> Result<(), DirectoryError> {
+        let (id, detail) = (record.id.clone(), describe_target(&record));
+        let change = self.lock().registry.take_heartbeat(record, Instant::now());
+        self.finish_change(&id, &detail, change).await
+    }
+
+    /// Takes the word of a target that it leaves. A target that is not known is left already.
+    ///
+    /// # Errors
+    ///
+    /// As [`DirectoryNode::take_heartbeat`].
+    pub async fn take_leave(&self, id: &str) -> Result<(), DirectoryError> {
+        let change = self.lock().registry.take_leave(id, Instant::now());
+        match change {
+            Some(change) => self.finish_change(id, "state=Gone", change).await,
+            None => Ok(()),
+        }
+    }
+
+    async fn finish_change(
+        &self,
+        id: &str,
+        detail: &str,
+        change: RegistryChange,
+    ) -> Result<(), DirectoryError> {
+        self.note_change(id, detail, change);
+        if change == RegistryChange::Withdrawn {
+            return self.await_spread().await;
+        }
+        Ok(())
+    }
+
+    /// Logs a change of a target and wakes the tasks that push it on.
+    pub(crate) fn note_change(&self, id: &str, detail: &str, change: RegistryChange) {
+        let code = match change {
+            RegistryChange::Nothing => return,
+            RegistryChange::Registered => EventCode::TargetRegistered,
+            RegistryChange::Withdrawn => EventCode::TargetWithdrawn,
+        };
+        self.shared.recorder.record(code, id, detail);
+        self.wake();
+    }
+
+    async fn await_spread(&self) -> Result<(), DirectoryError> {
+        let number = self.lock().registry.number();
+        let mut changes = self.shared.changed.subscribe();
+        let all_took_it = async {
+            while !self.spread_to(number, |_| true) {
+                if changes.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let _ = timeout(self.shared.timing.spread, all_took_it).await;
+        let alone = self.shared.replica.status().members.voters.len() <= 1;
+        let safe = alone || self.any_control_took(number);
+        safe.then_some(()).ok_or(DirectoryError::NotSpread)
+    }
+
+    fn spread_to(&self, number: u64, which: impl Fn(&SubscriberState) -> bool) -> bool {
+        let state = self.lock();
+        let mut wanted = state.subscribers.values().filter(|one| which(one));
+        wanted.all(|one| one.acknowledged >= number)
+    }
+
+    fn any_control_took(&self, number: u64) -> bool {
+        let state = self.lock();
+        let mut controls = state.subscribers.values().filter(|one| one.control);
+        controls.any(|one| one.acknowledged >= number)
+    }
+
+    /// Commits a command, here or at the leader, within the time that a command may take.
+    async fn commit(&self, command: &DocumentCommand) -> Result<DocumentAnswer, DirectoryError> {
+        let bytes = postcard::to_stdvec(command).map_err(|_| DirectoryError::NoQuorum)?;
+        let started = Instant::now();
+        while let Some(left) = self.shared.timing.commit.checked_sub(started.elapsed()) {
+            let answer = match timeout(left, self.commit_once(&bytes, left)).await {
+                Ok(Some(answer)) => postcard::from_bytes(&answer).ok(),
+                _ => None,
+            };
+            if let Some(answer) = answer {
+                return Ok(answer);
+            }
+            sleep(LEADER_RETRY_WAIT).await;
+        }
+        Err(DirectoryError::NoQuorum)
+    }
+
+    // Both commands may be given twice: a put of the same version changes nothing the second time.
+    async fn commit_once(&self, bytes: &[u8], bound: Duration) -> Option<Vec<u8>> {
+        match self.shared.replica.propose(bytes.to_vec()).await {
+            Ok(answer) => return Some(answer),
+            Err(ProposeError::NotLeader { .. }) => {}
+            Err(_) => return None,
+        }
+        let leader = self.leader_address()?;
+        let request = DirectoryCall::Command(bytes.to_vec());
+        match call(&self.shared.identity, leader, &request, bound).await {
+            Ok(DirectoryReply::Answer(answer)) => Some(answer),
+            _ => None,
+        }
+    }
+
+    fn leader_address(&self) -> Option<SocketAddr> {
+        let status = self.shared.replica.status();
+        let leader = status.leader.filter(|id| *id != status.id)?;
+        status.members.find(leader).map(|member| member.peer)
+    }
+
+    /// Returns this host as a member of the cluster.
+    pub fn member(&self) -> Member {
+        Member {
+            id: self.shared.replica.status().id,
+            name: self.shared.identity.name.clone(),
+            hall: self.shared.hall.clone(),
+            peer: self.shared.me,
+            ops: self.shared.ops,
+            replaces: None,
+        }
+    }
+
+    /// Returns the replica of the log.
+    pub fn replica(&self) -> &Replica {
+        &self.shared.replica
+    }
+
+    /// Returns the name, keys and clock towards peers.
+    pub fn identity(&self) -> &PeerIdentity {
+        &self.shared.identity
+    }
+
+    /// Returns the committed configuration that this host has reached.
+    pub fn held_document(&self) -> Option<Arc<Document>> {
+        self.shared.machine.held()
+    }
+
+    /// Returns the peer addresses of all members of the cluster.
+    pub(crate) fn controls(&self) -> Vec<SocketAddr> {
+        let members = self.shared.replica.status().members;
+        members.all().map(|member| member.peer).collect()
+    }
+
+    /// Returns how many targets are known and how many entry hosts are heard here.
+    pub fn counts(&self) -> (usize, usize) {
+        let state = self.lock();
+        let targets = state.registry.records().count();
+        let gateways = state
+            .subscribers
+            .values()
+            .filter(|one| one.gateway.is_some());
+        (targets, gateways.count())
+    }
+
+    pub(crate) fn record(&self, code: EventCode, detail: &str) {
+        self.shared.recorder.record(code, "", detail);
+    }
+
+    /// Takes what another control host knows of targets.
+    pub fn take_from_control(&self, update: DirectoryUpdate, now: Instant) {
+        for record in update.targets {
+            let (id, detail) = (record.id.clone(), describe_target(&record));
+            let change = self.lock().registry.take_record(record, now);
+            self.note_change(&id, &detail, change);
+        }
+        for heard in &update.heard {
+            let change = self.lock().registry.take_heard(heard, now);
+            self.note_change(&heard.id, "heard by another control host", change);
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, NodeState> {
+        // Every change of the state is whole before anything can fail.
+        self.shared
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn wake(&self) {
+        self.shared.changed.send_modify(|count| *count += 1);
+    }
+
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.shared.changed.subscribe()
+    }
+}
+
+fn describe_target(record: &TargetRecord) -> String {
+    format!(
+        "service={} address={} hall={} state={:?} sequence={}",
+        record.service, record.address, record.hall, record.state, record.sequence
+    )
+}
+
+async fn expire_targets(node: DirectoryNode) {
+    loop {
+        sleep(EXPIRY_TICK).await;
+        let span = node.shared.timing.silence;
+        let silent = node.lock().registry.expire(Instant::now(), span);
+        for id in &silent {
+            let detail = format!("silent_ms={}", span.as_millis());
+            node.shared
+                .recorder
+                .record(EventCode::TargetSilent, id, detail);
+        }
+        if !silent.is_empty() {
+            node.wake();
+        }
+    }
+}
+
+async fn announce_documents(node: DirectoryNode) {
+    let mut changes = node.shared.machine.changes();
+    while changes.changed().await.is_ok() {
+        node.wake();
+    }
+}
--- /dev/null
+++ b/crates/directory/src/registry.rs
@@ -0,0 +1,218 @@
+//! The targets that registered themselves, as one control host knows them.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use crate::message::HeardTarget;
+use crate::{TargetRecord, TargetState};
+
+/// How long a target that left is remembered, so that a late heartbeat does not bring it back.
+const GONE_KEPT: Duration = Duration::from_secs(600);
+
+/// How long a heartbeat is passed on to other control hosts.
+pub(crate) const HEARD_WINDOW: Duration = Duration::from_millis(1_000);
+
+/// What a heartbeat or a word of another control host changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RegistryChange {
+    /// Nothing that followers need to know.
+    Nothing,
+    /// The target is new, or serves again.
+    Registered,
+    /// The target takes no new work from now on.
+    Withdrawn,
+}
+
+struct Held {
+    record: TargetRecord,
+    heard: Instant,
+    /// Number of the change that last altered the record.
+    changed: u64,
+    /// When a heartbeat last came to this host itself.
+    heard_here: Option<Instant>,
+}
+
+/// Targets by identity.
+///
+/// Invariant: the state of a target only goes from ready to draining to gone, whatever order its
+/// words arrive in and through whichever control host.
+#[derive(Default)]
+pub struct Registry {
+    held: HashMap<String, Held>,
+    number: u64,
+}
+
+impl Registry {
+    /// Creates an empty registry.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the number of the newest change.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Takes a heartbeat that came to this host.
+    pub fn take_heartbeat(&mut self, record: TargetRecord, now: Instant) -> RegistryChange {
+        let id = record.id.clone();
+        let change = self.merge(record, now, now);
+        if let Some(held) = self.held.get_mut(&id) {
+            held.heard_here = Some(now);
+        }
+        change
+    }
+
+    /// Takes the word of a target that it leaves; `None` where the target is not known.
+    pub fn take_leave(&mut self, id: &str, now: Instant) -> Option<RegistryChange> {
+        let mut record = self.held.get(id)?.record.clone();
+        record.state = TargetState::Gone;
+        Some(self.merge(record, now, now))
+    }
+
+    /// Takes a record from another control host.
+    pub fn take_record(&mut self, record: TargetRecord, now: Instant) -> RegistryChange {
+        if !record.silent {
+            // How lately the target was heard comes apart from its record. Until then it is taken
+            // as heard now, so that it is not called silent before its next heartbeat.
+            return self.merge(record, now, now);
+        }
+        match self.held.get(&record.id) {
+            // Silence there is no news here: this host may have heard the target itself.
+            Some(held) if held.record.state >= record.state => RegistryChange::Nothing,
+            Some(held) => {
+                let mut known = held.record.clone();
+                known.state = record.state;
+                let heard = held.heard;
+                self.merge(known, heard, now)
+            }
+            None => self.insert(record, now, now),
+        }
+    }
+
+    /// Takes the news that another control host heard a target.
+    pub fn take_heard(&mut self, heard: &HeardTarget, now: Instant) -> RegistryChange {
+        let Some(held) = self.held.get_mut(&heard.id) else {
+            return RegistryChange::Nothing;
+        };
+        let at = now
+            .checked_sub(Duration::from_millis(heard.age_ms))
+            .unwrap_or(now);
+        held.heard = held.heard.max(at);
+        held.record.sequence = held.record.sequence.max(heard.sequence);
+        if held.record.silent {
+            held.record.silent = false;
+            self.number += 1;
+            held.changed = self.number;
+            return RegistryChange::Registered;
+        }
+        RegistryChange::Nothing
+    }
+
+    /// Marks targets that were not heard for `span` as silent and forgets those long gone; returns
+    /// the identities that became silent.
+    pub fn expire(&mut self, now: Instant, span: Duration) -> Vec<String> {
+        self.held.retain(|_, held| {
+            held.record.state != TargetState::Gone || now - held.heard < GONE_KEPT
+        });
+        let mut silent = Vec::new();
+        for held in self.held.values_mut() {
+            let late = now.saturating_duration_since(held.heard) > span;
+            if late && !held.record.silent && held.record.state != TargetState::Gone {
+                held.record.silent = true;
+                self.number += 1;
+                held.changed = self.number;
+                silent.push(held.record.id.clone());
+            }
+        }
+        silent
+    }
+
+    /// Returns the records that changed after a change number.
+    pub fn changed_after(&self, number: u64) -> Vec<TargetRecord> {
+        let changed = self.held.values().filter(|held| held.changed > number);
+        changed.map(|held| held.record.clone()).collect()
+    }
+
+    /// Returns every record.
+    pub fn records(&self) -> impl Iterator<Item = &TargetRecord> {
+        self.held.values().map(|held| &held.record)
+    }
+
+    /// Returns the heartbeats that came to this host within the last [`HEARD_WINDOW`].
+    ///
+    /// Every subscriber gets each heartbeat a few times over, so that none keeps its own record of
+    /// what was passed on.
+    pub fn heard_lately(&self, now: Instant) -> Vec<HeardTarget> {
+        let lately = self.held.values().filter_map(|held| {
+            let age = now.saturating_duration_since(held.heard_here?);
+            (age < HEARD_WINDOW).then(|| HeardTarget {
+                id: held.record.id.clone(),
+                sequence: held.record.sequence,
+                age_ms: age.as_millis() as u64,
+            })
+        });
+        lately.collect()
+    }
+
+    fn merge(&mut self, record: TargetRecord, heard: Instant, now: Instant) -> RegistryChange {
+        let Some(held) = self.held.get_mut(&record.id) else {
+            return self.insert(record, heard, now);
+        };
+        let state = held.record.state.max(record.state);
+        let newer = record.sequence > held.record.sequence;
+        let before = held.record.clone();
+        if newer {
+            held.record = record;
+        }
+        held.record.state = state;
+        held.record.silent = before.silent && heard <= held.heard;
+        held.heard = held.heard.max(heard);
+        let worsened = state > before.state;
+        let differs = worsened
+            || before.silent != held.record.silent
+            || held.record.address != before.address
+            || held.record.slots != before.slots;
+        if !differs {
+            return RegistryChange::Nothing;
+        }
+        self.number += 1;
+        held.changed = self.number;
+        if worsened {
+            RegistryChange::Withdrawn
+        } else {
+            RegistryChange::Registered
+        }
+    }
+
+    fn insert(&mut self, record: TargetRecord, heard: Instant, now: Instant) -> RegistryChange {
+        self.retire_former(&record, now);
+        let state = record.state;
+        self.number += 1;
+        let held = Held {
+            heard,
+            changed: self.number,
+            heard_here: None,
+            record,
+        };
+        self.held.insert(held.record.id.clone(), held);
+        if state == TargetState::Ready {
+            RegistryChange::Registered
+        } else {
+            RegistryChange::Withdrawn
+        }
+    }
+
+    // An address belongs to one start at a time, so a new start there ends the one before.
+    fn retire_former(&mut self, record: &TargetRecord, now: Instant) {
+        let former = self.held.values_mut().filter(|held| {
+            held.record.address == record.address && held.record.state != TargetState::Gone
+        });
+        for held in former {
+            held.record.state = TargetState::Gone;
+            held.heard = now;
+            self.number += 1;
+            held.changed = self.number;
+        }
+    }
+}
--- /dev/null
+++ b/crates/directory/src/serve.rs
@@ -0,0 +1,231 @@
+//! Serves subscribers and calls on a control host.
+
+use std::time::{Duration, Instant};
+
+use linnet_quorum::{MemberChange, ProposeError};
+use linnet_wire::{PeerReader, PeerWriter, WireError};
+use tokio::time::timeout;
+
+use crate::message::{DirectoryCall, DirectoryReply};
+use crate::node::SubscriberState;
+use crate::{DirectoryNode, DirectoryUpdate, GatewayRecord, SubscriberHello, SubscriberReport};
+
+/// Between two signs of life to a subscriber.
+pub(crate) const UPDATE_PERIOD: Duration = Duration::from_millis(400);
+
+/// A side that is silent for so long is taken as lost.
+pub(crate) const SILENCE_LIMIT: Duration = Duration::from_millis(1_600);
+
+/// How long a call may take to come in.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What was pushed to one subscriber so far.
+struct Pushed {
+    control: bool,
+    version: u64,
+    number: u64,
+    gateways: Option<Vec<GatewayRecord>>,
+    controls: Vec<std::net::SocketAddr>,
+}
+
+/// Pushes the directory to one subscriber until it is lost.
+///
+/// # Errors
+///
+/// [`WireError`] of the connection.
+pub async fn serve_subscriber(
+    node: &DirectoryNode,
+    mut reader: PeerReader,
+    mut writer: PeerWriter,
+) -> Result<(), WireError> {
+    let Ok(hello) = timeout(SILENCE_LIMIT, reader.receive::<SubscriberHello>()).await else {
+        return Ok(());
+    };
+    let hello = hello?;
+    let number = add_subscriber(node, hello.control);
+    let taking = take_reports(node, number, reader);
+    let pushing = push_updates(node, &hello, &mut writer);
+    // Either half ending means that the subscriber is lost.
+    let outcome = tokio::select! {
+        outcome = taking => outcome,
+        outcome = pushing => outcome,
+    };
+    remove_subscriber(node, number);
+    outcome
+}
+
+fn add_subscriber(node: &DirectoryNode, control: bool) -> u64 {
+    let mut state = node.lock();
+    state.next_subscriber += 1;
+    let number = state.next_subscriber;
+    let subscriber = SubscriberState {
+        control,
+        acknowledged: 0,
+        gateway: None,
+    };
+    state.subscribers.insert(number, subscriber);
+    number
+}
+
+fn remove_subscriber(node: &DirectoryNode, number: u64) {
+    let mut state = node.lock();
+    state.subscribers.remove(&number);
+    state.gateways_changed += 1;
+    drop(state);
+    node.wake();
+}
+
+async fn take_reports(
+    node: &DirectoryNode,
+    number: u64,
+    mut reader: PeerReader,
+) -> Result<(), WireError> {
+    while let Ok(report) = timeout(SILENCE_LIMIT, reader.receive::<SubscriberReport>()).await {
+        let report = report?;
+        let mut state = node.lock();
+        let Some(subscriber) = state.subscribers.get_mut(&number) else {
+            return Ok(());
+        };
+        let wakes =
+            subscriber.acknowledged != report.acknowledged || subscriber.gateway != report.gateway;
+        if subscriber.gateway != report.gateway {
+            subscriber.gateway = report.gateway;
+            state.gateways_changed += 1;
+        }
+        if let Some(subscriber) = state.subscribers.get_mut(&number) {
+            subscriber.acknowledged = report.acknowledged;
+        }
+        drop(state);
+        if wakes {
+            node.wake();
+        }
+    }
+    Ok(())
+}
+
+async fn push_updates(
+    node: &DirectoryNode,
+    hello: &SubscriberHello,
+    writer: &mut PeerWriter,
+) -> Result<(), WireError> {
+    let mut changes = node.changes();
+    let mut pushed = Pushed {
+        control: hello.control,
+        version: hello.document_version,
+        number: 0,
+        gateways: None,
+        controls: Vec::new(),
+    };
+    let mut last_sent: Option<Instant> = None;
+    loop {
+        changes.mark_unchanged();
+        let update = next_update(node, &mut pushed);
+        let due = last_sent.is_none_or(|at| at.elapsed() >= UPDATE_PERIOD);
+        if due || !is_empty(&update) {
+            last_sent = Some(Instant::now());
+            match timeout(SILENCE_LIMIT, writer.send(&update)).await {
+                Ok(sent) => sent?,
+                Err(_) => return Ok(()),
+            }
+        }
+        let _ = timeout(UPDATE_PERIOD, changes.changed()).await;
+    }
+}
+
+fn is_empty(update: &DirectoryUpdate) -> bool {
+    update.document.is_none()
+        && update.targets.is_empty()
+        && update.gateways.is_none()
+        && update.controls.is_none()
+        && update.heard.is_empty()
+}
+
+fn next_update(node: &DirectoryNode, pushed: &mut Pushed) -> DirectoryUpdate {
+    let mut update = DirectoryUpdate::default();
+    if let Some(held) = node.held_document()
+        && held.version > pushed.version
+    {
+        pushed.version = held.version;
+        update.document = Some((*held).clone());
+    }
+    let controls = node.controls();
+    if controls != pushed.controls {
+        pushed.controls.clone_from(&controls);
+        update.controls = Some(controls);
+    }
+    let state = node.lock();
+    update.number = state.registry.number();
+    if update.number > pushed.number {
+        update.targets = state.registry.changed_after(pushed.number);
+        pushed.number = update.number;
+    }
+    let heard = state.subscribers.values();
+    let mut gateways: Vec<GatewayRecord> = heard.filter_map(|one| one.gateway.clone()).collect();
+    gateways.sort();
+    if pushed.gateways.as_ref() != Some(&gateways) {
+        pushed.gateways = Some(gateways.clone());
+        update.gateways = Some(gateways);
+    }
+    if pushed.control {
+        update.heard = state.registry.heard_lately(Instant::now());
+    }
+    update
+}
+
+/// Answers one call.
+///
+/// # Errors
+///
+/// [`WireError`] of the connection.
+pub async fn serve_call(
+    node: &DirectoryNode,
+    mut reader: PeerReader,
+    mut writer: PeerWriter,
+) -> Result<(), WireError> {
+    let Ok(request) = timeout(CALL_TIMEOUT, reader.receive::<DirectoryCall>()).await else {
+        return Ok(());
+    };
+    let reply = answer_call(node, request?).await;
+    writer.send(&reply).await
+}
+
+async fn answer_call(node: &DirectoryNode, request: DirectoryCall) -> DirectoryReply {
+    match request {
+        DirectoryCall::Identify => {
+            let status = node.replica().status();
+            DirectoryReply::Identity {
+                member: node.member(),
+                cluster: status.cluster,
+                members: status.members,
+                leader: status.leader,
+                unled: status.last.index == 1,
+            }
+        }
+        DirectoryCall::Form { cluster, founders } => {
+            match node.replica().form(cluster, founders).await {
+                Ok(()) => DirectoryReply::Done,
+                Err(error) => DirectoryReply::Refused(error.to_string()),
+            }
+        }
+        DirectoryCall::Join(member) => {
+            let change = MemberChange::Add(member);
+            reply_of(
+                node.replica()
+                    .change_members(&change)
+                    .await
+                    .map(|()| Vec::new()),
+            )
+        }
+        DirectoryCall::Command(command) => reply_of(node.replica().propose(command).await),
+    }
+}
+
+fn reply_of(outcome: Result<Vec<u8>, ProposeError>) -> DirectoryReply {
+    match outcome {
+        Ok(answer) => DirectoryReply::Answer(answer),
+        Err(ProposeError::NotLeader { leader }) => {
+            DirectoryReply::NotLeader(leader.map(|member| member.peer))
+        }
+        Err(error) => DirectoryReply::Refused(error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/directory/src/view.rs
@@ -0,0 +1,131 @@
+//! The directory as an entry host sees it through all control hosts that it follows.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+use crate::{DirectoryUpdate, Document, GatewayRecord, TargetRecord, TargetState};
+
+/// What one control host told.
+#[derive(Default)]
+struct Source {
+    targets: HashMap<String, TargetRecord>,
+    gateways: Vec<GatewayRecord>,
+    connected: bool,
+}
+
+/// The union of what the control hosts told.
+///
+/// Invariants: the configuration only moves to a higher version; a target that any control host
+/// called withdrawn stays withdrawn. What a lost control host told stays until another one is
+/// heard, so a data hall that is cut off goes on with what it knows.
+#[derive(Default)]
+pub struct DirectoryView {
+    document: Option<Document>,
+    sources: BTreeMap<SocketAddr, Source>,
+    withdrawn: BTreeMap<String, TargetState>,
+}
+
+impl DirectoryView {
+    /// Creates an empty view.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes an update; says whether it brought a newer configuration.
+    pub fn take(&mut self, from: SocketAddr, update: DirectoryUpdate) -> bool {
+        let source = self.sources.entry(from).or_default();
+        if !source.connected {
+            // A control host that comes back tells everything it knows anew.
+            *source = Source::default();
+            source.connected = true;
+        }
+        for record in update.targets {
+            if record.state > TargetState::Ready {
+                let known = self
+                    .withdrawn
+                    .entry(record.id.clone())
+                    .or_insert(record.state);
+                *known = record.state.max(*known);
+            }
+            source.targets.insert(record.id.clone(), record);
+        }
+        if let Some(gateways) = update.gateways {
+            source.gateways = gateways;
+        }
+        self.take_document(update.document)
+    }
+
+    fn take_document(&mut self, offered: Option<Document>) -> bool {
+        let held = self
+            .document
+            .as_ref()
+            .map_or(0, |document| document.version);
+        match offered {
+            Some(document) if self.document.is_none() || document.version > held => {
+                self.document = Some(document);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Notes that a control host was lost.
+    pub fn lose(&mut self, from: SocketAddr) {
+        if let Some(source) = self.sources.get_mut(&from) {
+            source.connected = false;
+        }
+        if self.sources.values().any(|source| source.connected) {
+            self.sources.retain(|_, source| source.connected);
+        }
+    }
+
+    /// Returns the newest configuration that was told.
+    pub fn document(&self) -> Option<&Document> {
+        self.document.as_ref()
+    }
+
+    /// Says whether any control host is heard.
+    pub fn is_connected(&self) -> bool {
+        self.sources.values().any(|source| source.connected)
+    }
+
+    /// Returns every target that takes new work as far as is known.
+    pub fn ready_targets(&self) -> Vec<TargetRecord> {
+        let mut ready: BTreeMap<&str, &TargetRecord> = BTreeMap::new();
+        for source in self.sources.values() {
+            for (id, record) in &source.targets {
+                if record.silent || self.withdrawn.contains_key(id) {
+                    continue;
+                }
+                let known = ready.entry(id).or_insert(record);
+                if record.sequence > known.sequence {
+                    *known = record;
+                }
+            }
+        }
+        ready.into_values().cloned().collect()
+    }
+
+    /// Returns every entry host that any control host hears, by name.
+    pub fn gateways(&self) -> Vec<GatewayRecord> {
+        let all = self.sources.values().flat_map(|source| &source.gateways);
+        let mut by_name: BTreeMap<&str, &GatewayRecord> = BTreeMap::new();
+        for gateway in all {
+            let known = by_name.entry(&gateway.name).or_insert(gateway);
+            if gateway.stopping {
+                *known = gateway;
+            }
+        }
+        by_name.into_values().cloned().collect()
+    }
+
+    /// Forgets withdrawn targets that no control host names any more.
+    pub fn forget_unnamed(&mut self) {
+        let named: BTreeSet<&String> = self
+            .sources
+            .values()
+            .flat_map(|source| source.targets.keys())
+            .collect();
+        self.withdrawn.retain(|id, _| named.contains(id));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ask.rs
@@ -0,0 +1,216 @@
+//! A caller's request, read once into typed form.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri, header};
+
+use linnet_routing::{Route, RouteTable};
+
+use crate::dialect::HeaderNames;
+use crate::gateway::OpenRequest;
+use crate::{Refusal, RefusalReason};
+
+/// The most pieces that a request may ask of one stage.
+const MAX_PIECES: u32 = 4_096;
+
+/// A request that passed its checks.
+pub(crate) struct Ask {
+    pub(crate) id: String,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Route,
+    pub(crate) account: Option<String>,
+    pub(crate) priority: u8,
+    pub(crate) config_version: u64,
+    pub(crate) arrived: Instant,
+    /// When the caller or the route gives it up.
+    pub(crate) deadline: Instant,
+    pub(crate) prompt: Option<Prompt>,
+    pub(crate) piece_counts: Vec<u32>,
+    pub(crate) piece_key: String,
+    /// Counts the request as in flight until its answer has ended.
+    pub(crate) open: Option<OpenRequest>,
+}
+
+/// A prompt by its cached parts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Prompt {
+    pub(crate) tokens_in: u64,
+    pub(crate) tokens_out: u64,
+    /// The last part that other requests share; empty where there is none.
+    pub(crate) shared_part: String,
+    /// Tokens of all shared parts.
+    pub(crate) shared_tokens: u64,
+}
+
+impl Ask {
+    /// Returns the time until the request is given up.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns the time until the objective is missed.
+    pub(crate) fn objective_left(&self) -> Duration {
+        let objective = Duration::from_millis(self.route.objective_ms);
+        objective.saturating_sub(self.arrived.elapsed())
+    }
+}
+
+/// Reads the head of a request against the configuration.
+pub(crate) fn read_ask(
+    table: &RouteTable,
+    names: &HeaderNames,
+    head: http::request::Parts,
+    arrived: Instant,
+) -> Result<Ask, Refusal> {
+    let host = head
+        .headers
+        .get(header::HOST)
+        .and_then(|value| value.to_str().ok())
+        .or_else(|| head.uri.host())
+        .unwrap_or_default();
+    let route = table
+        .find_route(host, head.uri.path())
+        .ok_or_else(|| Refusal::new(RefusalReason::NoRoute, "no route for host and path"))?;
+    let account = find_account(table, route, &head.headers)?;
+    let id = text(&head.headers, &names.request_id)
+        .unwrap_or_default()
+        .to_owned();
+    let deadline = read_deadline(&head.headers, names, route)?;
+    let prompt = read_prompt(&head.headers, names)?;
+    let piece_counts = read_counts(&head.headers, names, route)?;
+    let piece_key = text(&head.headers, &names.piece_key)
+        .unwrap_or_default()
+        .to_owned();
+    Ok(Ask {
+        id,
+        priority: account
+            .as_ref()
+            .and_then(|account| account.1)
+            .unwrap_or(route.priority),
+        account: account.map(|account| account.0),
+        route: route.clone(),
+        config_version: table.config().version,
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        body: Bytes::new(),
+        arrived,
+        deadline: arrived + deadline,
+        prompt,
+        piece_counts,
+        piece_key,
+        open: None,
+    })
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+type AccountFound = Option<(String, Option<u8>)>;
+
+fn find_account(
+    table: &RouteTable,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<AccountFound, Refusal> {
+    if !table.needs_key(route) {
+        return Ok(None);
+    }
+    let shown = text(headers, &header::AUTHORIZATION);
+    let key = shown.and_then(|value| value.strip_prefix("Bearer "));
+    let account = key.and_then(|key| table.find_account(key.trim()));
+    match account {
+        Some(account) => Ok(Some((account.name.clone(), account.priority))),
+        None => {
+            let detail = format!(
+                "key missing or unknown to version {}",
+                table.config().version
+            );
+            Err(Refusal::new(RefusalReason::Unauthorized, detail))
+        }
+    }
+}
+
+fn bad(header: &http::HeaderName, wanted: &str) -> Refusal {
+    let detail = format!("{header}: wanted {wanted}");
+    Refusal::new(RefusalReason::BadRequest, detail)
+}
+
+fn read_deadline(
+    headers: &HeaderMap,
+    names: &HeaderNames,
+    route: &Route,
+) -> Result<Duration, Refusal> {
+    let longest = route.timeout_ms;
+    let given = match headers.get(&names.deadline_ms) {
+        None => longest,
+        Some(value) => value
+            .to_str()
+            .ok()
+            .and_then(|value| value.trim().parse().ok())
+            .ok_or_else(|| bad(&names.deadline_ms, "milliseconds"))?,
+    };
+    Ok(Duration::from_millis(longest.min(given)))
+}
+
+fn read_prompt(headers: &HeaderMap, names: &HeaderNames) -> Result<Option<Prompt>, Refusal> {
+    let Some(tokens) = text(headers, &names.tokens) else {
+        return Ok(None);
+    };
+    let wanted = || bad(&names.tokens, "IN,OUT");
+    let (tokens_in, tokens_out) = tokens.split_once(',').ok_or_else(wanted)?;
+    let tokens_in = tokens_in.trim().parse().map_err(|_| wanted())?;
+    let tokens_out = tokens_out.trim().parse().map_err(|_| wanted())?;
+    let parts = text(headers, &names.prompt_parts).unwrap_or_default();
+    let parts = parts
+        .split(',')
+        .filter(|part| !part.trim().is_empty())
+        .map(|part| {
+            let (id, tokens) = part.trim().split_once(':')?;
+            Some((id, tokens.parse::<u64>().ok()?))
+        })
+        .collect::<Option<Vec<_>>>()
+        .ok_or_else(|| bad(&names.prompt_parts, "ID:TOKENS,..."))?;
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    Ok(Some(Prompt {
+        tokens_in,
+        tokens_out,
+        shared_part: shared
+            .last()
+            .map_or_else(String::new, |part| part.0.to_owned()),
+        shared_tokens: shared.iter().map(|part| part.1).sum(),
+    }))
+}
+
+fn read_counts(
+    headers: &HeaderMap,
+    names: &HeaderNames,
+    route: &Route,
+) -> Result<Vec<u32>, Refusal> {
+    if route.stages.is_empty() {
+        return Ok(Vec::new());
+    }
+    // Without the header every stage has one piece.
+    let Some(counts) = text(headers, &names.piece_counts) else {
+        return Ok(vec![1; route.stages.len()]);
+    };
+    let counts: Option<Vec<u32>> = counts
+        .split(',')
+        .map(|count| {
+            count
+                .trim()
+                .parse()
+                .ok()
+                .filter(|count| *count <= MAX_PIECES)
+        })
+        .collect();
+    let mut counts = counts.ok_or_else(|| bad(&names.piece_counts, "COUNT,..."))?;
+    // A configuration that changed a moment ago may have another number of stages.
+    counts.resize(route.stages.len(), 0);
+    Ok(counts)
+}
--- /dev/null
+++ b/crates/gateway/src/coordinator.rs
@@ -0,0 +1,10 @@
+//! Gathers the pieces of stages from all entry hosts into calls.
+//!
+//! One entry host gathers for a service, so it knows which targets are free, what waits and how
+//! much memory the results take. Should two hosts gather for one service, as when a data hall is
+//! cut off, targets refuse the calls that are too many and the pieces wait on.
+
+mod call;
+mod queue;
+
+pub(crate) use queue::{BatchKey, Coordinator};
--- /dev/null
+++ b/crates/gateway/src/coordinator/call.rs
@@ -0,0 +1,143 @@
+//! Calls to stage targets.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::{BodyExt, Full};
+use linnet_telemetry::EventCode;
+use tokio::time::{sleep, timeout};
+
+use super::queue::{CallEnd, Coordinator, DueCall};
+use crate::dialect::StageItem;
+
+/// How much longer than expected a call may take, as a factor and a span.
+const SLACK_FACTOR: f64 = 2.5;
+const SLACK: Duration = Duration::from_millis(400);
+
+/// How long a release of results may take.
+const FREE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+pub(super) async fn run_call(coordinator: Rc<Coordinator>, call: DueCall) {
+    let started = Instant::now();
+    let bound = call.expected.mul_f64(SLACK_FACTOR) + SLACK;
+    let end = match timeout(bound, send_call(&coordinator, &call)).await {
+        Ok(end) => end,
+        Err(_) => CallEnd::Failed(format!("no answer within {} ms", bound.as_millis())),
+    };
+    note_end(&coordinator, &call, &end, started.elapsed());
+    let service = call.service.clone();
+    if let Some(rest) = coordinator.finish_call(call, end) {
+        sleep(rest).await;
+        coordinator.dispatch(&service);
+    }
+}
+
+fn note_end(coordinator: &Coordinator, call: &DueCall, end: &CallEnd, took: Duration) {
+    let (code, outcome) = match end {
+        CallEnd::Answered(results) => {
+            let made = results.iter().filter(|result| result.is_ok()).count();
+            (EventCode::StageCallFinished, format!("made={made}"))
+        }
+        CallEnd::Busy => (EventCode::StageCallFailed, "cause=busy".to_owned()),
+        CallEnd::OtherTarget => (EventCode::StageCallFailed, "cause=other target".to_owned()),
+        CallEnd::Failed(cause) => (EventCode::StageCallFailed, format!("cause={cause}")),
+    };
+    let requests: Vec<&str> = call
+        .pieces
+        .iter()
+        .map(|waiting| waiting.piece.request.as_str())
+        .collect();
+    let detail = format!(
+        "service={} pieces={} took_ms={} expected_ms={} {outcome} requests={}",
+        call.service,
+        call.pieces.len(),
+        took.as_millis(),
+        call.expected.as_millis(),
+        requests.join(",")
+    );
+    coordinator.recorder.record(code, &call.target, detail);
+}
+
+async fn send_call(coordinator: &Coordinator, call: &DueCall) -> CallEnd {
+    let targets = &coordinator.dialect.targets;
+    let names = &coordinator.dialect.headers;
+    let now = Instant::now();
+    let left = |deadline: Instant| deadline.saturating_duration_since(now).as_millis() as u64;
+    let items: Vec<StageItem<'_>> = call
+        .pieces
+        .iter()
+        .map(|waiting| StageItem {
+            piece: &waiting.piece,
+            remaining_ms: left(waiting.deadline),
+        })
+        .collect();
+    let longest = items
+        .iter()
+        .map(|item| item.remaining_ms)
+        .max()
+        .unwrap_or(0);
+    let body = (targets.encode_stage_run)(&items);
+    let request = Request::post(targets.stage_run_path)
+        .header(header::HOST, call.address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(&names.deadline_ms, longest)
+        .header(&names.expect_target, &call.target)
+        .body(Full::new(Bytes::from(body)));
+    let request = match request {
+        Ok(request) => request,
+        Err(error) => return CallEnd::Failed(error.to_string()),
+    };
+    let (answer, lease) = match coordinator.pool.send(call.address, request).await {
+        Ok(answered) => answered,
+        Err(error) => return CallEnd::Failed(error.to_string()),
+    };
+    let (head, body) = answer.into_parts();
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return CallEnd::Failed(error.to_string()),
+    };
+    lease.finish(&head.headers);
+    if head.status == targets.other_target {
+        return CallEnd::OtherTarget;
+    }
+    if head.headers.contains_key(&names.not_run) {
+        return CallEnd::Busy;
+    }
+    if !head.status.is_success() {
+        return CallEnd::Failed(format!("status {}", head.status.as_u16()));
+    }
+    match (targets.decode_stage_run)(&body) {
+        Some(results) if results.len() == call.pieces.len() => CallEnd::Answered(results),
+        Some(results) => CallEnd::Failed(format!("{} results", results.len())),
+        None => CallEnd::Failed("no answer in the dialect".to_owned()),
+    }
+}
+
+/// Tells a target that results are not needed any more. A lost word costs only the time until the
+/// results expire by themselves.
+pub(super) async fn free_results(
+    coordinator: Rc<Coordinator>,
+    address: SocketAddr,
+    handles: Vec<String>,
+) {
+    let targets = &coordinator.dialect.targets;
+    let body = (targets.encode_stage_free)(&handles);
+    let request = Request::post(targets.stage_free_path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)));
+    let Ok(request) = request else {
+        return;
+    };
+    let work = async {
+        let (answer, lease) = coordinator.pool.send(address, request).await.ok()?;
+        let (head, body) = answer.into_parts();
+        body.collect().await.ok()?;
+        lease.finish(&head.headers);
+        Some(())
+    };
+    let _ = timeout(FREE_TIMEOUT, work).await;
+}
--- /dev/null
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -0,0 +1,522 @@
+//! Pieces that wait, targets that are free, and which go together.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use linnet_directory::TargetRecord;
+use linnet_routing::{RouteTable, StagePool};
+use linnet_telemetry::EventRecorder;
+
+use crate::piece::{PieceBatch, PieceFault, PieceSpec};
+use crate::upstream::UpstreamPool;
+use crate::{Dialect, coordinator::call};
+
+/// Results smaller than this may lie in any data hall.
+const HALL_BYTES: u64 = 256 * 1024;
+
+/// How often a piece is given to a target before it counts as failed.
+const MAX_TRIES: u32 = 3;
+
+/// Sizes of results are told about; this much room is kept beside them.
+const ROOM_MARGIN: f64 = 1.05;
+
+/// Names one batch of pieces at its coordinator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct BatchKey(u64);
+
+type Reply = Box<dyn FnOnce(Vec<Result<String, PieceFault>>)>;
+
+struct Batch {
+    reply: Option<Reply>,
+    results: Vec<Option<Result<String, PieceFault>>>,
+}
+
+/// A piece that waits or is in a call.
+#[derive(Clone)]
+pub(crate) struct Waiting {
+    pub(crate) batch: BatchKey,
+    pub(crate) place: usize,
+    priority: u8,
+    pub(crate) deadline: Instant,
+    hall: Option<String>,
+    result_bytes: u64,
+    pub(crate) piece: PieceSpec,
+    tries: u32,
+}
+
+struct HeldResult {
+    bytes: u64,
+    until: Instant,
+}
+
+/// A target of a stage pool.
+struct StageTarget {
+    address: SocketAddr,
+    hall: String,
+    /// Calls of this host that are at work there.
+    busy: u32,
+    /// Bytes that the results of those calls will take.
+    reserved: u64,
+    results: HashMap<String, HeldResult>,
+    rest_until: Option<Instant>,
+}
+
+impl StageTarget {
+    fn used_bytes(&self) -> u64 {
+        let held: u64 = self.results.values().map(|result| result.bytes).sum();
+        held + self.reserved
+    }
+
+    fn is_free(&self, slots: u32, now: Instant) -> bool {
+        let resting = self.rest_until.is_some_and(|until| until > now);
+        !resting && self.busy < slots
+    }
+}
+
+struct PoolQueue {
+    spec: StagePool,
+    targets: BTreeMap<String, StageTarget>,
+    /// In the order in which they are served.
+    waiting: Vec<Waiting>,
+}
+
+/// A call that is due.
+pub(crate) struct DueCall {
+    pub(crate) service: String,
+    pub(crate) target: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) expected: Duration,
+    pub(crate) pieces: Vec<Waiting>,
+    reserved: u64,
+}
+
+/// How a call ended as a whole.
+pub(crate) enum CallEnd {
+    /// An outcome for each piece.
+    Answered(Vec<Result<String, PieceFault>>),
+    /// The target did not run it and is busy.
+    Busy,
+    /// Another start of a target is at the address.
+    OtherTarget,
+    /// No usable answer.
+    Failed(String),
+}
+
+#[derive(Default)]
+struct QueueState {
+    pools: HashMap<String, PoolQueue>,
+    batches: HashMap<BatchKey, Batch>,
+    next_batch: u64,
+    records: Vec<TargetRecord>,
+}
+
+/// Gathers pieces for the services that this host was chosen for.
+pub(crate) struct Coordinator {
+    pub(crate) dialect: Dialect,
+    pub(crate) pool: UpstreamPool,
+    pub(crate) recorder: Arc<EventRecorder>,
+    state: RefCell<QueueState>,
+}
+
+impl Coordinator {
+    pub(crate) fn new(dialect: Dialect, pool: UpstreamPool, recorder: Arc<EventRecorder>) -> Self {
+        Self {
+            dialect,
+            pool,
+            recorder,
+            state: RefCell::default(),
+        }
+    }
+
+    /// Takes the stage pools of a configuration.
+    pub(crate) fn set_services(&self, table: &RouteTable) {
+        let mut state = self.state.borrow_mut();
+        for service in &table.config().services {
+            let Some(spec) = &service.stage_pool else {
+                continue;
+            };
+            match state.pools.get_mut(&service.name) {
+                Some(pool) => pool.spec = spec.clone(),
+                None => {
+                    let pool = PoolQueue {
+                        spec: spec.clone(),
+                        targets: BTreeMap::new(),
+                        waiting: Vec::new(),
+                    };
+                    state.pools.insert(service.name.clone(), pool);
+                }
+            }
+        }
+        let records = std::mem::take(&mut state.records);
+        state.set_targets(&records);
+        state.records = records;
+    }
+
+    /// Takes the list of targets that take work.
+    pub(crate) fn set_targets(self: &Rc<Self>, records: &[TargetRecord]) {
+        let services: Vec<String> = {
+            let mut state = self.state.borrow_mut();
+            state.set_targets(records);
+            state.records = records.to_vec();
+            state.pools.keys().cloned().collect()
+        };
+        for service in services {
+            self.dispatch(&service);
+        }
+    }
+
+    /// Takes a batch; `reply` is called once, with an outcome for each piece.
+    pub(crate) fn submit(
+        self: &Rc<Self>,
+        batch: PieceBatch,
+        reply: impl FnOnce(Vec<Result<String, PieceFault>>) + 'static,
+    ) -> Option<BatchKey> {
+        let count = batch.pieces.len();
+        let now = Instant::now();
+        let refused = {
+            let state = self.state.borrow();
+            match state.pools.get(&batch.service) {
+                None => Some(PieceFault::Lost),
+                Some(pool) if pool.targets.is_empty() => Some(PieceFault::Failed),
+                Some(pool) if pool.is_too_late(&batch, now) => Some(PieceFault::Refused),
+                Some(_) => None,
+            }
+        };
+        if let Some(fault) = refused {
+            reply(vec![Err(fault); count]);
+            return None;
+        }
+        let service = batch.service.clone();
+        let key = self.state.borrow_mut().enqueue(batch, Box::new(reply), now);
+        self.dispatch(&service);
+        Some(key)
+    }
+
+    /// Forgets a batch; what is at work already goes on and its results are released.
+    pub(crate) fn cancel(&self, key: BatchKey) {
+        let mut state = self.state.borrow_mut();
+        state.batches.remove(&key);
+        for pool in state.pools.values_mut() {
+            pool.waiting.retain(|waiting| waiting.batch != key);
+        }
+    }
+
+    /// Releases results of a service.
+    pub(crate) fn free(self: &Rc<Self>, service: &str, handles: Vec<String>) {
+        let calls = self.state.borrow_mut().take_results(service, handles);
+        for (address, handles) in calls {
+            ntex::rt::spawn(call::free_results(self.clone(), address, handles));
+        }
+        self.dispatch(service);
+    }
+
+    /// Starts every call that a free target can take.
+    pub(crate) fn dispatch(self: &Rc<Self>, service: &str) {
+        let due = self.state.borrow_mut().due_calls(service, Instant::now());
+        for call in due {
+            ntex::rt::spawn(call::run_call(self.clone(), call));
+        }
+    }
+
+    /// Takes the end of a call and serves what waits. Returns how long the target rests, after
+    /// which [`Coordinator::dispatch`] is due again.
+    pub(crate) fn finish_call(self: &Rc<Self>, call: DueCall, end: CallEnd) -> Option<Duration> {
+        let service = call.service.clone();
+        let (rest, unclaimed, replies) = self.state.borrow_mut().finish_call(call, end);
+        for (reply, results) in replies {
+            reply(results);
+        }
+        if unclaimed.is_empty() {
+            self.dispatch(&service);
+        } else {
+            self.free(&service, unclaimed);
+        }
+        rest
+    }
+}
+
+type Finished = (
+    Option<Duration>,
+    Vec<String>,
+    Vec<(Reply, Vec<Result<String, PieceFault>>)>,
+);
+
+impl QueueState {
+    fn set_targets(&mut self, records: &[TargetRecord]) {
+        for (name, pool) in &mut self.pools {
+            let wanted: BTreeMap<&str, &TargetRecord> = records
+                .iter()
+                .filter(|record| record.service == *name)
+                .map(|record| (record.id.as_str(), record))
+                .collect();
+            // A target that is leaving keeps what it holds until its call has ended.
+            pool.targets
+                .retain(|id, target| wanted.contains_key(id.as_str()) || target.busy > 0);
+            for (id, target) in &mut pool.targets {
+                if !wanted.contains_key(id.as_str()) {
+                    target.rest_until = Some(Instant::now() + Duration::from_secs(3_600));
+                }
+            }
+            for (id, record) in wanted {
+                pool.targets
+                    .entry(id.to_owned())
+                    .or_insert_with(|| StageTarget {
+                        address: record.address,
+                        hall: record.hall.clone(),
+                        busy: 0,
+                        reserved: 0,
+                        results: HashMap::new(),
+                        rest_until: None,
+                    });
+            }
+        }
+    }
+
+    fn enqueue(&mut self, batch: PieceBatch, reply: Reply, now: Instant) -> BatchKey {
+        self.next_batch += 1;
+        let key = BatchKey(self.next_batch);
+        let count = batch.pieces.len();
+        let entry = Batch {
+            reply: Some(reply),
+            results: vec![None; count],
+        };
+        self.batches.insert(key, entry);
+        let deadline = now + Duration::from_millis(batch.remaining_ms);
+        let hall = batch.hall.filter(|_| batch.result_bytes >= HALL_BYTES);
+        let Some(pool) = self.pools.get_mut(&batch.service) else {
+            return key;
+        };
+        for (place, piece) in batch.pieces.into_iter().enumerate() {
+            pool.waiting.push(Waiting {
+                batch: key,
+                place,
+                priority: batch.priority,
+                deadline,
+                hall: hall.clone(),
+                result_bytes: batch.result_bytes,
+                piece,
+                tries: 0,
+            });
+        }
+        // Stable: among equals the earlier batch is first.
+        pool.waiting
+            .sort_by_key(|waiting| (waiting.priority, waiting.batch));
+        key
+    }
+
+    fn due_calls(&mut self, service: &str, now: Instant) -> Vec<DueCall> {
+        let Some(pool) = self.pools.get_mut(service) else {
+            return Vec::new();
+        };
+        pool.forget_expired(now);
+        pool.due_calls(service, now)
+    }
+
+    fn take_results(
+        &mut self,
+        service: &str,
+        handles: Vec<String>,
+    ) -> Vec<(SocketAddr, Vec<String>)> {
+        let mut calls: BTreeMap<SocketAddr, Vec<String>> = BTreeMap::new();
+        let Some(pool) = self.pools.get_mut(service) else {
+            return Vec::new();
+        };
+        for handle in handles {
+            let holder = pool
+                .targets
+                .values_mut()
+                .find_map(|target| target.results.remove(&handle).map(|_| target.address));
+            if let Some(address) = holder {
+                calls.entry(address).or_default().push(handle);
+            }
+        }
+        calls.into_iter().collect()
+    }
+
+    fn finish_call(&mut self, call: DueCall, end: CallEnd) -> Finished {
+        let now = Instant::now();
+        let mut unclaimed = Vec::new();
+        let mut replies = Vec::new();
+        let mut rest = None;
+        let Some(pool) = self.pools.get_mut(&call.service) else {
+            return (None, unclaimed, replies);
+        };
+        let ttl = Duration::from_millis(pool.spec.result_ttl_ms);
+        if let Some(target) = pool.targets.get_mut(&call.target) {
+            target.busy = target.busy.saturating_sub(1);
+            target.reserved = target.reserved.saturating_sub(call.reserved);
+            rest = match &end {
+                CallEnd::Answered(_) => None,
+                CallEnd::Busy => Some(Duration::from_millis(40)),
+                CallEnd::Failed(_) => Some(Duration::from_millis(1_000)),
+                CallEnd::OtherTarget => Some(Duration::from_secs(3_600)),
+            };
+            if let Some(rest) = rest {
+                target.rest_until = Some(now + rest);
+            }
+        }
+        let outcomes: Vec<Result<String, PieceFault>> = match end {
+            CallEnd::Answered(outcomes) => outcomes,
+            CallEnd::Busy | CallEnd::OtherTarget => {
+                vec![Err(PieceFault::NoRoom); call.pieces.len()]
+            }
+            CallEnd::Failed(_) => vec![Err(PieceFault::Failed); call.pieces.len()],
+        };
+        let mut again = Vec::new();
+        for (mut waiting, outcome) in call.pieces.into_iter().zip(outcomes) {
+            if let Ok(handle) = &outcome
+                && let Some(target) = pool.targets.get_mut(&call.target)
+            {
+                let held = HeldResult {
+                    bytes: waiting.result_bytes,
+                    until: now + ttl,
+                };
+                target.results.insert(handle.clone(), held);
+            }
+            let Some(batch) = self.batches.get_mut(&waiting.batch) else {
+                unclaimed.extend(outcome.ok());
+                continue;
+            };
+            let may_pay = matches!(outcome, Err(PieceFault::Failed | PieceFault::NoRoom));
+            if may_pay && waiting.tries + 1 < MAX_TRIES && waiting.deadline > now {
+                waiting.tries += u32::from(outcome == Err(PieceFault::Failed));
+                again.push(waiting);
+                continue;
+            }
+            batch.results[waiting.place] = Some(outcome);
+            if batch.results.iter().all(Option::is_some)
+                && let Some(mut done) = self.batches.remove(&waiting.batch)
+                && let Some(reply) = done.reply.take()
+            {
+                replies.push((reply, done.results.into_iter().flatten().collect()));
+            }
+        }
+        pool.waiting.extend(again);
+        pool.waiting
+            .sort_by_key(|waiting| (waiting.priority, waiting.batch));
+        (rest, unclaimed, replies)
+    }
+}
+
+impl PoolQueue {
+    /// Says whether a new batch would be done too late for its request.
+    fn is_too_late(&self, batch: &PieceBatch, now: Instant) -> bool {
+        let usable = self.targets.values().filter(|target| {
+            target
+                .rest_until
+                .is_none_or(|until| until < now + Duration::from_secs(2))
+        });
+        let (mut targets, mut free) = (0, 0);
+        for target in usable {
+            targets += 1;
+            free += usize::from(target.is_free(self.spec.slots, now));
+        }
+        let ahead = self
+            .waiting
+            .iter()
+            .filter(|one| one.priority <= batch.priority)
+            .count();
+        let a_round = (self.spec.batch as usize * targets * self.spec.slots as usize).max(1);
+        let full_call = self.spec.call_time_ms(self.spec.batch as usize);
+        let own = self
+            .spec
+            .call_time_ms(batch.pieces.len().min(self.spec.batch as usize));
+        let under_way = if free > 0 {
+            0.0
+        } else {
+            full_call / (targets.max(1) + 1) as f64
+        };
+        let rounds = ((ahead + batch.pieces.len()) / a_round) as f64;
+        under_way + rounds * full_call + own > batch.wanted_ms as f64
+    }
+
+    // A target that was lost never says that its results are gone.
+    fn forget_expired(&mut self, now: Instant) {
+        for target in self.targets.values_mut() {
+            target.results.retain(|_, result| result.until > now);
+        }
+    }
+
+    /// Gives waiting pieces, in their order, to free targets. One call is filled before another is
+    /// begun, so that a target stays free for the next request; a piece whose results are large
+    /// goes to its data hall where a target is free there.
+    fn due_calls(&mut self, service: &str, now: Instant) -> Vec<DueCall> {
+        let slots = self.spec.slots;
+        let mut open: BTreeMap<String, DueCall> = BTreeMap::new();
+        let mut kept = Vec::new();
+        for waiting in std::mem::take(&mut self.waiting) {
+            match self.place(&waiting, &open, slots, now) {
+                Some(id) => self.add_to_call(service, id, waiting, &mut open),
+                None => kept.push(waiting),
+            }
+        }
+        self.waiting = kept;
+        for (id, call) in &mut open {
+            let time = self.spec.call_time_ms(call.pieces.len());
+            call.expected = Duration::from_secs_f64(time / 1_000.0);
+            if let Some(target) = self.targets.get_mut(id) {
+                target.busy += 1;
+            }
+        }
+        open.into_values().collect()
+    }
+
+    fn place(
+        &self,
+        waiting: &Waiting,
+        open: &BTreeMap<String, DueCall>,
+        slots: u32,
+        now: Instant,
+    ) -> Option<String> {
+        let fits = |id: &str, target: &StageTarget| {
+            let in_call = open.get(id).map_or(0, |call| call.pieces.len());
+            let used = target.used_bytes();
+            let after = (used + waiting.result_bytes) as f64 * ROOM_MARGIN;
+            let room = used == 0 || after <= self.spec.result_memory_bytes as f64;
+            in_call < self.spec.batch as usize && room && target.is_free(slots, now)
+        };
+        let elsewhere = |target: &StageTarget| {
+            waiting
+                .hall
+                .as_ref()
+                .is_some_and(|hall| *hall != target.hall)
+        };
+        let candidates = self.targets.iter().filter(|(id, target)| fits(id, target));
+        candidates
+            .min_by_key(|(id, target)| {
+                (
+                    elsewhere(target),
+                    !open.contains_key(*id),
+                    target.used_bytes(),
+                )
+            })
+            .map(|(id, _)| id.clone())
+    }
+
+    fn add_to_call(
+        &mut self,
+        service: &str,
+        id: String,
+        waiting: Waiting,
+        open: &mut BTreeMap<String, DueCall>,
+    ) {
+        let Some(target) = self.targets.get_mut(&id) else {
+            return;
+        };
+        target.reserved += waiting.result_bytes;
+        let call = open.entry(id.clone()).or_insert_with(|| DueCall {
+            service: service.to_owned(),
+            target: id,
+            address: target.address,
+            expected: Duration::ZERO,
+            pieces: Vec::new(),
+            reserved: 0,
+        });
+        call.reserved += waiting.result_bytes;
+        call.pieces.push(waiting);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine.rs
@@ -0,0 +1,112 @@
+//! Choosing a model engine: where the prompt is cached, unless others wait there too long.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::ask::Prompt;
+use crate::rendezvous;
+use crate::target::TargetBook;
+
+/// Prompt tokens that an engine is first taken to read in a millisecond.
+const FIRST_TOKENS_PER_MS: f64 = 40.0;
+
+/// Weight of a new measurement of the reading speed.
+const SPEED_GAIN: f64 = 0.05;
+
+/// What one more running request adds to the cost of an engine, in milliseconds.
+const RUNNING_COST_MS: f64 = 3.0;
+
+/// Prompts shorter than this say nothing about the reading speed.
+const MEASURED_TOKENS: u64 = 2_000;
+
+/// The choice of engines, with what was learned of them.
+pub(crate) struct EngineChoice {
+    tokens_per_ms: f64,
+}
+
+/// A target that was chosen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Chosen {
+    pub(crate) id: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) hall: String,
+}
+
+impl Default for EngineChoice {
+    fn default() -> Self {
+        Self {
+            tokens_per_ms: FIRST_TOKENS_PER_MS,
+        }
+    }
+}
+
+impl EngineChoice {
+    /// Chooses an engine, passing over those in `avoid`.
+    ///
+    /// The engine that every host ranks first for the shared part is taken to hold it; on any other
+    /// the shared part has to be read anew, which counts like a wait.
+    pub(crate) fn choose(
+        &self,
+        book: &TargetBook,
+        service: &str,
+        prompt: &Prompt,
+        avoid: &[String],
+        now: Instant,
+    ) -> Option<Chosen> {
+        let usable = book.usable(service, now);
+        let mut candidates: Vec<_> = usable
+            .iter()
+            .filter(|one| !avoid.contains(&one.id))
+            .collect();
+        if candidates.is_empty() {
+            candidates = usable.iter().collect();
+        }
+        let rank = |id: &str| rendezvous::score(&prompt.shared_part, id);
+        let home = candidates
+            .iter()
+            .max_by_key(|one| rank(&one.id))?
+            .id
+            .clone();
+        let reading_ms = |tokens: u64| tokens as f64 / self.tokens_per_ms;
+        let cost = |id: &str, unread: u64, in_flight: u32| {
+            let missing = if id == home || prompt.shared_part.is_empty() {
+                0.0
+            } else {
+                reading_ms(prompt.shared_tokens)
+            };
+            reading_ms(unread) + missing + f64::from(in_flight) * RUNNING_COST_MS
+        };
+        let best = candidates.into_iter().min_by(|a, b| {
+            let cost_a = cost(&a.id, a.unread_tokens, a.in_flight);
+            let cost_b = cost(&b.id, b.unread_tokens, b.in_flight);
+            cost_a
+                .total_cmp(&cost_b)
+                .then(rank(&b.id).cmp(&rank(&a.id)))
+        })?;
+        Some(Chosen {
+            id: best.id.clone(),
+            address: best.address,
+            hall: best.hall.clone(),
+        })
+    }
+
+    /// Returns about how long an engine reads a prompt of which it holds nothing.
+    pub(crate) fn reading_time(&self, tokens: u64) -> Duration {
+        Duration::from_secs_f64(tokens as f64 / self.tokens_per_ms / 1_000.0)
+    }
+
+    /// Learns from the time that a prompt took until its first event. Waits make engines look
+    /// slower, so that a prompt that was fast counts more.
+    pub(crate) fn learn(&mut self, tokens: u64, took: Duration) {
+        if tokens < MEASURED_TOKENS || took.is_zero() {
+            return;
+        }
+        let speed = tokens as f64 / (took.as_secs_f64() * 1_000.0);
+        let gain = if speed > self.tokens_per_ms {
+            SPEED_GAIN
+        } else {
+            SPEED_GAIN / 4.0
+        };
+        self.tokens_per_ms += (speed.min(self.tokens_per_ms * 2.0) - self.tokens_per_ms) * gain;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,260 @@
+//! What the tasks of one entry host share.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use linnet_directory::{DirectoryUpdate, DirectoryView, GatewayRecord};
+use linnet_routing::{RouteTable, RoutingConfig};
+use linnet_telemetry::{EventCode, EventRecorder};
+use linnet_wire::PeerIdentity;
+use tokio::sync::watch;
+
+use crate::Dialect;
+use crate::budget::{BudgetRule, RetryBudget};
+use crate::coordinator::Coordinator;
+use crate::engine::EngineChoice;
+use crate::metrics::GatewayMetrics;
+use crate::stage_client::StageClient;
+use crate::target::TargetBook;
+use crate::upstream::UpstreamPool;
+
+/// Reads a valid configuration from the bytes of a document.
+pub type ConfigReader = Box<dyn Fn(&[u8]) -> Result<RoutingConfig, String>>;
+
+/// What a gateway needs to start.
+pub struct GatewayConfig {
+    /// How callers and targets speak.
+    pub dialect: Dialect,
+    /// Reads the configuration.
+    pub read_config: ConfigReader,
+    /// Name, keys and clock towards peers.
+    pub identity: PeerIdentity,
+    /// Where events go.
+    pub recorder: Arc<EventRecorder>,
+    /// Name of this host.
+    pub name: String,
+    /// Its data hall.
+    pub hall: String,
+    /// Where other entry hosts reach it.
+    pub peer: SocketAddr,
+    /// Repeated sendings that are allowed in any window, as a part of the requests.
+    pub retry_ratio: f64,
+    /// Repeated sendings that are allowed beyond that, over all hosts.
+    pub retry_slack: f64,
+    /// The window.
+    pub retry_window: Duration,
+}
+
+/// What the tasks of one entry host share; all on one thread.
+pub struct Gateway {
+    pub(crate) config: GatewayConfig,
+    pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
+    pub(crate) view: RefCell<DirectoryView>,
+    pub(crate) targets: RefCell<TargetBook>,
+    pub(crate) pool: UpstreamPool,
+    pub(crate) budget: RefCell<RetryBudget>,
+    pub(crate) engines: RefCell<EngineChoice>,
+    pub(crate) stages: StageClient,
+    pub(crate) coordinator: Rc<Coordinator>,
+    pub(crate) stopping: Cell<bool>,
+    pub(crate) open_requests: Cell<usize>,
+    /// Metrics of this host.
+    pub metrics: GatewayMetrics,
+    gateway_record: watch::Sender<Option<GatewayRecord>>,
+}
+
+impl Gateway {
+    /// Creates a gateway that knows nothing yet, and starts its tasks.
+    pub fn new(config: GatewayConfig) -> Rc<Self> {
+        let record = GatewayRecord {
+            name: config.name.clone(),
+            hall: config.hall.clone(),
+            peer: config.peer,
+            stopping: false,
+        };
+        let pool = UpstreamPool::default();
+        let metrics = GatewayMetrics::new();
+        let coordinator = Rc::new(Coordinator::new(
+            config.dialect.clone(),
+            pool.clone(),
+            config.recorder.clone(),
+        ));
+        let rule = BudgetRule {
+            ratio: config.retry_ratio,
+            slack: config.retry_slack,
+            window: config.retry_window,
+        };
+        let gateway = Rc::new(Self {
+            stages: StageClient::new(
+                config.identity.clone(),
+                config.name.clone(),
+                coordinator.clone(),
+            ),
+            table: RefCell::default(),
+            view: RefCell::default(),
+            targets: RefCell::default(),
+            budget: RefCell::new(RetryBudget::new(rule)),
+            engines: RefCell::default(),
+            coordinator,
+            pool,
+            stopping: Cell::new(false),
+            open_requests: Cell::new(0),
+            metrics,
+            gateway_record: watch::Sender::new(Some(record)),
+            config,
+        });
+        ntex::rt::spawn(keep_house(gateway.clone()));
+        gateway
+    }
+
+    /// Returns a receiver of this host's record, for the control hosts.
+    pub fn record(&self) -> watch::Receiver<Option<GatewayRecord>> {
+        self.gateway_record.subscribe()
+    }
+
+    /// Returns the version of the configuration that is in force here; 0 for none.
+    pub fn config_version(&self) -> u64 {
+        let table = self.table.borrow();
+        table.as_ref().map_or(0, |table| table.config().version)
+    }
+
+    /// Says whether new callers should come here.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.table.borrow().is_some()
+    }
+
+    /// Returns how many requests are in flight.
+    pub fn open_requests(&self) -> usize {
+        self.open_requests.get()
+    }
+
+    /// Begins a planned stop: callers should go elsewhere, what is in flight goes on.
+    pub fn begin_stop(&self) {
+        self.stopping.set(true);
+        self.gateway_record.send_modify(|record| {
+            if let Some(record) = record {
+                record.stopping = true;
+            }
+        });
+    }
+
+    /// Takes an update of the directory.
+    pub fn take_update(&self, from: SocketAddr, update: DirectoryUpdate) {
+        let targets_changed = !update.targets.is_empty();
+        let newer = self.view.borrow_mut().take(from, update);
+        if newer {
+            self.put_in_force();
+        }
+        self.refresh(targets_changed);
+    }
+
+    /// Hears that a control host was lost.
+    pub fn lose_control(&self, from: SocketAddr) {
+        self.view.borrow_mut().lose(from);
+        self.refresh(true);
+    }
+
+    fn put_in_force(&self) {
+        let view = self.view.borrow();
+        let Some(document) = view.document() else {
+            return;
+        };
+        match (self.config.read_config)(&document.body) {
+            Ok(config) => {
+                let detail = format!(
+                    "version={} routes={} services={} accounts={}",
+                    config.version,
+                    config.routes.len(),
+                    config.services.len(),
+                    config.accounts.len()
+                );
+                let table = Rc::new(RouteTable::new(config));
+                self.coordinator.set_services(&table);
+                *self.table.borrow_mut() = Some(table);
+                self.note(EventCode::RoutingInForce, &detail);
+            }
+            // Control hosts check before they accept, so this is a newer program's form.
+            Err(fault) => self.note(EventCode::RoutingRefused, &fault),
+        }
+    }
+
+    fn refresh(&self, targets_changed: bool) {
+        let view = self.view.borrow();
+        self.stages.set_gateways(view.gateways());
+        if !targets_changed {
+            return;
+        }
+        let ready = view.ready_targets();
+        self.targets.borrow_mut().replace(&ready);
+        self.coordinator.set_targets(&ready);
+        let addresses: std::collections::HashSet<SocketAddr> =
+            ready.iter().map(|target| target.address).collect();
+        self.pool.retain(|address| addresses.contains(address));
+    }
+
+    /// Returns how many entry hosts are known, this one among them.
+    pub(crate) fn gateway_count(&self) -> usize {
+        self.stages.gateway_count()
+    }
+
+    pub(crate) fn note(&self, code: EventCode, detail: &str) {
+        self.config.recorder.record(code, "", detail);
+    }
+
+    pub(crate) fn note_request(&self, code: EventCode, id: &str, peer: &str, detail: String) {
+        self.config.recorder.record_request(code, id, peer, detail);
+    }
+
+    /// Notes that a target failed; it may be left alone for a while.
+    pub(crate) fn note_target_failure(&self, service: &str, id: &str, cause: &str) {
+        let now = Instant::now();
+        if self.targets.borrow_mut().note_failure(service, id, now) {
+            let detail = format!("service={service} cause={cause}");
+            self.config
+                .recorder
+                .record(EventCode::TargetEjected, id, detail);
+        }
+    }
+}
+
+/// Counts a request as in flight until it is dropped.
+pub(crate) struct OpenRequest(Rc<Gateway>);
+
+impl OpenRequest {
+    pub(crate) fn new(gateway: &Rc<Gateway>) -> Self {
+        gateway.open_requests.set(gateway.open_requests.get() + 1);
+        Self(gateway.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
+    }
+}
+
+/// Between two rounds of closing what has rested too long.
+const HOUSE_PERIOD: Duration = Duration::from_millis(500);
+
+async fn keep_house(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(HOUSE_PERIOD).await;
+        gateway.pool.close_rested();
+        gateway.view.borrow_mut().forget_unnamed();
+        gateway
+            .metrics
+            .connections_opened
+            .set(gateway.pool.opened() as i64);
+        gateway
+            .metrics
+            .requests_open
+            .set(gateway.open_requests.get() as i64);
+        gateway
+            .metrics
+            .config_version
+            .set(gateway.config_version() as i64);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,34 @@
+//! The data path of an entry host: takes callers' requests, runs their stages, sends them to
+//! targets and passes the answers on.
+//!
+//! - [`Gateway`] is what one process shares: configuration, targets, connections, counters.
+//! - [`Dialect`] is how callers and targets speak; the gateway itself knows no names of theirs.
+//! - [`serve_callers`] runs the callers' port, [`serve_pieces`] the port for other entry hosts.
+
+mod answer;
+mod ask;
+mod body;
+mod budget;
+mod coordinator;
+mod dialect;
+mod engine;
+mod events;
+mod forward;
+mod gateway;
+mod graph;
+mod metrics;
+mod outcome;
+mod piece;
+mod relay;
+mod rendezvous;
+mod serve;
+mod stage_client;
+mod target;
+mod upstream;
+
+pub use body::{AnswerBody, BrokenAnswer};
+pub use dialect::{CallerDialect, Dialect, HeaderNames, StageAnswer, StageItem, TargetDialect};
+pub use gateway::{Gateway, GatewayConfig};
+pub use outcome::{Refusal, RefusalReason};
+pub use piece::{PieceFault, PieceInput, PieceSpec};
+pub use serve::{serve_callers, serve_pieces};
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,104 @@
+//! Counters and histograms of an entry host.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+/// Labels of a finished request. Routes and accounts are not among them, so that the number of
+/// series stays bounded.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabels {
+    /// `ok`, a failing status class of the target, or the reason of a refusal.
+    pub outcome: String,
+    /// Rank of the request.
+    pub priority: u8,
+}
+
+/// Metrics of an entry host.
+#[derive(Clone)]
+pub struct GatewayMetrics {
+    /// All of them, for the metrics page.
+    pub registry: Arc<Mutex<Registry>>,
+    pub(crate) requests: Family<OutcomeLabels, Counter>,
+    pub(crate) first_answer: Histogram,
+    pub(crate) stage_time: Histogram,
+    pub(crate) attempts_failed: Counter,
+    pub(crate) connections_opened: Gauge,
+    pub(crate) requests_open: Gauge,
+    pub(crate) config_version: Gauge,
+}
+
+impl GatewayMetrics {
+    /// Creates and registers the metrics.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("linnet_gateway");
+        let times = || Histogram::new(exponential_buckets(0.005, 2.0, 12));
+        let metrics = Self {
+            registry: Arc::default(),
+            requests: Family::default(),
+            first_answer: times(),
+            stage_time: times(),
+            attempts_failed: Counter::default(),
+            connections_opened: Gauge::default(),
+            requests_open: Gauge::default(),
+            config_version: Gauge::default(),
+        };
+        registry.register("requests", "Requests by outcome", metrics.requests.clone());
+        registry.register_with_unit(
+            "first_answer",
+            "Time to the answer, or to the first event of a stream",
+            Unit::Seconds,
+            metrics.first_answer.clone(),
+        );
+        registry.register_with_unit(
+            "stages",
+            "Time that all stages of a request took",
+            Unit::Seconds,
+            metrics.stage_time.clone(),
+        );
+        registry.register(
+            "attempts_failed",
+            "Sendings to a target without a usable answer",
+            metrics.attempts_failed.clone(),
+        );
+        registry.register(
+            "connections_opened",
+            "Connections to targets opened since the start",
+            metrics.connections_opened.clone(),
+        );
+        registry.register(
+            "requests_open",
+            "Requests in flight",
+            metrics.requests_open.clone(),
+        );
+        registry.register(
+            "config_version",
+            "Version of the routing configuration in force",
+            metrics.config_version.clone(),
+        );
+        *metrics
+            .registry
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = registry;
+        metrics
+    }
+
+    pub(crate) fn count(&self, outcome: &str, priority: u8) {
+        let labels = OutcomeLabels {
+            outcome: outcome.to_owned(),
+            priority,
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/piece.rs
@@ -0,0 +1,99 @@
+//! Pieces of stages, and what entry hosts tell each other of them.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// What a piece works on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PieceInput {
+    /// A key that the caller gave.
+    Key(String),
+    /// Handles of results of earlier stages.
+    Results(Vec<String>),
+}
+
+/// One piece of one stage of one request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PieceSpec {
+    /// The request.
+    pub request: String,
+    /// The stage of its route, from 0.
+    pub stage: usize,
+    /// The piece of the stage, from 0.
+    pub number: u32,
+    /// What it works on.
+    pub input: PieceInput,
+}
+
+/// Why there is no result of a piece.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+pub enum PieceFault {
+    /// The time that was left had run out.
+    #[display("late")]
+    Late,
+    /// A result that it works on is gone.
+    #[display("input gone")]
+    InputGone,
+    /// The target has no memory for the result.
+    #[display("no room")]
+    NoRoom,
+    /// The target failed.
+    #[display("failed")]
+    Failed,
+    /// The queue is too long for the time that is left; nothing was started.
+    #[display("queue too long")]
+    Refused,
+    /// The host that gathers the pieces could not be reached or was lost.
+    #[display("coordinator lost")]
+    Lost,
+}
+
+/// All pieces of one stage of one request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PieceBatch {
+    /// Number of the batch on its connection.
+    pub number: u64,
+    /// The service that runs them.
+    pub service: String,
+    /// Rank of the request; 0 is the most urgent.
+    pub priority: u8,
+    /// Time within which the batch has to be done for the request to meet its objective, in
+    /// milliseconds.
+    pub wanted_ms: u64,
+    /// Time until the request is given up, in milliseconds.
+    pub remaining_ms: u64,
+    /// The data hall where the results will be taken, where that matters.
+    pub hall: Option<String>,
+    /// About how large one result is, in bytes.
+    pub result_bytes: u64,
+    /// The pieces.
+    pub pieces: Vec<PieceSpec>,
+}
+
+/// What an entry host sends to the one that gathers the pieces of a service.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum PieceRequest {
+    /// Run these.
+    Run(PieceBatch),
+    /// The batch is not wanted any more.
+    Cancel(u64),
+    /// These results of a service are not needed any more.
+    Free {
+        service: String,
+        handles: Vec<String>,
+    },
+    /// A sign of life.
+    Alive,
+}
+
+/// What the host that gathers pieces answers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum PieceReply {
+    /// Every piece of the batch has an outcome.
+    Done {
+        number: u64,
+        results: Vec<Result<String, PieceFault>>,
+    },
+    /// A sign of life.
+    Alive,
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,193 @@
+//! Passes a stream of events on to the caller, and goes on at another target where that is allowed.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::Response;
+use http_body_util::BodyExt;
+use linnet_telemetry::EventCode;
+use tokio::time::timeout;
+
+use crate::answer::answer_of;
+use crate::ask::Ask;
+use crate::body::BrokenAnswer;
+use crate::engine::Chosen;
+use crate::events::last_event_id;
+use crate::forward::{Attempt, AttemptEnd, EventStream, choose, send_attempt, take_repeat};
+use crate::graph::RequestResults;
+use crate::{AnswerBody, Gateway};
+
+/// What a stream needs to go on.
+pub(crate) struct Relay {
+    gateway: Rc<Gateway>,
+    ask: Rc<Ask>,
+    service: String,
+    chosen: Chosen,
+    /// Kept where the stream may have to begin anew elsewhere.
+    results: Option<RequestResults>,
+    tried: Vec<String>,
+    attempts: u32,
+    last_event: Option<String>,
+    events: u64,
+}
+
+impl Relay {
+    pub(crate) fn new(
+        gateway: &Rc<Gateway>,
+        ask: &Rc<Ask>,
+        service: String,
+        chosen: Chosen,
+        results: Option<RequestResults>,
+        attempts: u32,
+    ) -> Self {
+        let keeps = ask.route.may_repeat() && attempts < ask.route.max_attempts;
+        Self {
+            gateway: gateway.clone(),
+            ask: ask.clone(),
+            service,
+            tried: vec![chosen.id.clone()],
+            chosen,
+            // The target has taken the results with its first event.
+            results: results.filter(|_| keeps),
+            attempts,
+            last_event: None,
+            events: 0,
+        }
+    }
+
+    fn take(&mut self, events: &Bytes) {
+        self.events += 1;
+        if let Some(id) = last_event_id(events) {
+            self.last_event = Some(id);
+        }
+    }
+
+    fn note(&self, code: EventCode, outcome: &str) {
+        let detail = format!(
+            "route={} chunks={} last_event={} took_ms={} {outcome}",
+            self.ask.route.name,
+            self.events,
+            self.last_event.as_deref().unwrap_or("-"),
+            self.ask.arrived.elapsed().as_millis()
+        );
+        self.gateway
+            .note_request(code, &self.ask.id, &self.chosen.id, detail);
+    }
+
+    /// Finds another target that goes on with the stream.
+    async fn resume(&mut self, cause: &str) -> Option<EventStream> {
+        self.gateway
+            .note_target_failure(&self.service, &self.chosen.id, cause);
+        while self.ask.route.may_repeat()
+            && self.attempts < self.ask.route.max_attempts
+            && take_repeat(&self.gateway, &self.service)
+        {
+            self.attempts += 1;
+            let chosen = choose(&self.gateway, &self.service, &self.ask, &self.tried)?;
+            self.tried.push(chosen.id.clone());
+            let attempt = Attempt {
+                service: &self.service,
+                chosen: &chosen,
+                results: self.results.as_ref(),
+                last_event: self.last_event.as_deref(),
+            };
+            let end = send_attempt(&self.gateway, &self.ask, &attempt, false).await;
+            if let AttemptEnd::Events(stream) = end {
+                self.chosen = chosen;
+                self.note(EventCode::StreamResumed, &format!("cause={cause}"));
+                return Some(stream);
+            }
+        }
+        None
+    }
+}
+
+/// Where a stream stands.
+enum Stage {
+    /// Events that are to be handed out before more are read.
+    Holding(Relay, EventStream),
+    /// Events are to be read.
+    Reading(Relay, EventStream),
+    /// It has ended.
+    Ended,
+}
+
+/// Answers with a stream. The head is that of the first target, whichever goes on later.
+pub(crate) fn relay_events(relay: Relay, stream: EventStream) -> Response<AnswerBody> {
+    let (status, headers) = (stream.status, stream.headers.clone());
+    let chunks = stream::unfold(Stage::Holding(relay, stream), next_chunk);
+    answer_of(status, &headers, AnswerBody::Chunks(Box::pin(chunks)))
+}
+
+async fn next_chunk(stage: Stage) -> Option<(Result<Bytes, BrokenAnswer>, Stage)> {
+    let (mut relay, mut stream) = match stage {
+        Stage::Holding(mut relay, mut stream) => {
+            let first = std::mem::take(&mut stream.first);
+            relay.take(&first);
+            return Some((Ok(first), Stage::Reading(relay, stream)));
+        }
+        Stage::Reading(relay, stream) => (relay, stream),
+        Stage::Ended => return None,
+    };
+    let deadline = relay.ask.deadline.saturating_duration_since(Instant::now());
+    match timeout(deadline, read_events(&mut stream)).await {
+        Ok(Ok(Some(events))) => {
+            relay.take(&events);
+            Some((Ok(events), Stage::Reading(relay, stream)))
+        }
+        Ok(Ok(None)) => {
+            let EventStream { lease, headers, .. } = stream;
+            lease.finish(&headers);
+            relay.note(EventCode::RequestFinished, "outcome=stream ended");
+            None
+        }
+        Ok(Err(cause)) => go_on(relay, stream, &cause).await,
+        Err(_) => {
+            relay.note(EventCode::RequestFailed, "outcome=timed out in its stream");
+            Some((Err(BrokenAnswer), Stage::Ended))
+        }
+    }
+}
+
+async fn go_on(
+    mut relay: Relay,
+    stream: EventStream,
+    cause: &str,
+) -> Option<(Result<Bytes, BrokenAnswer>, Stage)> {
+    drop(stream);
+    match relay.resume(cause).await {
+        Some(mut stream) => {
+            let first = std::mem::take(&mut stream.first);
+            relay.take(&first);
+            Some((Ok(first), Stage::Reading(relay, stream)))
+        }
+        None => {
+            relay.note(
+                EventCode::RequestFailed,
+                &format!("outcome=stream cut cause={cause}"),
+            );
+            Some((Err(BrokenAnswer), Stage::Ended))
+        }
+    }
+}
+
+/// Reads until an event is whole; nothing at the end of the stream.
+async fn read_events(stream: &mut EventStream) -> Result<Option<Bytes>, String> {
+    loop {
+        match stream.rest.frame().await {
+            Some(Ok(frame)) => {
+                let bytes = frame.data_ref().map(|bytes| stream.splitter.push(bytes));
+                if let Some(Some(events)) = bytes {
+                    return Ok(Some(events));
+                }
+            }
+            Some(Err(error)) => return Err(format!("stream cut short: {error}")),
+            None => {
+                let rest = stream.splitter.rest();
+                return Ok((!rest.is_empty()).then_some(rest));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,219 @@
+//! The callers' port and the port for pieces of other entry hosts.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use linnet_telemetry::EventCode;
+use linnet_wire::{PeerReader, PeerWriter, WireError};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, timeout};
+
+use crate::answer::refusal_answer;
+use crate::ask::{Ask, read_ask};
+use crate::coordinator::BatchKey;
+use crate::forward::forward;
+use crate::gateway::OpenRequest;
+use crate::piece::{PieceReply, PieceRequest};
+use crate::stage_client::{ALIVE_PERIOD, SILENCE_LIMIT};
+use crate::{AnswerBody, Gateway, Refusal, RefusalReason};
+
+/// The least buffer that the HTTP library takes for a head, in bytes.
+const LEAST_HEAD_BUFFER: usize = 8 * 1024;
+
+/// When a caller should come back to a host that has no configuration.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Serves callers until `stop` says that connections should end, and then until they have ended.
+pub async fn serve_callers(
+    gateway: Rc<Gateway>,
+    listener: TcpListener,
+    mut stop: watch::Receiver<bool>,
+) {
+    while !*stop.borrow_and_update() {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((socket, _)) => {
+                    let _ = socket.set_nodelay(true);
+                    ntex::rt::spawn(serve_connection(gateway.clone(), socket, stop.clone()));
+                }
+                // Out of descriptors: waiting lets others end.
+                Err(_) => sleep(Duration::from_millis(20)).await,
+            },
+            _ = stop.changed() => {}
+        }
+    }
+}
+
+async fn serve_connection(
+    gateway: Rc<Gateway>,
+    socket: TcpStream,
+    mut stop: watch::Receiver<bool>,
+) {
+    let limits = {
+        let table = gateway.table.borrow();
+        table
+            .as_ref()
+            .map(|table| table.config().limits.clone())
+            .unwrap_or_default()
+    };
+    let serving = gateway.clone();
+    let service = service_fn(move |request| {
+        let gateway = serving.clone();
+        async move { Ok::<_, Infallible>(handle(gateway, request).await) }
+    });
+    let connection = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
+        .max_buf_size(limits.max_header_bytes.max(LEAST_HEAD_BUFFER))
+        .serve_connection(TokioIo::new(socket), service);
+    let mut connection = std::pin::pin!(connection);
+    loop {
+        tokio::select! {
+            // A caller that left or broke a rule of the protocol ends its connection only.
+            _ = connection.as_mut() => return,
+            changed = stop.changed() => {
+                if changed.is_err() || *stop.borrow() {
+                    connection.as_mut().graceful_shutdown();
+                    let _ = connection.as_mut().await;
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let open = OpenRequest::new(&gateway);
+    match take_request(&gateway, request).await {
+        Ok(mut ask) => {
+            ask.open = Some(open);
+            forward(gateway, ask).await
+        }
+        Err((id, refusal)) => {
+            let code = EventCode::RequestRefused;
+            gateway.metrics.count(&refusal.reason.to_string(), 0);
+            gateway.note_request(code, &id, "", format!("outcome={refusal}"));
+            refusal_answer(&gateway.config.dialect, &id, &refusal)
+        }
+    }
+}
+
+async fn take_request(
+    gateway: &Gateway,
+    request: Request<Incoming>,
+) -> Result<Ask, (String, Refusal)> {
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let names = &gateway.config.dialect.headers;
+    let id = head.headers.get(&names.request_id);
+    let id = id
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned();
+    let Some(table) = gateway.table.borrow().clone() else {
+        let refusal = Refusal::new(RefusalReason::NotReady, "no configuration yet")
+            .with_retry_after(NOT_READY_RETRY_AFTER);
+        return Err((id, refusal));
+    };
+    let mut ask =
+        read_ask(&table, names, head, arrived).map_err(|refusal| (id.clone(), refusal))?;
+    ask.body = read_body(body, table.config().limits.max_body_bytes, &ask)
+        .await
+        .map_err(|refusal| (id, refusal))?;
+    Ok(ask)
+}
+
+async fn read_body(body: Incoming, most: usize, ask: &Ask) -> Result<Bytes, Refusal> {
+    match timeout(ask.time_left(), Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let detail = format!("body over {most} bytes");
+            Err(Refusal::new(RefusalReason::BodyTooLarge, detail))
+        }
+        Ok(Err(error)) => Err(Refusal::new(RefusalReason::BadRequest, error.to_string())),
+        Err(_) => Err(Refusal::new(
+            RefusalReason::Overloaded,
+            "the body did not come in time",
+        )),
+    }
+}
+
+/// Serves the pieces of another entry host until it is lost; what it still waits for is withdrawn.
+///
+/// # Errors
+///
+/// [`WireError`] of the connection.
+pub async fn serve_pieces(
+    gateway: &Rc<Gateway>,
+    reader: PeerReader,
+    writer: PeerWriter,
+) -> Result<(), WireError> {
+    let (replies, queue) = mpsc::unbounded_channel();
+    let open: Rc<RefCell<HashMap<u64, BatchKey>>> = Rc::default();
+    let outcome = tokio::select! {
+        ended = take_pieces(gateway, reader, replies, open.clone()) => ended,
+        ended = send_replies(queue, writer) => ended,
+    };
+    let left: Vec<BatchKey> = open.borrow_mut().drain().map(|(_, key)| key).collect();
+    for key in left {
+        gateway.coordinator.cancel(key);
+    }
+    outcome
+}
+
+async fn take_pieces(
+    gateway: &Rc<Gateway>,
+    mut reader: PeerReader,
+    replies: mpsc::UnboundedSender<PieceReply>,
+    open: Rc<RefCell<HashMap<u64, BatchKey>>>,
+) -> Result<(), WireError> {
+    while let Ok(request) = timeout(SILENCE_LIMIT, reader.receive::<PieceRequest>()).await {
+        match request? {
+            PieceRequest::Run(batch) => {
+                let number = batch.number;
+                let (replies, finished) = (replies.clone(), open.clone());
+                let key = gateway.coordinator.submit(batch, move |results| {
+                    finished.borrow_mut().remove(&number);
+                    let _ = replies.send(PieceReply::Done { number, results });
+                });
+                if let Some(key) = key {
+                    open.borrow_mut().insert(number, key);
+                }
+            }
+            PieceRequest::Cancel(number) => {
+                let key = open.borrow_mut().remove(&number);
+                if let Some(key) = key {
+                    gateway.coordinator.cancel(key);
+                }
+            }
+            PieceRequest::Free { service, handles } => gateway.coordinator.free(&service, handles),
+            PieceRequest::Alive => {}
+        }
+    }
+    Ok(())
+}
+
+async fn send_replies(
+    mut queue: mpsc::UnboundedReceiver<PieceReply>,
+    mut writer: PeerWriter,
+) -> Result<(), WireError> {
+    loop {
+        let reply = match timeout(ALIVE_PERIOD, queue.recv()).await {
+            Ok(Some(reply)) => reply,
+            Ok(None) => return Ok(()),
+            Err(_) => PieceReply::Alive,
+        };
+        writer.send(&reply).await?;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/target.rs
@@ -0,0 +1,139 @@
+//! The targets that take work, as this host knows them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use linnet_directory::TargetRecord;
+
+/// Failures in a row after which a target gets no work for a while.
+const EJECT_FAILURES: u32 = 2;
+
+/// How long a target is first left alone.
+const EJECT_FIRST: Duration = Duration::from_millis(1_000);
+
+/// The longest time that a target is left alone.
+const EJECT_MOST: Duration = Duration::from_secs(8);
+
+/// Part of the targets of a service that may be left alone at one time.
+const EJECT_PART: f64 = 0.6;
+
+/// A target in work.
+#[derive(Debug, Clone)]
+pub(crate) struct Target {
+    pub(crate) id: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) hall: String,
+    pub(crate) slots: u32,
+    /// Requests of this host that are in flight there.
+    pub(crate) in_flight: u32,
+    /// Prompt tokens of this host that are not known to be read yet.
+    pub(crate) unread_tokens: u64,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+}
+
+impl Target {
+    fn new(record: &TargetRecord) -> Self {
+        Self {
+            id: record.id.clone(),
+            address: record.address,
+            hall: record.hall.clone(),
+            slots: record.slots.max(1),
+            in_flight: 0,
+            unread_tokens: 0,
+            failures: 0,
+            ejections: 0,
+            ejected_until: None,
+        }
+    }
+
+    pub(crate) fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| until > now)
+    }
+}
+
+/// The targets of every service. Ordered maps, so that runs with the same input choose alike.
+#[derive(Default)]
+pub(crate) struct TargetBook {
+    services: HashMap<String, BTreeMap<String, Target>>,
+}
+
+impl TargetBook {
+    /// Takes the list of targets that take work; what is not in it gets no more.
+    pub(crate) fn replace(&mut self, records: &[TargetRecord]) {
+        let mut former = std::mem::take(&mut self.services);
+        for record in records {
+            let known = former
+                .get_mut(&record.service)
+                .and_then(|targets| targets.remove(&record.id));
+            let mut target = known.unwrap_or_else(|| Target::new(record));
+            target.address = record.address;
+            target.slots = record.slots.max(1);
+            let service = self.services.entry(record.service.clone()).or_default();
+            service.insert(record.id.clone(), target);
+        }
+    }
+
+    /// Returns the targets of a service.
+    pub(crate) fn of_service(&self, service: &str) -> impl Iterator<Item = &Target> {
+        self.services
+            .get(service)
+            .into_iter()
+            .flat_map(BTreeMap::values)
+    }
+
+    /// Returns the targets of a service that are not left alone; all of them where all are.
+    pub(crate) fn usable(&self, service: &str, now: Instant) -> Vec<&Target> {
+        let usable: Vec<&Target> = self
+            .of_service(service)
+            .filter(|target| !target.is_ejected(now))
+            .collect();
+        if usable.is_empty() {
+            return self.of_service(service).collect();
+        }
+        usable
+    }
+
+    pub(crate) fn find_mut(&mut self, service: &str, id: &str) -> Option<&mut Target> {
+        self.services.get_mut(service)?.get_mut(id)
+    }
+
+    /// Takes a target out that proved to be another start than was meant.
+    pub(crate) fn remove(&mut self, service: &str, id: &str) {
+        if let Some(targets) = self.services.get_mut(service) {
+            targets.remove(id);
+        }
+    }
+
+    /// Notes a usable answer.
+    pub(crate) fn note_success(&mut self, service: &str, id: &str) {
+        if let Some(target) = self.find_mut(service, id) {
+            target.failures = 0;
+            target.ejections = 0;
+        }
+    }
+
+    /// Notes a failure; says whether the target is left alone from now on.
+    pub(crate) fn note_failure(&mut self, service: &str, id: &str, now: Instant) -> bool {
+        let all = self.of_service(service).count();
+        let ejected = self
+            .of_service(service)
+            .filter(|one| one.is_ejected(now))
+            .count();
+        let may_eject = ((ejected + 1) as f64) <= all as f64 * EJECT_PART;
+        let Some(target) = self.find_mut(service, id) else {
+            return false;
+        };
+        target.failures += 1;
+        if target.failures < EJECT_FAILURES || !may_eject {
+            return false;
+        }
+        let span = EJECT_FIRST * 2_u32.saturating_pow(target.ejections.min(4));
+        target.ejected_until = Some(now + span.min(EJECT_MOST));
+        target.ejections += 1;
+        target.failures = 0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/upstream.rs
@@ -0,0 +1,221 @@
+//! Connections to targets. One connection carries one request at a time.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use derive_more::Display;
+use http::{HeaderMap, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+/// How long a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// How long sent bytes may stay unacknowledged before the system gives a connection up.
+const SILENT_PEER_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// How long a connection may rest where the target does not say.
+const DEFAULT_REST: Duration = Duration::from_secs(20);
+
+/// Part of the rest that a target allows after which a connection is not used any more.
+const USED_REST_PART: f64 = 0.7;
+
+/// Why a request got no answer.
+#[derive(Debug, Display, derive_more::Error)]
+pub(crate) enum SendError {
+    /// Nothing of it reached the target.
+    #[display("connect: {_0}")]
+    #[error(ignore)]
+    NotSent(String),
+    /// It may have reached the target.
+    #[display("send: {_0}")]
+    #[error(ignore)]
+    MayHaveRun(String),
+}
+
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Dropped to close the connection at once.
+    closer: oneshot::Sender<()>,
+    rested_since: Instant,
+    rest: Duration,
+}
+
+#[derive(Default)]
+struct PoolState {
+    resting: HashMap<SocketAddr, Vec<Connection>>,
+    opened: u64,
+}
+
+/// Resting connections by address. Cheap to clone.
+#[derive(Clone, Default)]
+pub(crate) struct UpstreamPool {
+    state: Rc<RefCell<PoolState>>,
+}
+
+/// A connection in use. Dropped before [`Lease::finish`] it is closed, which tells the target that
+/// nobody waits for the answer.
+pub(crate) struct Lease {
+    pool: UpstreamPool,
+    address: SocketAddr,
+    connection: Connection,
+}
+
+impl UpstreamPool {
+    /// Returns how many connections were opened.
+    pub(crate) fn opened(&self) -> u64 {
+        self.state.borrow().opened
+    }
+
+    /// Sends a request and returns the head of the answer.
+    pub(crate) async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Lease), SendError> {
+        while let Some(mut connection) = self.take_resting(address) {
+            match connection.sender.try_send_request(request).await {
+                Ok(answer) => return Ok((answer, self.lease(address, connection))),
+                Err(mut error) => match error.take_message() {
+                    // The connection had ended; the request was never written.
+                    Some(unsent) => request = unsent,
+                    None => return Err(SendError::MayHaveRun(error.into_error().to_string())),
+                },
+            }
+        }
+        let mut connection = self.open(address).await?;
+        match connection.sender.try_send_request(request).await {
+            Ok(answer) => Ok((answer, self.lease(address, connection))),
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let cause = error.into_error().to_string();
+                Err(if unsent {
+                    SendError::NotSent(cause)
+                } else {
+                    SendError::MayHaveRun(cause)
+                })
+            }
+        }
+    }
+
+    /// Closes the resting connections to addresses that are not in use any more.
+    pub(crate) fn retain(&self, wanted: impl Fn(&SocketAddr) -> bool) {
+        self.state
+            .borrow_mut()
+            .resting
+            .retain(|address, _| wanted(address));
+    }
+
+    /// Closes connections that have rested too long.
+    pub(crate) fn close_rested(&self) {
+        for resting in self.state.borrow_mut().resting.values_mut() {
+            resting.retain(Connection::is_usable);
+        }
+    }
+
+    fn lease(&self, address: SocketAddr, connection: Connection) -> Lease {
+        Lease {
+            pool: self.clone(),
+            address,
+            connection,
+        }
+    }
+
+    fn take_resting(&self, address: SocketAddr) -> Option<Connection> {
+        let mut state = self.state.borrow_mut();
+        let resting = state.resting.get_mut(&address)?;
+        while let Some(connection) = resting.pop() {
+            if connection.is_usable() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<Connection, SendError> {
+        let socket = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(socket)) => socket,
+            Ok(Err(error)) => return Err(SendError::NotSent(error.to_string())),
+            Err(_) => return Err(SendError::NotSent("no answer in time".to_owned())),
+        };
+        let _ = socket.set_nodelay(true);
+        let _ = SockRef::from(&socket).set_tcp_user_timeout(Some(SILENT_PEER_TIMEOUT));
+        let (sender, driver) = Builder::new()
+            .handshake(TokioIo::new(socket))
+            .await
+            .map_err(|error| SendError::NotSent(error.to_string()))?;
+        let (closer, closed) = oneshot::channel::<()>();
+        ntex::rt::spawn(async move {
+            tokio::select! {
+                _ = driver => {}
+                _ = closed => {}
+            }
+        });
+        self.state.borrow_mut().opened += 1;
+        Ok(Connection {
+            sender,
+            closer,
+            rested_since: Instant::now(),
+            rest: DEFAULT_REST,
+        })
+    }
+}
+
+impl Connection {
+    fn is_usable(&self) -> bool {
+        let rested = self.rested_since.elapsed() < self.rest.mul_f64(USED_REST_PART);
+        rested && !self.sender.is_closed() && !self.closer.is_closed()
+    }
+}
+
+impl Lease {
+    /// Gives the connection back after a whole answer, unless its head said that it closes.
+    pub(crate) fn finish(self, head: &HeaderMap) {
+        let Self {
+            pool,
+            address,
+            mut connection,
+        } = self;
+        if says_close(head) {
+            return;
+        }
+        connection.rest = allowed_rest(head).unwrap_or(DEFAULT_REST);
+        connection.rested_since = Instant::now();
+        // The connection is ready for another request only once its task has seen the end of the
+        // answer. A request that was answered before its body was read is never ready again.
+        ntex::rt::spawn(async move {
+            let ready = timeout(Duration::from_millis(200), connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                let mut state = pool.state.borrow_mut();
+                state.resting.entry(address).or_default().push(connection);
+            }
+        });
+    }
+}
+
+fn says_close(head: &HeaderMap) -> bool {
+    let values = head.get_all(http::header::CONNECTION).iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|token| token.trim().eq_ignore_ascii_case("close"))
+}
+
+fn allowed_rest(head: &HeaderMap) -> Option<Duration> {
+    let value = head.get("keep-alive")?.to_str().ok()?;
+    let seconds = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))
+        .or(Some(value))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,257 @@
+//! The daemon of a control host.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use linnet_daemon::{accept_peers, exit_code, stop_signal};
+use linnet_directory::{
+    DirectoryError, DirectoryNode, DirectoryTiming, DirectoryUpdate, DocumentMachine, FollowConfig,
+    FormConfig, follow_directory, form_or_join, serve_call, serve_subscriber,
+};
+use linnet_journal::DiskOps;
+use linnet_quorum::{QuorumTiming, Replica, ReplicaConfig, serve_peer};
+use linnet_telemetry::{EventCode, EventRecorder, HybridClock};
+use linnet_wire::PeerGreeting;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::http_door::{DoorAnswer, DoorRequest, serve_door};
+use crate::metrics_page::serve_metrics;
+use crate::peers::peer_identity;
+use crate::reload::{SettingsSource, reload_settings};
+use crate::settings::NodeRole;
+use crate::{ControlAsk, ControlDialect, ControlFault, NodeDialect, NodeSettings};
+
+/// The largest body that operators may send, in bytes.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+
+/// How often the gauges are brought up to date.
+const GAUGE_PERIOD: Duration = Duration::from_secs(1);
+
+type AnyError = Box<dyn std::error::Error>;
+
+/// Runs a control host until a planned stop; must run inside an ntex runtime.
+pub async fn run_control_node(
+    path: PathBuf,
+    overrides: Vec<String>,
+    dialect: NodeDialect,
+) -> ExitCode {
+    let source = SettingsSource {
+        path,
+        overrides,
+        role: NodeRole::Control,
+    };
+    match NodeSettings::load(&source.path, &source.overrides, source.role) {
+        Ok(settings) => exit_code(serve(settings, source, dialect).await),
+        Err(fault) => {
+            eprintln!("{fault}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+async fn serve(
+    settings: NodeSettings,
+    source: SettingsSource,
+    dialect: NodeDialect,
+) -> Result<(), AnyError> {
+    let clock = Arc::new(HybridClock::new());
+    let recorder = Arc::new(EventRecorder::new(settings.name.clone(), clock.clone()));
+    let identity = peer_identity(&settings, clock)?;
+    let peers = settings.listen.peers.ok_or("listen.peers: missing")?;
+    let operators = settings
+        .listen
+        .operators
+        .ok_or("listen.operators: missing")?;
+    let data = settings
+        .cluster
+        .data
+        .clone()
+        .ok_or("cluster.data: missing")?;
+    let machine = DocumentMachine::new();
+    let config = ReplicaConfig {
+        identity: identity.clone(),
+        recorder: recorder.clone(),
+        timing: QuorumTiming::new(),
+        disk: DiskOps::new(),
+        on_fatal: Box::new(|error| {
+            log::error!(target: "linnetdale", "{error}");
+            linnet_daemon::flush_logs();
+            std::process::exit(1);
+        }),
+    };
+    let replica = Replica::start(&data, machine.hooks(), config)?;
+    let read_config = dialect.control.read_config;
+    let parser = Arc::new(move |body: &[u8]| read_config(body).map(|config| config.version));
+    let node = DirectoryNode::new(
+        replica,
+        machine,
+        parser,
+        identity.clone(),
+        recorder.clone(),
+        DirectoryTiming::new(Duration::from_millis(settings.times.heartbeat_ms)),
+        (peers, operators),
+        settings.hall.clone(),
+    );
+    let (seeds, seeds_read) = watch::channel(settings.seed_peers());
+    ntex::rt::spawn(reload_settings(source, seeds, recorder.clone()));
+
+    let serving = node.clone();
+    let serve_one = move |greeting, reader, writer| {
+        let node = serving.clone();
+        async move {
+            match greeting {
+                PeerGreeting::Quorum => serve_peer(node.replica(), reader, writer).await,
+                PeerGreeting::Directory => serve_subscriber(&node, reader, writer).await,
+                PeerGreeting::DirectoryCall => serve_call(&node, reader, writer).await,
+                _ => Ok(()),
+            }
+        }
+    };
+    let listener = TcpListener::bind(peers).await?;
+    ntex::rt::spawn(accept_peers(
+        listener,
+        identity.clone(),
+        recorder.clone(),
+        serve_one,
+    ));
+    let forming = FormConfig {
+        first_start: settings.cluster.first_start,
+        seeds: seeds_read.clone(),
+    };
+    ntex::rt::spawn(form_or_join(node.clone(), forming));
+    follow_others(&node, peers, seeds_read, &recorder);
+
+    let registry = Arc::new(Mutex::new(Registry::with_prefix("linnet_control")));
+    ntex::rt::spawn(update_gauges(node.clone(), registry.clone()));
+    if let Some(metrics) = settings.listen.metrics {
+        let listener = TcpListener::bind(metrics).await?;
+        ntex::rt::spawn(serve_metrics(listener, registry));
+    }
+    let listener = TcpListener::bind(operators).await?;
+    let answering = (Rc::new(dialect.control), node.clone());
+    ntex::rt::spawn(serve_door(listener, MAX_BODY_BYTES, move |request| {
+        let (dialect, node) = answering.clone();
+        async move { answer(&dialect, &node, request).await }
+    }));
+    let detail = format!(
+        "role=control hall={} peers={peers} operators={operators}",
+        settings.hall
+    );
+    recorder.record(EventCode::ProcessStarted, "", detail);
+    stop_signal().await?;
+    recorder.record(EventCode::StopRequested, "", "");
+    recorder.record(EventCode::ProcessStopped, "", "");
+    Ok(())
+}
+
+/// Follows the other control hosts, so that each knows every target.
+fn follow_others(
+    node: &DirectoryNode,
+    me: SocketAddr,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+    recorder: &Arc<EventRecorder>,
+) {
+    let (_, gateway) = watch::channel(None);
+    let taking = node.clone();
+    let config = FollowConfig {
+        identity: node.identity().clone(),
+        recorder: recorder.clone(),
+        gateway,
+        // The configuration comes by agreement, not from the directory of another host.
+        document_version: Box::new(|| u64::MAX),
+        control: true,
+        me,
+        seeds,
+        on_update: Box::new(move |_, update: DirectoryUpdate| {
+            taking.take_from_control(update, Instant::now());
+        }),
+        on_lost: Box::new(|_| {}),
+    };
+    ntex::rt::spawn(follow_directory(config));
+}
+
+async fn answer(
+    dialect: &ControlDialect,
+    node: &DirectoryNode,
+    request: DoorRequest,
+) -> DoorAnswer {
+    let ask = match (dialect.read)(&request.method, &request.path, &request.body) {
+        Ok(ask) => ask,
+        Err(fault) => return fault_answer(&fault),
+    };
+    let outcome = match ask {
+        ControlAsk::PutRouting => node.put_document(request.body.to_vec()).await.map(|_| None),
+        ControlAsk::ReadRouting => node.read_document().await,
+        ControlAsk::Heartbeat(record) => node.take_heartbeat(record).await.map(|()| None),
+        ControlAsk::Leave(id) => node.take_leave(&id).await.map(|()| None),
+    };
+    match outcome {
+        Ok(Some(document)) => DoorAnswer::json(StatusCode::OK, document.body),
+        Ok(None) if request.method == http::Method::GET => DoorAnswer::text(
+            StatusCode::NOT_FOUND,
+            "no configuration was ever accepted\n",
+        ),
+        Ok(None) => DoorAnswer::json(StatusCode::OK, dialect.done_body),
+        Err(error @ DirectoryError::Invalid(_)) => {
+            DoorAnswer::text(StatusCode::BAD_REQUEST, format!("{error}\n"))
+        }
+        Err(error) => DoorAnswer::text(StatusCode::SERVICE_UNAVAILABLE, format!("{error}\n")),
+    }
+}
+
+fn fault_answer(fault: &ControlFault) -> DoorAnswer {
+    let status = match fault {
+        ControlFault::NotFound => StatusCode::NOT_FOUND,
+        ControlFault::BadBody(_) => StatusCode::BAD_REQUEST,
+    };
+    DoorAnswer::text(status, format!("{fault}\n"))
+}
+
+async fn update_gauges(node: DirectoryNode, registry: Arc<Mutex<Registry>>) {
+    let gauges: [(&str, &str, Gauge); 6] = [
+        ("term", "Term of the replica", Gauge::default()),
+        ("commit_index", "Last committed index", Gauge::default()),
+        ("is_leader", "1 while the lease lasts", Gauge::default()),
+        (
+            "config_version",
+            "Version of the routing configuration",
+            Gauge::default(),
+        ),
+        ("targets", "Targets that are known", Gauge::default()),
+        (
+            "entry_hosts",
+            "Entry hosts that are heard here",
+            Gauge::default(),
+        ),
+    ];
+    if let Ok(mut registry) = registry.lock() {
+        for (name, help, gauge) in &gauges {
+            registry.register(*name, *help, gauge.clone());
+        }
+    }
+    loop {
+        let status = node.replica().status();
+        let (targets, gateways) = node.counts();
+        let values = [
+            status.term as i64,
+            status.commit as i64,
+            i64::from(status.lease_lasts),
+            node.held_document().map_or(0, |document| document.version) as i64,
+            targets as i64,
+            gateways as i64,
+        ];
+        for ((_, _, gauge), value) in gauges.iter().zip(values) {
+            gauge.set(value);
+        }
+        sleep(GAUGE_PERIOD).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/dialect.rs
@@ -0,0 +1,52 @@
+//! How operators, targets and the load balancer speak to a node.
+
+use derive_more::Display;
+use linnet_directory::TargetRecord;
+use linnet_gateway::Dialect;
+use linnet_routing::RoutingConfig;
+
+/// What a caller of a control host asks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ControlAsk {
+    /// Take the body as the routing configuration.
+    PutRouting,
+    /// Answer the newest routing configuration.
+    ReadRouting,
+    /// Take the heartbeat of a target.
+    Heartbeat(TargetRecord),
+    /// The target of this identity leaves.
+    Leave(String),
+}
+
+/// Why a control host does not know what is asked.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum ControlFault {
+    /// There is nothing at this path.
+    #[display("nothing at this path")]
+    NotFound,
+    /// The body is not what it must be.
+    #[display("{_0}")]
+    BadBody(String),
+}
+
+/// How a control host is spoken to.
+#[derive(Debug, Clone)]
+pub struct ControlDialect {
+    /// Reads method, path and body.
+    pub read: fn(&http::Method, &str, &[u8]) -> Result<ControlAsk, ControlFault>,
+    /// Reads a routing configuration; the error tells every fault.
+    pub read_config: fn(&[u8]) -> Result<RoutingConfig, String>,
+    /// The answer to what was done.
+    pub done_body: &'static str,
+}
+
+/// How a node is spoken to.
+#[derive(Debug, Clone)]
+pub struct NodeDialect {
+    /// Callers and targets.
+    pub data: Dialect,
+    /// Operators and heartbeats.
+    pub control: ControlDialect,
+    /// Path at which the load balancer asks whether the host is ready.
+    pub readiness_path: &'static str,
+}
--- /dev/null
+++ b/crates/node/src/entry.rs
@@ -0,0 +1,181 @@
+//! The daemon of an entry host.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use linnet_daemon::{accept_peers, exit_code, stop_signal};
+use linnet_directory::{FollowConfig, follow_directory};
+use linnet_gateway::{Gateway, GatewayConfig, serve_callers, serve_pieces};
+use linnet_telemetry::{EventCode, EventRecorder, HybridClock};
+use linnet_wire::PeerGreeting;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::http_door::{DoorAnswer, DoorRequest, serve_door};
+use crate::metrics_page::serve_metrics;
+use crate::peers::peer_identity;
+use crate::reload::{SettingsSource, reload_settings};
+use crate::settings::NodeRole;
+use crate::{NodeDialect, NodeSettings};
+
+/// How often a planned stop looks whether anything is in flight.
+const STOP_TICK: Duration = Duration::from_millis(50);
+
+/// Time before the bound of a planned stop at which the process ends, whatever is in flight.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+
+type AnyError = Box<dyn std::error::Error>;
+
+/// Runs an entry host until a planned stop; must run inside an ntex runtime.
+pub async fn run_entry_node(
+    path: PathBuf,
+    overrides: Vec<String>,
+    dialect: NodeDialect,
+) -> ExitCode {
+    let source = SettingsSource {
+        path,
+        overrides,
+        role: NodeRole::Entry,
+    };
+    match NodeSettings::load(&source.path, &source.overrides, source.role) {
+        Ok(settings) => exit_code(serve(settings, source, dialect).await),
+        Err(fault) => {
+            eprintln!("{fault}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+async fn serve(
+    settings: NodeSettings,
+    source: SettingsSource,
+    dialect: NodeDialect,
+) -> Result<(), AnyError> {
+    let clock = Arc::new(HybridClock::new());
+    let recorder = Arc::new(EventRecorder::new(settings.name.clone(), clock.clone()));
+    let identity = peer_identity(&settings, clock)?;
+    let peers = settings.listen.peers.ok_or("listen.peers: missing")?;
+    let callers = settings.listen.callers.ok_or("listen.callers: missing")?;
+    let readiness = settings
+        .listen
+        .readiness
+        .ok_or("listen.readiness: missing")?;
+    let gateway = Gateway::new(GatewayConfig {
+        dialect: dialect.data.clone(),
+        read_config: Box::new(dialect.control.read_config),
+        identity: identity.clone(),
+        recorder: recorder.clone(),
+        name: settings.name.clone(),
+        hall: settings.hall.clone(),
+        peer: peers,
+        retry_ratio: settings.retry.ratio,
+        retry_slack: settings.retry.slack,
+        retry_window: Duration::from_millis(settings.retry.window_ms),
+    });
+    let (seeds, seeds_read) = watch::channel(settings.seed_peers());
+    ntex::rt::spawn(reload_settings(source, seeds, recorder.clone()));
+
+    let serving = gateway.clone();
+    let serve_one = move |greeting, reader, writer| {
+        let gateway = serving.clone();
+        async move {
+            match greeting {
+                PeerGreeting::Pieces => serve_pieces(&gateway, reader, writer).await,
+                _ => Ok(()),
+            }
+        }
+    };
+    let listener = TcpListener::bind(peers).await?;
+    ntex::rt::spawn(accept_peers(
+        listener,
+        identity.clone(),
+        recorder.clone(),
+        serve_one,
+    ));
+    let (updated, lost, versioned) = (gateway.clone(), gateway.clone(), gateway.clone());
+    ntex::rt::spawn(follow_directory(FollowConfig {
+        identity,
+        recorder: recorder.clone(),
+        gateway: gateway.record(),
+        document_version: Box::new(move || versioned.config_version()),
+        control: false,
+        me: peers,
+        seeds: seeds_read,
+        on_update: Box::new(move |from, update| updated.take_update(from, update)),
+        on_lost: Box::new(move |from| lost.lose_control(from)),
+    }));
+
+    if let Some(metrics) = settings.listen.metrics {
+        let listener = TcpListener::bind(metrics).await?;
+        ntex::rt::spawn(serve_metrics(listener, gateway.metrics.registry.clone()));
+    }
+    let listener = TcpListener::bind(readiness).await?;
+    let (asked, path) = (gateway.clone(), dialect.readiness_path);
+    ntex::rt::spawn(serve_door(listener, 0, move |request: DoorRequest| {
+        let answer = answer_readiness(&asked, path, &request);
+        async move { answer }
+    }));
+    let (closing, closed) = watch::channel(false);
+    let listener = TcpListener::bind(callers).await?;
+    ntex::rt::spawn(serve_callers(gateway.clone(), listener, closed));
+    let detail = format!(
+        "role=entry hall={} callers={callers} peers={peers}",
+        settings.hall
+    );
+    recorder.record(EventCode::ProcessStarted, "", detail);
+
+    stop_signal().await?;
+    recorder.record(
+        EventCode::StopRequested,
+        "",
+        format!("open={}", gateway.open_requests()),
+    );
+    stop(&gateway, &settings, &recorder, &closing).await;
+    Ok(())
+}
+
+fn answer_readiness(gateway: &Gateway, path: &str, request: &DoorRequest) -> DoorAnswer {
+    if request.path != path {
+        return DoorAnswer::text(StatusCode::NOT_FOUND, "nothing at this path\n");
+    }
+    if gateway.is_ready() {
+        DoorAnswer::text(StatusCode::OK, "ready\n")
+    } else {
+        DoorAnswer::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    }
+}
+
+/// Readiness goes first, so that the load balancer sends callers elsewhere; then connections are
+/// closed between requests; the process ends when nothing is in flight or the bound is reached.
+async fn stop(
+    gateway: &Rc<Gateway>,
+    settings: &NodeSettings,
+    recorder: &EventRecorder,
+    closing: &watch::Sender<bool>,
+) {
+    let began = Instant::now();
+    gateway.begin_stop();
+    let leave = Duration::from_millis(settings.times.leave_ms);
+    let bound = Duration::from_millis(settings.times.stop_ms).saturating_sub(STOP_MARGIN);
+    sleep(leave).await;
+    closing.send_replace(true);
+    // Connections that were accepted a moment ago still bring their request.
+    sleep(STOP_TICK * 4).await;
+    while gateway.open_requests() > 0 && began.elapsed() < bound {
+        sleep(STOP_TICK).await;
+    }
+    // The last answers are still being written.
+    sleep(STOP_TICK * 2).await;
+    let open = gateway.open_requests();
+    let code = if open == 0 {
+        EventCode::ProcessStopped
+    } else {
+        EventCode::StopTimedOut
+    };
+    recorder.record(code, "", format!("open={open}"));
+}
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -53,6 +53,7 @@
     StopRequested = 102, Info, "A planned stop was asked for; readiness goes first.";
     ProcessStopped = 103, Info, "A planned stop ended with nothing in flight.";
     StopTimedOut = 104, Error, "A planned stop reached its bound with requests in flight.";
+    SettingsReloaded = 105, Info, "The settings were read again.";
     PeerConnected = 110, Info, "A connection to or from a peer passed its handshake.";
     PeerLost = 111, Warn, "A connection to a peer ended or could not be opened.";
     PeerRefused = 112, Error, "A peer failed authentication or sent a frame over its limit.";
@@ -90,4 +91,17 @@
     TargetGone = 503, Info, "A target is no longer in a whole read of the host list.";
     TargetEjected = 504, Warn, "A target failed too often and gets no work for a while.";
     HostListFailed = 505, Warn, "A read of the host list failed or was partial; nothing was removed.";
+    RoutingAccepted = 601, Info, "A routing configuration was committed, or a newer one was held already.";
+    RoutingRefused = 602, Warn, "A routing configuration was refused or could not be committed in time.";
+    RoutingInForce = 603, Info, "A process put a routing configuration in force.";
+    RoutingRead = 604, Info, "The routing configuration was read after a round of the quorum.";
+    TargetRegistered = 610, Info, "A target registered itself by a heartbeat.";
+    TargetWithdrawn = 611, Info, "A target said that it drains or leaves; it gets no new work.";
+    TargetSilent = 612, Warn, "No heartbeat of a target came for several periods.";
+    ControlFollowed = 620, Info, "A process follows the directory of a control host.";
+    ControlLost = 621, Warn, "The directory of a control host could not be followed any more.";
+    ClusterFormed = 630, Info, "The control hosts named as seeds formed a cluster.";
+    ClusterJoined = 631, Info, "A control host asked to become a member of the cluster.";
+    StageCallFinished = 701, Info, "A call with pieces of stages was answered by a target.";
+    StageCallFailed = 702, Warn, "A call with pieces of stages failed; its pieces go to another target.";
 }
--- a/crates/wire/src/greeting.rs
+++ b/crates/wire/src/greeting.rs
@@ -11,4 +11,10 @@
     Follow,
     /// An entry host asks for claims and deferred requests to be committed.
     Calls,
+    /// A process follows the directory of a control host.
+    Directory,
+    /// A process asks a control host one thing.
+    DirectoryCall,
+    /// An entry host hands pieces of stages to another.
+    Pieces,
 }
