Results of stages are released once the stages that take them are done

Cause: results of middle stages were held until the first event, so pools with little room (ledger: 1.9 MB, 60 KB a result) ran out: 251 pieces refused for room, pieces made again, queues too long.

--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -74,6 +74,7 @@
             Some((number, outcome)) => {
                 results[number] = Some(outcome?);
                 done[number] = true;
+                release_taken(ask, &mut results, &done);
             }
         }
     }
@@ -83,6 +84,19 @@
     })
 }
 
+/// Releases the results that every stage which takes them has taken, since room for results is
+/// scarce at their targets.
+fn release_taken(ask: &Ask, results: &mut [Option<StageResults>], done: &[bool]) {
+    let stages = &ask.route.stages;
+    let last = last_stages(ask);
+    for (number, held) in results.iter_mut().enumerate() {
+        let mut takers = (0..stages.len()).filter(|later| stages[*later].after.contains(&number));
+        if !last.contains(&number) && takers.all(|later| done[later]) {
+            *held = None;
+        }
+    }
+}
+
 fn inputs_of(ask: &Ask, results: &[Option<StageResults>], number: usize) -> Vec<String> {
     let before = ask.route.stages[number].after.iter();
     let stages = before.filter_map(|after| results[*after].as_ref());
