Control hosts heal the cluster: lost voters give way, those left out join again

A first try took out learners that had not been called yet (silence counted from the leader's start); mended by counting from the first call.

--- a/crates/directory/src/form.rs
+++ b/crates/directory/src/form.rs
@@ -16,6 +16,9 @@
 /// Wait between two tries.
 const TRY_PERIOD: Duration = Duration::from_millis(150);
 
+/// Wait between two looks whether this host is still a member.
+const SETTLED_PERIOD: Duration = Duration::from_millis(1_000);
+
 /// How long a control host may take to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -35,9 +38,11 @@
     members: Members,
     leader: Option<NodeId>,
     unled: bool,
+    last: u64,
 }
 
-/// Works until this control host is a member of a cluster.
+/// Makes this control host a member of a cluster, and again whenever the others left it out while
+/// it was cut off; never ends.
 ///
 /// Invariant: a cluster is formed only by all seeds together, only at the first start of the
 /// system, and its number follows from the founders' identities; so a try that was cut off half-way
@@ -45,12 +50,17 @@
 pub async fn form_or_join(node: DirectoryNode, config: FormConfig) {
     let mut told = false;
     loop {
-        let status = node.replica().status();
-        if status.members.find(status.id).is_some() {
-            return;
+        if is_settled(&node).await {
+            sleep(SETTLED_PERIOD).await;
+            continue;
         }
+        let status = node.replica().status();
         let seeds = config.seeds.borrow().clone();
-        let identities = identify_all(&node, &seeds).await;
+        let known = status.members.all().map(|member| member.peer);
+        let mut asked: Vec<SocketAddr> = seeds.iter().copied().chain(known).collect();
+        asked.sort();
+        asked.dedup();
+        let identities = identify_all(&node, &asked).await;
         let names_me = |other: &&Identity| other.members.is_voter(status.id);
         if let Some(founder) = identities.iter().filter(names_me).find(|other| other.unled) {
             take_founding(&node, founder).await;
@@ -79,6 +89,26 @@
     }
 }
 
+// A member that was left out while it was cut off does not hear of it from the log; another
+// member that knows a leader tells it.
+async fn is_settled(node: &DirectoryNode) -> bool {
+    let status = node.replica().status();
+    if status.members.find(status.id).is_none() {
+        return false;
+    }
+    if status.lease_lasts || status.members.voters.len() == 1 {
+        return true;
+    }
+    let others = status.members.all().filter(|member| member.id != status.id);
+    let asked = others.map(|member| identify(node, member.peer));
+    let answers = futures_util::future::join_all(asked).await;
+    let mut led = answers
+        .into_iter()
+        .flatten()
+        .filter(|other| other.leader.is_some());
+    !led.any(|other| other.last > status.last.index && other.members.find(status.id).is_none())
+}
+
 async fn identify_all(node: &DirectoryNode, seeds: &[SocketAddr]) -> Vec<Identity> {
     let me = node.member().peer;
     let others = seeds.iter().filter(|seed| **seed != me);
@@ -96,12 +126,14 @@
             members,
             leader,
             unled,
+            last,
         }) => Some(Identity {
             member,
             cluster,
             members,
             leader,
             unled,
+            last,
         }),
         _ => None,
     }
--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -122,6 +122,8 @@
         leader: Option<NodeId>,
         /// Whether the log holds nothing but the founding entry.
         unled: bool,
+        /// The end of the log.
+        last: u64,
     },
     /// It is done.
     Done,
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -16,6 +16,9 @@
 /// A side that is silent for so long is taken as lost.
 pub(crate) const SILENCE_LIMIT: Duration = Duration::from_millis(1_600);
 
+/// How long a voter has been silent when a new control host takes its place.
+const LOST_SILENCE: Duration = Duration::from_millis(900);
+
 /// How long a call may take to come in.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -199,6 +202,7 @@
                 members: status.members,
                 leader: status.leader,
                 unled: status.last.index == 1,
+                last: status.last.index,
             }
         }
         DirectoryCall::Form { cluster, founders } => {
@@ -207,7 +211,11 @@
                 Err(error) => DirectoryReply::Refused(error.to_string()),
             }
         }
-        DirectoryCall::Join(member) => {
+        DirectoryCall::Join(mut member) => {
+            if member.replaces.is_none() {
+                // A new host comes because one was lost: it takes the place of one that is silent.
+                member.replaces = node.replica().silent_voters(LOST_SILENCE).first().copied();
+            }
             let change = MemberChange::Add(member);
             reply_of(
                 node.replica()
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -33,6 +33,9 @@
 /// The largest body that operators may send, in bytes.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
+/// How long a member may be silent before it is taken out, where enough others are left.
+const LOST_MEMBER_SPAN: Duration = Duration::from_millis(2_500);
+
 /// How often the gauges are brought up to date.
 const GAUGE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -80,7 +83,7 @@
     let config = ReplicaConfig {
         identity: identity.clone(),
         recorder: recorder.clone(),
-        timing: QuorumTiming::new(),
+        timing: QuorumTiming::new().with_removal(LOST_MEMBER_SPAN),
         disk: DiskOps::new(),
         on_fatal: Box::new(|error| {
             log::error!(target: "linnetdale", "{error}");
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -44,6 +44,8 @@
 pub(crate) struct ReplicaLog {
     base: LogPosition,
     entries: VecDeque<LogEntry>,
+    /// Weight of all entries.
+    bytes: usize,
 }
 
 impl ReplicaLog {
@@ -51,9 +53,15 @@
         Self {
             base,
             entries: VecDeque::new(),
+            bytes: 0,
         }
     }
 
+    /// Returns about how many bytes the entries take.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     pub(crate) fn base(&self) -> LogPosition {
         self.base
     }
@@ -81,12 +89,15 @@
     /// Appends the entry that is due next.
     pub(crate) fn push(&mut self, entry: LogEntry) {
         debug_assert_eq!(entry.index, self.last().index + 1);
+        self.bytes += entry.weight();
         self.entries.push_back(entry);
     }
 
     /// Drops every entry from an index on.
     pub(crate) fn truncate_from(&mut self, index: u64) {
         let keep = index.saturating_sub(self.base.index + 1);
+        let dropped = self.entries.iter().skip(keep as usize);
+        self.bytes -= dropped.map(LogEntry::weight).sum::<usize>();
         self.entries.truncate(keep as usize);
     }
 
@@ -100,6 +111,7 @@
                 term: first.term,
                 index: first.index,
             };
+            self.bytes -= first.weight();
             self.entries.pop_front();
         }
     }
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -21,6 +21,12 @@
 /// Entries in memory at which a snapshot is taken.
 const SNAPSHOT_ENTRIES: u64 = 2_000;
 
+/// Bytes of entries in memory at which a snapshot is taken; the journal holds about as many.
+const SNAPSHOT_BYTES: usize = 4 * 1024 * 1024;
+
+/// Bytes of entries that stay beside a snapshot.
+const KEPT_BYTES: usize = 1024 * 1024;
+
 /// Entries that stay beside a snapshot, so that a replica a little behind gets entries instead.
 const KEPT_ENTRIES: u64 = 500;
 
@@ -273,6 +279,23 @@
         }
     }
 
+    /// Returns the voters that have not answered this leader for a span, the longest silent first;
+    /// nothing where this replica does not lead.
+    pub fn silent_voters(&self, span: std::time::Duration) -> Vec<NodeId> {
+        let state = self.shared.lock();
+        if !state.lease_lasts(&self.shared.timing) {
+            return Vec::new();
+        }
+        let voters = state.members.voters.iter().map(|voter| voter.id);
+        let others = voters.filter(|id| *id != state.me);
+        let mut silent: Vec<_> = others
+            .map(|id| (state.silence_of(id), id))
+            .filter(|(silence, _)| *silence >= span)
+            .collect();
+        silent.sort_by(|a, b| b.cmp(a));
+        silent.into_iter().map(|(_, id)| id).collect()
+    }
+
     /// Returns a receiver that wakes whenever log, commit or role may have changed.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.shared.changed.subscribe()
@@ -328,10 +351,12 @@
             let mut machine = self.lock_machine();
             let mut state = self.lock();
             let applied = machine.applied;
-            if applied.index - state.log.base().index.min(applied.index) < SNAPSHOT_ENTRIES {
+            let entries = applied.index - state.log.base().index.min(applied.index);
+            let large = entries > 0 && state.log.bytes() >= SNAPSHOT_BYTES;
+            if entries < SNAPSHOT_ENTRIES && !large {
                 return;
             }
-            let keep_from = applied.index.saturating_sub(KEPT_ENTRIES) + 1;
+            let keep_from = first_kept(&state, applied.index);
             let base = LogPosition {
                 index: keep_from - 1,
                 term: state.log.term_at(keep_from - 1).unwrap_or(0),
@@ -371,6 +396,21 @@
     }
 }
 
+/// Returns the first entry that stays beside a snapshot of what is applied.
+fn first_kept(state: &ReplicaState, applied: u64) -> u64 {
+    let mut first = applied + 1;
+    let mut bytes = 0;
+    let oldest = state.log.base().index + 1;
+    while first > oldest && applied - (first - 1) < KEPT_ENTRIES {
+        bytes += state.log.get(first - 1).map_or(0, LogEntry::weight);
+        if bytes > KEPT_BYTES {
+            break;
+        }
+        first -= 1;
+    }
+    first
+}
+
 /// Returns the members in force at an index that the log still holds.
 pub(crate) fn members_at(state: &ReplicaState, index: u64) -> Members {
     let base = state.log.base().index;
--- a/crates/quorum/src/replicate.rs
+++ b/crates/quorum/src/replicate.rs
@@ -54,6 +54,7 @@
                     matched: 0,
                     told_commit: 0,
                     answered: None,
+                    since: Instant::now(),
                 };
                 let known = state.progress.contains_key(&member.id);
                 state.progress.entry(member.id).or_insert(progress);
@@ -364,13 +365,47 @@
             continue;
         }
         start_peers(&shared, term);
-        if let Some(change) = due_change(&shared) {
+        if let Some(change) = due_change(&shared).or_else(|| due_removal(&shared)) {
             // A change that is refused or unknown is found due again at the next tick.
             let _ = shared.propose_members(&change).await;
         }
     }
 }
 
+/// Voters below which none is taken out for its silence: one that returns counts again at once,
+/// and a cluster that shrinks bears less.
+const LEAST_VOTERS: usize = 3;
+
+// A member that was lost for good would count against every majority for ever. One that was only
+// cut off finds itself left out when it returns, and joins again.
+fn due_removal(shared: &ReplicaShared) -> Option<MemberChange> {
+    let span = shared.timing.removal?;
+    let state = shared.lock();
+    let silent = |id: NodeId| id != state.me && state.silence_of(id) >= span;
+    let learners = state.members.learners.iter().map(|member| member.id);
+    if let Some(learner) = learners.into_iter().find(|id| silent(*id)) {
+        return Some(MemberChange::Remove(learner));
+    }
+    let voters: Vec<NodeId> = state
+        .members
+        .voters
+        .iter()
+        .map(|member| member.id)
+        .collect();
+    if voters.len() <= LEAST_VOTERS || state.leading_since.elapsed() < span {
+        return None;
+    }
+    // Only while all the others answer, so that what is left can commit without the one that goes.
+    let (gone, left): (Vec<NodeId>, Vec<NodeId>) = voters.into_iter().partition(|id| silent(*id));
+    let fresh = left
+        .iter()
+        .filter(|id| **id == state.me || state.silence_of(**id) < shared.timing.lease);
+    if fresh.count() < LEAST_VOTERS {
+        return None;
+    }
+    gone.first().map(|id| MemberChange::Remove(*id))
+}
+
 // The wiped voter goes before its successor counts: until then a majority is one of the voters
 // that hold every commit.
 fn due_change(shared: &ReplicaShared) -> Option<MemberChange> {
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -28,6 +28,8 @@
     pub(crate) told_commit: u64,
     /// When the last heartbeat that the peer answered was sent.
     pub(crate) answered: Option<Instant>,
+    /// When this replica began to call the peer.
+    pub(crate) since: Instant,
 }
 
 /// Waits for the answer of the state machine to one proposal.
@@ -58,6 +60,8 @@
     /// When a leader was last heard; starts at the start of the process, because the process may
     /// have answered a heartbeat just before it died.
     pub(crate) leader_heard: Instant,
+    /// When this replica began to lead its term; of use only while it leads.
+    pub(crate) leading_since: Instant,
     /// When this replica may next start an election.
     pub(crate) election_due: Instant,
     pub(crate) waiters: HashMap<u64, Waiter>,
@@ -85,6 +89,7 @@
             base_members: Members::default(),
             progress: BTreeMap::new(),
             leader_heard: now,
+            leading_since: now,
             election_due: now + timing.election_max,
             waiters: HashMap::new(),
             ballot_dirty: false,
@@ -142,6 +147,14 @@
         quorum_instant(answered.collect()).is_some_and(|instant| now - instant < span)
     }
 
+    /// Returns how long a peer has not answered this leader.
+    pub(crate) fn silence_of(&self, peer: NodeId) -> std::time::Duration {
+        let progress = self.progress.get(&peer);
+        progress.map_or(std::time::Duration::ZERO, |peer| {
+            peer.answered.unwrap_or(peer.since).elapsed()
+        })
+    }
+
     /// Takes a vote or enters a term.
     pub(crate) fn set_ballot(&mut self, term: u64, vote: Option<NodeId>) {
         if term > self.term {
@@ -178,6 +191,7 @@
     /// Begins to lead the current term.
     pub(crate) fn begin_leading(&mut self) {
         self.role = Role::Leader;
+        self.leading_since = Instant::now();
         self.leader = Some(self.me);
         self.progress.clear();
         self.append_own(LogPayload::Noop);
--- a/crates/quorum/src/timing.rs
+++ b/crates/quorum/src/timing.rs
@@ -21,6 +21,9 @@
     pub vote_timeout: Duration,
     /// How long a peer may take to answer entries or a part of a snapshot.
     pub append_timeout: Duration,
+    /// How long a member may be silent before the leader takes it out, where enough others are
+    /// left; nothing where only operators take members out.
+    pub removal: Option<Duration>,
 }
 
 impl QuorumTiming {
@@ -33,8 +36,15 @@
             election_max: Duration::from_millis(1_100),
             vote_timeout: Duration::from_millis(300),
             append_timeout: Duration::from_secs(5),
+            removal: None,
         }
     }
+
+    /// Lets the leader take out members that are silent for a span.
+    pub fn with_removal(mut self, span: Duration) -> Self {
+        self.removal = Some(span);
+        self
+    }
 }
 
 impl Default for QuorumTiming {
