Requests rank by account first, then by route

Cause: the platform gives every account a priority, which took the place of the route's, so urgent kinds queued behind others at stages and engines ('worth put behind what is less urgent').

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -7,6 +7,8 @@
 
 use linnet_routing::{Route, RouteTable};
 
+use serde::{Deserialize, Serialize};
+
 use crate::dialect::HeaderNames;
 use crate::gateway::OpenRequest;
 use crate::{Refusal, RefusalReason};
@@ -23,7 +25,7 @@
     pub(crate) body: Bytes,
     pub(crate) route: Route,
     pub(crate) account: Option<String>,
-    pub(crate) priority: u8,
+    pub(crate) rank: Rank,
     pub(crate) config_version: u64,
     pub(crate) arrived: Instant,
     /// When the caller or the route gives it up.
@@ -35,6 +37,26 @@
     pub(crate) open: Option<OpenRequest>,
 }
 
+/// How urgent a request is: its account counts before its route, the lower the more urgent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Rank {
+    /// The priority of the account, or of the route where the account has none.
+    pub first: u8,
+    /// The priority of the route.
+    pub second: u8,
+}
+
+impl Rank {
+    /// Returns the rank as one of the levels that engines know, 0 to 9.
+    pub(crate) fn engine_level(self) -> u8 {
+        let level = self
+            .first
+            .saturating_mul(3)
+            .saturating_add(self.second.min(2));
+        level.min(9)
+    }
+}
+
 /// A prompt by its cached parts.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Prompt {
@@ -87,10 +109,13 @@
         .to_owned();
     Ok(Ask {
         id,
-        priority: account
-            .as_ref()
-            .and_then(|account| account.1)
-            .unwrap_or(route.priority),
+        rank: Rank {
+            first: account
+                .as_ref()
+                .and_then(|account| account.1)
+                .unwrap_or(route.priority),
+            second: route.priority,
+        },
         account: account.map(|account| account.0),
         route: route.clone(),
         config_version: table.config().version,
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -11,6 +11,7 @@
 use linnet_routing::{RouteTable, StagePool};
 use linnet_telemetry::EventRecorder;
 
+use crate::ask::Rank;
 use crate::piece::{PieceBatch, PieceFault, PieceSpec};
 use crate::upstream::UpstreamPool;
 use crate::{Dialect, coordinator::call};
@@ -40,7 +41,7 @@
 pub(crate) struct Waiting {
     pub(crate) batch: BatchKey,
     pub(crate) place: usize,
-    priority: u8,
+    rank: Rank,
     pub(crate) deadline: Instant,
     hall: Option<String>,
     result_bytes: u64,
@@ -294,7 +295,7 @@
             pool.waiting.push(Waiting {
                 batch: key,
                 place,
-                priority: batch.priority,
+                rank: batch.rank,
                 deadline,
                 hall: hall.clone(),
                 result_bytes: batch.result_bytes,
@@ -304,7 +305,7 @@
         }
         // Stable: among equals the earlier batch is first.
         pool.waiting
-            .sort_by_key(|waiting| (waiting.priority, waiting.batch));
+            .sort_by_key(|waiting| (waiting.rank, waiting.batch));
         key
     }
 
@@ -397,7 +398,7 @@
         }
         pool.waiting.extend(again);
         pool.waiting
-            .sort_by_key(|waiting| (waiting.priority, waiting.batch));
+            .sort_by_key(|waiting| (waiting.rank, waiting.batch));
         (rest, unclaimed, replies)
     }
 }
@@ -418,7 +419,7 @@
         let ahead = self
             .waiting
             .iter()
-            .filter(|one| one.priority <= batch.priority)
+            .filter(|one| one.rank <= batch.rank)
             .count();
         let a_round = (self.spec.batch as usize * targets * self.spec.slots as usize).max(1);
         let full_call = self.spec.call_time_ms(self.spec.batch as usize);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -140,10 +140,11 @@
     let took = ask.arrived.elapsed();
     let detail = |outcome: &str| {
         format!(
-            "route={} account={} priority={} version={} attempts={} stages_ms={} took_ms={} {outcome}",
+            "route={} account={} rank={}.{} version={} attempts={} stages_ms={} took_ms={} {outcome}",
             ask.route.name,
             ask.account.as_deref().unwrap_or("-"),
-            ask.priority,
+            ask.rank.first,
+            ask.rank.second,
             ask.config_version,
             log.attempts,
             log.stages.map_or(0, |stages| stages.as_millis()),
@@ -180,7 +181,7 @@
             )
         }
     };
-    gateway.metrics.count(&label, ask.priority);
+    gateway.metrics.count(&label, ask.rank.second);
     gateway.note_request(code, &ask.id, &log.target, detail(&outcome));
 }
 
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -144,7 +144,7 @@
     let batch = PieceBatch {
         number: 0,
         service: stage.service.clone(),
-        priority: ask.priority,
+        rank: ask.rank,
         wanted_ms: wanted.as_millis() as u64,
         remaining_ms: ask.time_left().as_millis() as u64,
         hall: Some(hall.to_owned()),
--- a/crates/gateway/src/piece.rs
+++ b/crates/gateway/src/piece.rs
@@ -1,5 +1,6 @@
 //! Pieces of stages, and what entry hosts tell each other of them.
 
+use crate::ask::Rank;
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
@@ -55,8 +56,8 @@
     pub number: u64,
     /// The service that runs them.
     pub service: String,
-    /// Rank of the request; 0 is the most urgent.
-    pub priority: u8,
+    /// Rank of the request.
+    pub rank: Rank,
     /// Time within which the batch has to be done for the request to meet its objective, in
     /// milliseconds.
     pub wanted_ms: u64,
