--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -7,4 +7,4 @@
 mod call;
 mod queue;
 
-pub(crate) use queue::{BatchKey, Coordinator};
+pub(crate) use queue::{BatchKey, Coordinator, HALL_BYTES};
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -17,7 +17,11 @@
 use crate::{Dialect, coordinator::call};
 
 /// Results smaller than this may lie in any data hall.
-const HALL_BYTES: u64 = 256 * 1024;
+pub(crate) const HALL_BYTES: u64 = 256 * 1024;
+
+/// Part of its spare time, and the longest time, that a piece waits for a target of its hall.
+const HALL_PATIENCE_PART: f64 = 0.3;
+const HALL_PATIENCE: Duration = Duration::from_millis(200);
 
 /// How often a piece is given to a target before it counts as failed.
 const MAX_TRIES: u32 = 3;
@@ -43,6 +47,8 @@
     pub(crate) place: usize,
     rank: Rank,
     pub(crate) deadline: Instant,
+    /// When the piece has to be done for its request to meet its objective.
+    wanted: Instant,
     hall: Option<String>,
     result_bytes: u64,
     pub(crate) piece: PieceSpec,
@@ -64,6 +70,8 @@
     reserved: u64,
     results: HashMap<String, HeldResult>,
     rest_until: Option<Instant>,
+    /// When its call is expected to end.
+    busy_until: Instant,
 }
 
 impl StageTarget {
@@ -272,6 +280,7 @@
                         reserved: 0,
                         results: HashMap::new(),
                         rest_until: None,
+                        busy_until: Instant::now(),
                     });
             }
         }
@@ -287,6 +296,7 @@
         };
         self.batches.insert(key, entry);
         let deadline = now + Duration::from_millis(batch.remaining_ms);
+        let wanted = now + Duration::from_millis(batch.wanted_ms);
         let hall = batch.hall.filter(|_| batch.result_bytes >= HALL_BYTES);
         let Some(pool) = self.pools.get_mut(&batch.service) else {
             return key;
@@ -297,6 +307,7 @@
                 place,
                 rank: batch.rank,
                 deadline,
+                wanted,
                 hall: hall.clone(),
                 result_bytes: batch.result_bytes,
                 piece,
@@ -449,10 +460,21 @@
         let slots = self.spec.slots;
         let mut open: BTreeMap<String, DueCall> = BTreeMap::new();
         let mut kept = Vec::new();
+        let mut kept_by_hall: HashMap<String, usize> = HashMap::new();
         for waiting in std::mem::take(&mut self.waiting) {
-            match self.place(&waiting, &open, slots, now) {
+            let ahead = waiting
+                .hall
+                .as_ref()
+                .and_then(|hall| kept_by_hall.get(hall));
+            let ahead = ahead.copied().unwrap_or(0);
+            match self.place(&waiting, &open, slots, ahead, now) {
                 Some(id) => self.add_to_call(service, id, waiting, &mut open),
-                None => kept.push(waiting),
+                None => {
+                    if let Some(hall) = &waiting.hall {
+                        *kept_by_hall.entry(hall.clone()).or_default() += 1;
+                    }
+                    kept.push(waiting);
+                }
             }
         }
         self.waiting = kept;
@@ -461,6 +483,7 @@
             call.expected = Duration::from_secs_f64(time / 1_000.0);
             if let Some(target) = self.targets.get_mut(id) {
                 target.busy += 1;
+                target.busy_until = now + call.expected;
             }
         }
         open.into_values().collect()
@@ -471,6 +494,7 @@
         waiting: &Waiting,
         open: &BTreeMap<String, DueCall>,
         slots: u32,
+        ahead: usize,
         now: Instant,
     ) -> Option<String> {
         let fits = |id: &str, target: &StageTarget| {
@@ -487,15 +511,31 @@
                 .is_some_and(|hall| *hall != target.hall)
         };
         let candidates = self.targets.iter().filter(|(id, target)| fits(id, target));
-        candidates
-            .min_by_key(|(id, target)| {
-                (
-                    elsewhere(target),
-                    !open.contains_key(*id),
-                    target.used_bytes(),
-                )
-            })
-            .map(|(id, _)| id.clone())
+        let (id, target) = candidates.min_by_key(|(id, target)| {
+            (
+                elsewhere(target),
+                !open.contains_key(*id),
+                target.used_bytes(),
+            )
+        })?;
+        if elsewhere(target) && self.hall_is_soon_free(waiting, ahead, now) {
+            return None;
+        }
+        Some(id.clone())
+    }
+
+    /// Says whether a piece whose results are large should rather wait for a target of its hall:
+    /// one is free soon enough, and takes what waits for it `ahead` of the piece as well.
+    fn hall_is_soon_free(&self, waiting: &Waiting, ahead: usize, now: Instant) -> bool {
+        let own = Duration::from_secs_f64(self.spec.call_time_ms(1) / 1_000.0);
+        let spare = waiting.wanted.saturating_duration_since(now + own);
+        let patience = spare.mul_f64(HALL_PATIENCE_PART).min(HALL_PATIENCE);
+        let of_hall = self.targets.values().filter(|target| {
+            waiting.hall.as_ref() == Some(&target.hall)
+                && target.rest_until.is_none_or(|until| until <= now)
+                && target.busy_until <= now + patience
+        });
+        ahead < of_hall.count() * self.spec.batch as usize
     }
 
     fn add_to_call(
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -1,11 +1,12 @@
 //! Choosing a model engine: where the prompt is cached, unless others wait there too long.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use crate::ask::Prompt;
 use crate::rendezvous;
-use crate::target::TargetBook;
+use crate::target::{Target, TargetBook};
 
 /// Prompt tokens that an engine is first taken to read in a millisecond.
 const FIRST_TOKENS_PER_MS: f64 = 40.0;
@@ -16,9 +17,45 @@
 /// What one more running request adds to the cost of an engine, in milliseconds.
 const RUNNING_COST_MS: f64 = 3.0;
 
+/// The least weight of a hall.
+const LEAST_WEIGHT: f64 = 0.02;
+
 /// Prompts shorter than this say nothing about the reading speed.
 const MEASURED_TOKENS: u64 = 2_000;
 
+/// How much work engines of each data hall should get, against those of other halls.
+#[derive(Debug, Default)]
+pub(crate) struct HallWeights {
+    by_hall: HashMap<String, f64>,
+}
+
+impl HallWeights {
+    /// Creates weights that give each hall as many requests as it has targets for the stages with
+    /// large results, so that these need not cross halls.
+    pub(crate) fn new(book: &TargetBook, service: &str, stage_service: &str) -> Self {
+        let count = |service: &str| {
+            let mut halls: HashMap<String, f64> = HashMap::new();
+            for target in book.of_service(service) {
+                *halls.entry(target.hall.clone()).or_default() += 1.0;
+            }
+            halls
+        };
+        let (engines, stages) = (count(service), count(stage_service));
+        let weight = |(hall, engines): (&String, &f64)| {
+            let stages = stages.get(hall).copied().unwrap_or(0.0);
+            // A hall without stage targets still serves prompts that need none.
+            (hall.clone(), (stages / engines).max(LEAST_WEIGHT))
+        };
+        Self {
+            by_hall: engines.iter().map(weight).collect(),
+        }
+    }
+
+    fn of(&self, hall: &str) -> f64 {
+        self.by_hall.get(hall).copied().unwrap_or(1.0)
+    }
+}
+
 /// The choice of engines, with what was learned of them.
 pub(crate) struct EngineChoice {
     tokens_per_ms: f64,
@@ -50,6 +87,7 @@
         book: &TargetBook,
         service: &str,
         prompt: &Prompt,
+        weights: &HallWeights,
         avoid: &[String],
         now: Instant,
     ) -> Option<Chosen> {
@@ -61,10 +99,12 @@
         if candidates.is_empty() {
             candidates = usable.iter().collect();
         }
-        let rank = |id: &str| rendezvous::score(&prompt.shared_part, id);
+        let rank = |one: &Target| {
+            rendezvous::weighted_score(&prompt.shared_part, &one.id, weights.of(&one.hall))
+        };
         let home = candidates
             .iter()
-            .max_by_key(|one| rank(&one.id))?
+            .max_by(|a, b| rank(a).total_cmp(&rank(b)))?
             .id
             .clone();
         let reading_ms = |tokens: u64| tokens as f64 / self.tokens_per_ms;
@@ -79,9 +119,7 @@
         let best = candidates.into_iter().min_by(|a, b| {
             let cost_a = cost(&a.id, a.unread_tokens, a.in_flight);
             let cost_b = cost(&b.id, b.unread_tokens, b.in_flight);
-            cost_a
-                .total_cmp(&cost_b)
-                .then(rank(&b.id).cmp(&rank(&a.id)))
+            cost_a.total_cmp(&cost_b).then(rank(b).total_cmp(&rank(a)))
         })?;
         Some(Chosen {
             id: best.id.clone(),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,10 +13,12 @@
 
 use crate::answer::{Addition, answer_of, belongs_to, refusal_answer, request_for};
 use crate::ask::Ask;
-use crate::engine::Chosen;
+use crate::coordinator::HALL_BYTES;
+use crate::engine::{Chosen, HallWeights};
 use crate::events::EventSplitter;
 use crate::graph::{RequestResults, run_stages};
 use crate::relay::{Relay, relay_events};
+use crate::target::TargetBook;
 use crate::upstream::{Lease, SendError};
 use crate::{AnswerBody, Gateway, Refusal, RefusalReason};
 
@@ -298,10 +300,9 @@
     let now = Instant::now();
     let book = gateway.targets.borrow();
     if let Some(prompt) = &ask.prompt {
-        return gateway
-            .engines
-            .borrow()
-            .choose(&book, service, prompt, tried, now);
+        let weights = hall_weights(&book, service, ask);
+        let engines = gateway.engines.borrow();
+        return engines.choose(&book, service, prompt, &weights, tried, now);
     }
     let usable = book.usable(service, now);
     let fresh = usable.iter().filter(|target| !tried.contains(&target.id));
@@ -319,6 +320,18 @@
     })
 }
 
+/// Returns the weights of the halls for a route whose results are large.
+fn hall_weights(book: &TargetBook, service: &str, ask: &Ask) -> HallWeights {
+    let stages = ask.route.stages.iter();
+    let largest = stages.max_by_key(|stage| stage.result_bytes);
+    match largest {
+        Some(stage) if stage.result_bytes >= HALL_BYTES => {
+            HallWeights::new(book, service, &stage.service)
+        }
+        _ => HallWeights::default(),
+    }
+}
+
 /// One sending to one target.
 pub(crate) struct Attempt<'a> {
     pub(crate) service: &'a str,
--- a/crates/gateway/src/rendezvous.rs
+++ b/crates/gateway/src/rendezvous.rs
@@ -12,3 +12,10 @@
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     mixed ^ (mixed >> 31)
 }
+
+/// Returns a score such that names come first in proportion to their weights.
+pub(crate) fn weighted_score(key: &str, name: &str, weight: f64) -> f64 {
+    // 53 bits make a number between 0 and 1, never either.
+    let drawn = ((score(key, name) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    -weight / drawn.ln()
+}
