Admission before the first stage by the queues of all stages; engine chosen again after the stages

Cause of work thrown away: requests were refused at their third and fourth stage. Coordinators tell the load of their pools; refusals come before the first stage.

--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -12,7 +12,7 @@
 use linnet_telemetry::EventRecorder;
 
 use crate::ask::Rank;
-use crate::piece::{PieceBatch, PieceFault, PieceSpec};
+use crate::piece::{PieceBatch, PieceFault, PieceSpec, PoolLoad};
 use crate::upstream::UpstreamPool;
 use crate::{Dialect, coordinator::call};
 
@@ -23,6 +23,12 @@
 const HALL_PATIENCE_PART: f64 = 0.3;
 const HALL_PATIENCE: Duration = Duration::from_millis(200);
 
+/// A wait shorter than this is no reason to refuse a request, in milliseconds.
+pub(crate) const LEAST_REFUSED_WAIT_MS: f64 = 80.0;
+
+/// How long a target that had no room for a result gets no call.
+const NO_ROOM_REST: Duration = Duration::from_millis(120);
+
 /// How often a piece is given to a target before it counts as failed.
 const MAX_TRIES: u32 = 3;
 
@@ -178,6 +184,25 @@
         }
     }
 
+    /// Returns the load of every pool that has work here.
+    pub(crate) fn loads(&self) -> Vec<(String, PoolLoad)> {
+        let state = self.state.borrow();
+        let now = Instant::now();
+        let working = state.pools.iter().filter(|(_, pool)| pool.has_work());
+        working
+            .map(|(name, pool)| (name.clone(), pool.load(now)))
+            .collect()
+    }
+
+    /// Returns the load of one pool.
+    pub(crate) fn load_of(&self, service: &str) -> Option<PoolLoad> {
+        let state = self.state.borrow();
+        state
+            .pools
+            .get(service)
+            .map(|pool| pool.load(Instant::now()))
+    }
+
     /// Takes a batch; `reply` is called once, with an outcome for each piece.
     pub(crate) fn submit(
         self: &Rc<Self>,
@@ -362,6 +387,9 @@
             target.busy = target.busy.saturating_sub(1);
             target.reserved = target.reserved.saturating_sub(call.reserved);
             rest = match &end {
+                CallEnd::Answered(outcomes) if outcomes.contains(&Err(PieceFault::NoRoom)) => {
+                    Some(NO_ROOM_REST)
+                }
                 CallEnd::Answered(_) => None,
                 CallEnd::Busy => Some(Duration::from_millis(40)),
                 CallEnd::Failed(_) => Some(Duration::from_millis(1_000)),
@@ -415,35 +443,42 @@
 }
 
 impl PoolQueue {
-    /// Says whether a new batch would be done too late for its request.
-    fn is_too_late(&self, batch: &PieceBatch, now: Instant) -> bool {
-        let usable = self.targets.values().filter(|target| {
-            target
-                .rest_until
-                .is_none_or(|until| until < now + Duration::from_secs(2))
-        });
+    fn has_work(&self) -> bool {
+        !self.waiting.is_empty() || self.targets.values().any(|target| target.busy > 0)
+    }
+
+    fn load(&self, now: Instant) -> PoolLoad {
+        let mut waiting: BTreeMap<Rank, u32> = BTreeMap::new();
+        for one in &self.waiting {
+            *waiting.entry(one.rank).or_default() += 1;
+        }
+        let soon = now + Duration::from_secs(2);
+        let targets = self.targets.values();
+        let usable = targets.filter(|target| target.rest_until.is_none_or(|until| until < soon));
         let (mut targets, mut free) = (0, 0);
         for target in usable {
             targets += 1;
-            free += usize::from(target.is_free(self.spec.slots, now));
+            free += u32::from(target.is_free(self.spec.slots, now));
         }
-        let ahead = self
-            .waiting
-            .iter()
-            .filter(|one| one.rank <= batch.rank)
-            .count();
-        let a_round = (self.spec.batch as usize * targets * self.spec.slots as usize).max(1);
-        let full_call = self.spec.call_time_ms(self.spec.batch as usize);
-        let own = self
-            .spec
-            .call_time_ms(batch.pieces.len().min(self.spec.batch as usize));
-        let under_way = if free > 0 {
-            0.0
-        } else {
-            full_call / (targets.max(1) + 1) as f64
-        };
-        let rounds = ((ahead + batch.pieces.len()) / a_round) as f64;
-        under_way + rounds * full_call + own > batch.wanted_ms as f64
+        PoolLoad {
+            waiting: waiting.into_iter().collect(),
+            targets,
+            free,
+        }
+    }
+
+    /// Says whether a new batch would be done too late for its request. Later stages are not
+    /// refused: what their request has had done already would be wasted.
+    fn is_too_late(&self, batch: &PieceBatch, now: Instant) -> bool {
+        if !batch.first {
+            return false;
+        }
+        let count = batch.pieces.len().min(self.spec.batch as usize);
+        let wait = self
+            .load(now)
+            .wait_ms(&self.spec, batch.rank, batch.pieces.len() as u32);
+        wait > LEAST_REFUSED_WAIT_MS
+            && wait + self.spec.call_time_ms(count) > batch.wanted_ms as f64
     }
 
     // A target that was lost never says that its results are gone.
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -17,6 +17,11 @@
 /// What one more running request adds to the cost of an engine, in milliseconds.
 const RUNNING_COST_MS: f64 = 3.0;
 
+/// What a megabyte of results that crosses halls adds to the cost of an engine, in milliseconds.
+const CROSSING_COST_MS: f64 = 6.0;
+
+const MEGABYTE: f64 = 1_000_000.0;
+
 /// The least weight of a hall.
 const LEAST_WEIGHT: f64 = 0.02;
 
@@ -88,6 +93,7 @@
         service: &str,
         prompt: &Prompt,
         weights: &HallWeights,
+        results: Option<(&str, u64)>,
         avoid: &[String],
         now: Instant,
     ) -> Option<Chosen> {
@@ -108,18 +114,25 @@
             .id
             .clone();
         let reading_ms = |tokens: u64| tokens as f64 / self.tokens_per_ms;
-        let cost = |id: &str, unread: u64, in_flight: u32| {
-            let missing = if id == home || prompt.shared_part.is_empty() {
+        let cost = |one: &Target| {
+            let missing = if one.id == home || prompt.shared_part.is_empty() {
                 0.0
             } else {
                 reading_ms(prompt.shared_tokens)
             };
-            reading_ms(unread) + missing + f64::from(in_flight) * RUNNING_COST_MS
+            let crossing = match results {
+                Some((hall, bytes)) if one.hall != hall => {
+                    bytes as f64 / MEGABYTE * CROSSING_COST_MS
+                }
+                _ => 0.0,
+            };
+            let running = f64::from(one.in_flight) * RUNNING_COST_MS;
+            reading_ms(one.unread_tokens) + missing + crossing + running
         };
         let best = candidates.into_iter().min_by(|a, b| {
-            let cost_a = cost(&a.id, a.unread_tokens, a.in_flight);
-            let cost_b = cost(&b.id, b.unread_tokens, b.in_flight);
-            cost_a.total_cmp(&cost_b).then(rank(b).total_cmp(&rank(a)))
+            cost(a)
+                .total_cmp(&cost(b))
+                .then(rank(b).total_cmp(&rank(a)))
         })?;
         Some(Chosen {
             id: best.id.clone(),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -16,7 +16,7 @@
 use crate::coordinator::HALL_BYTES;
 use crate::engine::{Chosen, HallWeights};
 use crate::events::EventSplitter;
-use crate::graph::{RequestResults, run_stages};
+use crate::graph::{RequestResults, admit, last_stages, run_stages};
 use crate::relay::{Relay, relay_events};
 use crate::target::TargetBook;
 use crate::upstream::{Lease, SendError};
@@ -201,11 +201,15 @@
     let mut tried: Vec<String> = Vec::new();
     let mut refusals = 0;
     loop {
-        let chosen = choose(gateway, &service, ask, &tried).ok_or_else(no_target)?;
+        let mut chosen = choose(gateway, &service, ask, &tried, None).ok_or_else(no_target)?;
         if results.is_none() && !ask.route.stages.is_empty() {
+            admit(gateway, ask)?;
             let started = Instant::now();
             results = Some(run_stages(gateway, ask, &chosen.hall).await?);
             log.stages = Some(started.elapsed());
+            // The stages took their time: the target may be leaving by now, or busy.
+            let hall = Some(chosen.hall.as_str());
+            chosen = choose(gateway, &service, ask, &tried, hall).ok_or_else(no_target)?;
             gateway
                 .metrics
                 .stage_time
@@ -290,19 +294,22 @@
     route.split.last().map_or("", |part| part.service.as_str())
 }
 
-/// Chooses a target, passing over those that were tried.
+/// Chooses a target, passing over those that were tried. `results_in` is the hall where the results
+/// of its stages were made.
 pub(crate) fn choose(
     gateway: &Gateway,
     service: &str,
     ask: &Ask,
     tried: &[String],
+    results_in: Option<&str>,
 ) -> Option<Chosen> {
     let now = Instant::now();
     let book = gateway.targets.borrow();
     if let Some(prompt) = &ask.prompt {
         let weights = hall_weights(&book, service, ask);
         let engines = gateway.engines.borrow();
-        return engines.choose(&book, service, prompt, &weights, tried, now);
+        let results = results_in.map(|hall| (hall, result_bytes(ask)));
+        return engines.choose(&book, service, prompt, &weights, results, tried, now);
     }
     let usable = book.usable(service, now);
     let fresh = usable.iter().filter(|target| !tried.contains(&target.id));
@@ -320,6 +327,14 @@
     })
 }
 
+/// Returns about how many bytes of results the request takes from its last stages.
+fn result_bytes(ask: &Ask) -> u64 {
+    let last = last_stages(ask).into_iter();
+    let bytes = last
+        .map(|number| u64::from(ask.piece_counts[number]) * ask.route.stages[number].result_bytes);
+    bytes.sum()
+}
+
 /// Returns the weights of the halls for a route whose results are large.
 fn hall_weights(book: &TargetBook, service: &str, ask: &Ask) -> HallWeights {
     let stages = ask.route.stages.iter();
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -6,12 +6,15 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
 use crate::ask::Ask;
+use crate::coordinator::LEAST_REFUSED_WAIT_MS;
 use crate::piece::{PieceBatch, PieceFault, PieceInput, PieceSpec};
 use crate::stage_client::Home;
 use crate::{Gateway, Refusal, RefusalReason};
 
-/// When a caller should come back after a stage's queue was too long.
-const QUEUE_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// When a caller should come back after queues were too long: spread, so that those who were refused
+/// together do not come back together.
+const RETRY_LEAST: Duration = Duration::from_millis(900);
+const RETRY_MOST: Duration = Duration::from_millis(2_200);
 
 /// The results of one stage, which are released when this is dropped.
 struct StageResults {
@@ -106,7 +109,7 @@
 }
 
 /// Returns the stages that no stage with pieces comes after.
-fn last_stages(ask: &Ask) -> Vec<usize> {
+pub(crate) fn last_stages(ask: &Ask) -> Vec<usize> {
     let stages = &ask.route.stages;
     let taken_by_later = |number: usize| {
         let later = stages.iter().zip(&ask.piece_counts);
@@ -138,13 +141,15 @@
         number: piece,
         input: input.clone(),
     });
+    let after = path_time(gateway, ask).after[number];
     let wanted = ask
         .objective_left()
-        .saturating_sub(time_after(gateway, ask, number));
+        .saturating_sub(Duration::from_secs_f64(after / 1_000.0));
     let batch = PieceBatch {
         number: 0,
         service: stage.service.clone(),
         rank: ask.rank,
+        first: stage.after.is_empty(),
         wanted_ms: wanted.as_millis() as u64,
         remaining_ms: ask.time_left().as_millis() as u64,
         hall: Some(hall.to_owned()),
@@ -172,31 +177,84 @@
 fn refusal_of(fault: PieceFault, number: usize, service: &str) -> Refusal {
     // No stage counts as a run of the request, so it may be told as not run.
     let detail = format!("stage={number} service={service} cause={fault}");
-    Refusal::new(RefusalReason::Overloaded, detail).with_retry_after(QUEUE_RETRY_AFTER)
+    Refusal::new(RefusalReason::Overloaded, detail).with_retry_after(RETRY_LEAST)
 }
 
-/// Returns about how long a request takes after a stage, where nothing waits.
-fn time_after(gateway: &Gateway, ask: &Ask, number: usize) -> Duration {
+/// Time that a request takes for its stages, as far as is known.
+struct PathTime {
+    /// From the end of each stage to the first event, where nothing waits, in milliseconds.
+    after: Vec<f64>,
+    /// All waits on the longest way, in milliseconds.
+    waits: f64,
+    /// The longest way with its waits, in milliseconds.
+    whole: f64,
+}
+
+fn path_time(gateway: &Gateway, ask: &Ask) -> PathTime {
     let table = gateway.table.borrow();
     let stages = &ask.route.stages;
-    let mut after = vec![0.0_f64; stages.len()];
-    for (later, stage) in stages.iter().enumerate().rev() {
+    let reading = reading_ms(gateway, ask);
+    let mut after = vec![reading; stages.len()];
+    // The same with waits, and the waits alone.
+    let mut after_waits = vec![(reading, 0.0); stages.len()];
+    let mut longest = (reading, 0.0);
+    for (number, stage) in stages.iter().enumerate().rev() {
+        let count = ask.piece_counts[number];
         let pool = table
             .as_ref()
             .and_then(|table| table.find_service(&stage.service))
             .and_then(|service| service.stage_pool.as_ref());
-        let count = ask.piece_counts[later];
-        let own = match pool {
-            Some(pool) if count > 0 => pool.call_time_ms(count.min(pool.batch) as usize),
-            _ => 0.0,
+        let (own, wait) = match pool {
+            Some(pool) if count > 0 => {
+                let load = gateway.stages.load_of(&stage.service);
+                let wait = load.map_or(0.0, |load| load.wait_ms(pool, ask.rank, count));
+                (pool.call_time_ms(count.min(pool.batch) as usize), wait)
+            }
+            _ => (0.0, 0.0),
         };
+        let without = own + after[number];
+        let with = (
+            own + wait + after_waits[number].0,
+            wait + after_waits[number].1,
+        );
         for before in &stage.after {
-            after[*before] = after[*before].max(own + after[later]);
+            after[*before] = after[*before].max(without);
+            if with.0 > after_waits[*before].0 {
+                after_waits[*before] = with;
+            }
         }
+        if with.0 > longest.0 {
+            longest = with;
+        }
+    }
+    PathTime {
+        after,
+        waits: longest.1,
+        whole: longest.0,
     }
-    let reading = ask.prompt.as_ref().map_or(Duration::ZERO, |prompt| {
+}
+
+fn reading_ms(gateway: &Gateway, ask: &Ask) -> f64 {
+    ask.prompt.as_ref().map_or(0.0, |prompt| {
         let unshared = prompt.tokens_in.saturating_sub(prompt.shared_tokens);
-        gateway.engines.borrow().reading_time(unshared)
-    });
-    Duration::from_secs_f64(after[number] / 1_000.0) + reading
+        let engines = gateway.engines.borrow();
+        engines.reading_time(unshared).as_secs_f64() * 1_000.0
+    })
+}
+
+/// Refuses a request before its first stage where the queues on its way leave it no chance to meet
+/// its objective. Work for what comes too late would be missing elsewhere.
+pub(crate) fn admit(gateway: &Gateway, ask: &Ask) -> Result<(), Refusal> {
+    let path = path_time(gateway, ask);
+    let left = ask.objective_left().as_secs_f64() * 1_000.0;
+    if path.waits < LEAST_REFUSED_WAIT_MS || path.whole <= left {
+        return Ok(());
+    }
+    let detail = format!(
+        "queues too long: waits_ms={:.0} path_ms={:.0} objective_left_ms={left:.0}",
+        path.waits, path.whole
+    );
+    let spread = fastrand::f64();
+    let back = RETRY_LEAST + (RETRY_MOST - RETRY_LEAST).mul_f64(spread);
+    Err(Refusal::new(RefusalReason::Overloaded, detail).with_retry_after(back))
 }
--- a/crates/gateway/src/piece.rs
+++ b/crates/gateway/src/piece.rs
@@ -1,9 +1,11 @@
 //! Pieces of stages, and what entry hosts tell each other of them.
 
-use crate::ask::Rank;
 use derive_more::Display;
+use linnet_routing::StagePool;
 use serde::{Deserialize, Serialize};
 
+use crate::ask::Rank;
+
 /// What a piece works on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PieceInput {
@@ -49,6 +51,33 @@
     Lost,
 }
 
+/// How busy the targets of a stage pool are, as its coordinator knows it.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct PoolLoad {
+    /// Pieces that wait, by rank.
+    pub waiting: Vec<(Rank, u32)>,
+    /// Targets that take calls.
+    pub targets: u32,
+    /// Targets that are free now.
+    pub free: u32,
+}
+
+impl PoolLoad {
+    /// Returns about how long pieces of a rank wait for their call, in milliseconds.
+    pub fn wait_ms(&self, pool: &StagePool, rank: Rank, pieces: u32) -> f64 {
+        let before = self.waiting.iter().filter(|(other, _)| *other <= rank);
+        let ahead: u32 = before.map(|(_, count)| count).sum();
+        if ahead == 0 && self.free > 0 {
+            return 0.0;
+        }
+        let targets = self.targets.max(1);
+        let full_call = pool.call_time_ms(pool.batch as usize);
+        let a_round = (pool.batch * pool.slots * targets).max(1);
+        let next_end = full_call / f64::from(targets + 1);
+        next_end + f64::from((ahead + pieces) / a_round) * full_call
+    }
+}
+
 /// All pieces of one stage of one request.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PieceBatch {
@@ -58,6 +87,8 @@
     pub service: String,
     /// Rank of the request.
     pub rank: Rank,
+    /// Whether no stage of the request has run yet, so that refusing it wastes nothing.
+    pub first: bool,
     /// Time within which the batch has to be done for the request to meet its objective, in
     /// milliseconds.
     pub wanted_ms: u64,
@@ -95,6 +126,6 @@
         number: u64,
         results: Vec<Result<String, PieceFault>>,
     },
-    /// A sign of life.
-    Alive,
+    /// A sign of life, with the load of the pools that this host gathers for.
+    Alive { loads: Vec<(String, PoolLoad)> },
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -85,7 +85,7 @@
             && take_repeat(&self.gateway, &self.service)
         {
             self.attempts += 1;
-            let chosen = choose(&self.gateway, &self.service, &self.ask, &self.tried)?;
+            let chosen = choose(&self.gateway, &self.service, &self.ask, &self.tried, None)?;
             self.tried.push(chosen.id.clone());
             let attempt = Attempt {
                 service: &self.service,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -163,7 +163,7 @@
     let open: Rc<RefCell<HashMap<u64, BatchKey>>> = Rc::default();
     let outcome = tokio::select! {
         ended = take_pieces(gateway, reader, replies, open.clone()) => ended,
-        ended = send_replies(queue, writer) => ended,
+        ended = send_replies(gateway, queue, writer) => ended,
     };
     let left: Vec<BatchKey> = open.borrow_mut().drain().map(|(_, key)| key).collect();
     for key in left {
@@ -182,10 +182,12 @@
         match request? {
             PieceRequest::Run(batch) => {
                 let number = batch.number;
-                let (replies, finished) = (replies.clone(), open.clone());
+                let (replies, finished, telling) = (replies.clone(), open.clone(), gateway.clone());
                 let key = gateway.coordinator.submit(batch, move |results| {
                     finished.borrow_mut().remove(&number);
                     let _ = replies.send(PieceReply::Done { number, results });
+                    let loads = telling.coordinator.loads();
+                    let _ = replies.send(PieceReply::Alive { loads });
                 });
                 if let Some(key) = key {
                     open.borrow_mut().insert(number, key);
@@ -205,6 +207,7 @@
 }
 
 async fn send_replies(
+    gateway: &Gateway,
     mut queue: mpsc::UnboundedReceiver<PieceReply>,
     mut writer: PeerWriter,
 ) -> Result<(), WireError> {
@@ -212,7 +215,9 @@
         let reply = match timeout(ALIVE_PERIOD, queue.recv()).await {
             Ok(Some(reply)) => reply,
             Ok(None) => return Ok(()),
-            Err(_) => PieceReply::Alive,
+            Err(_) => PieceReply::Alive {
+                loads: gateway.coordinator.loads(),
+            },
         };
         writer.send(&reply).await?;
     }
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use crate::coordinator::{BatchKey, Coordinator};
-use crate::piece::{PieceBatch, PieceFault, PieceReply, PieceRequest};
+use crate::piece::{PieceBatch, PieceFault, PieceReply, PieceRequest, PoolLoad};
 use crate::rendezvous;
 
 /// Between two signs of life.
@@ -24,6 +24,9 @@
 /// How long a host that was lost is passed over.
 const LOST_SPAN: Duration = Duration::from_millis(1_500);
 
+/// How long the load of a pool counts.
+const LOAD_KEPT: Duration = Duration::from_millis(600);
+
 /// How often a batch is handed out before it counts as lost.
 const MAX_HANDOUTS: u32 = 3;
 
@@ -49,6 +52,8 @@
     lost: HashMap<SocketAddr, Instant>,
     links: HashMap<SocketAddr, Link>,
     next_batch: u64,
+    /// What the coordinators told of their pools, and when.
+    loads: HashMap<String, (PoolLoad, Instant)>,
 }
 
 /// The way to the hosts that gather pieces. Cheap to clone.
@@ -192,6 +197,24 @@
         }
     }
 
+    fn take_loads(&self, loads: Vec<(String, PoolLoad)>) {
+        let now = Instant::now();
+        let loads = loads
+            .into_iter()
+            .map(|(service, load)| (service, (load, now)));
+        self.state.borrow_mut().loads.extend(loads);
+    }
+
+    /// Returns the load of a pool as it was told lately; nothing where it is not known.
+    pub(crate) fn load_of(&self, service: &str) -> Option<PoolLoad> {
+        if self.home_of(service) == Home::Here {
+            return self.coordinator.load_of(service);
+        }
+        let state = self.state.borrow();
+        let (load, told) = state.loads.get(service)?;
+        (told.elapsed() < LOAD_KEPT).then(|| load.clone())
+    }
+
     fn take_done(&self, address: SocketAddr, number: u64, results: Results) {
         let mut state = self.state.borrow_mut();
         let waiter = state
@@ -269,8 +292,9 @@
     mut reader: PeerReader,
 ) -> Result<(), WireError> {
     while let Ok(reply) = timeout(SILENCE_LIMIT, reader.receive::<PieceReply>()).await {
-        if let PieceReply::Done { number, results } = reply? {
-            client.take_done(address, number, results);
+        match reply? {
+            PieceReply::Done { number, results } => client.take_done(address, number, results),
+            PieceReply::Alive { loads } => client.take_loads(loads),
         }
     }
     Ok(())
