--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -78,6 +78,8 @@
     rest_until: Option<Instant>,
     /// When its call is expected to end.
     busy_until: Instant,
+    /// Whether it gets no more calls; it stays until those at work have ended.
+    leaving: bool,
 }
 
 impl StageTarget {
@@ -88,7 +90,7 @@
 
     fn is_free(&self, slots: u32, now: Instant) -> bool {
         let resting = self.rest_until.is_some_and(|until| until > now);
-        !resting && self.busy < slots
+        !self.leaving && !resting && self.busy < slots
     }
 }
 
@@ -291,9 +293,7 @@
             pool.targets
                 .retain(|id, target| wanted.contains_key(id.as_str()) || target.busy > 0);
             for (id, target) in &mut pool.targets {
-                if !wanted.contains_key(id.as_str()) {
-                    target.rest_until = Some(Instant::now() + Duration::from_secs(3_600));
-                }
+                target.leaving = target.leaving || !wanted.contains_key(id.as_str());
             }
             for (id, record) in wanted {
                 pool.targets
@@ -306,6 +306,7 @@
                         results: HashMap::new(),
                         rest_until: None,
                         busy_until: Instant::now(),
+                        leaving: false,
                     });
             }
         }
@@ -393,8 +394,9 @@
                 CallEnd::Answered(_) => None,
                 CallEnd::Busy => Some(Duration::from_millis(40)),
                 CallEnd::Failed(_) => Some(Duration::from_millis(1_000)),
-                CallEnd::OtherTarget => Some(Duration::from_secs(3_600)),
+                CallEnd::OtherTarget => None,
             };
+            target.leaving = target.leaving || matches!(end, CallEnd::OtherTarget);
             if let Some(rest) = rest {
                 target.rest_until = Some(now + rest);
             }
@@ -454,7 +456,8 @@
         }
         let soon = now + Duration::from_secs(2);
         let targets = self.targets.values();
-        let usable = targets.filter(|target| target.rest_until.is_none_or(|until| until < soon));
+        let usable = targets
+            .filter(|target| !target.leaving && target.rest_until.is_none_or(|until| until < soon));
         let (mut targets, mut free) = (0, 0);
         for target in usable {
             targets += 1;
@@ -567,6 +570,7 @@
         let patience = spare.mul_f64(HALL_PATIENCE_PART).min(HALL_PATIENCE);
         let of_hall = self.targets.values().filter(|target| {
             waiting.hall.as_ref() == Some(&target.hall)
+                && !target.leaving
                 && target.rest_until.is_none_or(|until| until <= now)
                 && target.busy_until <= now + patience
         });
