--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -408,6 +408,17 @@
             }
             CallEnd::Failed(_) => vec![Err(PieceFault::Failed); call.pieces.len()],
         };
+        if matches!(outcomes.first(), Some(Err(PieceFault::Failed)))
+            && let Some(target) = pool.targets.get_mut(&call.target)
+        {
+            // It may have run all the same: its results take their room until they expire, and
+            // nobody knows their handles.
+            let lost = HeldResult {
+                bytes: call.reserved,
+                until: now + ttl,
+            };
+            target.results.insert(format!("lost {now:?}"), lost);
+        }
         let mut again = Vec::new();
         for (mut waiting, outcome) in call.pieces.into_iter().zip(outcomes) {
             if let Ok(handle) = &outcome
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -9,20 +9,23 @@
 use linnet_directory::GatewayRecord;
 use linnet_wire::{PeerGreeting, PeerIdentity, PeerReader, PeerWriter, WireError, connect_peer};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::coordinator::{BatchKey, Coordinator};
 use crate::piece::{PieceBatch, PieceFault, PieceReply, PieceRequest, PoolLoad};
 use crate::rendezvous;
 
 /// Between two signs of life.
-pub(crate) const ALIVE_PERIOD: Duration = Duration::from_millis(250);
+pub(crate) const ALIVE_PERIOD: Duration = Duration::from_millis(200);
 
 /// A side that is silent for so long is taken as lost.
-pub(crate) const SILENCE_LIMIT: Duration = Duration::from_millis(900);
+pub(crate) const SILENCE_LIMIT: Duration = Duration::from_millis(750);
 
-/// How long a host that was lost is passed over.
-const LOST_SPAN: Duration = Duration::from_millis(1_500);
+/// How long a connection may take to open before requests go to another host meanwhile.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(250);
+
+/// Wait before a host that was lost is called again.
+const RECONNECT_WAIT: Duration = Duration::from_millis(400);
 
 /// How long the load of a pool counts.
 const LOAD_KEPT: Duration = Duration::from_millis(600);
@@ -41,7 +44,19 @@
     Remote(SocketAddr),
 }
 
+/// Where a connection to another entry host stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LinkState {
+    /// It is being opened for the first time, since then.
+    Opening(Instant),
+    /// It is up.
+    Up,
+    /// It was lost, or could not be opened; it is tried again in the background.
+    Lost,
+}
+
 struct Link {
+    state: LinkState,
     outgoing: mpsc::UnboundedSender<PieceRequest>,
     waiting: HashMap<u64, oneshot::Sender<Results>>,
 }
@@ -49,7 +64,6 @@
 #[derive(Default)]
 struct ClientState {
     gateways: Vec<GatewayRecord>,
-    lost: HashMap<SocketAddr, Instant>,
     links: HashMap<SocketAddr, Link>,
     next_batch: u64,
     /// What the coordinators told of their pools, and when.
@@ -101,11 +115,8 @@
             };
             match results {
                 Some(results) => return (results, home),
-                None => {
-                    if let Home::Remote(address) = home {
-                        self.note_lost(address);
-                    }
-                }
+                // The link was lost, and with it what this host had handed out on it.
+                None => {}
             }
         }
         (vec![Err(PieceFault::Lost); count], Home::Here)
@@ -125,23 +136,36 @@
         }
     }
 
-    // Every host ranks the others alike, so they meet at the same one while they hear the same.
+    // Every host ranks the others alike, so they meet at the same one while they hear the same. A
+    // host that cannot be reached is passed over until it was reached again in the background.
     fn home_of(&self, service: &str) -> Home {
-        let now = Instant::now();
-        let state = self.state.borrow();
-        let usable = state.gateways.iter().filter(|one| {
-            let lost = state.lost.get(&one.peer).is_some_and(|until| *until > now);
-            one.name != self.name && !one.stopping && !lost
-        });
-        let best = usable.max_by_key(|one| rendezvous::score(service, &one.name));
-        match best {
-            Some(best)
-                if rendezvous::score(service, &best.name)
-                    > rendezvous::score(service, &self.name) =>
-            {
-                Home::Remote(best.peer)
-            }
-            _ => Home::Here,
+        let own = rendezvous::score(service, &self.name);
+        let mut ranked: Vec<(u64, SocketAddr)> = {
+            let state = self.state.borrow();
+            let others = state.gateways.iter();
+            let others = others.filter(|one| one.name != self.name && !one.stopping);
+            others
+                .map(|one| (rendezvous::score(service, &one.name), one.peer))
+                .filter(|(score, _)| *score > own)
+                .collect()
+        };
+        ranked.sort_by(|a, b| b.cmp(a));
+        let reached = ranked
+            .into_iter()
+            .find(|(_, address)| self.is_reachable(*address));
+        reached.map_or(Home::Here, |(_, address)| Home::Remote(address))
+    }
+
+    fn is_reachable(&self, address: SocketAddr) -> bool {
+        let mut state = self.state.borrow_mut();
+        let link = state
+            .links
+            .entry(address)
+            .or_insert_with(|| self.start_link(address));
+        match link.state {
+            LinkState::Up => true,
+            LinkState::Opening(since) => since.elapsed() < CONNECT_PATIENCE,
+            LinkState::Lost => false,
         }
     }
 
@@ -151,11 +175,6 @@
         state.next_batch
     }
 
-    fn note_lost(&self, address: SocketAddr) {
-        let until = Instant::now() + LOST_SPAN;
-        self.state.borrow_mut().lost.insert(address, until);
-    }
-
     async fn run_here(&self, batch: PieceBatch) -> Option<Results> {
         let (done, results) = oneshot::channel();
         let key = self.coordinator.submit(batch, move |results| {
@@ -192,11 +211,35 @@
         let (outgoing, queue) = mpsc::unbounded_channel();
         ntex::rt::spawn(run_link(self.clone(), address, queue));
         Link {
+            state: LinkState::Opening(Instant::now()),
             outgoing,
             waiting: HashMap::new(),
         }
     }
 
+    fn knows(&self, address: SocketAddr) -> bool {
+        let state = self.state.borrow();
+        state.gateways.iter().any(|one| one.peer == address)
+    }
+
+    /// Notes where a link stands. The batches on one that was lost are dropped, which lets their
+    /// requests try another host.
+    fn mark(&self, address: SocketAddr, to: LinkState) {
+        let dropped = {
+            let mut state = self.state.borrow_mut();
+            let Some(link) = state.links.get_mut(&address) else {
+                return;
+            };
+            link.state = to;
+            if to == LinkState::Lost {
+                std::mem::take(&mut link.waiting)
+            } else {
+                HashMap::new()
+            }
+        };
+        drop(dropped);
+    }
+
     fn take_loads(&self, loads: Vec<(String, PoolLoad)>) {
         let now = Instant::now();
         let loads = loads
@@ -258,13 +301,19 @@
     }
 }
 
+/// Keeps a connection to an entry host open for as long as that host is known.
 async fn run_link(
     client: StageClient,
     address: SocketAddr,
-    queue: mpsc::UnboundedReceiver<PieceRequest>,
+    mut queue: mpsc::UnboundedReceiver<PieceRequest>,
 ) {
-    let _ = exchange(&client, address, queue).await;
-    // Dropping the link drops its waiters, which then try another host.
+    while client.knows(address) {
+        let _ = exchange(&client, address, &mut queue).await;
+        client.mark(address, LinkState::Lost);
+        // What waits for this host goes to another one.
+        while queue.try_recv().is_ok() {}
+        sleep(RECONNECT_WAIT).await;
+    }
     let link = client.state.borrow_mut().links.remove(&address);
     drop(link);
 }
@@ -272,7 +321,7 @@
 async fn exchange(
     client: &StageClient,
     address: SocketAddr,
-    queue: mpsc::UnboundedReceiver<PieceRequest>,
+    queue: &mut mpsc::UnboundedReceiver<PieceRequest>,
 ) -> Result<(), WireError> {
     let Ok(connected) = timeout(SILENCE_LIMIT, connect_peer(&client.identity, address)).await
     else {
@@ -280,6 +329,7 @@
     };
     let (reader, mut writer) = connected?;
     writer.send(&PeerGreeting::Pieces).await?;
+    client.mark(address, LinkState::Up);
     tokio::select! {
         ended = take_replies(client, address, reader) => ended,
         ended = send_queued(queue, writer) => ended,
@@ -301,7 +351,7 @@
 }
 
 async fn send_queued(
-    mut queue: mpsc::UnboundedReceiver<PieceRequest>,
+    queue: &mut mpsc::UnboundedReceiver<PieceRequest>,
     mut writer: PeerWriter,
 ) -> Result<(), WireError> {
     loop {
