Prompts are placed by one host for each engine service

Cause: each of nine entry hosts knew only its own prompts, so engines had two or three prompts to read while others had none (time from stages to first event p90 1.2 s in bursts).

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::ask::Prompt;
+use serde::{Deserialize, Serialize};
+
 use crate::rendezvous;
 use crate::target::{Target, TargetBook};
 
@@ -22,6 +23,12 @@
 
 const MEGABYTE: f64 = 1_000_000.0;
 
+/// How long a part is taken to stay at an engine after its last use.
+const PART_KEPT: Duration = Duration::from_secs(60);
+
+/// Parts that are remembered.
+const MAX_PARTS: usize = 50_000;
+
 /// The least weight of a hall.
 const LEAST_WEIGHT: f64 = 0.02;
 
@@ -61,9 +68,23 @@
     }
 }
 
-/// The choice of engines, with what was learned of them.
-pub(crate) struct EngineChoice {
-    tokens_per_ms: f64,
+/// What is asked of the host that places prompts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PlaceAsk {
+    /// The service whose engines are meant.
+    pub(crate) service: String,
+    /// The last part of the prompt that others share; empty where there is none.
+    pub(crate) part: String,
+    /// Tokens of the prompt.
+    pub(crate) tokens: u64,
+    /// Tokens of all its shared parts.
+    pub(crate) shared_tokens: u64,
+    /// The stage pool with large results that requests of its route use.
+    pub(crate) heavy_stage: Option<String>,
+    /// The hall where the results of its stages were made, and their bytes.
+    pub(crate) results: Option<(String, u64)>,
+    /// Engines that were tried already.
+    pub(crate) avoid: Vec<String>,
 }
 
 /// A target that was chosen.
@@ -74,60 +95,79 @@
     pub(crate) hall: String,
 }
 
-impl Default for EngineChoice {
+/// Names one placement at its placer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) struct PlacementKey(u64);
+
+/// What was placed on one engine and has not ended.
+#[derive(Debug, Default)]
+struct EngineLoad {
+    /// Prompt tokens that are not known to be read yet.
+    unread: u64,
+    running: u32,
+}
+
+struct Placed {
+    engine: String,
+    unread: u64,
+}
+
+/// Places prompts on engines, with what it knows of them from its own placements.
+pub(crate) struct EnginePlacer {
+    tokens_per_ms: f64,
+    loads: HashMap<String, EngineLoad>,
+    /// Engines that hold a part, with the time of its last use there.
+    holders: HashMap<String, Vec<(String, Instant)>>,
+    placed: HashMap<PlacementKey, Placed>,
+    next: u64,
+}
+
+impl Default for EnginePlacer {
     fn default() -> Self {
         Self {
             tokens_per_ms: FIRST_TOKENS_PER_MS,
+            loads: HashMap::new(),
+            holders: HashMap::new(),
+            placed: HashMap::new(),
+            next: 0,
         }
     }
 }
 
-impl EngineChoice {
-    /// Chooses an engine, passing over those in `avoid`.
+impl EnginePlacer {
+    /// Chooses an engine, passing over those to avoid.
     ///
-    /// The engine that every host ranks first for the shared part is taken to hold it; on any other
-    /// the shared part has to be read anew, which counts like a wait.
-    pub(crate) fn choose(
-        &self,
-        book: &TargetBook,
-        service: &str,
-        prompt: &Prompt,
-        weights: &HallWeights,
-        results: Option<(&str, u64)>,
-        avoid: &[String],
-        now: Instant,
-    ) -> Option<Chosen> {
-        let usable = book.usable(service, now);
-        let mut candidates: Vec<_> = usable
-            .iter()
-            .filter(|one| !avoid.contains(&one.id))
-            .collect();
+    /// The shared part is taken to lie at the engines where it was used lately; where none is known,
+    /// at the engine that every host ranks first for it. On any other it has to be read anew, which
+    /// counts like a wait.
+    pub(crate) fn choose(&self, book: &TargetBook, ask: &PlaceAsk, now: Instant) -> Option<Chosen> {
+        let usable = book.usable(&ask.service, now);
+        let fresh = usable.iter().filter(|one| !ask.avoid.contains(&one.id));
+        let mut candidates: Vec<_> = fresh.collect();
         if candidates.is_empty() {
             candidates = usable.iter().collect();
         }
-        let rank = |one: &Target| {
-            rendezvous::weighted_score(&prompt.shared_part, &one.id, weights.of(&one.hall))
-        };
-        let home = candidates
+        let weights = ask
+            .heavy_stage
+            .as_ref()
+            .map_or_else(HallWeights::default, |stage| {
+                HallWeights::new(book, &ask.service, stage)
+            });
+        let rank =
+            |one: &Target| rendezvous::weighted_score(&ask.part, &one.id, weights.of(&one.hall));
+        let first = candidates
             .iter()
             .max_by(|a, b| rank(a).total_cmp(&rank(b)))?
             .id
             .clone();
-        let reading_ms = |tokens: u64| tokens as f64 / self.tokens_per_ms;
+        let known = candidates.iter().any(|one| self.holds(&one.id, &ask.part));
         let cost = |one: &Target| {
-            let missing = if one.id == home || prompt.shared_part.is_empty() {
-                0.0
+            let held = if known {
+                self.holds(&one.id, &ask.part)
             } else {
-                reading_ms(prompt.shared_tokens)
-            };
-            let crossing = match results {
-                Some((hall, bytes)) if one.hall != hall => {
-                    bytes as f64 / MEGABYTE * CROSSING_COST_MS
-                }
-                _ => 0.0,
+                one.id == first
             };
-            let running = f64::from(one.in_flight) * RUNNING_COST_MS;
-            reading_ms(one.unread_tokens) + missing + crossing + running
+            self.cost_ms(one, ask, held)
         };
         let best = candidates.into_iter().min_by(|a, b| {
             cost(a)
@@ -141,6 +181,101 @@
         })
     }
 
+    fn holds(&self, engine: &str, part: &str) -> bool {
+        let holders = self.holders.get(part);
+        holders.is_some_and(|holders| holders.iter().any(|(id, _)| id == engine))
+    }
+
+    fn cost_ms(&self, engine: &Target, ask: &PlaceAsk, held: bool) -> f64 {
+        let reading = |tokens: u64| tokens as f64 / self.tokens_per_ms;
+        let missing = if held || ask.part.is_empty() {
+            0.0
+        } else {
+            reading(ask.shared_tokens)
+        };
+        let crossing = match &ask.results {
+            Some((hall, bytes)) if engine.hall != *hall => {
+                *bytes as f64 / MEGABYTE * CROSSING_COST_MS
+            }
+            _ => 0.0,
+        };
+        let load = self.loads.get(&engine.id);
+        let (unread, running) = load.map_or((0, 0), |load| (load.unread, load.running));
+        reading(unread) + missing + crossing + f64::from(running) * RUNNING_COST_MS
+    }
+
+    /// Chooses an engine and counts the prompt there until [`EnginePlacer::end`].
+    pub(crate) fn place(
+        &mut self,
+        book: &TargetBook,
+        ask: &PlaceAsk,
+        now: Instant,
+    ) -> Option<(PlacementKey, Chosen)> {
+        let chosen = self.choose(book, ask, now)?;
+        let held = self.holds(&chosen.id, &ask.part);
+        let cached = if held { ask.shared_tokens } else { 0 };
+        let unread = ask.tokens.saturating_sub(cached);
+        let load = self.loads.entry(chosen.id.clone()).or_default();
+        load.unread += unread;
+        load.running += 1;
+        self.note_holder(&chosen.id, &ask.part, now);
+        self.next += 1;
+        let key = PlacementKey(self.next);
+        let engine = chosen.id.clone();
+        self.placed.insert(key, Placed { engine, unread });
+        Some((key, chosen))
+    }
+
+    fn note_holder(&mut self, engine: &str, part: &str, now: Instant) {
+        if part.is_empty() {
+            return;
+        }
+        if self.holders.len() >= MAX_PARTS && !self.holders.contains_key(part) {
+            self.holders.retain(|_, holders| {
+                holders.retain(|(_, used)| now.saturating_duration_since(*used) < PART_KEPT);
+                !holders.is_empty()
+            });
+        }
+        if self.holders.len() >= MAX_PARTS {
+            return;
+        }
+        let holders = self.holders.entry(part.to_owned()).or_default();
+        holders
+            .retain(|(id, used)| id != engine && now.saturating_duration_since(*used) < PART_KEPT);
+        holders.push((engine.to_owned(), now));
+    }
+
+    /// Notes that an engine has read a prompt.
+    pub(crate) fn note_read(&mut self, key: PlacementKey) {
+        if let Some(placed) = self.placed.get_mut(&key) {
+            let unread = std::mem::take(&mut placed.unread);
+            if let Some(load) = self.loads.get_mut(&placed.engine) {
+                load.unread = load.unread.saturating_sub(unread);
+            }
+        }
+    }
+
+    /// Notes that a request has ended, or that its host was lost.
+    pub(crate) fn end(&mut self, key: PlacementKey) {
+        self.note_read(key);
+        let Some(placed) = self.placed.remove(&key) else {
+            return;
+        };
+        if let Some(load) = self.loads.get_mut(&placed.engine) {
+            load.running = load.running.saturating_sub(1);
+            if load.running == 0 {
+                self.loads.remove(&placed.engine);
+            }
+        }
+    }
+
+    /// Forgets what an engine holds, since it failed or is another start now.
+    pub(crate) fn forget_engine(&mut self, engine: &str) {
+        for holders in self.holders.values_mut() {
+            holders.retain(|(id, _)| id != engine);
+        }
+    }
+
     /// Returns about how long an engine reads a prompt of which it holds nothing.
     pub(crate) fn reading_time(&self, tokens: u64) -> Duration {
         Duration::from_secs_f64(tokens as f64 / self.tokens_per_ms / 1_000.0)
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -14,11 +14,12 @@
 use crate::answer::{Addition, answer_of, belongs_to, refusal_answer, request_for};
 use crate::ask::Ask;
 use crate::coordinator::HALL_BYTES;
-use crate::engine::{Chosen, HallWeights};
+use crate::engine::{Chosen, PlaceAsk};
 use crate::events::EventSplitter;
 use crate::graph::{RequestResults, admit, last_stages, run_stages};
 use crate::relay::{Relay, relay_events};
-use crate::target::TargetBook;
+use crate::stage_client::Placement;
+use crate::target::Target;
 use crate::upstream::{Lease, SendError};
 use crate::{AnswerBody, Gateway, Refusal, RefusalReason};
 
@@ -56,6 +57,8 @@
     pub(crate) lease: Lease,
     /// Counts the request at its target while the stream lasts.
     pub(crate) _in_flight: InFlight,
+    /// Counts the prompt at the host that placed it.
+    pub(crate) _placement: Option<Placement>,
 }
 
 /// Counts a request at its target until it is dropped.
@@ -63,36 +66,23 @@
     gateway: Rc<Gateway>,
     service: String,
     id: String,
-    unread: u64,
 }
 
 impl InFlight {
-    fn new(gateway: &Rc<Gateway>, service: &str, id: &str, unread: u64) -> Self {
+    fn new(gateway: &Rc<Gateway>, service: &str, id: &str) -> Self {
         if let Some(target) = gateway.targets.borrow_mut().find_mut(service, id) {
             target.in_flight += 1;
-            target.unread_tokens += unread;
         }
         Self {
             gateway: gateway.clone(),
             service: service.to_owned(),
             id: id.to_owned(),
-            unread,
-        }
-    }
-
-    /// Notes that the target has read the prompt.
-    fn note_read(&mut self) {
-        let unread = std::mem::take(&mut self.unread);
-        let mut targets = self.gateway.targets.borrow_mut();
-        if let Some(target) = targets.find_mut(&self.service, &self.id) {
-            target.unread_tokens = target.unread_tokens.saturating_sub(unread);
         }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.note_read();
         let mut targets = self.gateway.targets.borrow_mut();
         if let Some(target) = targets.find_mut(&self.service, &self.id) {
             target.in_flight = target.in_flight.saturating_sub(1);
@@ -201,31 +191,27 @@
     let mut tried: Vec<String> = Vec::new();
     let mut refusals = 0;
     loop {
-        let mut chosen = choose(gateway, &service, ask, &tried, None).ok_or_else(no_target)?;
         if results.is_none() && !ask.route.stages.is_empty() {
-            admit(gateway, ask)?;
             let started = Instant::now();
-            results = Some(run_stages(gateway, ask, &chosen.hall).await?);
+            results = Some(prepare(gateway, &service, ask).await?);
             log.stages = Some(started.elapsed());
-            // The stages took their time: the target may be leaving by now, or busy.
-            let hall = Some(chosen.hall.as_str());
-            chosen = choose(gateway, &service, ask, &tried, hall).ok_or_else(no_target)?;
-            gateway
-                .metrics
-                .stage_time
-                .observe(started.elapsed().as_secs_f64());
         }
+        // Only now: while the stages ran, targets may have gone.
+        let (chosen, placement) = choose(gateway, &service, ask, &tried, results.as_ref())
+            .await
+            .ok_or_else(no_target)?;
         log.target.clone_from(&chosen.id);
         log.attempts += 1;
         log.may_have_run = true;
         let attempt = Attempt {
             service: &service,
             chosen: &chosen,
+            placement,
             results: results.as_ref(),
             last_event: None,
         };
         let more = log.attempts - refusals < ask.route.max_attempts && ask.route.may_repeat();
-        let end = send_attempt(gateway, ask, &attempt, more).await;
+        let end = send_attempt(gateway, ask, attempt, more).await;
         tried.push(chosen.id.clone());
         let failure = match end {
             AttemptEnd::Events(stream) => {
@@ -294,36 +280,83 @@
     route.split.last().map_or("", |part| part.service.as_str())
 }
 
-/// Chooses a target, passing over those that were tried. `results_in` is the hall where the results
-/// of its stages were made.
-pub(crate) fn choose(
+/// Runs the stages of a request, in the hall where its prompt will go if nothing changes.
+async fn prepare(
+    gateway: &Rc<Gateway>,
+    service: &str,
+    ask: &Ask,
+) -> Result<RequestResults, Refusal> {
+    admit(gateway, ask)?;
+    let hall = match place_ask(gateway, service, ask, &[], None) {
+        Some(place) => {
+            let book = gateway.targets.borrow();
+            let engines = gateway.engines.borrow();
+            let planned = engines.choose(&book, &place, Instant::now());
+            planned.ok_or_else(no_target)?.hall
+        }
+        None => gateway.config.hall.clone(),
+    };
+    let started = Instant::now();
+    let results = run_stages(gateway, ask, &hall).await?;
+    let took = started.elapsed().as_secs_f64();
+    gateway.metrics.stage_time.observe(took);
+    Ok(results)
+}
+
+/// Chooses a target, passing over those that were tried.
+pub(crate) async fn choose(
     gateway: &Gateway,
     service: &str,
     ask: &Ask,
     tried: &[String],
-    results_in: Option<&str>,
-) -> Option<Chosen> {
-    let now = Instant::now();
-    let book = gateway.targets.borrow();
-    if let Some(prompt) = &ask.prompt {
-        let weights = hall_weights(&book, service, ask);
-        let engines = gateway.engines.borrow();
-        let results = results_in.map(|hall| (hall, result_bytes(ask)));
-        return engines.choose(&book, service, prompt, &weights, results, tried, now);
+    results: Option<&RequestResults>,
+) -> Option<(Chosen, Option<Placement>)> {
+    if let Some(place) = place_ask(gateway, service, ask, tried, results) {
+        let (chosen, placement) = gateway.stages.place(&gateway.targets, place).await?;
+        return Some((chosen, Some(placement)));
     }
-    let usable = book.usable(service, now);
+    let book = gateway.targets.borrow();
+    let usable = book.usable(service, Instant::now());
     let fresh = usable.iter().filter(|target| !tried.contains(&target.id));
-    let load = |target: &crate::target::Target| {
+    let load = |target: &Target| {
         let other_hall = f64::from(u8::from(target.hall != gateway.config.hall));
         let used = f64::from(target.in_flight) / f64::from(target.slots);
         used + 0.25 * other_hall + 0.05 * fastrand::f64()
     };
     let scored = fresh.map(|target| (load(target), target));
     let best = scored.min_by(|a, b| a.0.total_cmp(&b.0))?.1;
-    Some(Chosen {
+    let chosen = Chosen {
         id: best.id.clone(),
         address: best.address,
         hall: best.hall.clone(),
+    };
+    Some((chosen, None))
+}
+
+/// Returns what to ask of the host that places prompts; nothing for a request without one.
+fn place_ask(
+    gateway: &Gateway,
+    service: &str,
+    ask: &Ask,
+    tried: &[String],
+    results: Option<&RequestResults>,
+) -> Option<PlaceAsk> {
+    let prompt = ask.prompt.as_ref()?;
+    let largest = ask
+        .route
+        .stages
+        .iter()
+        .max_by_key(|stage| stage.result_bytes);
+    let heavy = largest.filter(|stage| stage.result_bytes >= HALL_BYTES);
+    let hall = results.and_then(|results| results.hall(&gateway.targets.borrow()));
+    Some(PlaceAsk {
+        service: service.to_owned(),
+        part: prompt.shared_part.clone(),
+        tokens: prompt.tokens_in,
+        shared_tokens: prompt.shared_tokens,
+        heavy_stage: heavy.map(|stage| stage.service.clone()),
+        results: hall.map(|hall| (hall, result_bytes(ask))),
+        avoid: tried.to_vec(),
     })
 }
 
@@ -335,22 +368,12 @@
     bytes.sum()
 }
 
-/// Returns the weights of the halls for a route whose results are large.
-fn hall_weights(book: &TargetBook, service: &str, ask: &Ask) -> HallWeights {
-    let stages = ask.route.stages.iter();
-    let largest = stages.max_by_key(|stage| stage.result_bytes);
-    match largest {
-        Some(stage) if stage.result_bytes >= HALL_BYTES => {
-            HallWeights::new(book, service, &stage.service)
-        }
-        _ => HallWeights::default(),
-    }
-}
-
 /// One sending to one target.
 pub(crate) struct Attempt<'a> {
     pub(crate) service: &'a str,
     pub(crate) chosen: &'a Chosen,
+    /// Counts the prompt at the host that placed it.
+    pub(crate) placement: Option<Placement>,
     pub(crate) results: Option<&'a RequestResults>,
     pub(crate) last_event: Option<&'a str>,
 }
@@ -360,7 +383,7 @@
 pub(crate) async fn send_attempt(
     gateway: &Rc<Gateway>,
     ask: &Ask,
-    attempt: &Attempt<'_>,
+    attempt: Attempt<'_>,
     more: bool,
 ) -> AttemptEnd {
     let left = ask.time_left();
@@ -379,7 +402,7 @@
 async fn exchange(
     gateway: &Rc<Gateway>,
     ask: &Ask,
-    attempt: &Attempt<'_>,
+    mut attempt: Attempt<'_>,
     left: Duration,
 ) -> AttemptEnd {
     let chosen = attempt.chosen;
@@ -399,8 +422,7 @@
             };
         }
     };
-    let tokens = ask.prompt.as_ref().map_or(0, |prompt| prompt.tokens_in);
-    let mut in_flight = InFlight::new(gateway, attempt.service, &chosen.id, tokens);
+    let in_flight = InFlight::new(gateway, attempt.service, &chosen.id);
     let sent = Instant::now();
     let (answer, lease) = match gateway.pool.send(chosen.address, request).await {
         Ok(answered) => answered,
@@ -414,7 +436,7 @@
         Err(SendError::MayHaveRun(cause)) => return AttemptEnd::MayHaveRun(cause),
     };
     let (head, body) = answer.into_parts();
-    if let Some(refused) = read_refusal(gateway, attempt, &head) {
+    if let Some(refused) = read_refusal(gateway, &attempt, &head) {
         if body.collect().await.is_ok() {
             lease.finish(&head.headers);
         }
@@ -436,7 +458,16 @@
         return AttemptEnd::MayHaveRun("an answer without the target's seal".to_owned());
     }
     if ask.route.kind == RouteKind::Streaming && head.status.is_success() {
-        let end = first_events(gateway, ask, head, body, lease, &mut in_flight, sent).await;
+        let end = first_events(
+            gateway,
+            ask,
+            head,
+            body,
+            lease,
+            attempt.placement.as_ref(),
+            sent,
+        )
+        .await;
         return match end {
             Ok((status, headers, first, rest, splitter, lease)) => {
                 gateway
@@ -451,6 +482,7 @@
                     splitter,
                     lease,
                     _in_flight: in_flight,
+                    _placement: attempt.placement.take(),
                 })
             }
             Err(end) => end,
@@ -510,7 +542,7 @@
     head: http::response::Parts,
     mut body: Incoming,
     lease: Lease,
-    in_flight: &mut InFlight,
+    placement: Option<&Placement>,
     sent: Instant,
 ) -> Result<FirstEvents, AttemptEnd> {
     let mut splitter = EventSplitter::default();
@@ -520,7 +552,9 @@
                 let Some(first) = frame.data_ref().and_then(|bytes| splitter.push(bytes)) else {
                     continue;
                 };
-                in_flight.note_read();
+                if let Some(placement) = placement {
+                    placement.note_read();
+                }
                 if let Some(prompt) = &ask.prompt {
                     let unshared = prompt.tokens_in.saturating_sub(prompt.shared_tokens);
                     gateway.engines.borrow_mut().learn(unshared, sent.elapsed());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use crate::Dialect;
 use crate::budget::{BudgetRule, RetryBudget};
 use crate::coordinator::Coordinator;
-use crate::engine::EngineChoice;
+use crate::engine::EnginePlacer;
 use crate::metrics::GatewayMetrics;
 use crate::stage_client::StageClient;
 use crate::target::TargetBook;
@@ -56,7 +56,7 @@
     pub(crate) targets: RefCell<TargetBook>,
     pub(crate) pool: UpstreamPool,
     pub(crate) budget: RefCell<RetryBudget>,
-    pub(crate) engines: RefCell<EngineChoice>,
+    pub(crate) engines: Rc<RefCell<EnginePlacer>>,
     pub(crate) stages: StageClient,
     pub(crate) coordinator: Rc<Coordinator>,
     pub(crate) stopping: Cell<bool>,
@@ -87,17 +87,19 @@
             slack: config.retry_slack,
             window: config.retry_window,
         };
+        let engines = Rc::new(RefCell::new(EnginePlacer::default()));
         let gateway = Rc::new(Self {
             stages: StageClient::new(
                 config.identity.clone(),
                 config.name.clone(),
                 coordinator.clone(),
+                engines.clone(),
             ),
             table: RefCell::default(),
             view: RefCell::default(),
             targets: RefCell::default(),
             budget: RefCell::new(RetryBudget::new(rule)),
-            engines: RefCell::default(),
+            engines: engines.clone(),
             coordinator,
             pool,
             stopping: Cell::new(false),
@@ -212,6 +214,7 @@
     pub(crate) fn note_target_failure(&self, service: &str, id: &str, cause: &str) {
         let now = Instant::now();
         if self.targets.borrow_mut().note_failure(service, id, now) {
+            self.engines.borrow_mut().forget_engine(id);
             let detail = format!("service={service} cause={cause}");
             self.config
                 .recorder
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -1,5 +1,6 @@
 //! Runs the stages of a request in the order of their results.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use crate::coordinator::LEAST_REFUSED_WAIT_MS;
 use crate::piece::{PieceBatch, PieceFault, PieceInput, PieceSpec};
 use crate::stage_client::Home;
+use crate::target::TargetBook;
 use crate::{Gateway, Refusal, RefusalReason};
 
 /// When a caller should come back after queues were too long: spread, so that those who were refused
@@ -40,6 +42,27 @@
 }
 
 impl RequestResults {
+    /// Returns the hall of the target that made the most of the results, by the handles' addresses.
+    pub(crate) fn hall(&self, book: &TargetBook) -> Option<String> {
+        let stages = self
+            .taken
+            .iter()
+            .filter_map(|stage| self.stages[*stage].as_ref());
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for stage in stages {
+            for handle in &stage.handles {
+                let maker = handle.split('/').next().unwrap_or_default();
+                if let Some(hall) = book.hall_at(&stage.service, maker) {
+                    *counts.entry(hall).or_default() += 1;
+                }
+            }
+        }
+        counts
+            .into_iter()
+            .max_by_key(|(_, count)| *count)
+            .map(|(hall, _)| hall)
+    }
+
     /// Returns the handles of the stages that no other comes after.
     pub(crate) fn handles(&self) -> Vec<String> {
         let stages = self
--- a/crates/gateway/src/piece.rs
+++ b/crates/gateway/src/piece.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ask::Rank;
+use crate::engine::PlaceAsk;
 
 /// What a piece works on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -114,6 +115,12 @@
         service: String,
         handles: Vec<String>,
     },
+    /// Place a prompt on an engine.
+    Place { number: u64, ask: PlaceAsk },
+    /// The engine has read a prompt that was placed.
+    Read(u64),
+    /// A request that was placed has ended.
+    End(u64),
     /// A sign of life.
     Alive,
 }
@@ -126,6 +133,8 @@
         number: u64,
         results: Vec<Result<String, PieceFault>>,
     },
+    /// The engine for a prompt; nothing where there is none.
+    Placed { number: u64, engine: Option<String> },
     /// A sign of life, with the load of the pools that this host gathers for.
     Alive { loads: Vec<(String, PoolLoad)> },
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -85,15 +85,23 @@
             && take_repeat(&self.gateway, &self.service)
         {
             self.attempts += 1;
-            let chosen = choose(&self.gateway, &self.service, &self.ask, &self.tried, None)?;
+            let (chosen, placement) = choose(
+                &self.gateway,
+                &self.service,
+                &self.ask,
+                &self.tried,
+                self.results.as_ref(),
+            )
+            .await?;
             self.tried.push(chosen.id.clone());
             let attempt = Attempt {
                 service: &self.service,
                 chosen: &chosen,
+                placement,
                 results: self.results.as_ref(),
                 last_event: self.last_event.as_deref(),
             };
-            let end = send_attempt(&self.gateway, &self.ask, &attempt, false).await;
+            let end = send_attempt(&self.gateway, &self.ask, attempt, false).await;
             if let AttemptEnd::Events(stream) = end {
                 self.chosen = chosen;
                 self.note(EventCode::StreamResumed, &format!("cause={cause}"));
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -22,6 +22,7 @@
 use crate::answer::refusal_answer;
 use crate::ask::{Ask, read_ask};
 use crate::coordinator::BatchKey;
+use crate::engine::PlacementKey;
 use crate::forward::forward;
 use crate::gateway::OpenRequest;
 use crate::piece::{PieceReply, PieceRequest};
@@ -172,12 +173,49 @@
     outcome
 }
 
+/// What another host placed here; ended when that host is lost.
+struct RemotePlacements<'a> {
+    gateway: &'a Gateway,
+    keys: HashMap<u64, PlacementKey>,
+}
+
+impl<'a> RemotePlacements<'a> {
+    fn new(gateway: &'a Gateway) -> Self {
+        Self {
+            gateway,
+            keys: HashMap::new(),
+        }
+    }
+
+    fn insert(&mut self, number: u64, key: PlacementKey) {
+        self.keys.insert(number, key);
+    }
+
+    fn get(&self, number: &u64) -> Option<&PlacementKey> {
+        self.keys.get(number)
+    }
+
+    fn remove(&mut self, number: &u64) -> Option<PlacementKey> {
+        self.keys.remove(number)
+    }
+}
+
+impl Drop for RemotePlacements<'_> {
+    fn drop(&mut self) {
+        let mut engines = self.gateway.engines.borrow_mut();
+        for key in self.keys.values() {
+            engines.end(*key);
+        }
+    }
+}
+
 async fn take_pieces(
     gateway: &Rc<Gateway>,
     mut reader: PeerReader,
     replies: mpsc::UnboundedSender<PieceReply>,
     open: Rc<RefCell<HashMap<u64, BatchKey>>>,
 ) -> Result<(), WireError> {
+    let mut placements = RemotePlacements::new(gateway);
     while let Ok(request) = timeout(SILENCE_LIMIT, reader.receive::<PieceRequest>()).await {
         match request? {
             PieceRequest::Run(batch) => {
@@ -200,6 +238,28 @@
                 }
             }
             PieceRequest::Free { service, handles } => gateway.coordinator.free(&service, handles),
+            PieceRequest::Place { number, ask } => {
+                let now = Instant::now();
+                let placed = {
+                    let book = gateway.targets.borrow();
+                    gateway.engines.borrow_mut().place(&book, &ask, now)
+                };
+                let engine = placed.map(|(key, chosen)| {
+                    placements.insert(number, key);
+                    chosen.id
+                });
+                let _ = replies.send(PieceReply::Placed { number, engine });
+            }
+            PieceRequest::Read(number) => {
+                if let Some(key) = placements.get(&number) {
+                    gateway.engines.borrow_mut().note_read(*key);
+                }
+            }
+            PieceRequest::End(number) => {
+                if let Some(key) = placements.remove(&number) {
+                    gateway.engines.borrow_mut().end(key);
+                }
+            }
             PieceRequest::Alive => {}
         }
     }
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -12,8 +12,10 @@
 use tokio::time::{sleep, timeout};
 
 use crate::coordinator::{BatchKey, Coordinator};
+use crate::engine::{Chosen, EnginePlacer, PlaceAsk, PlacementKey};
 use crate::piece::{PieceBatch, PieceFault, PieceReply, PieceRequest, PoolLoad};
 use crate::rendezvous;
+use crate::target::TargetBook;
 
 /// Between two signs of life.
 pub(crate) const ALIVE_PERIOD: Duration = Duration::from_millis(200);
@@ -27,6 +29,9 @@
 /// Wait before a host that was lost is called again.
 const RECONNECT_WAIT: Duration = Duration::from_millis(400);
 
+/// How long the host that places prompts may take.
+const PLACE_TIMEOUT: Duration = Duration::from_millis(60);
+
 /// How long the load of a pool counts.
 const LOAD_KEPT: Duration = Duration::from_millis(600);
 
@@ -59,6 +64,7 @@
     state: LinkState,
     outgoing: mpsc::UnboundedSender<PieceRequest>,
     waiting: HashMap<u64, oneshot::Sender<Results>>,
+    placing: HashMap<u64, oneshot::Sender<Option<String>>>,
 }
 
 #[derive(Default)]
@@ -76,15 +82,22 @@
     identity: PeerIdentity,
     name: String,
     coordinator: Rc<Coordinator>,
+    engines: Rc<RefCell<EnginePlacer>>,
     state: Rc<RefCell<ClientState>>,
 }
 
 impl StageClient {
-    pub(crate) fn new(identity: PeerIdentity, name: String, coordinator: Rc<Coordinator>) -> Self {
+    pub(crate) fn new(
+        identity: PeerIdentity,
+        name: String,
+        coordinator: Rc<Coordinator>,
+        engines: Rc<RefCell<EnginePlacer>>,
+    ) -> Self {
         Self {
             identity,
             name,
             coordinator,
+            engines,
             state: Rc::default(),
         }
     }
@@ -214,6 +227,7 @@
             state: LinkState::Opening(Instant::now()),
             outgoing,
             waiting: HashMap::new(),
+            placing: HashMap::new(),
         }
     }
 
@@ -232,14 +246,73 @@
             };
             link.state = to;
             if to == LinkState::Lost {
-                std::mem::take(&mut link.waiting)
+                let placing = std::mem::take(&mut link.placing);
+                (std::mem::take(&mut link.waiting), placing)
             } else {
-                HashMap::new()
+                (HashMap::new(), HashMap::new())
             }
         };
         drop(dropped);
     }
 
+    /// Has a prompt placed by the host that places for its service. Where that host does not answer
+    /// at once this one places it by what it knows itself.
+    pub(crate) async fn place(
+        &self,
+        targets: &RefCell<TargetBook>,
+        ask: PlaceAsk,
+    ) -> Option<(Chosen, Placement)> {
+        if let Home::Remote(address) = self.home_of(&ask.service)
+            && let Some((engine, placement)) = self.place_at(address, ask.clone()).await
+            && let Some(chosen) = targets.borrow().find(&ask.service, &engine)
+        {
+            return Some((chosen, placement));
+        }
+        let book = targets.borrow();
+        let (key, chosen) = self
+            .engines
+            .borrow_mut()
+            .place(&book, &ask, Instant::now())?;
+        let placement = Placement {
+            client: self.clone(),
+            home: PlacedAt::Here(key),
+        };
+        Some((chosen, placement))
+    }
+
+    async fn place_at(&self, address: SocketAddr, ask: PlaceAsk) -> Option<(String, Placement)> {
+        let number = self.next_number();
+        let (done, answer) = oneshot::channel();
+        self.send_to(address, PieceRequest::Place { number, ask }, |link| {
+            link.placing.insert(number, done);
+        });
+        // From here on the placement is ended whatever becomes of the answer.
+        let placement = Placement {
+            client: self.clone(),
+            home: PlacedAt::Remote(address, number),
+        };
+        match timeout(PLACE_TIMEOUT, answer).await {
+            Ok(Ok(Some(engine))) => Some((engine, placement)),
+            _ => None,
+        }
+    }
+
+    fn take_placed(&self, address: SocketAddr, number: u64, engine: Option<String>) {
+        let mut state = self.state.borrow_mut();
+        let link = state.links.get_mut(&address);
+        if let Some(waiter) = link.and_then(|link| link.placing.remove(&number)) {
+            let _ = waiter.send(engine);
+        }
+    }
+
+    fn send_to(&self, address: SocketAddr, request: PieceRequest, note: impl FnOnce(&mut Link)) {
+        let mut state = self.state.borrow_mut();
+        if let Some(link) = state.links.get_mut(&address) {
+            note(link);
+            let _ = link.outgoing.send(request);
+        }
+    }
+
     fn take_loads(&self, loads: Vec<(String, PoolLoad)>) {
         let now = Instant::now();
         let loads = loads
@@ -270,6 +343,45 @@
     }
 }
 
+#[derive(Clone, Copy)]
+enum PlacedAt {
+    Here(PlacementKey),
+    Remote(SocketAddr, u64),
+}
+
+/// A prompt that was placed on an engine; it counts there until this is dropped.
+pub(crate) struct Placement {
+    client: StageClient,
+    home: PlacedAt,
+}
+
+impl Placement {
+    /// Notes that the engine has read the prompt.
+    pub(crate) fn note_read(&self) {
+        match self.home {
+            PlacedAt::Here(key) => self.client.engines.borrow_mut().note_read(key),
+            PlacedAt::Remote(address, number) => {
+                self.client
+                    .send_to(address, PieceRequest::Read(number), |_| {});
+            }
+        }
+    }
+}
+
+impl Drop for Placement {
+    fn drop(&mut self) {
+        match self.home {
+            PlacedAt::Here(key) => self.client.engines.borrow_mut().end(key),
+            PlacedAt::Remote(address, number) => {
+                self.client
+                    .send_to(address, PieceRequest::End(number), |link| {
+                        link.placing.remove(&number);
+                    });
+            }
+        }
+    }
+}
+
 /// Withdraws a batch of this host when its request ends before it.
 struct LocalBatch {
     coordinator: Rc<Coordinator>,
@@ -344,6 +456,7 @@
     while let Ok(reply) = timeout(SILENCE_LIMIT, reader.receive::<PieceReply>()).await {
         match reply? {
             PieceReply::Done { number, results } => client.take_done(address, number, results),
+            PieceReply::Placed { number, engine } => client.take_placed(address, number, engine),
             PieceReply::Alive { loads } => client.take_loads(loads),
         }
     }
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -6,6 +6,8 @@
 
 use linnet_directory::TargetRecord;
 
+use crate::engine::Chosen;
+
 /// Failures in a row after which a target gets no work for a while.
 const EJECT_FAILURES: u32 = 2;
 
@@ -27,8 +29,6 @@
     pub(crate) slots: u32,
     /// Requests of this host that are in flight there.
     pub(crate) in_flight: u32,
-    /// Prompt tokens of this host that are not known to be read yet.
-    pub(crate) unread_tokens: u64,
     failures: u32,
     ejections: u32,
     ejected_until: Option<Instant>,
@@ -42,7 +42,6 @@
             hall: record.hall.clone(),
             slots: record.slots.max(1),
             in_flight: 0,
-            unread_tokens: 0,
             failures: 0,
             ejections: 0,
             ejected_until: None,
@@ -96,6 +95,24 @@
         usable
     }
 
+    /// Returns the hall of the target at an address, as `IP:PORT`.
+    pub(crate) fn hall_at(&self, service: &str, address: &str) -> Option<String> {
+        let address: SocketAddr = address.parse().ok()?;
+        let mut targets = self.of_service(service);
+        let target = targets.find(|target| target.address == address)?;
+        Some(target.hall.clone())
+    }
+
+    /// Finds a target that takes work.
+    pub(crate) fn find(&self, service: &str, id: &str) -> Option<Chosen> {
+        let target = self.services.get(service)?.get(id)?;
+        Some(Chosen {
+            id: target.id.clone(),
+            address: target.address,
+            hall: target.hall.clone(),
+        })
+    }
+
     pub(crate) fn find_mut(&mut self, service: &str, id: &str) -> Option<&mut Target> {
         self.services.get_mut(service)?.get_mut(id)
     }
