--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -18,8 +18,12 @@
 /// What one more running request adds to the cost of an engine, in milliseconds.
 const RUNNING_COST_MS: f64 = 3.0;
 
+/// What reading a shared part anew counts against waiting for as long: it keeps the engine from
+/// other prompts, and takes memory that other parts lose.
+const MISSING_WEIGHT: f64 = 2.0;
+
 /// What a megabyte of results that crosses halls adds to the cost of an engine, in milliseconds.
-const CROSSING_COST_MS: f64 = 6.0;
+const CROSSING_COST_MS: f64 = 14.0;
 
 const MEGABYTE: f64 = 1_000_000.0;
 
@@ -191,7 +195,7 @@
         let missing = if held || ask.part.is_empty() {
             0.0
         } else {
-            reading(ask.shared_tokens)
+            reading(ask.shared_tokens) * MISSING_WEIGHT
         };
         let crossing = match &ask.results {
             Some((hall, bytes)) if engine.hall != *hall => {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -288,11 +288,10 @@
 ) -> Result<RequestResults, Refusal> {
     admit(gateway, ask)?;
     let hall = match place_ask(gateway, service, ask, &[], None) {
+        // The placement ends here; that the engine will hold the part stays known.
         Some(place) => {
-            let book = gateway.targets.borrow();
-            let engines = gateway.engines.borrow();
-            let planned = engines.choose(&book, &place, Instant::now());
-            planned.ok_or_else(no_target)?.hall
+            let planned = gateway.stages.place(&gateway.targets, place).await;
+            planned.ok_or_else(no_target)?.0.hall
         }
         None => gateway.config.hall.clone(),
     };
