--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -26,6 +26,9 @@
 /// A wait shorter than this is no reason to refuse a request, in milliseconds.
 pub(crate) const LEAST_REFUSED_WAIT_MS: f64 = 80.0;
 
+/// How long a target rests after a call that failed; doubled with each in a row, up to eight times.
+const FAILED_REST: Duration = Duration::from_millis(600);
+
 /// How long a target that had no room for a result gets no call.
 const NO_ROOM_REST: Duration = Duration::from_millis(120);
 
@@ -78,6 +81,8 @@
     rest_until: Option<Instant>,
     /// When its call is expected to end.
     busy_until: Instant,
+    /// Calls in a row that failed.
+    failures: u32,
     /// Whether it gets no more calls; it stays until those at work have ended.
     leaving: bool,
 }
@@ -306,6 +311,7 @@
                         results: HashMap::new(),
                         rest_until: None,
                         busy_until: Instant::now(),
+                        failures: 0,
                         leaving: false,
                     });
             }
@@ -393,10 +399,14 @@
                 }
                 CallEnd::Answered(_) => None,
                 CallEnd::Busy => Some(Duration::from_millis(40)),
-                CallEnd::Failed(_) => Some(Duration::from_millis(1_000)),
+                CallEnd::Failed(_) => Some(FAILED_REST * 2_u32.pow(target.failures.min(3))),
                 CallEnd::OtherTarget => None,
             };
             target.leaving = target.leaving || matches!(end, CallEnd::OtherTarget);
+            target.failures = match &end {
+                CallEnd::Failed(_) => target.failures + 1,
+                _ => 0,
+            };
             if let Some(rest) = rest {
                 target.rest_until = Some(now + rest);
             }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -426,7 +426,7 @@
     let (answer, lease) = match gateway.pool.send(chosen.address, request).await {
         Ok(answered) => answered,
         Err(SendError::NotSent(cause)) => {
-            gateway.note_target_failure(attempt.service, &chosen.id, &cause);
+            gateway.note_unreachable(attempt.service, &chosen.id, &cause);
             return AttemptEnd::NotRun {
                 cause,
                 arrived: false,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -210,6 +210,16 @@
         self.config.recorder.record_request(code, id, peer, detail);
     }
 
+    /// Notes that a target could not be reached.
+    pub(crate) fn note_unreachable(&self, service: &str, id: &str, cause: &str) {
+        let now = Instant::now();
+        self.targets.borrow_mut().note_unreachable(service, id, now);
+        let detail = format!("service={service} cause={cause}");
+        self.config
+            .recorder
+            .record(EventCode::TargetEjected, id, detail);
+    }
+
     /// Notes that a target failed; it may be left alone for a while.
     pub(crate) fn note_target_failure(&self, service: &str, id: &str, cause: &str) {
         let now = Instant::now();
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -76,6 +76,13 @@
     loads: HashMap<String, (PoolLoad, Instant)>,
 }
 
+impl ClientState {
+    fn is_up(&self, address: SocketAddr) -> bool {
+        let link = self.links.get(&address);
+        link.is_some_and(|link| link.state == LinkState::Up)
+    }
+}
+
 /// The way to the hosts that gather pieces. Cheap to clone.
 #[derive(Clone)]
 pub(crate) struct StageClient {
@@ -102,9 +109,19 @@
         }
     }
 
-    /// Takes the entry hosts that are known.
+    /// Takes the entry hosts that the control hosts hear. One that they lost while this host still
+    /// reaches it stays: otherwise hosts that lost the control hosts and those that did not would
+    /// gather pieces at different places.
     pub(crate) fn set_gateways(&self, gateways: Vec<GatewayRecord>) {
-        self.state.borrow_mut().gateways = gateways;
+        let mut state = self.state.borrow_mut();
+        let heard = |record: &GatewayRecord| gateways.iter().any(|one| one.name == record.name);
+        let former = std::mem::take(&mut state.gateways);
+        let reached: Vec<GatewayRecord> = former
+            .into_iter()
+            .filter(|record| !heard(record) && state.is_up(record.peer))
+            .collect();
+        state.gateways = gateways;
+        state.gateways.extend(reached);
     }
 
     /// Returns how many entry hosts are known, this one among them.
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -12,10 +12,10 @@
 const EJECT_FAILURES: u32 = 2;
 
 /// How long a target is first left alone.
-const EJECT_FIRST: Duration = Duration::from_millis(1_000);
+const EJECT_FIRST: Duration = Duration::from_millis(600);
 
 /// The longest time that a target is left alone.
-const EJECT_MOST: Duration = Duration::from_secs(8);
+const EJECT_MOST: Duration = Duration::from_secs(5);
 
 /// Part of the targets of a service that may be left alone at one time.
 const EJECT_PART: f64 = 0.6;
@@ -48,6 +48,13 @@
         }
     }
 
+    fn eject(&mut self, now: Instant) {
+        let span = EJECT_FIRST * 2_u32.saturating_pow(self.ejections.min(4));
+        self.ejected_until = Some(now + span.min(EJECT_MOST));
+        self.ejections += 1;
+        self.failures = 0;
+    }
+
     pub(crate) fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.is_some_and(|until| until > now)
     }
@@ -132,6 +139,14 @@
         }
     }
 
+    /// Notes that a target could not be reached. That is no matter of chance, so it is left alone at
+    /// once, and as many others as cannot be reached either.
+    pub(crate) fn note_unreachable(&mut self, service: &str, id: &str, now: Instant) {
+        if let Some(target) = self.find_mut(service, id) {
+            target.eject(now);
+        }
+    }
+
     /// Notes a failure; says whether the target is left alone from now on.
     pub(crate) fn note_failure(&mut self, service: &str, id: &str, now: Instant) -> bool {
         let all = self.of_service(service).count();
@@ -147,10 +162,7 @@
         if target.failures < EJECT_FAILURES || !may_eject {
             return false;
         }
-        let span = EJECT_FIRST * 2_u32.saturating_pow(target.ejections.min(4));
-        target.ejected_until = Some(now + span.min(EJECT_MOST));
-        target.ejections += 1;
-        target.failures = 0;
+        target.eject(now);
         true
     }
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -13,13 +13,19 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 /// How long a connection may take to open.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How long a connection may be silent before the system asks whether the other side is there.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+
+/// Between two such questions.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How long sent bytes may stay unacknowledged before the system gives a connection up.
 const SILENT_PEER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -149,7 +155,13 @@
             Err(_) => return Err(SendError::NotSent("no answer in time".to_owned())),
         };
         let _ = socket.set_nodelay(true);
-        let _ = SockRef::from(&socket).set_tcp_user_timeout(Some(SILENT_PEER_TIMEOUT));
+        // Without these a connection behind a cut hangs for minutes.
+        let options = SockRef::from(&socket);
+        let _ = options.set_tcp_user_timeout(Some(SILENT_PEER_TIMEOUT));
+        let keepalive = TcpKeepalive::new()
+            .with_time(KEEPALIVE_TIME)
+            .with_interval(KEEPALIVE_INTERVAL);
+        let _ = options.set_tcp_keepalive(&keepalive);
         let (sender, driver) = Builder::new()
             .handshake(TokioIo::new(socket))
             .await
