--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -15,6 +15,10 @@
 use crate::serve::{SILENCE_LIMIT, UPDATE_PERIOD};
 use crate::{DirectoryUpdate, GatewayRecord, SubscriberHello, SubscriberReport};
 
+/// How long opening a connection may take. A first packet that is lost is sent again by the system
+/// only after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Wait before a control host that was lost is tried again.
 const RETRY_WAIT: Duration = Duration::from_millis(250);
 
@@ -97,7 +101,10 @@
     let config = &following.config;
     let mut told_lost = false;
     while following.followed.borrow().contains_key(&address) {
-        let connected = connect(config, address).await;
+        let connected = match timeout(CONNECT_TIMEOUT, connect(config, address)).await {
+            Ok(connected) => connected.map_err(|error| error.to_string()),
+            Err(_) => Err("no answer in time".to_owned()),
+        };
         if let Ok((reader, writer)) = connected {
             told_lost = false;
             let detail = format!("have_version={}", (config.document_version)());
@@ -108,7 +115,7 @@
             record(config, EventCode::ControlLost, address, describe(&ended));
         } else if !told_lost {
             told_lost = true;
-            let cause = connected.err().map_or_else(String::new, |e| e.to_string());
+            let cause = connected.err().unwrap_or_default();
             record(config, EventCode::ControlLost, address, cause);
         }
         sleep(RETRY_WAIT).await;
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -29,8 +29,8 @@
 /// How long a target rests after a call that failed; doubled with each in a row, up to eight times.
 const FAILED_REST: Duration = Duration::from_millis(600);
 
-/// How long a target that had no room for a result gets no call.
-const NO_ROOM_REST: Duration = Duration::from_millis(120);
+/// How long a target that had no room for a result is taken to be full of results that others made.
+const FULL_SPAN: Duration = Duration::from_millis(400);
 
 /// How often a piece is given to a target before it counts as failed.
 const MAX_TRIES: u32 = 3;
@@ -255,6 +255,14 @@
         self.dispatch(service);
     }
 
+    /// Starts what is due in every pool: room comes back by itself when results expire.
+    pub(crate) fn dispatch_all(self: &Rc<Self>) {
+        let services: Vec<String> = self.state.borrow().pools.keys().cloned().collect();
+        for service in services {
+            self.dispatch(&service);
+        }
+    }
+
     /// Starts every call that a free target can take.
     pub(crate) fn dispatch(self: &Rc<Self>, service: &str) {
         let due = self.state.borrow_mut().due_calls(service, Instant::now());
@@ -394,9 +402,6 @@
             target.busy = target.busy.saturating_sub(1);
             target.reserved = target.reserved.saturating_sub(call.reserved);
             rest = match &end {
-                CallEnd::Answered(outcomes) if outcomes.contains(&Err(PieceFault::NoRoom)) => {
-                    Some(NO_ROOM_REST)
-                }
                 CallEnd::Answered(_) => None,
                 CallEnd::Busy => Some(Duration::from_millis(40)),
                 CallEnd::Failed(_) => Some(FAILED_REST * 2_u32.pow(target.failures.min(3))),
@@ -414,7 +419,7 @@
         let outcomes: Vec<Result<String, PieceFault>> = match end {
             CallEnd::Answered(outcomes) => outcomes,
             CallEnd::Busy | CallEnd::OtherTarget => {
-                vec![Err(PieceFault::NoRoom); call.pieces.len()]
+                vec![Err(PieceFault::NotTaken); call.pieces.len()]
             }
             CallEnd::Failed(_) => vec![Err(PieceFault::Failed); call.pieces.len()],
         };
@@ -430,6 +435,7 @@
             target.results.insert(format!("lost {now:?}"), lost);
         }
         let mut again = Vec::new();
+        let mut full = false;
         for (mut waiting, outcome) in call.pieces.into_iter().zip(outcomes) {
             if let Ok(handle) = &outcome
                 && let Some(target) = pool.targets.get_mut(&call.target)
@@ -440,11 +446,15 @@
                 };
                 target.results.insert(handle.clone(), held);
             }
+            full |= outcome == Err(PieceFault::NoRoom);
             let Some(batch) = self.batches.get_mut(&waiting.batch) else {
                 unclaimed.extend(outcome.ok());
                 continue;
             };
-            let may_pay = matches!(outcome, Err(PieceFault::Failed | PieceFault::NoRoom));
+            let may_pay = matches!(
+                outcome,
+                Err(PieceFault::Failed | PieceFault::NoRoom | PieceFault::NotTaken)
+            );
             if may_pay && waiting.tries + 1 < MAX_TRIES && waiting.deadline > now {
                 waiting.tries += u32::from(outcome == Err(PieceFault::Failed));
                 again.push(waiting);
@@ -458,6 +468,14 @@
                 replies.push((reply, done.results.into_iter().flatten().collect()));
             }
         }
+        if full && let Some(target) = pool.targets.get_mut(&call.target) {
+            let used = target.used_bytes();
+            let others = HeldResult {
+                bytes: pool.spec.result_memory_bytes.saturating_sub(used),
+                until: now + FULL_SPAN,
+            };
+            target.results.insert("of others".to_owned(), others);
+        }
         pool.waiting.extend(again);
         pool.waiting
             .sort_by_key(|waiting| (waiting.rank, waiting.batch));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -250,12 +250,13 @@
 }
 
 /// Between two rounds of closing what has rested too long.
-const HOUSE_PERIOD: Duration = Duration::from_millis(500);
+const HOUSE_PERIOD: Duration = Duration::from_millis(250);
 
 async fn keep_house(gateway: Rc<Gateway>) {
     loop {
         tokio::time::sleep(HOUSE_PERIOD).await;
         gateway.pool.close_rested();
+        gateway.coordinator.dispatch_all();
         gateway.view.borrow_mut().forget_unnamed();
         gateway
             .metrics
--- a/crates/gateway/src/piece.rs
+++ b/crates/gateway/src/piece.rs
@@ -41,6 +41,9 @@
     /// The target has no memory for the result.
     #[display("no room")]
     NoRoom,
+    /// The target did not take the call.
+    #[display("call not taken")]
+    NotTaken,
     /// The target failed.
     #[display("failed")]
     Failed,
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -134,8 +134,13 @@
     /// Runs a batch; `Home` says where its results are released.
     pub(crate) async fn run(&self, mut batch: PieceBatch) -> (Results, Home) {
         let count = batch.pieces.len();
-        for _ in 0..MAX_HANDOUTS {
-            let home = self.home_of(&batch.service);
+        for handout in 1..=MAX_HANDOUTS {
+            // The last try depends on nobody else.
+            let home = if handout == MAX_HANDOUTS {
+                Home::Here
+            } else {
+                self.home_of(&batch.service)
+            };
             let results = match home {
                 Home::Here => self.run_here(batch.clone()).await,
                 Home::Remote(address) => {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -33,6 +33,9 @@
 /// The largest body that operators may send, in bytes.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Between two heartbeats of the leading control host.
+const QUORUM_HEARTBEAT: Duration = Duration::from_millis(100);
+
 /// How long a member may be silent before it is taken out, where enough others are left.
 const LOST_MEMBER_SPAN: Duration = Duration::from_millis(2_500);
 
@@ -83,7 +86,9 @@
     let config = ReplicaConfig {
         identity: identity.clone(),
         recorder: recorder.clone(),
-        timing: QuorumTiming::new().with_removal(LOST_MEMBER_SPAN),
+        timing: QuorumTiming::new()
+            .with_heartbeat(QUORUM_HEARTBEAT)
+            .with_removal(LOST_MEMBER_SPAN),
         disk: DiskOps::new(),
         on_fatal: Box::new(|error| {
             log::error!(target: "linnetdale", "{error}");
--- a/crates/quorum/src/timing.rs
+++ b/crates/quorum/src/timing.rs
@@ -40,6 +40,15 @@
         }
     }
 
+    /// Sets the pace of heartbeats; lease and elections follow it.
+    pub fn with_heartbeat(mut self, heartbeat: Duration) -> Self {
+        self.heartbeat = heartbeat;
+        self.lease = heartbeat.mul_f64(3.2);
+        self.election_min = heartbeat.mul_f64(4.2);
+        self.election_max = heartbeat.mul_f64(7.0);
+        self
+    }
+
     /// Lets the leader take out members that are silent for a span.
     pub fn with_removal(mut self, span: Duration) -> Self {
         self.removal = Some(span);
