--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -38,7 +38,7 @@
 }
 
 /// How urgent a request is: its account counts before its route, the lower the more urgent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Rank {
     /// The priority of the account, or of the route where the account has none.
     pub first: u8,
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -7,4 +7,4 @@
 mod call;
 mod queue;
 
-pub(crate) use queue::{BatchKey, Coordinator, HALL_BYTES, LEAST_REFUSED_WAIT_MS};
+pub(crate) use queue::{BatchKey, Coordinator, ExpectKey, HALL_BYTES, LEAST_REFUSED_WAIT_MS};
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -12,7 +12,7 @@
 use linnet_telemetry::EventRecorder;
 
 use crate::ask::Rank;
-use crate::piece::{PieceBatch, PieceFault, PieceSpec, PoolLoad};
+use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceSpec, PoolLoad};
 use crate::upstream::UpstreamPool;
 use crate::{Dialect, coordinator::call};
 
@@ -42,6 +42,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct BatchKey(u64);
 
+/// Names pieces that are expected at a coordinator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct ExpectKey(u64);
+
 type Reply = Box<dyn FnOnce(Vec<Result<String, PieceFault>>)>;
 
 struct Batch {
@@ -133,6 +137,7 @@
     pools: HashMap<String, PoolQueue>,
     batches: HashMap<BatchKey, Batch>,
     next_batch: u64,
+    expected: BTreeMap<ExpectKey, ExpectedPieces>,
     records: Vec<TargetRecord>,
 }
 
@@ -197,17 +202,29 @@
         let now = Instant::now();
         let working = state.pools.iter().filter(|(_, pool)| pool.has_work());
         working
-            .map(|(name, pool)| (name.clone(), pool.load(now)))
+            .map(|(name, pool)| (name.clone(), state.load(name, pool, now)))
             .collect()
     }
 
+    /// Counts pieces that will come.
+    pub(crate) fn expect(&self, expected: ExpectedPieces) -> ExpectKey {
+        let mut state = self.state.borrow_mut();
+        state.next_batch += 1;
+        let key = ExpectKey(state.next_batch);
+        state.expected.insert(key, expected);
+        key
+    }
+
+    /// Ends what [`Coordinator::expect`] began.
+    pub(crate) fn arrived(&self, key: ExpectKey) {
+        self.state.borrow_mut().expected.remove(&key);
+    }
+
     /// Returns the load of one pool.
     pub(crate) fn load_of(&self, service: &str) -> Option<PoolLoad> {
         let state = self.state.borrow();
-        state
-            .pools
-            .get(service)
-            .map(|pool| pool.load(Instant::now()))
+        let pool = state.pools.get(service)?;
+        Some(state.load(service, pool, Instant::now()))
     }
 
     /// Takes a batch; `reply` is called once, with an outcome for each piece.
@@ -295,6 +312,18 @@
 );
 
 impl QueueState {
+    /// Returns the load of a pool, with the pieces that are expected there.
+    fn load(&self, service: &str, pool: &PoolQueue, now: Instant) -> PoolLoad {
+        let mut load = pool.load(now);
+        let mut waiting: BTreeMap<Rank, u32> = load.waiting.iter().copied().collect();
+        let coming = self.expected.values().filter(|one| one.service == service);
+        for expected in coming {
+            *waiting.entry(expected.rank).or_default() += expected.pieces;
+        }
+        load.waiting = waiting.into_iter().collect();
+        load
+    }
+
     fn set_targets(&mut self, records: &[TargetRecord]) {
         for (name, pool) in &mut self.pools {
             let wanted: BTreeMap<&str, &TargetRecord> = records
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -21,6 +21,7 @@
 use crate::stage_client::Placement;
 use crate::target::Target;
 use crate::upstream::{Lease, SendError};
+use crate::wait_model::PathPlan;
 use crate::{AnswerBody, Gateway, Refusal, RefusalReason};
 
 /// Targets that refused without running a request before it is given up.
@@ -96,6 +97,8 @@
     target: String,
     attempts: u32,
     stages: Option<Duration>,
+    /// How long the request was to take by the queues at its admission.
+    plan: PathPlan,
     /// Whether a target may have run it.
     may_have_run: bool,
 }
@@ -132,13 +135,15 @@
     let took = ask.arrived.elapsed();
     let detail = |outcome: &str| {
         format!(
-            "route={} account={} rank={}.{} version={} attempts={} stages_ms={} took_ms={} {outcome}",
+            "route={} account={} rank={}.{} version={} attempts={} planned_ms={:.0} waits_ms={:.0} stages_ms={} took_ms={} {outcome}",
             ask.route.name,
             ask.account.as_deref().unwrap_or("-"),
             ask.rank.first,
             ask.rank.second,
             ask.config_version,
             log.attempts,
+            log.plan.stages_ms + log.plan.waits_ms + log.plan.reading_ms,
+            log.plan.waits_ms,
             log.stages.map_or(0, |stages| stages.as_millis()),
             took.as_millis()
         )
@@ -193,7 +198,7 @@
     loop {
         if results.is_none() && !ask.route.stages.is_empty() {
             let started = Instant::now();
-            results = Some(prepare(gateway, &service, ask).await?);
+            results = Some(prepare(gateway, &service, ask, log).await?);
             log.stages = Some(started.elapsed());
         }
         // Only now: while the stages ran, targets may have gone.
@@ -285,8 +290,10 @@
     gateway: &Rc<Gateway>,
     service: &str,
     ask: &Ask,
+    log: &mut RunLog,
 ) -> Result<RequestResults, Refusal> {
-    admit(gateway, ask)?;
+    let plan = admit(gateway, ask)?;
+    log.plan = plan;
     let hall = match place_ask(gateway, service, ask, &[], None) {
         // The placement ends here; that the engine will hold the part stays known.
         Some(place) => {
@@ -297,8 +304,9 @@
     };
     let started = Instant::now();
     let results = run_stages(gateway, ask, &hall).await?;
-    let took = started.elapsed().as_secs_f64();
-    gateway.metrics.stage_time.observe(took);
+    let took = started.elapsed();
+    gateway.waits.borrow_mut().learn(ask.rank, &plan, took);
+    gateway.metrics.stage_time.observe(took.as_secs_f64());
     Ok(results)
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::stage_client::StageClient;
 use crate::target::TargetBook;
 use crate::upstream::UpstreamPool;
+use crate::wait_model::WaitModel;
 
 /// Reads a valid configuration from the bytes of a document.
 pub type ConfigReader = Box<dyn Fn(&[u8]) -> Result<RoutingConfig, String>>;
@@ -57,6 +58,7 @@
     pub(crate) pool: UpstreamPool,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) engines: Rc<RefCell<EnginePlacer>>,
+    pub(crate) waits: RefCell<WaitModel>,
     pub(crate) stages: StageClient,
     pub(crate) coordinator: Rc<Coordinator>,
     pub(crate) stopping: Cell<bool>,
@@ -95,6 +97,7 @@
                 coordinator.clone(),
                 engines.clone(),
             ),
+            waits: RefCell::default(),
             table: RefCell::default(),
             view: RefCell::default(),
             targets: RefCell::default(),
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -8,9 +8,10 @@
 
 use crate::ask::Ask;
 use crate::coordinator::LEAST_REFUSED_WAIT_MS;
-use crate::piece::{PieceBatch, PieceFault, PieceInput, PieceSpec};
-use crate::stage_client::Home;
+use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceInput, PieceSpec};
+use crate::stage_client::{Expectation, Home};
 use crate::target::TargetBook;
+use crate::wait_model::PathPlan;
 use crate::{Gateway, Refusal, RefusalReason};
 
 /// When a caller should come back after queues were too long: spread, so that those who were refused
@@ -86,12 +87,15 @@
     let mut done: Vec<bool> = ask.piece_counts.iter().map(|count| *count == 0).collect();
     let mut started = done.clone();
     let mut running = FuturesUnordered::new();
+    let mut expected = expect_later(gateway, ask);
     loop {
         for number in 0..stages.len() {
             let due = stages[number].after.iter().all(|after| done[*after]);
             if !started[number] && due {
                 started[number] = true;
                 let inputs = inputs_of(ask, &results, number);
+                // From here on the pieces wait themselves.
+                expected[number] = None;
                 running.push(run_stage(gateway, ask, number, inputs, hall));
             }
         }
@@ -110,6 +114,22 @@
     })
 }
 
+/// Tells the coordinators of all later stages of the pieces that will come.
+fn expect_later(gateway: &Gateway, ask: &Ask) -> Vec<Option<Expectation>> {
+    let stages = ask.route.stages.iter().zip(&ask.piece_counts);
+    let later = stages.map(|(stage, count)| {
+        let comes = *count > 0 && !stage.after.is_empty();
+        comes.then(|| {
+            gateway.stages.expect(ExpectedPieces {
+                service: stage.service.clone(),
+                rank: ask.rank,
+                pieces: *count,
+            })
+        })
+    });
+    later.collect()
+}
+
 /// Releases the results that every stage which takes them has taken, since room for results is
 /// scarce at their targets.
 fn release_taken(ask: &Ask, results: &mut [Option<StageResults>], done: &[bool]) {
@@ -207,56 +227,61 @@
 struct PathTime {
     /// From the end of each stage to the first event, where nothing waits, in milliseconds.
     after: Vec<f64>,
-    /// All waits on the longest way, in milliseconds.
-    waits: f64,
-    /// The longest way with its waits, in milliseconds.
-    whole: f64,
+    plan: PathPlan,
 }
 
 fn path_time(gateway: &Gateway, ask: &Ask) -> PathTime {
     let table = gateway.table.borrow();
     let stages = &ask.route.stages;
     let reading = reading_ms(gateway, ask);
+    let pool_of = |number: usize| {
+        let service = table.as_ref()?.find_service(&stages[number].service)?;
+        service.stage_pool.as_ref()
+    };
+    let own_ms = |number: usize| {
+        let count = ask.piece_counts[number];
+        let pool = pool_of(number).filter(|_| count > 0);
+        pool.map_or(0.0, |pool| {
+            pool.call_time_ms(count.min(pool.batch) as usize)
+        })
+    };
     let mut after = vec![reading; stages.len()];
-    // The same with waits, and the waits alone.
-    let mut after_waits = vec![(reading, 0.0); stages.len()];
-    let mut longest = (reading, 0.0);
-    for (number, stage) in stages.iter().enumerate().rev() {
+    for number in (0..stages.len()).rev() {
+        let whole = own_ms(number) + after[number];
+        for before in &stages[number].after {
+            after[*before] = after[*before].max(whole);
+        }
+    }
+    // End and waits of each stage. What waits at a later pool now is served meanwhile.
+    let mut ends: Vec<(f64, f64)> = Vec::with_capacity(stages.len());
+    for number in 0..stages.len() {
+        let before = stages[number].after.iter().map(|before| ends[*before]);
+        let (start, waits) = before.fold((0.0, 0.0), longer);
         let count = ask.piece_counts[number];
-        let pool = table
-            .as_ref()
-            .and_then(|table| table.find_service(&stage.service))
-            .and_then(|service| service.stage_pool.as_ref());
-        let (own, wait) = match pool {
-            Some(pool) if count > 0 => {
-                let load = gateway.stages.load_of(&stage.service);
-                let wait = load.map_or(0.0, |load| load.wait_ms(pool, ask.rank, count));
-                (pool.call_time_ms(count.min(pool.batch) as usize), wait)
+        let load = gateway.stages.load_of(&stages[number].service);
+        let wait = match (pool_of(number), load) {
+            (Some(pool), Some(load)) if count > 0 => {
+                (load.wait_ms(pool, ask.rank, count) - start).max(0.0)
             }
-            _ => (0.0, 0.0),
+            _ => 0.0,
         };
-        let without = own + after[number];
-        let with = (
-            own + wait + after_waits[number].0,
-            wait + after_waits[number].1,
-        );
-        for before in &stage.after {
-            after[*before] = after[*before].max(without);
-            if with.0 > after_waits[*before].0 {
-                after_waits[*before] = with;
-            }
-        }
-        if with.0 > longest.0 {
-            longest = with;
-        }
+        ends.push((start + wait + own_ms(number), waits + wait));
     }
+    let (end, waits) = ends.into_iter().fold((0.0, 0.0), longer);
     PathTime {
         after,
-        waits: longest.1,
-        whole: longest.0,
+        plan: PathPlan {
+            stages_ms: end - waits,
+            waits_ms: waits,
+            reading_ms: reading,
+        },
     }
 }
 
+fn longer(a: (f64, f64), b: (f64, f64)) -> (f64, f64) {
+    if b.0 > a.0 { b } else { a }
+}
+
 fn reading_ms(gateway: &Gateway, ask: &Ask) -> f64 {
     ask.prompt.as_ref().map_or(0.0, |prompt| {
         let unshared = prompt.tokens_in.saturating_sub(prompt.shared_tokens);
@@ -267,15 +292,16 @@
 
 /// Refuses a request before its first stage where the queues on its way leave it no chance to meet
 /// its objective. Work for what comes too late would be missing elsewhere.
-pub(crate) fn admit(gateway: &Gateway, ask: &Ask) -> Result<(), Refusal> {
-    let path = path_time(gateway, ask);
+pub(crate) fn admit(gateway: &Gateway, ask: &Ask) -> Result<PathPlan, Refusal> {
+    let plan = path_time(gateway, ask).plan;
     let left = ask.objective_left().as_secs_f64() * 1_000.0;
-    if path.waits < LEAST_REFUSED_WAIT_MS || path.whole <= left {
-        return Ok(());
+    let expected = gateway.waits.borrow().expected_ms(ask.rank, &plan);
+    if plan.waits_ms < LEAST_REFUSED_WAIT_MS || expected <= left {
+        return Ok(plan);
     }
     let detail = format!(
-        "queues too long: waits_ms={:.0} path_ms={:.0} objective_left_ms={left:.0}",
-        path.waits, path.whole
+        "queues too long: waits_ms={:.0} expected_ms={expected:.0} objective_left_ms={left:.0}",
+        plan.waits_ms
     );
     let spread = fastrand::f64();
     let back = RETRY_LEAST + (RETRY_MOST - RETRY_LEAST).mul_f64(spread);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod stage_client;
 mod target;
 mod upstream;
+mod wait_model;
 
 pub use body::{AnswerBody, BrokenAnswer};
 pub use dialect::{CallerDialect, Dialect, HeaderNames, StageAnswer, StageItem, TargetDialect};
--- a/crates/gateway/src/piece.rs
+++ b/crates/gateway/src/piece.rs
@@ -58,7 +58,7 @@
 /// How busy the targets of a stage pool are, as its coordinator knows it.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct PoolLoad {
-    /// Pieces that wait, by rank.
+    /// Pieces that wait or are expected, by rank.
     pub waiting: Vec<(Rank, u32)>,
     /// Targets that take calls.
     pub targets: u32,
@@ -82,6 +82,17 @@
     }
 }
 
+/// Pieces that an admitted request will bring when its earlier stages are done.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExpectedPieces {
+    /// The service that will run them.
+    pub service: String,
+    /// Rank of the request.
+    pub rank: Rank,
+    /// How many there are.
+    pub pieces: u32,
+}
+
 /// All pieces of one stage of one request.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PieceBatch {
@@ -113,6 +124,13 @@
     Run(PieceBatch),
     /// The batch is not wanted any more.
     Cancel(u64),
+    /// A request that was admitted will bring pieces later.
+    Expect {
+        number: u64,
+        expected: ExpectedPieces,
+    },
+    /// The pieces that were expected are there, or will not come.
+    Arrived(u64),
     /// These results of a service are not needed any more.
     Free {
         service: String,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -21,7 +21,7 @@
 
 use crate::answer::refusal_answer;
 use crate::ask::{Ask, read_ask};
-use crate::coordinator::BatchKey;
+use crate::coordinator::{BatchKey, ExpectKey};
 use crate::engine::PlacementKey;
 use crate::forward::forward;
 use crate::gateway::OpenRequest;
@@ -209,6 +209,39 @@
     }
 }
 
+/// Pieces that another host said will come; forgotten when that host is lost.
+struct RemoteExpectations<'a> {
+    gateway: &'a Gateway,
+    keys: HashMap<u64, ExpectKey>,
+}
+
+impl<'a> RemoteExpectations<'a> {
+    fn new(gateway: &'a Gateway) -> Self {
+        Self {
+            gateway,
+            keys: HashMap::new(),
+        }
+    }
+
+    fn insert(&mut self, number: u64, key: ExpectKey) {
+        self.keys.insert(number, key);
+    }
+
+    fn end(&mut self, number: u64) {
+        if let Some(key) = self.keys.remove(&number) {
+            self.gateway.coordinator.arrived(key);
+        }
+    }
+}
+
+impl Drop for RemoteExpectations<'_> {
+    fn drop(&mut self) {
+        for key in self.keys.values() {
+            self.gateway.coordinator.arrived(*key);
+        }
+    }
+}
+
 async fn take_pieces(
     gateway: &Rc<Gateway>,
     mut reader: PeerReader,
@@ -216,6 +249,7 @@
     open: Rc<RefCell<HashMap<u64, BatchKey>>>,
 ) -> Result<(), WireError> {
     let mut placements = RemotePlacements::new(gateway);
+    let mut expectations = RemoteExpectations::new(gateway);
     while let Ok(request) = timeout(SILENCE_LIMIT, reader.receive::<PieceRequest>()).await {
         match request? {
             PieceRequest::Run(batch) => {
@@ -238,6 +272,11 @@
                 }
             }
             PieceRequest::Free { service, handles } => gateway.coordinator.free(&service, handles),
+            PieceRequest::Expect { number, expected } => {
+                let key = gateway.coordinator.expect(expected);
+                expectations.insert(number, key);
+            }
+            PieceRequest::Arrived(number) => expectations.end(number),
             PieceRequest::Place { number, ask } => {
                 let now = Instant::now();
                 let placed = {
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -11,9 +11,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 
-use crate::coordinator::{BatchKey, Coordinator};
+use crate::coordinator::{BatchKey, Coordinator, ExpectKey};
 use crate::engine::{Chosen, EnginePlacer, PlaceAsk, PlacementKey};
-use crate::piece::{PieceBatch, PieceFault, PieceReply, PieceRequest, PoolLoad};
+use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceReply, PieceRequest, PoolLoad};
 use crate::rendezvous;
 use crate::target::TargetBook;
 
@@ -277,6 +277,22 @@
         drop(dropped);
     }
 
+    /// Tells the host that gathers the pieces of a service that some will come.
+    pub(crate) fn expect(&self, expected: ExpectedPieces) -> Expectation {
+        let home = match self.home_of(&expected.service) {
+            Home::Here => ExpectedAt::Here(self.coordinator.expect(expected)),
+            Home::Remote(address) => {
+                let number = self.next_number();
+                self.send_to(address, PieceRequest::Expect { number, expected }, |_| {});
+                ExpectedAt::Remote(address, number)
+            }
+        };
+        Expectation {
+            client: self.clone(),
+            home,
+        }
+    }
+
     /// Has a prompt placed by the host that places for its service. Where that host does not answer
     /// at once this one places it by what it knows itself.
     pub(crate) async fn place(
@@ -365,6 +381,30 @@
     }
 }
 
+#[derive(Clone, Copy)]
+enum ExpectedAt {
+    Here(ExpectKey),
+    Remote(SocketAddr, u64),
+}
+
+/// Pieces that are expected somewhere until this is dropped.
+pub(crate) struct Expectation {
+    client: StageClient,
+    home: ExpectedAt,
+}
+
+impl Drop for Expectation {
+    fn drop(&mut self) {
+        match self.home {
+            ExpectedAt::Here(key) => self.client.coordinator.arrived(key),
+            ExpectedAt::Remote(address, number) => {
+                self.client
+                    .send_to(address, PieceRequest::Arrived(number), |_| {});
+            }
+        }
+    }
+}
+
 #[derive(Clone, Copy)]
 enum PlacedAt {
     Here(PlacementKey),
