--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -141,3 +141,28 @@
     };
     let _ = timeout(FREE_TIMEOUT, work).await;
 }
+
+/// Asks a target how much memory it has free for results.
+pub(super) async fn ask_free_bytes(
+    coordinator: Rc<Coordinator>,
+    service: String,
+    address: SocketAddr,
+) {
+    let targets = &coordinator.dialect.targets;
+    let request = Request::get(targets.report_path)
+        .header(header::HOST, address.to_string())
+        .body(Full::new(Bytes::new()));
+    let Ok(request) = request else {
+        return;
+    };
+    let work = async {
+        let (answer, lease) = coordinator.pool.send(address, request).await.ok()?;
+        let (head, body) = answer.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        lease.finish(&head.headers);
+        (targets.decode_free_bytes)(&body)
+    };
+    if let Ok(Some(free)) = timeout(FREE_TIMEOUT, work).await {
+        coordinator.take_free_bytes(&service, address, free);
+    }
+}
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -29,8 +29,11 @@
 /// How long a target rests after a call that failed; doubled with each in a row, up to eight times.
 const FAILED_REST: Duration = Duration::from_millis(600);
 
-/// How long a target that had no room for a result is taken to be full of results that others made.
-const FULL_SPAN: Duration = Duration::from_millis(400);
+/// How long bytes that results of others take are taken into account.
+const OTHERS_SPAN: Duration = Duration::from_millis(400);
+
+/// The place of the results of others among those of a target; no handle is like it.
+const OTHERS: &str = "of others";
 
 /// How often a piece is given to a target before it counts as failed.
 const MAX_TRIES: u32 = 3;
@@ -97,6 +100,16 @@
         held + self.reserved
     }
 
+    /// Notes bytes that results of others take. They go at a time that is not known, so what is
+    /// noted lasts a short while only.
+    fn set_others(&mut self, bytes: u64, now: Instant) {
+        let others = HeldResult {
+            bytes,
+            until: now + OTHERS_SPAN,
+        };
+        self.results.insert(OTHERS.to_owned(), others);
+    }
+
     fn is_free(&self, slots: u32, now: Instant) -> bool {
         let resting = self.rest_until.is_some_and(|until| until > now);
         !self.leaving && !resting && self.busy < slots
@@ -288,28 +301,44 @@
         }
     }
 
+    /// Takes what a target reported to have free for results.
+    pub(crate) fn take_free_bytes(self: &Rc<Self>, service: &str, address: SocketAddr, free: u64) {
+        self.state
+            .borrow_mut()
+            .take_free_bytes(service, address, free);
+        self.dispatch(service);
+    }
+
     /// Takes the end of a call and serves what waits. Returns how long the target rests, after
     /// which [`Coordinator::dispatch`] is due again.
     pub(crate) fn finish_call(self: &Rc<Self>, call: DueCall, end: CallEnd) -> Option<Duration> {
         let service = call.service.clone();
-        let (rest, unclaimed, replies) = self.state.borrow_mut().finish_call(call, end);
-        for (reply, results) in replies {
+        let finished = self.state.borrow_mut().finish_call(call, end);
+        for (reply, results) in finished.replies {
             reply(results);
         }
-        if unclaimed.is_empty() {
+        if let Some(address) = finished.unsure {
+            ntex::rt::spawn(call::ask_free_bytes(self.clone(), service.clone(), address));
+        }
+        if finished.unclaimed.is_empty() {
             self.dispatch(&service);
         } else {
-            self.free(&service, unclaimed);
+            self.free(&service, finished.unclaimed);
         }
-        rest
+        finished.rest
     }
 }
 
-type Finished = (
-    Option<Duration>,
-    Vec<String>,
-    Vec<(Reply, Vec<Result<String, PieceFault>>)>,
-);
+/// What is due after a call has ended.
+struct Finished {
+    /// How long its target rests.
+    rest: Option<Duration>,
+    /// A target whose memory holds more than this host knows.
+    unsure: Option<SocketAddr>,
+    /// Results that nobody waits for any more.
+    unclaimed: Vec<String>,
+    replies: Vec<(Reply, Vec<Result<String, PieceFault>>)>,
+}
 
 impl QueueState {
     /// Returns the load of a pool, with the pieces that are expected there.
@@ -424,7 +453,12 @@
         let mut replies = Vec::new();
         let mut rest = None;
         let Some(pool) = self.pools.get_mut(&call.service) else {
-            return (None, unclaimed, replies);
+            return Finished {
+                rest,
+                unsure: None,
+                unclaimed,
+                replies,
+            };
         };
         let ttl = Duration::from_millis(pool.spec.result_ttl_ms);
         if let Some(target) = pool.targets.get_mut(&call.target) {
@@ -497,18 +531,36 @@
                 replies.push((reply, done.results.into_iter().flatten().collect()));
             }
         }
+        let mut unsure = None;
         if full && let Some(target) = pool.targets.get_mut(&call.target) {
-            let used = target.used_bytes();
-            let others = HeldResult {
-                bytes: pool.spec.result_memory_bytes.saturating_sub(used),
-                until: now + FULL_SPAN,
-            };
-            target.results.insert("of others".to_owned(), others);
+            let room = pool.spec.result_memory_bytes;
+            target.set_others(room.saturating_sub(target.used_bytes()), now);
+            unsure = Some(target.address);
         }
         pool.waiting.extend(again);
         pool.waiting
             .sort_by_key(|waiting| (waiting.rank, waiting.batch));
-        (rest, unclaimed, replies)
+        Finished {
+            rest,
+            unsure,
+            unclaimed,
+            replies,
+        }
+    }
+
+    /// Takes what a target reported to have free; the rest that this host does not know of is held
+    /// by results that others had made.
+    fn take_free_bytes(&mut self, service: &str, address: SocketAddr, free: u64) {
+        let Some(pool) = self.pools.get_mut(service) else {
+            return;
+        };
+        let room = pool.spec.result_memory_bytes;
+        let mut targets = pool.targets.values_mut();
+        if let Some(target) = targets.find(|target| target.address == address) {
+            target.results.remove(OTHERS);
+            let known = target.used_bytes();
+            target.set_others(room.saturating_sub(free + known), Instant::now());
+        }
     }
 }
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -72,6 +72,10 @@
     pub decode_stage_run: fn(&[u8]) -> Option<StageAnswer>,
     /// Writes the body of a release of results.
     pub encode_stage_free: fn(&[String]) -> Vec<u8>,
+    /// Path at which a stage target reports what it has.
+    pub report_path: &'static str,
+    /// Reads how many bytes a stage target has free for results.
+    pub decode_free_bytes: fn(&[u8]) -> Option<u64>,
     /// The status with which a target says that it is another start than was meant.
     pub other_target: StatusCode,
 }
