--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -85,6 +85,8 @@
                     };
                     serve_follower(&context.feed, reader, writer, take).await
                 }
+                // Meant for hosts of other roles.
+                _ => Ok(()),
             }
         }
     };
--- /dev/null
+++ b/crates/directory/tests/directory.rs
@@ -0,0 +1,176 @@
+//! The registry of a control host and the view of an entry host, over orders of words.
+
+use std::time::{Duration, Instant};
+
+use linnet_directory::{
+    DirectoryUpdate, DirectoryView, Document, GatewayRecord, Registry, RegistryChange,
+    TargetRecord, TargetState,
+};
+
+const SILENCE: Duration = Duration::from_secs(6);
+
+fn record(id: &str, port: u16, state: TargetState, sequence: u64) -> TargetRecord {
+    TargetRecord {
+        id: id.to_owned(),
+        service: "desk".to_owned(),
+        address: ([127, 0, 0, 1], port).into(),
+        hall: "h".to_owned(),
+        slots: 2,
+        state,
+        sequence,
+        silent: false,
+    }
+}
+
+fn state_of(registry: &Registry, id: &str) -> Option<TargetState> {
+    let mut records = registry.records();
+    records
+        .find(|record| record.id == id)
+        .map(|record| record.state)
+}
+
+#[test]
+fn a_target_that_withdrew_stays_so_whatever_comes_late() {
+    use TargetState::{Draining, Gone, Ready};
+    let orders: [&[(TargetState, u64)]; 4] = [
+        &[(Ready, 1), (Draining, 2), (Ready, 1), (Ready, 3)],
+        &[(Draining, 2), (Ready, 1)],
+        &[(Ready, 5), (Gone, 5), (Draining, 6), (Ready, 7)],
+        &[(Ready, 9), (Draining, 4)],
+    ];
+    for order in orders {
+        let mut registry = Registry::new();
+        let now = Instant::now();
+        for (state, sequence) in order {
+            registry.take_heartbeat(record("i", 1, *state, *sequence), now);
+        }
+        let worst = order.iter().map(|(state, _)| *state).max();
+        assert_eq!(state_of(&registry, "i"), worst, "{order:?}");
+    }
+}
+
+#[test]
+fn changes_are_told_once() {
+    let mut registry = Registry::new();
+    let now = Instant::now();
+    let ready = |sequence| record("i", 1, TargetState::Ready, sequence);
+    assert_eq!(
+        registry.take_heartbeat(ready(1), now),
+        RegistryChange::Registered
+    );
+    assert_eq!(
+        registry.take_heartbeat(ready(2), now),
+        RegistryChange::Nothing
+    );
+    assert_eq!(
+        registry.take_leave("i", now),
+        Some(RegistryChange::Withdrawn)
+    );
+    assert_eq!(registry.take_leave("i", now), Some(RegistryChange::Nothing));
+    assert_eq!(registry.take_leave("unknown", now), None);
+}
+
+#[test]
+fn a_new_start_at_an_address_ends_the_one_before() {
+    let mut registry = Registry::new();
+    let now = Instant::now();
+    registry.take_heartbeat(record("old", 1, TargetState::Ready, 9), now);
+    registry.take_heartbeat(record("new", 1, TargetState::Ready, 1), now);
+    assert_eq!(state_of(&registry, "old"), Some(TargetState::Gone));
+    assert_eq!(state_of(&registry, "new"), Some(TargetState::Ready));
+    registry.take_heartbeat(record("old", 1, TargetState::Ready, 10), now);
+    assert_eq!(state_of(&registry, "old"), Some(TargetState::Gone));
+}
+
+#[test]
+fn a_silent_target_is_told_and_its_next_heartbeat_brings_it_back() {
+    let mut registry = Registry::new();
+    let now = Instant::now();
+    registry.take_heartbeat(record("i", 1, TargetState::Ready, 1), now);
+    assert!(registry.expire(now + SILENCE, SILENCE).is_empty());
+    let late = now + SILENCE + Duration::from_millis(1);
+    assert_eq!(registry.expire(late, SILENCE), ["i"]);
+    assert!(registry.expire(late, SILENCE).is_empty());
+    // Another control host that calls it silent says nothing new, one that heard it does.
+    let mut silent = record("i", 1, TargetState::Ready, 1);
+    silent.silent = true;
+    assert_eq!(registry.take_record(silent, late), RegistryChange::Nothing);
+    let heard = record("i", 1, TargetState::Ready, 2);
+    assert_eq!(
+        registry.take_heartbeat(heard, late),
+        RegistryChange::Registered
+    );
+}
+
+fn update(version: u64, targets: Vec<TargetRecord>) -> DirectoryUpdate {
+    DirectoryUpdate {
+        document: Some(Document {
+            version,
+            body: Vec::new(),
+        }),
+        targets,
+        ..DirectoryUpdate::default()
+    }
+}
+
+#[test]
+fn a_view_only_moves_to_a_higher_version() {
+    let (a, b) = (([127, 0, 0, 1], 1).into(), ([127, 0, 0, 2], 1).into());
+    let mut view = DirectoryView::new();
+    assert!(view.take(a, update(5, Vec::new())));
+    assert!(!view.take(b, update(4, Vec::new())));
+    assert!(!view.take(b, update(5, Vec::new())));
+    view.lose(a);
+    assert!(!view.take(a, update(3, Vec::new())));
+    assert_eq!(view.document().unwrap().version, 5);
+    assert!(view.take(b, update(6, Vec::new())));
+}
+
+#[test]
+fn one_control_host_that_knows_of_a_withdrawal_is_enough() {
+    let (a, b) = (([127, 0, 0, 1], 1).into(), ([127, 0, 0, 2], 1).into());
+    let mut view = DirectoryView::new();
+    let ready = record("i", 1, TargetState::Ready, 1);
+    view.take(a, update(1, vec![ready.clone()]));
+    view.take(b, update(1, vec![ready.clone()]));
+    assert_eq!(view.ready_targets().len(), 1);
+    view.take(b, update(1, vec![record("i", 1, TargetState::Draining, 2)]));
+    assert!(view.ready_targets().is_empty());
+    view.lose(b);
+    view.take(a, update(1, vec![ready]));
+    assert!(view.ready_targets().is_empty());
+}
+
+#[test]
+fn without_any_control_host_the_view_stays_and_the_first_that_returns_replaces_the_lost() {
+    let (a, b) = (([127, 0, 0, 1], 1).into(), ([127, 0, 0, 2], 1).into());
+    let mut view = DirectoryView::new();
+    view.take(a, update(1, vec![record("i-a", 1, TargetState::Ready, 1)]));
+    view.take(b, update(1, vec![record("i-b", 2, TargetState::Ready, 1)]));
+    view.lose(a);
+    assert_eq!(view.ready_targets().len(), 1);
+    view.lose(b);
+    assert!(!view.is_connected());
+    assert_eq!(view.ready_targets().len(), 1);
+    view.take(a, update(1, vec![record("i-c", 3, TargetState::Ready, 1)]));
+    let ids: Vec<String> = view.ready_targets().into_iter().map(|one| one.id).collect();
+    assert_eq!(ids, ["i-b", "i-c"]);
+}
+
+#[test]
+fn an_entry_host_that_any_control_host_calls_stopping_is_stopping() {
+    let gateway = |stopping| GatewayRecord {
+        name: "e".to_owned(),
+        hall: "h".to_owned(),
+        peer: ([127, 0, 0, 9], 1).into(),
+        stopping,
+    };
+    let told = |stopping| DirectoryUpdate {
+        gateways: Some(vec![gateway(stopping)]),
+        ..DirectoryUpdate::default()
+    };
+    let mut view = DirectoryView::new();
+    view.take(([127, 0, 0, 1], 1).into(), told(false));
+    view.take(([127, 0, 0, 2], 1).into(), told(true));
+    assert_eq!(view.gateways(), [gateway(true)]);
+}
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -159,7 +159,8 @@
             match greeting {
                 // What followers tell goes to control by the hall's messages instead.
                 PeerGreeting::Follow => serve_follower(&feed, reader, writer, |_| {}).await,
-                PeerGreeting::Quorum | PeerGreeting::Calls => Ok(()),
+                // Meant for hosts of other roles.
+                _ => Ok(()),
             }
         }
     };
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -67,3 +67,6 @@
         times.pop_front();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -300,3 +300,6 @@
         self.tokens_per_ms += (speed.min(self.tokens_per_ms * 2.0) - self.tokens_per_ms) * gain;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/engine/tests.rs
@@ -0,0 +1,114 @@
+use linnet_directory::{TargetRecord, TargetState};
+
+use super::*;
+
+fn record(number: usize, service: &str, hall: usize) -> TargetRecord {
+    TargetRecord {
+        id: format!("{service}-{number}"),
+        service: service.to_owned(),
+        address: format!("127.0.{hall}.1:{}", 1_000 + number)
+            .parse()
+            .unwrap(),
+        hall: format!("hall-{hall}"),
+        slots: 64,
+        state: TargetState::Ready,
+        sequence: 1,
+        silent: false,
+    }
+}
+
+/// Six engines in each of three halls, and targets of a heavy stage: two, two and one.
+fn book() -> TargetBook {
+    let engines = (0..18).map(|number| record(number, "engine", number % 3));
+    let stages = [0, 0, 1, 1, 2].into_iter().enumerate();
+    let stages = stages.map(|(number, hall)| record(number, "stage", hall));
+    let mut book = TargetBook::default();
+    book.replace(&engines.chain(stages).collect::<Vec<_>>());
+    book
+}
+
+fn ask(part: &str) -> PlaceAsk {
+    PlaceAsk {
+        service: "engine".to_owned(),
+        part: part.to_owned(),
+        tokens: 15_000,
+        shared_tokens: 13_000,
+        heavy_stage: None,
+        results: None,
+        avoid: Vec::new(),
+    }
+}
+
+#[test]
+fn prompts_with_the_same_part_go_to_the_same_engine_until_it_has_much_to_read() {
+    let (book, now) = (book(), Instant::now());
+    let mut placer = EnginePlacer::default();
+    let (key, first) = placer.place(&book, &ask("a"), now).unwrap();
+    placer.note_read(key);
+    let (_, second) = placer.place(&book, &ask("a"), now).unwrap();
+    assert_eq!(first, second);
+    // The waits of many long prompts outweigh reading the part elsewhere.
+    let mut engines = std::collections::BTreeSet::new();
+    for _ in 0..40 {
+        engines.insert(placer.place(&book, &ask("a"), now).unwrap().1.id);
+    }
+    assert!(engines.len() > 1);
+}
+
+#[test]
+fn hosts_that_know_nothing_choose_alike_and_spread_parts_over_engines() {
+    let (book, now) = (book(), Instant::now());
+    let (one, other) = (EnginePlacer::default(), EnginePlacer::default());
+    let mut engines = std::collections::BTreeSet::new();
+    for number in 0..200 {
+        let ask = ask(&format!("part-{number}"));
+        let chosen = one.choose(&book, &ask, now).unwrap();
+        assert_eq!(Some(&chosen), other.choose(&book, &ask, now).as_ref());
+        engines.insert(chosen.id);
+    }
+    assert_eq!(engines.len(), 18);
+}
+
+#[test]
+fn halls_get_prompts_in_proportion_to_their_targets_of_the_heavy_stage() {
+    let (book, now) = (book(), Instant::now());
+    let placer = EnginePlacer::default();
+    let mut halls: std::collections::BTreeMap<String, u32> = std::collections::BTreeMap::new();
+    for number in 0..2_000 {
+        let mut ask = ask(&format!("part-{number}"));
+        ask.heavy_stage = Some("stage".to_owned());
+        let chosen = placer.choose(&book, &ask, now).unwrap();
+        *halls.entry(chosen.hall).or_default() += 1;
+    }
+    assert!((700..900).contains(&halls["hall-0"]), "{halls:?}");
+    assert!((700..900).contains(&halls["hall-1"]), "{halls:?}");
+    assert!((300..500).contains(&halls["hall-2"]), "{halls:?}");
+}
+
+#[test]
+fn engines_that_were_tried_are_avoided_and_ended_prompts_count_no_more() {
+    let (book, now) = (book(), Instant::now());
+    let mut placer = EnginePlacer::default();
+    let (key, first) = placer.place(&book, &ask("a"), now).unwrap();
+    let mut again = ask("a");
+    again.avoid.push(first.id.clone());
+    assert_ne!(placer.choose(&book, &again, now).unwrap().id, first.id);
+    placer.end(key);
+    placer.end(key);
+    assert!(placer.loads.is_empty() && placer.placed.is_empty());
+}
+
+#[test]
+fn parts_that_are_remembered_are_bounded() {
+    let (book, now) = (book(), Instant::now());
+    let mut placer = EnginePlacer::default();
+    for number in 0..MAX_PARTS + 100 {
+        placer.note_holder("engine-0", &format!("p{number}"), now);
+    }
+    assert_eq!(placer.holders.len(), MAX_PARTS);
+    // Those not used for long make room.
+    let later = now + PART_KEPT + Duration::from_secs(1);
+    placer.note_holder("engine-0", "new", later);
+    assert_eq!(placer.holders.len(), 1);
+    assert!(placer.choose(&book, &ask("new"), later).is_some());
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -37,7 +37,10 @@
 /// Returns the id of the last event that carries one.
 pub(crate) fn last_event_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = ids.last()?;
+    let mut ids = lines.rev().filter_map(|line| line.strip_prefix(b"id:"));
+    let id = ids.next()?;
     Some(String::from_utf8_lossy(id).trim().to_owned())
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -41,7 +41,7 @@
     /// A whole answer, whatever its status.
     Whole(StatusCode, HeaderMap, Bytes),
     /// An answer that comes in events; the first ones are whole.
-    Events(EventStream),
+    Events(Box<EventStream>),
     /// The target did not run it.
     NotRun { cause: String, arrived: bool },
     /// It may have run, and there is no usable answer.
@@ -481,7 +481,7 @@
                     .targets
                     .borrow_mut()
                     .note_success(attempt.service, &chosen.id);
-                AttemptEnd::Events(EventStream {
+                AttemptEnd::Events(Box::new(EventStream {
                     status,
                     headers,
                     first,
@@ -490,7 +490,7 @@
                     lease,
                     _in_flight: in_flight,
                     _placement: attempt.placement.take(),
-                })
+                }))
             }
             Err(end) => end,
         };
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -254,11 +254,11 @@
     }
     // End and waits of each stage. What waits at a later pool now is served meanwhile.
     let mut ends: Vec<(f64, f64)> = Vec::with_capacity(stages.len());
-    for number in 0..stages.len() {
-        let before = stages[number].after.iter().map(|before| ends[*before]);
+    for (number, stage) in stages.iter().enumerate() {
+        let before = stage.after.iter().map(|before| ends[*before]);
         let (start, waits) = before.fold((0.0, 0.0), longer);
         let count = ask.piece_counts[number];
-        let load = gateway.stages.load_of(&stages[number].service);
+        let load = gateway.stages.load_of(&stage.service);
         let wait = match (pool_of(number), load) {
             (Some(pool), Some(load)) if count > 0 => {
                 (load.wait_ms(pool, ask.rank, count) - start).max(0.0)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -77,7 +77,7 @@
     }
 
     /// Finds another target that goes on with the stream.
-    async fn resume(&mut self, cause: &str) -> Option<EventStream> {
+    async fn resume(&mut self, cause: &str) -> Option<Box<EventStream>> {
         self.gateway
             .note_target_failure(&self.service, &self.chosen.id, cause);
         while self.ask.route.may_repeat()
@@ -115,15 +115,15 @@
 /// Where a stream stands.
 enum Stage {
     /// Events that are to be handed out before more are read.
-    Holding(Relay, EventStream),
+    Holding(Relay, Box<EventStream>),
     /// Events are to be read.
-    Reading(Relay, EventStream),
+    Reading(Relay, Box<EventStream>),
     /// It has ended.
     Ended,
 }
 
 /// Answers with a stream. The head is that of the first target, whichever goes on later.
-pub(crate) fn relay_events(relay: Relay, stream: EventStream) -> Response<AnswerBody> {
+pub(crate) fn relay_events(relay: Relay, stream: Box<EventStream>) -> Response<AnswerBody> {
     let (status, headers) = (stream.status, stream.headers.clone());
     let chunks = stream::unfold(Stage::Holding(relay, stream), next_chunk);
     answer_of(status, &headers, AnswerBody::Chunks(Box::pin(chunks)))
@@ -146,7 +146,7 @@
             Some((Ok(events), Stage::Reading(relay, stream)))
         }
         Ok(Ok(None)) => {
-            let EventStream { lease, headers, .. } = stream;
+            let EventStream { lease, headers, .. } = *stream;
             lease.finish(&headers);
             relay.note(EventCode::RequestFinished, "outcome=stream ended");
             None
@@ -161,7 +161,7 @@
 
 async fn go_on(
     mut relay: Relay,
-    stream: EventStream,
+    stream: Box<EventStream>,
     cause: &str,
 ) -> Option<(Result<Bytes, BrokenAnswer>, Stage)> {
     drop(stream);
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -148,10 +148,9 @@
                     self.run_at(address, batch.clone()).await
                 }
             };
-            match results {
-                Some(results) => return (results, home),
-                // The link was lost, and with it what this host had handed out on it.
-                None => {}
+            // Without results the link was lost, and with it what was handed out on it.
+            if let Some(results) = results {
+                return (results, home);
             }
         }
         (vec![Err(PieceFault::Lost); count], Home::Here)
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -166,3 +166,6 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/wait_model.rs
+++ b/crates/gateway/src/wait_model.rs
@@ -51,3 +51,6 @@
         *known += (ratio - *known) * GAIN;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/linnetdale/tests/proofs.rs
+++ b/crates/linnetdale/tests/proofs.rs
@@ -13,8 +13,10 @@
 /// Returns the text of every test file of the workspace.
 fn test_sources() -> String {
     let mut text = String::new();
-    for krate in std::fs::read_dir(root().join("crates")).unwrap() {
-        let Ok(files) = std::fs::read_dir(krate.unwrap().path().join("tests")) else {
+    let crates = std::fs::read_dir(root().join("crates")).unwrap();
+    let crates = crates.map(|krate| krate.unwrap().path());
+    for krate in crates.chain([root().join("platform")]) {
+        let Ok(files) = std::fs::read_dir(krate.join("tests")) else {
             continue;
         };
         for file in files.map(|file| file.unwrap().path()) {
