--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -33,6 +33,16 @@
 /// Parts that are remembered.
 const MAX_PARTS: usize = 50_000;
 
+/// How long it takes until most of a learned slowness is forgotten.
+const SLOWNESS_KEPT: Duration = Duration::from_secs(4);
+
+/// Weight of a new observation of an engine's slowness, and the most that one says.
+const SLOWNESS_GAIN: f64 = 0.4;
+const MOST_SLOWNESS: f64 = 10.0;
+
+/// Added to expected and real times, so that short ones say little, in milliseconds.
+const SLOWNESS_BASE_MS: f64 = 120.0;
+
 /// The least weight of a hall.
 const LEAST_WEIGHT: f64 = 0.02;
 
@@ -114,6 +124,25 @@
 struct Placed {
     engine: String,
     unread: u64,
+    at: Instant,
+    /// How long the engine was to take until it has read the prompt, in milliseconds.
+    expected_ms: f64,
+}
+
+/// How much longer than expected an engine took of late.
+#[derive(Debug, Clone, Copy)]
+struct Slowness {
+    ratio: f64,
+    learned: Instant,
+}
+
+impl Slowness {
+    /// Returns the ratio, which is forgotten over time so that an engine that recovered is used
+    /// again.
+    fn now(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.learned).as_secs_f64();
+        1.0 + (self.ratio - 1.0) * (-age / SLOWNESS_KEPT.as_secs_f64()).exp()
+    }
 }
 
 /// Places prompts on engines, with what it knows of them from its own placements.
@@ -123,6 +152,7 @@
     /// Engines that hold a part, with the time of its last use there.
     holders: HashMap<String, Vec<(String, Instant)>>,
     placed: HashMap<PlacementKey, Placed>,
+    slowness: HashMap<String, Slowness>,
     next: u64,
 }
 
@@ -133,6 +163,7 @@
             loads: HashMap::new(),
             holders: HashMap::new(),
             placed: HashMap::new(),
+            slowness: HashMap::new(),
             next: 0,
         }
     }
@@ -171,7 +202,7 @@
             } else {
                 one.id == first
             };
-            self.cost_ms(one, ask, held)
+            self.cost_ms(one, ask, held, now)
         };
         let best = candidates.into_iter().min_by(|a, b| {
             cost(a)
@@ -190,7 +221,25 @@
         holders.is_some_and(|holders| holders.iter().any(|(id, _)| id == engine))
     }
 
-    fn cost_ms(&self, engine: &Target, ask: &PlaceAsk, held: bool) -> f64 {
+    fn slowness_of(&self, engine: &str, now: Instant) -> f64 {
+        let known = self.slowness.get(engine);
+        known.map_or(1.0, |slowness| slowness.now(now))
+    }
+
+    /// Learns from the time that an engine took for a prompt.
+    fn learn_slowness(&mut self, engine: &str, expected_ms: f64, took: Duration, now: Instant) {
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        let ratio = ((took_ms + SLOWNESS_BASE_MS) / (expected_ms + SLOWNESS_BASE_MS))
+            .clamp(1.0, MOST_SLOWNESS);
+        let known = self.slowness_of(engine, now);
+        let learned = Slowness {
+            ratio: known + (ratio - known) * SLOWNESS_GAIN,
+            learned: now,
+        };
+        self.slowness.insert(engine.to_owned(), learned);
+    }
+
+    fn cost_ms(&self, engine: &Target, ask: &PlaceAsk, held: bool, now: Instant) -> f64 {
         let reading = |tokens: u64| tokens as f64 / self.tokens_per_ms;
         let missing = if held || ask.part.is_empty() {
             0.0
@@ -205,7 +254,11 @@
         };
         let load = self.loads.get(&engine.id);
         let (unread, running) = load.map_or((0, 0), |load| (load.unread, load.running));
-        reading(unread) + missing + crossing + f64::from(running) * RUNNING_COST_MS
+        // On a slow engine the prompt's own reading is slow as well.
+        let slowness = self.slowness_of(&engine.id, now);
+        let own = reading(ask.tokens.saturating_sub(ask.shared_tokens)) + SLOWNESS_BASE_MS;
+        let running = f64::from(running) * RUNNING_COST_MS;
+        (reading(unread) + missing) * slowness + own * (slowness - 1.0) + crossing + running
     }
 
     /// Chooses an engine and counts the prompt there until [`EnginePlacer::end`].
@@ -220,13 +273,20 @@
         let cached = if held { ask.shared_tokens } else { 0 };
         let unread = ask.tokens.saturating_sub(cached);
         let load = self.loads.entry(chosen.id.clone()).or_default();
+        let expected_ms = (load.unread + unread) as f64 / self.tokens_per_ms;
         load.unread += unread;
         load.running += 1;
         self.note_holder(&chosen.id, &ask.part, now);
         self.next += 1;
         let key = PlacementKey(self.next);
         let engine = chosen.id.clone();
-        self.placed.insert(key, Placed { engine, unread });
+        let placed = Placed {
+            engine,
+            unread,
+            at: now,
+            expected_ms,
+        };
+        self.placed.insert(key, placed);
         Some((key, chosen))
     }
 
@@ -250,7 +310,18 @@
     }
 
     /// Notes that an engine has read a prompt.
-    pub(crate) fn note_read(&mut self, key: PlacementKey) {
+    pub(crate) fn note_read(&mut self, key: PlacementKey, now: Instant) {
+        let Some(placed) = self.placed.get(&key) else {
+            return;
+        };
+        let took = now.saturating_duration_since(placed.at);
+        let (engine, expected_ms) = (placed.engine.clone(), placed.expected_ms);
+        self.learn_slowness(&engine, expected_ms, took, now);
+        self.take_off(key);
+    }
+
+    /// Takes a prompt off what its engine still has to read.
+    fn take_off(&mut self, key: PlacementKey) {
         if let Some(placed) = self.placed.get_mut(&key) {
             let unread = std::mem::take(&mut placed.unread);
             if let Some(load) = self.loads.get_mut(&placed.engine) {
@@ -261,7 +332,7 @@
 
     /// Notes that a request has ended, or that its host was lost.
     pub(crate) fn end(&mut self, key: PlacementKey) {
-        self.note_read(key);
+        self.take_off(key);
         let Some(placed) = self.placed.remove(&key) else {
             return;
         };
--- a/crates/gateway/src/engine/tests.rs
+++ b/crates/gateway/src/engine/tests.rs
@@ -44,7 +44,7 @@
     let (book, now) = (book(), Instant::now());
     let mut placer = EnginePlacer::default();
     let (key, first) = placer.place(&book, &ask("a"), now).unwrap();
-    placer.note_read(key);
+    placer.note_read(key, now + Duration::from_millis(200));
     let (_, second) = placer.place(&book, &ask("a"), now).unwrap();
     assert_eq!(first, second);
     // The waits of many long prompts outweigh reading the part elsewhere.
@@ -112,3 +112,20 @@
     assert_eq!(placer.holders.len(), 1);
     assert!(placer.choose(&book, &ask("new"), later).is_some());
 }
+
+#[test]
+fn an_engine_that_turned_slow_is_left_and_tried_again_later() {
+    let (book, now) = (book(), Instant::now());
+    let mut placer = EnginePlacer::default();
+    let late = now + Duration::from_secs(5);
+    let slow = placer.choose(&book, &ask("a"), now).unwrap();
+    for _ in 0..3 {
+        let (key, chosen) = placer.place(&book, &ask("a"), now).unwrap();
+        assert_eq!(chosen, slow);
+        placer.note_read(key, late);
+        placer.end(key);
+    }
+    assert_ne!(placer.choose(&book, &ask("a"), late).unwrap().id, slow.id);
+    let later = late + SLOWNESS_KEPT * 8;
+    assert_eq!(placer.choose(&book, &ask("a"), later).unwrap().id, slow.id);
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -291,7 +291,7 @@
             }
             PieceRequest::Read(number) => {
                 if let Some(key) = placements.get(&number) {
-                    gateway.engines.borrow_mut().note_read(*key);
+                    gateway.engines.borrow_mut().note_read(*key, Instant::now());
                 }
             }
             PieceRequest::End(number) => {
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -420,7 +420,10 @@
     /// Notes that the engine has read the prompt.
     pub(crate) fn note_read(&self) {
         match self.home {
-            PlacedAt::Here(key) => self.client.engines.borrow_mut().note_read(key),
+            PlacedAt::Here(key) => {
+                let mut engines = self.client.engines.borrow_mut();
+                engines.note_read(key, Instant::now());
+            }
             PlacedAt::Remote(address, number) => {
                 self.client
                     .send_to(address, PieceRequest::Read(number), |_| {});
