--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -14,8 +14,8 @@
 use crate::dialect::StageItem;
 
 /// How much longer than expected a call may take, as a factor and a span.
-const SLACK_FACTOR: f64 = 2.5;
-const SLACK: Duration = Duration::from_millis(400);
+const SLACK_FACTOR: f64 = 2.0;
+const SLACK: Duration = Duration::from_millis(150);
 
 /// How long a release of results may take.
 const FREE_TIMEOUT: Duration = Duration::from_millis(1_000);
--- a/crates/gateway/src/engine/tests.rs
+++ b/crates/gateway/src/engine/tests.rs
@@ -119,7 +119,7 @@
     let mut placer = EnginePlacer::default();
     let late = now + Duration::from_secs(5);
     let slow = placer.choose(&book, &ask("a"), now).unwrap();
-    for _ in 0..3 {
+    for _ in 0..2 {
         let (key, chosen) = placer.place(&book, &ask("a"), now).unwrap();
         assert_eq!(chosen, slow);
         placer.note_read(key, late);
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -18,10 +18,10 @@
 use crate::target::TargetBook;
 
 /// Between two signs of life.
-pub(crate) const ALIVE_PERIOD: Duration = Duration::from_millis(200);
+pub(crate) const ALIVE_PERIOD: Duration = Duration::from_millis(150);
 
 /// A side that is silent for so long is taken as lost.
-pub(crate) const SILENCE_LIMIT: Duration = Duration::from_millis(750);
+pub(crate) const SILENCE_LIMIT: Duration = Duration::from_millis(550);
 
 /// How long a connection may take to open before requests go to another host meanwhile.
 const CONNECT_PATIENCE: Duration = Duration::from_millis(250);
