--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -17,6 +17,9 @@
 const SLACK_FACTOR: f64 = 2.0;
 const SLACK: Duration = Duration::from_millis(150);
 
+/// How old what a target reports may be.
+const REPORT_LAG: Duration = Duration::from_millis(200);
+
 /// How long a release of results may take.
 const FREE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -142,12 +145,14 @@
     let _ = timeout(FREE_TIMEOUT, work).await;
 }
 
-/// Asks a target how much memory it has free for results.
+/// Asks a target how much memory it has free for results, when its report has caught up with the call
+/// that found no room. Until then the target is taken as full.
 pub(super) async fn ask_free_bytes(
     coordinator: Rc<Coordinator>,
     service: String,
     address: SocketAddr,
 ) {
+    sleep(REPORT_LAG).await;
     let targets = &coordinator.dialect.targets;
     let request = Request::get(targets.report_path)
         .header(header::HOST, address.to_string())
