--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -76,10 +76,45 @@
     pub(crate) registry: Registry,
     pub(crate) subscribers: BTreeMap<u64, SubscriberState>,
     pub(crate) next_subscriber: u64,
+    /// Entry hosts that were lost without a word, and until when they are told on.
+    pub(crate) lost_gateways: BTreeMap<String, (GatewayRecord, Instant)>,
     /// Number of the last change of the gateways that are heard.
     pub(crate) gateways_changed: u64,
 }
 
+/// How long an entry host that was lost without a word is told on. It may be cut off from the control
+/// hosts only, and the others should meet it at the same places then.
+const LOST_GATEWAY_TOLD: Duration = Duration::from_secs(15);
+
+impl NodeState {
+    /// Returns the entry hosts that are heard, or were until a moment ago, by name.
+    pub(crate) fn gateways(&mut self, now: Instant) -> Vec<GatewayRecord> {
+        let heard = self.subscribers.values();
+        let heard: Vec<GatewayRecord> = heard.filter_map(|one| one.gateway.clone()).collect();
+        self.lost_gateways
+            .retain(|name, (_, until)| *until > now && !heard.iter().any(|one| one.name == *name));
+        let lost = self
+            .lost_gateways
+            .values()
+            .map(|(record, _)| record.clone());
+        let mut all: Vec<GatewayRecord> = heard.iter().cloned().chain(lost).collect();
+        all.sort();
+        all
+    }
+
+    /// Forgets a subscriber. One that did not say that it stops may come back.
+    pub(crate) fn lose_subscriber(&mut self, number: u64, now: Instant) {
+        let lost = self.subscribers.remove(&number);
+        let record = lost.and_then(|subscriber| subscriber.gateway);
+        if let Some(record) = record.filter(|record| !record.stopping) {
+            let until = now + LOST_GATEWAY_TOLD;
+            self.lost_gateways
+                .insert(record.name.clone(), (record, until));
+        }
+        self.gateways_changed += 1;
+    }
+}
+
 struct Shared {
     replica: Replica,
     machine: DocumentMachine,
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -72,8 +72,7 @@
 
 fn remove_subscriber(node: &DirectoryNode, number: u64) {
     let mut state = node.lock();
-    state.subscribers.remove(&number);
-    state.gateways_changed += 1;
+    state.lose_subscriber(number, Instant::now());
     drop(state);
     node.wake();
 }
@@ -156,15 +155,13 @@
         pushed.controls.clone_from(&controls);
         update.controls = Some(controls);
     }
-    let state = node.lock();
+    let mut state = node.lock();
     update.number = state.registry.number();
     if update.number > pushed.number {
         update.targets = state.registry.changed_after(pushed.number);
         pushed.number = update.number;
     }
-    let heard = state.subscribers.values();
-    let mut gateways: Vec<GatewayRecord> = heard.filter_map(|one| one.gateway.clone()).collect();
-    gateways.sort();
+    let gateways = state.gateways(Instant::now());
     if pushed.gateways.as_ref() != Some(&gateways) {
         pushed.gateways = Some(gateways.clone());
         update.gateways = Some(gateways);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -273,5 +273,7 @@
             .metrics
             .config_version
             .set(gateway.config_version() as i64);
+        let hosts = gateway.gateway_count() as i64;
+        gateway.metrics.hosts_known.set(hosts);
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,7 @@
     pub(crate) connections_opened: Gauge,
     pub(crate) requests_open: Gauge,
     pub(crate) config_version: Gauge,
+    pub(crate) hosts_known: Gauge,
 }
 
 impl GatewayMetrics {
@@ -47,6 +48,7 @@
             connections_opened: Gauge::default(),
             requests_open: Gauge::default(),
             config_version: Gauge::default(),
+            hosts_known: Gauge::default(),
         };
         registry.register("requests", "Requests by outcome", metrics.requests.clone());
         registry.register_with_unit(
@@ -81,6 +83,11 @@
             "Version of the routing configuration in force",
             metrics.config_version.clone(),
         );
+        registry.register(
+            "hosts_known",
+            "Entry hosts that are known, this one among them",
+            metrics.hosts_known.clone(),
+        );
         *metrics
             .registry
             .lock()
