Large files of the gateway split by job

queue.rs into pool (one pool: what waits and goes together) and queue (batches and calls); forward.rs into attempt (one sending), choose (service and target) and forward (when to go on or give up); stage_client into guards and links. No behaviour changed.

--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,287 @@
+//! One sending of a request to one target.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use linnet_routing::RouteKind;
+use linnet_telemetry::EventCode;
+use tokio::time::timeout;
+
+use crate::Gateway;
+use crate::answer::{Addition, belongs_to, request_for};
+use crate::ask::Ask;
+use crate::engine::Chosen;
+use crate::events::EventSplitter;
+use crate::graph::RequestResults;
+use crate::stage_client::Placement;
+use crate::upstream::{Lease, SendError};
+
+/// The least time that an attempt gets before a repeatable request goes to another target.
+const LEAST_ATTEMPT: Duration = Duration::from_millis(250);
+
+/// How one sending to a target ended.
+pub(crate) enum AttemptEnd {
+    /// A whole answer, whatever its status.
+    Whole(StatusCode, HeaderMap, Bytes),
+    /// An answer that comes in events; the first ones are whole.
+    Events(Box<EventStream>),
+    /// The target did not run it.
+    NotRun { cause: String, arrived: bool },
+    /// It may have run, and there is no usable answer.
+    MayHaveRun(String),
+}
+
+/// A stream of events of which the first has come.
+pub(crate) struct EventStream {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) first: Bytes,
+    pub(crate) rest: Incoming,
+    pub(crate) splitter: EventSplitter,
+    pub(crate) lease: Lease,
+    /// Counts the request at its target while the stream lasts.
+    pub(crate) _in_flight: InFlight,
+    /// Counts the prompt at the host that placed it.
+    pub(crate) _placement: Option<Placement>,
+}
+
+/// Counts a request at its target until it is dropped.
+pub(crate) struct InFlight {
+    gateway: Rc<Gateway>,
+    service: String,
+    id: String,
+}
+
+impl InFlight {
+    fn new(gateway: &Rc<Gateway>, service: &str, id: &str) -> Self {
+        if let Some(target) = gateway.targets.borrow_mut().find_mut(service, id) {
+            target.in_flight += 1;
+        }
+        Self {
+            gateway: gateway.clone(),
+            service: service.to_owned(),
+            id: id.to_owned(),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let mut targets = self.gateway.targets.borrow_mut();
+        if let Some(target) = targets.find_mut(&self.service, &self.id) {
+            target.in_flight = target.in_flight.saturating_sub(1);
+        }
+    }
+}
+
+/// One sending to one target.
+pub(crate) struct Attempt<'a> {
+    pub(crate) service: &'a str,
+    pub(crate) chosen: &'a Chosen,
+    /// Counts the prompt at the host that placed it.
+    pub(crate) placement: Option<Placement>,
+    pub(crate) results: Option<&'a RequestResults>,
+    pub(crate) last_event: Option<&'a str>,
+}
+
+/// Sends a request to a target and waits for a whole answer or for the first event. `more` says
+/// whether another target may be tried after this one, so that a silent one is left in time.
+pub(crate) async fn send_attempt(
+    gateway: &Rc<Gateway>,
+    ask: &Ask,
+    attempt: Attempt<'_>,
+    more: bool,
+) -> AttemptEnd {
+    let left = ask.time_left();
+    let bound = if more && ask.route.kind != RouteKind::Streaming {
+        let usual = Duration::from_millis(ask.route.objective_ms * 2);
+        usual.clamp(LEAST_ATTEMPT, (left / 2).max(LEAST_ATTEMPT))
+    } else {
+        left
+    };
+    match timeout(bound, exchange(gateway, ask, attempt, left)).await {
+        Ok(end) => end,
+        Err(_) => AttemptEnd::MayHaveRun(format!("no answer within {} ms", bound.as_millis())),
+    }
+}
+
+async fn exchange(
+    gateway: &Rc<Gateway>,
+    ask: &Ask,
+    mut attempt: Attempt<'_>,
+    left: Duration,
+) -> AttemptEnd {
+    let chosen = attempt.chosen;
+    let addition = Addition {
+        target: &chosen.id,
+        results: attempt.results.map(|results| results.handles().join(",")),
+        last_event: attempt.last_event,
+        ranked: ask.prompt.is_some(),
+    };
+    let request = match request_for(&gateway.config.dialect, ask, &addition, left) {
+        Ok(request) => request,
+        Err(error) => {
+            let cause = format!("request: {error}");
+            return AttemptEnd::NotRun {
+                cause,
+                arrived: false,
+            };
+        }
+    };
+    let in_flight = InFlight::new(gateway, attempt.service, &chosen.id);
+    let sent = Instant::now();
+    let (answer, lease) = match gateway.pool.send(chosen.address, request).await {
+        Ok(answered) => answered,
+        Err(SendError::NotSent(cause)) => {
+            gateway.note_unreachable(attempt.service, &chosen.id, &cause);
+            return AttemptEnd::NotRun {
+                cause,
+                arrived: false,
+            };
+        }
+        Err(SendError::MayHaveRun(cause)) => return AttemptEnd::MayHaveRun(cause),
+    };
+    let (head, body) = answer.into_parts();
+    if let Some(refused) = read_refusal(gateway, &attempt, &head) {
+        if body.collect().await.is_ok() {
+            lease.finish(&head.headers);
+        }
+        return refused;
+    }
+    if !belongs_to(&gateway.config.dialect.headers, &head.headers, &ask.id) {
+        gateway.note_request(
+            EventCode::AnswerDropped,
+            &ask.id,
+            &chosen.id,
+            "another id".to_owned(),
+        );
+        return AttemptEnd::MayHaveRun("an answer of another request".to_owned());
+    }
+    let sealed = head
+        .headers
+        .contains_key(&gateway.config.dialect.headers.seal);
+    if head.status.is_success() && !sealed {
+        return AttemptEnd::MayHaveRun("an answer without the target's seal".to_owned());
+    }
+    if ask.route.kind == RouteKind::Streaming && head.status.is_success() {
+        let end = first_events(
+            gateway,
+            ask,
+            head,
+            body,
+            lease,
+            attempt.placement.as_ref(),
+            sent,
+        )
+        .await;
+        return match end {
+            Ok((status, headers, first, rest, splitter, lease)) => {
+                gateway
+                    .targets
+                    .borrow_mut()
+                    .note_success(attempt.service, &chosen.id);
+                AttemptEnd::Events(Box::new(EventStream {
+                    status,
+                    headers,
+                    first,
+                    rest,
+                    splitter,
+                    lease,
+                    _in_flight: in_flight,
+                    _placement: attempt.placement.take(),
+                }))
+            }
+            Err(end) => end,
+        };
+    }
+    match body.collect().await {
+        Ok(body) => {
+            lease.finish(&head.headers);
+            if head.status.is_server_error() {
+                let cause = format!("status {}", head.status.as_u16());
+                gateway.note_target_failure(attempt.service, &chosen.id, &cause);
+            } else {
+                gateway
+                    .targets
+                    .borrow_mut()
+                    .note_success(attempt.service, &chosen.id);
+            }
+            AttemptEnd::Whole(head.status, head.headers, body.to_bytes())
+        }
+        Err(error) => AttemptEnd::MayHaveRun(format!("answer cut short: {error}")),
+    }
+}
+
+fn read_refusal(
+    gateway: &Gateway,
+    attempt: &Attempt<'_>,
+    head: &http::response::Parts,
+) -> Option<AttemptEnd> {
+    let dialect = &gateway.config.dialect;
+    if head.status == dialect.targets.other_target {
+        gateway
+            .targets
+            .borrow_mut()
+            .remove(attempt.service, &attempt.chosen.id);
+        let cause = "another target has the address".to_owned();
+        return Some(AttemptEnd::NotRun {
+            cause,
+            arrived: true,
+        });
+    }
+    if head.headers.contains_key(&dialect.headers.not_run) {
+        let cause = format!("refused with status {}", head.status.as_u16());
+        return Some(AttemptEnd::NotRun {
+            cause,
+            arrived: true,
+        });
+    }
+    None
+}
+
+type FirstEvents = (StatusCode, HeaderMap, Bytes, Incoming, EventSplitter, Lease);
+
+/// Waits for the first whole event. An answer that ends before it is passed on as it is.
+async fn first_events(
+    gateway: &Gateway,
+    ask: &Ask,
+    head: http::response::Parts,
+    mut body: Incoming,
+    lease: Lease,
+    placement: Option<&Placement>,
+    sent: Instant,
+) -> Result<FirstEvents, AttemptEnd> {
+    let mut splitter = EventSplitter::default();
+    loop {
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                let Some(first) = frame.data_ref().and_then(|bytes| splitter.push(bytes)) else {
+                    continue;
+                };
+                if let Some(placement) = placement {
+                    placement.note_read();
+                }
+                if let Some(prompt) = &ask.prompt {
+                    let unshared = prompt.tokens_in.saturating_sub(prompt.shared_tokens);
+                    gateway.engines.borrow_mut().learn(unshared, sent.elapsed());
+                }
+                return Ok((head.status, head.headers, first, body, splitter, lease));
+            }
+            Some(Err(error)) => {
+                return Err(AttemptEnd::MayHaveRun(format!("stream cut short: {error}")));
+            }
+            None => {
+                lease.finish(&head.headers);
+                return Err(AttemptEnd::Whole(
+                    head.status,
+                    head.headers,
+                    splitter.rest(),
+                ));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/choose.rs
@@ -0,0 +1,91 @@
+//! Choosing the service and the target of a request.
+
+use std::time::Instant;
+
+use linnet_routing::Route;
+
+use crate::Gateway;
+use crate::ask::Ask;
+use crate::coordinator::HALL_BYTES;
+use crate::engine::{Chosen, PlaceAsk};
+use crate::graph::{RequestResults, last_stages};
+use crate::stage_client::Placement;
+use crate::target::Target;
+
+/// Picks the service of a request by the weights of its route.
+pub(crate) fn pick_service(route: &Route) -> &str {
+    let total: u32 = route.split.iter().map(|part| part.weight).sum();
+    let mut drawn = fastrand::u32(0..total.max(1));
+    for part in &route.split {
+        if drawn < part.weight {
+            return &part.service;
+        }
+        drawn -= part.weight;
+    }
+    route.split.last().map_or("", |part| part.service.as_str())
+}
+
+/// Chooses a target, passing over those that were tried.
+pub(crate) async fn choose(
+    gateway: &Gateway,
+    service: &str,
+    ask: &Ask,
+    tried: &[String],
+    results: Option<&RequestResults>,
+) -> Option<(Chosen, Option<Placement>)> {
+    if let Some(place) = place_ask(gateway, service, ask, tried, results) {
+        let (chosen, placement) = gateway.stages.place(&gateway.targets, place).await?;
+        return Some((chosen, Some(placement)));
+    }
+    let book = gateway.targets.borrow();
+    let usable = book.usable(service, Instant::now());
+    let fresh = usable.iter().filter(|target| !tried.contains(&target.id));
+    let load = |target: &Target| {
+        let other_hall = f64::from(u8::from(target.hall != gateway.config.hall));
+        let used = f64::from(target.in_flight) / f64::from(target.slots);
+        used + 0.25 * other_hall + 0.05 * fastrand::f64()
+    };
+    let scored = fresh.map(|target| (load(target), target));
+    let best = scored.min_by(|a, b| a.0.total_cmp(&b.0))?.1;
+    let chosen = Chosen {
+        id: best.id.clone(),
+        address: best.address,
+        hall: best.hall.clone(),
+    };
+    Some((chosen, None))
+}
+
+/// Returns what to ask of the host that places prompts; nothing for a request without one.
+pub(crate) fn place_ask(
+    gateway: &Gateway,
+    service: &str,
+    ask: &Ask,
+    tried: &[String],
+    results: Option<&RequestResults>,
+) -> Option<PlaceAsk> {
+    let prompt = ask.prompt.as_ref()?;
+    let largest = ask
+        .route
+        .stages
+        .iter()
+        .max_by_key(|stage| stage.result_bytes);
+    let heavy = largest.filter(|stage| stage.result_bytes >= HALL_BYTES);
+    let hall = results.and_then(|results| results.hall(&gateway.targets.borrow()));
+    Some(PlaceAsk {
+        service: service.to_owned(),
+        part: prompt.shared_part.clone(),
+        tokens: prompt.tokens_in,
+        shared_tokens: prompt.shared_tokens,
+        heavy_stage: heavy.map(|stage| stage.service.clone()),
+        results: hall.map(|hall| (hall, result_bytes(ask))),
+        avoid: tried.to_vec(),
+    })
+}
+
+/// Returns about how many bytes of results the request takes from its last stages.
+fn result_bytes(ask: &Ask) -> u64 {
+    let last = last_stages(ask).into_iter();
+    let bytes = last
+        .map(|number| u64::from(ask.piece_counts[number]) * ask.route.stages[number].result_bytes);
+    bytes.sum()
+}
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -5,6 +5,8 @@
 //! cut off, targets refuse the calls that are too many and the pieces wait on.
 
 mod call;
+mod pool;
 mod queue;
 
-pub(crate) use queue::{BatchKey, Coordinator, ExpectKey, HALL_BYTES, LEAST_REFUSED_WAIT_MS};
+pub(crate) use pool::{HALL_BYTES, LEAST_REFUSED_WAIT_MS};
+pub(crate) use queue::{BatchKey, Coordinator, ExpectKey};
--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -10,7 +10,8 @@
 use linnet_telemetry::EventCode;
 use tokio::time::{sleep, timeout};
 
-use super::queue::{CallEnd, Coordinator, DueCall};
+use super::pool::DueCall;
+use super::queue::{CallEnd, Coordinator};
 use crate::dialect::StageItem;
 
 /// How much longer than expected a call may take, as a factor and a span.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,8 +7,10 @@
 
 mod answer;
 mod ask;
+mod attempt;
 mod body;
 mod budget;
+mod choose;
 mod coordinator;
 mod dialect;
 mod engine;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,10 +12,12 @@
 
 use crate::answer::answer_of;
 use crate::ask::Ask;
+use crate::attempt::{Attempt, AttemptEnd, EventStream, send_attempt};
 use crate::body::BrokenAnswer;
+use crate::choose::choose;
 use crate::engine::Chosen;
 use crate::events::last_event_id;
-use crate::forward::{Attempt, AttemptEnd, EventStream, choose, send_attempt, take_repeat};
+use crate::forward::take_repeat;
 use crate::graph::RequestResults;
 use crate::{AnswerBody, Gateway};
 
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -1,5 +1,8 @@
 //! Hands batches of pieces to the entry host that gathers them for their service.
 
+mod guard;
+mod link;
+
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -7,16 +10,21 @@
 use std::time::{Duration, Instant};
 
 use linnet_directory::GatewayRecord;
-use linnet_wire::{PeerGreeting, PeerIdentity, PeerReader, PeerWriter, WireError, connect_peer};
+use linnet_wire::PeerIdentity;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
-use crate::coordinator::{BatchKey, Coordinator, ExpectKey};
-use crate::engine::{Chosen, EnginePlacer, PlaceAsk, PlacementKey};
-use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceReply, PieceRequest, PoolLoad};
+use crate::coordinator::Coordinator;
+use crate::engine::{Chosen, EnginePlacer, PlaceAsk};
+use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceRequest, PoolLoad};
 use crate::rendezvous;
 use crate::target::TargetBook;
 
+pub(crate) use guard::{Expectation, Placement};
+
+use guard::{ExpectedAt, LocalBatch, PlacedAt, RemoteBatch};
+use link::run_link;
+
 /// Between two signs of life.
 pub(crate) const ALIVE_PERIOD: Duration = Duration::from_millis(150);
 
@@ -379,164 +387,3 @@
         }
     }
 }
-
-#[derive(Clone, Copy)]
-enum ExpectedAt {
-    Here(ExpectKey),
-    Remote(SocketAddr, u64),
-}
-
-/// Pieces that are expected somewhere until this is dropped.
-pub(crate) struct Expectation {
-    client: StageClient,
-    home: ExpectedAt,
-}
-
-impl Drop for Expectation {
-    fn drop(&mut self) {
-        match self.home {
-            ExpectedAt::Here(key) => self.client.coordinator.arrived(key),
-            ExpectedAt::Remote(address, number) => {
-                self.client
-                    .send_to(address, PieceRequest::Arrived(number), |_| {});
-            }
-        }
-    }
-}
-
-#[derive(Clone, Copy)]
-enum PlacedAt {
-    Here(PlacementKey),
-    Remote(SocketAddr, u64),
-}
-
-/// A prompt that was placed on an engine; it counts there until this is dropped.
-pub(crate) struct Placement {
-    client: StageClient,
-    home: PlacedAt,
-}
-
-impl Placement {
-    /// Notes that the engine has read the prompt.
-    pub(crate) fn note_read(&self) {
-        match self.home {
-            PlacedAt::Here(key) => {
-                let mut engines = self.client.engines.borrow_mut();
-                engines.note_read(key, Instant::now());
-            }
-            PlacedAt::Remote(address, number) => {
-                self.client
-                    .send_to(address, PieceRequest::Read(number), |_| {});
-            }
-        }
-    }
-}
-
-impl Drop for Placement {
-    fn drop(&mut self) {
-        match self.home {
-            PlacedAt::Here(key) => self.client.engines.borrow_mut().end(key),
-            PlacedAt::Remote(address, number) => {
-                self.client
-                    .send_to(address, PieceRequest::End(number), |link| {
-                        link.placing.remove(&number);
-                    });
-            }
-        }
-    }
-}
-
-/// Withdraws a batch of this host when its request ends before it.
-struct LocalBatch {
-    coordinator: Rc<Coordinator>,
-    key: BatchKey,
-}
-
-impl Drop for LocalBatch {
-    fn drop(&mut self) {
-        self.coordinator.cancel(self.key);
-    }
-}
-
-/// Withdraws a batch at another host when its request ends before it.
-struct RemoteBatch {
-    client: StageClient,
-    address: SocketAddr,
-    number: u64,
-}
-
-impl Drop for RemoteBatch {
-    fn drop(&mut self) {
-        let mut state = self.client.state.borrow_mut();
-        let Some(link) = state.links.get_mut(&self.address) else {
-            return;
-        };
-        if link.waiting.remove(&self.number).is_some() {
-            let _ = link.outgoing.send(PieceRequest::Cancel(self.number));
-        }
-    }
-}
-
-/// Keeps a connection to an entry host open for as long as that host is known.
-async fn run_link(
-    client: StageClient,
-    address: SocketAddr,
-    mut queue: mpsc::UnboundedReceiver<PieceRequest>,
-) {
-    while client.knows(address) {
-        let _ = exchange(&client, address, &mut queue).await;
-        client.mark(address, LinkState::Lost);
-        // What waits for this host goes to another one.
-        while queue.try_recv().is_ok() {}
-        sleep(RECONNECT_WAIT).await;
-    }
-    let link = client.state.borrow_mut().links.remove(&address);
-    drop(link);
-}
-
-async fn exchange(
-    client: &StageClient,
-    address: SocketAddr,
-    queue: &mut mpsc::UnboundedReceiver<PieceRequest>,
-) -> Result<(), WireError> {
-    let Ok(connected) = timeout(SILENCE_LIMIT, connect_peer(&client.identity, address)).await
-    else {
-        return Ok(());
-    };
-    let (reader, mut writer) = connected?;
-    writer.send(&PeerGreeting::Pieces).await?;
-    client.mark(address, LinkState::Up);
-    tokio::select! {
-        ended = take_replies(client, address, reader) => ended,
-        ended = send_queued(queue, writer) => ended,
-    }
-}
-
-async fn take_replies(
-    client: &StageClient,
-    address: SocketAddr,
-    mut reader: PeerReader,
-) -> Result<(), WireError> {
-    while let Ok(reply) = timeout(SILENCE_LIMIT, reader.receive::<PieceReply>()).await {
-        match reply? {
-            PieceReply::Done { number, results } => client.take_done(address, number, results),
-            PieceReply::Placed { number, engine } => client.take_placed(address, number, engine),
-            PieceReply::Alive { loads } => client.take_loads(loads),
-        }
-    }
-    Ok(())
-}
-
-async fn send_queued(
-    queue: &mut mpsc::UnboundedReceiver<PieceRequest>,
-    mut writer: PeerWriter,
-) -> Result<(), WireError> {
-    loop {
-        let request = match timeout(ALIVE_PERIOD, queue.recv()).await {
-            Ok(Some(request)) => request,
-            Ok(None) => return Ok(()),
-            Err(_) => PieceRequest::Alive,
-        };
-        writer.send(&request).await?;
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/stage_client/guard.rs
@@ -0,0 +1,107 @@
+//! What a request has begun at a coordinator or placer, ended when it is dropped.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use super::StageClient;
+use crate::coordinator::{BatchKey, Coordinator, ExpectKey};
+use crate::engine::PlacementKey;
+use crate::piece::PieceRequest;
+
+#[derive(Clone, Copy)]
+pub(super) enum ExpectedAt {
+    Here(ExpectKey),
+    Remote(SocketAddr, u64),
+}
+
+/// Pieces that are expected somewhere until this is dropped.
+pub(crate) struct Expectation {
+    pub(super) client: StageClient,
+    pub(super) home: ExpectedAt,
+}
+
+impl Drop for Expectation {
+    fn drop(&mut self) {
+        match self.home {
+            ExpectedAt::Here(key) => self.client.coordinator.arrived(key),
+            ExpectedAt::Remote(address, number) => {
+                self.client
+                    .send_to(address, PieceRequest::Arrived(number), |_| {});
+            }
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
+pub(super) enum PlacedAt {
+    Here(PlacementKey),
+    Remote(SocketAddr, u64),
+}
+
+/// A prompt that was placed on an engine; it counts there until this is dropped.
+pub(crate) struct Placement {
+    pub(super) client: StageClient,
+    pub(super) home: PlacedAt,
+}
+
+impl Placement {
+    /// Notes that the engine has read the prompt.
+    pub(crate) fn note_read(&self) {
+        match self.home {
+            PlacedAt::Here(key) => {
+                let mut engines = self.client.engines.borrow_mut();
+                engines.note_read(key, Instant::now());
+            }
+            PlacedAt::Remote(address, number) => {
+                self.client
+                    .send_to(address, PieceRequest::Read(number), |_| {});
+            }
+        }
+    }
+}
+
+impl Drop for Placement {
+    fn drop(&mut self) {
+        match self.home {
+            PlacedAt::Here(key) => self.client.engines.borrow_mut().end(key),
+            PlacedAt::Remote(address, number) => {
+                self.client
+                    .send_to(address, PieceRequest::End(number), |link| {
+                        link.placing.remove(&number);
+                    });
+            }
+        }
+    }
+}
+
+/// Withdraws a batch of this host when its request ends before it.
+pub(super) struct LocalBatch {
+    pub(super) coordinator: Rc<Coordinator>,
+    pub(super) key: BatchKey,
+}
+
+impl Drop for LocalBatch {
+    fn drop(&mut self) {
+        self.coordinator.cancel(self.key);
+    }
+}
+
+/// Withdraws a batch at another host when its request ends before it.
+pub(super) struct RemoteBatch {
+    pub(super) client: StageClient,
+    pub(super) address: SocketAddr,
+    pub(super) number: u64,
+}
+
+impl Drop for RemoteBatch {
+    fn drop(&mut self) {
+        let mut state = self.client.state.borrow_mut();
+        let Some(link) = state.links.get_mut(&self.address) else {
+            return;
+        };
+        if link.waiting.remove(&self.number).is_some() {
+            let _ = link.outgoing.send(PieceRequest::Cancel(self.number));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stage_client/link.rs
@@ -0,0 +1,74 @@
+//! A connection to another entry host that gathers pieces or places prompts.
+
+use std::net::SocketAddr;
+
+use linnet_wire::{PeerGreeting, PeerReader, PeerWriter, WireError, connect_peer};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+use super::{ALIVE_PERIOD, LinkState, RECONNECT_WAIT, SILENCE_LIMIT, StageClient};
+use crate::piece::{PieceReply, PieceRequest};
+
+/// Keeps a connection to an entry host open for as long as that host is known.
+pub(super) async fn run_link(
+    client: StageClient,
+    address: SocketAddr,
+    mut queue: mpsc::UnboundedReceiver<PieceRequest>,
+) {
+    while client.knows(address) {
+        let _ = exchange(&client, address, &mut queue).await;
+        client.mark(address, LinkState::Lost);
+        // What waits for this host goes to another one.
+        while queue.try_recv().is_ok() {}
+        sleep(RECONNECT_WAIT).await;
+    }
+    let link = client.state.borrow_mut().links.remove(&address);
+    drop(link);
+}
+
+async fn exchange(
+    client: &StageClient,
+    address: SocketAddr,
+    queue: &mut mpsc::UnboundedReceiver<PieceRequest>,
+) -> Result<(), WireError> {
+    let Ok(connected) = timeout(SILENCE_LIMIT, connect_peer(&client.identity, address)).await
+    else {
+        return Ok(());
+    };
+    let (reader, mut writer) = connected?;
+    writer.send(&PeerGreeting::Pieces).await?;
+    client.mark(address, LinkState::Up);
+    tokio::select! {
+        ended = take_replies(client, address, reader) => ended,
+        ended = send_queued(queue, writer) => ended,
+    }
+}
+
+async fn take_replies(
+    client: &StageClient,
+    address: SocketAddr,
+    mut reader: PeerReader,
+) -> Result<(), WireError> {
+    while let Ok(reply) = timeout(SILENCE_LIMIT, reader.receive::<PieceReply>()).await {
+        match reply? {
+            PieceReply::Done { number, results } => client.take_done(address, number, results),
+            PieceReply::Placed { number, engine } => client.take_placed(address, number, engine),
+            PieceReply::Alive { loads } => client.take_loads(loads),
+        }
+    }
+    Ok(())
+}
+
+async fn send_queued(
+    queue: &mut mpsc::UnboundedReceiver<PieceRequest>,
+    mut writer: PeerWriter,
+) -> Result<(), WireError> {
+    loop {
+        let request = match timeout(ALIVE_PERIOD, queue.recv()).await {
+            Ok(Some(request)) => request,
+            Ok(None) => return Ok(()),
+            Err(_) => PieceRequest::Alive,
+        };
+        writer.send(&request).await?;
+    }
+}
