--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -41,10 +41,12 @@
 pub(crate) async fn forward(gateway: Rc<Gateway>, ask: Ask) -> Response<AnswerBody> {
     let ask = Rc::new(ask);
     let mut log = RunLog::default();
-    let outcome = match timeout(ask.time_left(), run(&gateway, &ask, &mut log)).await {
-        Ok(outcome) => outcome,
-        Err(_) => Err(out_of_time(&log)),
+    let work = timeout(ask.time_left(), run(&gateway, &ask, &mut log));
+    let outcome = tokio::select! {
+        outcome = work => outcome.ok(),
+        () = gateway.stop_reached() => None,
     };
+    let outcome = outcome.unwrap_or_else(|| Err(out_of_time(&log)));
     note_outcome(&gateway, &ask, &log, &outcome);
     match outcome {
         Ok(answer) => answer,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -62,6 +62,8 @@
     pub(crate) stages: StageClient,
     pub(crate) coordinator: Rc<Coordinator>,
     pub(crate) stopping: Cell<bool>,
+    /// When requests that are still in flight are given up, since the process is about to end.
+    give_up_at: watch::Sender<Option<Instant>>,
     pub(crate) open_requests: Cell<usize>,
     /// Metrics of this host.
     pub metrics: GatewayMetrics,
@@ -106,6 +108,7 @@
             coordinator,
             pool,
             stopping: Cell::new(false),
+            give_up_at: watch::Sender::new(None),
             open_requests: Cell::new(0),
             metrics,
             gateway_record: watch::Sender::new(Some(record)),
@@ -136,9 +139,11 @@
         self.open_requests.get()
     }
 
-    /// Begins a planned stop: callers should go elsewhere, what is in flight goes on.
-    pub fn begin_stop(&self) {
+    /// Begins a planned stop: callers should go elsewhere, what is in flight goes on until `give_up`,
+    /// when it is answered that there is no answer.
+    pub fn begin_stop(&self, give_up: Instant) {
         self.stopping.set(true);
+        self.give_up_at.send_replace(Some(give_up));
         self.gateway_record.send_modify(|record| {
             if let Some(record) = record {
                 record.stopping = true;
@@ -146,6 +151,19 @@
         });
     }
 
+    /// Resolves when what is in flight has to be given up.
+    pub(crate) async fn stop_reached(&self) {
+        let mut give_up_at = self.give_up_at.subscribe();
+        loop {
+            let at = *give_up_at.borrow_and_update();
+            match at {
+                Some(at) => return tokio::time::sleep_until(at.into()).await,
+                None if give_up_at.changed().await.is_err() => return,
+                None => {}
+            }
+        }
+    }
+
     /// Takes an update of the directory.
     pub fn take_update(&self, from: SocketAddr, update: DirectoryUpdate) {
         let targets_changed = !update.targets.is_empty();
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -29,6 +29,9 @@
 /// Time before the bound of a planned stop at which the process ends, whatever is in flight.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time before that at which requests in flight are given up, so that their answers get through.
+const LAST_ANSWERS: Duration = Duration::from_millis(500);
+
 type AnyError = Box<dyn std::error::Error>;
 
 /// Runs an entry host until a planned stop; must run inside an ntex runtime.
@@ -159,9 +162,9 @@
     closing: &watch::Sender<bool>,
 ) {
     let began = Instant::now();
-    gateway.begin_stop();
     let leave = Duration::from_millis(settings.times.leave_ms);
     let bound = Duration::from_millis(settings.times.stop_ms).saturating_sub(STOP_MARGIN);
+    gateway.begin_stop(began + bound.saturating_sub(LAST_ANSWERS));
     sleep(leave).await;
     closing.send_replace(true);
     // Connections that were accepted a moment ago still bring their request.
