Voters that heard no leader since their start elect one at once; entry hosts follow sooner

Cause: after a power cut of the whole system entry hosts had no configuration for 0.5 s after the control hosts were back: each voter waited out a lease that nobody could hold, then stood at the same moment as the others; entry hosts retried each 250 ms. Now a voter asks all others whether any leads or has heard a leader since it started; where none has, they vote at once. A replica with another identity at a voter's address proves that the voter is gone. Requests that reach a host without configuration wait up to 200 ms for the first one. Ruled out: slow journals (recovered within 20 ms), slow process starts (70 ms).

--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -19,8 +19,10 @@
 /// only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Wait before a control host that was lost is tried again.
-const RETRY_WAIT: Duration = Duration::from_millis(250);
+/// Waits before a control host that was lost is tried again: short at first, since a process that
+/// was started anew is there within moments, and doubled with each try that fails.
+const FIRST_RETRY_WAIT: Duration = Duration::from_millis(40);
+const LAST_RETRY_WAIT: Duration = Duration::from_millis(320);
 
 /// How often the set of control hosts is looked at.
 const MEMBERS_TICK: Duration = Duration::from_millis(200);
@@ -100,6 +102,7 @@
 async fn follow_one(following: Rc<Following>, address: SocketAddr) {
     let config = &following.config;
     let mut told_lost = false;
+    let mut wait = FIRST_RETRY_WAIT;
     while following.followed.borrow().contains_key(&address) {
         let connected = match timeout(CONNECT_TIMEOUT, connect(config, address)).await {
             Ok(connected) => connected.map_err(|error| error.to_string()),
@@ -107,6 +110,7 @@
         };
         if let Ok((reader, writer)) = connected {
             told_lost = false;
+            wait = FIRST_RETRY_WAIT;
             let detail = format!("have_version={}", (config.document_version)());
             record(config, EventCode::ControlFollowed, address, detail);
             let ended = exchange(&following, address, reader, writer).await;
@@ -118,7 +122,8 @@
             let cause = connected.err().unwrap_or_default();
             record(config, EventCode::ControlLost, address, cause);
         }
-        sleep(RETRY_WAIT).await;
+        sleep(wait).await;
+        wait = (wait * 2).min(LAST_RETRY_WAIT);
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -52,7 +52,7 @@
 /// What the tasks of one entry host share; all on one thread.
 pub struct Gateway {
     pub(crate) config: GatewayConfig,
-    pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
+    table: watch::Sender<Option<Rc<RouteTable>>>,
     pub(crate) view: RefCell<DirectoryView>,
     pub(crate) targets: RefCell<TargetBook>,
     pub(crate) pool: UpstreamPool,
@@ -100,7 +100,7 @@
                 engines.clone(),
             ),
             waits: RefCell::default(),
-            table: RefCell::default(),
+            table: watch::Sender::new(None),
             view: RefCell::default(),
             targets: RefCell::default(),
             budget: RefCell::new(RetryBudget::new(rule)),
@@ -125,8 +125,21 @@
 
     /// Returns the version of the configuration that is in force here; 0 for none.
     pub fn config_version(&self) -> u64 {
-        let table = self.table.borrow();
-        table.as_ref().map_or(0, |table| table.config().version)
+        self.table().map_or(0, |table| table.config().version)
+    }
+
+    /// Returns the routes that are in force here; nothing before any were.
+    pub(crate) fn table(&self) -> Option<Rc<RouteTable>> {
+        self.table.borrow().clone()
+    }
+
+    /// Returns the routes that are in force here, and waits for the first ones for at most
+    /// `patience`.
+    pub(crate) async fn table_within(&self, patience: Duration) -> Option<Rc<RouteTable>> {
+        let mut changes = self.table.subscribe();
+        let first = changes.wait_for(Option::is_some);
+        let found = tokio::time::timeout(patience, first).await.ok()?;
+        found.ok()?.clone()
     }
 
     /// Says whether new callers should come here.
@@ -196,7 +209,7 @@
                 );
                 let table = Rc::new(RouteTable::new(config));
                 self.coordinator.set_services(&table);
-                *self.table.borrow_mut() = Some(table);
+                self.table.send_replace(Some(table));
                 self.note(EventCode::RoutingInForce, &detail);
             }
             // Control hosts check before they accept, so this is a newer program's form.
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -231,7 +231,7 @@
 }
 
 fn path_time(gateway: &Gateway, ask: &Ask) -> PathTime {
-    let table = gateway.table.borrow();
+    let table = gateway.table();
     let stages = &ask.route.stages;
     let reading = reading_ms(gateway, ask);
     let pool_of = |number: usize| {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -32,6 +32,10 @@
 /// The least buffer that the HTTP library takes for a head, in bytes.
 const LEAST_HEAD_BUFFER: usize = 8 * 1024;
 
+/// How long a request waits for the first configuration. A host that was started anew has it within
+/// moments; an answer at once would send all its callers away together.
+const READY_PATIENCE: Duration = Duration::from_millis(200);
+
 /// When a caller should come back to a host that has no configuration.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -61,13 +65,8 @@
     socket: TcpStream,
     mut stop: watch::Receiver<bool>,
 ) {
-    let limits = {
-        let table = gateway.table.borrow();
-        table
-            .as_ref()
-            .map(|table| table.config().limits.clone())
-            .unwrap_or_default()
-    };
+    let table = gateway.table();
+    let limits = table.map_or_else(Default::default, |table| table.config().limits.clone());
     let serving = gateway.clone();
     let service = service_fn(move |request| {
         let gateway = serving.clone();
@@ -122,7 +121,7 @@
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default()
         .to_owned();
-    let Some(table) = gateway.table.borrow().clone() else {
+    let Some(table) = gateway.table_within(READY_PATIENCE).await else {
         let refusal = Refusal::new(RefusalReason::NotReady, "no configuration yet")
             .with_retry_after(NOT_READY_RETRY_AFTER);
         return Err((id, refusal));
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -46,49 +46,60 @@
     let state = shared.lock();
     let quiet = state.leader_heard.elapsed() >= shared.timing.election_min;
     let due = Instant::now() >= state.election_due;
-    state.role != Role::Leader && state.members.is_voter(state.me) && quiet && due
+    let may_be_leaderless = quiet || state.is_leaderless();
+    state.role != Role::Leader && state.members.is_voter(state.me) && may_be_leaderless && due
 }
 
 async fn stand(shared: &Arc<ReplicaShared>) {
     // A pre-vote changes nothing anywhere: a voter that is cut off cannot drive the term up and
     // unseat a leader when it returns.
-    let ahead = {
+    let mut ahead = {
         let state = shared.lock();
         VoteRequest {
             term: state.term + 1,
             last: state.log.last(),
+            leaderless: false,
         }
     };
-    if !win_round(shared, PeerRequest::PreVote(ahead)).await {
-        return;
+    let answers = ask_all(shared, PeerRequest::PreVote(ahead)).await;
+    if !answers.has_majority() {
+        if !answers.is_leaderless() || !shared.lock().is_leaderless() {
+            return;
+        }
+        ahead.leaderless = true;
+        let answers = ask_all(shared, PeerRequest::PreVote(ahead)).await;
+        if !answers.has_majority() {
+            return;
+        }
     }
-    let Some(request) = enter_term(shared, ahead.term).await else {
+    let Some(request) = enter_term(shared, ahead).await else {
         return;
     };
-    shared.recorder.record(
-        EventCode::ElectionStarted,
-        "",
-        format!("term={}", request.term),
-    );
-    if win_round(shared, PeerRequest::Vote(request)).await {
+    let detail = format!("term={} leaderless={}", request.term, request.leaderless);
+    shared
+        .recorder
+        .record(EventCode::ElectionStarted, "", detail);
+    let answers = ask_all(shared, PeerRequest::Vote(request)).await;
+    if answers.has_majority() {
         lead(shared, request.term).await;
     }
 }
 
 /// Votes for itself in a new term, durably, unless something changed since the pre-vote.
-async fn enter_term(shared: &ReplicaShared, term: u64) -> Option<VoteRequest> {
+async fn enter_term(shared: &ReplicaShared, ahead: VoteRequest) -> Option<VoteRequest> {
     let (ticket, request) = {
         let mut state = shared.lock();
-        let heard = state.leader_heard.elapsed() < shared.timing.election_min;
-        if state.term + 1 != term || heard {
+        let quiet = ahead.leaderless && state.is_leaderless();
+        let heard = !quiet && state.leader_heard.elapsed() < shared.timing.election_min;
+        if state.term + 1 != ahead.term || heard {
             return None;
         }
         let me = state.me;
-        state.set_ballot(term, Some(me));
+        state.set_ballot(ahead.term, Some(me));
         state.role = Role::Candidate;
         let request = VoteRequest {
-            term,
             last: state.log.last(),
+            ..ahead
         };
         (state.flush(&shared.writer), request)
     };
@@ -116,20 +127,62 @@
     let _ = shared.await_synced(ticket, position).await;
 }
 
-/// Asks every voter at once and says whether a majority, this replica among it, agrees.
-async fn win_round(shared: &ReplicaShared, request: PeerRequest) -> bool {
-    let (me, voters) = {
+/// What the voters answered in one round.
+#[derive(Debug, Default)]
+struct RoundAnswers {
+    voters: usize,
+    granted: usize,
+    leaderless: usize,
+}
+
+impl RoundAnswers {
+    fn has_majority(&self) -> bool {
+        self.granted * 2 > self.voters
+    }
+
+    /// Says whether no voter can lead. A leader is a voter, and one whose lease lasts was heard by a
+    /// majority, so none is left out here: a voter that did not answer may lead.
+    fn is_leaderless(&self) -> bool {
+        self.leaderless == self.voters
+    }
+
+    fn count(&mut self, answer: VoterAnswer) {
+        self.voters += 1;
+        self.granted += usize::from(answer.granted);
+        self.leaderless += usize::from(answer.leaderless);
+    }
+}
+
+/// What one voter answered; a voter that did not answer grants nothing.
+#[derive(Debug, Clone, Copy, Default)]
+struct VoterAnswer {
+    granted: bool,
+    leaderless: bool,
+}
+
+/// Asks every voter at once; this replica among them agrees with itself.
+async fn ask_all(shared: &ReplicaShared, request: PeerRequest) -> RoundAnswers {
+    let (me, voters, leaderless) = {
         let state = shared.lock();
-        (state.me, state.members.voters.clone())
+        let voters = state.members.voters.clone();
+        (state.me, voters, state.is_leaderless())
     };
     let others: Vec<_> = voters.iter().filter(|voter| voter.id != me).collect();
     let asked = others.iter().map(|voter| ask_vote(shared, voter, &request));
-    let granted = join_all(asked).await.into_iter().filter(|granted| *granted);
-    let own = voters.iter().filter(|voter| voter.id == me).count();
-    (granted.count() + own) * 2 > voters.len()
+    let mut answers = RoundAnswers::default();
+    for answer in join_all(asked).await {
+        answers.count(answer);
+    }
+    if voters.iter().any(|voter| voter.id == me) {
+        answers.count(VoterAnswer {
+            granted: true,
+            leaderless,
+        });
+    }
+    answers
 }
 
-async fn ask_vote(shared: &ReplicaShared, voter: &Member, request: &PeerRequest) -> bool {
+async fn ask_vote(shared: &ReplicaShared, voter: &Member, request: &PeerRequest) -> VoterAnswer {
     let work = async {
         let (mut reader, mut writer) = connect_peer(&shared.identity, voter.peer).await.ok()?;
         let message = address_request(shared, voter, request.clone())?;
@@ -138,11 +191,23 @@
         reader.receive::<PeerReply>().await.ok()
     };
     match timeout(shared.timing.vote_timeout, work).await {
-        Ok(Some(PeerReply::Vote { term, granted })) => {
+        Ok(Some(PeerReply::Vote {
+            term,
+            granted,
+            leaderless,
+        })) => {
             note_term(shared, term);
-            granted
+            VoterAnswer {
+                granted,
+                leaderless,
+            }
         }
-        _ => false,
+        // One whose disk was wiped is gone, and with it any lease that it held.
+        Ok(Some(PeerReply::OtherReplica)) => VoterAnswer {
+            granted: false,
+            leaderless: true,
+        },
+        _ => VoterAnswer::default(),
     }
 }
 
@@ -179,3 +244,6 @@
         request,
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -21,6 +21,9 @@
     pub term: u64,
     /// The end of the candidate's log.
     pub last: LogPosition,
+    /// Whether every voter said that it neither leads nor has heard a leader since it started, so
+    /// that no lease can last.
+    pub leaderless: bool,
 }
 
 /// What one replica asks of another.
@@ -74,6 +77,8 @@
         term: u64,
         /// Whether the vote is given.
         granted: bool,
+        /// Whether the voter neither leads nor has heard a leader since it started.
+        leaderless: bool,
     },
     /// To a heartbeat.
     Alive {
@@ -94,6 +99,8 @@
         /// The index from which to try.
         next: u64,
     },
-    /// The peer is another replica or of another cluster, or its disk refused.
+    /// Another replica runs at the address, so the one that was meant does not run any more.
+    OtherReplica,
+    /// The peer is of another cluster, or its disk refused.
     Refused,
 }
--- a/crates/quorum/src/serve.rs
+++ b/crates/quorum/src/serve.rs
@@ -56,6 +56,9 @@
     message: Addressed,
     parts: &mut SnapshotParts,
 ) -> PeerReply {
+    if message.to != shared.lock().me {
+        return PeerReply::OtherReplica;
+    }
     if !admits(shared, &message) {
         return PeerReply::Refused;
     }
@@ -97,9 +100,6 @@
 // operator who read that identity can have made it a member.
 fn admits(shared: &ReplicaShared, message: &Addressed) -> bool {
     let mut state = shared.lock();
-    if message.to != state.me {
-        return false;
-    }
     let from_leader = !matches!(
         message.request,
         PeerRequest::PreVote(_) | PeerRequest::Vote(_)
@@ -113,20 +113,21 @@
 
 fn answer_pre_vote(shared: &ReplicaShared, from: NodeId, request: &VoteRequest) -> PeerReply {
     let state = shared.lock();
-    let mut facts = state.vote_facts(&shared.timing);
+    let mut facts = state.vote_facts(&shared.timing, request.leaderless);
     // A pre-vote asks about a term that the voter has not entered, so its vote there is free.
     facts.vote = None;
     let granted = request.term > state.term && grant_vote(&facts, request.term, from, request.last);
     PeerReply::Vote {
         term: state.term,
         granted,
+        leaderless: state.is_leaderless(),
     }
 }
 
 async fn answer_vote(shared: &ReplicaShared, from: NodeId, request: &VoteRequest) -> PeerReply {
-    let (ticket, term, granted) = {
+    let (ticket, term, granted, leaderless) = {
         let mut state = shared.lock();
-        let facts = state.vote_facts(&shared.timing);
+        let facts = state.vote_facts(&shared.timing, request.leaderless);
         let granted = grant_vote(&facts, request.term, from, request.last);
         if request.term > state.term && !facts.lease_may_last {
             state.step_down(request.term, &shared.timing);
@@ -135,10 +136,15 @@
             state.set_ballot(request.term, Some(from));
             state.put_off_election(&shared.timing);
         }
-        (state.flush(&shared.writer), state.term, granted)
+        let ticket = state.flush(&shared.writer);
+        (ticket, state.term, granted, state.is_leaderless())
     };
     match shared.await_synced(ticket, LogPosition::default()).await {
-        Ok(()) => PeerReply::Vote { term, granted },
+        Ok(()) => PeerReply::Vote {
+            term,
+            granted,
+            leaderless,
+        },
         Err(_) => PeerReply::Refused,
     }
 }
@@ -154,6 +160,7 @@
     }
     state.leader = Some(leader);
     state.leader_heard = Instant::now();
+    state.heard_since_start = true;
     state.put_off_election(&shared.timing);
     true
 }
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -5,7 +5,7 @@
 //! taken. Nothing is answered to a peer before the ticket of its records has resolved.
 
 use std::collections::{BTreeMap, HashMap};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use linnet_journal::{JournalTicket, JournalWriter};
 use tokio::sync::oneshot;
@@ -60,6 +60,8 @@
     /// When a leader was last heard; starts at the start of the process, because the process may
     /// have answered a heartbeat just before it died.
     pub(crate) leader_heard: Instant,
+    /// Whether a leader was heard since the start of the process.
+    pub(crate) heard_since_start: bool,
     /// When this replica began to lead its term; of use only while it leads.
     pub(crate) leading_since: Instant,
     /// When this replica may next start an election.
@@ -89,8 +91,9 @@
             base_members: Members::default(),
             progress: BTreeMap::new(),
             leader_heard: now,
+            heard_since_start: false,
             leading_since: now,
-            election_due: now + timing.election_max,
+            election_due: now + first_wait(timing),
             waiters: HashMap::new(),
             ballot_dirty: false,
             pending: Vec::new(),
@@ -118,9 +121,17 @@
         Some(writer.append(records))
     }
 
-    /// Returns what a vote depends on.
-    pub(crate) fn vote_facts(&self, timing: &QuorumTiming) -> VoteFacts {
-        let heard_lately = self.leader_heard.elapsed() < timing.election_min;
+    /// Says whether this replica neither leads nor has heard a leader since it started.
+    pub(crate) fn is_leaderless(&self) -> bool {
+        self.role != Role::Leader && !self.heard_since_start
+    }
+
+    /// Returns what a vote depends on. A process may have answered a heartbeat just before it was
+    /// started anew, so for a while it refuses votes, unless every voter said in this round that it
+    /// knows no leader.
+    pub(crate) fn vote_facts(&self, timing: &QuorumTiming, leaderless: bool) -> VoteFacts {
+        let quiet = leaderless && self.is_leaderless();
+        let heard_lately = !quiet && self.leader_heard.elapsed() < timing.election_min;
         VoteFacts {
             term: self.term,
             vote: self.vote,
@@ -135,7 +146,7 @@
     }
 
     /// Says whether a majority answered a heartbeat that was sent within a span.
-    pub(crate) fn heard_majority_within(&self, span: std::time::Duration) -> bool {
+    pub(crate) fn heard_majority_within(&self, span: Duration) -> bool {
         let now = Instant::now();
         let answered = self.members.voters.iter().map(|voter| {
             if voter.id == self.me {
@@ -148,9 +159,9 @@
     }
 
     /// Returns how long a peer has not answered this leader.
-    pub(crate) fn silence_of(&self, peer: NodeId) -> std::time::Duration {
+    pub(crate) fn silence_of(&self, peer: NodeId) -> Duration {
         let progress = self.progress.get(&peer);
-        progress.map_or(std::time::Duration::ZERO, |peer| {
+        progress.map_or(Duration::ZERO, |peer| {
             peer.answered.unwrap_or(peer.since).elapsed()
         })
     }
@@ -182,9 +193,11 @@
 
     /// Chooses by chance when this replica may next start an election.
     pub(crate) fn put_off_election(&mut self, timing: &QuorumTiming) {
-        let least = timing.election_min.as_millis() as u64;
-        let most = timing.election_max.as_millis() as u64;
-        let wait = std::time::Duration::from_millis(fastrand::u64(least..=most.max(least)));
+        let wait = if self.is_leaderless() && self.leader_heard.elapsed() < timing.election_min {
+            first_wait(timing)
+        } else {
+            between(timing.election_min, timing.election_max)
+        };
         self.election_due = Instant::now() + wait;
     }
 
@@ -303,3 +316,15 @@
         })
     }
 }
+
+/// Returns how long a replica that has heard no leader since its start waits before it stands.
+fn first_wait(timing: &QuorumTiming) -> Duration {
+    between(timing.first_election_min, timing.first_election_max)
+}
+
+/// Returns a span between two, by chance, so that voters do not stand at the same moment again.
+fn between(least: Duration, most: Duration) -> Duration {
+    let least = least.as_millis() as u64;
+    let most = most.as_millis() as u64;
+    Duration::from_millis(fastrand::u64(least..=most.max(least)))
+}
--- a/crates/quorum/src/timing.rs
+++ b/crates/quorum/src/timing.rs
@@ -17,6 +17,11 @@
     pub election_min: Duration,
     /// The greatest silence that a voter waits for, by chance, before it starts an election.
     pub election_max: Duration,
+    /// The least and the greatest wait of a replica that has heard no leader since its start before
+    /// it asks whether any voter has.
+    pub first_election_min: Duration,
+    /// See [`QuorumTiming::first_election_min`].
+    pub first_election_max: Duration,
     /// How long a peer may take to answer a vote request.
     pub vote_timeout: Duration,
     /// How long a peer may take to answer entries or a part of a snapshot.
@@ -34,6 +39,8 @@
             lease: Duration::from_millis(500),
             election_min: Duration::from_millis(650),
             election_max: Duration::from_millis(1_100),
+            first_election_min: Duration::from_millis(40),
+            first_election_max: Duration::from_millis(120),
             vote_timeout: Duration::from_millis(300),
             append_timeout: Duration::from_secs(5),
             removal: None,
