Stages with large results start when the others will be ready

Results of the large stage lay there while the chain of the other stages ran for 0.6 s and more. A stage with large results that only the engine waits for now starts so that it ends together with the others. Ruled out: too few pieces waiting (planned waits were exceeded two to three times).

--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -2,13 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
 use crate::ask::Ask;
 use crate::coordinator::LEAST_REFUSED_WAIT_MS;
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceInput, PieceSpec};
+use crate::schedule::StageSchedule;
 use crate::stage_client::{Expectation, Home};
 use crate::target::TargetBook;
 use crate::wait_model::PathPlan;
@@ -87,25 +88,36 @@
     let mut done: Vec<bool> = ask.piece_counts.iter().map(|count| *count == 0).collect();
     let mut started = done.clone();
     let mut running = FuturesUnordered::new();
-    let mut expected = expect_later(gateway, ask);
+    let mut schedule = StageSchedule::new(gateway, ask);
+    let mut expected = expect_later(gateway, ask, &schedule);
     loop {
+        let now = Instant::now();
+        let mut next_start: Option<Instant> = None;
         for number in 0..stages.len() {
             let due = stages[number].after.iter().all(|after| done[*after]);
-            if !started[number] && due {
-                started[number] = true;
-                let inputs = inputs_of(ask, &results, number);
-                // From here on the pieces wait themselves.
-                expected[number] = None;
-                running.push(run_stage(gateway, ask, number, inputs, hall));
+            if started[number] || !due {
+                continue;
             }
-        }
-        match running.next().await {
-            None => break,
-            Some((number, outcome)) => {
-                results[number] = Some(outcome?);
-                done[number] = true;
-                release_taken(ask, &mut results, &done);
+            if let Some(start) = schedule.start_of(number).filter(|start| *start > now) {
+                next_start = Some(next_start.map_or(start, |next| next.min(start)));
+                continue;
             }
+            started[number] = true;
+            let inputs = inputs_of(ask, &results, number);
+            // From here on the pieces wait themselves.
+            expected[number] = None;
+            running.push(run_stage(gateway, ask, number, inputs, hall));
+        }
+        let ended = tokio::select! {
+            ended = running.next(), if !running.is_empty() => ended,
+            () = sleep_until(next_start), if next_start.is_some() => continue,
+            else => break,
+        };
+        if let Some((number, outcome)) = ended {
+            results[number] = Some(outcome?);
+            done[number] = true;
+            schedule.note_end(number, Instant::now());
+            release_taken(ask, &mut results, &done);
         }
     }
     Ok(RequestResults {
@@ -114,11 +126,21 @@
     })
 }
 
-/// Tells the coordinators of all later stages of the pieces that will come.
-fn expect_later(gateway: &Gateway, ask: &Ask) -> Vec<Option<Expectation>> {
-    let stages = ask.route.stages.iter().zip(&ask.piece_counts);
-    let later = stages.map(|(stage, count)| {
-        let comes = *count > 0 && !stage.after.is_empty();
+async fn sleep_until(at: Option<Instant>) {
+    if let Some(at) = at {
+        tokio::time::sleep_until(at.into()).await;
+    }
+}
+
+/// Tells the coordinators of all stages that start later of the pieces that will come.
+fn expect_later(
+    gateway: &Gateway,
+    ask: &Ask,
+    schedule: &StageSchedule,
+) -> Vec<Option<Expectation>> {
+    let stages = ask.route.stages.iter().zip(&ask.piece_counts).enumerate();
+    let later = stages.map(|(number, (stage, count))| {
+        let comes = *count > 0 && (!stage.after.is_empty() || schedule.is_deferred(number));
         comes.then(|| {
             gateway.stages.expect(ExpectedPieces {
                 service: stage.service.clone(),
@@ -224,13 +246,17 @@
 }
 
 /// Time that a request takes for its stages, as far as is known.
-struct PathTime {
+pub(crate) struct PathTime {
     /// From the end of each stage to the first event, where nothing waits, in milliseconds.
     after: Vec<f64>,
+    /// When each stage will have ended, in milliseconds from now.
+    pub(crate) ends: Vec<f64>,
+    /// How long each stage takes from the submission of its pieces, in milliseconds.
+    pub(crate) spans: Vec<f64>,
     plan: PathPlan,
 }
 
-fn path_time(gateway: &Gateway, ask: &Ask) -> PathTime {
+pub(crate) fn path_time(gateway: &Gateway, ask: &Ask) -> PathTime {
     let table = gateway.table();
     let stages = &ask.route.stages;
     let reading = reading_ms(gateway, ask);
@@ -254,6 +280,7 @@
     }
     // End and waits of each stage. What waits at a later pool now is served meanwhile.
     let mut ends: Vec<(f64, f64)> = Vec::with_capacity(stages.len());
+    let mut spans: Vec<f64> = Vec::with_capacity(stages.len());
     for (number, stage) in stages.iter().enumerate() {
         let before = stage.after.iter().map(|before| ends[*before]);
         let (start, waits) = before.fold((0.0, 0.0), longer);
@@ -266,10 +293,13 @@
             _ => 0.0,
         };
         ends.push((start + wait + own_ms(number), waits + wait));
+        spans.push(wait + own_ms(number));
     }
-    let (end, waits) = ends.into_iter().fold((0.0, 0.0), longer);
+    let (end, waits) = ends.iter().copied().fold((0.0, 0.0), longer);
     PathTime {
         after,
+        ends: ends.into_iter().map(|(end, _)| end).collect(),
+        spans,
         plan: PathPlan {
             stages_ms: end - waits,
             waits_ms: waits,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod piece;
 mod relay;
 mod rendezvous;
+mod schedule;
 mod serve;
 mod stage_client;
 mod target;
