Pieces run in the hall where their large inputs lie; halls are weighed by bytes

Each piece of a later stage fetches all results of the stages before it (16 pieces times 480 KB), and nothing kept those pieces in the hall of their inputs; and the hall for a prompt was the one with the most results by count, so that many small ones outvoted the few large. Ruled out: results of reports, of which 6 in 100 crossed.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -8,7 +8,7 @@
 use crate::ask::Ask;
 use crate::coordinator::HALL_BYTES;
 use crate::engine::{Chosen, PlaceAsk};
-use crate::graph::{RequestResults, last_stages};
+use crate::graph::RequestResults;
 use crate::stage_client::Placement;
 use crate::target::Target;
 
@@ -70,22 +70,14 @@
         .iter()
         .max_by_key(|stage| stage.result_bytes);
     let heavy = largest.filter(|stage| stage.result_bytes >= HALL_BYTES);
-    let hall = results.and_then(|results| results.hall(&gateway.targets.borrow()));
+    let places = results.map(|results| results.places(ask, &gateway.targets.borrow()));
     Some(PlaceAsk {
         service: service.to_owned(),
         part: prompt.shared_part.clone(),
         tokens: prompt.tokens_in,
         shared_tokens: prompt.shared_tokens,
         heavy_stage: heavy.map(|stage| stage.service.clone()),
-        results: hall.map(|hall| (hall, result_bytes(ask))),
+        results: places.unwrap_or_default(),
         avoid: tried.to_vec(),
     })
 }
-
-/// Returns about how many bytes of results the request takes from its last stages.
-fn result_bytes(ask: &Ask) -> u64 {
-    let last = last_stages(ask).into_iter();
-    let bytes = last
-        .map(|number| u64::from(ask.piece_counts[number]) * ask.route.stages[number].result_bytes);
-    bytes.sum()
-}
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -12,7 +12,7 @@
 use linnet_telemetry::EventRecorder;
 
 use super::call;
-use super::pool::{DueCall, HALL_BYTES, HeldResult, OTHERS, PoolQueue, StageTarget, Waiting};
+use super::pool::{DueCall, HeldResult, OTHERS, PoolQueue, StageTarget, Waiting};
 use crate::Dialect;
 use crate::ask::Rank;
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad};
@@ -301,7 +301,6 @@
         self.batches.insert(key, entry);
         let deadline = now + Duration::from_millis(batch.remaining_ms);
         let wanted = now + Duration::from_millis(batch.wanted_ms);
-        let hall = batch.hall.filter(|_| batch.result_bytes >= HALL_BYTES);
         let Some(pool) = self.pools.get_mut(&batch.service) else {
             return key;
         };
@@ -312,7 +311,7 @@
                 rank: batch.rank,
                 deadline,
                 wanted,
-                hall: hall.clone(),
+                hall: batch.hall.clone(),
                 result_bytes: batch.result_bytes,
                 piece,
                 tries: 0,
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::hall_bytes::HallBytes;
 use crate::rendezvous;
 use crate::target::{Target, TargetBook};
 
@@ -95,8 +96,8 @@
     pub(crate) shared_tokens: u64,
     /// The stage pool with large results that requests of its route use.
     pub(crate) heavy_stage: Option<String>,
-    /// The hall where the results of its stages were made, and their bytes.
-    pub(crate) results: Option<(String, u64)>,
+    /// Where the results of its stages lie.
+    pub(crate) results: HallBytes,
     /// Engines that were tried already.
     pub(crate) avoid: Vec<String>,
 }
@@ -246,12 +247,7 @@
         } else {
             reading(ask.shared_tokens) * MISSING_WEIGHT
         };
-        let crossing = match &ask.results {
-            Some((hall, bytes)) if engine.hall != *hall => {
-                *bytes as f64 / MEGABYTE * CROSSING_COST_MS
-            }
-            _ => 0.0,
-        };
+        let crossing = ask.results.crossing_to(&engine.hall) as f64 / MEGABYTE * CROSSING_COST_MS;
         let load = self.loads.get(&engine.id);
         let (unread, running) = load.map_or((0, 0), |load| (load.unread, load.running));
         // On a slow engine the prompt's own reading is slow as well.
--- a/crates/gateway/src/engine/tests.rs
+++ b/crates/gateway/src/engine/tests.rs
@@ -34,7 +34,7 @@
         tokens: 15_000,
         shared_tokens: 13_000,
         heavy_stage: None,
-        results: None,
+        results: HallBytes::default(),
         avoid: Vec::new(),
     }
 }
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -1,13 +1,13 @@
 //! Runs the stages of a request in the order of their results.
 
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
 use crate::ask::Ask;
-use crate::coordinator::LEAST_REFUSED_WAIT_MS;
+use crate::coordinator::{HALL_BYTES, LEAST_REFUSED_WAIT_MS};
+use crate::hall_bytes::HallBytes;
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceInput, PieceSpec};
 use crate::schedule::StageSchedule;
 use crate::stage_client::{Expectation, Home};
@@ -44,25 +44,9 @@
 }
 
 impl RequestResults {
-    /// Returns the hall of the target that made the most of the results, by the handles' addresses.
-    pub(crate) fn hall(&self, book: &TargetBook) -> Option<String> {
-        let stages = self
-            .taken
-            .iter()
-            .filter_map(|stage| self.stages[*stage].as_ref());
-        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
-        for stage in stages {
-            for handle in &stage.handles {
-                let maker = handle.split('/').next().unwrap_or_default();
-                if let Some(hall) = book.hall_at(&stage.service, maker) {
-                    *counts.entry(hall).or_default() += 1;
-                }
-            }
-        }
-        counts
-            .into_iter()
-            .max_by_key(|(_, count)| *count)
-            .map(|(hall, _)| hall)
+    /// Returns where the results lie that the request's target takes.
+    pub(crate) fn places(&self, ask: &Ask, book: &TargetBook) -> HallBytes {
+        bytes_by_hall(ask, &self.stages, &self.taken, book)
     }
 
     /// Returns the handles of the stages that no other comes after.
@@ -104,9 +88,10 @@
             }
             started[number] = true;
             let inputs = inputs_of(ask, &results, number);
+            let stage_hall = hall_of_stage(gateway, ask, number, &results, hall);
             // From here on the pieces wait themselves.
             expected[number] = None;
-            running.push(run_stage(gateway, ask, number, inputs, hall));
+            running.push(run_stage(gateway, ask, number, inputs, stage_hall));
         }
         let ended = tokio::select! {
             ended = running.next(), if !running.is_empty() => ended,
@@ -173,6 +158,53 @@
         .collect()
 }
 
+/// Returns where the results of some stages lie.
+fn bytes_by_hall(
+    ask: &Ask,
+    results: &[Option<StageResults>],
+    numbers: &[usize],
+    book: &TargetBook,
+) -> HallBytes {
+    let mut places = HallBytes::default();
+    for number in numbers {
+        let Some(stage) = &results[*number] else {
+            continue;
+        };
+        let bytes = ask.route.stages[*number].result_bytes;
+        for handle in &stage.handles {
+            if let Some(hall) = book.hall_at(&stage.service, maker_of(handle)) {
+                places.add(&hall, bytes);
+            }
+        }
+    }
+    places
+}
+
+/// Returns the address of the target that made a result.
+fn maker_of(handle: &str) -> &str {
+    handle.split('/').next().unwrap_or_default()
+}
+
+/// Returns the hall where the pieces of a stage should run, where that matters: each piece fetches
+/// all results of the stages before it, and the request's target fetches those of the last ones.
+fn hall_of_stage(
+    gateway: &Gateway,
+    ask: &Ask,
+    number: usize,
+    results: &[Option<StageResults>],
+    target_hall: &str,
+) -> Option<String> {
+    let stage = &ask.route.stages[number];
+    let inputs = bytes_by_hall(ask, results, &stage.after, &gateway.targets.borrow());
+    if let Some((hall, bytes)) = inputs.heaviest()
+        && bytes >= HALL_BYTES
+    {
+        return Some(hall.to_owned());
+    }
+    let taken = stage.result_bytes >= HALL_BYTES && last_stages(ask).contains(&number);
+    taken.then(|| target_hall.to_owned())
+}
+
 /// Returns the stages that no stage with pieces comes after.
 pub(crate) fn last_stages(ask: &Ask) -> Vec<usize> {
     let stages = &ask.route.stages;
@@ -192,7 +224,7 @@
     ask: &Ask,
     number: usize,
     inputs: Vec<String>,
-    hall: &str,
+    hall: Option<String>,
 ) -> (usize, Result<StageResults, Refusal>) {
     let stage = &ask.route.stages[number];
     let input = if stage.after.is_empty() {
@@ -217,7 +249,7 @@
         first: stage.after.is_empty(),
         wanted_ms: wanted.as_millis() as u64,
         remaining_ms: ask.time_left().as_millis() as u64,
-        hall: Some(hall.to_owned()),
+        hall,
         result_bytes: stage.result_bytes,
         pieces: pieces.collect(),
     };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod forward;
 mod gateway;
 mod graph;
+mod hall_bytes;
 mod metrics;
 mod outcome;
 mod piece;
--- a/crates/gateway/src/piece.rs
+++ b/crates/gateway/src/piece.rs
@@ -109,7 +109,7 @@
     pub wanted_ms: u64,
     /// Time until the request is given up, in milliseconds.
     pub remaining_ms: u64,
-    /// The data hall where the results will be taken, where that matters.
+    /// The data hall from which or to which large results would cross, where that matters.
     pub hall: Option<String>,
     /// About how large one result is, in bytes.
     pub result_bytes: u64,
