Large stage pools are split by hall, each part with a coordinator of its own

A batch carried the handles of its inputs once for each piece. Now it carries them once; a pool of more than 8 targets is split by hall, a large hall again; the part of a hall is gathered by a host of that hall; hosts choose the shorter queue of two drawn at random, or the hall of their inputs. A target that is busy rests longer each time.

--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -13,6 +13,7 @@
 use super::pool::DueCall;
 use super::queue::{CallEnd, Coordinator};
 use crate::dialect::StageItem;
+use crate::pool_key::PoolKey;
 
 /// How much longer than expected a call may take, as a factor and a span.
 const SLACK_FACTOR: f64 = 2.0;
@@ -32,10 +33,10 @@
         Err(_) => CallEnd::Failed(format!("no answer within {} ms", bound.as_millis())),
     };
     note_end(&coordinator, &call, &end, started.elapsed());
-    let service = call.service.clone();
+    let pool = call.pool.clone();
     if let Some(rest) = coordinator.finish_call(call, end) {
         sleep(rest).await;
-        coordinator.dispatch(&service);
+        coordinator.dispatch(&pool);
     }
 }
 
@@ -52,11 +53,11 @@
     let requests: Vec<&str> = call
         .pieces
         .iter()
-        .map(|waiting| waiting.piece.request.as_str())
+        .map(|waiting| waiting.work.request.as_str())
         .collect();
     let detail = format!(
         "service={} pieces={} took_ms={} expected_ms={} {outcome} requests={}",
-        call.service,
+        call.pool.service,
         call.pieces.len(),
         took.as_millis(),
         call.expected.as_millis(),
@@ -74,7 +75,8 @@
         .pieces
         .iter()
         .map(|waiting| StageItem {
-            piece: &waiting.piece,
+            work: &waiting.work,
+            number: waiting.place as u32,
             remaining_ms: left(waiting.deadline),
         })
         .collect();
@@ -150,7 +152,7 @@
 /// that found no room. Until then the target is taken as full.
 pub(super) async fn ask_free_bytes(
     coordinator: Rc<Coordinator>,
-    service: String,
+    pool: PoolKey,
     address: SocketAddr,
 ) {
     sleep(REPORT_LAG).await;
@@ -169,6 +171,6 @@
         (targets.decode_free_bytes)(&body)
     };
     if let Ok(Some(free)) = timeout(FREE_TIMEOUT, work).await {
-        coordinator.take_free_bytes(&service, address, free);
+        coordinator.take_free_bytes(&pool, address, free);
     }
 }
--- a/crates/gateway/src/coordinator/pool.rs
+++ b/crates/gateway/src/coordinator/pool.rs
@@ -2,13 +2,16 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use linnet_directory::TargetRecord;
 use linnet_routing::StagePool;
 
 use super::queue::BatchKey;
 use crate::ask::Rank;
-use crate::piece::{PieceBatch, PieceSpec, PoolLoad};
+use crate::piece::{PieceBatch, PoolLoad, StageWork};
+use crate::pool_key::PoolKey;
 
 /// Results smaller than this may lie in any data hall.
 pub(crate) const HALL_BYTES: u64 = 256 * 1024;
@@ -33,6 +36,7 @@
 #[derive(Clone)]
 pub(crate) struct Waiting {
     pub(crate) batch: BatchKey,
+    /// The piece of the batch, from 0.
     pub(crate) place: usize,
     pub(super) rank: Rank,
     pub(crate) deadline: Instant,
@@ -40,7 +44,7 @@
     pub(super) wanted: Instant,
     pub(super) hall: Option<String>,
     pub(super) result_bytes: u64,
-    pub(crate) piece: PieceSpec,
+    pub(crate) work: Rc<StageWork>,
     pub(super) tries: u32,
 }
 
@@ -63,11 +67,28 @@
     pub(super) busy_until: Instant,
     /// Calls in a row that failed.
     pub(super) failures: u32,
+    /// Calls in a row for which it was too busy.
+    pub(super) refusals: u32,
     /// Whether it gets no more calls; it stays until those at work have ended.
     pub(super) leaving: bool,
 }
 
 impl StageTarget {
+    fn new(record: &TargetRecord) -> Self {
+        Self {
+            address: record.address,
+            hall: record.hall.clone(),
+            busy: 0,
+            reserved: 0,
+            results: HashMap::new(),
+            rest_until: None,
+            busy_until: Instant::now(),
+            failures: 0,
+            refusals: 0,
+            leaving: false,
+        }
+    }
+
     pub(super) fn used_bytes(&self) -> u64 {
         let held: u64 = self.results.values().map(|result| result.bytes).sum();
         held + self.reserved
@@ -98,7 +119,7 @@
 
 /// A call that is due.
 pub(crate) struct DueCall {
-    pub(crate) service: String,
+    pub(crate) pool: PoolKey,
     pub(crate) target: String,
     pub(crate) address: SocketAddr,
     pub(crate) expected: Duration,
@@ -107,6 +128,31 @@
 }
 
 impl PoolQueue {
+    pub(super) fn new(spec: StagePool) -> Self {
+        Self {
+            spec,
+            targets: BTreeMap::new(),
+            waiting: Vec::new(),
+        }
+    }
+
+    /// Takes the targets that `key` holds of those that take work.
+    pub(super) fn set_targets(&mut self, key: &PoolKey, records: &[TargetRecord]) {
+        let held = records.iter().filter(|record| key.holds(record));
+        let wanted: BTreeMap<&str, &TargetRecord> =
+            held.map(|record| (record.id.as_str(), record)).collect();
+        // A target that is leaving keeps what it holds until its call has ended.
+        self.targets
+            .retain(|id, target| wanted.contains_key(id.as_str()) || target.busy > 0);
+        for (id, target) in &mut self.targets {
+            target.leaving = target.leaving || !wanted.contains_key(id.as_str());
+        }
+        for (id, record) in wanted {
+            let targets = self.targets.entry(id.to_owned());
+            targets.or_insert_with(|| StageTarget::new(record));
+        }
+    }
+
     pub(super) fn has_work(&self) -> bool {
         !self.waiting.is_empty() || self.targets.values().any(|target| target.busy > 0)
     }
@@ -138,12 +184,11 @@
         if !batch.first {
             return false;
         }
-        let count = batch.pieces.len().min(self.spec.batch as usize);
-        let wait = self
-            .load(now)
-            .wait_ms(&self.spec, batch.rank, batch.pieces.len() as u32);
-        wait > LEAST_REFUSED_WAIT_MS
-            && wait + self.spec.call_time_ms(count) > batch.wanted_ms as f64
+        let count = batch.count.min(self.spec.batch);
+        let load = self.load(now);
+        let wait = load.wait_ms(&self.spec, batch.rank, batch.count);
+        let own = self.spec.call_time_ms(count as usize);
+        wait > LEAST_REFUSED_WAIT_MS && wait + own > batch.wanted_ms as f64
     }
 
     // A target that was lost never says that its results are gone.
@@ -156,7 +201,7 @@
     /// Gives waiting pieces, in their order, to free targets. One call is filled before another is
     /// begun, so that a target stays free for the next request; a piece whose results are large
     /// goes to its data hall where a target is free there.
-    pub(super) fn due_calls(&mut self, service: &str, now: Instant) -> Vec<DueCall> {
+    pub(super) fn due_calls(&mut self, pool: &PoolKey, now: Instant) -> Vec<DueCall> {
         let slots = self.spec.slots;
         let mut open: BTreeMap<String, DueCall> = BTreeMap::new();
         let mut kept = Vec::new();
@@ -168,7 +213,7 @@
                 .and_then(|hall| kept_by_hall.get(hall));
             let ahead = ahead.copied().unwrap_or(0);
             match self.place(&waiting, &open, slots, ahead, now) {
-                Some(id) => self.add_to_call(service, id, waiting, &mut open),
+                Some(id) => self.add_to_call(pool, id, waiting, &mut open),
                 None => {
                     if let Some(hall) = &waiting.hall {
                         *kept_by_hall.entry(hall.clone()).or_default() += 1;
@@ -241,7 +286,7 @@
 
     fn add_to_call(
         &mut self,
-        service: &str,
+        pool: &PoolKey,
         id: String,
         waiting: Waiting,
         open: &mut BTreeMap<String, DueCall>,
@@ -251,7 +296,7 @@
         };
         target.reserved += waiting.result_bytes;
         let call = open.entry(id.clone()).or_insert_with(|| DueCall {
-            service: service.to_owned(),
+            pool: pool.clone(),
             target: id,
             address: target.address,
             expected: Duration::ZERO,
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use linnet_directory::TargetRecord;
-use linnet_routing::RouteTable;
+use linnet_routing::{RouteTable, StagePool};
 use linnet_telemetry::EventRecorder;
 
 use super::call;
@@ -16,11 +16,17 @@
 use crate::Dialect;
 use crate::ask::Rank;
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad};
+use crate::pool_key::PoolKey;
 use crate::upstream::UpstreamPool;
 
 /// How long a target rests after a call that failed; doubled with each in a row, up to eight times.
 const FAILED_REST: Duration = Duration::from_millis(600);
 
+/// How long a target rests after it was too busy for a call; doubled with each in a row, since it may
+/// be that many hosts gather pieces at the same time.
+const BUSY_REST: Duration = Duration::from_millis(40);
+const MAX_BUSY_DOUBLINGS: u32 = 4;
+
 /// How often a piece is given to a target before it counts as failed.
 const MAX_TRIES: u32 = 3;
 
@@ -53,7 +59,8 @@
 
 #[derive(Default)]
 struct QueueState {
-    pools: HashMap<String, PoolQueue>,
+    specs: HashMap<String, StagePool>,
+    pools: HashMap<PoolKey, PoolQueue>,
     batches: HashMap<BatchKey, Batch>,
     next_batch: u64,
     expected: BTreeMap<ExpectKey, ExpectedPieces>,
@@ -81,47 +88,39 @@
     /// Takes the stage pools of a configuration.
     pub(crate) fn set_services(&self, table: &RouteTable) {
         let mut state = self.state.borrow_mut();
-        for service in &table.config().services {
-            let Some(spec) = &service.stage_pool else {
-                continue;
-            };
-            match state.pools.get_mut(&service.name) {
-                Some(pool) => pool.spec = spec.clone(),
-                None => {
-                    let pool = PoolQueue {
-                        spec: spec.clone(),
-                        targets: BTreeMap::new(),
-                        waiting: Vec::new(),
-                    };
-                    state.pools.insert(service.name.clone(), pool);
-                }
+        let services = table.config().services.iter();
+        let specs = services.filter_map(|service| {
+            let spec = service.stage_pool.clone()?;
+            Some((service.name.clone(), spec))
+        });
+        state.specs.extend(specs);
+        let state = &mut *state;
+        for (key, pool) in &mut state.pools {
+            if let Some(spec) = state.specs.get(&key.service) {
+                pool.spec = spec.clone();
             }
         }
-        let records = std::mem::take(&mut state.records);
-        state.set_targets(&records);
-        state.records = records;
     }
 
     /// Takes the list of targets that take work.
     pub(crate) fn set_targets(self: &Rc<Self>, records: &[TargetRecord]) {
-        let services: Vec<String> = {
+        {
             let mut state = self.state.borrow_mut();
-            state.set_targets(records);
             state.records = records.to_vec();
-            state.pools.keys().cloned().collect()
-        };
-        for service in services {
-            self.dispatch(&service);
+            for (key, pool) in &mut state.pools {
+                pool.set_targets(key, records);
+            }
         }
+        self.dispatch_all();
     }
 
     /// Returns the load of every pool that has work here.
-    pub(crate) fn loads(&self) -> Vec<(String, PoolLoad)> {
+    pub(crate) fn loads(&self) -> Vec<(PoolKey, PoolLoad)> {
         let state = self.state.borrow();
         let now = Instant::now();
         let working = state.pools.iter().filter(|(_, pool)| pool.has_work());
         working
-            .map(|(name, pool)| (name.clone(), state.load(name, pool, now)))
+            .map(|(key, pool)| (key.clone(), state.load(key, pool, now)))
             .collect()
     }
 
@@ -140,10 +139,10 @@
     }
 
     /// Returns the load of one pool.
-    pub(crate) fn load_of(&self, service: &str) -> Option<PoolLoad> {
+    pub(crate) fn load_of(&self, key: &PoolKey) -> Option<PoolLoad> {
         let state = self.state.borrow();
-        let pool = state.pools.get(service)?;
-        Some(state.load(service, pool, Instant::now()))
+        let pool = state.pools.get(key)?;
+        Some(state.load(key, pool, Instant::now()))
     }
 
     /// Takes a batch; `reply` is called once, with an outcome for each piece.
@@ -152,11 +151,11 @@
         batch: PieceBatch,
         reply: impl FnOnce(Vec<Result<String, PieceFault>>) + 'static,
     ) -> Option<BatchKey> {
-        let count = batch.pieces.len();
+        let count = batch.count as usize;
         let now = Instant::now();
         let refused = {
-            let state = self.state.borrow();
-            match state.pools.get(&batch.service) {
+            let mut state = self.state.borrow_mut();
+            match state.pool_mut(&batch.pool) {
                 None => Some(PieceFault::Lost),
                 Some(pool) if pool.targets.is_empty() => Some(PieceFault::Failed),
                 Some(pool) if pool.is_too_late(&batch, now) => Some(PieceFault::Refused),
@@ -167,9 +166,9 @@
             reply(vec![Err(fault); count]);
             return None;
         }
-        let service = batch.service.clone();
+        let pool = batch.pool.clone();
         let key = self.state.borrow_mut().enqueue(batch, Box::new(reply), now);
-        self.dispatch(&service);
+        self.dispatch(&pool);
         Some(key)
     }
 
@@ -188,48 +187,54 @@
         for (address, handles) in calls {
             ntex::rt::spawn(call::free_results(self.clone(), address, handles));
         }
-        self.dispatch(service);
+        for pool in self.pools_of(service) {
+            self.dispatch(&pool);
+        }
+    }
+
+    fn pools_of(&self, service: &str) -> Vec<PoolKey> {
+        let state = self.state.borrow();
+        let keys = state.pools.keys().filter(|key| key.service == service);
+        keys.cloned().collect()
     }
 
     /// Starts what is due in every pool: room comes back by itself when results expire.
     pub(crate) fn dispatch_all(self: &Rc<Self>) {
-        let services: Vec<String> = self.state.borrow().pools.keys().cloned().collect();
-        for service in services {
-            self.dispatch(&service);
+        let pools: Vec<PoolKey> = self.state.borrow().pools.keys().cloned().collect();
+        for pool in pools {
+            self.dispatch(&pool);
         }
     }
 
     /// Starts every call that a free target can take.
-    pub(crate) fn dispatch(self: &Rc<Self>, service: &str) {
-        let due = self.state.borrow_mut().due_calls(service, Instant::now());
+    pub(crate) fn dispatch(self: &Rc<Self>, pool: &PoolKey) {
+        let due = self.state.borrow_mut().due_calls(pool, Instant::now());
         for call in due {
             ntex::rt::spawn(call::run_call(self.clone(), call));
         }
     }
 
     /// Takes what a target reported to have free for results.
-    pub(crate) fn take_free_bytes(self: &Rc<Self>, service: &str, address: SocketAddr, free: u64) {
-        self.state
-            .borrow_mut()
-            .take_free_bytes(service, address, free);
-        self.dispatch(service);
+    pub(crate) fn take_free_bytes(self: &Rc<Self>, pool: &PoolKey, address: SocketAddr, free: u64) {
+        self.state.borrow_mut().take_free_bytes(pool, address, free);
+        self.dispatch(pool);
     }
 
     /// Takes the end of a call and serves what waits. Returns how long the target rests, after
     /// which [`Coordinator::dispatch`] is due again.
     pub(crate) fn finish_call(self: &Rc<Self>, call: DueCall, end: CallEnd) -> Option<Duration> {
-        let service = call.service.clone();
+        let pool = call.pool.clone();
         let finished = self.state.borrow_mut().finish_call(call, end);
         for (reply, results) in finished.replies {
             reply(results);
         }
         if let Some(address) = finished.unsure {
-            ntex::rt::spawn(call::ask_free_bytes(self.clone(), service.clone(), address));
+            ntex::rt::spawn(call::ask_free_bytes(self.clone(), pool.clone(), address));
         }
         if finished.unclaimed.is_empty() {
-            self.dispatch(&service);
+            self.dispatch(&pool);
         } else {
-            self.free(&service, finished.unclaimed);
+            self.free(&pool.service, finished.unclaimed);
         }
         finished.rest
     }
@@ -248,10 +253,10 @@
 
 impl QueueState {
     /// Returns the load of a pool, with the pieces that are expected there.
-    fn load(&self, service: &str, pool: &PoolQueue, now: Instant) -> PoolLoad {
+    fn load(&self, key: &PoolKey, pool: &PoolQueue, now: Instant) -> PoolLoad {
         let mut load = pool.load(now);
         let mut waiting: BTreeMap<Rank, u32> = load.waiting.iter().copied().collect();
-        let coming = self.expected.values().filter(|one| one.service == service);
+        let coming = self.expected.values().filter(|one| one.pool == *key);
         for expected in coming {
             *waiting.entry(expected.rank).or_default() += expected.pieces;
         }
@@ -259,52 +264,32 @@
         load
     }
 
-    fn set_targets(&mut self, records: &[TargetRecord]) {
-        for (name, pool) in &mut self.pools {
-            let wanted: BTreeMap<&str, &TargetRecord> = records
-                .iter()
-                .filter(|record| record.service == *name)
-                .map(|record| (record.id.as_str(), record))
-                .collect();
-            // A target that is leaving keeps what it holds until its call has ended.
-            pool.targets
-                .retain(|id, target| wanted.contains_key(id.as_str()) || target.busy > 0);
-            for (id, target) in &mut pool.targets {
-                target.leaving = target.leaving || !wanted.contains_key(id.as_str());
-            }
-            for (id, record) in wanted {
-                pool.targets
-                    .entry(id.to_owned())
-                    .or_insert_with(|| StageTarget {
-                        address: record.address,
-                        hall: record.hall.clone(),
-                        busy: 0,
-                        reserved: 0,
-                        results: HashMap::new(),
-                        rest_until: None,
-                        busy_until: Instant::now(),
-                        failures: 0,
-                        leaving: false,
-                    });
-            }
+    /// Returns a pool, which begins when it is first asked for.
+    fn pool_mut(&mut self, key: &PoolKey) -> Option<&mut PoolQueue> {
+        if !self.pools.contains_key(key) {
+            let spec = self.specs.get(&key.service)?.clone();
+            let mut pool = PoolQueue::new(spec);
+            pool.set_targets(key, &self.records);
+            self.pools.insert(key.clone(), pool);
         }
+        self.pools.get_mut(key)
     }
 
     fn enqueue(&mut self, batch: PieceBatch, reply: Reply, now: Instant) -> BatchKey {
         self.next_batch += 1;
         let key = BatchKey(self.next_batch);
-        let count = batch.pieces.len();
         let entry = Batch {
             reply: Some(reply),
-            results: vec![None; count],
+            results: vec![None; batch.count as usize],
         };
         self.batches.insert(key, entry);
         let deadline = now + Duration::from_millis(batch.remaining_ms);
         let wanted = now + Duration::from_millis(batch.wanted_ms);
-        let Some(pool) = self.pools.get_mut(&batch.service) else {
+        let Some(pool) = self.pools.get_mut(&batch.pool) else {
             return key;
         };
-        for (place, piece) in batch.pieces.into_iter().enumerate() {
+        let work = Rc::new(batch.work);
+        for place in 0..batch.count as usize {
             pool.waiting.push(Waiting {
                 batch: key,
                 place,
@@ -313,7 +298,7 @@
                 wanted,
                 hall: batch.hall.clone(),
                 result_bytes: batch.result_bytes,
-                piece,
+                work: work.clone(),
                 tries: 0,
             });
         }
@@ -323,12 +308,12 @@
         key
     }
 
-    fn due_calls(&mut self, service: &str, now: Instant) -> Vec<DueCall> {
-        let Some(pool) = self.pools.get_mut(service) else {
+    fn due_calls(&mut self, key: &PoolKey, now: Instant) -> Vec<DueCall> {
+        let Some(pool) = self.pools.get_mut(key) else {
             return Vec::new();
         };
         pool.forget_expired(now);
-        pool.due_calls(service, now)
+        pool.due_calls(key, now)
     }
 
     fn take_results(
@@ -337,13 +322,16 @@
         handles: Vec<String>,
     ) -> Vec<(SocketAddr, Vec<String>)> {
         let mut calls: BTreeMap<SocketAddr, Vec<String>> = BTreeMap::new();
-        let Some(pool) = self.pools.get_mut(service) else {
-            return Vec::new();
-        };
+        let pools = self
+            .pools
+            .iter_mut()
+            .filter(|(key, _)| key.service == service);
+        let mut targets: Vec<&mut StageTarget> = pools
+            .flat_map(|(_, pool)| pool.targets.values_mut())
+            .collect();
         for handle in handles {
-            let holder = pool
-                .targets
-                .values_mut()
+            let holder = targets
+                .iter_mut()
                 .find_map(|target| target.results.remove(&handle).map(|_| target.address));
             if let Some(address) = holder {
                 calls.entry(address).or_default().push(handle);
@@ -357,7 +345,7 @@
         let mut unclaimed = Vec::new();
         let mut replies = Vec::new();
         let mut rest = None;
-        let Some(pool) = self.pools.get_mut(&call.service) else {
+        let Some(pool) = self.pools.get_mut(&call.pool) else {
             return Finished {
                 rest,
                 unsure: None,
@@ -371,7 +359,9 @@
             target.reserved = target.reserved.saturating_sub(call.reserved);
             rest = match &end {
                 CallEnd::Answered(_) => None,
-                CallEnd::Busy => Some(Duration::from_millis(40)),
+                CallEnd::Busy => {
+                    Some(BUSY_REST * 2_u32.pow(target.refusals.min(MAX_BUSY_DOUBLINGS)))
+                }
                 CallEnd::Failed(_) => Some(FAILED_REST * 2_u32.pow(target.failures.min(3))),
                 CallEnd::OtherTarget => None,
             };
@@ -380,6 +370,10 @@
                 CallEnd::Failed(_) => target.failures + 1,
                 _ => 0,
             };
+            target.refusals = match &end {
+                CallEnd::Busy => target.refusals + 1,
+                _ => 0,
+            };
             if let Some(rest) = rest {
                 target.rest_until = Some(now + rest);
             }
@@ -455,8 +449,8 @@
 
     /// Takes what a target reported to have free; the rest that this host does not know of is held
     /// by results that others had made.
-    fn take_free_bytes(&mut self, service: &str, address: SocketAddr, free: u64) {
-        let Some(pool) = self.pools.get_mut(service) else {
+    fn take_free_bytes(&mut self, key: &PoolKey, address: SocketAddr, free: u64) {
+        let Some(pool) = self.pools.get_mut(key) else {
             return;
         };
         let room = pool.spec.result_memory_bytes;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,7 +3,7 @@
 use http::HeaderName;
 use http::StatusCode;
 
-use crate::{PieceFault, PieceSpec, RefusalReason};
+use crate::{PieceFault, RefusalReason, StageWork};
 
 /// Names of the headers that the gateway reads or sets.
 #[derive(Debug, Clone)]
@@ -50,8 +50,10 @@
 /// One piece in a call to a stage target.
 #[derive(Debug, Clone, Copy)]
 pub struct StageItem<'a> {
-    /// The piece.
-    pub piece: &'a PieceSpec,
+    /// What all pieces of the stage share.
+    pub work: &'a StageWork,
+    /// The piece of the stage, from 0.
+    pub number: u32,
     /// Milliseconds that are left for it.
     pub remaining_ms: u64,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -96,6 +96,7 @@
             stages: StageClient::new(
                 config.identity.clone(),
                 config.name.clone(),
+                config.hall.clone(),
                 coordinator.clone(),
                 engines.clone(),
             ),
@@ -225,6 +226,7 @@
         }
         let ready = view.ready_targets();
         self.targets.borrow_mut().replace(&ready);
+        self.stages.set_targets(&ready);
         self.coordinator.set_targets(&ready);
         let addresses: std::collections::HashSet<SocketAddr> =
             ready.iter().map(|target| target.address).collect();
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -8,9 +8,10 @@
 use crate::ask::Ask;
 use crate::coordinator::{HALL_BYTES, LEAST_REFUSED_WAIT_MS};
 use crate::hall_bytes::HallBytes;
-use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceInput, PieceSpec};
+use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceInput, StageWork};
+use crate::pool_key::PoolKey;
 use crate::schedule::StageSchedule;
-use crate::stage_client::{Expectation, Home};
+use crate::stage_client::{Expectation, Home, PartWant};
 use crate::target::TargetBook;
 use crate::wait_model::PathPlan;
 use crate::{Gateway, Refusal, RefusalReason};
@@ -128,7 +129,7 @@
         let comes = *count > 0 && (!stage.after.is_empty() || schedule.is_deferred(number));
         comes.then(|| {
             gateway.stages.expect(ExpectedPieces {
-                service: stage.service.clone(),
+                pool: choose_part(gateway, ask, number, None),
                 rank: ask.rank,
                 pieces: *count,
             })
@@ -232,26 +233,25 @@
     } else {
         PieceInput::Results(inputs)
     };
-    let pieces = (0..ask.piece_counts[number]).map(|piece| PieceSpec {
-        request: ask.id.clone(),
-        stage: number,
-        number: piece,
-        input: input.clone(),
-    });
     let after = path_time(gateway, ask).after[number];
     let wanted = ask
         .objective_left()
         .saturating_sub(Duration::from_secs_f64(after / 1_000.0));
     let batch = PieceBatch {
         number: 0,
-        service: stage.service.clone(),
+        pool: choose_part(gateway, ask, number, hall.as_deref()),
         rank: ask.rank,
         first: stage.after.is_empty(),
         wanted_ms: wanted.as_millis() as u64,
         remaining_ms: ask.time_left().as_millis() as u64,
         hall,
         result_bytes: stage.result_bytes,
-        pieces: pieces.collect(),
+        work: StageWork {
+            request: ask.id.clone(),
+            stage: number,
+            input,
+        },
+        count: ask.piece_counts[number],
     };
     let (results, home) = gateway.stages.run(batch).await;
     let fault = results
@@ -277,6 +277,20 @@
     Refusal::new(RefusalReason::Overloaded, detail).with_retry_after(RETRY_LEAST)
 }
 
+/// Chooses the part of a stage's pool that takes its pieces.
+fn choose_part(gateway: &Gateway, ask: &Ask, number: usize, hall: Option<&str>) -> PoolKey {
+    let table = gateway.table();
+    let service = &ask.route.stages[number].service;
+    let spec = table.as_ref().and_then(|table| table.find_service(service));
+    let want = PartWant {
+        spec: spec.and_then(|service| service.stage_pool.as_ref()),
+        hall,
+        rank: ask.rank,
+        pieces: ask.piece_counts[number],
+    };
+    gateway.stages.choose_part(service, &want)
+}
+
 /// Time that a request takes for its stages, as far as is known.
 pub(crate) struct PathTime {
     /// From the end of each stage to the first event, where nothing waits, in milliseconds.
--- a/crates/gateway/src/piece.rs
+++ b/crates/gateway/src/piece.rs
@@ -1,11 +1,14 @@
 //! Pieces of stages, and what entry hosts tell each other of them.
 
+use std::collections::BTreeMap;
+
 use derive_more::Display;
 use linnet_routing::StagePool;
 use serde::{Deserialize, Serialize};
 
 use crate::ask::Rank;
 use crate::engine::PlaceAsk;
+use crate::pool_key::PoolKey;
 
 /// What a piece works on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,16 +19,14 @@
     Results(Vec<String>),
 }
 
-/// One piece of one stage of one request.
+/// What all pieces of one stage of one request share.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PieceSpec {
+pub struct StageWork {
     /// The request.
     pub request: String,
     /// The stage of its route, from 0.
     pub stage: usize,
-    /// The piece of the stage, from 0.
-    pub number: u32,
-    /// What it works on.
+    /// What its pieces work on.
     pub input: PieceInput,
 }
 
@@ -67,6 +68,17 @@
 }
 
 impl PoolLoad {
+    /// Adds the load of another part of the same pool.
+    pub fn add(&mut self, other: &Self) {
+        let mut waiting: BTreeMap<Rank, u32> = self.waiting.iter().copied().collect();
+        for (rank, count) in &other.waiting {
+            *waiting.entry(*rank).or_default() += count;
+        }
+        self.waiting = waiting.into_iter().collect();
+        self.targets += other.targets;
+        self.free += other.free;
+    }
+
     /// Returns about how long pieces of a rank wait for their call, in milliseconds.
     pub fn wait_ms(&self, pool: &StagePool, rank: Rank, pieces: u32) -> f64 {
         let before = self.waiting.iter().filter(|(other, _)| *other <= rank);
@@ -85,8 +97,8 @@
 /// Pieces that an admitted request will bring when its earlier stages are done.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ExpectedPieces {
-    /// The service that will run them.
-    pub service: String,
+    /// The pool, or the part of one, that will run them.
+    pub pool: PoolKey,
     /// Rank of the request.
     pub rank: Rank,
     /// How many there are.
@@ -98,8 +110,8 @@
 pub struct PieceBatch {
     /// Number of the batch on its connection.
     pub number: u64,
-    /// The service that runs them.
-    pub service: String,
+    /// The pool, or the part of one, that runs them.
+    pub pool: PoolKey,
     /// Rank of the request.
     pub rank: Rank,
     /// Whether no stage of the request has run yet, so that refusing it wastes nothing.
@@ -113,8 +125,10 @@
     pub hall: Option<String>,
     /// About how large one result is, in bytes.
     pub result_bytes: u64,
-    /// The pieces.
-    pub pieces: Vec<PieceSpec>,
+    /// What the pieces share; sent once, since the handles of many results are long.
+    pub work: StageWork,
+    /// How many pieces there are, numbered from 0.
+    pub count: u32,
 }
 
 /// What an entry host sends to the one that gathers the pieces of a service.
@@ -157,5 +171,5 @@
     /// The engine for a prompt; nothing where there is none.
     Placed { number: u64, engine: Option<String> },
     /// A sign of life, with the load of the pools that this host gathers for.
-    Alive { loads: Vec<(String, PoolLoad)> },
+    Alive { loads: Vec<(PoolKey, PoolLoad)> },
 }
--- /dev/null
+++ b/crates/gateway/src/pool_key/tests.rs
@@ -0,0 +1,70 @@
+use linnet_directory::TargetState;
+
+use super::*;
+
+/// Targets of one service: so many in each hall.
+fn records(halls: &[usize]) -> Vec<TargetRecord> {
+    let mut records = Vec::new();
+    for (hall, count) in halls.iter().enumerate() {
+        for number in 0..*count {
+            records.push(TargetRecord {
+                id: format!("t-{hall}-{number}"),
+                service: "stage".to_owned(),
+                address: format!("127.0.{hall}.1:{}", 1_000 + number)
+                    .parse()
+                    .unwrap(),
+                hall: format!("hall-{hall}"),
+                slots: 1,
+                state: TargetState::Ready,
+                sequence: 1,
+                silent: false,
+            });
+        }
+    }
+    records
+}
+
+#[test]
+fn each_target_belongs_to_exactly_one_part_and_no_part_is_large() {
+    // Targets by hall, and how many parts there are.
+    let cases: [(&[usize], usize); 6] = [
+        (&[2, 2, 1], 1),
+        (&[8], 1),
+        (&[3, 3, 3], 3),
+        (&[6, 6, 6], 3),
+        (&[4, 4, 4, 4], 4),
+        (&[0, 9], 2),
+    ];
+    for (halls, parts) in cases {
+        let records = records(halls);
+        let map = PoolMap::new(&records);
+        let keys = map.parts_of("stage");
+        assert_eq!(keys.len(), parts, "{halls:?}");
+        for record in &records {
+            let holders = keys.iter().filter(|(key, _)| key.holds(record)).count();
+            assert_eq!(holders, 1, "{halls:?} {}", record.id);
+        }
+        let total: u32 = keys.iter().map(|(_, count)| count).sum();
+        assert_eq!(total as usize, records.len());
+    }
+    assert!(PoolMap::default().parts_of("stage").is_empty());
+}
+
+#[test]
+fn a_large_hall_is_split_about_evenly() {
+    let map = PoolMap::new(&records(&[64]));
+    let counts: Vec<u32> = map.parts_of("stage").iter().map(|part| part.1).collect();
+    assert_eq!(counts.len(), 8);
+    assert!(
+        counts.iter().all(|count| (2..=16).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn the_key_of_a_whole_pool_holds_its_targets_also_after_the_pool_was_split() {
+    let records = records(&[6, 6]);
+    let whole = PoolKey::whole("stage");
+    assert!(records.iter().all(|record| whole.holds(record)));
+    assert!(!PoolKey::whole("other").holds(&records[0]));
+}
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -9,14 +9,17 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use linnet_directory::GatewayRecord;
+use linnet_directory::{GatewayRecord, TargetRecord};
+use linnet_routing::StagePool;
 use linnet_wire::PeerIdentity;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
+use crate::ask::Rank;
 use crate::coordinator::Coordinator;
 use crate::engine::{Chosen, EnginePlacer, PlaceAsk};
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceRequest, PoolLoad};
+use crate::pool_key::{PoolKey, PoolMap};
 use crate::rendezvous;
 use crate::target::TargetBook;
 
@@ -46,8 +49,33 @@
 /// How often a batch is handed out before it counts as lost.
 const MAX_HANDOUTS: u32 = 3;
 
+/// What a longer queue in a wanted hall is worth against a shorter one elsewhere, in milliseconds.
+const ELSEWHERE_MS: f64 = 150.0;
+
+/// How long a part of a pool is passed over after none of a batch could be run there.
+const PART_AVOIDED: Duration = Duration::from_millis(1_500);
+
 type Results = Vec<Result<String, PieceFault>>;
 
+/// What a request wants of the part of a pool for its pieces.
+pub(crate) struct PartWant<'a> {
+    /// The pool's settings, where they are known.
+    pub(crate) spec: Option<&'a StagePool>,
+    /// The hall from which or to which large results would cross.
+    pub(crate) hall: Option<&'a str>,
+    /// Rank of the request.
+    pub(crate) rank: Rank,
+    /// How many pieces there are.
+    pub(crate) pieces: u32,
+}
+
+fn is_unreachable(results: &Results) -> bool {
+    let unreachable = |result: &Result<String, PieceFault>| {
+        matches!(result, Err(PieceFault::Failed | PieceFault::Lost))
+    };
+    !results.is_empty() && results.iter().all(unreachable)
+}
+
 /// Where a batch was gathered; its results are released there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Home {
@@ -81,7 +109,11 @@
     links: HashMap<SocketAddr, Link>,
     next_batch: u64,
     /// What the coordinators told of their pools, and when.
-    loads: HashMap<String, (PoolLoad, Instant)>,
+    loads: HashMap<PoolKey, (PoolLoad, Instant)>,
+    /// How large pools are split.
+    pools: PoolMap,
+    /// Parts whose targets could not be reached, and until when they are passed over.
+    avoided: HashMap<PoolKey, Instant>,
 }
 
 impl ClientState {
@@ -96,6 +128,7 @@
 pub(crate) struct StageClient {
     identity: PeerIdentity,
     name: String,
+    hall: String,
     coordinator: Rc<Coordinator>,
     engines: Rc<RefCell<EnginePlacer>>,
     state: Rc<RefCell<ClientState>>,
@@ -105,12 +138,14 @@
     pub(crate) fn new(
         identity: PeerIdentity,
         name: String,
+        hall: String,
         coordinator: Rc<Coordinator>,
         engines: Rc<RefCell<EnginePlacer>>,
     ) -> Self {
         Self {
             identity,
             name,
+            hall,
             coordinator,
             engines,
             state: Rc::default(),
@@ -132,6 +167,47 @@
         state.gateways.extend(reached);
     }
 
+    /// Takes the list of targets that take work.
+    pub(crate) fn set_targets(&self, records: &[TargetRecord]) {
+        self.state.borrow_mut().pools = PoolMap::new(records);
+    }
+
+    /// Chooses the part of a pool for pieces of one request: the shorter queue of two drawn at
+    /// random, so that hosts with the same news do not all choose the same; where a hall matters,
+    /// that hall unless its queue is much longer.
+    pub(crate) fn choose_part(&self, service: &str, want: &PartWant<'_>) -> PoolKey {
+        let parts = self.usable_parts(service);
+        let score = |key: &PoolKey| {
+            let load = self.load_of_part(key);
+            let wait = match (&load, want.spec) {
+                (Some(load), Some(spec)) => load.wait_ms(spec, want.rank, want.pieces),
+                _ => 0.0,
+            };
+            let elsewhere = want.hall.is_some_and(|hall| key.hall() != Some(hall));
+            wait + f64::from(u8::from(elsewhere)) * ELSEWHERE_MS + fastrand::f64()
+        };
+        let mut drawn: Vec<PoolKey> = parts;
+        if want.hall.is_none() {
+            fastrand::shuffle(&mut drawn);
+            drawn.truncate(2);
+        }
+        let scored = drawn.into_iter().map(|key| (score(&key), key));
+        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
+        best.map_or_else(|| PoolKey::whole(service), |(_, key)| key)
+    }
+
+    fn usable_parts(&self, service: &str) -> Vec<PoolKey> {
+        let state = self.state.borrow();
+        let now = Instant::now();
+        let all = state.pools.parts_of(service).iter().map(|(key, _)| key);
+        let is_usable = |key: &&PoolKey| state.avoided.get(*key).is_none_or(|until| *until <= now);
+        let usable: Vec<PoolKey> = all.clone().filter(is_usable).cloned().collect();
+        if usable.is_empty() {
+            return all.cloned().collect();
+        }
+        usable
+    }
+
     /// Returns how many entry hosts are known, this one among them.
     pub(crate) fn gateway_count(&self) -> usize {
         let state = self.state.borrow();
@@ -141,13 +217,13 @@
 
     /// Runs a batch; `Home` says where its results are released.
     pub(crate) async fn run(&self, mut batch: PieceBatch) -> (Results, Home) {
-        let count = batch.pieces.len();
+        let mut last = vec![Err(PieceFault::Lost); batch.count as usize];
         for handout in 1..=MAX_HANDOUTS {
             // The last try depends on nobody else.
             let home = if handout == MAX_HANDOUTS {
                 Home::Here
             } else {
-                self.home_of(&batch.service)
+                self.home_of(&batch.pool)
             };
             let results = match home {
                 Home::Here => self.run_here(batch.clone()).await,
@@ -157,11 +233,30 @@
                 }
             };
             // Without results the link was lost, and with it what was handed out on it.
-            if let Some(results) = results {
+            let Some(results) = results else {
+                continue;
+            };
+            if handout == MAX_HANDOUTS || !is_unreachable(&results) || !self.move_on(&mut batch) {
                 return (results, home);
             }
+            last = results;
         }
-        (vec![Err(PieceFault::Lost); count], Home::Here)
+        (last, Home::Here)
+    }
+
+    /// Hands a batch of which no piece could be run to another part of its pool; false where there
+    /// is none.
+    fn move_on(&self, batch: &mut PieceBatch) -> bool {
+        let until = Instant::now() + PART_AVOIDED;
+        let mut state = self.state.borrow_mut();
+        state.avoided.insert(batch.pool.clone(), until);
+        drop(state);
+        let others = self.usable_parts(&batch.pool.service);
+        let other = others.into_iter().find(|key| *key != batch.pool);
+        other.is_some_and(|other| {
+            batch.pool = other;
+            true
+        })
     }
 
     /// Releases results where they were gathered.
@@ -179,16 +274,22 @@
     }
 
     // Every host ranks the others alike, so they meet at the same one while they hear the same. A
-    // host that cannot be reached is passed over until it was reached again in the background.
-    fn home_of(&self, service: &str) -> Home {
-        let own = rendezvous::score(service, &self.name);
-        let mut ranked: Vec<(u64, SocketAddr)> = {
+    // host that cannot be reached is passed over until it was reached again in the background. For
+    // the part of a hall the hosts of that hall come first, since they reach its targets longest.
+    fn home_of(&self, pool: &PoolKey) -> Home {
+        let label = pool.label();
+        let rank = |name: &str, hall: &str| {
+            let same_hall = pool.hall() == Some(hall);
+            (same_hall, rendezvous::score(&label, name))
+        };
+        let own = rank(&self.name, &self.hall);
+        let mut ranked: Vec<((bool, u64), SocketAddr)> = {
             let state = self.state.borrow();
             let others = state.gateways.iter();
             let others = others.filter(|one| one.name != self.name && !one.stopping);
             others
-                .map(|one| (rendezvous::score(service, &one.name), one.peer))
-                .filter(|(score, _)| *score > own)
+                .map(|one| (rank(&one.name, &one.hall), one.peer))
+                .filter(|(rank, _)| *rank > own)
                 .collect()
         };
         ranked.sort_by(|a, b| b.cmp(a));
@@ -286,7 +387,7 @@
 
     /// Tells the host that gathers the pieces of a service that some will come.
     pub(crate) fn expect(&self, expected: ExpectedPieces) -> Expectation {
-        let home = match self.home_of(&expected.service) {
+        let home = match self.home_of(&expected.pool) {
             Home::Here => ExpectedAt::Here(self.coordinator.expect(expected)),
             Home::Remote(address) => {
                 let number = self.next_number();
@@ -307,7 +408,7 @@
         targets: &RefCell<TargetBook>,
         ask: PlaceAsk,
     ) -> Option<(Chosen, Placement)> {
-        if let Home::Remote(address) = self.home_of(&ask.service)
+        if let Home::Remote(address) = self.home_of(&PoolKey::whole(&ask.service))
             && let Some((engine, placement)) = self.place_at(address, ask.clone()).await
             && let Some(chosen) = targets.borrow().find(&ask.service, &engine)
         {
@@ -358,21 +459,36 @@
         }
     }
 
-    fn take_loads(&self, loads: Vec<(String, PoolLoad)>) {
+    fn take_loads(&self, loads: Vec<(PoolKey, PoolLoad)>) {
         let now = Instant::now();
-        let loads = loads
-            .into_iter()
-            .map(|(service, load)| (service, (load, now)));
+        let loads = loads.into_iter().map(|(pool, load)| (pool, (load, now)));
         self.state.borrow_mut().loads.extend(loads);
     }
 
-    /// Returns the load of a pool as it was told lately; nothing where it is not known.
+    /// Returns the load of a pool as it was told lately; nothing where none of its parts is known.
     pub(crate) fn load_of(&self, service: &str) -> Option<PoolLoad> {
-        if self.home_of(service) == Home::Here {
-            return self.coordinator.load_of(service);
+        let parts = self.state.borrow().pools.parts_of(service).to_vec();
+        let mut sum = PoolLoad::default();
+        let mut known = false;
+        for (key, targets) in parts {
+            let load = self.load_of_part(&key);
+            known |= load.is_some();
+            // A part that nobody tells of has no work.
+            sum.add(&load.unwrap_or(PoolLoad {
+                waiting: Vec::new(),
+                targets,
+                free: targets,
+            }));
+        }
+        known.then_some(sum)
+    }
+
+    fn load_of_part(&self, pool: &PoolKey) -> Option<PoolLoad> {
+        if self.home_of(pool) == Home::Here {
+            return self.coordinator.load_of(pool);
         }
         let state = self.state.borrow();
-        let (load, told) = state.loads.get(service)?;
+        let (load, told) = state.loads.get(pool)?;
         (told.elapsed() < LOAD_KEPT).then(|| load.clone())
     }
 
