--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -23,6 +23,10 @@
 /// other prompts, and takes memory that other parts lose.
 const MISSING_WEIGHT: f64 = 2.0;
 
+/// The same where no engine is known to hold the part: the one that every host ranks first for it
+/// may hold it all the same, since this host may have begun to place prompts a moment ago.
+const UNKNOWN_WEIGHT: f64 = 0.5;
+
 /// What a megabyte of results that crosses halls adds to the cost of an engine, in milliseconds.
 const CROSSING_COST_MS: f64 = 14.0;
 
@@ -110,6 +114,17 @@
     pub(crate) hall: String,
 }
 
+/// What decided a placement, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PlaceFacts {
+    /// Whether the engine was taken to hold the shared part.
+    pub(crate) held: bool,
+    /// Prompt tokens that it still had to read before.
+    pub(crate) ahead: u64,
+    /// How long it was expected to take until it has read the prompt, in milliseconds.
+    pub(crate) expected_ms: u32,
+}
+
 /// Names one placement at its placer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) struct PlacementKey(u64);
@@ -197,14 +212,13 @@
             .id
             .clone();
         let known = candidates.iter().any(|one| self.holds(&one.id, &ask.part));
-        let cost = |one: &Target| {
-            let held = if known {
-                self.holds(&one.id, &ask.part)
-            } else {
-                one.id == first
-            };
-            self.cost_ms(one, ask, held, now)
+        let missing_weight = |one: &Target| match known {
+            true if self.holds(&one.id, &ask.part) => 0.0,
+            true => MISSING_WEIGHT,
+            false if one.id == first => 0.0,
+            false => UNKNOWN_WEIGHT,
         };
+        let cost = |one: &Target| self.cost_ms(one, ask, missing_weight(one), now);
         let best = candidates.into_iter().min_by(|a, b| {
             cost(a)
                 .total_cmp(&cost(b))
@@ -240,12 +254,14 @@
         self.slowness.insert(engine.to_owned(), learned);
     }
 
-    fn cost_ms(&self, engine: &Target, ask: &PlaceAsk, held: bool, now: Instant) -> f64 {
+    /// Returns what it costs to place a prompt on an engine, as a wait. `missing_weight` says what
+    /// reading the shared part there counts.
+    fn cost_ms(&self, engine: &Target, ask: &PlaceAsk, missing_weight: f64, now: Instant) -> f64 {
         let reading = |tokens: u64| tokens as f64 / self.tokens_per_ms;
-        let missing = if held || ask.part.is_empty() {
+        let missing = if ask.part.is_empty() {
             0.0
         } else {
-            reading(ask.shared_tokens) * MISSING_WEIGHT
+            reading(ask.shared_tokens) * missing_weight
         };
         let crossing = ask.results.crossing_to(&engine.hall) as f64 / MEGABYTE * CROSSING_COST_MS;
         let load = self.loads.get(&engine.id);
@@ -257,33 +273,48 @@
         (reading(unread) + missing) * slowness + own * (slowness - 1.0) + crossing + running
     }
 
+    /// Says where a prompt would be placed now.
+    pub(crate) fn plan(
+        &self,
+        book: &TargetBook,
+        ask: &PlaceAsk,
+        now: Instant,
+    ) -> Option<(Chosen, PlaceFacts)> {
+        let chosen = self.choose(book, ask, now)?;
+        let held = self.holds(&chosen.id, &ask.part);
+        let ahead = self.loads.get(&chosen.id).map_or(0, |load| load.unread);
+        let expected_ms = (ahead + unread_tokens(ask, held)) as f64 / self.tokens_per_ms;
+        let facts = PlaceFacts {
+            held,
+            ahead,
+            expected_ms: expected_ms as u32,
+        };
+        Some((chosen, facts))
+    }
+
     /// Chooses an engine and counts the prompt there until [`EnginePlacer::end`].
     pub(crate) fn place(
         &mut self,
         book: &TargetBook,
         ask: &PlaceAsk,
         now: Instant,
-    ) -> Option<(PlacementKey, Chosen)> {
-        let chosen = self.choose(book, ask, now)?;
-        let held = self.holds(&chosen.id, &ask.part);
-        let cached = if held { ask.shared_tokens } else { 0 };
-        let unread = ask.tokens.saturating_sub(cached);
+    ) -> Option<(PlacementKey, Chosen, PlaceFacts)> {
+        let (chosen, facts) = self.plan(book, ask, now)?;
+        let unread = unread_tokens(ask, facts.held);
         let load = self.loads.entry(chosen.id.clone()).or_default();
-        let expected_ms = (load.unread + unread) as f64 / self.tokens_per_ms;
         load.unread += unread;
         load.running += 1;
         self.note_holder(&chosen.id, &ask.part, now);
         self.next += 1;
         let key = PlacementKey(self.next);
-        let engine = chosen.id.clone();
         let placed = Placed {
-            engine,
+            engine: chosen.id.clone(),
             unread,
             at: now,
-            expected_ms,
+            expected_ms: f64::from(facts.expected_ms),
         };
         self.placed.insert(key, placed);
-        Some((key, chosen))
+        Some((key, chosen, facts))
     }
 
     fn note_holder(&mut self, engine: &str, part: &str, now: Instant) {
@@ -368,5 +399,11 @@
     }
 }
 
+/// Returns the tokens of a prompt that an engine has to read.
+fn unread_tokens(ask: &PlaceAsk, held: bool) -> u64 {
+    let cached = if held { ask.shared_tokens } else { 0 };
+    ask.tokens.saturating_sub(cached)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/engine/tests.rs
+++ b/crates/gateway/src/engine/tests.rs
@@ -43,9 +43,9 @@
 fn prompts_with_the_same_part_go_to_the_same_engine_until_it_has_much_to_read() {
     let (book, now) = (book(), Instant::now());
     let mut placer = EnginePlacer::default();
-    let (key, first) = placer.place(&book, &ask("a"), now).unwrap();
+    let (key, first, _) = placer.place(&book, &ask("a"), now).unwrap();
     placer.note_read(key, now + Duration::from_millis(200));
-    let (_, second) = placer.place(&book, &ask("a"), now).unwrap();
+    let (_, second, _) = placer.place(&book, &ask("a"), now).unwrap();
     assert_eq!(first, second);
     // The waits of many long prompts outweigh reading the part elsewhere.
     let mut engines = std::collections::BTreeSet::new();
@@ -55,6 +55,36 @@
     assert!(engines.len() > 1);
 }
 
+#[test]
+fn a_part_that_was_only_planned_is_not_taken_as_held() {
+    let (book, now) = (book(), Instant::now());
+    let mut placer = EnginePlacer::default();
+    let (planned, facts) = placer.plan(&book, &ask("a"), now).unwrap();
+    assert!(!facts.held);
+    let (_, chosen, facts) = placer.place(&book, &ask("a"), now).unwrap();
+    assert_eq!((chosen, facts.held), (planned, false));
+    // All of the prompt is still to be read there, and the next one finds the part held.
+    let (_, facts) = placer.plan(&book, &ask("a"), now).unwrap();
+    assert_eq!((facts.held, facts.ahead), (true, 15_000));
+}
+
+#[test]
+fn a_part_that_nobody_holds_goes_to_an_engine_with_little_to_read() {
+    let (book, now) = (book(), Instant::now());
+    let mut placer = EnginePlacer::default();
+    let first = placer.choose(&book, &ask("a"), now).unwrap();
+    let mut busy = ask("");
+    busy.avoid = book
+        .of_service("engine")
+        .map(|one| one.id.clone())
+        .filter(|id| *id != first.id)
+        .collect();
+    let (_, chosen, _) = placer.place(&book, &busy, now).unwrap();
+    assert_eq!(chosen, first);
+    let other = placer.choose(&book, &ask("a"), now).unwrap();
+    assert_ne!(other, first);
+}
+
 #[test]
 fn hosts_that_know_nothing_choose_alike_and_spread_parts_over_engines() {
     let (book, now) = (book(), Instant::now());
@@ -89,7 +119,7 @@
 fn engines_that_were_tried_are_avoided_and_ended_prompts_count_no_more() {
     let (book, now) = (book(), Instant::now());
     let mut placer = EnginePlacer::default();
-    let (key, first) = placer.place(&book, &ask("a"), now).unwrap();
+    let (key, first, _) = placer.place(&book, &ask("a"), now).unwrap();
     let mut again = ask("a");
     again.avoid.push(first.id.clone());
     assert_ne!(placer.choose(&book, &again, now).unwrap().id, first.id);
@@ -120,7 +150,7 @@
     let late = now + Duration::from_secs(5);
     let slow = placer.choose(&book, &ask("a"), now).unwrap();
     for _ in 0..2 {
-        let (key, chosen) = placer.place(&book, &ask("a"), now).unwrap();
+        let (key, chosen, _) = placer.place(&book, &ask("a"), now).unwrap();
         assert_eq!(chosen, slow);
         placer.note_read(key, late);
         placer.end(key);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,8 +11,10 @@
 use crate::ask::Ask;
 use crate::attempt::{Attempt, AttemptEnd, send_attempt};
 use crate::choose::{choose, pick_service, place_ask};
+use crate::engine::PlaceFacts;
 use crate::graph::{RequestResults, admit, run_stages};
 use crate::relay::{Relay, relay_events};
+use crate::stage_client::Placement;
 use crate::wait_model::PathPlan;
 use crate::{AnswerBody, Gateway, Refusal, RefusalReason};
 
@@ -33,6 +35,8 @@
     stages: Option<Duration>,
     /// How long the request was to take by the queues at its admission.
     plan: PathPlan,
+    /// What decided the engine of the last attempt.
+    engine: Option<PlaceFacts>,
     /// Whether a target may have run it.
     may_have_run: bool,
 }
@@ -71,7 +75,7 @@
     let took = ask.arrived.elapsed();
     let detail = |outcome: &str| {
         format!(
-            "route={} account={} rank={}.{} version={} attempts={} planned_ms={:.0} waits_ms={:.0} stages_ms={} took_ms={} {outcome}",
+            "route={} account={} rank={}.{} version={} attempts={} planned_ms={:.0} waits_ms={:.0} stages_ms={} took_ms={}{} {outcome}",
             ask.route.name,
             ask.account.as_deref().unwrap_or("-"),
             ask.rank.first,
@@ -81,7 +85,8 @@
             log.plan.stages_ms + log.plan.waits_ms + log.plan.reading_ms,
             log.plan.waits_ms,
             log.stages.map_or(0, |stages| stages.as_millis()),
-            took.as_millis()
+            took.as_millis(),
+            describe_prompt(ask, log),
         )
     };
     let (code, outcome, label) = match outcome {
@@ -118,6 +123,16 @@
     gateway.note_request(code, &ask.id, &log.target, detail(&outcome));
 }
 
+fn describe_prompt(ask: &Ask, log: &RunLog) -> String {
+    let (Some(prompt), Some(engine)) = (&ask.prompt, log.engine) else {
+        return String::new();
+    };
+    format!(
+        " tokens={} shared={} held={} ahead={} read_ms={}",
+        prompt.tokens_in, prompt.shared_tokens, engine.held, engine.ahead, engine.expected_ms
+    )
+}
+
 async fn run(
     gateway: &Rc<Gateway>,
     ask: &Rc<Ask>,
@@ -142,6 +157,7 @@
             .await
             .ok_or_else(no_target)?;
         log.target.clone_from(&chosen.id);
+        log.engine = placement.as_ref().and_then(Placement::facts);
         log.attempts += 1;
         log.may_have_run = true;
         let attempt = Attempt {
@@ -218,10 +234,9 @@
     let plan = admit(gateway, ask)?;
     log.plan = plan;
     let hall = match place_ask(gateway, service, ask, &[], None) {
-        // The placement ends here; that the engine will hold the part stays known.
         Some(place) => {
-            let planned = gateway.stages.place(&gateway.targets, place).await;
-            planned.ok_or_else(no_target)?.0.hall
+            let planned = gateway.stages.plan(&gateway.targets, place).await;
+            planned.ok_or_else(no_target)?.hall
         }
         None => gateway.config.hall.clone(),
     };
--- a/crates/gateway/src/piece.rs
+++ b/crates/gateway/src/piece.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ask::Rank;
-use crate::engine::PlaceAsk;
+use crate::engine::{PlaceAsk, PlaceFacts};
 use crate::pool_key::PoolKey;
 
 /// What a piece works on.
@@ -150,6 +150,8 @@
         service: String,
         handles: Vec<String>,
     },
+    /// Say where a prompt would be placed now; changes nothing.
+    Plan { number: u64, ask: PlaceAsk },
     /// Place a prompt on an engine.
     Place { number: u64, ask: PlaceAsk },
     /// The engine has read a prompt that was placed.
@@ -168,8 +170,11 @@
         number: u64,
         results: Vec<Result<String, PieceFault>>,
     },
-    /// The engine for a prompt; nothing where there is none.
-    Placed { number: u64, engine: Option<String> },
+    /// The engine for a prompt that was planned or placed; nothing where there is none.
+    Placed {
+        number: u64,
+        engine: Option<(String, PlaceFacts)>,
+    },
     /// A sign of life, with the load of the pools that this host gathers for.
     Alive { loads: Vec<(PoolKey, PoolLoad)> },
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -276,15 +276,21 @@
                 expectations.insert(number, key);
             }
             PieceRequest::Arrived(number) => expectations.end(number),
+            PieceRequest::Plan { number, ask } => {
+                let book = gateway.targets.borrow();
+                let planned = gateway.engines.borrow().plan(&book, &ask, Instant::now());
+                let engine = planned.map(|(chosen, facts)| (chosen.id, facts));
+                let _ = replies.send(PieceReply::Placed { number, engine });
+            }
             PieceRequest::Place { number, ask } => {
                 let now = Instant::now();
                 let placed = {
                     let book = gateway.targets.borrow();
                     gateway.engines.borrow_mut().place(&book, &ask, now)
                 };
-                let engine = placed.map(|(key, chosen)| {
+                let engine = placed.map(|(key, chosen, facts)| {
                     placements.insert(number, key);
-                    chosen.id
+                    (chosen.id, facts)
                 });
                 let _ = replies.send(PieceReply::Placed { number, engine });
             }
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -17,7 +17,7 @@
 
 use crate::ask::Rank;
 use crate::coordinator::Coordinator;
-use crate::engine::{Chosen, EnginePlacer, PlaceAsk};
+use crate::engine::{Chosen, EnginePlacer, PlaceAsk, PlaceFacts};
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceRequest, PoolLoad};
 use crate::pool_key::{PoolKey, PoolMap};
 use crate::rendezvous;
@@ -100,7 +100,7 @@
     state: LinkState,
     outgoing: mpsc::UnboundedSender<PieceRequest>,
     waiting: HashMap<u64, oneshot::Sender<Results>>,
-    placing: HashMap<u64, oneshot::Sender<Option<String>>>,
+    placing: HashMap<u64, oneshot::Sender<Option<(String, PlaceFacts)>>>,
 }
 
 #[derive(Default)]
@@ -415,35 +415,78 @@
             return Some((chosen, placement));
         }
         let book = targets.borrow();
-        let (key, chosen) = self
-            .engines
-            .borrow_mut()
-            .place(&book, &ask, Instant::now())?;
+        let placed = self.engines.borrow_mut().place(&book, &ask, Instant::now());
+        let (key, chosen, facts) = placed?;
         let placement = Placement {
             client: self.clone(),
             home: PlacedAt::Here(key),
+            facts: Some(facts),
         };
         Some((chosen, placement))
     }
 
     async fn place_at(&self, address: SocketAddr, ask: PlaceAsk) -> Option<(String, Placement)> {
         let number = self.next_number();
-        let (done, answer) = oneshot::channel();
-        self.send_to(address, PieceRequest::Place { number, ask }, |link| {
-            link.placing.insert(number, done);
-        });
+        let answer = self.ask_placer(address, number, PieceRequest::Place { number, ask });
         // From here on the placement is ended whatever becomes of the answer.
-        let placement = Placement {
+        let mut placement = Placement {
             client: self.clone(),
             home: PlacedAt::Remote(address, number),
+            facts: None,
         };
-        match timeout(PLACE_TIMEOUT, answer).await {
-            Ok(Ok(Some(engine))) => Some((engine, placement)),
-            _ => None,
+        let (engine, facts) = answer.await?;
+        placement.facts = Some(facts);
+        Some((engine, placement))
+    }
+
+    /// Has a prompt planned by the host that places for its service, without placing it: returns
+    /// the engine where it would go now.
+    pub(crate) async fn plan(
+        &self,
+        targets: &RefCell<TargetBook>,
+        ask: PlaceAsk,
+    ) -> Option<Chosen> {
+        if let Home::Remote(address) = self.home_of(&PoolKey::whole(&ask.service)) {
+            let number = self.next_number();
+            let service = ask.service.clone();
+            let request = PieceRequest::Plan {
+                number,
+                ask: ask.clone(),
+            };
+            if let Some((engine, _)) = self.ask_placer(address, number, request).await
+                && let Some(chosen) = targets.borrow().find(&service, &engine)
+            {
+                return Some(chosen);
+            }
+        }
+        let engines = self.engines.borrow();
+        let planned = engines.plan(&targets.borrow(), &ask, Instant::now());
+        planned.map(|(chosen, _)| chosen)
+    }
+
+    /// Sends a request to a placer and waits for its answer; it is sent before this returns.
+    fn ask_placer(
+        &self,
+        address: SocketAddr,
+        number: u64,
+        request: PieceRequest,
+    ) -> impl Future<Output = Option<(String, PlaceFacts)>> + use<> {
+        let (done, answer) = oneshot::channel();
+        self.send_to(address, request, |link| {
+            link.placing.insert(number, done);
+        });
+        let client = self.clone();
+        async move {
+            let answer = timeout(PLACE_TIMEOUT, answer).await;
+            let mut state = client.state.borrow_mut();
+            if let Some(link) = state.links.get_mut(&address) {
+                link.placing.remove(&number);
+            }
+            answer.ok()?.ok()?
         }
     }
 
-    fn take_placed(&self, address: SocketAddr, number: u64, engine: Option<String>) {
+    fn take_placed(&self, address: SocketAddr, number: u64, engine: Option<(String, PlaceFacts)>) {
         let mut state = self.state.borrow_mut();
         let link = state.links.get_mut(&address);
         if let Some(waiter) = link.and_then(|link| link.placing.remove(&number)) {
--- a/crates/gateway/src/stage_client/guard.rs
+++ b/crates/gateway/src/stage_client/guard.rs
@@ -6,7 +6,7 @@
 
 use super::StageClient;
 use crate::coordinator::{BatchKey, Coordinator, ExpectKey};
-use crate::engine::PlacementKey;
+use crate::engine::{PlaceFacts, PlacementKey};
 use crate::piece::PieceRequest;
 
 #[derive(Clone, Copy)]
@@ -43,9 +43,16 @@
 pub(crate) struct Placement {
     pub(super) client: StageClient,
     pub(super) home: PlacedAt,
+    /// What decided it; nothing where the placer did not answer in time.
+    pub(super) facts: Option<PlaceFacts>,
 }
 
 impl Placement {
+    /// Returns what decided it.
+    pub(crate) fn facts(&self) -> Option<PlaceFacts> {
+        self.facts
+    }
+
     /// Notes that the engine has read the prompt.
     pub(crate) fn note_read(&self) {
         match self.home {
