--- a/crates/gateway/src/coordinator/pool.rs
+++ b/crates/gateway/src/coordinator/pool.rs
@@ -10,7 +10,7 @@
 
 use super::queue::BatchKey;
 use crate::ask::Rank;
-use crate::piece::{PieceBatch, PoolLoad, StageWork};
+use crate::piece::{PieceBatch, PoolLoad, StageWork, TargetUse};
 use crate::pool_key::PoolKey;
 
 /// Results smaller than this may lie in any data hall.
@@ -29,6 +29,16 @@
 /// The place of the results of others among those of a target; no handle is like it.
 pub(super) const OTHERS: &str = "of others";
 
+/// Begins the places of what hosts told that they use.
+const TOLD: &str = "told by ";
+
+/// Begins the place of results whose handles were lost with the answer.
+pub(super) const LOST: &str = "lost ";
+
+fn is_handle(name: &str) -> bool {
+    name != OTHERS && !name.starts_with(TOLD)
+}
+
 /// Sizes of results are told about; this much room is kept beside them.
 const ROOM_MARGIN: f64 = 1.05;
 
@@ -65,6 +75,8 @@
     pub(super) rest_until: Option<Instant>,
     /// When its call is expected to end.
     pub(super) busy_until: Instant,
+    /// When the call of another host that gathers for the pool is expected to end.
+    pub(super) taken_until: Option<Instant>,
     /// Calls in a row that failed.
     pub(super) failures: u32,
     /// Calls in a row for which it was too busy.
@@ -83,6 +95,7 @@
             results: HashMap::new(),
             rest_until: None,
             busy_until: Instant::now(),
+            taken_until: None,
             failures: 0,
             refusals: 0,
             leaving: false,
@@ -106,7 +119,61 @@
 
     pub(super) fn is_free(&self, slots: u32, now: Instant) -> bool {
         let resting = self.rest_until.is_some_and(|until| until > now);
-        !self.leaving && !resting && self.busy < slots
+        let taken = self.taken_until.is_some_and(|until| until > now);
+        !self.leaving && !resting && !taken && self.busy < slots
+    }
+
+    /// Returns what this host uses here. What it was told of others is theirs to tell.
+    fn own_use(&self, id: &str, ttl: Duration, now: Instant) -> TargetUse {
+        let own = self.results.iter().filter(|(name, _)| is_handle(name));
+        let (mut bytes, mut until) = (self.reserved, now);
+        for (_, result) in own {
+            bytes += result.bytes;
+            until = until.max(result.until);
+        }
+        if self.reserved > 0 {
+            until = until.max(now + ttl);
+        }
+        let busy = if self.busy > 0 {
+            self.busy_until.saturating_duration_since(now)
+        } else {
+            Duration::ZERO
+        };
+        TargetUse {
+            target: id.to_owned(),
+            bytes,
+            lasts_ms: until.saturating_duration_since(now).as_millis() as u32,
+            busy_ms: busy.as_millis() as u32,
+        }
+    }
+
+    /// Takes what another host uses here, in place of what it told before.
+    fn set_use(&mut self, teller: &str, told: Option<&TargetUse>, now: Instant) {
+        let name = format!("{TOLD}{teller}");
+        self.results.remove(&name);
+        self.taken_until = None;
+        let Some(told) = told else {
+            return;
+        };
+        self.taken_until = Some(now + Duration::from_millis(u64::from(told.busy_ms)));
+        if told.bytes > 0 {
+            let held = HeldResult {
+                bytes: told.bytes,
+                until: now + Duration::from_millis(u64::from(told.lasts_ms)),
+            };
+            self.results.insert(name, held);
+        }
+    }
+
+    /// Takes bytes off what others told, since one of their results was released here.
+    pub(super) fn take_off_told(&mut self, bytes: u64) {
+        let told = self
+            .results
+            .iter_mut()
+            .find(|(name, _)| name.starts_with(TOLD));
+        if let Some((_, told)) = told {
+            told.bytes = told.bytes.saturating_sub(bytes);
+        }
     }
 }
 
@@ -157,6 +224,23 @@
         !self.waiting.is_empty() || self.targets.values().any(|target| target.busy > 0)
     }
 
+    /// Returns what this host uses of the targets.
+    pub(super) fn uses(&self, now: Instant) -> Vec<TargetUse> {
+        let ttl = Duration::from_millis(self.spec.result_ttl_ms);
+        let uses = self.targets.iter();
+        let uses = uses.map(|(id, target)| target.own_use(id, ttl, now));
+        uses.filter(|one| one.bytes > 0 || one.busy_ms > 0)
+            .collect()
+    }
+
+    /// Takes what another host uses of the targets.
+    pub(super) fn set_uses(&mut self, teller: &str, uses: &[TargetUse], now: Instant) {
+        for (id, target) in &mut self.targets {
+            let told = uses.iter().find(|one| one.target == *id);
+            target.set_use(teller, told, now);
+        }
+    }
+
     pub(super) fn load(&self, now: Instant) -> PoolLoad {
         let mut waiting: BTreeMap<Rank, u32> = BTreeMap::new();
         for one in &self.waiting {
@@ -307,3 +391,6 @@
         call.pieces.push(waiting);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/coordinator/pool/tests.rs
@@ -0,0 +1,128 @@
+use linnet_directory::TargetState;
+
+use super::*;
+use crate::ask::Rank;
+use crate::piece::PieceInput;
+
+const SERVICE: &str = "stage";
+const RESULT_BYTES: u64 = 3_000_000;
+
+fn spec() -> StagePool {
+    StagePool {
+        slots: 1,
+        batch: 8,
+        call_ms: 150.0,
+        piece_ms: 16.0,
+        result_memory_bytes: 4 * RESULT_BYTES,
+        result_ttl_ms: 4_000,
+    }
+}
+
+/// A pool with one target in each of two halls.
+fn pool() -> PoolQueue {
+    let record = |hall: u16| TargetRecord {
+        id: format!("t-{hall}"),
+        service: SERVICE.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1_000 + hall)),
+        hall: format!("hall-{hall}"),
+        slots: 1,
+        state: TargetState::Ready,
+        sequence: 1,
+        silent: false,
+    };
+    let mut pool = PoolQueue::new(spec());
+    pool.set_targets(&PoolKey::whole(SERVICE), &[record(0), record(1)]);
+    pool
+}
+
+fn add_pieces(pool: &mut PoolQueue, count: usize, hall: Option<&str>, now: Instant) {
+    let work = Rc::new(StageWork {
+        request: "request".to_owned(),
+        stage: 0,
+        input: PieceInput::Key("key".to_owned()),
+    });
+    for place in 0..count {
+        pool.waiting.push(Waiting {
+            batch: BatchKey::default(),
+            place,
+            rank: Rank {
+                first: 0,
+                second: 0,
+            },
+            deadline: now + Duration::from_secs(8),
+            wanted: now + Duration::from_secs(1),
+            hall: hall.map(str::to_owned),
+            result_bytes: RESULT_BYTES,
+            work: work.clone(),
+            tries: 0,
+        });
+    }
+}
+
+fn due(pool: &mut PoolQueue, now: Instant) -> Vec<(String, usize)> {
+    let calls = pool.due_calls(&PoolKey::whole(SERVICE), now);
+    let calls = calls.into_iter();
+    calls.map(|call| (call.target, call.pieces.len())).collect()
+}
+
+fn told(target: &str, bytes: u64, busy_ms: u32) -> TargetUse {
+    TargetUse {
+        target: target.to_owned(),
+        bytes,
+        lasts_ms: 2_000,
+        busy_ms,
+    }
+}
+
+#[test]
+fn room_that_another_host_uses_is_not_given_away_until_it_expires() {
+    let (mut pool, now) = (pool(), Instant::now());
+    pool.set_uses("other", &[told("t-0", 4 * RESULT_BYTES, 0)], now);
+    add_pieces(&mut pool, 5, None, now);
+    assert_eq!(due(&mut pool, now), [("t-1".to_owned(), 3)]);
+    assert_eq!(pool.waiting.len(), 2);
+    let later = now + Duration::from_millis(2_100);
+    pool.forget_expired(later);
+    assert_eq!(due(&mut pool, later), [("t-0".to_owned(), 2)]);
+}
+
+#[test]
+fn a_target_in_a_call_of_another_host_is_not_called_meanwhile() {
+    let (mut pool, now) = (pool(), Instant::now());
+    pool.set_uses("other", &[told("t-0", 0, 200), told("t-1", 0, 200)], now);
+    add_pieces(&mut pool, 1, None, now);
+    assert!(due(&mut pool, now).is_empty());
+    assert_eq!(due(&mut pool, now + Duration::from_millis(210)).len(), 1);
+}
+
+#[test]
+fn what_a_host_told_before_is_replaced_and_its_released_results_are_taken_off() {
+    let (mut pool, now) = (pool(), Instant::now());
+    let used = |pool: &PoolQueue| pool.targets["t-0"].used_bytes();
+    pool.set_uses("other", &[told("t-0", 9_000_000, 0)], now);
+    pool.set_uses("other", &[told("t-0", 6_000_000, 0)], now);
+    assert_eq!(used(&pool), 6_000_000);
+    pool.targets
+        .get_mut("t-0")
+        .unwrap()
+        .take_off_told(RESULT_BYTES);
+    assert_eq!(used(&pool), 3_000_000);
+    pool.set_uses("other", &[], now);
+    assert_eq!(used(&pool), 0);
+}
+
+#[test]
+fn a_host_tells_its_own_calls_and_results_and_not_what_it_was_told() {
+    let (mut pool, now) = (pool(), Instant::now());
+    pool.set_uses("other", &[told("t-1", 2 * RESULT_BYTES, 0)], now);
+    assert!(pool.uses(now).is_empty());
+    add_pieces(&mut pool, 2, Some("hall-0"), now);
+    assert_eq!(due(&mut pool, now), [("t-0".to_owned(), 2)]);
+    let uses = pool.uses(now);
+    assert_eq!(uses.len(), 1);
+    assert_eq!(
+        (uses[0].target.as_str(), uses[0].bytes),
+        ("t-0", 2 * RESULT_BYTES)
+    );
+    assert_eq!((uses[0].busy_ms, uses[0].lasts_ms), (182, 4_000));
+}
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -12,10 +12,11 @@
 use linnet_telemetry::EventRecorder;
 
 use super::call;
-use super::pool::{DueCall, HeldResult, OTHERS, PoolQueue, StageTarget, Waiting};
+use super::pool::{DueCall, HeldResult, LOST, OTHERS, PoolQueue, StageTarget, Waiting};
 use crate::Dialect;
 use crate::ask::Rank;
-use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad};
+use crate::graph::maker_of;
+use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad, TargetUse};
 use crate::pool_key::PoolKey;
 use crate::upstream::UpstreamPool;
 
@@ -31,7 +32,7 @@
 const MAX_TRIES: u32 = 3;
 
 /// Names one batch of pieces at its coordinator.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct BatchKey(u64);
 
 /// Names pieces that are expected at a coordinator.
@@ -181,9 +182,13 @@
         }
     }
 
-    /// Releases results of a service.
-    pub(crate) fn free(self: &Rc<Self>, service: &str, handles: Vec<String>) {
-        let calls = self.state.borrow_mut().take_results(service, handles);
+    /// Releases results of a service, each of about `bytes`. Those that another host gathered are
+    /// released as well, since that host may be gone.
+    pub(crate) fn free(self: &Rc<Self>, service: &str, handles: Vec<String>, bytes: u64) {
+        let calls = self
+            .state
+            .borrow_mut()
+            .take_results(service, handles, bytes);
         for (address, handles) in calls {
             ntex::rt::spawn(call::free_results(self.clone(), address, handles));
         }
@@ -192,6 +197,24 @@
         }
     }
 
+    /// Returns what this host uses of the targets of every pool for which it gathers.
+    pub(crate) fn uses(&self) -> Vec<(PoolKey, Vec<TargetUse>)> {
+        let state = self.state.borrow();
+        let now = Instant::now();
+        let uses = state.pools.iter();
+        let uses = uses.map(|(key, pool)| (key.clone(), pool.uses(now)));
+        uses.filter(|(_, uses)| !uses.is_empty()).collect()
+    }
+
+    /// Takes what another host that gathers for a pool uses of its targets. Should that host be
+    /// lost, this one begins with what the targets are known to hold.
+    pub(crate) fn set_uses(&self, teller: &str, pool: &PoolKey, uses: &[TargetUse]) {
+        let mut state = self.state.borrow_mut();
+        if let Some(pool) = state.pool_mut(pool) {
+            pool.set_uses(teller, uses, Instant::now());
+        }
+    }
+
     fn pools_of(&self, service: &str) -> Vec<PoolKey> {
         let state = self.state.borrow();
         let keys = state.pools.keys().filter(|key| key.service == service);
@@ -234,7 +257,7 @@
         if finished.unclaimed.is_empty() {
             self.dispatch(&pool);
         } else {
-            self.free(&pool.service, finished.unclaimed);
+            self.free(&pool.service, finished.unclaimed, 0);
         }
         finished.rest
     }
@@ -316,28 +339,34 @@
         pool.due_calls(key, now)
     }
 
+    /// Takes results off their targets, and returns which targets are to be told.
     fn take_results(
         &mut self,
         service: &str,
         handles: Vec<String>,
-    ) -> Vec<(SocketAddr, Vec<String>)> {
+        bytes: u64,
+    ) -> BTreeMap<SocketAddr, Vec<String>> {
         let mut calls: BTreeMap<SocketAddr, Vec<String>> = BTreeMap::new();
-        let pools = self
-            .pools
-            .iter_mut()
-            .filter(|(key, _)| key.service == service);
+        let pools = self.pools.iter_mut();
+        let pools = pools.filter(|(key, _)| key.service == service);
         let mut targets: Vec<&mut StageTarget> = pools
             .flat_map(|(_, pool)| pool.targets.values_mut())
             .collect();
         for handle in handles {
-            let holder = targets
+            let known = targets
                 .iter_mut()
                 .find_map(|target| target.results.remove(&handle).map(|_| target.address));
-            if let Some(address) = holder {
+            let maker = known.or_else(|| {
+                let address = maker_of(&handle).parse().ok()?;
+                let target = targets.iter_mut().find(|one| one.address == address)?;
+                target.take_off_told(bytes);
+                Some(address)
+            });
+            if let Some(address) = maker {
                 calls.entry(address).or_default().push(handle);
             }
         }
-        calls.into_iter().collect()
+        calls
     }
 
     fn finish_call(&mut self, call: DueCall, end: CallEnd) -> Finished {
@@ -394,7 +423,7 @@
                 bytes: call.reserved,
                 until: now + ttl,
             };
-            target.results.insert(format!("lost {now:?}"), lost);
+            target.results.insert(format!("{LOST}{now:?}"), lost);
         }
         let mut again = Vec::new();
         let mut full = false;
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -11,7 +11,7 @@
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceInput, StageWork};
 use crate::pool_key::PoolKey;
 use crate::schedule::StageSchedule;
-use crate::stage_client::{Expectation, Home, PartWant};
+use crate::stage_client::{Expectation, GatheredBatch, Home, PartWant};
 use crate::target::TargetBook;
 use crate::wait_model::PathPlan;
 use crate::{Gateway, Refusal, RefusalReason};
@@ -26,14 +26,20 @@
     gateway: Rc<Gateway>,
     service: String,
     home: Home,
+    pool: PoolKey,
     handles: Vec<String>,
+    /// About how large one of them is, in bytes.
+    bytes: u64,
 }
 
 impl Drop for StageResults {
     fn drop(&mut self) {
         let handles = std::mem::take(&mut self.handles);
         if !handles.is_empty() {
-            self.gateway.stages.free(self.home, &self.service, handles);
+            let home = self.home;
+            self.gateway
+                .stages
+                .free(home, &self.pool, handles, self.bytes);
         }
     }
 }
@@ -182,7 +188,7 @@
 }
 
 /// Returns the address of the target that made a result.
-fn maker_of(handle: &str) -> &str {
+pub(crate) fn maker_of(handle: &str) -> &str {
     handle.split('/').next().unwrap_or_default()
 }
 
@@ -253,7 +259,11 @@
         },
         count: ask.piece_counts[number],
     };
-    let (results, home) = gateway.stages.run(batch).await;
+    let GatheredBatch {
+        results,
+        home,
+        pool,
+    } = gateway.stages.run(batch).await;
     let fault = results
         .iter()
         .find_map(|result| result.as_ref().err().copied());
@@ -262,7 +272,9 @@
         gateway: gateway.clone(),
         service: stage.service.clone(),
         home,
+        pool,
         handles: results.into_iter().flatten().collect(),
+        bytes: stage.result_bytes,
     };
     let outcome = match fault {
         None => Ok(made),
--- a/crates/gateway/src/piece.rs
+++ b/crates/gateway/src/piece.rs
@@ -94,6 +94,19 @@
     }
 }
 
+/// What the calls of one host, and their results, take at a target of a pool.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetUse {
+    /// The target.
+    pub target: String,
+    /// Bytes of results.
+    pub bytes: u64,
+    /// Time until the last of them expires, in milliseconds.
+    pub lasts_ms: u32,
+    /// Time until its call is expected to end, in milliseconds.
+    pub busy_ms: u32,
+}
+
 /// Pieces that an admitted request will bring when its earlier stages are done.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ExpectedPieces {
@@ -145,10 +158,11 @@
     },
     /// The pieces that were expected are there, or will not come.
     Arrived(u64),
-    /// These results of a service are not needed any more.
+    /// These results, each of about so many bytes, are not needed any more.
     Free {
         service: String,
         handles: Vec<String>,
+        bytes: u64,
     },
     /// Say where a prompt would be placed now; changes nothing.
     Plan { number: u64, ask: PlaceAsk },
@@ -175,6 +189,9 @@
         number: u64,
         engine: Option<(String, PlaceFacts)>,
     },
+    /// What this host uses of the targets of a pool; told to the hosts that would gather for the pool
+    /// if this one were lost.
+    Uses { pool: PoolKey, uses: Vec<TargetUse> },
     /// A sign of life, with the load of the pools that this host gathers for.
     Alive { loads: Vec<(PoolKey, PoolLoad)> },
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -26,6 +26,7 @@
 use crate::forward::forward;
 use crate::gateway::OpenRequest;
 use crate::piece::{PieceReply, PieceRequest};
+use crate::pool_key::PoolKey;
 use crate::stage_client::{ALIVE_PERIOD, SILENCE_LIMIT};
 use crate::{AnswerBody, Gateway, Refusal, RefusalReason};
 
@@ -161,7 +162,9 @@
 ) -> Result<(), WireError> {
     let (replies, queue) = mpsc::unbounded_channel();
     let open: Rc<RefCell<HashMap<u64, BatchKey>>> = Rc::default();
+    let peer = reader.peer().to_owned();
     let outcome = tokio::select! {
+        () = tell_uses(gateway, &peer, replies.clone()) => Ok(()),
         ended = take_pieces(gateway, reader, replies, open.clone()) => ended,
         ended = send_replies(gateway, queue, writer) => ended,
     };
@@ -270,7 +273,11 @@
                     gateway.coordinator.cancel(key);
                 }
             }
-            PieceRequest::Free { service, handles } => gateway.coordinator.free(&service, handles),
+            PieceRequest::Free {
+                service,
+                handles,
+                bytes,
+            } => gateway.coordinator.free(&service, handles, bytes),
             PieceRequest::Expect { number, expected } => {
                 let key = gateway.coordinator.expect(expected);
                 expectations.insert(number, key);
@@ -310,6 +317,31 @@
     Ok(())
 }
 
+/// Tells another host what this one uses of the targets of the pools that the other would gather
+/// for next.
+async fn tell_uses(gateway: &Gateway, peer: &str, replies: mpsc::UnboundedSender<PieceReply>) {
+    let mut told: Vec<PoolKey> = Vec::new();
+    loop {
+        sleep(ALIVE_PERIOD).await;
+        let mut uses = gateway.coordinator.uses();
+        uses.retain(|(pool, _)| {
+            gateway
+                .stages
+                .successors(pool)
+                .iter()
+                .any(|name| name == peer)
+        });
+        let now: Vec<PoolKey> = uses.iter().map(|(pool, _)| pool.clone()).collect();
+        // What was told before and is used no more is told once more, as nothing.
+        let ended = told.into_iter().filter(|pool| !now.contains(pool));
+        uses.extend(ended.map(|pool| (pool, Vec::new())));
+        told = now;
+        for (pool, uses) in uses {
+            let _ = replies.send(PieceReply::Uses { pool, uses });
+        }
+    }
+}
+
 async fn send_replies(
     gateway: &Gateway,
     mut queue: mpsc::UnboundedReceiver<PieceReply>,
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -55,8 +55,27 @@
 /// How long a part of a pool is passed over after none of a batch could be run there.
 const PART_AVOIDED: Duration = Duration::from_millis(1_500);
 
+/// How many hosts are told what the one that gathers for a pool uses.
+const SUCCESSORS: usize = 2;
+
 type Results = Vec<Result<String, PieceFault>>;
 
+/// A batch that has ended.
+pub(crate) struct GatheredBatch {
+    /// The outcome of each piece.
+    pub(crate) results: Results,
+    /// Where its results are released.
+    pub(crate) home: Home,
+    /// The pool, or the part of one, that ran it.
+    pub(crate) pool: PoolKey,
+}
+
+/// Ranks a host for a pool: the highest gathers for it.
+fn rank_of(pool: &PoolKey, label: &str, name: &str, hall: &str) -> (bool, u64) {
+    let same_hall = pool.hall() == Some(hall);
+    (same_hall, rendezvous::score(label, name))
+}
+
 /// What a request wants of the part of a pool for its pieces.
 pub(crate) struct PartWant<'a> {
     /// The pool's settings, where they are known.
@@ -114,6 +133,8 @@
     pools: PoolMap,
     /// Parts whose targets could not be reached, and until when they are passed over.
     avoided: HashMap<PoolKey, Instant>,
+    /// What [`StageClient::successors`] found for the entry hosts that are known now.
+    successors: HashMap<PoolKey, Rc<[String]>>,
 }
 
 impl ClientState {
@@ -158,13 +179,16 @@
     pub(crate) fn set_gateways(&self, gateways: Vec<GatewayRecord>) {
         let mut state = self.state.borrow_mut();
         let heard = |record: &GatewayRecord| gateways.iter().any(|one| one.name == record.name);
-        let former = std::mem::take(&mut state.gateways);
+        let former_all = std::mem::take(&mut state.gateways);
+        let former = former_all.iter().cloned();
         let reached: Vec<GatewayRecord> = former
-            .into_iter()
             .filter(|record| !heard(record) && state.is_up(record.peer))
             .collect();
-        state.gateways = gateways;
-        state.gateways.extend(reached);
+        let known: Vec<GatewayRecord> = gateways.into_iter().chain(reached).collect();
+        if known != former_all {
+            state.successors.clear();
+        }
+        state.gateways = known;
     }
 
     /// Takes the list of targets that take work.
@@ -215,8 +239,8 @@
         others.count() + 1
     }
 
-    /// Runs a batch; `Home` says where its results are released.
-    pub(crate) async fn run(&self, mut batch: PieceBatch) -> (Results, Home) {
+    /// Runs a batch.
+    pub(crate) async fn run(&self, mut batch: PieceBatch) -> GatheredBatch {
         let mut last = vec![Err(PieceFault::Lost); batch.count as usize];
         for handout in 1..=MAX_HANDOUTS {
             // The last try depends on nobody else.
@@ -237,11 +261,19 @@
                 continue;
             };
             if handout == MAX_HANDOUTS || !is_unreachable(&results) || !self.move_on(&mut batch) {
-                return (results, home);
+                return GatheredBatch {
+                    results,
+                    home,
+                    pool: batch.pool,
+                };
             }
             last = results;
         }
-        (last, Home::Here)
+        GatheredBatch {
+            results: last,
+            home: Home::Here,
+            pool: batch.pool,
+        }
     }
 
     /// Hands a batch of which no piece could be run to another part of its pool; false where there
@@ -259,29 +291,56 @@
         })
     }
 
-    /// Releases results where they were gathered.
-    pub(crate) fn free(&self, home: Home, service: &str, handles: Vec<String>) {
-        match home {
-            Home::Here => self.coordinator.free(service, handles),
+    /// Releases results where they were gathered; where that host was lost, at the one that gathers
+    /// for the pool now.
+    pub(crate) fn free(&self, home: Home, pool: &PoolKey, handles: Vec<String>, bytes: u64) {
+        let gathered_at = match home {
+            Home::Remote(address) if !self.state.borrow().is_up(address) => self.home_of(pool),
+            home => home,
+        };
+        match gathered_at {
+            Home::Here => self.coordinator.free(&pool.service, handles, bytes),
             Home::Remote(address) => {
-                let state = self.state.borrow();
-                if let Some(link) = state.links.get(&address) {
-                    let service = service.to_owned();
-                    let _ = link.outgoing.send(PieceRequest::Free { service, handles });
-                }
+                let request = PieceRequest::Free {
+                    service: pool.service.clone(),
+                    handles,
+                    bytes,
+                };
+                self.send_to(address, request, |_| {});
             }
         }
     }
 
+    /// Returns the hosts that would gather for a pool if this one were lost, the first ones.
+    pub(crate) fn successors(&self, pool: &PoolKey) -> Rc<[String]> {
+        let mut state = self.state.borrow_mut();
+        if let Some(known) = state.successors.get(pool) {
+            return known.clone();
+        }
+        let label = pool.label();
+        let others = state.gateways.iter();
+        let others = others.filter(|one| one.name != self.name && !one.stopping);
+        let mut ranked: Vec<((bool, u64), &str)> = others
+            .map(|one| {
+                (
+                    rank_of(pool, &label, &one.name, &one.hall),
+                    one.name.as_str(),
+                )
+            })
+            .collect();
+        ranked.sort_by(|a, b| b.cmp(a));
+        let first = ranked.into_iter().take(SUCCESSORS);
+        let found: Rc<[String]> = first.map(|(_, name)| name.to_owned()).collect();
+        state.successors.insert(pool.clone(), found.clone());
+        found
+    }
+
     // Every host ranks the others alike, so they meet at the same one while they hear the same. A
     // host that cannot be reached is passed over until it was reached again in the background. For
     // the part of a hall the hosts of that hall come first, since they reach its targets longest.
     fn home_of(&self, pool: &PoolKey) -> Home {
         let label = pool.label();
-        let rank = |name: &str, hall: &str| {
-            let same_hall = pool.hall() == Some(hall);
-            (same_hall, rendezvous::score(&label, name))
-        };
+        let rank = |name: &str, hall: &str| rank_of(pool, &label, name, hall);
         let own = rank(&self.name, &self.hall);
         let mut ranked: Vec<((bool, u64), SocketAddr)> = {
             let state = self.state.borrow();
