--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -35,8 +35,11 @@
     pub readiness: Option<SocketAddr>,
     /// For operators and heartbeats; control hosts only.
     pub operators: Option<SocketAddr>,
-    /// For other processes of the system.
+    /// For other processes of the system, as it is told to them.
     pub peers: Option<SocketAddr>,
+    /// Where this process takes them, where that is another address: behind a relay or a translation
+    /// of addresses.
+    pub peers_bind: Option<SocketAddr>,
     /// For the metrics page.
     pub metrics: Option<SocketAddr>,
 }
