--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -78,8 +78,6 @@
     pub(crate) next_subscriber: u64,
     /// Entry hosts that were lost without a word, and until when they are told on.
     pub(crate) lost_gateways: BTreeMap<String, (GatewayRecord, Instant)>,
-    /// Number of the last change of the gateways that are heard.
-    pub(crate) gateways_changed: u64,
 }
 
 /// How long an entry host that was lost without a word is told on. It may be cut off from the control
@@ -111,7 +109,6 @@
             self.lost_gateways
                 .insert(record.name.clone(), (record, until));
         }
-        self.gateways_changed += 1;
     }
 }
 
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -90,13 +90,8 @@
         };
         let wakes =
             subscriber.acknowledged != report.acknowledged || subscriber.gateway != report.gateway;
-        if subscriber.gateway != report.gateway {
-            subscriber.gateway = report.gateway;
-            state.gateways_changed += 1;
-        }
-        if let Some(subscriber) = state.subscribers.get_mut(&number) {
-            subscriber.acknowledged = report.acknowledged;
-        }
+        subscriber.gateway = report.gateway;
+        subscriber.acknowledged = report.acknowledged;
         drop(state);
         if wakes {
             node.wake();
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -2,6 +2,8 @@
 
 mod guard;
 mod link;
+mod parts;
+mod place;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -10,22 +12,19 @@
 use std::time::{Duration, Instant};
 
 use linnet_directory::{GatewayRecord, TargetRecord};
-use linnet_routing::StagePool;
 use linnet_wire::PeerIdentity;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout;
 
-use crate::ask::Rank;
 use crate::coordinator::Coordinator;
-use crate::engine::{Chosen, EnginePlacer, PlaceAsk, PlaceFacts};
+use crate::engine::{EnginePlacer, PlaceFacts};
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceRequest, PoolLoad};
 use crate::pool_key::{PoolKey, PoolMap};
 use crate::rendezvous;
-use crate::target::TargetBook;
 
 pub(crate) use guard::{Expectation, Placement};
+pub(crate) use parts::PartWant;
 
-use guard::{ExpectedAt, LocalBatch, PlacedAt, RemoteBatch};
+use guard::{ExpectedAt, LocalBatch, RemoteBatch};
 use link::run_link;
 
 /// Between two signs of life.
@@ -40,21 +39,9 @@
 /// Wait before a host that was lost is called again.
 const RECONNECT_WAIT: Duration = Duration::from_millis(400);
 
-/// How long the host that places prompts may take.
-const PLACE_TIMEOUT: Duration = Duration::from_millis(60);
-
-/// How long the load of a pool counts.
-const LOAD_KEPT: Duration = Duration::from_millis(600);
-
 /// How often a batch is handed out before it counts as lost.
 const MAX_HANDOUTS: u32 = 3;
 
-/// What a longer queue in a wanted hall is worth against a shorter one elsewhere, in milliseconds.
-const ELSEWHERE_MS: f64 = 150.0;
-
-/// How long a part of a pool is passed over after none of a batch could be run there.
-const PART_AVOIDED: Duration = Duration::from_millis(1_500);
-
 /// How many hosts are told what the one that gathers for a pool uses.
 const SUCCESSORS: usize = 2;
 
@@ -76,18 +63,6 @@
     (same_hall, rendezvous::score(label, name))
 }
 
-/// What a request wants of the part of a pool for its pieces.
-pub(crate) struct PartWant<'a> {
-    /// The pool's settings, where they are known.
-    pub(crate) spec: Option<&'a StagePool>,
-    /// The hall from which or to which large results would cross.
-    pub(crate) hall: Option<&'a str>,
-    /// Rank of the request.
-    pub(crate) rank: Rank,
-    /// How many pieces there are.
-    pub(crate) pieces: u32,
-}
-
 fn is_unreachable(results: &Results) -> bool {
     let unreachable = |result: &Result<String, PieceFault>| {
         matches!(result, Err(PieceFault::Failed | PieceFault::Lost))
@@ -196,42 +171,6 @@
         self.state.borrow_mut().pools = PoolMap::new(records);
     }
 
-    /// Chooses the part of a pool for pieces of one request: the shorter queue of two drawn at
-    /// random, so that hosts with the same news do not all choose the same; where a hall matters,
-    /// that hall unless its queue is much longer.
-    pub(crate) fn choose_part(&self, service: &str, want: &PartWant<'_>) -> PoolKey {
-        let parts = self.usable_parts(service);
-        let score = |key: &PoolKey| {
-            let load = self.load_of_part(key);
-            let wait = match (&load, want.spec) {
-                (Some(load), Some(spec)) => load.wait_ms(spec, want.rank, want.pieces),
-                _ => 0.0,
-            };
-            let elsewhere = want.hall.is_some_and(|hall| key.hall() != Some(hall));
-            wait + f64::from(u8::from(elsewhere)) * ELSEWHERE_MS + fastrand::f64()
-        };
-        let mut drawn: Vec<PoolKey> = parts;
-        if want.hall.is_none() {
-            fastrand::shuffle(&mut drawn);
-            drawn.truncate(2);
-        }
-        let scored = drawn.into_iter().map(|key| (score(&key), key));
-        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
-        best.map_or_else(|| PoolKey::whole(service), |(_, key)| key)
-    }
-
-    fn usable_parts(&self, service: &str) -> Vec<PoolKey> {
-        let state = self.state.borrow();
-        let now = Instant::now();
-        let all = state.pools.parts_of(service).iter().map(|(key, _)| key);
-        let is_usable = |key: &&PoolKey| state.avoided.get(*key).is_none_or(|until| *until <= now);
-        let usable: Vec<PoolKey> = all.clone().filter(is_usable).cloned().collect();
-        if usable.is_empty() {
-            return all.cloned().collect();
-        }
-        usable
-    }
-
     /// Returns how many entry hosts are known, this one among them.
     pub(crate) fn gateway_count(&self) -> usize {
         let state = self.state.borrow();
@@ -276,21 +215,6 @@
         }
     }
 
-    /// Hands a batch of which no piece could be run to another part of its pool; false where there
-    /// is none.
-    fn move_on(&self, batch: &mut PieceBatch) -> bool {
-        let until = Instant::now() + PART_AVOIDED;
-        let mut state = self.state.borrow_mut();
-        state.avoided.insert(batch.pool.clone(), until);
-        drop(state);
-        let others = self.usable_parts(&batch.pool.service);
-        let other = others.into_iter().find(|key| *key != batch.pool);
-        other.is_some_and(|other| {
-            batch.pool = other;
-            true
-        })
-    }
-
     /// Releases results where they were gathered; where that host was lost, at the one that gathers
     /// for the pool now.
     pub(crate) fn free(&self, home: Home, pool: &PoolKey, handles: Vec<String>, bytes: u64) {
@@ -460,99 +384,6 @@
         }
     }
 
-    /// Has a prompt placed by the host that places for its service. Where that host does not answer
-    /// at once this one places it by what it knows itself.
-    pub(crate) async fn place(
-        &self,
-        targets: &RefCell<TargetBook>,
-        ask: PlaceAsk,
-    ) -> Option<(Chosen, Placement)> {
-        if let Home::Remote(address) = self.home_of(&PoolKey::whole(&ask.service))
-            && let Some((engine, placement)) = self.place_at(address, ask.clone()).await
-            && let Some(chosen) = targets.borrow().find(&ask.service, &engine)
-        {
-            return Some((chosen, placement));
-        }
-        let book = targets.borrow();
-        let placed = self.engines.borrow_mut().place(&book, &ask, Instant::now());
-        let (key, chosen, facts) = placed?;
-        let placement = Placement {
-            client: self.clone(),
-            home: PlacedAt::Here(key),
-            facts: Some(facts),
-        };
-        Some((chosen, placement))
-    }
-
-    async fn place_at(&self, address: SocketAddr, ask: PlaceAsk) -> Option<(String, Placement)> {
-        let number = self.next_number();
-        let answer = self.ask_placer(address, number, PieceRequest::Place { number, ask });
-        // From here on the placement is ended whatever becomes of the answer.
-        let mut placement = Placement {
-            client: self.clone(),
-            home: PlacedAt::Remote(address, number),
-            facts: None,
-        };
-        let (engine, facts) = answer.await?;
-        placement.facts = Some(facts);
-        Some((engine, placement))
-    }
-
-    /// Has a prompt planned by the host that places for its service, without placing it: returns
-    /// the engine where it would go now.
-    pub(crate) async fn plan(
-        &self,
-        targets: &RefCell<TargetBook>,
-        ask: PlaceAsk,
-    ) -> Option<Chosen> {
-        if let Home::Remote(address) = self.home_of(&PoolKey::whole(&ask.service)) {
-            let number = self.next_number();
-            let service = ask.service.clone();
-            let request = PieceRequest::Plan {
-                number,
-                ask: ask.clone(),
-            };
-            if let Some((engine, _)) = self.ask_placer(address, number, request).await
-                && let Some(chosen) = targets.borrow().find(&service, &engine)
-            {
-                return Some(chosen);
-            }
-        }
-        let engines = self.engines.borrow();
-        let planned = engines.plan(&targets.borrow(), &ask, Instant::now());
-        planned.map(|(chosen, _)| chosen)
-    }
-
-    /// Sends a request to a placer and waits for its answer; it is sent before this returns.
-    fn ask_placer(
-        &self,
-        address: SocketAddr,
-        number: u64,
-        request: PieceRequest,
-    ) -> impl Future<Output = Option<(String, PlaceFacts)>> + use<> {
-        let (done, answer) = oneshot::channel();
-        self.send_to(address, request, |link| {
-            link.placing.insert(number, done);
-        });
-        let client = self.clone();
-        async move {
-            let answer = timeout(PLACE_TIMEOUT, answer).await;
-            let mut state = client.state.borrow_mut();
-            if let Some(link) = state.links.get_mut(&address) {
-                link.placing.remove(&number);
-            }
-            answer.ok()?.ok()?
-        }
-    }
-
-    fn take_placed(&self, address: SocketAddr, number: u64, engine: Option<(String, PlaceFacts)>) {
-        let mut state = self.state.borrow_mut();
-        let link = state.links.get_mut(&address);
-        if let Some(waiter) = link.and_then(|link| link.placing.remove(&number)) {
-            let _ = waiter.send(engine);
-        }
-    }
-
     fn send_to(&self, address: SocketAddr, request: PieceRequest, note: impl FnOnce(&mut Link)) {
         let mut state = self.state.borrow_mut();
         if let Some(link) = state.links.get_mut(&address) {
@@ -567,33 +398,6 @@
         self.state.borrow_mut().loads.extend(loads);
     }
 
-    /// Returns the load of a pool as it was told lately; nothing where none of its parts is known.
-    pub(crate) fn load_of(&self, service: &str) -> Option<PoolLoad> {
-        let parts = self.state.borrow().pools.parts_of(service).to_vec();
-        let mut sum = PoolLoad::default();
-        let mut known = false;
-        for (key, targets) in parts {
-            let load = self.load_of_part(&key);
-            known |= load.is_some();
-            // A part that nobody tells of has no work.
-            sum.add(&load.unwrap_or(PoolLoad {
-                waiting: Vec::new(),
-                targets,
-                free: targets,
-            }));
-        }
-        known.then_some(sum)
-    }
-
-    fn load_of_part(&self, pool: &PoolKey) -> Option<PoolLoad> {
-        if self.home_of(pool) == Home::Here {
-            return self.coordinator.load_of(pool);
-        }
-        let state = self.state.borrow();
-        let (load, told) = state.loads.get(pool)?;
-        (told.elapsed() < LOAD_KEPT).then(|| load.clone())
-    }
-
     fn take_done(&self, address: SocketAddr, number: u64, results: Results) {
         let mut state = self.state.borrow_mut();
         let waiter = state
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -124,7 +124,7 @@
             }
         }
     };
-    let listener = TcpListener::bind(settings.listen.peers_bind.unwrap_or(peers)).await?;
+    let listener = TcpListener::bind(settings.listen.peers_at(peers)).await?;
     ntex::rt::spawn(accept_peers(
         listener,
         identity.clone(),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -44,6 +44,13 @@
     pub metrics: Option<SocketAddr>,
 }
 
+impl ListenSettings {
+    /// Returns where this process takes peers that call it at `told`.
+    pub(crate) fn peers_at(&self, told: SocketAddr) -> SocketAddr {
+        self.peers_bind.unwrap_or(told)
+    }
+}
+
 /// The cluster of control hosts.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct ClusterSettings {
