--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -293,6 +293,7 @@
         tokio::time::sleep(HOUSE_PERIOD).await;
         gateway.pool.close_rested();
         gateway.coordinator.dispatch_all();
+        gateway.stages.probe_cut_halls();
         gateway.view.borrow_mut().forget_unnamed();
         gateway
             .metrics
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -1,5 +1,6 @@
 //! Hands batches of pieces to the entry host that gathers them for their service.
 
+mod cut_halls;
 mod guard;
 mod link;
 mod parts;
@@ -266,11 +267,13 @@
         let label = pool.label();
         let rank = |name: &str, hall: &str| rank_of(pool, &label, name, hall);
         let own = rank(&self.name, &self.hall);
+        let cut = self.cut_halls();
         let mut ranked: Vec<((bool, u64), SocketAddr)> = {
             let state = self.state.borrow();
             let others = state.gateways.iter();
             let others = others.filter(|one| one.name != self.name && !one.stopping);
             others
+                .filter(|one| !cut.contains(&one.hall))
                 .map(|one| (rank(&one.name, &one.hall), one.peer))
                 .filter(|(rank, _)| *rank > own)
                 .collect()
--- /dev/null
+++ b/crates/gateway/src/stage_client/cut_halls/tests.rs
@@ -0,0 +1,33 @@
+use std::time::Instant;
+
+use super::*;
+
+#[test]
+fn a_hall_is_out_of_reach_when_some_of_its_hosts_are_lost_and_none_is_up() {
+    let opening = Some(LinkState::Opening(Instant::now()));
+    let (up, lost, never) = (Some(LinkState::Up), Some(LinkState::Lost), None);
+    // Connections to the hosts of another hall, and whether it counts as out of reach.
+    let cases = [
+        (vec![never, never, never], false),
+        (vec![lost, never, never], false),
+        (vec![lost, lost, never], true),
+        (vec![lost, lost, opening], true),
+        (vec![lost, lost, up], false),
+        (vec![lost], true),
+        (vec![opening], false),
+    ];
+    for (links, cut) in cases {
+        let hosts = links.iter().map(|link| ("other", *link));
+        let found = cut_halls_of("own", hosts);
+        assert_eq!(found.contains("other"), cut, "{links:?}");
+    }
+}
+
+#[test]
+fn the_own_hall_is_never_out_of_reach() {
+    let hosts = [
+        ("own", Some(LinkState::Lost)),
+        ("own", Some(LinkState::Lost)),
+    ];
+    assert!(cut_halls_of("own", hosts.into_iter()).is_empty());
+}
--- a/crates/gateway/src/stage_client/parts.rs
+++ b/crates/gateway/src/stage_client/parts.rs
@@ -30,6 +30,12 @@
     pub(crate) pieces: u32,
 }
 
+/// Returns the first of some choices that leaves any.
+fn first_not_empty<const N: usize>(choices: [Vec<PoolKey>; N]) -> Vec<PoolKey> {
+    let found = choices.into_iter().find(|keys| !keys.is_empty());
+    found.unwrap_or_default()
+}
+
 impl StageClient {
     /// Chooses the part of a pool for pieces of one request: the shorter queue of two drawn at
     /// random, so that hosts with the same news do not all choose the same; where a hall matters,
@@ -61,10 +67,16 @@
         let all = state.pools.parts_of(service).iter().map(|(key, _)| key);
         let is_usable = |key: &&PoolKey| state.avoided.get(*key).is_none_or(|until| *until <= now);
         let usable: Vec<PoolKey> = all.clone().filter(is_usable).cloned().collect();
-        if usable.is_empty() {
-            return all.cloned().collect();
-        }
-        usable
+        let all: Vec<PoolKey> = all.cloned().collect();
+        drop(state);
+        // The targets of a hall whose entry hosts are out of reach cannot be reached either.
+        let cut = self.cut_halls();
+        let near = |key: &PoolKey| key.hall().is_none_or(|hall| !cut.contains(hall));
+        first_not_empty([
+            usable.iter().filter(|key| near(key)).cloned().collect(),
+            all.iter().filter(|key| near(key)).cloned().collect(),
+            all,
+        ])
     }
 
     /// Hands a batch of which no piece could be run to another part of its pool; false where there
