--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -4,9 +4,15 @@
 //! much memory the results take. Should two hosts gather for one service, as when a data hall is
 //! cut off, targets refuse the calls that are too many and the pieces wait on.
 
+mod batch;
 mod call;
+mod held;
 mod pool;
 mod queue;
+mod stage_target;
+mod state;
 
+pub(crate) use batch::BatchKey;
 pub(crate) use pool::{HALL_BYTES, LEAST_REFUSED_WAIT_MS};
-pub(crate) use queue::{BatchKey, Coordinator, ExpectKey};
+pub(crate) use queue::Coordinator;
+pub(crate) use state::ExpectKey;
--- /dev/null
+++ b/crates/gateway/src/coordinator/batch.rs
@@ -0,0 +1,127 @@
+//! Batches: the pieces of one stage of one request, and what became of each.
+//!
+//! A piece may be given to a second target while the first is late. Of its copies the first result
+//! counts, and a failure counts only where no other copy is left.
+
+use std::collections::HashMap;
+
+use crate::piece::PieceFault;
+
+/// Names one batch of pieces at its coordinator.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct BatchKey(u64);
+
+/// One piece of one batch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) struct PieceKey {
+    pub(crate) batch: BatchKey,
+    /// The piece of the batch, from 0.
+    pub(crate) place: usize,
+}
+
+/// The handle of a piece's result, or why there is none.
+pub(crate) type PieceOutcome = Result<String, PieceFault>;
+
+/// Takes the outcomes of all pieces of a batch.
+pub(crate) type BatchReply = Box<dyn FnOnce(Vec<PieceOutcome>)>;
+
+/// What is due after a copy of a piece has ended.
+pub(super) enum CopyEnd {
+    /// Nothing: other copies or other pieces are still missing.
+    Noted,
+    /// The result is not wanted, or no longer.
+    Unclaimed(String),
+    /// It was the last piece of its batch.
+    Complete(BatchReply, Vec<PieceOutcome>),
+}
+
+/// One piece of a batch.
+struct Piece {
+    outcome: Option<PieceOutcome>,
+    /// Copies that wait or are in a call.
+    copies: u32,
+}
+
+struct Batch {
+    reply: BatchReply,
+    pieces: Vec<Piece>,
+}
+
+/// The batches of one coordinator that are not complete.
+#[derive(Default)]
+pub(super) struct BatchBook {
+    open: HashMap<BatchKey, Batch>,
+    last: u64,
+}
+
+impl BatchBook {
+    /// Begins a batch whose pieces have one copy each.
+    pub(super) fn begin(&mut self, count: usize, reply: BatchReply) -> BatchKey {
+        self.last += 1;
+        let key = BatchKey(self.last);
+        let piece = || Piece {
+            outcome: None,
+            copies: 1,
+        };
+        let pieces = std::iter::repeat_with(piece).take(count).collect();
+        self.open.insert(key, Batch { reply, pieces });
+        key
+    }
+
+    /// Forgets a batch that is not wanted any more.
+    pub(super) fn cancel(&mut self, key: BatchKey) {
+        self.open.remove(&key);
+    }
+
+    /// Returns how many copies of a piece are out; nothing where it has its outcome or is not wanted.
+    pub(super) fn copies_of(&self, key: PieceKey) -> Option<u32> {
+        let piece = self.open.get(&key.batch)?.pieces.get(key.place)?;
+        piece.outcome.is_none().then_some(piece.copies)
+    }
+
+    /// Counts one more copy of a piece.
+    pub(super) fn add_copy(&mut self, key: PieceKey) {
+        if let Some(piece) = self.piece_mut(key) {
+            piece.copies += 1;
+        }
+    }
+
+    /// Takes the outcome of one copy.
+    pub(super) fn end_copy(&mut self, key: PieceKey, outcome: PieceOutcome) -> CopyEnd {
+        let Some(piece) = self.piece_mut(key) else {
+            return unclaimed(outcome);
+        };
+        piece.copies = piece.copies.saturating_sub(1);
+        if piece.outcome.is_some() {
+            return unclaimed(outcome);
+        }
+        if outcome.is_err() && piece.copies > 0 {
+            return CopyEnd::Noted;
+        }
+        piece.outcome = Some(outcome);
+        self.complete(key.batch)
+    }
+
+    fn piece_mut(&mut self, key: PieceKey) -> Option<&mut Piece> {
+        self.open.get_mut(&key.batch)?.pieces.get_mut(key.place)
+    }
+
+    fn complete(&mut self, key: BatchKey) -> CopyEnd {
+        let whole = |batch: &Batch| batch.pieces.iter().all(|piece| piece.outcome.is_some());
+        if !self.open.get(&key).is_some_and(whole) {
+            return CopyEnd::Noted;
+        }
+        let Some(batch) = self.open.remove(&key) else {
+            return CopyEnd::Noted;
+        };
+        let outcomes = batch.pieces.into_iter().filter_map(|piece| piece.outcome);
+        CopyEnd::Complete(batch.reply, outcomes.collect())
+    }
+}
+
+fn unclaimed(outcome: PieceOutcome) -> CopyEnd {
+    outcome.map_or(CopyEnd::Noted, CopyEnd::Unclaimed)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -1,6 +1,7 @@
 //! Calls to stage targets.
 
 use std::net::SocketAddr;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,16 +9,17 @@
 use http::{Request, header};
 use http_body_util::{BodyExt, Full};
 use linnet_telemetry::EventCode;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 
 use super::pool::DueCall;
-use super::queue::{CallEnd, Coordinator};
+use super::queue::Coordinator;
+use super::state::CallEnd;
 use crate::dialect::StageItem;
 use crate::pool_key::PoolKey;
 
-/// How much longer than expected a call may take, as a factor and a span.
-const SLACK_FACTOR: f64 = 2.0;
-const SLACK: Duration = Duration::from_millis(150);
+/// How much longer than expected a call is waited for in all, as a factor and a span.
+const BOUND_FACTOR: f64 = 5.0;
+const BOUND_SLACK: Duration = Duration::from_millis(150);
 
 /// How old what a target reports may be.
 const REPORT_LAG: Duration = Duration::from_millis(200);
@@ -27,19 +29,38 @@
 
 pub(super) async fn run_call(coordinator: Rc<Coordinator>, call: DueCall) {
     let started = Instant::now();
-    let bound = call.expected.mul_f64(SLACK_FACTOR) + SLACK;
-    let end = match timeout(bound, send_call(&coordinator, &call)).await {
-        Ok(end) => end,
-        Err(_) => CallEnd::Failed(format!("no answer within {} ms", bound.as_millis())),
+    let (end, late) = {
+        let mut sent = pin!(send_call(&coordinator, &call));
+        match timeout(call.patience, &mut sent).await {
+            Ok(end) => (end, false),
+            Err(_) => (wait_on(&coordinator, &call, sent, started).await, true),
+        }
     };
     note_end(&coordinator, &call, &end, started.elapsed());
     let pool = call.pool.clone();
-    if let Some(rest) = coordinator.finish_call(call, end) {
+    if let Some(rest) = coordinator.finish_call(call, end, late) {
         sleep(rest).await;
         coordinator.dispatch(&pool);
     }
 }
 
+/// Waits on for a call that is late, while its pieces go to other targets as well: a target that is
+/// slow works on it until its end, whoever waits for it.
+async fn wait_on(
+    coordinator: &Rc<Coordinator>,
+    call: &DueCall,
+    sent: Pin<&mut impl Future<Output = CallEnd>>,
+    started: Instant,
+) -> CallEnd {
+    let bound = call.expected.mul_f64(BOUND_FACTOR) + BOUND_SLACK;
+    let until = started + bound.max(call.patience);
+    coordinator.note_late(call, until);
+    match timeout_at(until.into(), sent).await {
+        Ok(end) => end,
+        Err(_) => CallEnd::Failed(format!("no answer within {} ms", bound.as_millis())),
+    }
+}
+
 fn note_end(coordinator: &Coordinator, call: &DueCall, end: &CallEnd, took: Duration) {
     let (code, outcome) = match end {
         CallEnd::Answered(results) => {
@@ -76,7 +97,7 @@
         .iter()
         .map(|waiting| StageItem {
             work: &waiting.work,
-            number: waiting.place as u32,
+            number: waiting.piece.place as u32,
             remaining_ms: left(waiting.deadline),
         })
         .collect();
--- a/crates/gateway/src/coordinator/pool.rs
+++ b/crates/gateway/src/coordinator/pool.rs
@@ -8,7 +8,8 @@
 use linnet_directory::TargetRecord;
 use linnet_routing::StagePool;
 
-use super::queue::BatchKey;
+use super::batch::PieceKey;
+use super::stage_target::StageTarget;
 use crate::ask::Rank;
 use crate::piece::{PieceBatch, PoolLoad, StageWork, TargetUse};
 use crate::pool_key::PoolKey;
@@ -23,31 +24,13 @@
 /// A wait shorter than this is no reason to refuse a request, in milliseconds.
 pub(crate) const LEAST_REFUSED_WAIT_MS: f64 = 80.0;
 
-/// How long bytes that results of others take are taken into account.
-const OTHERS_SPAN: Duration = Duration::from_millis(400);
-
-/// The place of the results of others among those of a target; no handle is like it.
-pub(super) const OTHERS: &str = "of others";
-
-/// Begins the places of what hosts told that they use.
-const TOLD: &str = "told by ";
-
-/// Begins the place of results whose handles were lost with the answer.
-pub(super) const LOST: &str = "lost ";
-
-fn is_handle(name: &str) -> bool {
-    name != OTHERS && !name.starts_with(TOLD)
-}
-
 /// Sizes of results are told about; this much room is kept beside them.
 const ROOM_MARGIN: f64 = 1.05;
 
 /// A piece that waits or is in a call.
 #[derive(Clone)]
 pub(crate) struct Waiting {
-    pub(crate) batch: BatchKey,
-    /// The piece of the batch, from 0.
-    pub(crate) place: usize,
+    pub(crate) piece: PieceKey,
     pub(super) rank: Rank,
     pub(crate) deadline: Instant,
     /// When the piece has to be done for its request to meet its objective.
@@ -58,125 +41,6 @@
     pub(super) tries: u32,
 }
 
-pub(super) struct HeldResult {
-    pub(super) bytes: u64,
-    pub(super) until: Instant,
-}
-
-/// A target of a stage pool.
-pub(super) struct StageTarget {
-    pub(super) address: SocketAddr,
-    pub(super) hall: String,
-    /// Calls of this host that are at work there.
-    pub(super) busy: u32,
-    /// Bytes that the results of those calls will take.
-    pub(super) reserved: u64,
-    pub(super) results: HashMap<String, HeldResult>,
-    pub(super) rest_until: Option<Instant>,
-    /// When its call is expected to end.
-    pub(super) busy_until: Instant,
-    /// When the call of another host that gathers for the pool is expected to end.
-    pub(super) taken_until: Option<Instant>,
-    /// Calls in a row that failed.
-    pub(super) failures: u32,
-    /// Calls in a row for which it was too busy.
-    pub(super) refusals: u32,
-    /// Whether it gets no more calls; it stays until those at work have ended.
-    pub(super) leaving: bool,
-}
-
-impl StageTarget {
-    fn new(record: &TargetRecord) -> Self {
-        Self {
-            address: record.address,
-            hall: record.hall.clone(),
-            busy: 0,
-            reserved: 0,
-            results: HashMap::new(),
-            rest_until: None,
-            busy_until: Instant::now(),
-            taken_until: None,
-            failures: 0,
-            refusals: 0,
-            leaving: false,
-        }
-    }
-
-    pub(super) fn used_bytes(&self) -> u64 {
-        let held: u64 = self.results.values().map(|result| result.bytes).sum();
-        held + self.reserved
-    }
-
-    /// Notes bytes that results of others take. They go at a time that is not known, so what is
-    /// noted lasts a short while only.
-    pub(super) fn set_others(&mut self, bytes: u64, now: Instant) {
-        let others = HeldResult {
-            bytes,
-            until: now + OTHERS_SPAN,
-        };
-        self.results.insert(OTHERS.to_owned(), others);
-    }
-
-    pub(super) fn is_free(&self, slots: u32, now: Instant) -> bool {
-        let resting = self.rest_until.is_some_and(|until| until > now);
-        let taken = self.taken_until.is_some_and(|until| until > now);
-        !self.leaving && !resting && !taken && self.busy < slots
-    }
-
-    /// Returns what this host uses here. What it was told of others is theirs to tell.
-    fn own_use(&self, id: &str, ttl: Duration, now: Instant) -> TargetUse {
-        let own = self.results.iter().filter(|(name, _)| is_handle(name));
-        let (mut bytes, mut until) = (self.reserved, now);
-        for (_, result) in own {
-            bytes += result.bytes;
-            until = until.max(result.until);
-        }
-        if self.reserved > 0 {
-            until = until.max(now + ttl);
-        }
-        let busy = if self.busy > 0 {
-            self.busy_until.saturating_duration_since(now)
-        } else {
-            Duration::ZERO
-        };
-        TargetUse {
-            target: id.to_owned(),
-            bytes,
-            lasts_ms: until.saturating_duration_since(now).as_millis() as u32,
-            busy_ms: busy.as_millis() as u32,
-        }
-    }
-
-    /// Takes what another host uses here, in place of what it told before.
-    fn set_use(&mut self, teller: &str, told: Option<&TargetUse>, now: Instant) {
-        let name = format!("{TOLD}{teller}");
-        self.results.remove(&name);
-        self.taken_until = None;
-        let Some(told) = told else {
-            return;
-        };
-        self.taken_until = Some(now + Duration::from_millis(u64::from(told.busy_ms)));
-        if told.bytes > 0 {
-            let held = HeldResult {
-                bytes: told.bytes,
-                until: now + Duration::from_millis(u64::from(told.lasts_ms)),
-            };
-            self.results.insert(name, held);
-        }
-    }
-
-    /// Takes bytes off what others told, since one of their results was released here.
-    pub(super) fn take_off_told(&mut self, bytes: u64) {
-        let told = self
-            .results
-            .iter_mut()
-            .find(|(name, _)| name.starts_with(TOLD));
-        if let Some((_, told)) = told {
-            told.bytes = told.bytes.saturating_sub(bytes);
-        }
-    }
-}
-
 pub(super) struct PoolQueue {
     pub(super) spec: StagePool,
     pub(super) targets: BTreeMap<String, StageTarget>,
@@ -189,11 +53,38 @@
     pub(crate) pool: PoolKey,
     pub(crate) target: String,
     pub(crate) address: SocketAddr,
+    pub(super) began: Instant,
+    /// How long it takes by the pool's settings.
     pub(crate) expected: Duration,
+    /// How long it may take before it counts as late.
+    pub(crate) patience: Duration,
     pub(crate) pieces: Vec<Waiting>,
+    /// Whether it only tries whether the target is sound, with a copy of a piece.
+    pub(crate) trial: bool,
     pub(super) reserved: u64,
 }
 
+impl DueCall {
+    fn new(pool: &PoolKey, id: &str, target: &StageTarget, now: Instant) -> Self {
+        Self {
+            pool: pool.clone(),
+            target: id.to_owned(),
+            address: target.address,
+            began: now,
+            expected: Duration::ZERO,
+            patience: Duration::ZERO,
+            pieces: Vec::new(),
+            trial: false,
+            reserved: 0,
+        }
+    }
+
+    fn push(&mut self, waiting: Waiting) {
+        self.reserved += waiting.result_bytes;
+        self.pieces.push(waiting);
+    }
+}
+
 impl PoolQueue {
     pub(super) fn new(spec: StagePool) -> Self {
         Self {
@@ -220,6 +111,17 @@
         }
     }
 
+    /// Lets pieces wait, each after those of its rank that came earlier.
+    pub(super) fn wait(&mut self, pieces: Vec<Waiting>) {
+        if pieces.is_empty() {
+            return;
+        }
+        self.waiting.extend(pieces);
+        // Stable: among equals the earlier batch is first.
+        self.waiting
+            .sort_by_key(|waiting| (waiting.rank, waiting.piece.batch));
+    }
+
     pub(super) fn has_work(&self) -> bool {
         !self.waiting.is_empty() || self.targets.values().any(|target| target.busy > 0)
     }
@@ -246,12 +148,9 @@
         for one in &self.waiting {
             *waiting.entry(one.rank).or_default() += 1;
         }
-        let soon = now + Duration::from_secs(2);
-        let targets = self.targets.values();
-        let usable = targets
-            .filter(|target| !target.leaving && target.rest_until.is_none_or(|until| until < soon));
+        let usable = self.usable();
         let (mut targets, mut free) = (0, 0);
-        for target in usable {
+        for (_, target) in usable {
             targets += 1;
             free += u32::from(target.is_free(self.spec.slots, now));
         }
@@ -275,17 +174,82 @@
         wait > LEAST_REFUSED_WAIT_MS && wait + own > batch.wanted_ms as f64
     }
 
-    // A target that was lost never says that its results are gone.
     pub(super) fn forget_expired(&mut self, now: Instant) {
         for target in self.targets.values_mut() {
-            target.results.retain(|_, result| result.until > now);
+            target.results.expire(now);
+        }
+    }
+
+    /// Says whether some target answers in time, so that suspect ones need not be relied on.
+    pub(super) fn has_sound_target(&self) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|target| !target.leaving && !target.suspect)
+    }
+
+    /// Returns the targets that pieces are given to: the sound ones, or all where none is.
+    fn usable(&self) -> impl Iterator<Item = (&String, &StageTarget)> {
+        let any_sound = self.has_sound_target();
+        let targets = self.targets.iter();
+        targets.filter(move |(_, target)| !(target.leaving || any_sound && target.suspect))
+    }
+
+    /// Returns every call that is due now: trials of suspect targets, then those of waiting pieces.
+    pub(super) fn due_calls(&mut self, pool: &PoolKey, now: Instant) -> Vec<DueCall> {
+        let slots = self.spec.slots;
+        let any_free = self.targets.values().any(|one| one.is_free(slots, now));
+        if self.waiting.is_empty() || !any_free {
+            return Vec::new();
+        }
+        let mut due = self.trial_calls(pool, now);
+        due.extend(self.piece_calls(pool, now));
+        for call in &mut due {
+            self.begin_call(call, now);
         }
+        due
+    }
+
+    /// Returns a call for each suspect target that has rested, with a copy of the piece that costs it
+    /// least; no request depends on it.
+    fn trial_calls(&self, pool: &PoolKey, now: Instant) -> Vec<DueCall> {
+        let lightest = self.waiting.iter().min_by_key(|one| one.result_bytes);
+        let Some(waiting) = lightest.filter(|_| self.has_sound_target()) else {
+            return Vec::new();
+        };
+        let suspects = self.targets.iter().filter(|(_, target)| {
+            target.suspect && target.is_free(self.spec.slots, now) && self.has_room(target, waiting)
+        });
+        let trial = |(id, target): (&String, &StageTarget)| {
+            let mut call = DueCall::new(pool, id, target, now);
+            call.trial = true;
+            call.push(waiting.clone());
+            call
+        };
+        suspects.map(trial).collect()
+    }
+
+    fn begin_call(&mut self, call: &mut DueCall, now: Instant) {
+        let time = self.spec.call_time_ms(call.pieces.len());
+        call.expected = Duration::from_secs_f64(time / 1_000.0);
+        if let Some(target) = self.targets.get_mut(&call.target) {
+            call.patience = target.patience(call.expected);
+            target.busy += 1;
+            target.busy_until = now + target.usual(call.expected);
+            if call.trial {
+                target.reserved += call.reserved;
+            }
+        }
+    }
+
+    fn has_room(&self, target: &StageTarget, waiting: &Waiting) -> bool {
+        let used = target.used_bytes();
+        let after = (used + waiting.result_bytes) as f64 * ROOM_MARGIN;
+        used == 0 || after <= self.spec.result_memory_bytes as f64
     }
 
     /// Gives waiting pieces, in their order, to free targets. One call is filled before another is
     /// begun, so that a target stays free for the next request; a piece whose results are large
     /// goes to its data hall where a target is free there.
-    pub(super) fn due_calls(&mut self, pool: &PoolKey, now: Instant) -> Vec<DueCall> {
+    fn piece_calls(&mut self, pool: &PoolKey, now: Instant) -> Vec<DueCall> {
         let slots = self.spec.slots;
         let mut open: BTreeMap<String, DueCall> = BTreeMap::new();
         let mut kept = Vec::new();
@@ -297,7 +261,7 @@
                 .and_then(|hall| kept_by_hall.get(hall));
             let ahead = ahead.copied().unwrap_or(0);
             match self.place(&waiting, &open, slots, ahead, now) {
-                Some(id) => self.add_to_call(pool, id, waiting, &mut open),
+                Some(id) => self.add_to_call(pool, id, waiting, &mut open, now),
                 None => {
                     if let Some(hall) = &waiting.hall {
                         *kept_by_hall.entry(hall.clone()).or_default() += 1;
@@ -307,14 +271,6 @@
             }
         }
         self.waiting = kept;
-        for (id, call) in &mut open {
-            let time = self.spec.call_time_ms(call.pieces.len());
-            call.expected = Duration::from_secs_f64(time / 1_000.0);
-            if let Some(target) = self.targets.get_mut(id) {
-                target.busy += 1;
-                target.busy_until = now + call.expected;
-            }
-        }
         open.into_values().collect()
     }
 
@@ -328,10 +284,9 @@
     ) -> Option<String> {
         let fits = |id: &str, target: &StageTarget| {
             let in_call = open.get(id).map_or(0, |call| call.pieces.len());
-            let used = target.used_bytes();
-            let after = (used + waiting.result_bytes) as f64 * ROOM_MARGIN;
-            let room = used == 0 || after <= self.spec.result_memory_bytes as f64;
-            in_call < self.spec.batch as usize && room && target.is_free(slots, now)
+            in_call < self.spec.batch as usize
+                && target.is_free(slots, now)
+                && self.has_room(target, waiting)
         };
         let elsewhere = |target: &StageTarget| {
             waiting
@@ -339,7 +294,7 @@
                 .as_ref()
                 .is_some_and(|hall| *hall != target.hall)
         };
-        let candidates = self.targets.iter().filter(|(id, target)| fits(id, target));
+        let candidates = self.usable().filter(|(id, target)| fits(id, target));
         let (id, target) = candidates.min_by_key(|(id, target)| {
             (
                 elsewhere(target),
@@ -359,10 +314,9 @@
         let own = Duration::from_secs_f64(self.spec.call_time_ms(1) / 1_000.0);
         let spare = waiting.wanted.saturating_duration_since(now + own);
         let patience = spare.mul_f64(HALL_PATIENCE_PART).min(HALL_PATIENCE);
-        let of_hall = self.targets.values().filter(|target| {
+        let of_hall = self.usable().filter(|(_, target)| {
             waiting.hall.as_ref() == Some(&target.hall)
-                && !target.leaving
-                && target.rest_until.is_none_or(|until| until <= now)
+                && !target.rests(now)
                 && target.busy_until <= now + patience
         });
         ahead < of_hall.count() * self.spec.batch as usize
@@ -374,21 +328,16 @@
         id: String,
         waiting: Waiting,
         open: &mut BTreeMap<String, DueCall>,
+        now: Instant,
     ) {
         let Some(target) = self.targets.get_mut(&id) else {
             return;
         };
         target.reserved += waiting.result_bytes;
-        let call = open.entry(id.clone()).or_insert_with(|| DueCall {
-            pool: pool.clone(),
-            target: id,
-            address: target.address,
-            expected: Duration::ZERO,
-            pieces: Vec::new(),
-            reserved: 0,
-        });
-        call.reserved += waiting.result_bytes;
-        call.pieces.push(waiting);
+        let call = open
+            .entry(id.clone())
+            .or_insert_with(|| DueCall::new(pool, &id, target, now));
+        call.push(waiting);
     }
 }
 
--- a/crates/gateway/src/coordinator/pool/tests.rs
+++ b/crates/gateway/src/coordinator/pool/tests.rs
@@ -1,5 +1,6 @@
 use linnet_directory::TargetState;
 
+use super::super::batch::BatchKey;
 use super::*;
 use crate::ask::Rank;
 use crate::piece::PieceInput;
@@ -43,8 +44,10 @@
     });
     for place in 0..count {
         pool.waiting.push(Waiting {
-            batch: BatchKey::default(),
-            place,
+            piece: PieceKey {
+                batch: BatchKey::default(),
+                place,
+            },
             rank: Rank {
                 first: 0,
                 second: 0,
@@ -105,6 +108,7 @@
     pool.targets
         .get_mut("t-0")
         .unwrap()
+        .results
         .take_off_told(RESULT_BYTES);
     assert_eq!(used(&pool), 3_000_000);
     pool.set_uses("other", &[], now);
--- /dev/null
+++ b/crates/gateway/src/coordinator/stage_target.rs
@@ -0,0 +1,199 @@
+//! One target of a stage pool: its calls, its memory, and whether it answers in time.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use linnet_directory::TargetRecord;
+
+use super::held::{HeldKey, HeldResults};
+use crate::piece::TargetUse;
+
+/// How long a target rests after a call that failed or was late.
+const FAILED_REST: Duration = Duration::from_millis(400);
+
+/// How long a target rests after it was too busy for a call; doubled with each in a row, since it may
+/// be that many hosts gather pieces at the same time.
+const BUSY_REST: Duration = Duration::from_millis(40);
+const MAX_BUSY_DOUBLINGS: u32 = 4;
+
+/// How long bytes that results of others take are taken into account.
+const OTHERS_SPAN: Duration = Duration::from_millis(400);
+
+/// How much longer than usual a call may take before its pieces are also given to other targets, as
+/// a factor and a span. Calls of sound targets end within 1.2 times.
+const LATE_FACTOR: f64 = 1.3;
+const LATE_SLACK: Duration = Duration::from_millis(40);
+
+/// Weight of a new observation of a target's pace, and the bounds of what one says.
+const PACE_GAIN: f64 = 0.2;
+const LEAST_PACE: f64 = 0.7;
+const MOST_PACE: f64 = 1.6;
+
+/// How a call ended, as its target's state takes it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CallVerdict {
+    /// It was answered within the time that the call was given.
+    InTime,
+    /// It was answered later than that.
+    Late,
+    /// The target did not run it and is busy.
+    Busy,
+    /// Another start of a target is at the address.
+    OtherTarget,
+    /// There is no usable answer.
+    Failed,
+}
+
+/// A target of a stage pool.
+pub(super) struct StageTarget {
+    pub(super) address: SocketAddr,
+    pub(super) hall: String,
+    /// Calls of this host that are at work there.
+    pub(super) busy: u32,
+    /// Bytes that the results of those calls will take.
+    pub(super) reserved: u64,
+    pub(super) results: HeldResults,
+    rest_until: Option<Instant>,
+    /// When its call is expected to end.
+    pub(super) busy_until: Instant,
+    /// When the call of another host that gathers for the pool is expected to end.
+    taken_until: Option<Instant>,
+    /// Calls in a row for which it was too busy.
+    refusals: u32,
+    /// Whether its last call failed or was late. Until one is answered in time it gets only copies of
+    /// pieces that other targets run as well.
+    pub(super) suspect: bool,
+    /// How long its calls take against what the pool's settings say.
+    pace: f64,
+    /// Whether it gets no more calls; it stays until those at work have ended.
+    pub(super) leaving: bool,
+}
+
+impl StageTarget {
+    pub(super) fn new(record: &TargetRecord) -> Self {
+        Self {
+            address: record.address,
+            hall: record.hall.clone(),
+            busy: 0,
+            reserved: 0,
+            results: HeldResults::default(),
+            rest_until: None,
+            busy_until: Instant::now(),
+            taken_until: None,
+            refusals: 0,
+            suspect: false,
+            pace: 1.0,
+            leaving: false,
+        }
+    }
+
+    pub(super) fn used_bytes(&self) -> u64 {
+        self.results.bytes() + self.reserved
+    }
+
+    /// Notes bytes that results of others take. They go at a time that is not known, so what is
+    /// noted lasts a short while only.
+    pub(super) fn set_others(&mut self, bytes: u64, now: Instant) {
+        self.results
+            .insert(HeldKey::Others, bytes, now + OTHERS_SPAN);
+    }
+
+    pub(super) fn rests(&self, now: Instant) -> bool {
+        self.rest_until.is_some_and(|until| until > now)
+    }
+
+    pub(super) fn is_free(&self, slots: u32, now: Instant) -> bool {
+        let taken = self.taken_until.is_some_and(|until| until > now);
+        !self.leaving && !self.rests(now) && !taken && self.busy < slots
+    }
+
+    /// Returns how long a call that should take `expected` usually takes here.
+    pub(super) fn usual(&self, expected: Duration) -> Duration {
+        expected.mul_f64(self.pace)
+    }
+
+    /// Returns how long such a call may take before it counts as late.
+    pub(super) fn patience(&self, expected: Duration) -> Duration {
+        self.usual(expected).mul_f64(LATE_FACTOR) + LATE_SLACK
+    }
+
+    /// Notes that a call is late; it is waited for until `until`.
+    pub(super) fn note_late(&mut self, until: Instant) {
+        self.suspect = true;
+        self.busy_until = until;
+    }
+
+    /// Takes the end of a call for which `reserved` bytes were kept; says how long the target rests.
+    pub(super) fn end_call(
+        &mut self,
+        verdict: CallVerdict,
+        reserved: u64,
+        now: Instant,
+    ) -> Option<Duration> {
+        self.busy = self.busy.saturating_sub(1);
+        self.reserved = self.reserved.saturating_sub(reserved);
+        let rest = match verdict {
+            CallVerdict::InTime | CallVerdict::OtherTarget => None,
+            CallVerdict::Late | CallVerdict::Failed => Some(FAILED_REST),
+            CallVerdict::Busy => Some(BUSY_REST * 2_u32.pow(self.refusals.min(MAX_BUSY_DOUBLINGS))),
+        };
+        match verdict {
+            CallVerdict::InTime => self.suspect = false,
+            CallVerdict::Late | CallVerdict::Failed => self.suspect = true,
+            CallVerdict::OtherTarget => self.leaving = true,
+            CallVerdict::Busy => {}
+        }
+        self.refusals = match verdict {
+            CallVerdict::Busy => self.refusals + 1,
+            _ => 0,
+        };
+        if let Some(rest) = rest {
+            self.rest_until = Some(now + rest);
+        }
+        rest
+    }
+
+    /// Learns from the time that an answered call took.
+    pub(super) fn learn_pace(&mut self, expected: Duration, took: Duration) {
+        if expected.is_zero() {
+            return;
+        }
+        let seen = (took.as_secs_f64() / expected.as_secs_f64()).clamp(LEAST_PACE, MOST_PACE);
+        self.pace += (seen - self.pace) * PACE_GAIN;
+    }
+
+    /// Returns what this host uses here. What it was told of others is theirs to tell.
+    pub(super) fn own_use(&self, id: &str, ttl: Duration, now: Instant) -> TargetUse {
+        let (held, last) = self.results.own();
+        let mut until = last.unwrap_or(now).max(now);
+        if self.reserved > 0 {
+            until = until.max(now + ttl);
+        }
+        let busy = if self.busy > 0 {
+            self.busy_until.saturating_duration_since(now)
+        } else {
+            Duration::ZERO
+        };
+        TargetUse {
+            target: id.to_owned(),
+            bytes: held + self.reserved,
+            lasts_ms: until.saturating_duration_since(now).as_millis() as u32,
+            busy_ms: busy.as_millis() as u32,
+        }
+    }
+
+    /// Takes what another host uses here, in place of what it told before.
+    pub(super) fn set_use(&mut self, teller: &str, told: Option<&TargetUse>, now: Instant) {
+        let key = HeldKey::Told(teller.to_owned());
+        self.results.remove(&key);
+        self.taken_until = None;
+        let Some(told) = told else {
+            return;
+        };
+        self.taken_until = Some(now + Duration::from_millis(u64::from(told.busy_ms)));
+        if told.bytes > 0 {
+            let until = now + Duration::from_millis(u64::from(told.lasts_ms));
+            self.results.insert(key, told.bytes, until);
+        }
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -157,6 +157,7 @@
     /// when it is answered that there is no answer.
     pub fn begin_stop(&self, give_up: Instant) {
         self.stopping.set(true);
+        self.stages.begin_stop();
         self.give_up_at.send_replace(Some(give_up));
         self.gateway_record.send_modify(|record| {
             if let Some(record) = record {
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -64,6 +64,26 @@
     (same_hall, rendezvous::score(label, name))
 }
 
+/// Returns the hosts that should gather for a pool rather than the host `name`, the best first. For
+/// the part of a hall the hosts of that hall come first, since they reach its targets longest. A host
+/// that is stopping gathers for itself only where there is no other: the others have left it, and
+/// two that gather for one pool are in each other's way.
+fn hosts_before<'a>(
+    pool: &PoolKey,
+    name: &str,
+    hall: &str,
+    stopping: bool,
+    hosts: impl Iterator<Item = &'a GatewayRecord>,
+) -> Vec<SocketAddr> {
+    let label = pool.label();
+    let own = rank_of(pool, &label, name, hall);
+    let others = hosts.filter(|one| one.name != name && !one.stopping);
+    let ranked = others.map(|one| (rank_of(pool, &label, &one.name, &one.hall), one.peer));
+    let mut before: Vec<_> = ranked.filter(|(rank, _)| stopping || *rank > own).collect();
+    before.sort_by(|a, b| b.cmp(a));
+    before.into_iter().map(|(_, address)| address).collect()
+}
+
 fn is_unreachable(results: &Results) -> bool {
     let unreachable = |result: &Result<String, PieceFault>| {
         matches!(result, Err(PieceFault::Failed | PieceFault::Lost))
@@ -103,6 +123,8 @@
     gateways: Vec<GatewayRecord>,
     links: HashMap<SocketAddr, Link>,
     next_batch: u64,
+    /// Whether this host is about to end.
+    stopping: bool,
     /// What the coordinators told of their pools, and when.
     loads: HashMap<PoolKey, (PoolLoad, Instant)>,
     /// How large pools are split.
@@ -172,6 +194,11 @@
         self.state.borrow_mut().pools = PoolMap::new(records);
     }
 
+    /// Leaves gathering and placing to other hosts from now on, since this one is about to end.
+    pub(crate) fn begin_stop(&self) {
+        self.state.borrow_mut().stopping = true;
+    }
+
     /// Returns how many entry hosts are known, this one among them.
     pub(crate) fn gateway_count(&self) -> usize {
         let state = self.state.borrow();
@@ -261,28 +288,18 @@
     }
 
     // Every host ranks the others alike, so they meet at the same one while they hear the same. A
-    // host that cannot be reached is passed over until it was reached again in the background. For
-    // the part of a hall the hosts of that hall come first, since they reach its targets longest.
+    // host that cannot be reached is passed over until it was reached again in the background.
     fn home_of(&self, pool: &PoolKey) -> Home {
-        let label = pool.label();
-        let rank = |name: &str, hall: &str| rank_of(pool, &label, name, hall);
-        let own = rank(&self.name, &self.hall);
         let cut = self.cut_halls();
-        let mut ranked: Vec<((bool, u64), SocketAddr)> = {
+        let candidates = {
             let state = self.state.borrow();
             let others = state.gateways.iter();
-            let others = others.filter(|one| one.name != self.name && !one.stopping);
-            others
-                .filter(|one| !cut.contains(&one.hall))
-                .map(|one| (rank(&one.name, &one.hall), one.peer))
-                .filter(|(rank, _)| *rank > own)
-                .collect()
+            let near = others.filter(|one| !cut.contains(&one.hall));
+            hosts_before(pool, &self.name, &self.hall, state.stopping, near)
         };
-        ranked.sort_by(|a, b| b.cmp(a));
-        let reached = ranked
-            .into_iter()
-            .find(|(_, address)| self.is_reachable(*address));
-        reached.map_or(Home::Here, |(_, address)| Home::Remote(address))
+        let mut candidates = candidates.into_iter();
+        let reached = candidates.find(|address| self.is_reachable(*address));
+        reached.map_or(Home::Here, Home::Remote)
     }
 
     fn is_reachable(&self, address: SocketAddr) -> bool {
@@ -412,3 +429,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
