--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -15,6 +15,7 @@
 use super::queue::Coordinator;
 use super::state::CallEnd;
 use crate::dialect::StageItem;
+use crate::load::ReportedLoad;
 use crate::pool_key::PoolKey;
 
 /// How much longer than expected a call is waited for in all, as a factor and a span.
@@ -54,6 +55,15 @@
 ) -> CallEnd {
     let bound = call.expected.mul_f64(BOUND_FACTOR) + BOUND_SLACK;
     let until = started + bound.max(call.patience);
+    let detail = format!(
+        "service={} pieces={} patience_ms={} expected_ms={}",
+        call.pool.service,
+        call.pieces.len(),
+        call.patience.as_millis(),
+        call.expected.as_millis()
+    );
+    let recorder = &coordinator.recorder;
+    recorder.record(EventCode::StageCallLate, &call.target, detail);
     coordinator.note_late(call, until);
     match timeout_at(until.into(), sent).await {
         Ok(end) => end,
@@ -63,9 +73,15 @@
 
 fn note_end(coordinator: &Coordinator, call: &DueCall, end: &CallEnd, took: Duration) {
     let (code, outcome) = match end {
-        CallEnd::Answered(results) => {
+        CallEnd::Answered(results, load) => {
             let made = results.iter().filter(|result| result.is_ok()).count();
-            (EventCode::StageCallFinished, format!("made={made}"))
+            let load = load.map_or("-".to_owned(), |load| {
+                format!("{}+{}", load.running, load.waiting)
+            });
+            (
+                EventCode::StageCallFinished,
+                format!("made={made} load={load} trial={}", call.trial),
+            )
         }
         CallEnd::Busy => (EventCode::StageCallFailed, "cause=busy".to_owned()),
         CallEnd::OtherTarget => (EventCode::StageCallFailed, "cause=other target".to_owned()),
@@ -137,7 +153,10 @@
         return CallEnd::Failed(format!("status {}", head.status.as_u16()));
     }
     match (targets.decode_stage_run)(&body) {
-        Some(results) if results.len() == call.pieces.len() => CallEnd::Answered(results),
+        Some(results) if results.len() == call.pieces.len() => {
+            let load = ReportedLoad::read(&head.headers, &names.load);
+            CallEnd::Answered(results, load)
+        }
         Some(results) => CallEnd::Failed(format!("{} results", results.len())),
         None => CallEnd::Failed("no answer in the dialect".to_owned()),
     }
--- a/crates/gateway/src/coordinator/pool.rs
+++ b/crates/gateway/src/coordinator/pool.rs
@@ -230,8 +230,10 @@
     fn begin_call(&mut self, call: &mut DueCall, now: Instant) {
         let time = self.spec.call_time_ms(call.pieces.len());
         call.expected = Duration::from_secs_f64(time / 1_000.0);
+        let longest = self.spec.call_time_ms(self.spec.batch as usize);
+        let longest = Duration::from_secs_f64(longest / 1_000.0);
         if let Some(target) = self.targets.get_mut(&call.target) {
-            call.patience = target.patience(call.expected);
+            call.patience = target.patience(call.expected, longest, now);
             target.busy += 1;
             target.busy_until = now + target.usual(call.expected);
             if call.trial {
--- a/crates/gateway/src/coordinator/stage_target.rs
+++ b/crates/gateway/src/coordinator/stage_target.rs
@@ -6,6 +6,7 @@
 use linnet_directory::TargetRecord;
 
 use super::held::{HeldKey, HeldResults};
+use crate::load::ReportedLoad;
 use crate::piece::TargetUse;
 
 /// How long a target rests after a call that failed or was late.
@@ -24,6 +25,9 @@
 const LATE_FACTOR: f64 = 1.3;
 const LATE_SLACK: Duration = Duration::from_millis(40);
 
+/// How long a load that a target told counts.
+const LOAD_KEPT: Duration = Duration::from_millis(1_500);
+
 /// Weight of a new observation of a target's pace, and the bounds of what one says.
 const PACE_GAIN: f64 = 0.2;
 const LEAST_PACE: f64 = 0.7;
@@ -63,6 +67,8 @@
     /// Whether its last call failed or was late. Until one is answered in time it gets only copies of
     /// pieces that other targets run as well.
     pub(super) suspect: bool,
+    /// Calls of other hosts that it had when it answered last, and when that was.
+    others: Option<(u32, Instant)>,
     /// How long its calls take against what the pool's settings say.
     pace: f64,
     /// Whether it gets no more calls; it stays until those at work have ended.
@@ -82,6 +88,7 @@
             taken_until: None,
             refusals: 0,
             suspect: false,
+            others: None,
             pace: 1.0,
             leaving: false,
         }
@@ -112,9 +119,22 @@
         expected.mul_f64(self.pace)
     }
 
-    /// Returns how long such a call may take before it counts as late.
-    pub(super) fn patience(&self, expected: Duration) -> Duration {
-        self.usual(expected).mul_f64(LATE_FACTOR) + LATE_SLACK
+    /// Returns how long such a call may take before it counts as late. Where another host calls the
+    /// target as well, its calls go first; each takes up to `longest`.
+    pub(super) fn patience(&self, expected: Duration, longest: Duration, now: Instant) -> Duration {
+        let waits = self.usual(longest) * self.calls_of_others(now);
+        (self.usual(expected) + waits).mul_f64(LATE_FACTOR) + LATE_SLACK
+    }
+
+    fn calls_of_others(&self, now: Instant) -> u32 {
+        let lately = self.others.filter(|(_, at)| *at + LOAD_KEPT > now);
+        lately.map_or(0, |(calls, _)| calls)
+    }
+
+    /// Takes the load that the target told with the answer to a call which has ended.
+    pub(super) fn note_load(&mut self, load: Option<ReportedLoad>, now: Instant) {
+        let calls = load.map(|load| load.running + load.waiting);
+        self.others = calls.map(|calls| (calls.saturating_sub(self.busy), now));
     }
 
     /// Notes that a call is late; it is waited for until `until`.
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -14,6 +14,7 @@
 use super::stage_target::{CallVerdict, StageTarget};
 use crate::ask::Rank;
 use crate::graph::maker_of;
+use crate::load::ReportedLoad;
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad};
 use crate::pool_key::PoolKey;
 
@@ -26,8 +27,8 @@
 
 /// How a call ended as a whole.
 pub(crate) enum CallEnd {
-    /// An outcome for each piece.
-    Answered(Vec<PieceOutcome>),
+    /// An outcome for each piece, and the load that the target told with it.
+    Answered(Vec<PieceOutcome>, Option<ReportedLoad>),
     /// The target did not run it and is busy.
     Busy,
     /// Another start of a target is at the address.
@@ -39,8 +40,8 @@
 impl CallEnd {
     fn verdict(&self, late: bool) -> CallVerdict {
         match self {
-            Self::Answered(_) if late => CallVerdict::Late,
-            Self::Answered(_) => CallVerdict::InTime,
+            Self::Answered(..) if late => CallVerdict::Late,
+            Self::Answered(..) => CallVerdict::InTime,
             Self::Busy => CallVerdict::Busy,
             Self::OtherTarget => CallVerdict::OtherTarget,
             Self::Failed(_) => CallVerdict::Failed,
@@ -49,7 +50,7 @@
 
     fn says_no_room(&self) -> bool {
         match self {
-            Self::Answered(outcomes) => outcomes.contains(&Err(PieceFault::NoRoom)),
+            Self::Answered(outcomes, _) => outcomes.contains(&Err(PieceFault::NoRoom)),
             _ => false,
         }
     }
@@ -57,7 +58,7 @@
     /// Returns an outcome for each of so many pieces.
     fn outcomes(self, pieces: usize) -> Vec<PieceOutcome> {
         match self {
-            Self::Answered(outcomes) => outcomes,
+            Self::Answered(outcomes, _) => outcomes,
             Self::Busy | Self::OtherTarget => vec![Err(PieceFault::NotTaken); pieces],
             Self::Failed(_) => vec![Err(PieceFault::Failed); pieces],
         }
@@ -105,7 +106,7 @@
     until: Instant,
 ) {
     match end {
-        CallEnd::Answered(outcomes) => {
+        CallEnd::Answered(outcomes, _) => {
             for (waiting, outcome) in call.pieces.iter().zip(outcomes) {
                 if let Ok(handle) = outcome {
                     let key = HeldKey::Result(handle.clone());
@@ -254,8 +255,9 @@
             finished.rest = target.end_call(end.verdict(late), call.reserved, now);
             let until = now + Duration::from_millis(pool.spec.result_ttl_ms);
             self.last_lost += 1;
-            if matches!(end, CallEnd::Answered(_)) {
+            if let CallEnd::Answered(_, load) = &end {
                 target.learn_pace(call.expected, now.saturating_duration_since(call.began));
+                target.note_load(*load, now);
             }
             note_results(target, &call, &end, HeldKey::Lost(self.last_lost), until);
             if full {
--- a/crates/gateway/src/coordinator/state/tests.rs
+++ b/crates/gateway/src/coordinator/state/tests.rs
@@ -79,7 +79,7 @@
         let trial = if call.trial { "trial-" } else { "" };
         Ok(format!("{}/{trial}{piece}", call.address))
     });
-    let made = CallEnd::Answered(made.collect());
+    let made = CallEnd::Answered(made.collect(), None);
     finish(state, call, made, late)
 }
 
@@ -210,13 +210,35 @@
     for _ in 0..20 {
         target.learn_pace(usual, usual.mul_f64(1.4));
     }
-    assert!(target.patience(usual) > patience);
-    assert!(target.patience(usual) > usual.mul_f64(1.4 * 1.25));
+    let patience_of = |target: &StageTarget| target.patience(usual, usual, now);
+    assert!(patience_of(target) > patience);
+    assert!(patience_of(target) > usual.mul_f64(1.4 * 1.25));
     for _ in 0..20 {
         target.learn_pace(usual, usual * 8);
     }
-    assert!(
-        target.patience(usual) < usual * 3,
-        "a slow spell is not usual"
-    );
+    assert!(patience_of(target) < usual * 3, "a slow spell is not usual");
+}
+
+#[test]
+fn a_call_that_waits_behind_those_of_another_host_is_not_late_so_soon() {
+    let (mut state, now) = (state(1), Instant::now());
+    submit(&mut state, 1, now);
+    let first = only_call(&mut state, now);
+    let alone = first.patience;
+    let made = vec![Ok("127.0.0.1:1000/a".to_owned())];
+    let load = Some(ReportedLoad {
+        running: 1,
+        waiting: 0,
+    });
+    finish(&mut state, first, CallEnd::Answered(made, load), false);
+    submit(&mut state, 1, now);
+    let shared = only_call(&mut state, now);
+    let full_call = Duration::from_millis(150 + 8 * 16);
+    assert!(shared.patience > alone + full_call.mul_f64(0.9));
+    let later = now + Duration::from_secs(5);
+    state.finish_call(shared, CallEnd::Busy, false);
+    let pool = &state.pools[&key()];
+    let usual = Duration::from_millis(166);
+    let patience = pool.targets["t-0"].patience(usual, full_call, later);
+    assert!(patience < alone.mul_f64(1.1), "what was told long ago");
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod gateway;
 mod graph;
 mod hall_bytes;
+mod load;
 mod metrics;
 mod outcome;
 mod piece;
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -104,4 +104,5 @@
     ClusterJoined = 631, Info, "A control host asked to become a member of the cluster.";
     StageCallFinished = 701, Info, "A call with pieces of stages was answered by a target.";
     StageCallFailed = 702, Warn, "A call with pieces of stages failed; its pieces go to another target.";
+    StageCallLate = 703, Warn, "A call is late; its pieces go to other targets as well, and the first results count.";
 }
