--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -138,6 +138,9 @@
         Ok(answered) => answered,
         Err(SendError::NotSent(cause)) => {
             gateway.note_unreachable(attempt.service, &chosen.id, &cause);
+            if let Some(placement) = &attempt.placement {
+                placement.note_unreachable(attempt.service, &chosen.id);
+            }
             return AttemptEnd::NotRun {
                 cause,
                 arrived: false,
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -12,6 +12,9 @@
 use crate::stage_client::Placement;
 use crate::target::Target;
 
+/// Targets that the host which places prompts is asked to pass over, at most.
+const MAX_AVOIDED: usize = 32;
+
 /// Picks the service of a request by the weights of its route.
 pub(crate) fn pick_service(route: &Route) -> &str {
     let total: u32 = route.split.iter().map(|part| part.weight).sum();
@@ -70,7 +73,11 @@
         .iter()
         .max_by_key(|stage| stage.result_bytes);
     let heavy = largest.filter(|stage| stage.result_bytes >= HALL_BYTES);
-    let places = results.map(|results| results.places(ask, &gateway.targets.borrow()));
+    let book = gateway.targets.borrow();
+    let places = results.map(|results| results.places(ask, &book));
+    // The host that places may not know yet what this one cannot reach.
+    let ejected = book.ejected(service, Instant::now());
+    let avoid = tried.iter().chain(ejected.map(|target| &target.id));
     Some(PlaceAsk {
         service: service.to_owned(),
         part: prompt.shared_part.clone(),
@@ -78,6 +85,6 @@
         shared_tokens: prompt.shared_tokens,
         heavy_stage: heavy.map(|stage| stage.service.clone()),
         results: places.unwrap_or_default(),
-        avoid: tried.to_vec(),
+        avoid: avoid.take(MAX_AVOIDED).cloned().collect(),
     })
 }
--- a/crates/gateway/src/piece.rs
+++ b/crates/gateway/src/piece.rs
@@ -172,6 +172,8 @@
     Read(u64),
     /// A request that was placed has ended.
     End(u64),
+    /// This host could not reach an engine where a prompt was placed.
+    Unreachable { service: String, engine: String },
     /// A sign of life.
     Alive,
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -311,6 +311,10 @@
                     gateway.engines.borrow_mut().end(key);
                 }
             }
+            PieceRequest::Unreachable { service, engine } => {
+                let mut targets = gateway.targets.borrow_mut();
+                targets.take_unreachable(&service, &engine, Instant::now());
+            }
             PieceRequest::Alive => {}
         }
     }
--- a/crates/gateway/src/stage_client/guard.rs
+++ b/crates/gateway/src/stage_client/guard.rs
@@ -53,6 +53,17 @@
         self.facts
     }
 
+    /// Tells the host that placed it that the engine cannot be reached.
+    pub(crate) fn note_unreachable(&self, service: &str, engine: &str) {
+        if let PlacedAt::Remote(address, _) = self.home {
+            let word = PieceRequest::Unreachable {
+                service: service.to_owned(),
+                engine: engine.to_owned(),
+            };
+            self.client.send_to(address, word, |_| {});
+        }
+    }
+
     /// Notes that the engine has read the prompt.
     pub(crate) fn note_read(&self) {
         match self.home {
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -147,6 +147,22 @@
         }
     }
 
+    /// Takes the word of another host that it could not reach a target. The target is passed over for a
+    /// short while, in which this host does not find that out for itself.
+    pub(crate) fn take_unreachable(&mut self, service: &str, id: &str, now: Instant) {
+        if let Some(target) = self.find_mut(service, id)
+            && !target.is_ejected(now)
+        {
+            target.ejected_until = Some(now + EJECT_FIRST);
+        }
+    }
+
+    /// Returns the targets of a service that are left alone now.
+    pub(crate) fn ejected(&self, service: &str, now: Instant) -> impl Iterator<Item = &Target> {
+        let targets = self.of_service(service);
+        targets.filter(move |target| target.is_ejected(now))
+    }
+
     /// Notes a failure; says whether the target is left alone from now on.
     pub(crate) fn note_failure(&mut self, service: &str, id: &str, now: Instant) -> bool {
         let all = self.of_service(service).count();
--- a/crates/gateway/src/target/tests.rs
+++ b/crates/gateway/src/target/tests.rs
@@ -111,3 +111,24 @@
     assert!(book.find(SERVICE, "t-1").is_none());
     assert_eq!(book.hall_at(SERVICE, "127.0.0.1:1001"), None);
 }
+
+#[test]
+fn a_target_that_another_host_could_not_reach_is_passed_over_for_a_short_while() {
+    let (mut book, now) = (book(3), Instant::now());
+    let ejected = |book: &TargetBook, now| -> Vec<String> {
+        let ejected = book.ejected(SERVICE, now);
+        ejected.map(|target| target.id.clone()).collect()
+    };
+    for _ in 0..20 {
+        book.take_unreachable(SERVICE, "t-1", now);
+    }
+    assert_eq!(ejected(&book, now), ["t-1"]);
+    assert_eq!(book.usable(SERVICE, now).len(), 2);
+    let later = now + EJECT_FIRST;
+    assert!(
+        ejected(&book, later).is_empty(),
+        "however often it was told"
+    );
+    book.note_unreachable(SERVICE, "t-2", later);
+    assert_eq!(ejected(&book, later), ["t-2"]);
+}
