--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -30,6 +31,10 @@
 /// How long a control host that no other one names is followed on.
 const UNNAMED_ROUNDS: u32 = 50;
 
+/// Control hosts that are asked to push a newer configuration at once. The others do so only where
+/// this process stays behind.
+const DOCUMENT_SOURCES: usize = 2;
+
 /// What a follower needs.
 pub struct FollowConfig {
     /// Name, keys and clock towards peers.
@@ -56,15 +61,35 @@
     config: FollowConfig,
     /// The members that each connected control host named.
     named: RefCell<BTreeMap<SocketAddr, Vec<SocketAddr>>>,
+    /// Control hosts that are connected, in the order in which they are asked for configurations.
+    connected: RefCell<BTreeSet<(u64, SocketAddr)>>,
     /// Control hosts that are followed, with the rounds for which nobody named them.
     followed: RefCell<BTreeMap<SocketAddr, u32>>,
 }
 
+impl Following {
+    /// Returns a control host with its place in the order in which this process asks them; others ask
+    /// in another order, so that the work is spread.
+    fn ordered(&self, control: SocketAddr) -> (u64, SocketAddr) {
+        let mut hasher = DefaultHasher::new();
+        (self.config.me, control).hash(&mut hasher);
+        (hasher.finish(), control)
+    }
+
+    /// Says whether a control host is among those that should push configurations at once.
+    fn wants_documents_of(&self, control: SocketAddr) -> bool {
+        let connected = self.connected.borrow();
+        let mut asked = connected.iter().take(DOCUMENT_SOURCES);
+        self.config.control || asked.any(|(_, address)| *address == control)
+    }
+}
+
 /// Follows every control host that the seeds or the followed ones name, until the process ends.
 pub async fn follow_directory(config: FollowConfig) {
     let following = Rc::new(Following {
         config,
         named: RefCell::default(),
+        connected: RefCell::default(),
         followed: RefCell::default(),
     });
     loop {
@@ -113,7 +138,10 @@
             wait = FIRST_RETRY_WAIT;
             let detail = format!("have_version={}", (config.document_version)());
             record(config, EventCode::ControlFollowed, address, detail);
+            let place = following.ordered(address);
+            following.connected.borrow_mut().insert(place);
             let ended = exchange(&following, address, reader, writer).await;
+            following.connected.borrow_mut().remove(&place);
             following.named.borrow_mut().remove(&address);
             (config.on_lost)(address);
             record(config, EventCode::ControlLost, address, describe(&ended));
@@ -161,7 +189,7 @@
     let (taken, acknowledged) = watch::channel(0);
     tokio::select! {
         ended = take_updates(following, address, reader, taken) => ended,
-        ended = send_reports(&following.config, writer, acknowledged) => ended,
+        ended = send_reports(following, address, writer, acknowledged) => ended,
     }
 }
 
@@ -185,13 +213,17 @@
 }
 
 async fn send_reports(
-    config: &FollowConfig,
+    following: &Following,
+    address: SocketAddr,
     mut writer: PeerWriter,
     mut acknowledged: watch::Receiver<u64>,
 ) -> Result<(), WireError> {
+    let config = &following.config;
     let mut gateway = config.gateway.clone();
     loop {
         let report = SubscriberReport {
+            document_version: (config.document_version)(),
+            wants_documents: following.wants_documents_of(address),
             gateway: gateway.borrow_and_update().clone(),
             acknowledged: *acknowledged.borrow_and_update(),
         };
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -7,8 +7,10 @@
 
 mod call;
 mod document;
+mod document_push;
 mod follow;
 mod form;
+mod gateway_push;
 mod machine;
 mod message;
 mod node;
--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -68,6 +68,10 @@
     pub gateway: Option<GatewayRecord>,
     /// The number of the last update that it took.
     pub acknowledged: u64,
+    /// The version of the configuration that it has; 0 for none.
+    pub document_version: u64,
+    /// Whether this control host should push it a newer configuration at once.
+    pub wants_documents: bool,
 }
 
 /// What a control host pushes to a subscriber. An empty one is a sign of life.
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -69,6 +69,10 @@
     pub(crate) control: bool,
     pub(crate) acknowledged: u64,
     pub(crate) gateway: Option<GatewayRecord>,
+    /// The version of the configuration that it told last.
+    pub(crate) document_version: u64,
+    /// Whether it asked this host to push a newer one at once.
+    pub(crate) wants_documents: bool,
 }
 
 #[derive(Default)]
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -6,9 +6,11 @@
 use linnet_wire::{PeerReader, PeerWriter, WireError};
 use tokio::time::timeout;
 
+use crate::document_push::DocumentPush;
+use crate::gateway_push::{GatewayDue, GatewayPush};
 use crate::message::{DirectoryCall, DirectoryReply};
 use crate::node::SubscriberState;
-use crate::{DirectoryNode, DirectoryUpdate, GatewayRecord, SubscriberHello, SubscriberReport};
+use crate::{DirectoryNode, DirectoryUpdate, Document, SubscriberHello, SubscriberReport};
 
 /// Between two signs of life to a subscriber.
 pub(crate) const UPDATE_PERIOD: Duration = Duration::from_millis(400);
@@ -24,10 +26,13 @@
 
 /// What was pushed to one subscriber so far.
 struct Pushed {
+    subscriber: u64,
     control: bool,
-    version: u64,
+    document: DocumentPush,
     number: u64,
-    gateways: Option<Vec<GatewayRecord>>,
+    gateways: GatewayPush,
+    /// When the next list of entry hosts is due, where one is held back.
+    next_list: Option<Duration>,
     controls: Vec<std::net::SocketAddr>,
 }
 
@@ -45,9 +50,9 @@
         return Ok(());
     };
     let hello = hello?;
-    let number = add_subscriber(node, hello.control);
+    let number = add_subscriber(node, &hello);
     let taking = take_reports(node, number, reader);
-    let pushing = push_updates(node, &hello, &mut writer);
+    let pushing = push_updates(node, number, &hello, &mut writer);
     // Either half ending means that the subscriber is lost.
     let outcome = tokio::select! {
         outcome = taking => outcome,
@@ -57,14 +62,16 @@
     outcome
 }
 
-fn add_subscriber(node: &DirectoryNode, control: bool) -> u64 {
+fn add_subscriber(node: &DirectoryNode, hello: &SubscriberHello) -> u64 {
     let mut state = node.lock();
     state.next_subscriber += 1;
     let number = state.next_subscriber;
     let subscriber = SubscriberState {
-        control,
+        control: hello.control,
         acknowledged: 0,
         gateway: None,
+        document_version: hello.document_version,
+        wants_documents: false,
     };
     state.subscribers.insert(number, subscriber);
     number
@@ -92,6 +99,8 @@
             subscriber.acknowledged != report.acknowledged || subscriber.gateway != report.gateway;
         subscriber.gateway = report.gateway;
         subscriber.acknowledged = report.acknowledged;
+        subscriber.document_version = report.document_version;
+        subscriber.wants_documents = report.wants_documents;
         drop(state);
         if wakes {
             node.wake();
@@ -102,15 +111,18 @@
 
 async fn push_updates(
     node: &DirectoryNode,
+    subscriber: u64,
     hello: &SubscriberHello,
     writer: &mut PeerWriter,
 ) -> Result<(), WireError> {
     let mut changes = node.changes();
     let mut pushed = Pushed {
+        subscriber,
         control: hello.control,
-        version: hello.document_version,
+        document: DocumentPush::new(hello.document_version),
         number: 0,
-        gateways: None,
+        gateways: GatewayPush::default(),
+        next_list: None,
         controls: Vec::new(),
     };
     let mut last_sent: Option<Instant> = None;
@@ -125,7 +137,8 @@
                 Err(_) => return Ok(()),
             }
         }
-        let _ = timeout(UPDATE_PERIOD, changes.changed()).await;
+        let patience = pushed.next_list.unwrap_or(UPDATE_PERIOD).min(UPDATE_PERIOD);
+        let _ = timeout(patience, changes.changed()).await;
     }
 }
 
@@ -138,13 +151,10 @@
 }
 
 fn next_update(node: &DirectoryNode, pushed: &mut Pushed) -> DirectoryUpdate {
-    let mut update = DirectoryUpdate::default();
-    if let Some(held) = node.held_document()
-        && held.version > pushed.version
-    {
-        pushed.version = held.version;
-        update.document = Some((*held).clone());
-    }
+    let mut update = DirectoryUpdate {
+        document: due_document(node, pushed),
+        ..DirectoryUpdate::default()
+    };
     let controls = node.controls();
     if controls != pushed.controls {
         pushed.controls.clone_from(&controls);
@@ -157,9 +167,11 @@
         pushed.number = update.number;
     }
     let gateways = state.gateways(Instant::now());
-    if pushed.gateways.as_ref() != Some(&gateways) {
-        pushed.gateways = Some(gateways.clone());
-        update.gateways = Some(gateways);
+    pushed.next_list = None;
+    match pushed.gateways.due(gateways, Instant::now()) {
+        GatewayDue::Never => {}
+        GatewayDue::Now(list) => update.gateways = Some(list),
+        GatewayDue::After(span) => pushed.next_list = Some(span),
     }
     if pushed.control {
         update.heard = state.registry.heard_lately(Instant::now());
@@ -167,6 +179,18 @@
     update
 }
 
+fn due_document(node: &DirectoryNode, pushed: &mut Pushed) -> Option<Document> {
+    let held = node.held_document()?;
+    let (reported, asked) = {
+        let state = node.lock();
+        let subscriber = state.subscribers.get(&pushed.subscriber)?;
+        (subscriber.document_version, subscriber.wants_documents)
+    };
+    let push = &mut pushed.document;
+    let due = push.is_due(held.version, reported, asked, Instant::now());
+    due.then(|| (*held).clone())
+}
+
 /// Answers one call.
 ///
 /// # Errors
