Calls of a stage pool are sent by hosts near their targets once they are many

One host gathers for a pool; each piece of the last stage names all results that it takes, so its calls are 1.2 MB a second, as much as a link of 10 Mbit/s carries.

The host that gathers still fills the calls, but above 250 KB/s (policy.shared_bytes_per_s) it hands each one, in a form that names the inputs of a request once, to a host in the target's hall, which sends it and returns the answer; releases of results take the same way. A sender that is lost says nothing of the target. Also: the costs of engines are worked out once for each placement (they were twice for each comparison, with a map of halls built anew), only the load of the batch's pool goes with its results, and uses are worked out only for the hosts that would gather next.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -9,10 +9,12 @@
 mod held;
 mod pool;
 mod queue;
+mod sending;
 mod stage_target;
 mod state;
 
 pub(crate) use batch::BatchKey;
 pub(crate) use pool::{HALL_BYTES, LEAST_REFUSED_WAIT_MS};
 pub(crate) use queue::Coordinator;
+pub(crate) use sending::{SendingShare, SharedCall};
 pub(crate) use state::ExpectKey;
--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -13,10 +13,9 @@
 
 use super::pool::DueCall;
 use super::queue::Coordinator;
-use super::state::CallEnd;
-use crate::dialect::StageItem;
-use crate::load::ReportedLoad;
+use crate::piece::StageWork;
 use crate::pool_key::PoolKey;
+use crate::stage_call::{CallEnd, CallPart, StageCall};
 
 /// How much longer than expected a call is waited for in all, as a factor and a span.
 const BOUND_FACTOR: f64 = 5.0;
@@ -30,14 +29,17 @@
 
 pub(super) async fn run_call(coordinator: Rc<Coordinator>, call: DueCall) {
     let started = Instant::now();
+    let stage_call = stage_call(&call, started);
+    let shared = coordinator.share(&stage_call, &call.hall);
+    let sender = shared.as_ref().map(|shared| shared.sender);
     let (end, late) = {
-        let mut sent = pin!(send_call(&coordinator, &call));
+        let mut sent = pin!(coordinator.carry(&stage_call, shared));
         match timeout(call.patience, &mut sent).await {
             Ok(end) => (end, false),
             Err(_) => (wait_on(&coordinator, &call, sent, started).await, true),
         }
     };
-    note_end(&coordinator, &call, &end, started.elapsed());
+    note_end(&coordinator, &call, &end, sender, started.elapsed());
     let pool = call.pool.clone();
     if let Some(rest) = coordinator.finish_call(call, end, late) {
         sleep(rest).await;
@@ -53,8 +55,8 @@
     sent: Pin<&mut impl Future<Output = CallEnd>>,
     started: Instant,
 ) -> CallEnd {
-    let bound = call.expected.mul_f64(BOUND_FACTOR) + BOUND_SLACK;
-    let until = started + bound.max(call.patience);
+    let bound = bound_of(call);
+    let until = started + bound;
     let detail = format!(
         "service={} pieces={} patience_ms={} expected_ms={}",
         call.pool.service,
@@ -71,7 +73,13 @@
     }
 }
 
-fn note_end(coordinator: &Coordinator, call: &DueCall, end: &CallEnd, took: Duration) {
+fn note_end(
+    coordinator: &Coordinator,
+    call: &DueCall,
+    end: &CallEnd,
+    sender: Option<SocketAddr>,
+    took: Duration,
+) {
     let (code, outcome) = match end {
         CallEnd::Answered(results, load) => {
             let made = results.iter().filter(|result| result.is_ok()).count();
@@ -86,6 +94,7 @@
         CallEnd::Busy => (EventCode::StageCallFailed, "cause=busy".to_owned()),
         CallEnd::OtherTarget => (EventCode::StageCallFailed, "cause=other target".to_owned()),
         CallEnd::Failed(cause) => (EventCode::StageCallFailed, format!("cause={cause}")),
+        CallEnd::SenderLost => (EventCode::StageCallFailed, "cause=sender lost".to_owned()),
     };
     let requests: Vec<&str> = call
         .pieces
@@ -93,99 +102,48 @@
         .map(|waiting| waiting.work.request.as_str())
         .collect();
     let detail = format!(
-        "service={} pieces={} took_ms={} expected_ms={} {outcome} requests={}",
+        "service={} pieces={} took_ms={} expected_ms={} sender={} {outcome} requests={}",
         call.pool.service,
         call.pieces.len(),
         took.as_millis(),
         call.expected.as_millis(),
+        sender.map_or("-".to_owned(), |sender| sender.to_string()),
         requests.join(",")
     );
     coordinator.recorder.record(code, &call.target, detail);
 }
 
-async fn send_call(coordinator: &Coordinator, call: &DueCall) -> CallEnd {
-    let targets = &coordinator.dialect.targets;
-    let names = &coordinator.dialect.headers;
-    let now = Instant::now();
-    let left = |deadline: Instant| deadline.saturating_duration_since(now).as_millis() as u64;
-    let items: Vec<StageItem<'_>> = call
-        .pieces
-        .iter()
-        .map(|waiting| StageItem {
-            work: &waiting.work,
-            number: waiting.piece.place as u32,
-            remaining_ms: left(waiting.deadline),
-        })
-        .collect();
-    let longest = items
-        .iter()
-        .map(|item| item.remaining_ms)
-        .max()
-        .unwrap_or(0);
-    let body = (targets.encode_stage_run)(&items);
-    let request = Request::post(targets.stage_run_path)
-        .header(header::HOST, call.address.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .header(&names.deadline_ms, longest)
-        .header(&names.expect_target, &call.target)
-        .body(Full::new(Bytes::from(body)));
-    let request = match request {
-        Ok(request) => request,
-        Err(error) => return CallEnd::Failed(error.to_string()),
-    };
-    let (answer, lease) = match coordinator.pool.send(call.address, request).await {
-        Ok(answered) => answered,
-        Err(error) => return CallEnd::Failed(error.to_string()),
-    };
-    let (head, body) = answer.into_parts();
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return CallEnd::Failed(error.to_string()),
-    };
-    lease.finish(&head.headers);
-    if head.status == targets.other_target {
-        return CallEnd::OtherTarget;
-    }
-    if head.headers.contains_key(&names.not_run) {
-        return CallEnd::Busy;
-    }
-    if !head.status.is_success() {
-        return CallEnd::Failed(format!("status {}", head.status.as_u16()));
-    }
-    match (targets.decode_stage_run)(&body) {
-        Some(results) if results.len() == call.pieces.len() => {
-            let load = ReportedLoad::read(&head.headers, &names.load);
-            CallEnd::Answered(results, load)
+/// Puts a call in the form in which it travels; pieces of one batch that follow each other share a
+/// part.
+fn stage_call(call: &DueCall, now: Instant) -> StageCall {
+    let mut parts: Vec<CallPart> = Vec::new();
+    let mut last: Option<&Rc<StageWork>> = None;
+    for waiting in &call.pieces {
+        let number = waiting.piece.place as u32;
+        match (&last, parts.last_mut()) {
+            (Some(work), Some(part)) if Rc::ptr_eq(work, &waiting.work) => {
+                part.numbers.push(number);
+            }
+            _ => parts.push(CallPart {
+                work: (*waiting.work).clone(),
+                numbers: vec![number],
+                remaining_ms: waiting.deadline.saturating_duration_since(now).as_millis() as u64,
+            }),
         }
-        Some(results) => CallEnd::Failed(format!("{} results", results.len())),
-        None => CallEnd::Failed("no answer in the dialect".to_owned()),
+        last = Some(&waiting.work);
+    }
+    StageCall {
+        target: call.target.clone(),
+        address: call.address,
+        parts,
+        bound_ms: bound_of(call).as_millis() as u64,
     }
 }
 
-/// Tells a target that results are not needed any more. A lost word costs only the time until the
-/// results expire by themselves.
-pub(super) async fn free_results(
-    coordinator: Rc<Coordinator>,
-    address: SocketAddr,
-    handles: Vec<String>,
-) {
-    let targets = &coordinator.dialect.targets;
-    let body = (targets.encode_stage_free)(&handles);
-    let request = Request::post(targets.stage_free_path)
-        .header(header::HOST, address.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(Bytes::from(body)));
-    let Ok(request) = request else {
-        return;
-    };
-    let work = async {
-        let (answer, lease) = coordinator.pool.send(address, request).await.ok()?;
-        let (head, body) = answer.into_parts();
-        body.collect().await.ok()?;
-        lease.finish(&head.headers);
-        Some(())
-    };
-    let _ = timeout(FREE_TIMEOUT, work).await;
+/// Returns how long the answer to a call is waited for in all.
+fn bound_of(call: &DueCall) -> Duration {
+    let bound = call.expected.mul_f64(BOUND_FACTOR) + BOUND_SLACK;
+    bound.max(call.patience)
 }
 
 /// Asks a target how much memory it has free for results, when its report has caught up with the call
--- a/crates/gateway/src/coordinator/pool.rs
+++ b/crates/gateway/src/coordinator/pool.rs
@@ -53,6 +53,8 @@
     pub(crate) pool: PoolKey,
     pub(crate) target: String,
     pub(crate) address: SocketAddr,
+    /// The target's data hall.
+    pub(crate) hall: String,
     pub(super) began: Instant,
     /// How long it takes by the pool's settings.
     pub(crate) expected: Duration,
@@ -70,6 +72,7 @@
             pool: pool.clone(),
             target: id.to_owned(),
             address: target.address,
+            hall: target.hall.clone(),
             began: now,
             expected: Duration::ZERO,
             patience: Duration::ZERO,
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -1,6 +1,6 @@
 //! Batches of pieces from all entry hosts, and the calls that bring them to targets.
 
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -8,15 +8,17 @@
 
 use linnet_directory::TargetRecord;
 use linnet_routing::RouteTable;
-use linnet_telemetry::EventRecorder;
+use linnet_telemetry::{EventCode, EventRecorder};
 
 use super::batch::{BatchKey, PieceOutcome};
 use super::call;
 use super::pool::DueCall;
-use super::state::{CallEnd, ExpectKey, QueueState};
+use super::sending::{SendingRate, SendingShare, SharedCall};
+use super::state::{ExpectKey, QueueState};
 use crate::Dialect;
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad, TargetUse};
 use crate::pool_key::PoolKey;
+use crate::stage_call::{CallEnd, StageCall, StageRelease, send_call, send_release};
 use crate::upstream::UpstreamPool;
 
 /// Gathers pieces for the services that this host was chosen for.
@@ -25,18 +27,72 @@
     pub(crate) pool: UpstreamPool,
     pub(crate) recorder: Arc<EventRecorder>,
     state: RefCell<QueueState>,
+    rate: RefCell<SendingRate>,
+    share: OnceCell<SendingShare>,
 }
 
 impl Coordinator {
-    pub(crate) fn new(dialect: Dialect, pool: UpstreamPool, recorder: Arc<EventRecorder>) -> Self {
+    /// Creates a coordinator that sends up to `shared_bytes_per_s` bytes of calls in a second by itself.
+    pub(crate) fn new(
+        dialect: Dialect,
+        pool: UpstreamPool,
+        recorder: Arc<EventRecorder>,
+        shared_bytes_per_s: f64,
+    ) -> Self {
         Self {
             dialect,
             pool,
             recorder,
             state: RefCell::default(),
+            rate: RefCell::new(SendingRate::new(shared_bytes_per_s, Instant::now())),
+            share: OnceCell::new(),
         }
     }
 
+    /// Takes the way to other hosts, which send calls where this one has too many.
+    pub(crate) fn set_share(&self, share: SendingShare) {
+        let _ = self.share.set(share);
+    }
+
+    /// Sends a call to its target, unless another host does.
+    pub(super) async fn carry(&self, call: &StageCall, shared: Option<SharedCall>) -> CallEnd {
+        match shared {
+            Some(shared) => shared.end.await,
+            None => send_call(&self.dialect, &self.pool, call).await,
+        }
+    }
+
+    /// Counts a call that is due, and hands it to another host where this one has too many.
+    pub(super) fn share(&self, call: &StageCall, hall: &str) -> Option<SharedCall> {
+        self.note_sending(call);
+        let share = self.share.get()?;
+        let is_shared = self.rate.borrow().is_shared();
+        is_shared.then(|| (share.call)(call, hall)).flatten()
+    }
+
+    /// Sends a release to its target, or has another host send it.
+    fn send_release(&self, release: StageRelease, hall: &str) {
+        let share = self.share.get().filter(|_| self.rate.borrow().is_shared());
+        let own = match share {
+            Some(share) => (share.release)(release, hall),
+            None => Some(release),
+        };
+        if let Some(release) = own {
+            let (dialect, upstream) = (self.dialect.clone(), self.pool.clone());
+            ntex::rt::spawn(send_release(dialect, upstream, release));
+        }
+    }
+
+    fn note_sending(&self, call: &StageCall) {
+        let mut rate = self.rate.borrow_mut();
+        let Some(change) = rate.note(call.body_bytes(), Instant::now()) else {
+            return;
+        };
+        let detail = format!("{change:?} bytes_per_s={:.0}", rate.bytes_per_s());
+        self.recorder
+            .record(EventCode::StageCallsShared, "", detail);
+    }
+
     /// Takes the stage pools of a configuration.
     pub(crate) fn set_services(&self, table: &RouteTable) {
         let mut state = self.state.borrow_mut();
@@ -83,7 +139,7 @@
 
     /// Ends what [`Coordinator::expect`] began.
     pub(crate) fn arrived(&self, key: ExpectKey) {
-        self.state.borrow_mut().expected.remove(&key);
+        self.state.borrow_mut().end_expected(key);
     }
 
     /// Returns the load of one pool.
@@ -132,23 +188,23 @@
     /// Releases results of a service, each of about `bytes`. Those that another host gathered are
     /// released as well, since that host may be gone.
     pub(crate) fn free(self: &Rc<Self>, service: &str, handles: Vec<String>, bytes: u64) {
-        let calls = self
-            .state
-            .borrow_mut()
-            .take_results(service, handles, bytes);
-        for (address, handles) in calls {
-            ntex::rt::spawn(call::free_results(self.clone(), address, handles));
+        let mut state = self.state.borrow_mut();
+        let releases = state.take_results(service, handles, bytes);
+        drop(state);
+        for (release, hall) in releases {
+            self.send_release(release, &hall);
         }
         for pool in self.pools_of(service) {
             self.dispatch(&pool);
         }
     }
 
-    /// Returns what this host uses of the targets of every pool for which it gathers.
-    pub(crate) fn uses(&self) -> Vec<(PoolKey, Vec<TargetUse>)> {
+    /// Returns what this host uses of the targets of those pools for which it gathers and which are
+    /// `wanted`.
+    pub(crate) fn uses(&self, wanted: impl Fn(&PoolKey) -> bool) -> Vec<(PoolKey, Vec<TargetUse>)> {
         let state = self.state.borrow();
         let now = Instant::now();
-        let uses = state.pools.iter();
+        let uses = state.pools.iter().filter(|(key, _)| wanted(key));
         let uses = uses.map(|(key, pool)| (key.clone(), pool.uses(now)));
         uses.filter(|(_, uses)| !uses.is_empty()).collect()
     }
--- a/crates/gateway/src/coordinator/stage_target.rs
+++ b/crates/gateway/src/coordinator/stage_target.rs
@@ -144,14 +144,16 @@
     }
 
     /// Takes the end of a call for which `reserved` bytes were kept; says how long the target rests.
+    /// Without a verdict nothing is learned of it.
     pub(super) fn end_call(
         &mut self,
-        verdict: CallVerdict,
+        verdict: Option<CallVerdict>,
         reserved: u64,
         now: Instant,
     ) -> Option<Duration> {
         self.busy = self.busy.saturating_sub(1);
         self.reserved = self.reserved.saturating_sub(reserved);
+        let verdict = verdict?;
         let rest = match verdict {
             CallVerdict::InTime | CallVerdict::OtherTarget => None,
             CallVerdict::Late | CallVerdict::Failed => Some(FAILED_REST),
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -14,9 +14,9 @@
 use super::stage_target::{CallVerdict, StageTarget};
 use crate::ask::Rank;
 use crate::graph::maker_of;
-use crate::load::ReportedLoad;
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad};
 use crate::pool_key::PoolKey;
+use crate::stage_call::{CallEnd, StageRelease};
 
 /// How often a piece is given to a target before it counts as failed.
 const MAX_TRIES: u32 = 3;
@@ -25,43 +25,31 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct ExpectKey(u64);
 
-/// How a call ended as a whole.
-pub(crate) enum CallEnd {
-    /// An outcome for each piece, and the load that the target told with it.
-    Answered(Vec<PieceOutcome>, Option<ReportedLoad>),
-    /// The target did not run it and is busy.
-    Busy,
-    /// Another start of a target is at the address.
-    OtherTarget,
-    /// No usable answer.
-    Failed(String),
-}
-
-impl CallEnd {
-    fn verdict(&self, late: bool) -> CallVerdict {
-        match self {
-            Self::Answered(..) if late => CallVerdict::Late,
-            Self::Answered(..) => CallVerdict::InTime,
-            Self::Busy => CallVerdict::Busy,
-            Self::OtherTarget => CallVerdict::OtherTarget,
-            Self::Failed(_) => CallVerdict::Failed,
-        }
+/// Returns what a call that ended so says of its target; nothing where it says nothing.
+fn verdict_of(end: &CallEnd, late: bool) -> Option<CallVerdict> {
+    match end {
+        CallEnd::Answered(..) if late => Some(CallVerdict::Late),
+        CallEnd::Answered(..) => Some(CallVerdict::InTime),
+        CallEnd::Busy => Some(CallVerdict::Busy),
+        CallEnd::OtherTarget => Some(CallVerdict::OtherTarget),
+        CallEnd::Failed(_) => Some(CallVerdict::Failed),
+        CallEnd::SenderLost => None,
     }
+}
 
-    fn says_no_room(&self) -> bool {
-        match self {
-            Self::Answered(outcomes, _) => outcomes.contains(&Err(PieceFault::NoRoom)),
-            _ => false,
-        }
+fn says_no_room(end: &CallEnd) -> bool {
+    match end {
+        CallEnd::Answered(outcomes, _) => outcomes.contains(&Err(PieceFault::NoRoom)),
+        _ => false,
     }
+}
 
-    /// Returns an outcome for each of so many pieces.
-    fn outcomes(self, pieces: usize) -> Vec<PieceOutcome> {
-        match self {
-            Self::Answered(outcomes, _) => outcomes,
-            Self::Busy | Self::OtherTarget => vec![Err(PieceFault::NotTaken); pieces],
-            Self::Failed(_) => vec![Err(PieceFault::Failed); pieces],
-        }
+/// Returns an outcome for each of so many pieces of a call.
+fn outcomes_of(end: CallEnd, pieces: usize) -> Vec<PieceOutcome> {
+    match end {
+        CallEnd::Answered(outcomes, _) => outcomes,
+        CallEnd::Busy | CallEnd::OtherTarget => vec![Err(PieceFault::NotTaken); pieces],
+        CallEnd::Failed(_) | CallEnd::SenderLost => vec![Err(PieceFault::Failed); pieces],
     }
 }
 
@@ -70,7 +58,9 @@
     pub(super) specs: HashMap<String, StagePool>,
     pub(super) pools: HashMap<PoolKey, PoolQueue>,
     pub(super) batches: BatchBook,
-    pub(super) expected: BTreeMap<ExpectKey, ExpectedPieces>,
+    expected: BTreeMap<ExpectKey, ExpectedPieces>,
+    /// Sums of what is expected, by pool and rank.
+    expected_sums: HashMap<PoolKey, BTreeMap<Rank, u32>>,
     last_expected: u64,
     last_lost: u64,
     pub(super) records: Vec<TargetRecord>,
@@ -114,7 +104,9 @@
                 }
             }
         }
-        CallEnd::Failed(_) => target.results.insert(lost, call.reserved, until),
+        CallEnd::Failed(_) | CallEnd::SenderLost => {
+            target.results.insert(lost, call.reserved, until);
+        }
         CallEnd::Busy | CallEnd::OtherTarget => {}
     }
 }
@@ -124,17 +116,30 @@
     pub(super) fn expect(&mut self, expected: ExpectedPieces) -> ExpectKey {
         self.last_expected += 1;
         let key = ExpectKey(self.last_expected);
+        let ranks = self.expected_sums.entry(expected.pool.clone()).or_default();
+        *ranks.entry(expected.rank).or_default() += expected.pieces;
         self.expected.insert(key, expected);
         key
     }
 
+    /// Ends what [`QueueState::expect`] began.
+    pub(super) fn end_expected(&mut self, key: ExpectKey) {
+        let Some(expected) = self.expected.remove(&key) else {
+            return;
+        };
+        let ranks = self.expected_sums.get_mut(&expected.pool);
+        if let Some(sum) = ranks.and_then(|ranks| ranks.get_mut(&expected.rank)) {
+            *sum -= expected.pieces;
+        }
+    }
+
     /// Returns the load of a pool, with the pieces that are expected there.
     pub(super) fn load(&self, key: &PoolKey, pool: &PoolQueue, now: Instant) -> PoolLoad {
         let mut load = pool.load(now);
         let mut waiting: BTreeMap<Rank, u32> = load.waiting.iter().copied().collect();
-        let coming = self.expected.values().filter(|one| one.pool == *key);
-        for expected in coming {
-            *waiting.entry(expected.rank).or_default() += expected.pieces;
+        let coming = self.expected_sums.get(key).into_iter().flatten();
+        for (rank, pieces) in coming.filter(|(_, pieces)| **pieces > 0) {
+            *waiting.entry(*rank).or_default() += pieces;
         }
         load.waiting = waiting.into_iter().collect();
         load
@@ -194,32 +199,50 @@
         due
     }
 
-    /// Takes results off their targets, and returns which targets are to be told.
+    /// Takes results off their targets, and returns what the targets are to be told, each with its
+    /// hall.
     pub(super) fn take_results(
         &mut self,
         service: &str,
         handles: Vec<String>,
         bytes: u64,
-    ) -> BTreeMap<SocketAddr, Vec<String>> {
-        let mut calls: BTreeMap<SocketAddr, Vec<String>> = BTreeMap::new();
+    ) -> Vec<(StageRelease, String)> {
+        let mut releases: Vec<(StageRelease, String)> = Vec::new();
         let pools = self.pools.iter_mut();
         let pools = pools.filter(|(key, _)| key.service == service);
-        let mut targets: Vec<&mut StageTarget> = pools
-            .flat_map(|(_, pool)| pool.targets.values_mut())
+        let mut targets: Vec<(&String, &mut StageTarget)> = pools
+            .flat_map(|(_, pool)| pool.targets.iter_mut())
             .collect();
         for handle in handles {
             let maker: Option<SocketAddr> = maker_of(&handle).parse().ok();
-            let maker = targets.iter_mut().find(|one| Some(one.address) == maker);
-            let Some(target) = maker else {
+            let maker = targets
+                .iter_mut()
+                .find(|(_, one)| Some(one.address) == maker);
+            let Some((id, target)) = maker else {
                 continue;
             };
-            let key = HeldKey::Result(handle.clone());
+            let key = HeldKey::Result(handle);
             if !target.results.remove(&key) {
                 target.results.take_off_told(bytes);
             }
-            calls.entry(target.address).or_default().push(handle);
+            let HeldKey::Result(handle) = key else {
+                continue;
+            };
+            let known = releases
+                .iter_mut()
+                .find(|(one, _)| one.address == target.address);
+            if let Some((release, _)) = known {
+                release.handles.push(handle);
+                continue;
+            }
+            let release = StageRelease {
+                target: (*id).clone(),
+                address: target.address,
+                handles: vec![handle],
+            };
+            releases.push((release, target.hall.clone()));
         }
-        calls
+        releases
     }
 
     /// Puts the pieces of a call that is late into the queue once more, for other targets, while the call
@@ -250,9 +273,9 @@
         let Some(pool) = self.pools.get_mut(&call.pool) else {
             return finished;
         };
-        let full = end.says_no_room();
+        let full = says_no_room(&end);
         if let Some(target) = pool.targets.get_mut(&call.target) {
-            finished.rest = target.end_call(end.verdict(late), call.reserved, now);
+            finished.rest = target.end_call(verdict_of(&end, late), call.reserved, now);
             let until = now + Duration::from_millis(pool.spec.result_ttl_ms);
             self.last_lost += 1;
             if let CallEnd::Answered(_, load) = &end {
@@ -266,7 +289,7 @@
                 finished.unsure = Some(target.address);
             }
         }
-        let outcomes = end.outcomes(call.pieces.len());
+        let outcomes = outcomes_of(end, call.pieces.len());
         let mut again = Vec::new();
         for (mut waiting, outcome) in call.pieces.into_iter().zip(outcomes) {
             let alone = self.batches.copies_of(waiting.piece) == Some(1);
--- a/crates/gateway/src/coordinator/state/tests.rs
+++ b/crates/gateway/src/coordinator/state/tests.rs
@@ -3,6 +3,7 @@
 use linnet_directory::TargetState;
 
 use super::*;
+use crate::load::ReportedLoad;
 use crate::piece::{PieceInput, StageWork};
 
 const SERVICE: &str = "stage";
@@ -242,3 +243,19 @@
     let patience = pool.targets["t-0"].patience(usual, full_call, later);
     assert!(patience < alone.mul_f64(1.1), "what was told long ago");
 }
+
+#[test]
+fn a_lost_sender_says_nothing_of_the_target_and_its_pieces_are_due_again_at_once() {
+    let (mut state, now) = (state(1), Instant::now());
+    let replied = submit(&mut state, 2, now);
+    let call = only_call(&mut state, now);
+    let reserved = call.reserved;
+    finish(&mut state, call, CallEnd::SenderLost, false);
+    let target = &state.pools[&key()].targets["t-0"];
+    // The target may have made them all the same, and nobody knows their handles.
+    assert_eq!(target.used_bytes(), reserved);
+    let again = only_call(&mut state, Instant::now());
+    assert_eq!((again.target.as_str(), again.trial), ("t-0", false));
+    answer(&mut state, again, false);
+    assert_eq!(replied.borrow().len(), 2);
+}
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -56,34 +56,30 @@
 
 /// How much work engines of each data hall should get, against those of other halls.
 #[derive(Debug, Default)]
-pub(crate) struct HallWeights {
-    by_hall: HashMap<String, f64>,
+pub(crate) struct HallWeights<'a> {
+    by_hall: Vec<(&'a str, f64)>,
 }
 
-impl HallWeights {
+impl<'a> HallWeights<'a> {
     /// Creates weights that give each hall as many requests as it has targets for the stages with
     /// large results, so that these need not cross halls.
-    pub(crate) fn new(book: &TargetBook, service: &str, stage_service: &str) -> Self {
-        let count = |service: &str| {
-            let mut halls: HashMap<String, f64> = HashMap::new();
-            for target in book.of_service(service) {
-                *halls.entry(target.hall.clone()).or_default() += 1.0;
-            }
-            halls
-        };
-        let (engines, stages) = (count(service), count(stage_service));
-        let weight = |(hall, engines): (&String, &f64)| {
-            let stages = stages.get(hall).copied().unwrap_or(0.0);
+    pub(crate) fn new(book: &'a TargetBook, service: &str, stage_service: &str) -> Self {
+        let stages = book.hall_counts(stage_service);
+        let weight = |(hall, engines): &'a (String, u32)| {
+            let found = stages.iter().find(|(other, _)| other == hall);
+            let stages = found.map_or(0.0, |(_, count)| f64::from(*count));
             // A hall without stage targets still serves prompts that need none.
-            (hall.clone(), (stages / engines).max(LEAST_WEIGHT))
+            let weight = (stages / f64::from(*engines)).max(LEAST_WEIGHT);
+            (hall.as_str(), weight)
         };
         Self {
-            by_hall: engines.iter().map(weight).collect(),
+            by_hall: book.hall_counts(service).iter().map(weight).collect(),
         }
     }
 
     fn of(&self, hall: &str) -> f64 {
-        self.by_hall.get(hall).copied().unwrap_or(1.0)
+        let found = self.by_hall.iter().find(|(other, _)| *other == hall);
+        found.map_or(1.0, |(_, weight)| *weight)
     }
 }
 
@@ -161,6 +157,17 @@
     }
 }
 
+/// An engine that a prompt may go to.
+struct RankedEngine<'a> {
+    target: &'a Target,
+    /// Its score for the prompt's shared part, by which all hosts order the engines alike.
+    rank: f64,
+    /// Whether it is taken to hold that part.
+    holds: bool,
+    /// What it costs to place the prompt there, in milliseconds.
+    cost: f64,
+}
+
 /// Places prompts on engines, with what it knows of them from its own placements.
 pub(crate) struct EnginePlacer {
     tokens_per_ms: f64,
@@ -204,26 +211,32 @@
             .map_or_else(HallWeights::default, |stage| {
                 HallWeights::new(book, &ask.service, stage)
             });
-        let rank =
-            |one: &Target| rendezvous::weighted_score(&ask.part, &one.id, weights.of(&one.hall));
-        let first = candidates
-            .iter()
-            .max_by(|a, b| rank(a).total_cmp(&rank(b)))?
-            .id
-            .clone();
-        let known = candidates.iter().any(|one| self.holds(&one.id, &ask.part));
-        let missing_weight = |one: &Target| match known {
-            true if self.holds(&one.id, &ask.part) => 0.0,
-            true => MISSING_WEIGHT,
-            false if one.id == first => 0.0,
-            false => UNKNOWN_WEIGHT,
-        };
-        let cost = |one: &Target| self.cost_ms(one, ask, missing_weight(one), now);
-        let best = candidates.into_iter().min_by(|a, b| {
-            cost(a)
-                .total_cmp(&cost(b))
-                .then(rank(b).total_cmp(&rank(a)))
-        })?;
+        let holders = self.holders_of(&ask.part);
+        let mut ranked: Vec<RankedEngine<'_>> = candidates
+            .into_iter()
+            .map(|target| RankedEngine {
+                target,
+                rank: rendezvous::weighted_score(&ask.part, &target.id, weights.of(&target.hall)),
+                holds: holders.iter().any(|(id, _)| *id == target.id),
+                cost: 0.0,
+            })
+            .collect();
+        let first = ranked.iter().max_by(|a, b| a.rank.total_cmp(&b.rank))?;
+        let first_rank = first.rank;
+        let known = ranked.iter().any(|one| one.holds);
+        for one in &mut ranked {
+            let missing_weight = match known {
+                true if one.holds => 0.0,
+                true => MISSING_WEIGHT,
+                false if one.rank == first_rank => 0.0,
+                false => UNKNOWN_WEIGHT,
+            };
+            one.cost = self.cost_ms(one.target, ask, missing_weight, now);
+        }
+        let best = ranked
+            .into_iter()
+            .min_by(|a, b| a.cost.total_cmp(&b.cost).then(b.rank.total_cmp(&a.rank)))?
+            .target;
         Some(Chosen {
             id: best.id.clone(),
             address: best.address,
@@ -231,9 +244,14 @@
         })
     }
 
+    /// Returns the engines that are taken to hold a part, with the time of its last use there.
+    fn holders_of(&self, part: &str) -> &[(String, Instant)] {
+        self.holders.get(part).map_or(&[], Vec::as_slice)
+    }
+
     fn holds(&self, engine: &str, part: &str) -> bool {
-        let holders = self.holders.get(part);
-        holders.is_some_and(|holders| holders.iter().any(|(id, _)| id == engine))
+        let mut holders = self.holders_of(part).iter();
+        holders.any(|(id, _)| id == engine)
     }
 
     fn slowness_of(&self, engine: &str, now: Instant) -> f64 {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -47,6 +47,9 @@
     pub retry_slack: f64,
     /// The window.
     pub retry_window: Duration,
+    /// Bytes of calls to stage targets that this host sends in a second before other hosts send them
+    /// in its place.
+    pub shared_bytes_per_s: f64,
 }
 
 /// What the tasks of one entry host share; all on one thread.
@@ -85,6 +88,7 @@
             config.dialect.clone(),
             pool.clone(),
             config.recorder.clone(),
+            config.shared_bytes_per_s,
         ));
         let rule = BudgetRule {
             ratio: config.retry_ratio,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod rendezvous;
 mod schedule;
 mod serve;
+mod stage_call;
 mod stage_client;
 mod target;
 mod upstream;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -1,9 +1,10 @@
 //! The load that targets tell with their answers.
 
 use http::{HeaderMap, HeaderName};
+use serde::{Deserialize, Serialize};
 
 /// What a target has at work and waiting, of all hosts together, when it sends an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ReportedLoad {
     /// Requests at work.
     pub(crate) running: u32,
--- a/crates/gateway/src/piece.rs
+++ b/crates/gateway/src/piece.rs
@@ -9,6 +9,7 @@
 use crate::ask::Rank;
 use crate::engine::{PlaceAsk, PlaceFacts};
 use crate::pool_key::PoolKey;
+use crate::stage_call::{CallEnd, StageCall, StageRelease};
 
 /// What a piece works on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -172,6 +173,10 @@
     Read(u64),
     /// A request that was placed has ended.
     End(u64),
+    /// Send this call to its target and tell how it ended.
+    Call { number: u64, call: StageCall },
+    /// Tell a target that results are not needed any more.
+    Release(StageRelease),
     /// This host could not reach an engine where a prompt was placed.
     Unreachable { service: String, engine: String },
     /// A sign of life.
@@ -191,6 +196,8 @@
         number: u64,
         engine: Option<(String, PlaceFacts)>,
     },
+    /// How a call ended that was sent for the other host.
+    Called { number: u64, end: CallEnd },
     /// What this host uses of the targets of a pool; told to the hosts that would gather for the pool
     /// if this one were lost.
     Uses { pool: PoolKey, uses: Vec<TargetUse> },
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -27,6 +27,7 @@
 use crate::gateway::OpenRequest;
 use crate::piece::{PieceReply, PieceRequest};
 use crate::pool_key::PoolKey;
+use crate::stage_call::{CallEnd, StageCall, send_call, send_release};
 use crate::stage_client::{ALIVE_PERIOD, SILENCE_LIMIT};
 use crate::{AnswerBody, Gateway, Refusal, RefusalReason};
 
@@ -255,12 +256,13 @@
     while let Ok(request) = timeout(SILENCE_LIMIT, reader.receive::<PieceRequest>()).await {
         match request? {
             PieceRequest::Run(batch) => {
-                let number = batch.number;
+                let (number, pool) = (batch.number, batch.pool.clone());
                 let (replies, finished, telling) = (replies.clone(), open.clone(), gateway.clone());
                 let key = gateway.coordinator.submit(batch, move |results| {
                     finished.borrow_mut().remove(&number);
                     let _ = replies.send(PieceReply::Done { number, results });
-                    let loads = telling.coordinator.loads();
+                    let load = telling.coordinator.load_of(&pool);
+                    let loads = load.map(|load| (pool, load)).into_iter().collect();
                     let _ = replies.send(PieceReply::Alive { loads });
                 });
                 if let Some(key) = key {
@@ -311,6 +313,14 @@
                     gateway.engines.borrow_mut().end(key);
                 }
             }
+            PieceRequest::Call { number, call } => {
+                let sending = send_for_peer(gateway.clone(), number, call, replies.clone());
+                ntex::rt::spawn(sending);
+            }
+            PieceRequest::Release(release) => {
+                let (dialect, upstream) = (gateway.config.dialect.clone(), gateway.pool.clone());
+                ntex::rt::spawn(send_release(dialect, upstream, release));
+            }
             PieceRequest::Unreachable { service, engine } => {
                 let mut targets = gateway.targets.borrow_mut();
                 targets.take_unreachable(&service, &engine, Instant::now());
@@ -321,20 +331,36 @@
     Ok(())
 }
 
+/// Sends a call for another host, for as long as that host waits for its end.
+async fn send_for_peer(
+    gateway: Rc<Gateway>,
+    number: u64,
+    call: StageCall,
+    replies: mpsc::UnboundedSender<PieceReply>,
+) {
+    let bound = Duration::from_millis(call.bound_ms);
+    let sending = send_call(&gateway.config.dialect, &gateway.pool, &call);
+    let end = tokio::select! {
+        end = timeout(bound, sending) => end,
+        () = replies.closed() => return,
+    };
+    let too_late = |_| CallEnd::Failed(format!("no answer within {} ms", bound.as_millis()));
+    let end = end.unwrap_or_else(too_late);
+    // A host that is gone needs no answer.
+    let _ = replies.send(PieceReply::Called { number, end });
+}
+
 /// Tells another host what this one uses of the targets of the pools that the other would gather
 /// for next.
 async fn tell_uses(gateway: &Gateway, peer: &str, replies: mpsc::UnboundedSender<PieceReply>) {
     let mut told: Vec<PoolKey> = Vec::new();
     loop {
         sleep(ALIVE_PERIOD).await;
-        let mut uses = gateway.coordinator.uses();
-        uses.retain(|(pool, _)| {
-            gateway
-                .stages
-                .successors(pool)
-                .iter()
-                .any(|name| name == peer)
-        });
+        let would_gather = |pool: &PoolKey| {
+            let successors = gateway.stages.successors(pool);
+            successors.iter().any(|name| name == peer)
+        };
+        let mut uses = gateway.coordinator.uses(would_gather);
         let now: Vec<PoolKey> = uses.iter().map(|(pool, _)| pool.clone()).collect();
         // What was told before and is used no more is told once more, as nothing.
         let ended = told.into_iter().filter(|pool| !now.contains(pool));
--- /dev/null
+++ b/crates/gateway/src/stage_call/tests.rs
@@ -0,0 +1,26 @@
+use super::*;
+
+fn part(pieces: u32, handles: usize) -> CallPart {
+    let handle = "10.1.64.7:8080/91bd3f06e44".to_owned();
+    CallPart {
+        work: StageWork {
+            request: "9c41d07be2a35f68".to_owned(),
+            stage: 2,
+            input: PieceInput::Results(vec![handle; handles]),
+        },
+        numbers: (0..pieces).collect(),
+        remaining_ms: 900,
+    }
+}
+
+#[test]
+fn between_hosts_a_call_is_a_small_part_of_its_body() {
+    let call = StageCall {
+        target: "i-7f3a91c2".to_owned(),
+        address: SocketAddr::from(([10, 1, 64, 9], 8080)),
+        parts: vec![part(16, 8); 6],
+        bound_ms: 1_500,
+    };
+    let travels = postcard::to_allocvec(&call).unwrap().len();
+    assert!(travels * 10 < call.body_bytes(), "{travels} bytes");
+}
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -5,6 +5,7 @@
 mod link;
 mod parts;
 mod place;
+mod sender;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -16,11 +17,12 @@
 use linnet_wire::PeerIdentity;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::coordinator::Coordinator;
+use crate::coordinator::{Coordinator, SendingShare};
 use crate::engine::{EnginePlacer, PlaceFacts};
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceRequest, PoolLoad};
 use crate::pool_key::{PoolKey, PoolMap};
 use crate::rendezvous;
+use crate::stage_call::CallEnd;
 
 pub(crate) use guard::{Expectation, Placement};
 pub(crate) use parts::PartWant;
@@ -116,6 +118,8 @@
     outgoing: mpsc::UnboundedSender<PieceRequest>,
     waiting: HashMap<u64, oneshot::Sender<Results>>,
     placing: HashMap<u64, oneshot::Sender<Option<(String, PlaceFacts)>>>,
+    /// Calls that this host has the other one send.
+    calling: HashMap<u64, oneshot::Sender<CallEnd>>,
 }
 
 #[derive(Default)]
@@ -161,14 +165,20 @@
         coordinator: Rc<Coordinator>,
         engines: Rc<RefCell<EnginePlacer>>,
     ) -> Self {
-        Self {
+        let client = Self {
             identity,
             name,
             hall,
-            coordinator,
+            coordinator: coordinator.clone(),
             engines,
             state: Rc::default(),
-        }
+        };
+        let (calling, releasing) = (client.clone(), client.clone());
+        coordinator.set_share(SendingShare {
+            call: Box::new(move |call, hall| calling.share_call(call, hall)),
+            release: Box::new(move |release, hall| releasing.share_release(release, hall)),
+        });
+        client
     }
 
     /// Takes the entry hosts that the control hosts hear. One that they lost while this host still
@@ -361,6 +371,7 @@
             outgoing,
             waiting: HashMap::new(),
             placing: HashMap::new(),
+            calling: HashMap::new(),
         }
     }
 
@@ -380,9 +391,10 @@
             link.state = to;
             if to == LinkState::Lost {
                 let placing = std::mem::take(&mut link.placing);
-                (std::mem::take(&mut link.waiting), placing)
+                let calling = std::mem::take(&mut link.calling);
+                (std::mem::take(&mut link.waiting), placing, calling)
             } else {
-                (HashMap::new(), HashMap::new())
+                Default::default()
             }
         };
         drop(dropped);
--- a/crates/gateway/src/stage_client/link.rs
+++ b/crates/gateway/src/stage_client/link.rs
@@ -53,6 +53,7 @@
         match reply? {
             PieceReply::Done { number, results } => client.take_done(address, number, results),
             PieceReply::Placed { number, engine } => client.take_placed(address, number, engine),
+            PieceReply::Called { number, end } => client.take_called(address, number, end),
             PieceReply::Uses { pool, uses } => {
                 client.coordinator.set_uses(reader.peer(), &pool, &uses);
             }
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -64,6 +64,20 @@
 #[derive(Default)]
 pub(crate) struct TargetBook {
     services: HashMap<String, BTreeMap<String, Target>>,
+    /// How many targets each service has in each hall.
+    hall_counts: HashMap<String, Vec<(String, u32)>>,
+}
+
+fn count_halls(records: &[TargetRecord]) -> HashMap<String, Vec<(String, u32)>> {
+    let mut services: HashMap<String, Vec<(String, u32)>> = HashMap::new();
+    for record in records {
+        let halls = services.entry(record.service.clone()).or_default();
+        match halls.iter_mut().find(|(hall, _)| *hall == record.hall) {
+            Some((_, count)) => *count += 1,
+            None => halls.push((record.hall.clone(), 1)),
+        }
+    }
+    services
 }
 
 impl TargetBook {
@@ -80,6 +94,12 @@
             let service = self.services.entry(record.service.clone()).or_default();
             service.insert(record.id.clone(), target);
         }
+        self.hall_counts = count_halls(records);
+    }
+
+    /// Returns how many targets of a service took work in each hall when the list came.
+    pub(crate) fn hall_counts(&self, service: &str) -> &[(String, u32)] {
+        self.hall_counts.get(service).map_or(&[], Vec::as_slice)
     }
 
     /// Returns the targets of a service.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -79,6 +79,7 @@
         retry_ratio: settings.retry.ratio,
         retry_slack: settings.retry.slack,
         retry_window: Duration::from_millis(settings.retry.window_ms),
+        shared_bytes_per_s: settings.policy.shared_bytes_per_s,
     });
     let (seeds, seeds_read) = watch::channel(settings.seed_peers());
     ntex::rt::spawn(reload_settings(source, seeds, recorder.clone()));
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -23,6 +23,9 @@
     /// The budget of repeated sendings.
     #[serde(default)]
     pub retry: RetrySettings,
+    /// Switches and bounds of the policies by which entry hosts decide.
+    #[serde(default)]
+    pub policy: PolicySettings,
 }
 
 /// Where a node listens. An address that its role does not use may be left out.
@@ -112,6 +115,24 @@
     }
 }
 
+/// Switches and bounds of the policies by which entry hosts decide.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct PolicySettings {
+    /// Bytes of calls to stage targets that a host which gathers them sends in a second by itself; what
+    /// is more goes through other hosts. The default is a fifth of a link of 10 Mbit/s, the slowest
+    /// that the system is designed for.
+    pub shared_bytes_per_s: f64,
+}
+
+impl Default for PolicySettings {
+    fn default() -> Self {
+        Self {
+            shared_bytes_per_s: 250_000.0,
+        }
+    }
+}
+
 /// What is wrong with a settings file.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SettingsFault {
@@ -191,6 +212,10 @@
             self.retry.ratio >= 0.0 && self.retry.slack >= 0.0,
             "retry.ratio, retry.slack: below 0",
         );
+        require(
+            self.policy.shared_bytes_per_s >= 0.0,
+            "policy.shared_bytes_per_s: below 0",
+        );
         match role {
             NodeRole::Control => {
                 require(self.listen.operators.is_some(), "listen.operators: missing");
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -105,4 +105,5 @@
     StageCallFinished = 701, Info, "A call with pieces of stages was answered by a target.";
     StageCallFailed = 702, Warn, "A call with pieces of stages failed; its pieces go to another target.";
     StageCallLate = 703, Warn, "A call is late; its pieces go to other targets as well, and the first results count.";
+    StageCallsShared = 704, Info, "Other hosts begin or end to send the calls that this host gathers.";
 }
