Callers who come back are served after all that can be in time; waits are learnt apart from calm time

Two faults: what a calm chain of stages takes beside its plan (592 ms planned, 887 ms real) was learnt as a ratio of waits, up to 6, so that one call ahead made 1.8 s; and a caller who had been sent away before was sent away again although his deadline was far.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -7,12 +7,13 @@
 use linnet_telemetry::EventCode;
 use tokio::time::timeout;
 
+use crate::admission::admit;
 use crate::answer::{answer_of, refusal_answer};
 use crate::ask::Ask;
 use crate::attempt::{Attempt, AttemptEnd, send_attempt};
 use crate::choose::{choose, pick_service, place_ask};
 use crate::engine::PlaceFacts;
-use crate::graph::{RequestResults, admit, run_stages};
+use crate::graph::{RequestResults, run_stages};
 use crate::relay::{Relay, relay_events};
 use crate::stage_client::Placement;
 use crate::wait_model::PathPlan;
@@ -75,11 +76,12 @@
     let took = ask.arrived.elapsed();
     let detail = |outcome: &str| {
         format!(
-            "route={} account={} rank={}.{} version={} attempts={} planned_ms={:.0} waits_ms={:.0} stages_ms={} took_ms={}{} {outcome}",
+            "route={} account={} rank={}.{} late={} version={} attempts={} planned_ms={:.0} waits_ms={:.0} stages_ms={} took_ms={}{} {outcome}",
             ask.route.name,
             ask.account.as_deref().unwrap_or("-"),
-            ask.rank.first,
-            ask.rank.second,
+            ask.rank().first,
+            ask.rank().second,
+            ask.is_late(),
             ask.config_version,
             log.attempts,
             log.plan.stages_ms + log.plan.waits_ms + log.plan.reading_ms,
@@ -119,7 +121,7 @@
             )
         }
     };
-    gateway.metrics.count(&label, ask.rank.second);
+    gateway.metrics.count(&label, ask.rank().second);
     gateway.note_request(code, &ask.id, &log.target, detail(&outcome));
 }
 
@@ -243,7 +245,7 @@
     let started = Instant::now();
     let results = run_stages(gateway, ask, &hall).await?;
     let took = started.elapsed();
-    gateway.waits.borrow_mut().learn(ask.rank, &plan, took);
+    gateway.waits.borrow_mut().learn(ask.rank(), &plan, took);
     gateway.metrics.stage_time.observe(took.as_secs_f64());
     Ok(results)
 }
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -5,8 +5,9 @@
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
+use crate::admission::RETRY_LEAST;
 use crate::ask::Ask;
-use crate::coordinator::{HALL_BYTES, LEAST_REFUSED_WAIT_MS};
+use crate::coordinator::HALL_BYTES;
 use crate::hall_bytes::HallBytes;
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceInput, StageWork};
 use crate::pool_key::PoolKey;
@@ -16,11 +17,6 @@
 use crate::wait_model::PathPlan;
 use crate::{Gateway, Refusal, RefusalReason};
 
-/// When a caller should come back after queues were too long: spread, so that those who were refused
-/// together do not come back together.
-const RETRY_LEAST: Duration = Duration::from_millis(900);
-const RETRY_MOST: Duration = Duration::from_millis(2_200);
-
 /// The results of one stage, which are released when this is dropped.
 struct StageResults {
     gateway: Rc<Gateway>,
@@ -136,7 +132,7 @@
         comes.then(|| {
             gateway.stages.expect(ExpectedPieces {
                 pool: choose_part(gateway, ask, number, None),
-                rank: ask.rank,
+                rank: ask.stage_rank(number),
                 pieces: *count,
             })
         })
@@ -240,13 +236,16 @@
         PieceInput::Results(inputs)
     };
     let after = path_time(gateway, ask).after[number];
-    let wanted = ask
-        .objective_left()
-        .saturating_sub(Duration::from_secs_f64(after / 1_000.0));
+    let aim = if ask.is_late() {
+        ask.time_left()
+    } else {
+        ask.objective_left()
+    };
+    let wanted = aim.saturating_sub(Duration::from_secs_f64(after / 1_000.0));
     let batch = PieceBatch {
         number: 0,
         pool: choose_part(gateway, ask, number, hall.as_deref()),
-        rank: ask.rank,
+        rank: ask.stage_rank(number),
         first: stage.after.is_empty(),
         wanted_ms: wanted.as_millis() as u64,
         remaining_ms: ask.time_left().as_millis() as u64,
@@ -297,7 +296,7 @@
     let want = PartWant {
         spec: spec.and_then(|service| service.stage_pool.as_ref()),
         hall,
-        rank: ask.rank,
+        rank: ask.stage_rank(number),
         pieces: ask.piece_counts[number],
     };
     gateway.stages.choose_part(service, &want)
@@ -311,7 +310,7 @@
     pub(crate) ends: Vec<f64>,
     /// How long each stage takes from the submission of its pieces, in milliseconds.
     pub(crate) spans: Vec<f64>,
-    plan: PathPlan,
+    pub(crate) plan: PathPlan,
 }
 
 pub(crate) fn path_time(gateway: &Gateway, ask: &Ask) -> PathTime {
@@ -346,7 +345,7 @@
         let load = gateway.stages.load_of(&stage.service);
         let wait = match (pool_of(number), load) {
             (Some(pool), Some(load)) if count > 0 => {
-                (load.wait_ms(pool, ask.rank, count) - start).max(0.0)
+                (load.wait_ms(pool, ask.stage_rank(number), count) - start).max(0.0)
             }
             _ => 0.0,
         };
@@ -377,21 +376,3 @@
         engines.reading_time(unshared).as_secs_f64() * 1_000.0
     })
 }
-
-/// Refuses a request before its first stage where the queues on its way leave it no chance to meet
-/// its objective. Work for what comes too late would be missing elsewhere.
-pub(crate) fn admit(gateway: &Gateway, ask: &Ask) -> Result<PathPlan, Refusal> {
-    let plan = path_time(gateway, ask).plan;
-    let left = ask.objective_left().as_secs_f64() * 1_000.0;
-    let expected = gateway.waits.borrow().expected_ms(ask.rank, &plan);
-    if plan.waits_ms < LEAST_REFUSED_WAIT_MS || expected <= left {
-        return Ok(plan);
-    }
-    let detail = format!(
-        "queues too long: waits_ms={:.0} expected_ms={expected:.0} objective_left_ms={left:.0}",
-        plan.waits_ms
-    );
-    let spread = fastrand::f64();
-    let back = RETRY_LEAST + (RETRY_MOST - RETRY_LEAST).mul_f64(spread);
-    Err(Refusal::new(RefusalReason::Overloaded, detail).with_retry_after(back))
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`Dialect`] is how callers and targets speak; the gateway itself knows no names of theirs.
 //! - [`serve_callers`] runs the callers' port, [`serve_pieces`] the port for other entry hosts.
 
+mod admission;
 mod answer;
 mod ask;
 mod attempt;
