Shared parts of prompts are counted by their chain, and read again only for longer waits

So what reading again costs beside its time counts four times that time, at most 250 ms, a running request 1 ms in place of 3, and what an engine holds is counted by the chain of parts.

What it asks is the same.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -73,10 +73,29 @@
 pub(crate) struct Prompt {
     pub(crate) tokens_in: u64,
     pub(crate) tokens_out: u64,
-    /// The last part that other requests share; empty where there is none.
-    pub(crate) shared_part: String,
-    /// Tokens of all shared parts.
-    pub(crate) shared_tokens: u64,
+    /// The parts that other requests share, in their order.
+    pub(crate) shared: Vec<PromptPart>,
+}
+
+/// A part of a prompt that engines keep for later prompts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptPart {
+    /// Its name.
+    pub id: String,
+    /// Its tokens.
+    pub tokens: u64,
+}
+
+impl Prompt {
+    /// Returns the tokens of all shared parts.
+    pub(crate) fn shared_tokens(&self) -> u64 {
+        self.shared.iter().map(|part| part.tokens).sum()
+    }
+
+    /// Returns the tokens that no other request shares.
+    pub(crate) fn own_tokens(&self) -> u64 {
+        self.tokens_in.saturating_sub(self.shared_tokens())
+    }
 }
 
 impl Ask {
@@ -244,18 +263,19 @@
         .filter(|part| !part.trim().is_empty())
         .map(|part| {
             let (id, tokens) = part.trim().split_once(':')?;
-            Some((id, tokens.parse::<u64>().ok()?))
+            Some(PromptPart {
+                id: id.to_owned(),
+                tokens: tokens.parse().ok()?,
+            })
         })
         .collect::<Option<Vec<_>>>()
         .ok_or_else(|| bad(&names.prompt_parts, "ID:TOKENS,..."))?;
+    // The last part is the request's own.
     let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
     Ok(Some(Prompt {
         tokens_in,
         tokens_out,
-        shared_part: shared
-            .last()
-            .map_or_else(String::new, |part| part.0.to_owned()),
-        shared_tokens: shared.iter().map(|part| part.1).sum(),
+        shared: shared.to_vec(),
     }))
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -269,7 +269,7 @@
                     placement.note_read();
                 }
                 if let Some(prompt) = &ask.prompt {
-                    let unshared = prompt.tokens_in.saturating_sub(prompt.shared_tokens);
+                    let unshared = prompt.own_tokens();
                     gateway.engines.borrow_mut().learn(unshared, sent.elapsed());
                 }
                 return Ok((head.status, head.headers, first, body, splitter, lease));
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -80,9 +80,8 @@
     let avoid = tried.iter().chain(ejected.map(|target| &target.id));
     Some(PlaceAsk {
         service: service.to_owned(),
-        part: prompt.shared_part.clone(),
+        parts: prompt.shared.clone(),
         tokens: prompt.tokens_in,
-        shared_tokens: prompt.shared_tokens,
         heavy_stage: heavy.map(|stage| stage.service.clone()),
         results: places.unwrap_or_default(),
         avoid: avoid.take(MAX_AVOIDED).cloned().collect(),
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ask::PromptPart;
 use crate::hall_bytes::HallBytes;
 use crate::rendezvous;
 use crate::target::{Target, TargetBook};
@@ -17,15 +18,17 @@
 const SPEED_GAIN: f64 = 0.05;
 
 /// What one more running request adds to the cost of an engine, in milliseconds.
-const RUNNING_COST_MS: f64 = 3.0;
+const RUNNING_COST_MS: f64 = 1.0;
 
-/// What reading a shared part anew counts against waiting for as long: it keeps the engine from
-/// other prompts, and takes memory that other parts lose.
-const MISSING_WEIGHT: f64 = 2.0;
+/// What reading a shared part again costs beside the time that it takes: it keeps the engine from other
+/// prompts, and takes memory that other parts lose. As a part of that time, and the most of it, so
+/// that a slow or long queue is left all the same.
+const AGAIN_PART: f64 = 4.0;
+const AGAIN_MOST_MS: f64 = 250.0;
 
-/// The same where no engine is known to hold the part: the one that every host ranks first for it
+/// Part of the time of reading that counts where no engine is known to hold the part: the one that every host ranks first for it
 /// may hold it all the same, since this host may have begun to place prompts a moment ago.
-const UNKNOWN_WEIGHT: f64 = 0.5;
+const UNKNOWN_PART: f64 = 0.5;
 
 /// What a megabyte of results that crosses halls adds to the cost of an engine, in milliseconds.
 const CROSSING_COST_MS: f64 = 14.0;
@@ -88,12 +91,10 @@
 pub(crate) struct PlaceAsk {
     /// The service whose engines are meant.
     pub(crate) service: String,
-    /// The last part of the prompt that others share; empty where there is none.
-    pub(crate) part: String,
+    /// The parts of the prompt that others share, in their order.
+    pub(crate) parts: Vec<PromptPart>,
     /// Tokens of the prompt.
     pub(crate) tokens: u64,
-    /// Tokens of all its shared parts.
-    pub(crate) shared_tokens: u64,
     /// The stage pool with large results that requests of its route use.
     pub(crate) heavy_stage: Option<String>,
     /// Where the results of its stages lie.
@@ -102,6 +103,22 @@
     pub(crate) avoid: Vec<String>,
 }
 
+impl PlaceAsk {
+    /// Returns the last shared part; empty where there is none.
+    fn last_part(&self) -> &str {
+        self.parts.last().map_or("", |part| &part.id)
+    }
+
+    fn shared_tokens(&self) -> u64 {
+        self.parts.iter().map(|part| part.tokens).sum()
+    }
+
+    /// Returns the tokens that only this prompt has.
+    fn own_tokens(&self) -> u64 {
+        self.tokens.saturating_sub(self.shared_tokens())
+    }
+}
+
 /// A target that was chosen.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Chosen {
@@ -113,8 +130,8 @@
 /// What decided a placement, for the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PlaceFacts {
-    /// Whether the engine was taken to hold the shared part.
-    pub(crate) held: bool,
+    /// Tokens of shared parts that the engine was taken to hold.
+    pub(crate) held: u64,
     /// Prompt tokens that it still had to read before.
     pub(crate) ahead: u64,
     /// How long it was expected to take until it has read the prompt, in milliseconds.
@@ -160,10 +177,10 @@
 /// An engine that a prompt may go to.
 struct RankedEngine<'a> {
     target: &'a Target,
-    /// Its score for the prompt's shared part, by which all hosts order the engines alike.
+    /// Its score for the prompt's last shared part, by which all hosts order the engines alike.
     rank: f64,
-    /// Whether it is taken to hold that part.
-    holds: bool,
+    /// Tokens of shared parts that it is not known to hold.
+    missing: u64,
     /// What it costs to place the prompt there, in milliseconds.
     cost: f64,
 }
@@ -201,9 +218,9 @@
     pub(crate) fn choose(&self, book: &TargetBook, ask: &PlaceAsk, now: Instant) -> Option<Chosen> {
         let usable = book.usable(&ask.service, now);
         let fresh = usable.iter().filter(|one| !ask.avoid.contains(&one.id));
-        let mut candidates: Vec<_> = fresh.collect();
+        let mut candidates: Vec<&Target> = fresh.copied().collect();
         if candidates.is_empty() {
-            candidates = usable.iter().collect();
+            candidates = usable;
         }
         let weights = ask
             .heavy_stage
@@ -211,27 +228,31 @@
             .map_or_else(HallWeights::default, |stage| {
                 HallWeights::new(book, &ask.service, stage)
             });
-        let holders = self.holders_of(&ask.part);
         let mut ranked: Vec<RankedEngine<'_>> = candidates
             .into_iter()
-            .map(|target| RankedEngine {
-                target,
-                rank: rendezvous::weighted_score(&ask.part, &target.id, weights.of(&target.hall)),
-                holds: holders.iter().any(|(id, _)| *id == target.id),
-                cost: 0.0,
+            .map(|target| {
+                let weight = weights.of(&target.hall);
+                RankedEngine {
+                    target,
+                    rank: rendezvous::weighted_score(ask.last_part(), &target.id, weight),
+                    missing: ask.shared_tokens() - self.held_tokens(&target.id, &ask.parts),
+                    cost: 0.0,
+                }
             })
             .collect();
-        let first = ranked.iter().max_by(|a, b| a.rank.total_cmp(&b.rank))?;
-        let first_rank = first.rank;
-        let known = ranked.iter().any(|one| one.holds);
+        let first = ranked
+            .iter()
+            .max_by(|a, b| a.rank.total_cmp(&b.rank))?
+            .target;
+        let known = ranked.iter().any(|one| one.missing == 0);
         for one in &mut ranked {
-            let missing_weight = match known {
-                true if one.holds => 0.0,
-                true => MISSING_WEIGHT,
-                false if one.rank == first_rank => 0.0,
-                false => UNKNOWN_WEIGHT,
+            let reading_ms = self.reading_ms(one.missing);
+            let missing_ms = match known {
+                true => reading_ms + (reading_ms * AGAIN_PART).min(AGAIN_MOST_MS),
+                false if std::ptr::eq(one.target, first) => 0.0,
+                false => reading_ms * UNKNOWN_PART,
             };
-            one.cost = self.cost_ms(one.target, ask, missing_weight, now);
+            one.cost = self.cost_ms(one.target, ask, missing_ms, now);
         }
         let best = ranked
             .into_iter()
@@ -244,14 +265,16 @@
         })
     }
 
-    /// Returns the engines that are taken to hold a part, with the time of its last use there.
-    fn holders_of(&self, part: &str) -> &[(String, Instant)] {
-        self.holders.get(part).map_or(&[], Vec::as_slice)
+    fn holds(&self, engine: &str, part: &str) -> bool {
+        let holders = self.holders.get(part).into_iter().flatten();
+        holders.into_iter().any(|(id, _)| id == engine)
     }
 
-    fn holds(&self, engine: &str, part: &str) -> bool {
-        let mut holders = self.holders_of(part).iter();
-        holders.any(|(id, _)| id == engine)
+    /// Returns the tokens of the first of some parts that an engine is taken to hold; a part serves
+    /// only where all before it are held as well.
+    fn held_tokens(&self, engine: &str, parts: &[PromptPart]) -> u64 {
+        let held = parts.iter().take_while(|part| self.holds(engine, &part.id));
+        held.map(|part| part.tokens).sum()
     }
 
     fn slowness_of(&self, engine: &str, now: Instant) -> f64 {
@@ -272,23 +295,24 @@
         self.slowness.insert(engine.to_owned(), learned);
     }
 
-    /// Returns what it costs to place a prompt on an engine, as a wait. `missing_weight` says what
-    /// reading the shared part there counts.
-    fn cost_ms(&self, engine: &Target, ask: &PlaceAsk, missing_weight: f64, now: Instant) -> f64 {
-        let reading = |tokens: u64| tokens as f64 / self.tokens_per_ms;
-        let missing = if ask.part.is_empty() {
-            0.0
-        } else {
-            reading(ask.shared_tokens) * missing_weight
-        };
+    fn reading_ms(&self, tokens: u64) -> f64 {
+        tokens as f64 / self.tokens_per_ms
+    }
+
+    /// Returns what it costs to place a prompt on an engine, as a wait; `missing_ms` is what reading
+    /// shared parts there counts.
+    fn cost_ms(&self, engine: &Target, ask: &PlaceAsk, missing_ms: f64, now: Instant) -> f64 {
         let crossing = ask.results.crossing_to(&engine.hall) as f64 / MEGABYTE * CROSSING_COST_MS;
         let load = self.loads.get(&engine.id);
         let (unread, running) = load.map_or((0, 0), |load| (load.unread, load.running));
         // On a slow engine the prompt's own reading is slow as well.
         let slowness = self.slowness_of(&engine.id, now);
-        let own = reading(ask.tokens.saturating_sub(ask.shared_tokens)) + SLOWNESS_BASE_MS;
+        let own = self.reading_ms(ask.own_tokens()) + SLOWNESS_BASE_MS;
         let running = f64::from(running) * RUNNING_COST_MS;
-        (reading(unread) + missing) * slowness + own * (slowness - 1.0) + crossing + running
+        (self.reading_ms(unread) + missing_ms) * slowness
+            + own * (slowness - 1.0)
+            + crossing
+            + running
     }
 
     /// Says where a prompt would be placed now.
@@ -299,9 +323,9 @@
         now: Instant,
     ) -> Option<(Chosen, PlaceFacts)> {
         let chosen = self.choose(book, ask, now)?;
-        let held = self.holds(&chosen.id, &ask.part);
+        let held = self.held_tokens(&chosen.id, &ask.parts);
         let ahead = self.loads.get(&chosen.id).map_or(0, |load| load.unread);
-        let expected_ms = (ahead + unread_tokens(ask, held)) as f64 / self.tokens_per_ms;
+        let expected_ms = (ahead + ask.tokens.saturating_sub(held)) as f64 / self.tokens_per_ms;
         let facts = PlaceFacts {
             held,
             ahead,
@@ -318,11 +342,13 @@
         now: Instant,
     ) -> Option<(PlacementKey, Chosen, PlaceFacts)> {
         let (chosen, facts) = self.plan(book, ask, now)?;
-        let unread = unread_tokens(ask, facts.held);
+        let unread = ask.tokens.saturating_sub(facts.held);
         let load = self.loads.entry(chosen.id.clone()).or_default();
         load.unread += unread;
         load.running += 1;
-        self.note_holder(&chosen.id, &ask.part, now);
+        for part in &ask.parts {
+            self.note_holder(&chosen.id, &part.id, now);
+        }
         self.next += 1;
         let key = PlacementKey(self.next);
         let placed = Placed {
@@ -417,11 +443,5 @@
     }
 }
 
-/// Returns the tokens of a prompt that an engine has to read.
-fn unread_tokens(ask: &PlaceAsk, held: bool) -> u64 {
-    let cached = if held { ask.shared_tokens } else { 0 };
-    ask.tokens.saturating_sub(cached)
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -131,7 +131,11 @@
     };
     format!(
         " tokens={} shared={} held={} ahead={} read_ms={}",
-        prompt.tokens_in, prompt.shared_tokens, engine.held, engine.ahead, engine.expected_ms
+        prompt.tokens_in,
+        prompt.shared_tokens(),
+        engine.held,
+        engine.ahead,
+        engine.expected_ms
     )
 }
 
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -371,7 +371,7 @@
 
 fn reading_ms(gateway: &Gateway, ask: &Ask) -> f64 {
     ask.prompt.as_ref().map_or(0.0, |prompt| {
-        let unshared = prompt.tokens_in.saturating_sub(prompt.shared_tokens);
+        let unshared = prompt.own_tokens();
         let engines = gateway.engines.borrow();
         engines.reading_time(unshared).as_secs_f64() * 1_000.0
     })
