Stages whose results were lost are run once more inside the request

Cause: where a target with results was lost, a later stage or the engine said that its input is gone, and the caller was sent away with 503 (or other engines were asked in vain), though there was time to make the results anew.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -30,7 +30,13 @@
     /// An answer that comes in events; the first ones are whole.
     Events(Box<EventStream>),
     /// The target did not run it.
-    NotRun { cause: String, arrived: bool },
+    NotRun {
+        cause: String,
+        /// Whether the request reached the target.
+        arrived: bool,
+        /// Whether results that it takes are gone, so that no target can run it.
+        inputs_gone: bool,
+    },
     /// It may have run, and there is no usable answer.
     MayHaveRun(String),
 }
@@ -129,6 +135,7 @@
             return AttemptEnd::NotRun {
                 cause,
                 arrived: false,
+                inputs_gone: false,
             };
         }
     };
@@ -144,6 +151,7 @@
             return AttemptEnd::NotRun {
                 cause,
                 arrived: false,
+                inputs_gone: false,
             };
         }
         Err(SendError::MayHaveRun(cause)) => return AttemptEnd::MayHaveRun(cause),
@@ -234,6 +242,7 @@
         return Some(AttemptEnd::NotRun {
             cause,
             arrived: true,
+            inputs_gone: false,
         });
     }
     if head.headers.contains_key(&dialect.headers.not_run) {
@@ -241,6 +250,7 @@
         return Some(AttemptEnd::NotRun {
             cause,
             arrived: true,
+            inputs_gone: head.status == dialect.targets.inputs_gone,
         });
     }
     None
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -80,6 +80,8 @@
     pub decode_free_bytes: fn(&[u8]) -> Option<u64>,
     /// The status with which a target says that it is another start than was meant.
     pub other_target: StatusCode,
+    /// The status with which a target that did not run a request says that results it takes are gone.
+    pub inputs_gone: StatusCode,
 }
 
 /// How callers and targets speak.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -22,6 +22,13 @@
 /// Targets that refused without running a request before it is given up.
 const MAX_REFUSALS: u32 = 4;
 
+/// How often the stages of a request are run.
+const MAX_STAGE_RUNS: u32 = 2;
+
+/// Part of the time that is left in which the stages have to be expected to end when they are run
+/// again. Something is amiss then, so there is room for twice the plan.
+const AGAIN_TIME_PART: f64 = 0.5;
+
 /// When a caller should come back where every target was full.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -34,6 +41,8 @@
     target: String,
     attempts: u32,
     stages: Option<Duration>,
+    /// How often its stages were begun.
+    stage_runs: u32,
     /// How long the request was to take by the queues at its admission.
     plan: PathPlan,
     /// What decided the engine of the last attempt.
@@ -76,7 +85,7 @@
     let took = ask.arrived.elapsed();
     let detail = |outcome: &str| {
         format!(
-            "route={} account={} rank={}.{} late={} version={} attempts={} planned_ms={:.0} waits_ms={:.0} stages_ms={} took_ms={}{} {outcome}",
+            "route={} account={} rank={}.{} late={} version={} attempts={} planned_ms={:.0} waits_ms={:.0} stages_ms={} stage_runs={} took_ms={}{} {outcome}",
             ask.route.name,
             ask.account.as_deref().unwrap_or("-"),
             ask.rank().first,
@@ -87,6 +96,7 @@
             log.plan.stages_ms + log.plan.waits_ms + log.plan.reading_ms,
             log.plan.waits_ms,
             log.stages.map_or(0, |stages| stages.as_millis()),
+            log.stage_runs,
             took.as_millis(),
             describe_prompt(ask, log),
         )
@@ -188,9 +198,17 @@
                 }
                 format!("status {}", status.as_u16())
             }
-            AttemptEnd::NotRun { cause, arrived } => {
+            AttemptEnd::NotRun {
+                cause,
+                arrived,
+                inputs_gone,
+            } => {
                 refusals += 1;
                 log.may_have_run = log.attempts > refusals;
+                if inputs_gone && may_run_stages_again(ask, log) {
+                    note_stages_again(gateway, ask, log, &cause);
+                    results = None;
+                }
                 let repeat =
                     refusals < MAX_REFUSALS && (!arrived || take_repeat(gateway, &service));
                 if !repeat {
@@ -230,26 +248,61 @@
     budget.take_repeat(service, hosts, Instant::now())
 }
 
-/// Runs the stages of a request, in the hall where its prompt will go if nothing changes.
+/// Runs the stages of a request, in the hall where its prompt will go if nothing changes. Where they
+/// fail since a target or host was lost they are run once more: the caller would have to come back
+/// for the same.
 async fn prepare(
     gateway: &Rc<Gateway>,
     service: &str,
     ask: &Ask,
     log: &mut RunLog,
 ) -> Result<RequestResults, Refusal> {
-    let plan = admit(gateway, ask)?;
-    log.plan = plan;
-    let hall = match place_ask(gateway, service, ask, &[], None) {
-        Some(place) => {
-            let planned = gateway.stages.plan(&gateway.targets, place).await;
-            planned.ok_or_else(no_target)?.hall
+    if log.stage_runs == 0 {
+        log.plan = admit(gateway, ask)?;
+    }
+    loop {
+        log.stage_runs += 1;
+        let hall = plan_hall(gateway, service, ask).await?;
+        let started = Instant::now();
+        let failure = match run_stages(gateway, ask, &hall).await {
+            Ok(results) => {
+                note_stages(gateway, ask, log, started.elapsed());
+                return Ok(results);
+            }
+            Err(failure) => failure,
+        };
+        let refusal = failure.refusal();
+        if !failure.is_worth_again() || !may_run_stages_again(ask, log) {
+            return Err(refusal);
         }
-        None => gateway.config.hall.clone(),
+        note_stages_again(gateway, ask, log, &refusal.detail);
+    }
+}
+
+/// Returns the hall of the engine where a prompt would be placed now; this host's own for a request
+/// without one.
+async fn plan_hall(gateway: &Gateway, service: &str, ask: &Ask) -> Result<String, Refusal> {
+    let Some(place) = place_ask(gateway, service, ask, &[], None) else {
+        return Ok(gateway.config.hall.clone());
     };
-    let started = Instant::now();
-    let results = run_stages(gateway, ask, &hall).await?;
-    let took = started.elapsed();
-    gateway.waits.borrow_mut().learn(ask.rank(), &plan, took);
+    let planned = gateway.stages.plan(&gateway.targets, place).await;
+    Ok(planned.ok_or_else(no_target)?.hall)
+}
+
+fn note_stages(gateway: &Gateway, ask: &Ask, log: &RunLog, took: Duration) {
+    let mut waits = gateway.waits.borrow_mut();
+    waits.learn(ask.rank(), &log.plan, took);
     gateway.metrics.stage_time.observe(took.as_secs_f64());
-    Ok(results)
+}
+
+/// Says whether there is time to run the stages of a request once more.
+fn may_run_stages_again(ask: &Ask, log: &RunLog) -> bool {
+    let planned_ms = log.plan.stages_ms + log.plan.waits_ms + log.plan.reading_ms;
+    let left_ms = ask.time_left().as_secs_f64() * 1_000.0;
+    log.stage_runs < MAX_STAGE_RUNS && planned_ms <= left_ms * AGAIN_TIME_PART
+}
+
+fn note_stages_again(gateway: &Gateway, ask: &Ask, log: &RunLog, cause: &str) {
+    let detail = format!("runs={} cause={cause}", log.stage_runs);
+    gateway.note_request(EventCode::StagesRunAgain, &ask.id, "", detail);
 }
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -64,12 +64,44 @@
     }
 }
 
+/// A stage of which a piece has no result.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct StageFailure {
+    /// The stage of the route, from 0.
+    number: usize,
+    service: String,
+    fault: PieceFault,
+}
+
+impl StageFailure {
+    /// Says whether the stages may well succeed when they are run anew: what they lost was lost with a
+    /// target or a host, and others make it again.
+    pub(crate) fn is_worth_again(&self) -> bool {
+        matches!(
+            self.fault,
+            PieceFault::InputGone | PieceFault::Failed | PieceFault::Lost
+        )
+    }
+
+    /// Returns the refusal of its request.
+    pub(crate) fn refusal(&self) -> Refusal {
+        // No stage counts as a run of the request, so it may be told as not run.
+        let Self {
+            number,
+            service,
+            fault,
+        } = self;
+        let detail = format!("stage={number} service={service} cause={fault}");
+        Refusal::new(RefusalReason::Overloaded, detail).with_retry_after(RETRY_LEAST)
+    }
+}
+
 /// Runs all stages of a request whose generation will run in `hall`.
 pub(crate) async fn run_stages(
     gateway: &Rc<Gateway>,
     ask: &Ask,
     hall: &str,
-) -> Result<RequestResults, Refusal> {
+) -> Result<RequestResults, StageFailure> {
     let stages = &ask.route.stages;
     let mut results: Vec<Option<StageResults>> = stages.iter().map(|_| None).collect();
     let mut done: Vec<bool> = ask.piece_counts.iter().map(|count| *count == 0).collect();
@@ -228,7 +260,7 @@
     number: usize,
     inputs: Vec<String>,
     hall: Option<String>,
-) -> (usize, Result<StageResults, Refusal>) {
+) -> (usize, Result<StageResults, StageFailure>) {
     let stage = &ask.route.stages[number];
     let input = if stage.after.is_empty() {
         PieceInput::Key(ask.piece_key.clone())
@@ -277,17 +309,15 @@
     };
     let outcome = match fault {
         None => Ok(made),
-        Some(fault) => Err(refusal_of(fault, number, &stage.service)),
+        Some(fault) => Err(StageFailure {
+            number,
+            service: stage.service.clone(),
+            fault,
+        }),
     };
     (number, outcome)
 }
 
-fn refusal_of(fault: PieceFault, number: usize, service: &str) -> Refusal {
-    // No stage counts as a run of the request, so it may be told as not run.
-    let detail = format!("stage={number} service={service} cause={fault}");
-    Refusal::new(RefusalReason::Overloaded, detail).with_retry_after(RETRY_LEAST)
-}
-
 /// Chooses the part of a stage's pool that takes its pieces.
 fn choose_part(gateway: &Gateway, ask: &Ask, number: usize, hall: Option<&str>) -> PoolKey {
     let table = gateway.table();
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -86,6 +86,7 @@
     AttemptFailed = 412, Warn, "An attempt ended without a usable answer.";
     AnswerDropped = 413, Error, "An answer of another attempt, or one cut short, was dropped.";
     StreamResumed = 414, Info, "A stream went on at another target from the token it had reached.";
+    StagesRunAgain = 415, Warn, "The stages of a request are run again, since results of them were lost.";
     TargetListed = 501, Info, "A target came into the host list.";
     TargetLeaving = 502, Info, "A target is leaving and gets no new work.";
     TargetGone = 503, Info, "A target is no longer in a whole read of the host list.";
