Late admission and the stretch of calm stages reverted; a running request counts by its engine's slots

Both reverted, `admission` stays a file of its own.

A running request counted 1 ms whatever the engine's slots; now all slots taken count 100 ms.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -66,7 +66,7 @@
         set(
             &mut headers,
             &names.priority,
-            &ask.rank().engine_level().to_string(),
+            &ask.rank.engine_level().to_string(),
         );
     }
     // Only path and query: the host travels in its header, as the caller sent it.
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -1,6 +1,5 @@
 //! A caller's request, read once into typed form.
 
-use std::cell::Cell;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -17,10 +16,6 @@
 /// The most pieces that a request may ask of one stage.
 const MAX_PIECES: u32 = 4_096;
 
-/// A caller to whom so much less is left than its route gives has been here before: the shortest time
-/// after which callers are told to come back is longer.
-const RETURN_GAP: Duration = Duration::from_millis(300);
-
 /// A request that passed its checks.
 pub(crate) struct Ask {
     pub(crate) id: String,
@@ -30,10 +25,7 @@
     pub(crate) body: Bytes,
     pub(crate) route: Route,
     pub(crate) account: Option<String>,
-    /// Its rank while it may meet its objective.
-    rank: Rank,
-    /// Whether it was admitted although it will miss its objective.
-    late: Cell<bool>,
+    pub(crate) rank: Rank,
     pub(crate) config_version: u64,
     pub(crate) arrived: Instant,
     /// When the caller or the route gives it up.
@@ -45,12 +37,9 @@
     pub(crate) open: Option<OpenRequest>,
 }
 
-/// How urgent a request is: its account counts before its route, the lower the more urgent. Whatever
-/// can meet its objective goes before what cannot.
+/// How urgent a request is: its account counts before its route, the lower the more urgent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Rank {
-    /// Whether the request will miss its objective.
-    pub late: bool,
     /// The priority of the account, or of the route where the account has none.
     pub first: u8,
     /// The priority of the route.
@@ -104,40 +93,6 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns how urgent it is now.
-    pub(crate) fn rank(&self) -> Rank {
-        Rank {
-            late: self.late.get(),
-            ..self.rank
-        }
-    }
-
-    /// Returns how urgent the pieces of a stage are. Once the first stages are done a late request
-    /// is as urgent as others of its kind: its results expire while they wait.
-    pub(crate) fn stage_rank(&self, number: usize) -> Rank {
-        if self.route.stages[number].after.is_empty() {
-            self.rank()
-        } else {
-            self.rank
-        }
-    }
-
-    /// Says whether it was admitted although it will miss its objective.
-    pub(crate) fn is_late(&self) -> bool {
-        self.late.get()
-    }
-
-    /// Sets whether it goes on although it will miss its objective.
-    pub(crate) fn set_late(&self, late: bool) {
-        self.late.set(late);
-    }
-
-    /// Says whether its caller was sent away before: less is left to it than its route gives.
-    pub(crate) fn came_back(&self) -> bool {
-        let given = self.deadline.saturating_duration_since(self.arrived);
-        given + RETURN_GAP < Duration::from_millis(self.route.timeout_ms)
-    }
-
     /// Returns the time until the objective is missed.
     pub(crate) fn objective_left(&self) -> Duration {
         let objective = Duration::from_millis(self.route.objective_ms);
@@ -173,9 +128,7 @@
         .to_owned();
     Ok(Ask {
         id,
-        late: Cell::new(false),
         rank: Rank {
-            late: false,
             first: account
                 .as_ref()
                 .and_then(|account| account.1)
--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -96,11 +96,13 @@
         CallEnd::Failed(cause) => (EventCode::StageCallFailed, format!("cause={cause}")),
         CallEnd::SenderLost => (EventCode::StageCallFailed, "cause=sender lost".to_owned()),
     };
-    let requests: Vec<&str> = call
+    let mut requests: Vec<&str> = call
         .pieces
         .iter()
         .map(|waiting| waiting.work.request.as_str())
         .collect();
+    // Pieces of one request follow each other.
+    requests.dedup();
     let detail = format!(
         "service={} pieces={} took_ms={} expected_ms={} sender={} {outcome} requests={}",
         call.pool.service,
--- a/crates/gateway/src/coordinator/pool/tests.rs
+++ b/crates/gateway/src/coordinator/pool/tests.rs
@@ -49,7 +49,6 @@
                 place,
             },
             rank: Rank {
-                late: false,
                 first: 0,
                 second: 0,
             },
--- a/crates/gateway/src/coordinator/state/tests.rs
+++ b/crates/gateway/src/coordinator/state/tests.rs
@@ -51,7 +51,6 @@
         number: 0,
         pool: key(),
         rank: Rank {
-            late: false,
             first: 0,
             second: 0,
         },
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -17,8 +17,9 @@
 /// Weight of a new measurement of the reading speed.
 const SPEED_GAIN: f64 = 0.05;
 
-/// What one more running request adds to the cost of an engine, in milliseconds.
-const RUNNING_COST_MS: f64 = 1.0;
+/// What an engine of which all slots are taken costs against an empty one, in milliseconds: as long as a
+/// prompt of some thousand tokens is read. Each request adds its share.
+const FULL_COST_MS: f64 = 100.0;
 
 /// What reading a shared part again costs beside the time that it takes: it keeps the engine from other
 /// prompts, and takes memory that other parts lose. As a part of that time, and the most of it, so
@@ -308,7 +309,7 @@
         // On a slow engine the prompt's own reading is slow as well.
         let slowness = self.slowness_of(&engine.id, now);
         let own = self.reading_ms(ask.own_tokens()) + SLOWNESS_BASE_MS;
-        let running = f64::from(running) * RUNNING_COST_MS;
+        let running = f64::from(running) / f64::from(engine.slots) * FULL_COST_MS;
         (self.reading_ms(unread) + missing_ms) * slowness
             + own * (slowness - 1.0)
             + crossing
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -85,12 +85,11 @@
     let took = ask.arrived.elapsed();
     let detail = |outcome: &str| {
         format!(
-            "route={} account={} rank={}.{} late={} version={} attempts={} planned_ms={:.0} waits_ms={:.0} stages_ms={} stage_runs={} took_ms={}{} {outcome}",
+            "route={} account={} rank={}.{} version={} attempts={} planned_ms={:.0} waits_ms={:.0} stages_ms={} stage_runs={} took_ms={}{} {outcome}",
             ask.route.name,
             ask.account.as_deref().unwrap_or("-"),
-            ask.rank().first,
-            ask.rank().second,
-            ask.is_late(),
+            ask.rank.first,
+            ask.rank.second,
             ask.config_version,
             log.attempts,
             log.plan.stages_ms + log.plan.waits_ms + log.plan.reading_ms,
@@ -131,7 +130,7 @@
             )
         }
     };
-    gateway.metrics.count(&label, ask.rank().second);
+    gateway.metrics.count(&label, ask.rank.second);
     gateway.note_request(code, &ask.id, &log.target, detail(&outcome));
 }
 
@@ -291,7 +290,7 @@
 
 fn note_stages(gateway: &Gateway, ask: &Ask, log: &RunLog, took: Duration) {
     let mut waits = gateway.waits.borrow_mut();
-    waits.learn(ask.rank(), &log.plan, took);
+    waits.learn(ask.rank, &log.plan, took);
     gateway.metrics.stage_time.observe(took.as_secs_f64());
 }
 
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -164,7 +164,7 @@
         comes.then(|| {
             gateway.stages.expect(ExpectedPieces {
                 pool: choose_part(gateway, ask, number, None),
-                rank: ask.stage_rank(number),
+                rank: ask.rank,
                 pieces: *count,
             })
         })
@@ -268,16 +268,13 @@
         PieceInput::Results(inputs)
     };
     let after = path_time(gateway, ask).after[number];
-    let aim = if ask.is_late() {
-        ask.time_left()
-    } else {
-        ask.objective_left()
-    };
-    let wanted = aim.saturating_sub(Duration::from_secs_f64(after / 1_000.0));
+    let wanted = ask
+        .objective_left()
+        .saturating_sub(Duration::from_secs_f64(after / 1_000.0));
     let batch = PieceBatch {
         number: 0,
         pool: choose_part(gateway, ask, number, hall.as_deref()),
-        rank: ask.stage_rank(number),
+        rank: ask.rank,
         first: stage.after.is_empty(),
         wanted_ms: wanted.as_millis() as u64,
         remaining_ms: ask.time_left().as_millis() as u64,
@@ -326,7 +323,7 @@
     let want = PartWant {
         spec: spec.and_then(|service| service.stage_pool.as_ref()),
         hall,
-        rank: ask.stage_rank(number),
+        rank: ask.rank,
         pieces: ask.piece_counts[number],
     };
     gateway.stages.choose_part(service, &want)
@@ -375,7 +372,7 @@
         let load = gateway.stages.load_of(&stage.service);
         let wait = match (pool_of(number), load) {
             (Some(pool), Some(load)) if count > 0 => {
-                (load.wait_ms(pool, ask.stage_rank(number), count) - start).max(0.0)
+                (load.wait_ms(pool, ask.rank, count) - start).max(0.0)
             }
             _ => 0.0,
         };
