--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -3,10 +3,12 @@
 //! - [`CtlSettings`] are its arguments; [`run_ctl`] runs one command.
 //! - `client` asks the control hosts and finds the one that leads.
 //! - `table`, `status`, `timeline`, `member` and `form` hold one family of commands each.
+//! - `logs` holds the commands on collected logs, which need no host.
 
 mod client;
 mod error;
 mod form;
+mod logs;
 mod member;
 mod picture;
 mod settings;
@@ -27,9 +29,10 @@
 /// The exit status is 0 where the command did what it says, 1 where it was refused, 2 for wrong
 /// arguments, 3 where the outcome is unknown.
 pub async fn run_ctl(settings: CtlSettings) -> ExitCode {
-    let result = match OpsClient::new(&settings).await {
-        Ok(client) => run_command(&client, settings.command).await,
-        Err(error) => Err(error),
+    let result = match &settings.command {
+        CtlCommand::Losses(args) => logs::show_losses(args),
+        CtlCommand::Explain(args) => logs::explain(args),
+        _ => run_with_hosts(settings).await,
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -40,6 +43,11 @@
     }
 }
 
+async fn run_with_hosts(settings: CtlSettings) -> Result<(), CtlError> {
+    let client = OpsClient::new(&settings).await?;
+    run_command(&client, settings.command).await
+}
+
 async fn run_command(client: &OpsClient, command: CtlCommand) -> Result<(), CtlError> {
     match command {
         CtlCommand::Init => form::form_cluster(client).await,
@@ -48,6 +56,8 @@
         CtlCommand::Targets => status::show_targets(client).await,
         CtlCommand::Timeline(query) => timeline::show_timeline(client, query).await,
         CtlCommand::Member(command) => member::run_member(client, command).await,
+        CtlCommand::Losses(args) => logs::show_losses(&args),
+        CtlCommand::Explain(args) => logs::explain(&args),
         CtlCommand::Key { key } => {
             println!("{}", linnet_table::KeyDigest::of_key(key.as_bytes()));
             Ok(())
--- /dev/null
+++ b/crates/ctl/src/logs.rs
@@ -0,0 +1,93 @@
+//! Commands on collected logs.
+
+use std::fs::File;
+use std::io::{self, BufReader};
+use std::path::{Path, PathBuf};
+
+use linnet_logbook::{LogLine, LossGroup, LossTable, explain_request, read_lines};
+
+use crate::settings::{CountedBy, ExplainArgs, LossesArgs};
+use crate::{CtlError, CtlStep};
+
+/// Prints what became of the requests in some logs.
+pub(crate) fn show_losses(args: &LossesArgs) -> Result<(), CtlError> {
+    let lines = read_logs(&args.logs)?;
+    let group = match args.by {
+        CountedBy::Rank => LossGroup::Rank,
+        CountedBy::Route => LossGroup::Route,
+        CountedBy::Account => LossGroup::Account,
+        CountedBy::Host => LossGroup::Host,
+        CountedBy::Second => LossGroup::Second,
+    };
+    let table = LossTable::new(&lines, group);
+    if args.json {
+        let json = serde_json::to_string_pretty(&table);
+        println!("{}", json.unwrap_or_default());
+    } else {
+        print!("{}", table.to_text());
+    }
+    Ok(())
+}
+
+/// Prints what some logs tell of one request.
+pub(crate) fn explain(args: &ExplainArgs) -> Result<(), CtlError> {
+    let lines = read_logs(&args.logs)?;
+    let story = explain_request(&lines, &args.request).ok_or_else(|| {
+        let cause = format!("none of {} lines names it", lines.len());
+        CtlError::refused(CtlStep::Read, args.request.clone(), cause)
+    })?;
+    story.lines.iter().for_each(print_line);
+    if !story.target_lines.is_empty() {
+        println!("its targets before:");
+        story.target_lines.iter().for_each(print_line);
+    }
+    println!("{}", story.verdict);
+    Ok(())
+}
+
+fn print_line(line: &LogLine) {
+    let peer = line.peer.as_deref().unwrap_or("-");
+    println!(
+        "{} {} peer={peer} {}: {}",
+        line.time,
+        line.host,
+        line.code.name(),
+        line.detail
+    );
+}
+
+/// Reads logs from files and folders, or from standard input where none is named.
+fn read_logs(paths: &[PathBuf]) -> Result<Vec<LogLine>, CtlError> {
+    if paths.is_empty() {
+        return read_lines(io::stdin().lock()).map_err(|error| read_error(Path::new("-"), &error));
+    }
+    let mut lines = Vec::new();
+    for path in paths {
+        for file in files_of(path).map_err(|error| read_error(path, &error))? {
+            let opened = File::open(&file).map_err(|error| read_error(&file, &error))?;
+            let read = read_lines(BufReader::new(opened));
+            lines.extend(read.map_err(|error| read_error(&file, &error))?);
+        }
+    }
+    Ok(lines)
+}
+
+/// Returns the files that a path names: itself, or those that lie in it.
+fn files_of(path: &Path) -> io::Result<Vec<PathBuf>> {
+    if !path.is_dir() {
+        return Ok(vec![path.to_owned()]);
+    }
+    let mut files = Vec::new();
+    for entry in path.read_dir()? {
+        let inner = entry?.path();
+        if inner.is_file() {
+            files.push(inner);
+        }
+    }
+    files.sort();
+    Ok(files)
+}
+
+fn read_error(path: &Path, error: &io::Error) -> CtlError {
+    CtlError::refused(CtlStep::Read, path.display().to_string(), error.to_string())
+}
--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 
 /// Operates a linnetdale system.
 #[derive(Debug, Clone, Parser)]
@@ -55,6 +55,10 @@
     /// Show and change the voters
     #[command(subcommand)]
     Member(MemberCommand),
+    /// Count what became of requests in collected logs, with planned against real times
+    Losses(LossesArgs),
+    /// Gather what collected logs tell of one request
+    Explain(ExplainArgs),
     /// Print the digest of a key, for the table or for settings
     Key {
         /// The key
@@ -133,6 +137,43 @@
     pub(crate) entries: Vec<SocketAddr>,
 }
 
+/// Arguments of `losses`.
+#[derive(Debug, Clone, Args)]
+pub(crate) struct LossesArgs {
+    /// Log files, or folders of them; standard input where there are none
+    pub(crate) logs: Vec<PathBuf>,
+    /// By what requests are counted
+    #[arg(long, value_enum, default_value_t = CountedBy::Rank)]
+    pub(crate) by: CountedBy,
+    /// Print JSON
+    #[arg(long)]
+    pub(crate) json: bool,
+}
+
+/// By what requests are counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub(crate) enum CountedBy {
+    /// Priorities of account and route
+    Rank,
+    /// Route
+    Route,
+    /// Client account
+    Account,
+    /// Entry host
+    Host,
+    /// Second of their end
+    Second,
+}
+
+/// Arguments of `explain`.
+#[derive(Debug, Clone, Args)]
+pub(crate) struct ExplainArgs {
+    /// The request's id
+    pub(crate) request: String,
+    /// Log files, or folders of them; standard input where there are none
+    pub(crate) logs: Vec<PathBuf>,
+}
+
 /// Commands on voters.
 #[derive(Debug, Clone, Subcommand)]
 pub(crate) enum MemberCommand {
--- /dev/null
+++ b/crates/logbook/src/explain.rs
@@ -0,0 +1,98 @@
+//! What all processes wrote of one request.
+
+use linnet_telemetry::EventCode;
+
+use crate::LogLine;
+
+/// Lines about the request's targets that are told beside its own, the newest ones.
+const MAX_TARGET_LINES: usize = 12;
+
+/// What is known of one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestStory {
+    /// The lines about it, in the order of their times.
+    pub lines: Vec<LogLine>,
+    /// What happened to targets that it was sent to, until its last line.
+    pub target_lines: Vec<LogLine>,
+    /// What decided its end, in a sentence.
+    pub verdict: String,
+}
+
+/// Gathers what was written of a request; nothing where no line names it.
+pub fn explain_request(all: &[LogLine], request: &str) -> Option<RequestStory> {
+    let named = all.iter().filter(|line| line.names(request));
+    let mut lines: Vec<LogLine> = named.cloned().collect();
+    lines.sort_by(|a, b| a.time.cmp(&b.time));
+    let last = lines.last()?;
+    let own = lines.iter().filter(|line| line.request.is_some());
+    let targets: Vec<&str> = own.filter_map(|line| line.peer.as_deref()).collect();
+    let mut target_lines: Vec<LogLine> = all
+        .iter()
+        .filter(|line| tells_of_target(line) && line.time <= last.time)
+        .filter(|line| {
+            line.peer
+                .as_deref()
+                .is_some_and(|peer| targets.contains(&peer))
+        })
+        .filter(|line| !line.names(request))
+        .cloned()
+        .collect();
+    target_lines.sort_by(|a, b| a.time.cmp(&b.time));
+    let more = target_lines.len().saturating_sub(MAX_TARGET_LINES);
+    target_lines.drain(..more);
+    let verdict = verdict_of(&lines);
+    Some(RequestStory {
+        lines,
+        target_lines,
+        verdict,
+    })
+}
+
+/// Says whether a line tells that a target failed, leaves or is silent.
+fn tells_of_target(line: &LogLine) -> bool {
+    matches!(
+        line.code,
+        EventCode::TargetEjected
+            | EventCode::TargetWithdrawn
+            | EventCode::TargetSilent
+            | EventCode::StageCallFailed
+            | EventCode::StageCallLate
+    )
+}
+
+fn verdict_of(lines: &[LogLine]) -> String {
+    let mut ends = lines.iter().filter(|line| {
+        matches!(
+            line.code,
+            EventCode::RequestRefused | EventCode::RequestFinished | EventCode::RequestFailed
+        )
+    });
+    let Some(end) = ends.next_back() else {
+        return "no line tells its end: it may still run, or its host was lost".to_owned();
+    };
+    let outcome = end
+        .detail
+        .split_once("outcome=")
+        .map_or("", |(_, text)| text);
+    let what = match end.code {
+        EventCode::RequestRefused => "refused, it did not run",
+        EventCode::RequestFailed => "failed, it may have run",
+        _ => "finished",
+    };
+    format!("{what} at {}: {outcome}{}", end.host, times_of(lines))
+}
+
+/// Returns the planned and the real time until the answer of a request began, where a line has both;
+/// lines of calls have times of their own.
+fn times_of(lines: &[LogLine]) -> String {
+    let both = lines.iter().find_map(|line| {
+        let planned = line.milliseconds("planned_ms")?;
+        Some((planned, line.milliseconds("took_ms")?))
+    });
+    both.map_or_else(String::new, |(planned, took)| {
+        format!("; planned {planned} ms, took {took} ms")
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/logbook/src/explain/tests.rs
@@ -0,0 +1,54 @@
+use super::*;
+use crate::read_lines;
+
+const LOG: &str = "\
+2026-09-17T19:28:20.000Z WARN event=504 host=edge-2 peer=i-1 TargetEjected: service=s cause=reset
+2026-09-17T19:28:21.000Z INFO event=701 host=edge-2 peer=i-9 StageCallFinished: pieces=2 took_ms=170 requests=zz,ab12
+2026-09-17T19:28:22.000Z WARN event=412 host=edge-1 request=ab12 peer=i-1 AttemptFailed: cause=status 409
+2026-09-17T19:28:22.500Z WARN event=404 host=edge-1 request=ab12 peer=i-1 RequestFailed: planned_ms=500 took_ms=2400 outcome=target_failed: reset
+2026-09-17T19:28:23.000Z WARN event=612 host=edge-1 peer=i-1 TargetSilent: service=s
+2026-09-17T19:28:24.000Z WARN event=402 host=edge-1 request=cd34 RequestRefused: outcome=overloaded: queues too long";
+
+fn lines() -> Vec<LogLine> {
+    read_lines(LOG.as_bytes()).unwrap()
+}
+
+#[test]
+fn a_failure_comes_with_its_stages_and_what_its_target_did_before() {
+    let story = explain_request(&lines(), "ab12").unwrap();
+    let codes: Vec<EventCode> = story.lines.iter().map(|line| line.code).collect();
+    assert_eq!(
+        codes,
+        [
+            EventCode::StageCallFinished,
+            EventCode::AttemptFailed,
+            EventCode::RequestFailed
+        ]
+    );
+    let [target] = &story.target_lines[..] else {
+        panic!("{:?}", story.target_lines);
+    };
+    assert_eq!(target.code, EventCode::TargetEjected);
+    assert_eq!(
+        story.verdict,
+        "failed, it may have run at edge-1: target_failed: reset; planned 500 ms, took 2400 ms"
+    );
+}
+
+#[test]
+fn a_refusal_says_that_it_did_not_run() {
+    let story = explain_request(&lines(), "cd34").unwrap();
+    assert!(
+        story
+            .verdict
+            .starts_with("refused, it did not run at edge-1")
+    );
+    assert!(story.target_lines.is_empty());
+}
+
+#[test]
+fn a_request_without_an_end_or_without_lines_is_told_so() {
+    let story = explain_request(&lines(), "zz").unwrap();
+    assert!(story.verdict.starts_with("no line tells its end"));
+    assert_eq!(explain_request(&lines(), "unknown"), None);
+}
