One exchange with targets, one prompt, one form of a chosen engine; behaviour as before

`UpstreamPool::exchange` serves calls, releases and reports, which each sent, read and gave back a connection by themselves; a dialect was copied for each release, and the time after a stage was worked out with the loads of all pools for each stage, of which it needs none. A placement carries the `Prompt` in place of a second form with the same sums; `Chosen` is built in one place in place of three; parts of a call are runs of equal work. linnetctl matched two commands twice and had a second enumeration of loss groups.

--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -29,10 +29,9 @@
 /// The exit status is 0 where the command did what it says, 1 where it was refused, 2 for wrong
 /// arguments, 3 where the outcome is unknown.
 pub async fn run_ctl(settings: CtlSettings) -> ExitCode {
-    let result = match &settings.command {
-        CtlCommand::Losses(args) => logs::show_losses(args),
-        CtlCommand::Explain(args) => logs::explain(args),
-        _ => run_with_hosts(settings).await,
+    let result = match OpsClient::new(&settings).await {
+        Ok(client) => run_command(&client, settings.command).await,
+        Err(error) => Err(error),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -43,11 +42,6 @@
     }
 }
 
-async fn run_with_hosts(settings: CtlSettings) -> Result<(), CtlError> {
-    let client = OpsClient::new(&settings).await?;
-    run_command(&client, settings.command).await
-}
-
 async fn run_command(client: &OpsClient, command: CtlCommand) -> Result<(), CtlError> {
     match command {
         CtlCommand::Init => form::form_cluster(client).await,
--- a/crates/ctl/src/logs.rs
+++ b/crates/ctl/src/logs.rs
@@ -4,22 +4,15 @@
 use std::io::{self, BufReader};
 use std::path::{Path, PathBuf};
 
-use linnet_logbook::{LogLine, LossGroup, LossTable, explain_request, read_lines};
+use linnet_logbook::{LogLine, LossTable, explain_request, read_lines};
 
-use crate::settings::{CountedBy, ExplainArgs, LossesArgs};
+use crate::settings::{ExplainArgs, LossesArgs};
 use crate::{CtlError, CtlStep};
 
 /// Prints what became of the requests in some logs.
 pub(crate) fn show_losses(args: &LossesArgs) -> Result<(), CtlError> {
     let lines = read_logs(&args.logs)?;
-    let group = match args.by {
-        CountedBy::Rank => LossGroup::Rank,
-        CountedBy::Route => LossGroup::Route,
-        CountedBy::Account => LossGroup::Account,
-        CountedBy::Host => LossGroup::Host,
-        CountedBy::Second => LossGroup::Second,
-    };
-    let table = LossTable::new(&lines, group);
+    let table = LossTable::new(&lines, args.by);
     if args.json {
         let json = serde_json::to_string_pretty(&table);
         println!("{}", json.unwrap_or_default());
--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use clap::{Args, Parser, Subcommand, ValueEnum};
+use clap::{Args, Parser, Subcommand};
+use linnet_logbook::LossGroup;
 
 /// Operates a linnetdale system.
 #[derive(Debug, Clone, Parser)]
@@ -143,28 +144,13 @@
     /// Log files, or folders of them; standard input where there are none
     pub(crate) logs: Vec<PathBuf>,
     /// By what requests are counted
-    #[arg(long, value_enum, default_value_t = CountedBy::Rank)]
-    pub(crate) by: CountedBy,
+    #[arg(long, value_enum, default_value_t = LossGroup::Rank)]
+    pub(crate) by: LossGroup,
     /// Print JSON
     #[arg(long)]
     pub(crate) json: bool,
 }
 
-/// By what requests are counted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
-pub(crate) enum CountedBy {
-    /// Priorities of account and route
-    Rank,
-    /// Route
-    Route,
-    /// Client account
-    Account,
-    /// Entry host
-    Host,
-    /// Second of their end
-    Second,
-}
-
 /// Arguments of `explain`.
 #[derive(Debug, Clone, Args)]
 pub(crate) struct ExplainArgs {
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -58,7 +58,7 @@
 }
 
 /// A prompt by its cached parts.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Prompt {
     pub(crate) tokens_in: u64,
     pub(crate) tokens_out: u64,
@@ -76,6 +76,11 @@
 }
 
 impl Prompt {
+    /// Returns the last part that other requests share; empty where there is none.
+    pub(crate) fn last_shared(&self) -> &str {
+        self.shared.last().map_or("", |part| &part.id)
+    }
+
     /// Returns the tokens of all shared parts.
     pub(crate) fn shared_tokens(&self) -> u64 {
         self.shared.iter().map(|part| part.tokens).sum()
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -50,12 +50,7 @@
     };
     let scored = fresh.map(|target| (load(target), target));
     let best = scored.min_by(|a, b| a.0.total_cmp(&b.0))?.1;
-    let chosen = Chosen {
-        id: best.id.clone(),
-        address: best.address,
-        hall: best.hall.clone(),
-    };
-    Some((chosen, None))
+    Some((Chosen::new(best), None))
 }
 
 /// Returns what to ask of the host that places prompts; nothing for a request without one.
@@ -80,8 +75,7 @@
     let avoid = tried.iter().chain(ejected.map(|target| &target.id));
     Some(PlaceAsk {
         service: service.to_owned(),
-        parts: prompt.shared.clone(),
-        tokens: prompt.tokens_in,
+        prompt: prompt.clone(),
         heavy_stage: heavy.map(|stage| stage.service.clone()),
         results: places.unwrap_or_default(),
         avoid: avoid.take(MAX_AVOIDED).cloned().collect(),
--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -5,17 +5,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http::{Request, header};
-use http_body_util::{BodyExt, Full};
 use linnet_telemetry::EventCode;
 use tokio::time::{sleep, timeout, timeout_at};
 
 use super::pool::DueCall;
 use super::queue::Coordinator;
-use crate::piece::StageWork;
 use crate::pool_key::PoolKey;
-use crate::stage_call::{CallEnd, CallPart, StageCall};
+use crate::stage_call::{CallEnd, CallPart, StageCall, ask_free_bytes};
 
 /// How much longer than expected a call is waited for in all, as a factor and a span.
 const BOUND_FACTOR: f64 = 5.0;
@@ -24,9 +20,6 @@
 /// How old what a target reports may be.
 const REPORT_LAG: Duration = Duration::from_millis(200);
 
-/// How long a release of results may take.
-const FREE_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 pub(super) async fn run_call(coordinator: Rc<Coordinator>, call: DueCall) {
     let started = Instant::now();
     let stage_call = stage_call(&call, started);
@@ -118,26 +111,17 @@
 /// Puts a call in the form in which it travels; pieces of one batch that follow each other share a
 /// part.
 fn stage_call(call: &DueCall, now: Instant) -> StageCall {
-    let mut parts: Vec<CallPart> = Vec::new();
-    let mut last: Option<&Rc<StageWork>> = None;
-    for waiting in &call.pieces {
-        let number = waiting.piece.place as u32;
-        match (&last, parts.last_mut()) {
-            (Some(work), Some(part)) if Rc::ptr_eq(work, &waiting.work) => {
-                part.numbers.push(number);
-            }
-            _ => parts.push(CallPart {
-                work: (*waiting.work).clone(),
-                numbers: vec![number],
-                remaining_ms: waiting.deadline.saturating_duration_since(now).as_millis() as u64,
-            }),
-        }
-        last = Some(&waiting.work);
-    }
+    let left = |deadline: Instant| deadline.saturating_duration_since(now).as_millis() as u64;
+    let batches = call.pieces.chunk_by(|a, b| Rc::ptr_eq(&a.work, &b.work));
+    let parts = batches.map(|pieces| CallPart {
+        work: (*pieces[0].work).clone(),
+        numbers: pieces.iter().map(|one| one.piece.place as u32).collect(),
+        remaining_ms: left(pieces[0].deadline),
+    });
     StageCall {
         target: call.target.clone(),
         address: call.address,
-        parts,
+        parts: parts.collect(),
         bound_ms: bound_of(call).as_millis() as u64,
     }
 }
@@ -150,27 +134,14 @@
 
 /// Asks a target how much memory it has free for results, when its report has caught up with the call
 /// that found no room. Until then the target is taken as full.
-pub(super) async fn ask_free_bytes(
+pub(super) async fn learn_free_bytes(
     coordinator: Rc<Coordinator>,
     pool: PoolKey,
     address: SocketAddr,
 ) {
     sleep(REPORT_LAG).await;
-    let targets = &coordinator.dialect.targets;
-    let request = Request::get(targets.report_path)
-        .header(header::HOST, address.to_string())
-        .body(Full::new(Bytes::new()));
-    let Ok(request) = request else {
-        return;
-    };
-    let work = async {
-        let (answer, lease) = coordinator.pool.send(address, request).await.ok()?;
-        let (head, body) = answer.into_parts();
-        let body = body.collect().await.ok()?.to_bytes();
-        lease.finish(&head.headers);
-        (targets.decode_free_bytes)(&body)
-    };
-    if let Ok(Some(free)) = timeout(FREE_TIMEOUT, work).await {
+    let asked = ask_free_bytes(&coordinator.dialect, &coordinator.pool, address);
+    if let Some(free) = asked.await {
         coordinator.take_free_bytes(&pool, address, free);
     }
 }
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -71,15 +71,17 @@
     }
 
     /// Sends a release to its target, or has another host send it.
-    fn send_release(&self, release: StageRelease, hall: &str) {
+    fn send_release(self: &Rc<Self>, release: StageRelease, hall: &str) {
         let share = self.share.get().filter(|_| self.rate.borrow().is_shared());
         let own = match share {
             Some(share) => (share.release)(release, hall),
             None => Some(release),
         };
         if let Some(release) = own {
-            let (dialect, upstream) = (self.dialect.clone(), self.pool.clone());
-            ntex::rt::spawn(send_release(dialect, upstream, release));
+            let coordinator = self.clone();
+            ntex::rt::spawn(async move {
+                send_release(&coordinator.dialect, &coordinator.pool, &release).await;
+            });
         }
     }
 
@@ -267,7 +269,7 @@
             reply(outcomes);
         }
         if let Some(address) = finished.unsure {
-            ntex::rt::spawn(call::ask_free_bytes(self.clone(), pool.clone(), address));
+            ntex::rt::spawn(call::learn_free_bytes(self.clone(), pool.clone(), address));
         }
         if finished.unclaimed.is_empty() {
             self.dispatch(&pool);
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -221,13 +221,9 @@
             let Some((id, target)) = maker else {
                 continue;
             };
-            let key = HeldKey::Result(handle);
-            if !target.results.remove(&key) {
+            if !target.results.remove(&HeldKey::Result(handle.clone())) {
                 target.results.take_off_told(bytes);
             }
-            let HeldKey::Result(handle) = key else {
-                continue;
-            };
             let known = releases
                 .iter_mut()
                 .find(|(one, _)| one.address == target.address);
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ask::PromptPart;
+use crate::ask::{Prompt, PromptPart};
 use crate::hall_bytes::HallBytes;
 use crate::rendezvous;
 use crate::target::{Target, TargetBook};
@@ -27,8 +27,9 @@
 const AGAIN_PART: f64 = 4.0;
 const AGAIN_MOST_MS: f64 = 250.0;
 
-/// Part of the time of reading that counts where no engine is known to hold the part: the one that every host ranks first for it
-/// may hold it all the same, since this host may have begun to place prompts a moment ago.
+/// Part of the time of reading that counts where no engine is known to hold the part: the one that
+/// every host ranks first for it may hold it all the same, since this host may have begun to place
+/// prompts a moment ago.
 const UNKNOWN_PART: f64 = 0.5;
 
 /// What a megabyte of results that crosses halls adds to the cost of an engine, in milliseconds.
@@ -92,10 +93,8 @@
 pub(crate) struct PlaceAsk {
     /// The service whose engines are meant.
     pub(crate) service: String,
-    /// The parts of the prompt that others share, in their order.
-    pub(crate) parts: Vec<PromptPart>,
-    /// Tokens of the prompt.
-    pub(crate) tokens: u64,
+    /// The prompt.
+    pub(crate) prompt: Prompt,
     /// The stage pool with large results that requests of its route use.
     pub(crate) heavy_stage: Option<String>,
     /// Where the results of its stages lie.
@@ -104,22 +103,6 @@
     pub(crate) avoid: Vec<String>,
 }
 
-impl PlaceAsk {
-    /// Returns the last shared part; empty where there is none.
-    fn last_part(&self) -> &str {
-        self.parts.last().map_or("", |part| &part.id)
-    }
-
-    fn shared_tokens(&self) -> u64 {
-        self.parts.iter().map(|part| part.tokens).sum()
-    }
-
-    /// Returns the tokens that only this prompt has.
-    fn own_tokens(&self) -> u64 {
-        self.tokens.saturating_sub(self.shared_tokens())
-    }
-}
-
 /// A target that was chosen.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Chosen {
@@ -128,6 +111,16 @@
     pub(crate) hall: String,
 }
 
+impl Chosen {
+    pub(crate) fn new(target: &Target) -> Self {
+        Self {
+            id: target.id.clone(),
+            address: target.address,
+            hall: target.hall.clone(),
+        }
+    }
+}
+
 /// What decided a placement, for the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PlaceFacts {
@@ -229,14 +222,15 @@
             .map_or_else(HallWeights::default, |stage| {
                 HallWeights::new(book, &ask.service, stage)
             });
+        let shared = ask.prompt.shared_tokens();
         let mut ranked: Vec<RankedEngine<'_>> = candidates
             .into_iter()
             .map(|target| {
                 let weight = weights.of(&target.hall);
                 RankedEngine {
                     target,
-                    rank: rendezvous::weighted_score(ask.last_part(), &target.id, weight),
-                    missing: ask.shared_tokens() - self.held_tokens(&target.id, &ask.parts),
+                    rank: rendezvous::weighted_score(ask.prompt.last_shared(), &target.id, weight),
+                    missing: shared - self.held_tokens(&target.id, &ask.prompt.shared),
                     cost: 0.0,
                 }
             })
@@ -259,16 +253,12 @@
             .into_iter()
             .min_by(|a, b| a.cost.total_cmp(&b.cost).then(b.rank.total_cmp(&a.rank)))?
             .target;
-        Some(Chosen {
-            id: best.id.clone(),
-            address: best.address,
-            hall: best.hall.clone(),
-        })
+        Some(Chosen::new(best))
     }
 
     fn holds(&self, engine: &str, part: &str) -> bool {
-        let holders = self.holders.get(part).into_iter().flatten();
-        holders.into_iter().any(|(id, _)| id == engine)
+        let mut holders = self.holders.get(part).into_iter().flatten();
+        holders.any(|(id, _)| id == engine)
     }
 
     /// Returns the tokens of the first of some parts that an engine is taken to hold; a part serves
@@ -308,7 +298,7 @@
         let (unread, running) = load.map_or((0, 0), |load| (load.unread, load.running));
         // On a slow engine the prompt's own reading is slow as well.
         let slowness = self.slowness_of(&engine.id, now);
-        let own = self.reading_ms(ask.own_tokens()) + SLOWNESS_BASE_MS;
+        let own = self.reading_ms(ask.prompt.own_tokens()) + SLOWNESS_BASE_MS;
         let running = f64::from(running) / f64::from(engine.slots) * FULL_COST_MS;
         (self.reading_ms(unread) + missing_ms) * slowness
             + own * (slowness - 1.0)
@@ -324,9 +314,10 @@
         now: Instant,
     ) -> Option<(Chosen, PlaceFacts)> {
         let chosen = self.choose(book, ask, now)?;
-        let held = self.held_tokens(&chosen.id, &ask.parts);
+        let held = self.held_tokens(&chosen.id, &ask.prompt.shared);
         let ahead = self.loads.get(&chosen.id).map_or(0, |load| load.unread);
-        let expected_ms = (ahead + ask.tokens.saturating_sub(held)) as f64 / self.tokens_per_ms;
+        let expected_ms =
+            (ahead + ask.prompt.tokens_in.saturating_sub(held)) as f64 / self.tokens_per_ms;
         let facts = PlaceFacts {
             held,
             ahead,
@@ -343,11 +334,11 @@
         now: Instant,
     ) -> Option<(PlacementKey, Chosen, PlaceFacts)> {
         let (chosen, facts) = self.plan(book, ask, now)?;
-        let unread = ask.tokens.saturating_sub(facts.held);
+        let unread = ask.prompt.tokens_in.saturating_sub(facts.held);
         let load = self.loads.entry(chosen.id.clone()).or_default();
         load.unread += unread;
         load.running += 1;
-        for part in &ask.parts {
+        for part in &ask.prompt.shared {
             self.note_holder(&chosen.id, &part.id, now);
         }
         self.next += 1;
--- a/crates/gateway/src/engine/tests.rs
+++ b/crates/gateway/src/engine/tests.rs
@@ -34,11 +34,18 @@
     }
 }
 
+fn prompt(tokens_in: u64, shared: Vec<PromptPart>) -> Prompt {
+    Prompt {
+        tokens_in,
+        tokens_out: 0,
+        shared,
+    }
+}
+
 fn ask(part: &str) -> PlaceAsk {
     PlaceAsk {
         service: "engine".to_owned(),
-        parts: vec![shared(part, 13_000)],
-        tokens: 15_000,
+        prompt: prompt(15_000, vec![shared(part, 13_000)]),
         heavy_stage: None,
         results: HallBytes::default(),
         avoid: Vec::new(),
@@ -173,8 +180,7 @@
     let (book, now) = (book(), Instant::now());
     let mut placer = EnginePlacer::default();
     let following = |id: &str| PlaceAsk {
-        parts: vec![shared("first", 2_500), shared(id, 3_800)],
-        tokens: 9_000,
+        prompt: prompt(9_000, vec![shared("first", 2_500), shared(id, 3_800)]),
         ..ask("")
     };
     let held = |placer: &mut EnginePlacer, id: &str| {
@@ -184,8 +190,7 @@
     assert_eq!(held(&mut placer, "a"), 6_300);
     // What follows serves only behind the part before it.
     let alone = PlaceAsk {
-        parts: vec![shared("other", 2_500), shared("a", 3_800)],
-        tokens: 9_000,
+        prompt: prompt(9_000, vec![shared("other", 2_500), shared("a", 3_800)]),
         ..ask("")
     };
     assert_eq!(placer.place(&book, &alone, now).unwrap().2.held, 0);
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
+use linnet_routing::{RouteTable, StagePool};
 
 use crate::admission::RETRY_LEAST;
 use crate::ask::Ask;
@@ -267,7 +268,7 @@
     } else {
         PieceInput::Results(inputs)
     };
-    let after = path_time(gateway, ask).after[number];
+    let after = time_after(gateway, ask)[number];
     let wanted = ask
         .objective_left()
         .saturating_sub(Duration::from_secs_f64(after / 1_000.0));
@@ -319,9 +320,8 @@
 fn choose_part(gateway: &Gateway, ask: &Ask, number: usize, hall: Option<&str>) -> PoolKey {
     let table = gateway.table();
     let service = &ask.route.stages[number].service;
-    let spec = table.as_ref().and_then(|table| table.find_service(service));
     let want = PartWant {
-        spec: spec.and_then(|service| service.stage_pool.as_ref()),
+        spec: pool_of(table.as_deref(), service),
         hall,
         rank: ask.rank,
         pieces: ask.piece_counts[number],
@@ -331,8 +331,6 @@
 
 /// Time that a request takes for its stages, as far as is known.
 pub(crate) struct PathTime {
-    /// From the end of each stage to the first event, where nothing waits, in milliseconds.
-    after: Vec<f64>,
     /// When each stage will have ended, in milliseconds from now.
     pub(crate) ends: Vec<f64>,
     /// How long each stage takes from the submission of its pieces, in milliseconds.
@@ -343,25 +341,6 @@
 pub(crate) fn path_time(gateway: &Gateway, ask: &Ask) -> PathTime {
     let table = gateway.table();
     let stages = &ask.route.stages;
-    let reading = reading_ms(gateway, ask);
-    let pool_of = |number: usize| {
-        let service = table.as_ref()?.find_service(&stages[number].service)?;
-        service.stage_pool.as_ref()
-    };
-    let own_ms = |number: usize| {
-        let count = ask.piece_counts[number];
-        let pool = pool_of(number).filter(|_| count > 0);
-        pool.map_or(0.0, |pool| {
-            pool.call_time_ms(count.min(pool.batch) as usize)
-        })
-    };
-    let mut after = vec![reading; stages.len()];
-    for number in (0..stages.len()).rev() {
-        let whole = own_ms(number) + after[number];
-        for before in &stages[number].after {
-            after[*before] = after[*before].max(whole);
-        }
-    }
     // End and waits of each stage. What waits at a later pool now is served meanwhile.
     let mut ends: Vec<(f64, f64)> = Vec::with_capacity(stages.len());
     let mut spans: Vec<f64> = Vec::with_capacity(stages.len());
@@ -370,28 +349,58 @@
         let (start, waits) = before.fold((0.0, 0.0), longer);
         let count = ask.piece_counts[number];
         let load = gateway.stages.load_of(&stage.service);
-        let wait = match (pool_of(number), load) {
+        let pool = pool_of(table.as_deref(), &stage.service);
+        let own_ms = own_ms(pool, count);
+        let wait = match (pool, load) {
             (Some(pool), Some(load)) if count > 0 => {
                 (load.wait_ms(pool, ask.rank, count) - start).max(0.0)
             }
             _ => 0.0,
         };
-        ends.push((start + wait + own_ms(number), waits + wait));
-        spans.push(wait + own_ms(number));
+        ends.push((start + wait + own_ms, waits + wait));
+        spans.push(wait + own_ms);
     }
     let (end, waits) = ends.iter().copied().fold((0.0, 0.0), longer);
     PathTime {
-        after,
         ends: ends.into_iter().map(|(end, _)| end).collect(),
         spans,
         plan: PathPlan {
             stages_ms: end - waits,
             waits_ms: waits,
-            reading_ms: reading,
+            reading_ms: reading_ms(gateway, ask),
         },
     }
 }
 
+/// Returns the time from the end of each stage to the first event, where nothing waits, in
+/// milliseconds.
+fn time_after(gateway: &Gateway, ask: &Ask) -> Vec<f64> {
+    let table = gateway.table();
+    let stages = &ask.route.stages;
+    let mut after = vec![reading_ms(gateway, ask); stages.len()];
+    for (number, stage) in stages.iter().enumerate().rev() {
+        let pool = pool_of(table.as_deref(), &stage.service);
+        let whole = own_ms(pool, ask.piece_counts[number]) + after[number];
+        for before in &stage.after {
+            after[*before] = after[*before].max(whole);
+        }
+    }
+    after
+}
+
+/// Returns the settings of a stage pool, where the configuration has it.
+fn pool_of<'a>(table: Option<&'a RouteTable>, service: &str) -> Option<&'a StagePool> {
+    table?.find_service(service)?.stage_pool.as_ref()
+}
+
+/// Returns the time of a call with so many pieces of one request, in milliseconds.
+fn own_ms(pool: Option<&StagePool>, count: u32) -> f64 {
+    let pool = pool.filter(|_| count > 0);
+    pool.map_or(0.0, |pool| {
+        pool.call_time_ms(count.min(pool.batch) as usize)
+    })
+}
+
 fn longer(a: (f64, f64), b: (f64, f64)) -> (f64, f64) {
     if b.0 > a.0 { b } else { a }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -318,8 +318,10 @@
                 ntex::rt::spawn(sending);
             }
             PieceRequest::Release(release) => {
-                let (dialect, upstream) = (gateway.config.dialect.clone(), gateway.pool.clone());
-                ntex::rt::spawn(send_release(dialect, upstream, release));
+                let gateway = gateway.clone();
+                ntex::rt::spawn(async move {
+                    send_release(&gateway.config.dialect, &gateway.pool, &release).await;
+                });
             }
             PieceRequest::Unreachable { service, engine } => {
                 let mut targets = gateway.targets.borrow_mut();
--- a/crates/gateway/src/stage_call.rs
+++ b/crates/gateway/src/stage_call.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{Request, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
@@ -24,8 +24,8 @@
 /// About what the punctuation around one input takes, in bytes.
 const INPUT_BYTES: usize = 3;
 
-/// How long a release of results may take.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a release of results or a question for a report may take.
+const WORD_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Pieces of one stage of one request in a call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -128,16 +128,10 @@
         Ok(request) => request,
         Err(error) => return CallEnd::Failed(error.to_string()),
     };
-    let (answer, lease) = match upstream.send(call.address, request).await {
+    let (head, body) = match upstream.exchange(call.address, request).await {
         Ok(answered) => answered,
         Err(error) => return CallEnd::Failed(error.to_string()),
     };
-    let (head, body) = answer.into_parts();
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return CallEnd::Failed(error.to_string()),
-    };
-    lease.finish(&head.headers);
     if head.status == targets.other_target {
         return CallEnd::OtherTarget;
     }
@@ -159,7 +153,11 @@
 
 /// Tells a target that results are not needed any more. A lost word costs only the time until the
 /// results expire by themselves.
-pub(crate) async fn send_release(dialect: Dialect, upstream: UpstreamPool, release: StageRelease) {
+pub(crate) async fn send_release(
+    dialect: &Dialect,
+    upstream: &UpstreamPool,
+    release: &StageRelease,
+) {
     let targets = &dialect.targets;
     let body = (targets.encode_stage_free)(&release.handles);
     let request = Request::post(targets.stage_free_path)
@@ -169,14 +167,24 @@
     let Ok(request) = request else {
         return;
     };
-    let work = async {
-        let (answer, lease) = upstream.send(release.address, request).await.ok()?;
-        let (head, body) = answer.into_parts();
-        body.collect().await.ok()?;
-        lease.finish(&head.headers);
-        Some(())
-    };
-    let _ = timeout(RELEASE_TIMEOUT, work).await;
+    let sent = upstream.exchange(release.address, request);
+    let _ = timeout(WORD_TIMEOUT, sent).await;
+}
+
+/// Asks a target how many bytes it has free for results; nothing where it does not tell in time.
+pub(crate) async fn ask_free_bytes(
+    dialect: &Dialect,
+    upstream: &UpstreamPool,
+    address: SocketAddr,
+) -> Option<u64> {
+    let targets = &dialect.targets;
+    let request = Request::get(targets.report_path)
+        .header(header::HOST, address.to_string())
+        .body(Full::new(Bytes::new()))
+        .ok()?;
+    let asked = upstream.exchange(address, request);
+    let (_, body) = timeout(WORD_TIMEOUT, asked).await.ok()?.ok()?;
+    (targets.decode_free_bytes)(&body)
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -133,11 +133,7 @@
     /// Finds a target that takes work.
     pub(crate) fn find(&self, service: &str, id: &str) -> Option<Chosen> {
         let target = self.services.get(service)?.get(id)?;
-        Some(Chosen {
-            id: target.id.clone(),
-            address: target.address,
-            hall: target.hall.clone(),
-        })
+        Some(Chosen::new(target))
     }
 
     pub(crate) fn find_mut(&mut self, service: &str, id: &str) -> Option<&mut Target> {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -8,8 +8,9 @@
 
 use bytes::Bytes;
 use derive_more::Display;
+use http::response::Parts;
 use http::{HeaderMap, Request, Response};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -114,6 +115,22 @@
         }
     }
 
+    /// Sends a request and returns the whole answer.
+    pub(crate) async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Parts, Bytes), SendError> {
+        let (answer, lease) = self.send(address, request).await?;
+        let (head, body) = answer.into_parts();
+        let body = body
+            .collect()
+            .await
+            .map_err(|error| SendError::MayHaveRun(error.to_string()))?;
+        lease.finish(&head.headers);
+        Ok((head, body.to_bytes()))
+    }
+
     /// Closes the resting connections to addresses that are not in use any more.
     pub(crate) fn retain(&self, wanted: impl Fn(&SocketAddr) -> bool) {
         self.state
--- a/crates/logbook/src/losses.rs
+++ b/crates/logbook/src/losses.rs
@@ -2,23 +2,24 @@
 
 use std::collections::BTreeMap;
 
+use clap::ValueEnum;
 use linnet_telemetry::EventCode;
 use serde::Serialize;
 
 use crate::LogLine;
 
 /// By what requests are counted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
 pub enum LossGroup {
-    /// Rank: priority of the account, priority of the route.
+    /// Priorities of account and route
     Rank,
-    /// Route.
+    /// Route
     Route,
-    /// Client account.
+    /// Client account
     Account,
-    /// Entry host.
+    /// Entry host
     Host,
-    /// Second in which the request ended.
+    /// Second of their end
     Second,
 }
 
