Silence between processes counts between bytes on every connection

The same cause elsewhere: pieces between entry hosts, the table's feed and agreement counted the time between whole messages (550 ms, 3 s, 10 s), so that a message that passes for longer ended the connection and was sent again from its first byte. They count between bytes now; a connection that falls silent midway is noticed as before. Tests: over a link that passes 200 KB a second a message of 200 KB comes whole under a limit of 300 ms, and one that stops midway is noticed. Writes of pieces keep no limit: what reads on the same connection has one.

--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -6,12 +6,12 @@
 
 use linnet_table::TableStore;
 use linnet_wire::{PeerGreeting, PeerIdentity, PeerReader, PeerWriter, WireError, connect_peer};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::serve::IDLE_PERIOD;
 use crate::{FeedMessage, FollowHello, FollowReport, TableFeed};
 
-/// A source that is silent for so long is taken as gone or cut off.
+/// A source from which no byte came for so long is taken as gone or cut off.
 const SOURCE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Why following a source ended.
@@ -19,8 +19,6 @@
 pub enum FollowError {
     /// The connection failed.
     Wire(WireError),
-    /// The source was silent for too long.
-    Silent,
     /// The source sent what does not follow what is in force.
     OutOfOrder,
 }
@@ -29,7 +27,6 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             FollowError::Wire(error) => write!(f, "{error}"),
-            FollowError::Silent => f.write_str("the source was silent for too long"),
             FollowError::OutOfOrder => f.write_str("the source sent a change out of order"),
         }
     }
@@ -56,7 +53,9 @@
     heard: impl Fn(u64),
     report: impl Fn() -> FollowReport,
 ) -> Result<(), FollowError> {
-    let (reader, mut writer) = connect_peer(identity, source).await?;
+    let (reader, writer) = connect_peer(identity, source).await?;
+    let reader = reader.with_silence_limit(SOURCE_TIMEOUT);
+    let mut writer = writer.with_silence_limit(SOURCE_TIMEOUT);
     writer.send(&PeerGreeting::Follow).await?;
     let have_version = feed.version();
     writer.send(&FollowHello { have_version }).await?;
@@ -83,10 +82,7 @@
 ) -> Result<(), FollowError> {
     let mut image: Option<TableStore> = None;
     loop {
-        let message = timeout(SOURCE_TIMEOUT, reader.receive::<FeedMessage>())
-            .await
-            .map_err(|_| FollowError::Silent)??;
-        match message {
+        match reader.receive::<FeedMessage>().await? {
             FeedMessage::Delta { version, change } => {
                 // A change that another source brought already is passed over.
                 if version > feed.version() && !feed.take_change(version, change) {
--- a/crates/feed/src/serve.rs
+++ b/crates/feed/src/serve.rs
@@ -11,7 +11,7 @@
 /// How long a source stays silent.
 pub(crate) const IDLE_PERIOD: Duration = Duration::from_secs(1);
 
-/// A follower that is silent for so long is taken as gone.
+/// A follower from which no byte came, or that took none, for so long is taken as gone.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Serves one follower until its connection ends. `on_report` takes what the follower tells.
@@ -21,10 +21,12 @@
 /// [`WireError`] of the connection.
 pub async fn serve_follower(
     feed: &Arc<TableFeed>,
-    mut reader: PeerReader,
+    reader: PeerReader,
     writer: PeerWriter,
     on_report: impl Fn(FollowReport),
 ) -> Result<(), WireError> {
+    let mut reader = reader.with_silence_limit(FOLLOWER_TIMEOUT);
+    let writer = writer.with_silence_limit(FOLLOWER_TIMEOUT);
     let hello: FollowHello = reader.receive().await?;
     let pushing = push_changes(feed, hello.have_version, writer);
     let reports = take_reports(reader, on_report);
@@ -39,10 +41,9 @@
     mut reader: PeerReader,
     on_report: impl Fn(FollowReport),
 ) -> Result<(), WireError> {
-    while let Ok(report) = timeout(FOLLOWER_TIMEOUT, reader.receive()).await {
-        on_report(report?);
+    loop {
+        on_report(reader.receive().await?);
     }
-    Ok(())
 }
 
 async fn push_changes(
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -164,6 +164,7 @@
     let (replies, queue) = mpsc::unbounded_channel();
     let open: Rc<RefCell<HashMap<u64, BatchKey>>> = Rc::default();
     let peer = reader.peer().to_owned();
+    let reader = reader.with_silence_limit(SILENCE_LIMIT);
     let outcome = tokio::select! {
         () = tell_uses(gateway, &peer, replies.clone()) => Ok(()),
         ended = take_pieces(gateway, reader, replies, open.clone()) => ended,
@@ -253,8 +254,8 @@
 ) -> Result<(), WireError> {
     let mut placements = RemotePlacements::new(gateway);
     let mut expectations = RemoteExpectations::new(gateway);
-    while let Ok(request) = timeout(SILENCE_LIMIT, reader.receive::<PieceRequest>()).await {
-        match request? {
+    loop {
+        match reader.receive::<PieceRequest>().await? {
             PieceRequest::Run(batch) => {
                 let (number, pool) = (batch.number, batch.pool.clone());
                 let (replies, finished, telling) = (replies.clone(), open.clone(), gateway.clone());
@@ -330,7 +331,6 @@
             PieceRequest::Alive => {}
         }
     }
-    Ok(())
 }
 
 /// Sends a call for another host, for as long as that host waits for its end.
--- a/crates/gateway/src/stage_client/link.rs
+++ b/crates/gateway/src/stage_client/link.rs
@@ -36,6 +36,7 @@
         return Ok(());
     };
     let (reader, mut writer) = connected?;
+    let reader = reader.with_silence_limit(SILENCE_LIMIT);
     writer.send(&PeerGreeting::Pieces).await?;
     client.mark(address, LinkState::Up);
     tokio::select! {
@@ -49,8 +50,8 @@
     address: SocketAddr,
     mut reader: PeerReader,
 ) -> Result<(), WireError> {
-    while let Ok(reply) = timeout(SILENCE_LIMIT, reader.receive::<PieceReply>()).await {
-        match reply? {
+    loop {
+        match reader.receive::<PieceReply>().await? {
             PieceReply::Done { number, results } => client.take_done(address, number, results),
             PieceReply::Placed { number, engine } => client.take_placed(address, number, engine),
             PieceReply::Called { number, end } => client.take_called(address, number, end),
@@ -60,7 +61,6 @@
             PieceReply::Alive { loads } => client.take_loads(loads),
         }
     }
-    Ok(())
 }
 
 async fn send_queued(
--- a/crates/quorum/src/serve.rs
+++ b/crates/quorum/src/serve.rs
@@ -5,7 +5,6 @@
 use linnet_journal::JournalTicket;
 use linnet_telemetry::EventCode;
 use linnet_wire::{PeerReader, PeerWriter, WireError};
-use tokio::time::timeout;
 
 use crate::message::Addressed;
 use crate::replica::ReplicaShared;
@@ -16,7 +15,7 @@
     grant_vote,
 };
 
-/// A connection that is silent for so long is closed; its leader is gone or cut off.
+/// A connection on which no byte passes for so long is closed; its leader is gone or cut off.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The largest snapshot that a peer may send, in bytes.
@@ -36,16 +35,15 @@
 /// [`WireError`] of the connection.
 pub async fn serve_peer(
     replica: &Replica,
-    mut reader: PeerReader,
-    mut writer: PeerWriter,
+    reader: PeerReader,
+    writer: PeerWriter,
 ) -> Result<(), WireError> {
+    let mut reader = reader.with_silence_limit(IDLE_TIMEOUT);
+    let mut writer = writer.with_silence_limit(IDLE_TIMEOUT);
     let shared = &replica.shared;
     let mut parts = SnapshotParts::default();
     loop {
-        let message: Addressed = match timeout(IDLE_TIMEOUT, reader.receive()).await {
-            Ok(message) => message?,
-            Err(_) => return Ok(()),
-        };
+        let message: Addressed = reader.receive().await?;
         let reply = answer(shared, message, &mut parts).await;
         writer.send(&reply).await?;
     }
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -4,6 +4,8 @@
 
 use std::io::Write;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 use linnet_telemetry::HybridClock;
 use linnet_wire::{
@@ -11,6 +13,7 @@
     connect_peer, open_datagram, seal_datagram,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
 fn key(id: &str) -> PeerKey {
@@ -193,3 +196,90 @@
         }
     }
 }
+
+/// How a relay passes bytes on: so many at one go, with a wait before each.
+const PIECE: usize = 2_000;
+const PIECE_WAIT: Duration = Duration::from_millis(10);
+
+/// Passes bytes from one socket to the other, slowly, as long as `going_on` says so.
+async fn pass_slowly(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, going_on: Arc<AtomicBool>) {
+    let mut piece = [0; PIECE];
+    while let Ok(length @ 1..) = from.read(&mut piece).await {
+        tokio::time::sleep(PIECE_WAIT).await;
+        while !going_on.load(Ordering::Relaxed) {
+            tokio::time::sleep(PIECE_WAIT).await;
+        }
+        to.write_all(&piece[..length]).await.unwrap();
+    }
+}
+
+/// Both ends of a connection; neither closes while the other is in use.
+struct SlowEnds {
+    near: (PeerReader, PeerWriter),
+    far: (PeerReader, PeerWriter),
+}
+
+/// Both ends of a connection whose bytes pass slowly, and the switch that lets them pass at all.
+async fn join_slowly() -> (SlowEnds, Arc<AtomicBool>) {
+    let (near, far) = (
+        identity("near", vec![key("k1")]),
+        identity("far", vec![key("k1")]),
+    );
+    let far_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let relay_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let relay_address = relay_listener.local_addr().unwrap();
+    let going_on = Arc::new(AtomicBool::new(true));
+    let relay = async {
+        let (called, _) = relay_listener.accept().await.unwrap();
+        let onward = TcpStream::connect(far_listener.local_addr().unwrap())
+            .await
+            .unwrap();
+        let ((near_read, near_write), (far_read, far_write)) =
+            (called.into_split(), onward.into_split());
+        ntex::rt::spawn(pass_slowly(near_read, far_write, going_on.clone()));
+        ntex::rt::spawn(pass_slowly(far_read, near_write, going_on.clone()));
+    };
+    let accept = async {
+        let (socket, from) = far_listener.accept().await.unwrap();
+        accept_peer(&far, socket, from).await.unwrap()
+    };
+    let (near, (), far) = tokio::join!(connect_peer(&near, relay_address), relay, accept);
+    (
+        SlowEnds {
+            near: near.unwrap(),
+            far,
+        },
+        going_on,
+    )
+}
+
+#[ntex::test]
+async fn a_message_that_passes_for_longer_than_the_silence_limit_comes_whole() {
+    let (SlowEnds { near, far }, _) = join_slowly().await;
+    let limit = Duration::from_millis(300);
+    let (mut reader, mut writer) = (near.0.with_silence_limit(limit), far.1);
+    // It takes a second at least.
+    let message = vec![7_u8; 100 * PIECE];
+    let began = Instant::now();
+    let (sent, got) = tokio::join!(writer.send(&message), reader.receive::<Vec<u8>>());
+    sent.unwrap();
+    assert_eq!(got.unwrap(), message);
+    assert!(began.elapsed() > limit);
+}
+
+#[ntex::test]
+async fn a_connection_that_falls_silent_without_an_end_is_noticed_midway() {
+    let (SlowEnds { near, far }, going_on) = join_slowly().await;
+    let limit = Duration::from_millis(300);
+    let (mut reader, mut writer) = (near.0.with_silence_limit(limit), far.1);
+    let message = vec![7_u8; 100 * PIECE];
+    let stopping = async {
+        tokio::time::sleep(PIECE_WAIT * 10).await;
+        going_on.store(false, Ordering::Relaxed);
+    };
+    let (sent, got, ()) =
+        tokio::join!(writer.send(&message), reader.receive::<Vec<u8>>(), stopping);
+    sent.unwrap();
+    let cause = got.unwrap_err().cause;
+    assert!(matches!(cause, WireCause::Silent { length, .. } if length > 100 * PIECE));
+}
