A late heartbeat of a former start does not end the target at its address

Cause: an address belongs to one start at a time, so any identity heard anew ended the one there, also by a heartbeat that a cut had held up, and by the news of another control host that the former has ended. A target that has ended never returns, so it was lost for as long as it lived. Now only a start heard from its first heartbeats on takes over at once; another waits, as silent, until the one there is silent.

Three tests failed on the code before (one for each way in and one for a start whose first heartbeats were not heard) and pass now.

--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -12,6 +12,10 @@
 /// How long a heartbeat is passed on to other control hosts.
 pub(crate) const HEARD_WINDOW: Duration = Duration::from_millis(1_000);
 
+/// A target that is first heard at one of so many heartbeats has just started. The first one may get
+/// lost on its way; later ones may as well be late ones of a start that is over.
+const FIRST_HEARTBEATS: u64 = 2;
+
 /// What a heartbeat or a word of another control host changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RegistryChange {
@@ -92,6 +96,7 @@
 
     /// Takes the news that another control host heard a target.
     pub fn take_heard(&mut self, heard: &HeardTarget, now: Instant) -> RegistryChange {
+        let contested = self.is_contested(&heard.id);
         let Some(held) = self.held.get_mut(&heard.id) else {
             return RegistryChange::Nothing;
         };
@@ -100,13 +105,15 @@
             .unwrap_or(now);
         held.heard = held.heard.max(at);
         held.record.sequence = held.record.sequence.max(heard.sequence);
-        if held.record.silent {
-            held.record.silent = false;
-            self.number += 1;
-            held.changed = self.number;
-            return RegistryChange::Registered;
+        if !held.record.silent || contested {
+            return RegistryChange::Nothing;
         }
-        RegistryChange::Nothing
+        held.record.silent = false;
+        self.number += 1;
+        held.changed = self.number;
+        let record = held.record.clone();
+        self.retire_others(&record, now);
+        RegistryChange::Registered
     }
 
     /// Marks targets that were not heard for `span` as silent and forgets those long gone; returns
@@ -156,6 +163,7 @@
     }
 
     fn merge(&mut self, record: TargetRecord, heard: Instant, now: Instant) -> RegistryChange {
+        let contested = self.is_contested(&record.id);
         let Some(held) = self.held.get_mut(&record.id) else {
             return self.insert(record, heard, now);
         };
@@ -166,7 +174,8 @@
             held.record = record;
         }
         held.record.state = state;
-        held.record.silent = before.silent && heard <= held.heard;
+        held.record.silent = before.silent && (contested || heard <= held.heard);
+        let returns = before.silent && !held.record.silent;
         held.heard = held.heard.max(heard);
         let worsened = state > before.state;
         let differs = worsened
@@ -178,6 +187,10 @@
         }
         self.number += 1;
         held.changed = self.number;
+        let record = held.record.clone();
+        if returns {
+            self.retire_others(&record, now);
+        }
         if worsened {
             RegistryChange::Withdrawn
         } else {
@@ -185,8 +198,16 @@
         }
     }
 
-    fn insert(&mut self, record: TargetRecord, heard: Instant, now: Instant) -> RegistryChange {
-        self.retire_former(&record, now);
+    fn insert(&mut self, mut record: TargetRecord, heard: Instant, now: Instant) -> RegistryChange {
+        let starts = record.sequence <= FIRST_HEARTBEATS && !record.silent;
+        if !starts && self.has_live_other(&record) {
+            // Perhaps a late heartbeat of a start that is over. Taking its word ended the target
+            // that is there, for good; it waits until that one is silent.
+            record.silent = true;
+        }
+        if record.state == TargetState::Ready && !record.silent {
+            self.retire_others(&record, now);
+        }
         let state = record.state;
         self.number += 1;
         let held = Held {
@@ -203,12 +224,30 @@
         }
     }
 
-    // An address belongs to one start at a time, so a new start there ends the one before.
-    fn retire_former(&mut self, record: &TargetRecord, now: Instant) {
-        let former = self.held.values_mut().filter(|held| {
-            held.record.address == record.address && held.record.state != TargetState::Gone
+    /// Says whether a target is called silent while another one serves at its address.
+    fn is_contested(&self, id: &str) -> bool {
+        let held = self.held.get(id);
+        held.is_some_and(|held| held.record.silent && self.has_live_other(&held.record))
+    }
+
+    fn has_live_other(&self, record: &TargetRecord) -> bool {
+        let mut others = self.held.values().map(|held| &held.record);
+        others.any(|other| {
+            other.id != record.id
+                && other.address == record.address
+                && other.state != TargetState::Gone
+                && !other.silent
+        })
+    }
+
+    // An address belongs to one start at a time, so one that serves there ends the others.
+    fn retire_others(&mut self, record: &TargetRecord, now: Instant) {
+        let others = self.held.values_mut().filter(|held| {
+            held.record.address == record.address
+                && held.record.id != record.id
+                && held.record.state != TargetState::Gone
         });
-        for held in former {
+        for held in others {
             held.record.state = TargetState::Gone;
             held.heard = now;
             self.number += 1;
--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -29,6 +29,13 @@
         .map(|record| record.state)
 }
 
+/// Identities of the targets that take work.
+fn serving(registry: &Registry) -> Vec<&str> {
+    let ready = |record: &&TargetRecord| record.state == TargetState::Ready && !record.silent;
+    let serving = registry.records().filter(ready);
+    serving.map(|record| record.id.as_str()).collect()
+}
+
 #[test]
 fn a_target_that_withdrew_stays_so_whatever_comes_late() {
     use TargetState::{Draining, Gone, Ready};
@@ -82,6 +89,53 @@
     assert_eq!(state_of(&registry, "old"), Some(TargetState::Gone));
 }
 
+/// Callers got errors for a target that was well, for as long as it lived. Its host had crashed and
+/// been started again; a heartbeat of the former start, held up by a cut, came after that. The address
+/// belongs to the newest start, so the late heartbeat was taken as a newer one and ended the true one,
+/// and a target that has ended never returns.
+#[test]
+fn a_late_heartbeat_of_a_former_start_does_not_end_the_one_at_its_address() {
+    use TargetState::Ready;
+    let now = Instant::now();
+    for late in [57, 58, 400] {
+        let mut registry = Registry::new();
+        registry.take_heartbeat(record("new", 1, Ready, 1), now);
+        registry.take_heartbeat(record("new", 1, Ready, 2), now);
+        registry.take_heartbeat(record("old", 1, Ready, late), now);
+        registry.take_heartbeat(record("old", 1, Ready, late + 1), now);
+        registry.take_heartbeat(record("new", 1, Ready, 3), now);
+        assert_eq!(state_of(&registry, "new"), Some(Ready));
+        assert_eq!(serving(&registry), ["new"]);
+    }
+}
+
+#[test]
+fn the_news_that_a_former_start_has_ended_does_not_end_the_one_at_its_address() {
+    use TargetState::{Gone, Ready};
+    let now = Instant::now();
+    let mut registry = Registry::new();
+    registry.take_record(record("new", 1, Ready, 5), now);
+    registry.take_record(record("old", 1, Gone, 57), now);
+    assert_eq!(state_of(&registry, "new"), Some(Ready));
+    assert_eq!(serving(&registry), ["new"]);
+}
+
+#[test]
+fn a_start_whose_first_heartbeats_were_not_heard_takes_over_once_the_former_is_silent() {
+    use TargetState::{Gone, Ready};
+    let now = Instant::now();
+    let mut registry = Registry::new();
+    registry.take_heartbeat(record("old", 1, Ready, 57), now);
+    registry.take_heartbeat(record("new", 1, Ready, 7), now);
+    assert_eq!(serving(&registry), ["old"]);
+    let later = now + SILENCE + Duration::from_millis(1);
+    registry.expire(later, SILENCE);
+    let change = registry.take_heartbeat(record("new", 1, Ready, 8), later);
+    assert_eq!(change, RegistryChange::Registered);
+    assert_eq!(serving(&registry), ["new"]);
+    assert_eq!(state_of(&registry, "old"), Some(Gone));
+}
+
 #[test]
 fn a_silent_target_is_told_and_its_next_heartbeat_brings_it_back() {
     let mut registry = Registry::new();
