A caller that leaves before its answer has a line in the log

The HTTP library drops the work on a request once its caller has closed the connection, so no line was written and the request was in no figure. A guard writes line 405 when it is dropped before the answer; a stream writes it when it is dropped before its end.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,6 +11,7 @@
 use crate::answer::{answer_of, refusal_answer};
 use crate::ask::Ask;
 use crate::attempt::{Attempt, AttemptEnd, send_attempt};
+use crate::caller_watch::CallerWatch;
 use crate::choose::{choose, pick_service, place_ask};
 use crate::engine::PlaceFacts;
 use crate::graph::{RequestResults, run_stages};
@@ -54,6 +55,7 @@
 /// Serves a request; the answer is final.
 pub(crate) async fn forward(gateway: Rc<Gateway>, ask: Ask) -> Response<AnswerBody> {
     let ask = Rc::new(ask);
+    let watch = CallerWatch::new(&gateway, &ask);
     let mut log = RunLog::default();
     let work = timeout(ask.time_left(), run(&gateway, &ask, &mut log));
     let outcome = tokio::select! {
@@ -61,6 +63,7 @@
         () = gateway.stop_reached() => None,
     };
     let outcome = outcome.unwrap_or_else(|| Err(out_of_time(&log)));
+    watch.answered();
     note_outcome(&gateway, &ask, &log, &outcome);
     match outcome {
         Ok(answer) => answer,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod attempt;
 mod body;
 mod budget;
+mod caller_watch;
 mod choose;
 mod coordinator;
 mod dialect;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -33,6 +33,18 @@
     attempts: u32,
     last_event: Option<String>,
     events: u64,
+    /// Whether its end has a line in the log.
+    ended: bool,
+}
+
+// The HTTP library drops a stream whose caller has closed the connection.
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.ended {
+            let outcome = "outcome=the caller left its stream";
+            self.note(EventCode::RequestCancelled, outcome);
+        }
+    }
 }
 
 impl Relay {
@@ -56,6 +68,7 @@
             attempts,
             last_event: None,
             events: 0,
+            ended: false,
         }
     }
 
@@ -78,6 +91,12 @@
             .note_request(code, &self.ask.id, &self.chosen.id, detail);
     }
 
+    /// Writes the line of its end.
+    fn end(&mut self, code: EventCode, outcome: &str) {
+        self.ended = true;
+        self.note(code, outcome);
+    }
+
     /// Finds another target that goes on with the stream.
     async fn resume(&mut self, cause: &str) -> Option<Box<EventStream>> {
         self.gateway
@@ -150,12 +169,12 @@
         Ok(Ok(None)) => {
             let EventStream { lease, headers, .. } = *stream;
             lease.finish(&headers);
-            relay.note(EventCode::RequestFinished, "outcome=stream ended");
+            relay.end(EventCode::RequestFinished, "outcome=stream ended");
             None
         }
         Ok(Err(cause)) => go_on(relay, stream, &cause).await,
         Err(_) => {
-            relay.note(EventCode::RequestFailed, "outcome=timed out in its stream");
+            relay.end(EventCode::RequestFailed, "outcome=timed out in its stream");
             Some((Err(BrokenAnswer), Stage::Ended))
         }
     }
@@ -174,7 +193,7 @@
             Some((Ok(first), Stage::Reading(relay, stream)))
         }
         None => {
-            relay.note(
+            relay.end(
                 EventCode::RequestFailed,
                 &format!("outcome=stream cut cause={cause}"),
             );
