A stream that may be resumed goes elsewhere when its engine is silent

Such a stream waited for its first event until its deadline, also where another engine could run it. It waits for half of the time that is left now, or three times as long as its prompt was expected to take.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,6 +23,13 @@
 /// The least time that an attempt gets before a repeatable request goes to another target.
 const LEAST_ATTEMPT: Duration = Duration::from_millis(250);
 
+/// Part of the time that is left after which a stream that may be resumed goes to another engine when
+/// no event has come. Engines that hang held such requests until their deadline: 115 in one day with
+/// three of them. An engine that is only late is worth waiting for longer than its prompt was
+/// expected to take, since another one would read the prompt anew.
+const SILENT_STREAM_PART: u32 = 2;
+const LATE_STREAM_STRETCH: u32 = 3;
+
 /// How one sending to a target ended.
 pub(crate) enum AttemptEnd {
     /// A whole answer, whatever its status.
@@ -103,9 +110,8 @@
     more: bool,
 ) -> AttemptEnd {
     let left = ask.time_left();
-    let bound = if more && ask.route.kind != RouteKind::Streaming {
-        let usual = Duration::from_millis(ask.route.objective_ms * 2);
-        usual.clamp(LEAST_ATTEMPT, (left / 2).max(LEAST_ATTEMPT))
+    let bound = if more {
+        patience(ask, &attempt, left)
     } else {
         left
     };
@@ -115,6 +121,19 @@
     }
 }
 
+/// How long an answer, or the first event of a stream, is waited for where another target may be
+/// tried.
+fn patience(ask: &Ask, attempt: &Attempt<'_>, left: Duration) -> Duration {
+    if ask.route.kind != RouteKind::Streaming {
+        let usual = Duration::from_millis(ask.route.objective_ms * 2);
+        return usual.clamp(LEAST_ATTEMPT, (left / 2).max(LEAST_ATTEMPT));
+    }
+    let facts = attempt.placement.as_ref().and_then(Placement::facts);
+    let expected_ms = facts.map_or(0, |facts| u64::from(facts.expected_ms));
+    let late = Duration::from_millis(expected_ms) * LATE_STREAM_STRETCH;
+    late.max(left / SILENT_STREAM_PART).min(left)
+}
+
 async fn exchange(
     gateway: &Rc<Gateway>,
     ask: &Ask,
