--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use derive_more::Display;
 use linnet_directory::{DirectoryUpdate, DirectoryView, GatewayRecord, HeldDocument};
 use linnet_routing::{RouteTable, RoutingConfig};
 use linnet_telemetry::{EventCode, EventRecorder};
@@ -22,6 +23,20 @@
 use crate::upstream::UpstreamPool;
 use crate::wait_model::WaitModel;
 
+/// Why new callers should not come to a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum NotReady {
+    /// It is about to end.
+    #[display("stopping")]
+    Stopping,
+    /// It has no configuration and hears no control host.
+    #[display("no control host is heard")]
+    NoControlHost,
+    /// It has no configuration.
+    #[display("no configuration yet")]
+    NoConfiguration,
+}
+
 /// Reads a valid configuration from the bytes of a document.
 pub type ConfigReader = Box<dyn Fn(&[u8]) -> Result<RoutingConfig, String>>;
 
@@ -147,9 +162,20 @@
         found.ok()?.clone()
     }
 
-    /// Says whether new callers should come here.
-    pub fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.table.borrow().is_some()
+    /// Says why new callers should not come here; nothing where they should.
+    pub fn not_ready(&self) -> Option<NotReady> {
+        if self.stopping.get() {
+            return Some(NotReady::Stopping);
+        }
+        if self.table.borrow().is_some() {
+            return None;
+        }
+        let heard = self.view.borrow().is_connected();
+        Some(if heard {
+            NotReady::NoConfiguration
+        } else {
+            NotReady::NoControlHost
+        })
     }
 
     /// Returns how many requests are in flight.
@@ -186,8 +212,14 @@
     /// Takes an update of the directory.
     pub fn take_update(&self, from: SocketAddr, update: DirectoryUpdate) {
         let targets_changed = !update.targets.is_empty();
+        let gateways_changed = update.gateways.is_some();
         self.view.borrow_mut().take(from, update);
-        self.refresh(targets_changed);
+        if gateways_changed {
+            self.refresh_gateways();
+        }
+        if targets_changed {
+            self.refresh_targets();
+        }
     }
 
     /// Returns the newest configuration that came here.
@@ -206,7 +238,8 @@
     /// Hears that a control host was lost.
     pub fn lose_control(&self, from: SocketAddr) {
         self.view.borrow_mut().lose(from);
-        self.refresh(true);
+        self.refresh_gateways();
+        self.refresh_targets();
     }
 
     fn put_in_force(&self) {
@@ -233,13 +266,13 @@
         }
     }
 
-    fn refresh(&self, targets_changed: bool) {
-        let view = self.view.borrow();
-        self.stages.set_gateways(view.gateways());
-        if !targets_changed {
-            return;
-        }
-        let ready = view.ready_targets();
+    fn refresh_gateways(&self) {
+        let gateways = self.view.borrow().gateways();
+        self.stages.set_gateways(gateways);
+    }
+
+    fn refresh_targets(&self) {
+        let ready = self.view.borrow().ready_targets();
         self.targets.borrow_mut().replace(&ready);
         self.stages.set_targets(&ready);
         self.coordinator.set_targets(&ready);
@@ -309,6 +342,8 @@
         gateway.pool.close_rested();
         gateway.coordinator.dispatch_all();
         gateway.stages.probe_cut_halls();
+        // Hosts that no control host names any more stay while they are reached.
+        gateway.refresh_gateways();
         gateway.view.borrow_mut().forget_unnamed();
         gateway
             .metrics
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,7 +38,7 @@
 
 pub use body::{AnswerBody, BrokenAnswer};
 pub use dialect::{CallerDialect, Dialect, HeaderNames, StageAnswer, StageItem, TargetDialect};
-pub use gateway::{Gateway, GatewayConfig};
+pub use gateway::{Gateway, GatewayConfig, NotReady};
 pub use outcome::{Refusal, RefusalReason};
 pub use piece::{PieceFault, PieceInput, StageWork};
 pub use serve::{serve_callers, serve_pieces};
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -151,10 +151,12 @@
     if request.path != path {
         return DoorAnswer::text(StatusCode::NOT_FOUND, "nothing at this path\n");
     }
-    if gateway.is_ready() {
-        DoorAnswer::text(StatusCode::OK, "ready\n")
-    } else {
-        DoorAnswer::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    match gateway.not_ready() {
+        None => DoorAnswer::text(StatusCode::OK, "ready\n"),
+        Some(reason) => DoorAnswer::text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            format!("not ready: {reason}\n"),
+        ),
     }
 }
 
