The port for pieces is a module of its own, with a method for each request

take_pieces was one match of 70 lines beside two guards of like form; one session holds what the other host has going on and gives it back when that host is lost. Behaviour as before.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod rendezvous;
 mod schedule;
 mod serve;
+mod serve_pieces;
 mod stage_call;
 mod stage_client;
 mod target;
@@ -41,4 +42,5 @@
 pub use gateway::{Gateway, GatewayConfig, NotReady};
 pub use outcome::{Refusal, RefusalReason};
 pub use piece::{PieceFault, PieceInput, StageWork};
-pub use serve::{serve_callers, serve_pieces};
+pub use serve::serve_callers;
+pub use serve_pieces::serve_pieces;
--- /dev/null
+++ b/crates/gateway/src/serve_pieces.rs
@@ -0,0 +1,248 @@
+//! The port for pieces of other entry hosts.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use linnet_wire::{PeerReader, PeerWriter, WireError};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+use crate::Gateway;
+use crate::coordinator::{BatchKey, ExpectKey};
+use crate::engine::{PlaceAsk, PlacementKey};
+use crate::piece::{PieceBatch, PieceReply, PieceRequest};
+use crate::pool_key::PoolKey;
+use crate::stage_call::{CallEnd, StageCall, StageRelease, send_call, send_release};
+use crate::stage_client::{ALIVE_PERIOD, SILENCE_LIMIT};
+
+/// Serves the pieces of another entry host until it is lost; what it still waits for is withdrawn.
+///
+/// # Errors
+///
+/// [`WireError`] of the connection.
+pub async fn serve_pieces(
+    gateway: &Rc<Gateway>,
+    reader: PeerReader,
+    writer: PeerWriter,
+) -> Result<(), WireError> {
+    let (replies, queue) = mpsc::unbounded_channel();
+    let peer = reader.peer().to_owned();
+    let session = PieceSession::new(gateway, replies.clone());
+    tokio::select! {
+        () = tell_uses(gateway, &peer, replies) => Ok(()),
+        ended = take_requests(session, reader) => ended,
+        ended = send_replies(gateway, queue, writer) => ended,
+    }
+}
+
+async fn take_requests(mut session: PieceSession, reader: PeerReader) -> Result<(), WireError> {
+    let mut reader = reader.with_silence_limit(SILENCE_LIMIT);
+    loop {
+        session.take(reader.receive().await?);
+    }
+}
+
+/// What another entry host has going on here, by the numbers that it gave; given back when that host
+/// is lost.
+struct PieceSession {
+    gateway: Rc<Gateway>,
+    replies: mpsc::UnboundedSender<PieceReply>,
+    batches: Rc<RefCell<HashMap<u64, BatchKey>>>,
+    placements: HashMap<u64, PlacementKey>,
+    /// Pieces that it said will come.
+    expectations: HashMap<u64, ExpectKey>,
+}
+
+impl PieceSession {
+    fn new(gateway: &Rc<Gateway>, replies: mpsc::UnboundedSender<PieceReply>) -> Self {
+        Self {
+            gateway: gateway.clone(),
+            replies,
+            batches: Rc::default(),
+            placements: HashMap::new(),
+            expectations: HashMap::new(),
+        }
+    }
+
+    fn take(&mut self, request: PieceRequest) {
+        match request {
+            PieceRequest::Run(batch) => self.run_batch(batch),
+            PieceRequest::Cancel(number) => self.cancel_batch(number),
+            PieceRequest::Free {
+                service,
+                handles,
+                bytes,
+            } => self.gateway.coordinator.free(&service, handles, bytes),
+            PieceRequest::Expect { number, expected } => {
+                let key = self.gateway.coordinator.expect(expected);
+                self.expectations.insert(number, key);
+            }
+            PieceRequest::Arrived(number) => self.end_expectation(number),
+            PieceRequest::Plan { number, ask } => self.plan(number, &ask),
+            PieceRequest::Place { number, ask } => self.place(number, &ask),
+            PieceRequest::Read(number) => self.note_read(number),
+            PieceRequest::End(number) => self.end_placement(number),
+            PieceRequest::Call { number, call } => self.send_call(number, call),
+            PieceRequest::Release(release) => self.send_release(release),
+            PieceRequest::Unreachable { service, engine } => {
+                let mut targets = self.gateway.targets.borrow_mut();
+                targets.take_unreachable(&service, &engine, Instant::now());
+            }
+            PieceRequest::Alive => {}
+        }
+    }
+
+    fn run_batch(&self, batch: PieceBatch) {
+        let (number, pool) = (batch.number, batch.pool.clone());
+        let (replies, finished) = (self.replies.clone(), self.batches.clone());
+        let telling = self.gateway.clone();
+        let key = self.gateway.coordinator.submit(batch, move |results| {
+            finished.borrow_mut().remove(&number);
+            let _ = replies.send(PieceReply::Done { number, results });
+            let load = telling.coordinator.load_of(&pool);
+            let loads = load.map(|load| (pool, load)).into_iter().collect();
+            let _ = replies.send(PieceReply::Alive { loads });
+        });
+        if let Some(key) = key {
+            self.batches.borrow_mut().insert(number, key);
+        }
+    }
+
+    fn cancel_batch(&self, number: u64) {
+        let key = self.batches.borrow_mut().remove(&number);
+        if let Some(key) = key {
+            self.gateway.coordinator.cancel(key);
+        }
+    }
+
+    fn end_expectation(&mut self, number: u64) {
+        if let Some(key) = self.expectations.remove(&number) {
+            self.gateway.coordinator.arrived(key);
+        }
+    }
+
+    fn plan(&self, number: u64, ask: &PlaceAsk) {
+        let book = self.gateway.targets.borrow();
+        let engines = self.gateway.engines.borrow();
+        let planned = engines.plan(&book, ask, Instant::now());
+        let engine = planned.map(|(chosen, facts)| (chosen.id, facts));
+        let _ = self.replies.send(PieceReply::Placed { number, engine });
+    }
+
+    fn place(&mut self, number: u64, ask: &PlaceAsk) {
+        let placed = {
+            let book = self.gateway.targets.borrow();
+            let mut engines = self.gateway.engines.borrow_mut();
+            engines.place(&book, ask, Instant::now())
+        };
+        let engine = placed.map(|(key, chosen, facts)| {
+            self.placements.insert(number, key);
+            (chosen.id, facts)
+        });
+        let _ = self.replies.send(PieceReply::Placed { number, engine });
+    }
+
+    fn note_read(&self, number: u64) {
+        if let Some(key) = self.placements.get(&number) {
+            let mut engines = self.gateway.engines.borrow_mut();
+            engines.note_read(*key, Instant::now());
+        }
+    }
+
+    fn end_placement(&mut self, number: u64) {
+        if let Some(key) = self.placements.remove(&number) {
+            self.gateway.engines.borrow_mut().end(key);
+        }
+    }
+
+    fn send_call(&self, number: u64, call: StageCall) {
+        let (gateway, replies) = (self.gateway.clone(), self.replies.clone());
+        ntex::rt::spawn(send_for_peer(gateway, number, call, replies));
+    }
+
+    fn send_release(&self, release: StageRelease) {
+        let gateway = self.gateway.clone();
+        ntex::rt::spawn(async move {
+            send_release(&gateway.config.dialect, &gateway.pool, &release).await;
+        });
+    }
+}
+
+impl Drop for PieceSession {
+    fn drop(&mut self) {
+        let mut engines = self.gateway.engines.borrow_mut();
+        self.placements.values().for_each(|key| engines.end(*key));
+        drop(engines);
+        let coordinator = &self.gateway.coordinator;
+        let expected = self.expectations.values();
+        expected.for_each(|key| coordinator.arrived(*key));
+        // Taken out first: what a cancelled batch wakes looks at the others.
+        let batches: Vec<BatchKey> = self
+            .batches
+            .borrow_mut()
+            .drain()
+            .map(|(_, key)| key)
+            .collect();
+        batches.into_iter().for_each(|key| coordinator.cancel(key));
+    }
+}
+
+/// Sends a call for another host, for as long as that host waits for its end.
+async fn send_for_peer(
+    gateway: Rc<Gateway>,
+    number: u64,
+    call: StageCall,
+    replies: mpsc::UnboundedSender<PieceReply>,
+) {
+    let bound = Duration::from_millis(call.bound_ms);
+    let sending = send_call(&gateway.config.dialect, &gateway.pool, &call);
+    let end = tokio::select! {
+        end = timeout(bound, sending) => end,
+        () = replies.closed() => return,
+    };
+    let too_late = |_| CallEnd::Failed(format!("no answer within {} ms", bound.as_millis()));
+    let end = end.unwrap_or_else(too_late);
+    // A host that is gone needs no answer.
+    let _ = replies.send(PieceReply::Called { number, end });
+}
+
+/// Tells another host what this one uses of the targets of the pools that the other would gather
+/// for next.
+async fn tell_uses(gateway: &Gateway, peer: &str, replies: mpsc::UnboundedSender<PieceReply>) {
+    let mut told: Vec<PoolKey> = Vec::new();
+    loop {
+        sleep(ALIVE_PERIOD).await;
+        let would_gather = |pool: &PoolKey| {
+            let successors = gateway.stages.successors(pool);
+            successors.iter().any(|name| name == peer)
+        };
+        let mut uses = gateway.coordinator.uses(would_gather);
+        let now: Vec<PoolKey> = uses.iter().map(|(pool, _)| pool.clone()).collect();
+        // What was told before and is used no more is told once more, as nothing.
+        let ended = told.into_iter().filter(|pool| !now.contains(pool));
+        uses.extend(ended.map(|pool| (pool, Vec::new())));
+        told = now;
+        for (pool, uses) in uses {
+            let _ = replies.send(PieceReply::Uses { pool, uses });
+        }
+    }
+}
+
+async fn send_replies(
+    gateway: &Gateway,
+    mut queue: mpsc::UnboundedReceiver<PieceReply>,
+    mut writer: PeerWriter,
+) -> Result<(), WireError> {
+    loop {
+        let reply = match timeout(ALIVE_PERIOD, queue.recv()).await {
+            Ok(Some(reply)) => reply,
+            Ok(None) => return Ok(()),
+            Err(_) => PieceReply::Alive {
+                loads: gateway.coordinator.loads(),
+            },
+        };
+        writer.send(&reply).await?;
+    }
+}
