A want that changes while a report is sent is told by the next report; control hosts count who is behind

The follower compared with what was wanted after the report had gone, so a change in between waited up to 400 ms for the next report. Found in reading. The version that entry hosts tell had no reader any more; the metric entry_hosts_behind counts those with an older one.

--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -229,9 +229,8 @@
     let documents = following.documents.as_ref();
     let mut wanted = documents.map(DocumentFollower::changes);
     loop {
-        if let Some(wanted) = &mut wanted {
-            wanted.mark_unchanged();
-        }
+        // Read before the report is made: what changes while it is sent is told by the next one.
+        let told = wanted.as_ref().and_then(|wanted| *wanted.borrow());
         let report = SubscriberReport {
             document_version: following.held_version(),
             want: documents.and_then(|documents| documents.want_of(address)),
@@ -242,7 +241,7 @@
         tokio::select! {
             changed = acknowledged.changed() => if changed.is_err() { return Ok(()) },
             () = record_changed(&mut gateway) => {}
-            () = want_changed(&mut wanted, address) => {}
+            () = want_changed(&mut wanted, told, address) => {}
             () = sleep(UPDATE_PERIOD) => {}
         }
     }
@@ -251,16 +250,16 @@
 // Only what concerns this control host is told to it.
 async fn want_changed(
     wanted: &mut Option<watch::Receiver<Option<FetchProgress>>>,
+    told: Option<FetchProgress>,
     address: SocketAddr,
 ) {
     let Some(wanted) = wanted else {
         return std::future::pending().await;
     };
-    let concerned = *wanted.borrow();
-    let was = concerned.is_some_and(|told| told.source == address);
+    let is_of_this = |progress: &FetchProgress| progress.source == address;
     let concerns = |now: &Option<FetchProgress>| {
-        let is = now.is_some_and(|now| now.source == address);
-        *now != concerned && (was || is)
+        *now != told
+            && (told.as_ref().is_some_and(is_of_this) || now.as_ref().is_some_and(is_of_this))
     };
     if wanted.wait_for(concerns).await.is_err() {
         std::future::pending::<()>().await;
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -32,7 +32,7 @@
     DirectoryUpdate, DocumentPart, DocumentWant, GatewayRecord, SubscriberHello, SubscriberReport,
     TargetRecord, TargetState,
 };
-pub use node::{DirectoryError, DirectoryNode, DirectoryTiming};
+pub use node::{DirectoryCounts, DirectoryError, DirectoryNode, DirectoryTiming};
 pub use payload::{DocumentPayload, PayloadFault, PayloadKey};
 pub use registry::{Registry, RegistryChange};
 pub use serve::{serve_call, serve_subscriber};
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -116,6 +116,17 @@
     }
 }
 
+/// How much a control host knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DirectoryCounts {
+    /// Targets that are known.
+    pub targets: usize,
+    /// Entry hosts that are heard.
+    pub gateways: usize,
+    /// Those of them that told last that they have an older configuration than is held here.
+    pub gateways_behind: usize,
+}
+
 struct Shared {
     replica: Replica,
     machine: DocumentMachine,
@@ -371,15 +382,18 @@
         members.all().map(|member| member.peer).collect()
     }
 
-    /// Returns how many targets are known and how many entry hosts are heard here.
-    pub fn counts(&self) -> (usize, usize) {
+    /// Counts what this host knows.
+    pub fn counts(&self) -> DirectoryCounts {
+        let held = self.held_document().map_or(0, |held| held.version());
         let state = self.lock();
-        let targets = state.registry.records().count();
-        let gateways = state
-            .subscribers
-            .values()
-            .filter(|one| one.gateway.is_some());
-        (targets, gateways.count())
+        let subscribers = state.subscribers.values();
+        let gateways = subscribers.filter(|one| one.gateway.is_some());
+        let behind = gateways.clone().filter(|one| one.document_version < held);
+        DirectoryCounts {
+            targets: state.registry.records().count(),
+            gateways: gateways.clone().count(),
+            gateways_behind: behind.count(),
+        }
     }
 
     pub(crate) fn record(&self, code: EventCode, detail: &str) {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -225,7 +225,7 @@
 }
 
 async fn update_gauges(node: DirectoryNode, registry: Arc<Mutex<Registry>>) {
-    let gauges: [(&str, &str, Gauge); 6] = [
+    let gauges: [(&str, &str, Gauge); 7] = [
         ("term", "Term of the replica", Gauge::default()),
         ("commit_index", "Last committed index", Gauge::default()),
         ("is_leader", "1 while the lease lasts", Gauge::default()),
@@ -240,6 +240,11 @@
             "Entry hosts that are heard here",
             Gauge::default(),
         ),
+        (
+            "entry_hosts_behind",
+            "Entry hosts with an older configuration than is held here",
+            Gauge::default(),
+        ),
     ];
     if let Ok(mut registry) = registry.lock() {
         for (name, help, gauge) in &gauges {
@@ -248,14 +253,15 @@
     }
     loop {
         let status = node.replica().status();
-        let (targets, gateways) = node.counts();
+        let counts = node.counts();
         let values = [
             status.term as i64,
             status.commit as i64,
             i64::from(status.lease_lasts),
             node.held_document().map_or(0, |held| held.version()) as i64,
-            targets as i64,
-            gateways as i64,
+            counts.targets as i64,
+            counts.gateways as i64,
+            counts.gateways_behind as i64,
         ];
         for ((_, _, gauge), value) in gauges.iter().zip(values) {
             gauge.set(value);
