--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use linnet_daemon::{OpsContext, accept_peers, exit_code, ops_routes, refresh_keys, stop_signal};
+use linnet_daemon::{OpsContext, StopSignals, accept_peers, exit_code, ops_routes, refresh_keys};
 use linnet_feed::{TableFeed, serve_follower};
 use linnet_journal::DiskOps;
 use linnet_quorum::{QuorumTiming, Replica, ReplicaConfig, serve_peer};
@@ -33,6 +33,7 @@
 }
 
 async fn serve(checked: CheckedControl) -> Result<(), Box<dyn std::error::Error>> {
+    let mut signals = StopSignals::new()?;
     let settings = checked.settings;
     let clock = Arc::new(HybridClock::new());
     let recorder = Arc::new(EventRecorder::new(settings.name.clone(), clock.clone()));
@@ -121,7 +122,7 @@
     );
     recorder.record(EventCode::ProcessStarted, "", detail);
 
-    stop_signal().await?;
+    signals.requested().await;
     recorder.record(EventCode::StopRequested, "", "");
     // Requests of operators that wait for a commit get their answer before the port closes.
     server.stop(true).await;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,7 +3,7 @@
 //! - [`SettingCheck`] collects every wrong setting before a socket opens.
 //! - [`OperatorKeys`] guard the operators' port; [`ops_routes`] are its common pages.
 //! - [`accept_peers`] serves the port for peers; [`refresh_keys`] lets keys roll.
-//! - [`stop_signal`] resolves when a planned stop is asked for; [`exit_code`] ends a daemon.
+//! - [`StopSignals`] tell when a planned stop is asked for; [`exit_code`] ends a daemon.
 //! - [`start_logging`] sets up the log.
 
 mod logging;
@@ -16,4 +16,4 @@
 pub use ops::{OperatorKeys, OpsContext, error_body, json_reply, ops_routes};
 pub use peer::{accept_peers, refresh_keys};
 pub use setting::{SettingCheck, SettingFault};
-pub use stop::{exit_code, stop_signal};
+pub use stop::{StopSignals, exit_code};
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -3,21 +3,37 @@
 use std::error::Error;
 use std::process::ExitCode;
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Resolves when the process is asked to stop, by SIGTERM or SIGINT.
+/// The signals that ask for a planned stop: SIGTERM and SIGINT.
 ///
-/// # Errors
-///
-/// The cause, where the system does not let the process wait for signals.
-pub async fn stop_signal() -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// Created before anything else is set up: one that comes while the journal is read or sockets are
+/// opened would end the process at once otherwise, with the status of a crash.
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Takes the signals from now on; must run inside a runtime.
+    ///
+    /// # Errors
+    ///
+    /// The cause, where the system does not let the process wait for signals.
+    pub fn new() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Resolves when one has come, also before this call.
+    pub async fn requested(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
-    Ok(())
 }
 
 /// Returns the exit code of a daemon that has ended, and logs why it failed.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use linnet_daemon::{OpsContext, accept_peers, exit_code, ops_routes, refresh_keys, stop_signal};
+use linnet_daemon::{OpsContext, StopSignals, accept_peers, exit_code, ops_routes, refresh_keys};
 use linnet_dispatch::{QuotaTable, RetryBudget, TargetDispatcher};
 use linnet_feed::{TableFeed, serve_follower};
 use linnet_telemetry::{EventCode, EventRecorder, HybridClock};
@@ -51,6 +51,7 @@
 }
 
 async fn serve(checked: CheckedEntry) -> Result<(), Box<dyn std::error::Error>> {
+    let mut signals = StopSignals::new()?;
     let settings = checked.settings.clone();
     let clock = Arc::new(HybridClock::new());
     let identity = PeerIdentity {
@@ -118,7 +119,7 @@
     );
     entry.recorder.record(EventCode::ProcessStarted, "", detail);
 
-    stop_signal().await?;
+    signals.requested().await;
     drain(&entry, &settings).await;
     caller_server.stop(true).await;
     ops_server.stop(true).await;
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
-use linnet_daemon::{accept_peers, exit_code, stop_signal};
+use linnet_daemon::{StopSignals, accept_peers, exit_code};
 use linnet_directory::{
     DirectoryError, DirectoryNode, DirectoryTiming, DirectoryUpdate, DocumentMachine, FollowConfig,
     FormConfig, follow_directory, form_or_join, serve_call, serve_subscriber,
@@ -55,8 +55,12 @@
         overrides,
         role: NodeRole::Control,
     };
+    let signals = match StopSignals::new() {
+        Ok(signals) => signals,
+        Err(error) => return exit_code(Err(error.into())),
+    };
     match NodeSettings::load(&source.path, &source.overrides, source.role) {
-        Ok(settings) => exit_code(serve(settings, source, dialect).await),
+        Ok(settings) => exit_code(serve(settings, source, dialect, signals).await),
         Err(fault) => {
             eprintln!("{fault}");
             ExitCode::from(2)
@@ -68,6 +72,7 @@
     settings: NodeSettings,
     source: SettingsSource,
     dialect: NodeDialect,
+    mut signals: StopSignals,
 ) -> Result<(), AnyError> {
     let clock = Arc::new(HybridClock::new());
     let recorder = Arc::new(EventRecorder::new(settings.name.clone(), clock.clone()));
@@ -155,7 +160,7 @@
         settings.hall
     );
     recorder.record(EventCode::ProcessStarted, "", detail);
-    stop_signal().await?;
+    signals.requested().await;
     recorder.record(EventCode::StopRequested, "", "");
     recorder.record(EventCode::ProcessStopped, "", "");
     Ok(())
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
-use linnet_daemon::{accept_peers, exit_code, stop_signal};
+use linnet_daemon::{StopSignals, accept_peers, exit_code};
 use linnet_directory::{DocumentSink, FollowConfig, follow_directory};
 use linnet_gateway::{Gateway, GatewayConfig, serve_callers, serve_pieces};
 use linnet_telemetry::{EventCode, EventRecorder, HybridClock};
@@ -45,8 +45,12 @@
         overrides,
         role: NodeRole::Entry,
     };
+    let signals = match StopSignals::new() {
+        Ok(signals) => signals,
+        Err(error) => return exit_code(Err(error.into())),
+    };
     match NodeSettings::load(&source.path, &source.overrides, source.role) {
-        Ok(settings) => exit_code(serve(settings, source, dialect).await),
+        Ok(settings) => exit_code(serve(settings, source, dialect, signals).await),
         Err(fault) => {
             eprintln!("{fault}");
             ExitCode::from(2)
@@ -58,6 +62,7 @@
     settings: NodeSettings,
     source: SettingsSource,
     dialect: NodeDialect,
+    mut signals: StopSignals,
 ) -> Result<(), AnyError> {
     let clock = Arc::new(HybridClock::new());
     let recorder = Arc::new(EventRecorder::new(settings.name.clone(), clock.clone()));
@@ -137,7 +142,7 @@
     );
     recorder.record(EventCode::ProcessStarted, "", detail);
 
-    stop_signal().await?;
+    signals.requested().await;
     recorder.record(
         EventCode::StopRequested,
         "",
