--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -4,6 +4,10 @@
 //!   state that every control host relearns from heartbeats and from the others.
 //! - [`follow_directory`] keeps a copy of it in an entry host, as a [`DirectoryView`].
 //! - [`form_or_join`] makes control hosts a cluster without an operator's hand.
+//!
+//! A configuration goes from `history`, which holds the newest ones and packs them (`payload`), in
+//! parts (`sending`) to `fetch`, which decides what is asked of which control host, and by
+//! `document_follower` into the entry host.
 
 mod call;
 mod document;
