Test that fails: stage targets that were out of the list during a call get no calls when they are listed again

Found in reading the state that could do so: set_targets marks a target that is out of the list while a call is at work as leaving, and nothing takes that back.

--- a/crates/gateway/src/coordinator/pool/tests.rs
+++ b/crates/gateway/src/coordinator/pool/tests.rs
@@ -1,6 +1,7 @@
 use linnet_directory::TargetState;
 
 use super::super::batch::BatchKey;
+use super::super::stage_target::CallVerdict;
 use super::*;
 use crate::ask::Rank;
 use crate::piece::PieceInput;
@@ -19,8 +20,8 @@
     }
 }
 
-/// A pool with one target in each of two halls.
-fn pool() -> PoolQueue {
+/// One target in each of two halls.
+fn records() -> [TargetRecord; 2] {
     let record = |hall: u16| TargetRecord {
         id: format!("t-{hall}"),
         service: SERVICE.to_owned(),
@@ -31,8 +32,13 @@
         sequence: 1,
         silent: false,
     };
+    [record(0), record(1)]
+}
+
+/// A pool with those targets.
+fn pool() -> PoolQueue {
     let mut pool = PoolQueue::new(spec());
-    pool.set_targets(&PoolKey::whole(SERVICE), &[record(0), record(1)]);
+    pool.set_targets(&PoolKey::whole(SERVICE), &records());
     pool
 }
 
@@ -130,3 +136,50 @@
     );
     assert_eq!((uses[0].busy_ms, uses[0].lasts_ms), (182, 4_000));
 }
+
+/// All requests of a pipeline waited in vain until their deadlines, on every entry host, also
+/// after all faults had ended. Control hosts that had been started anew knew no target for a moment;
+/// targets with a call at work just then were taken as leaving, and stayed so when they were
+/// listed again.
+#[test]
+fn targets_that_were_out_of_the_list_during_a_call_take_calls_again() {
+    let (mut pool, now) = (pool(), Instant::now());
+    add_pieces(&mut pool, 6, None, now);
+    let calls = pool.due_calls(&PoolKey::whole(SERVICE), now);
+    assert_eq!(calls.len(), 2);
+    pool.set_targets(&PoolKey::whole(SERVICE), &[]);
+    pool.set_targets(&PoolKey::whole(SERVICE), &records());
+    for call in calls {
+        let target = pool.targets.get_mut(&call.target).unwrap();
+        target.end_call(Some(CallVerdict::InTime), call.reserved, now);
+    }
+    add_pieces(&mut pool, 2, None, now);
+    assert!(!due(&mut pool, now).is_empty());
+}
+
+#[test]
+fn a_target_that_is_out_of_the_list_gets_no_call_and_goes_once_its_call_has_ended() {
+    let (mut pool, now) = (pool(), Instant::now());
+    add_pieces(&mut pool, 6, None, now);
+    let calls = pool.due_calls(&PoolKey::whole(SERVICE), now);
+    pool.set_targets(&PoolKey::whole(SERVICE), &records()[1..]);
+    assert_eq!(pool.targets.len(), 2);
+    for call in calls {
+        let target = pool.targets.get_mut(&call.target).unwrap();
+        target.end_call(Some(CallVerdict::InTime), call.reserved, now);
+    }
+    add_pieces(&mut pool, 2, None, now);
+    assert_eq!(due(&mut pool, now), [("t-1".to_owned(), 2)]);
+    pool.set_targets(&PoolKey::whole(SERVICE), &records()[1..]);
+    assert_eq!(pool.targets.len(), 1);
+}
+
+#[test]
+fn a_target_at_whose_address_another_start_is_gets_no_call_though_it_is_listed() {
+    let (mut pool, now) = (pool(), Instant::now());
+    let target = pool.targets.get_mut("t-0").unwrap();
+    target.end_call(Some(CallVerdict::OtherTarget), 0, now);
+    pool.set_targets(&PoolKey::whole(SERVICE), &records());
+    add_pieces(&mut pool, 2, None, now);
+    assert_eq!(due(&mut pool, now), [("t-1".to_owned(), 2)]);
+}
