Stage targets that are listed again take calls again

After all control hosts were started anew they know no target until its next heartbeat, so that every target with a call at work was lost to the host that gathers, for as long as that host lived. Whether a target is listed follows the list now; that another start is at its address stays. The book of plain targets and engines keeps no such mark (looked at).

--- a/crates/gateway/src/coordinator/pool.rs
+++ b/crates/gateway/src/coordinator/pool.rs
@@ -106,7 +106,7 @@
         self.targets
             .retain(|id, target| wanted.contains_key(id.as_str()) || target.busy > 0);
         for (id, target) in &mut self.targets {
-            target.leaving = target.leaving || !wanted.contains_key(id.as_str());
+            target.listed = wanted.contains_key(id.as_str());
         }
         for (id, record) in wanted {
             let targets = self.targets.entry(id.to_owned());
@@ -186,14 +186,14 @@
     /// Says whether some target answers in time, so that suspect ones need not be relied on.
     pub(super) fn has_sound_target(&self) -> bool {
         let mut targets = self.targets.values();
-        targets.any(|target| !target.leaving && !target.suspect)
+        targets.any(|target| target.takes_calls() && !target.suspect)
     }
 
     /// Returns the targets that pieces are given to: the sound ones, or all where none is.
     fn usable(&self) -> impl Iterator<Item = (&String, &StageTarget)> {
         let any_sound = self.has_sound_target();
         let targets = self.targets.iter();
-        targets.filter(move |(_, target)| !(target.leaving || any_sound && target.suspect))
+        targets.filter(move |(_, target)| target.takes_calls() && !(any_sound && target.suspect))
     }
 
     /// Returns every call that is due now: trials of suspect targets, then those of waiting pieces.
--- a/crates/gateway/src/coordinator/stage_target.rs
+++ b/crates/gateway/src/coordinator/stage_target.rs
@@ -71,8 +71,12 @@
     others: Option<(u32, Instant)>,
     /// How long its calls take against what the pool's settings say.
     pace: f64,
-    /// Whether it gets no more calls; it stays until those at work have ended.
-    pub(super) leaving: bool,
+    /// Whether it is in the list of targets that take work. One that is not stays until its calls at
+    /// work have ended. It may be listed again meanwhile: control hosts that were started anew know
+    /// no target until its next heartbeat.
+    pub(super) listed: bool,
+    /// Whether another start is at its address, which is for good.
+    replaced: bool,
 }
 
 impl StageTarget {
@@ -90,7 +94,8 @@
             suspect: false,
             others: None,
             pace: 1.0,
-            leaving: false,
+            listed: true,
+            replaced: false,
         }
     }
 
@@ -111,7 +116,12 @@
 
     pub(super) fn is_free(&self, slots: u32, now: Instant) -> bool {
         let taken = self.taken_until.is_some_and(|until| until > now);
-        !self.leaving && !self.rests(now) && !taken && self.busy < slots
+        self.takes_calls() && !self.rests(now) && !taken && self.busy < slots
+    }
+
+    /// Says whether it may get calls at all.
+    pub(super) fn takes_calls(&self) -> bool {
+        self.listed && !self.replaced
     }
 
     /// Returns how long a call that should take `expected` usually takes here.
@@ -162,7 +172,7 @@
         match verdict {
             CallVerdict::InTime => self.suspect = false,
             CallVerdict::Late | CallVerdict::Failed => self.suspect = true,
-            CallVerdict::OtherTarget => self.leaving = true,
+            CallVerdict::OtherTarget => self.replaced = true,
             CallVerdict::Busy => {}
         }
         self.refusals = match verdict {
