--- a/crates/directory/src/payload.rs
+++ b/crates/directory/src/payload.rs
@@ -8,7 +8,7 @@
 
 use crate::{ContentHash, Document, DocumentKey, HeldDocument};
 
-/// Level of compression. A configuration of 1.0 MB with 2,800 routes takes some ms at it.
+/// Level of compression: the library's usual one. A configuration of 0.8 MB is packed to 120 KB.
 const LEVEL: i32 = 3;
 
 /// Bounds of the window of the compression, as powers of two: it has to reach back over the whole
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -24,8 +24,8 @@
 const LEAST_ATTEMPT: Duration = Duration::from_millis(250);
 
 /// Part of the time that is left after which a stream that may be resumed goes to another engine when
-/// no event has come. Engines that hang held such requests until their deadline: 115 in one day with
-/// three of them. An engine that is only late is worth waiting for longer than its prompt was
+/// no event has come. Engines that hang held such requests until their deadline, also where another
+/// one was free. An engine that is only late is worth waiting for longer than its prompt was
 /// expected to take, since another one would read the prompt anew.
 const SILENT_STREAM_PART: u32 = 2;
 const LATE_STREAM_STRETCH: u32 = 3;
