Messages between hosts are read through a buffer and written together

Cause: a message cost four system calls to read (its length, its body, its hash, a try for the next one), each with a timer, and one to write, on hosts with an eighth of a core that take and send hundreds a second.

Now one read takes 2 KB, what is there already needs no timer, and messages that wait for one connection go out in one write.

--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -7,10 +7,11 @@
 use linnet_telemetry::HybridClock;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::stream::READ_BYTES;
 use crate::{
     PeerKey, PeerKeyRing, PeerReader, PeerWriter, Session, WireCause, WireError, WireStep,
 };
@@ -206,7 +207,7 @@
     let _ = socket.set_nodelay(true);
     let (read_half, write_half) = socket.into_split();
     let reader = PeerReader {
-        socket: read_half,
+        socket: BufReader::with_capacity(READ_BYTES, read_half),
         session: session.clone(),
         direction: receiving,
         sequence: 0,
@@ -218,6 +219,7 @@
         direction: sending,
         sequence: 0,
         silence_limit: None,
+        queued: Vec::new(),
     };
     (reader, writer)
 }
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -11,7 +11,7 @@
 use linnet_telemetry::HybridClock;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
 
@@ -21,6 +21,14 @@
 /// The largest message between peers, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 32 * 1024 * 1024;
 
+/// Bytes that are taken from the socket at one time. Most messages are shorter, so that one costs one
+/// system call in place of four: its length, its body, its hash, and a try for the next one. A host
+/// with connections to 300 others keeps 600 KB for it.
+pub(crate) const READ_BYTES: usize = 2 * 1024;
+
+/// Bytes of messages after which [`PeerWriter::queue`] wants them sent.
+const QUEUED_BYTES: usize = 16 * 1024;
+
 const HASH_BYTES: usize = 16;
 const STAMP_BYTES: usize = 8;
 
@@ -52,11 +60,13 @@
     pub(crate) direction: u8,
     pub(crate) sequence: u64,
     pub(crate) silence_limit: Option<Duration>,
+    /// Frames that wait to be sent together.
+    pub(crate) queued: Vec<u8>,
 }
 
 /// The receiving half of a connection.
 pub struct PeerReader {
-    pub(crate) socket: OwnedReadHalf,
+    pub(crate) socket: BufReader<OwnedReadHalf>,
     pub(crate) session: Session,
     pub(crate) direction: u8,
     pub(crate) sequence: u64,
@@ -70,12 +80,23 @@
         self
     }
 
-    /// Sends one message.
+    /// Sends one message, and those that wait before it.
     ///
     /// # Errors
     ///
     /// [`WireError`] at [`WireStep::Send`]; the connection is of no use after it.
     pub async fn send<M: Serialize>(&mut self, message: &M) -> Result<(), WireError> {
+        self.queue(message)?;
+        self.flush().await
+    }
+
+    /// Lets a message wait for [`PeerWriter::flush`], so that several go out in one write; says whether
+    /// so many wait that they should be sent now.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] at [`WireStep::Send`]; the connection is of no use after it.
+    pub fn queue<M: Serialize>(&mut self, message: &M) -> Result<bool, WireError> {
         let stamp = self.session.clock.tick();
         let mut body = stamp.to_le_bytes().to_vec();
         body = postcard::to_extend(message, body)
@@ -85,12 +106,22 @@
         }
         let hash = self.session.hash(self.direction, self.sequence, &body);
         self.sequence += 1;
-        let mut frame = Vec::with_capacity(4 + body.len() + HASH_BYTES);
+        let frame = &mut self.queued;
         frame.extend_from_slice(&(body.len() as u32).to_le_bytes());
         frame.extend_from_slice(&body);
         frame.extend_from_slice(&hash);
-        PEER_TRAFFIC.count_sent(frame.len());
-        self.write(&frame).await
+        PEER_TRAFFIC.count_sent(4 + body.len() + HASH_BYTES);
+        Ok(self.queued.len() >= QUEUED_BYTES)
+    }
+
+    /// Sends the messages that wait.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] at [`WireStep::Send`]; the connection is of no use after it.
+    pub async fn flush(&mut self) -> Result<(), WireError> {
+        let frames = std::mem::take(&mut self.queued);
+        self.write(&frames).await
     }
 
     async fn write(&mut self, frame: &[u8]) -> Result<(), WireError> {
@@ -171,8 +202,11 @@
         let mut passed = 0;
         while passed < buffer.len() {
             let length = buffer.len();
+            // What is here already needs no timer.
+            let is_here = !self.socket.buffer().is_empty();
+            let limit = self.silence_limit.filter(|_| !is_here);
             let reading = self.socket.read(&mut buffer[passed..]);
-            let read = match within(self.silence_limit, reading).await {
+            let read = match within(limit, reading).await {
                 Ok(read) => read.map_err(WireCause::Io),
                 Err(limit) => Err(silent(limit, passed, length)),
             };
