Gateway: the circle of twelve files is cut to the ones that hold the gateway

Times of stages (path_time), messages between entry hosts (piece_message), the count of open requests and the state of a connection are files of their own; a chosen target lies with targets. Admission, schedule, stages, coordinator, pieces, calls, engines, targets and requests depend on each other one way now. Behaviour as before: moves only; all tests as before.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -4,7 +4,7 @@
 
 use crate::ask::Ask;
 use crate::coordinator::LEAST_REFUSED_WAIT_MS;
-use crate::graph::path_time;
+use crate::path_time::path_time;
 use crate::wait_model::PathPlan;
 use crate::{Gateway, Refusal, RefusalReason};
 
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::dialect::HeaderNames;
-use crate::gateway::OpenRequest;
+use crate::open_request::OpenRequest;
 use crate::{Refusal, RefusalReason};
 
 /// The most pieces that a request may ask of one stage.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,10 +14,10 @@
 use crate::Gateway;
 use crate::answer::{Addition, belongs_to, request_for};
 use crate::ask::Ask;
-use crate::engine::Chosen;
 use crate::events::EventSplitter;
 use crate::graph::RequestResults;
 use crate::stage_client::Placement;
+use crate::target::Chosen;
 use crate::upstream::{Lease, SendError};
 
 /// The least time that an attempt gets before a repeatable request goes to another target.
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -7,9 +7,10 @@
 use crate::Gateway;
 use crate::ask::Ask;
 use crate::coordinator::HALL_BYTES;
-use crate::engine::{Chosen, PlaceAsk};
+use crate::engine::PlaceAsk;
 use crate::graph::RequestResults;
 use crate::stage_client::Placement;
+use crate::target::Chosen;
 use crate::target::Target;
 
 /// Targets that the host which places prompts is asked to pass over, at most.
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -13,8 +13,7 @@
 use super::pool::{DueCall, PoolQueue, Waiting};
 use super::stage_target::{CallVerdict, StageTarget};
 use crate::ask::Rank;
-use crate::graph::maker_of;
-use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad};
+use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad, maker_of};
 use crate::pool_key::PoolKey;
 use crate::stage_call::{CallEnd, StageRelease};
 
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -1,7 +1,6 @@
 //! Choosing a model engine: where the prompt is cached, unless others wait there too long.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -9,7 +8,7 @@
 use crate::ask::{Prompt, PromptPart};
 use crate::hall_bytes::HallBytes;
 use crate::rendezvous;
-use crate::target::{Target, TargetBook};
+use crate::target::{Chosen, Target, TargetBook};
 
 /// Prompt tokens that an engine is first taken to read in a millisecond.
 const FIRST_TOKENS_PER_MS: f64 = 40.0;
@@ -103,24 +102,6 @@
     pub(crate) avoid: Vec<String>,
 }
 
-/// A target that was chosen.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Chosen {
-    pub(crate) id: String,
-    pub(crate) address: SocketAddr,
-    pub(crate) hall: String,
-}
-
-impl Chosen {
-    pub(crate) fn new(target: &Target) -> Self {
-        Self {
-            id: target.id.clone(),
-            address: target.address,
-            hall: target.hall.clone(),
-        }
-    }
-}
-
 /// What decided a placement, for the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PlaceFacts {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use crate::coordinator::Coordinator;
 use crate::engine::EnginePlacer;
 use crate::metrics::GatewayMetrics;
+use crate::open_request::OpenCount;
 use crate::stage_client::StageClient;
 use crate::target::TargetBook;
 use crate::upstream::UpstreamPool;
@@ -82,7 +83,7 @@
     pub(crate) stopping: Cell<bool>,
     /// When requests that are still in flight are given up, since the process is about to end.
     give_up_at: watch::Sender<Option<Instant>>,
-    pub(crate) open_requests: Cell<usize>,
+    pub(crate) open_requests: OpenCount,
     /// Wakes the task that works the list of targets out anew.
     targets_due: Notify,
     /// Metrics of this host.
@@ -131,7 +132,7 @@
             pool,
             stopping: Cell::new(false),
             give_up_at: watch::Sender::new(None),
-            open_requests: Cell::new(0),
+            open_requests: OpenCount::default(),
             targets_due: Notify::new(),
             metrics,
             gateway_record: watch::Sender::new(Some(record)),
@@ -337,22 +338,6 @@
     }
 }
 
-/// Counts a request as in flight until it is dropped.
-pub(crate) struct OpenRequest(Rc<Gateway>);
-
-impl OpenRequest {
-    pub(crate) fn new(gateway: &Rc<Gateway>) -> Self {
-        gateway.open_requests.set(gateway.open_requests.get() + 1);
-        Self(gateway.clone())
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get() - 1);
-    }
-}
-
 /// The least time between two lists of targets, unless one takes a target out. Working a list of 285
 /// targets out from what five control hosts tell takes some 0.25 ms, or 2 ms of a host with an eighth
 /// of a core; when the targets register one by one, as after a loss of power, each of 1,425 words asked
--- /dev/null
+++ b/crates/gateway/src/piece_message.rs
@@ -0,0 +1,68 @@
+//! What entry hosts tell each other of pieces and prompts.
+
+use serde::{Deserialize, Serialize};
+
+use crate::engine::{PlaceAsk, PlaceFacts};
+use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad, TargetUse};
+use crate::pool_key::PoolKey;
+use crate::stage_call::{CallEnd, StageCall, StageRelease};
+
+/// What an entry host sends to the one that gathers the pieces of a service.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum PieceRequest {
+    /// Run these.
+    Run(PieceBatch),
+    /// The batch is not wanted any more.
+    Cancel(u64),
+    /// A request that was admitted will bring pieces later.
+    Expect {
+        number: u64,
+        expected: ExpectedPieces,
+    },
+    /// The pieces that were expected are there, or will not come.
+    Arrived(u64),
+    /// These results, each of about so many bytes, are not needed any more.
+    Free {
+        service: String,
+        handles: Vec<String>,
+        bytes: u64,
+    },
+    /// Say where a prompt would be placed now; changes nothing.
+    Plan { number: u64, ask: PlaceAsk },
+    /// Place a prompt on an engine.
+    Place { number: u64, ask: PlaceAsk },
+    /// The engine has read a prompt that was placed.
+    Read(u64),
+    /// A request that was placed has ended.
+    End(u64),
+    /// Send this call to its target and tell how it ended.
+    Call { number: u64, call: StageCall },
+    /// Tell a target that results are not needed any more.
+    Release(StageRelease),
+    /// This host could not reach an engine where a prompt was placed.
+    Unreachable { service: String, engine: String },
+    /// A sign of life.
+    Alive,
+}
+
+/// What the host that gathers pieces answers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum PieceReply {
+    /// Every piece of the batch has an outcome.
+    Done {
+        number: u64,
+        results: Vec<Result<String, PieceFault>>,
+    },
+    /// The engine for a prompt that was planned or placed; nothing where there is none.
+    Placed {
+        number: u64,
+        engine: Option<(String, PlaceFacts)>,
+    },
+    /// How a call ended that was sent for the other host.
+    Called { number: u64, end: CallEnd },
+    /// What this host uses of the targets of a pool; told to the hosts that would gather for the pool
+    /// if this one were lost.
+    Uses { pool: PoolKey, uses: Vec<TargetUse> },
+    /// A sign of life, with the load of the pools that this host gathers for.
+    Alive { loads: Vec<(PoolKey, PoolLoad)> },
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,10 +15,10 @@
 use crate::attempt::{Attempt, AttemptEnd, EventStream, send_attempt};
 use crate::body::BrokenAnswer;
 use crate::choose::choose;
-use crate::engine::Chosen;
 use crate::events::last_event_id;
 use crate::forward::take_repeat;
 use crate::graph::RequestResults;
+use crate::target::Chosen;
 use crate::{AnswerBody, Gateway};
 
 /// What a stream needs to go on.
--- a/crates/gateway/src/schedule.rs
+++ b/crates/gateway/src/schedule.rs
@@ -10,7 +10,7 @@
 use crate::Gateway;
 use crate::ask::Ask;
 use crate::coordinator::HALL_BYTES;
-use crate::graph::{last_stages, path_time};
+use crate::path_time::{last_stages, path_time};
 
 /// Part of its own time by which a deferred stage starts earlier than planned, since calls to its
 /// targets do not begin at once, and a span beside it.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -19,7 +19,7 @@
 use crate::answer::refusal_answer;
 use crate::ask::{Ask, read_ask};
 use crate::forward::forward;
-use crate::gateway::OpenRequest;
+use crate::open_request::OpenRequest;
 use crate::{AnswerBody, Gateway, Refusal, RefusalReason};
 
 /// The least buffer that the HTTP library takes for a head, in bytes.
@@ -87,7 +87,7 @@
 }
 
 async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let open = OpenRequest::new(&gateway);
+    let open = OpenRequest::new(&gateway.open_requests);
     match take_request(&gateway, request).await {
         Ok(mut ask) => {
             ask.open = Some(open);
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -3,6 +3,7 @@
 mod cut_halls;
 mod guard;
 mod link;
+mod link_state;
 mod parts;
 mod place;
 mod sender;
@@ -19,17 +20,18 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::coordinator::{Coordinator, SendingShare};
-use crate::engine::{EnginePlacer, PlaceFacts};
-use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PieceRequest, PoolLoad};
+use crate::engine::EnginePlacer;
+use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad};
+use crate::piece_message::PieceRequest;
 use crate::pool_key::{PoolKey, PoolMap};
 use crate::rendezvous;
-use crate::stage_call::CallEnd;
 
 pub(crate) use guard::{Expectation, Placement};
 pub(crate) use parts::PartWant;
 
 use guard::{ExpectedAt, LocalBatch, RemoteBatch};
 use link::run_link;
+use link_state::{Link, LinkState};
 
 /// Between two signs of life, and the silence after which a side is taken as lost, on a connection on
 /// which something is waited for.
@@ -108,62 +110,6 @@
     Remote(SocketAddr),
 }
 
-/// Where a connection to another entry host stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum LinkState {
-    /// It is being opened for the first time, since then.
-    Opening(Instant),
-    /// It is up.
-    Up,
-    /// It was lost, or could not be opened; it is tried again in the background.
-    Lost,
-}
-
-struct Link {
-    state: LinkState,
-    /// When the other side was heard last, or something was first waited for since.
-    heard: Instant,
-    outgoing: mpsc::UnboundedSender<PieceRequest>,
-    waiting: HashMap<u64, oneshot::Sender<Results>>,
-    placing: HashMap<u64, oneshot::Sender<Option<(String, PlaceFacts)>>>,
-    /// Calls that this host has the other one send.
-    calling: HashMap<u64, oneshot::Sender<CallEnd>>,
-}
-
-impl Link {
-    /// Says whether something is waited for.
-    fn is_waited_on(&self) -> bool {
-        !self.waiting.is_empty() || !self.placing.is_empty() || !self.calling.is_empty()
-    }
-
-    /// Sends a request whose answer `note` lets wait. While nothing was waited for the other side had
-    /// reason to be silent, so its silence counts from now.
-    fn send(&mut self, request: PieceRequest, note: impl FnOnce(&mut Self)) {
-        let was_idle = !self.is_waited_on();
-        note(self);
-        if was_idle && self.is_waited_on() {
-            self.heard = Instant::now();
-        }
-        let _ = self.outgoing.send(request);
-    }
-
-    /// Returns where the connection stands for the reach of its hall. One that nothing is waited for on is
-    /// kept up for longer, but where all of a hall are silent the hall is out of reach.
-    fn state_at(&self, now: Instant) -> LinkState {
-        let silence = now.saturating_duration_since(self.heard);
-        match self.state {
-            LinkState::Up if silence > SILENCE_LIMIT => LinkState::Lost,
-            state => state,
-        }
-    }
-
-    /// Says whether the other side should have been heard by now.
-    fn is_silent(&self, now: Instant) -> bool {
-        let silence = now.saturating_duration_since(self.heard);
-        self.is_waited_on() && silence > SILENCE_LIMIT
-    }
-}
-
 #[derive(Default)]
 struct ClientState {
     gateways: Vec<GatewayRecord>,
--- a/crates/gateway/src/stage_client/guard.rs
+++ b/crates/gateway/src/stage_client/guard.rs
@@ -7,7 +7,7 @@
 use super::StageClient;
 use crate::coordinator::{BatchKey, Coordinator, ExpectKey};
 use crate::engine::{PlaceFacts, PlacementKey};
-use crate::piece::PieceRequest;
+use crate::piece_message::PieceRequest;
 
 #[derive(Clone, Copy)]
 pub(super) enum ExpectedAt {
--- a/crates/gateway/src/stage_client/link.rs
+++ b/crates/gateway/src/stage_client/link.rs
@@ -8,7 +8,7 @@
 
 use super::{IDLE_SILENCE_LIMIT, LinkState, RECONNECT_WAIT, SILENCE_LIMIT, StageClient};
 use crate::peer_queue::send_waiting;
-use crate::piece::{PieceReply, PieceRequest};
+use crate::piece_message::{PieceReply, PieceRequest};
 
 /// Keeps a connection to an entry host open for as long as that host is known.
 pub(super) async fn run_link(
--- /dev/null
+++ b/crates/gateway/src/stage_client/link_state.rs
@@ -0,0 +1,68 @@
+//! Where a connection to another entry host stands, and whether the other side is silent.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use tokio::sync::{mpsc, oneshot};
+
+use super::{Results, SILENCE_LIMIT};
+use crate::engine::PlaceFacts;
+use crate::piece_message::PieceRequest;
+use crate::stage_call::CallEnd;
+
+/// Where a connection to another entry host stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LinkState {
+    /// It is being opened for the first time, since then.
+    Opening(Instant),
+    /// It is up.
+    Up,
+    /// It was lost, or could not be opened; it is tried again in the background.
+    Lost,
+}
+
+/// A connection to another entry host, and what is waited for on it.
+pub(super) struct Link {
+    pub(super) state: LinkState,
+    /// When the other side was heard last, or something was first waited for since.
+    pub(super) heard: Instant,
+    pub(super) outgoing: mpsc::UnboundedSender<PieceRequest>,
+    pub(super) waiting: HashMap<u64, oneshot::Sender<Results>>,
+    pub(super) placing: HashMap<u64, oneshot::Sender<Option<(String, PlaceFacts)>>>,
+    /// Calls that this host has the other one send.
+    pub(super) calling: HashMap<u64, oneshot::Sender<CallEnd>>,
+}
+
+impl Link {
+    /// Says whether something is waited for.
+    pub(super) fn is_waited_on(&self) -> bool {
+        !self.waiting.is_empty() || !self.placing.is_empty() || !self.calling.is_empty()
+    }
+
+    /// Sends a request whose answer `note` lets wait. While nothing was waited for the other side had
+    /// reason to be silent, so its silence counts from now.
+    pub(super) fn send(&mut self, request: PieceRequest, note: impl FnOnce(&mut Self)) {
+        let was_idle = !self.is_waited_on();
+        note(self);
+        if was_idle && self.is_waited_on() {
+            self.heard = Instant::now();
+        }
+        let _ = self.outgoing.send(request);
+    }
+
+    /// Returns where the connection stands for the reach of its hall. One that nothing is waited for on is
+    /// kept up for longer, but where all of a hall are silent the hall is out of reach.
+    pub(super) fn state_at(&self, now: Instant) -> LinkState {
+        let silence = now.saturating_duration_since(self.heard);
+        match self.state {
+            LinkState::Up if silence > SILENCE_LIMIT => LinkState::Lost,
+            state => state,
+        }
+    }
+
+    /// Says whether the other side should have been heard by now.
+    pub(super) fn is_silent(&self, now: Instant) -> bool {
+        let silence = now.saturating_duration_since(self.heard);
+        self.is_waited_on() && silence > SILENCE_LIMIT
+    }
+}
--- a/crates/gateway/src/stage_client/place.rs
+++ b/crates/gateway/src/stage_client/place.rs
@@ -9,10 +9,10 @@
 
 use super::guard::{PlacedAt, Placement};
 use super::{Home, StageClient};
-use crate::engine::{Chosen, PlaceAsk, PlaceFacts};
-use crate::piece::PieceRequest;
+use crate::engine::{PlaceAsk, PlaceFacts};
+use crate::piece_message::PieceRequest;
 use crate::pool_key::PoolKey;
-use crate::target::TargetBook;
+use crate::target::{Chosen, TargetBook};
 
 /// How long the host that places prompts may take.
 const PLACE_TIMEOUT: Duration = Duration::from_millis(60);
--- a/crates/gateway/src/stage_client/sender.rs
+++ b/crates/gateway/src/stage_client/sender.rs
@@ -8,7 +8,7 @@
 
 use super::StageClient;
 use crate::coordinator::SharedCall;
-use crate::piece::PieceRequest;
+use crate::piece_message::PieceRequest;
 use crate::rendezvous;
 use crate::stage_call::{CallEnd, StageCall, StageRelease};
 
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -6,8 +6,6 @@
 
 use linnet_directory::TargetRecord;
 
-use crate::engine::Chosen;
-
 /// Failures in a row after which a target gets no work for a while.
 const EJECT_FAILURES: u32 = 2;
 
@@ -60,6 +58,24 @@
     }
 }
 
+/// A target that was chosen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Chosen {
+    pub(crate) id: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) hall: String,
+}
+
+impl Chosen {
+    pub(crate) fn new(target: &Target) -> Self {
+        Self {
+            id: target.id.clone(),
+            address: target.address,
+            hall: target.hall.clone(),
+        }
+    }
+}
+
 /// The targets of every service. Ordered maps, so that runs with the same input choose alike.
 #[derive(Default)]
 pub(crate) struct TargetBook {
