--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -283,3 +283,47 @@
     let cause = got.unwrap_err().cause;
     assert!(matches!(cause, WireCause::Silent { length, .. } if length > 100 * PIECE));
 }
+
+/// Messages of every size around what is read at one time, several in one write.
+#[ntex::test]
+async fn messages_that_wait_go_out_together_and_come_whole_and_in_order() {
+    let (left, right) = join(
+        identity("entry-1", vec![key("k1")]),
+        identity("entry-2", vec![key("k1")]),
+    )
+    .await;
+    let (_left_reader, mut left_writer) = left.unwrap();
+    let (mut right_reader, _right_writer) = right.unwrap();
+    let sizes = [0_usize, 1, 40, 1_990, 2_020, 2_048, 2_049, 4_096, 9_000, 3];
+    let sending = async {
+        for size in sizes {
+            left_writer.queue(&vec![7_u8; size]).unwrap();
+        }
+        left_writer.flush().await.unwrap();
+        // What waits is sent before a message that does not.
+        left_writer.queue(&vec![8_u8; 5]).unwrap();
+        left_writer.send(&vec![9_u8; 100_000]).await.unwrap();
+    };
+    let receiving = async {
+        for size in sizes {
+            let got: Vec<u8> = right_reader.receive().await.unwrap();
+            assert_eq!(got, vec![7_u8; size]);
+        }
+        assert_eq!(right_reader.receive::<Vec<u8>>().await.unwrap(), [8; 5]);
+        let large: Vec<u8> = right_reader.receive().await.unwrap();
+        assert_eq!(large.len(), 100_000);
+    };
+    tokio::join!(sending, receiving);
+}
+
+#[ntex::test]
+async fn a_full_queue_asks_to_be_sent() {
+    let (left, _right) = join(
+        identity("entry-1", vec![key("k1")]),
+        identity("entry-2", vec![key("k1")]),
+    )
+    .await;
+    let (_reader, mut writer) = left.unwrap();
+    assert!(!writer.queue(&vec![0_u8; 1_000]).unwrap());
+    assert!(writer.queue(&vec![0_u8; 20_000]).unwrap());
+}
