--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -332,7 +332,5 @@
     }
 }
 
-#[cfg(test)]
-mod burst_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/coordinator/state/tests.rs
+++ b/crates/gateway/src/coordinator/state/tests.rs
@@ -1,3 +1,5 @@
+mod burst;
+
 use std::cell::RefCell;
 
 use linnet_directory::TargetState;
--- a/crates/linnetdale/tests/proofs.rs
+++ b/crates/linnetdale/tests/proofs.rs
@@ -11,7 +11,7 @@
 }
 
 /// Returns the text of every test file of the workspace: those in `tests` of a crate, and the files
-/// `tests.rs` beside its modules.
+/// `tests.rs` beside its modules with those in a folder `tests` there.
 fn test_sources() -> String {
     let mut text = String::new();
     let crates = std::fs::read_dir(root().join("crates")).unwrap();
@@ -19,23 +19,27 @@
     for krate in crates.chain([root().join("platform")]) {
         add_files(
             &krate.join("tests"),
-            &|name| name.ends_with(".rs"),
+            &|path| path.extension().is_some_and(|end| end == "rs"),
             &mut text,
         );
-        add_files(&krate.join("src"), &|name| name == "tests.rs", &mut text);
+        add_files(&krate.join("src"), &is_module_test, &mut text);
     }
     text
 }
 
-fn add_files(folder: &Path, wanted: &dyn Fn(&str) -> bool, text: &mut String) {
+fn is_module_test(path: &Path) -> bool {
+    let folder = path.parent().and_then(Path::file_name);
+    path.ends_with("tests.rs") || folder.is_some_and(|name| name == "tests")
+}
+
+fn add_files(folder: &Path, wanted: &dyn Fn(&Path) -> bool, text: &mut String) {
     let Ok(entries) = std::fs::read_dir(folder) else {
         return;
     };
     for path in entries.map(|entry| entry.unwrap().path()) {
-        let name = path.file_name().unwrap().to_string_lossy().into_owned();
         if path.is_dir() {
             add_files(&path, wanted, text);
-        } else if wanted(&name) {
+        } else if wanted(&path) {
             text.push_str(&std::fs::read_to_string(&path).unwrap());
         }
     }
