--- a/crates/directory/src/machine.rs
+++ b/crates/directory/src/machine.rs
@@ -1,4 +1,4 @@
-//! The replicated state: the configuration with the highest version.
+//! The replicated state: the configuration with the highest version, and the evacuations of halls.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -7,7 +7,10 @@
 use tokio::sync::watch;
 
 use crate::history::DocumentHistory;
-use crate::{Document, DocumentKey, DocumentPayload, HeldDocument};
+use crate::{
+    Document, DocumentKey, DocumentPayload, EvacuationBook, EvacuationOrder, EvacuationOutcome,
+    HeldDocument,
+};
 
 /// Reads the version of a valid document, or says what is wrong with it.
 pub type DocumentParser = Arc<dyn Fn(&[u8]) -> Result<u64, String> + Send + Sync>;
@@ -19,6 +22,8 @@
     Put(Document),
     /// Answer the document that is held.
     Read,
+    /// Take a hall out of work, or back.
+    Evacuate(EvacuationOrder),
 }
 
 /// The answer to a [`DocumentCommand`].
@@ -28,12 +33,15 @@
     Held(u64),
     /// To `Read`.
     Document(Option<Document>),
+    /// To `Evacuate`.
+    Evacuation(EvacuationOutcome),
 }
 
 /// The state machine of the replicated log.
 #[derive(Clone, Default)]
 pub struct DocumentMachine {
     history: Arc<Mutex<DocumentHistory>>,
+    evacuations: Arc<Mutex<Arc<EvacuationBook>>>,
     changed: Arc<watch::Sender<u64>>,
 }
 
@@ -58,6 +66,11 @@
         self.lock().newest().cloned()
     }
 
+    /// Returns the committed evacuations that this replica has reached.
+    pub fn evacuations(&self) -> Arc<EvacuationBook> {
+        self.lock_evacuations().clone()
+    }
+
     /// Returns what brings the configuration `wanted`, or the newest, to a subscriber with `base`.
     pub(crate) fn payload(
         &self,
@@ -67,7 +80,7 @@
         self.lock().payload(wanted, base)
     }
 
-    /// Returns a receiver that wakes when a newer document is held.
+    /// Returns a receiver that wakes when a newer document is held or an evacuation has changed.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
     }
@@ -78,6 +91,9 @@
             Ok(DocumentCommand::Read) => {
                 DocumentAnswer::Document(self.held().map(|held| held.document().clone()))
             }
+            Ok(DocumentCommand::Evacuate(order)) => {
+                DocumentAnswer::Evacuation(self.evacuate(&order))
+            }
             // A command of another program version changes nothing here.
             Err(_) => DocumentAnswer::Held(self.held().map_or(0, |held| held.version())),
         };
@@ -98,21 +114,29 @@
         version
     }
 
+    fn evacuate(&self, order: &EvacuationOrder) -> EvacuationOutcome {
+        let outcome = Arc::make_mut(&mut *self.lock_evacuations()).apply(order);
+        self.changed.send_modify(|_| {});
+        outcome
+    }
+
     fn snapshot(&self) -> Vec<u8> {
         let held = self.held().map(|held| held.document().clone());
-        postcard::to_stdvec(&held).unwrap_or_default()
+        let evacuations = self.evacuations();
+        postcard::to_stdvec(&(held, &*evacuations)).unwrap_or_default()
     }
 
     fn restore(&self, bytes: &[u8]) {
         // A snapshot passed its checksum, so bytes that cannot be read come from a newer program.
         // Going on with an empty state would lose what was accepted.
-        let document: Option<Document> = match postcard::from_bytes(bytes) {
-            Ok(document) => document,
+        let (document, evacuations) = match read_snapshot(bytes) {
+            Ok(state) => state,
             Err(error) => {
                 log::error!(target: "linnetdale", "the snapshot cannot be read: {error}");
                 std::process::exit(1);
             }
         };
+        *self.lock_evacuations() = Arc::new(evacuations);
         let version = document.as_ref().map_or(0, |document| document.version);
         if let Some(document) = document {
             self.lock().push(Arc::new(HeldDocument::new(document)));
@@ -123,4 +147,23 @@
     fn lock(&self) -> MutexGuard<'_, DocumentHistory> {
         self.history.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn lock_evacuations(&self) -> MutexGuard<'_, Arc<EvacuationBook>> {
+        self.evacuations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
 }
+
+/// Reads a snapshot. One that was made before there were evacuations ends after the document.
+fn read_snapshot(bytes: &[u8]) -> Result<(Option<Document>, EvacuationBook), postcard::Error> {
+    let (document, rest) = postcard::take_from_bytes(bytes)?;
+    let evacuations = match rest {
+        [] => EvacuationBook::default(),
+        rest => postcard::from_bytes(rest)?,
+    };
+    Ok((document, evacuations))
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -5,7 +5,7 @@
 use linnet_quorum::{Member, Members, NodeId};
 use serde::{Deserialize, Serialize};
 
-use crate::{DocumentKey, PayloadKey};
+use crate::{DocumentKey, EvacuationBook, PayloadKey};
 
 /// What a target says of its readiness. A later state never gives way to an earlier one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -37,6 +37,8 @@
     pub sequence: u64,
     /// Whether several heartbeats were missed.
     pub silent: bool,
+    /// How much longer it is cold, in milliseconds; 0 where it is not.
+    pub cold_ms: u32,
 }
 
 /// A process that takes callers' requests.
@@ -110,6 +112,8 @@
     pub offer: Option<DocumentKey>,
     /// The next part of the configuration that the subscriber wants.
     pub part: Option<DocumentPart>,
+    /// The evacuations of halls, where they changed; a few bytes a hall, so always all of them.
+    pub evacuations: Option<EvacuationBook>,
     /// Targets that changed.
     pub targets: Vec<TargetRecord>,
     /// All entry hosts that this control host hears, where that changed.
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -17,12 +17,25 @@
 use crate::message::{DirectoryCall, DirectoryReply};
 use crate::{
     DirectoryUpdate, Document, DocumentMachine, DocumentParser, DocumentPayload, DocumentWant,
-    GatewayRecord, HeldDocument, Registry, RegistryChange, TargetRecord,
+    EvacuationBook, EvacuationOrder, EvacuationOutcome, GatewayRecord, HeldDocument, Registry,
+    RegistryChange, TargetRecord,
 };
 
 /// Wait before a command is tried again where no leader is known.
 const LEADER_RETRY_WAIT: Duration = Duration::from_millis(40);
 
+/// How long one try of a small command is waited for. A leader that is frozen answers nothing; the next
+/// one is elected within half a second, and a command is handed to it by the next try in place of being
+/// refused when the time for all tries is over.
+const TRY_BOUND: Duration = Duration::from_millis(300);
+
+/// Bytes up to which a command is small. Larger ones pass several links before they are committed, and a
+/// try that is broken off sends them anew: one of 4 MB was not acknowledged over links of 24 Mbit/s.
+const SMALL_COMMAND: usize = 64 * 1024;
+
+/// How often an order for a hall is given anew since others changed the hall meanwhile.
+const ORDER_TRIES: usize = 3;
+
 /// Bytes a second at which a command and its answer are taken to pass between control hosts, at least.
 /// With one limit for every size a configuration of 4 MB was committed and never acknowledged over
 /// links of 24 Mbit/s, and each try sent it anew.
@@ -63,6 +76,10 @@
     /// No quorum committed it in time; whether it is in force later is not known.
     #[display("no quorum in time")]
     NoQuorum,
+    /// There is no such data hall.
+    #[display("no data hall has the name {_0}")]
+    #[error(ignore)]
+    UnknownHall(String),
     /// No other control host has taken the word of the target.
     #[display("no other control host has taken it")]
     NotSpread,
@@ -279,8 +296,50 @@
                 self.record(EventCode::RoutingRead, &format!("version={version}"));
                 Ok(document)
             }
-            DocumentAnswer::Held(_) => Err(DirectoryError::NoQuorum),
+            _ => Err(DirectoryError::NoQuorum),
+        }
+    }
+
+    /// Takes a hall out of work, or back; returns once a majority of control hosts has that on disk.
+    ///
+    /// # Errors
+    ///
+    /// [`DirectoryError::NoQuorum`] leaves open whether the order comes into force.
+    pub async fn order_evacuation(
+        &self,
+        hall: &str,
+        evacuated: bool,
+    ) -> Result<(), DirectoryError> {
+        let mut seen = self.evacuations().state_of(hall).revision;
+        for _ in 0..ORDER_TRIES {
+            let order = EvacuationOrder {
+                hall: hall.to_owned(),
+                evacuated,
+                seen,
+            };
+            let answer = self.commit(&DocumentCommand::Evacuate(order)).await;
+            match answer {
+                Ok(DocumentAnswer::Evacuation(EvacuationOutcome::Held(state))) => {
+                    let revision = state.revision;
+                    let detail = format!("hall={hall} evacuated={evacuated} revision={revision}");
+                    self.record(EventCode::EvacuationAccepted, &detail);
+                    return Ok(());
+                }
+                // This host had not reached the newest order for the hall yet.
+                Ok(DocumentAnswer::Evacuation(EvacuationOutcome::Outdated(state))) => {
+                    seen = state.revision;
+                }
+                _ => break,
+            }
         }
+        let detail = format!("hall={hall} evacuated={evacuated} outcome=unknown");
+        self.record(EventCode::EvacuationFailed, &detail);
+        Err(DirectoryError::NoQuorum)
+    }
+
+    /// Returns the committed evacuations that this host has reached.
+    pub fn evacuations(&self) -> Arc<EvacuationBook> {
+        self.shared.machine.evacuations()
     }
 
     /// Takes a heartbeat of a target. Returns once it may be acknowledged: a withdrawal only when
@@ -365,13 +424,19 @@
     async fn commit(&self, command: &DocumentCommand) -> Result<DocumentAnswer, DirectoryError> {
         let bytes = postcard::to_stdvec(command).map_err(|_| DirectoryError::NoQuorum)?;
         let answer_bytes = match command {
-            DocumentCommand::Put(_) => 0,
+            DocumentCommand::Put(_) | DocumentCommand::Evacuate(_) => 0,
             DocumentCommand::Read => self.held_document().map_or(0, |held| held.body().len()),
         };
-        let passing = (bytes.len() + answer_bytes) as f64 / LEAST_BYTES_PER_S;
-        let bound = self.shared.timing.commit + Duration::from_secs_f64(passing);
+        let length = bytes.len() + answer_bytes;
+        let passing = Duration::from_secs_f64(length as f64 / LEAST_BYTES_PER_S);
+        let bound = self.shared.timing.commit + passing;
+        let try_bound = match length <= SMALL_COMMAND {
+            true => TRY_BOUND,
+            false => bound,
+        };
         let started = Instant::now();
         while let Some(left) = bound.checked_sub(started.elapsed()) {
+            let left = left.min(try_bound);
             let answer = match timeout(left, self.commit_once(&bytes, left)).await {
                 Ok(Some(answer)) => postcard::from_bytes(&answer).ok(),
                 _ => None,
@@ -384,7 +449,8 @@
         Err(DirectoryError::NoQuorum)
     }
 
-    // Both commands may be given twice: a put of the same version changes nothing the second time.
+    // Every command may be given twice: a put of the same version changes nothing the second time, and
+    // an order for a hall that is as it wants it neither.
     async fn commit_once(&self, bytes: &[u8], bound: Duration) -> Option<Vec<u8>> {
         match self.shared.replica.propose(bytes.to_vec()).await {
             Ok(answer) => return Some(answer),
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -12,6 +12,10 @@
 /// How long a heartbeat is passed on to other control hosts.
 pub(crate) const HEARD_WINDOW: Duration = Duration::from_millis(1_000);
 
+/// A target that is cold for longer than was known is told of anew where that is more than what
+/// heartbeats are late by.
+const COLD_TOLD: Duration = Duration::from_millis(250);
+
 /// A target that is first heard at one of so many heartbeats has just started. The first one may get
 /// lost on its way; later ones may as well be late ones of a start that is over.
 const FIRST_HEARTBEATS: u64 = 2;
@@ -34,6 +38,33 @@
     changed: u64,
     /// When a heartbeat last came to this host itself.
     heard_here: Option<Instant>,
+    /// Until when the target is cold. It only moves later: a late heartbeat may tell of a time before.
+    cold_until: Option<Instant>,
+}
+
+impl Held {
+    /// Takes how much longer the target is cold; says whether others have to be told.
+    fn take_cold(&mut self, cold_ms: u32, now: Instant) -> bool {
+        if cold_ms == 0 {
+            return false;
+        }
+        let until = now + Duration::from_millis(u64::from(cold_ms));
+        let known = self.cold_until.unwrap_or(now);
+        if until <= known {
+            return false;
+        }
+        self.cold_until = Some(until);
+        until.saturating_duration_since(known) > COLD_TOLD
+    }
+
+    /// Returns the record as it is told at a moment.
+    fn told(&self, now: Instant) -> TargetRecord {
+        let mut record = self.record.clone();
+        record.cold_ms = self.cold_until.map_or(0, |until| {
+            until.saturating_duration_since(now).as_millis() as u32
+        });
+        record
+    }
 }
 
 /// Targets by identity.
@@ -136,9 +167,9 @@
     }
 
     /// Returns the records that changed after a change number.
-    pub fn changed_after(&self, number: u64) -> Vec<TargetRecord> {
+    pub fn changed_after(&self, number: u64, now: Instant) -> Vec<TargetRecord> {
         let changed = self.held.values().filter(|held| held.changed > number);
-        changed.map(|held| held.record.clone()).collect()
+        changed.map(|held| held.told(now)).collect()
     }
 
     /// Returns every record.
@@ -167,6 +198,7 @@
         let Some(held) = self.held.get_mut(&record.id) else {
             return self.insert(record, heard, now);
         };
+        let colder = held.take_cold(record.cold_ms, now);
         let state = held.record.state.max(record.state);
         let newer = record.sequence > held.record.sequence;
         let before = held.record.clone();
@@ -179,6 +211,7 @@
         held.heard = held.heard.max(heard);
         let worsened = state > before.state;
         let differs = worsened
+            || colder
             || before.silent != held.record.silent
             || held.record.address != before.address
             || held.record.slots != before.slots;
@@ -210,12 +243,14 @@
         }
         let state = record.state;
         self.number += 1;
-        let held = Held {
+        let mut held = Held {
             heard,
             changed: self.number,
             heard_here: None,
+            cold_until: None,
             record,
         };
+        held.take_cold(held.record.cold_ms, now);
         self.held.insert(held.record.id.clone(), held);
         if state == TargetState::Ready {
             RegistryChange::Registered
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -12,7 +12,9 @@
 use crate::message::{DirectoryCall, DirectoryReply};
 use crate::node::SubscriberState;
 use crate::sending::DocumentSending;
-use crate::{DirectoryNode, DirectoryUpdate, DocumentKey, SubscriberHello, SubscriberReport};
+use crate::{
+    DirectoryNode, DirectoryUpdate, DocumentKey, EvacuationBook, SubscriberHello, SubscriberReport,
+};
 
 /// Between two signs of life to a subscriber.
 pub(crate) const UPDATE_PERIOD: Duration = Duration::from_millis(400);
@@ -39,6 +41,7 @@
     subscriber: u64,
     control: bool,
     offer: Option<DocumentKey>,
+    evacuations: Option<Arc<EvacuationBook>>,
     sending: DocumentSending,
     number: u64,
     gateways: GatewayPush,
@@ -142,6 +145,7 @@
         subscriber,
         control: hello.control,
         offer: None,
+        evacuations: None,
         sending: DocumentSending::default(),
         number: 0,
         gateways: GatewayPush::default(),
@@ -187,6 +191,7 @@
 fn is_empty(update: &DirectoryUpdate) -> bool {
     update.offer.is_none()
         && update.part.is_none()
+        && update.evacuations.is_none()
         && update.targets.is_empty()
         && update.gateways.is_none()
         && update.controls.is_none()
@@ -196,6 +201,7 @@
 fn next_update(node: &DirectoryNode, pushed: &mut Pushed) -> DirectoryUpdate {
     let mut update = DirectoryUpdate::default();
     if !pushed.control {
+        add_evacuations(node, pushed, &mut update);
         add_document(node, pushed, &mut update);
     }
     let controls = node.controls();
@@ -206,7 +212,7 @@
     let mut state = node.lock();
     update.number = state.registry.number();
     if update.number > pushed.number {
-        update.targets = state.registry.changed_after(pushed.number);
+        update.targets = state.registry.changed_after(pushed.number, Instant::now());
         pushed.number = update.number;
     }
     let gateways = state.gateways(Instant::now());
@@ -222,6 +228,14 @@
     update
 }
 
+fn add_evacuations(node: &DirectoryNode, pushed: &mut Pushed, update: &mut DirectoryUpdate) {
+    let held = node.evacuations();
+    if pushed.evacuations.as_ref() != Some(&held) {
+        update.evacuations = Some((*held).clone());
+        pushed.evacuations = Some(held);
+    }
+}
+
 fn add_document(node: &DirectoryNode, pushed: &mut Pushed, update: &mut DirectoryUpdate) {
     let held = node.held_document().map(|held| held.key());
     if held != pushed.offer {
--- a/crates/directory/src/view.rs
+++ b/crates/directory/src/view.rs
@@ -3,8 +3,11 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-use crate::{DirectoryUpdate, GatewayRecord, HeldDocument, TargetRecord, TargetState};
+use crate::{
+    DirectoryUpdate, EvacuationBook, GatewayRecord, HeldDocument, TargetRecord, TargetState,
+};
 
 /// What one control host told.
 #[derive(Default)]
@@ -16,7 +19,8 @@
 
 /// The union of what the control hosts told.
 ///
-/// Invariants: the configuration only moves to a higher version; a target that any control host
+/// Invariants: the configuration only moves to a higher version, and the evacuation of a hall to a higher
+/// revision; a target that any control host
 /// called withdrawn stays withdrawn. What a lost control host told stays until another one is
 /// heard, so a data hall that is cut off goes on with what it knows.
 #[derive(Default)]
@@ -24,8 +28,16 @@
     document: Option<Arc<HeldDocument>>,
     sources: BTreeMap<SocketAddr, Source>,
     withdrawn: BTreeMap<String, TargetState>,
+    evacuations: EvacuationBook,
+    /// Until when targets are cold, by identity.
+    cold: HashMap<String, Instant>,
 }
 
+/// How long the targets of a hall count as cold after it was taken back, unless they say that it is
+/// longer. They may have become cold a moment before, and say so with their next heartbeat: two
+/// periods of 1.2 s.
+const COLD_AFTER_EVACUATION: Duration = Duration::from_millis(2_400);
+
 impl DirectoryView {
     /// Creates an empty view.
     pub fn new() -> Self {
@@ -33,7 +45,7 @@
     }
 
     /// Takes what an update tells of targets and entry hosts.
-    pub fn take(&mut self, from: SocketAddr, update: DirectoryUpdate) {
+    pub fn take(&mut self, from: SocketAddr, update: DirectoryUpdate, now: Instant) {
         let source = self.sources.entry(from).or_default();
         if !source.connected {
             // A control host that comes back tells everything it knows anew.
@@ -48,11 +60,33 @@
                     .or_insert(record.state);
                 *known = record.state.max(*known);
             }
+            if record.cold_ms > 0 {
+                let until = now + Duration::from_millis(u64::from(record.cold_ms));
+                note_cold(&mut self.cold, &record.id, until);
+            }
             source.targets.insert(record.id.clone(), record);
         }
         if let Some(gateways) = update.gateways {
             source.gateways = gateways;
         }
+        if let Some(told) = &update.evacuations {
+            let taken_back = self.evacuations.merge(told);
+            self.note_taken_back(&taken_back, now);
+        }
+    }
+
+    fn note_taken_back(&mut self, halls: &[String], now: Instant) {
+        let until = now + COLD_AFTER_EVACUATION;
+        let sources = self.sources.values();
+        let records = sources.flat_map(|source| source.targets.values());
+        for record in records.filter(|record| halls.contains(&record.hall)) {
+            note_cold(&mut self.cold, &record.id, until);
+        }
+    }
+
+    /// Returns the evacuations of halls.
+    pub fn evacuations(&self) -> &EvacuationBook {
+        &self.evacuations
     }
 
     /// Takes a configuration; says whether it is newer than the one before.
@@ -87,12 +121,13 @@
         self.sources.values().any(|source| source.connected)
     }
 
-    /// Returns every target that takes new work as far as is known.
-    pub fn ready_targets(&self) -> Vec<TargetRecord> {
+    /// Returns every target that takes new work as far as is known, and how much longer it is cold.
+    pub fn ready_targets(&self, now: Instant) -> Vec<TargetRecord> {
         let mut ready: BTreeMap<&str, &TargetRecord> = BTreeMap::new();
         for source in self.sources.values() {
             for (id, record) in &source.targets {
-                if record.silent || self.withdrawn.contains_key(id) {
+                let evacuated = self.evacuations.is_evacuated(&record.hall);
+                if record.silent || evacuated || self.withdrawn.contains_key(id) {
                     continue;
                 }
                 let known = ready.entry(id).or_insert(record);
@@ -101,7 +136,14 @@
                 }
             }
         }
-        ready.into_values().cloned().collect()
+        let told = ready.into_values().map(|record| {
+            let mut record = record.clone();
+            record.cold_ms = self.cold.get(&record.id).map_or(0, |until| {
+                until.saturating_duration_since(now).as_millis() as u32
+            });
+            record
+        });
+        told.collect()
     }
 
     /// Returns every entry host that any control host hears, by name.
@@ -117,8 +159,10 @@
         by_name.into_values().cloned().collect()
     }
 
-    /// Forgets withdrawn targets that no control host names any more.
-    pub fn forget_unnamed(&mut self) {
+    /// Forgets withdrawn targets that no control host names any more, and those that are not cold any
+    /// more.
+    pub fn forget_past(&mut self, now: Instant) {
+        self.cold.retain(|_, until| *until > now);
         let sources = &self.sources;
         let is_named = |id: &str| {
             let mut all = sources.values();
@@ -127,3 +171,8 @@
         self.withdrawn.retain(|id, _| is_named(id));
     }
 }
+
+fn note_cold(cold: &mut HashMap<String, Instant>, id: &str, until: Instant) {
+    let known = cold.entry(id.to_owned()).or_insert(until);
+    *known = until.max(*known);
+}
--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -19,6 +19,7 @@
         state,
         sequence,
         silent: false,
+        cold_ms: 0,
     }
 }
 
@@ -175,7 +176,7 @@
     assert!(view.take_document(document(5)));
     assert!(!view.take_document(document(4)));
     assert!(!view.take_document(document(5)));
-    view.take(a, update(Vec::new()));
+    view.take(a, update(Vec::new()), Instant::now());
     view.lose(a);
     assert!(!view.take_document(document(3)));
     assert_eq!(view.document().unwrap().version(), 5);
@@ -187,29 +188,49 @@
     let (a, b) = (([127, 0, 0, 1], 1).into(), ([127, 0, 0, 2], 1).into());
     let mut view = DirectoryView::new();
     let ready = record("i", 1, TargetState::Ready, 1);
-    view.take(a, update(vec![ready.clone()]));
-    view.take(b, update(vec![ready.clone()]));
-    assert_eq!(view.ready_targets().len(), 1);
-    view.take(b, update(vec![record("i", 1, TargetState::Draining, 2)]));
-    assert!(view.ready_targets().is_empty());
+    view.take(a, update(vec![ready.clone()]), Instant::now());
+    view.take(b, update(vec![ready.clone()]), Instant::now());
+    assert_eq!(view.ready_targets(Instant::now()).len(), 1);
+    view.take(
+        b,
+        update(vec![record("i", 1, TargetState::Draining, 2)]),
+        Instant::now(),
+    );
+    assert!(view.ready_targets(Instant::now()).is_empty());
     view.lose(b);
-    view.take(a, update(vec![ready]));
-    assert!(view.ready_targets().is_empty());
+    view.take(a, update(vec![ready]), Instant::now());
+    assert!(view.ready_targets(Instant::now()).is_empty());
 }
 
 #[test]
 fn without_any_control_host_the_view_stays_and_the_first_that_returns_replaces_the_lost() {
     let (a, b) = (([127, 0, 0, 1], 1).into(), ([127, 0, 0, 2], 1).into());
     let mut view = DirectoryView::new();
-    view.take(a, update(vec![record("i-a", 1, TargetState::Ready, 1)]));
-    view.take(b, update(vec![record("i-b", 2, TargetState::Ready, 1)]));
+    view.take(
+        a,
+        update(vec![record("i-a", 1, TargetState::Ready, 1)]),
+        Instant::now(),
+    );
+    view.take(
+        b,
+        update(vec![record("i-b", 2, TargetState::Ready, 1)]),
+        Instant::now(),
+    );
     view.lose(a);
-    assert_eq!(view.ready_targets().len(), 1);
+    assert_eq!(view.ready_targets(Instant::now()).len(), 1);
     view.lose(b);
     assert!(!view.is_connected());
-    assert_eq!(view.ready_targets().len(), 1);
-    view.take(a, update(vec![record("i-c", 3, TargetState::Ready, 1)]));
-    let ids: Vec<String> = view.ready_targets().into_iter().map(|one| one.id).collect();
+    assert_eq!(view.ready_targets(Instant::now()).len(), 1);
+    view.take(
+        a,
+        update(vec![record("i-c", 3, TargetState::Ready, 1)]),
+        Instant::now(),
+    );
+    let ids: Vec<String> = view
+        .ready_targets(Instant::now())
+        .into_iter()
+        .map(|one| one.id)
+        .collect();
     assert_eq!(ids, ["i-b", "i-c"]);
 }
 
@@ -226,7 +247,67 @@
         ..DirectoryUpdate::default()
     };
     let mut view = DirectoryView::new();
-    view.take(([127, 0, 0, 1], 1).into(), told(false));
-    view.take(([127, 0, 0, 2], 1).into(), told(true));
+    view.take(([127, 0, 0, 1], 1).into(), told(false), Instant::now());
+    view.take(([127, 0, 0, 2], 1).into(), told(true), Instant::now());
     assert_eq!(view.gateways(), [gateway(true)]);
 }
+
+#[test]
+fn a_target_that_turns_cold_is_told_of_with_the_time_that_is_left() {
+    let mut registry = Registry::new();
+    let now = Instant::now();
+    let cold = |sequence, cold_ms| TargetRecord {
+        cold_ms,
+        ..record("i", 1, TargetState::Ready, sequence)
+    };
+    registry.take_heartbeat(cold(1, 0), now);
+    let told = registry.number();
+    assert_eq!(
+        registry.take_heartbeat(cold(2, 3_000), now),
+        RegistryChange::Registered
+    );
+    let later = now + Duration::from_millis(1_200);
+    // The next heartbeat says the same, a little late.
+    let same = registry.take_heartbeat(cold(3, 1_850), later);
+    assert_eq!(same, RegistryChange::Nothing);
+    let records = registry.changed_after(told, later);
+    assert_eq!(records[0].cold_ms, 1_850);
+    // A late heartbeat of before, and one that makes no sense.
+    registry.take_heartbeat(cold(2, 0), later);
+    assert_eq!(registry.changed_after(told, later)[0].cold_ms, 1_850);
+    registry.take_heartbeat(cold(4, u32::MAX), later);
+    assert!(registry.changed_after(told, later)[0].cold_ms > 0);
+    let warm = now + Duration::from_secs(4);
+    assert_eq!(registry.changed_after(u64::MAX, warm), []);
+}
+
+/// Targets of a hall that is taken back may have become cold a moment before and say so only with their
+/// next heartbeat.
+#[test]
+fn targets_of_a_hall_that_is_taken_back_count_as_cold_at_first() {
+    let now = Instant::now();
+    let mut view = DirectoryView::new();
+    let from = ([127, 0, 0, 2], 1).into();
+    let order = |evacuated, seen| linnet_directory::EvacuationOrder {
+        hall: "h".to_owned(),
+        evacuated,
+        seen,
+    };
+    let mut book = linnet_directory::EvacuationBook::default();
+    let mut tell = |view: &mut DirectoryView, order, now| {
+        book.apply(&order);
+        let update = DirectoryUpdate {
+            targets: vec![record("i", 1, TargetState::Ready, 1)],
+            evacuations: Some(book.clone()),
+            ..DirectoryUpdate::default()
+        };
+        view.take(from, update, now);
+    };
+    tell(&mut view, order(true, 0), now);
+    assert!(view.ready_targets(now).is_empty());
+    tell(&mut view, order(false, 1), now);
+    assert!(view.ready_targets(now)[0].cold_ms > 1_200);
+    let later = now + Duration::from_secs(5);
+    view.forget_past(later);
+    assert_eq!(view.ready_targets(later)[0].cold_ms, 0);
+}
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -16,6 +16,10 @@
 /// Targets that the host which places prompts is asked to pass over, at most.
 const MAX_AVOIDED: usize = 32;
 
+/// What a cold target counts beside its load, in parts of its slots: it is slow, and gets work only where
+/// the others are full.
+const COLD_LOAD: f64 = 0.5;
+
 /// Picks the service of a request by the weights of its route.
 pub(crate) fn pick_service(route: &Route) -> &str {
     let total: u32 = route.split.iter().map(|part| part.weight).sum();
@@ -41,17 +45,28 @@
         let (chosen, placement) = gateway.stages.place(&gateway.targets, place).await?;
         return Some((chosen, Some(placement)));
     }
+    let (now, hosts) = (Instant::now(), gateway.gateway_count());
+    let closed = gateway
+        .targets
+        .borrow_mut()
+        .closed_by_cold(service, hosts, now);
     let book = gateway.targets.borrow();
-    let usable = book.usable(service, Instant::now());
-    let fresh = usable.iter().filter(|target| !tried.contains(&target.id));
+    let usable = book.usable(service, now);
+    let fresh = usable
+        .iter()
+        .filter(|target| !tried.contains(&target.id) && !closed.contains(&target.id));
     let load = |target: &Target| {
         let other_hall = f64::from(u8::from(target.hall != gateway.config.hall));
         let used = f64::from(target.in_flight) / f64::from(target.slots);
-        used + 0.25 * other_hall + 0.05 * fastrand::f64()
+        let cold = f64::from(u8::from(target.is_cold(now)));
+        used + 0.25 * other_hall + COLD_LOAD * cold + 0.05 * fastrand::f64()
     };
     let scored = fresh.map(|target| (load(target), target));
-    let best = scored.min_by(|a, b| a.0.total_cmp(&b.0))?.1;
-    Some((Chosen::new(best), None))
+    let best = Chosen::new(scored.min_by(|a, b| a.0.total_cmp(&b.0))?.1);
+    drop(book);
+    let mut book = gateway.targets.borrow_mut();
+    book.note_cold_sending(service, &best.id, hosts, now);
+    Some((best, None))
 }
 
 /// Returns what to ask of the host that places prompts; nothing for a request without one.
@@ -80,5 +95,6 @@
         heavy_stage: heavy.map(|stage| stage.service.clone()),
         results: places.unwrap_or_default(),
         avoid: avoid.take(MAX_AVOIDED).cloned().collect(),
+        closed: Vec::new(),
     })
 }
--- a/crates/gateway/src/coordinator/pool.rs
+++ b/crates/gateway/src/coordinator/pool.rs
@@ -117,7 +117,8 @@
         }
         for (id, record) in wanted {
             let targets = self.targets.entry(id.to_owned());
-            targets.or_insert_with(|| StageTarget::new(record));
+            let target = targets.or_insert_with(|| StageTarget::new(record));
+            target.set_cold(record.cold_ms, Instant::now());
         }
     }
 
@@ -248,7 +249,7 @@
         let longest = Duration::from_secs_f64(longest / 1_000.0);
         if let Some(target) = self.targets.get_mut(&call.target) {
             call.patience = target.patience(call.expected, longest, now);
-            call.handover = target.begin_call(call.expected, now);
+            call.handover = target.begin_call(call.expected, &self.spec, now);
             if call.trial {
                 target.reserved += call.reserved;
             }
--- a/crates/gateway/src/coordinator/pool/tests.rs
+++ b/crates/gateway/src/coordinator/pool/tests.rs
@@ -18,6 +18,7 @@
         piece_ms: 16.0,
         result_memory_bytes: 4 * RESULT_BYTES,
         result_ttl_ms: 4_000,
+        cold_per_s: 0.0,
     }
 }
 
@@ -32,6 +33,7 @@
         state: TargetState::Ready,
         sequence: 1,
         silent: false,
+        cold_ms: 0,
     };
     [record(0), record(1)]
 }
--- a/crates/gateway/src/coordinator/stage_target.rs
+++ b/crates/gateway/src/coordinator/stage_target.rs
@@ -7,6 +7,7 @@
 use linnet_routing::StagePool;
 
 use super::held::{HeldKey, HeldResults};
+use crate::cold::{ColdRate, SendWindow};
 use crate::load::ReportedLoad;
 use crate::piece::TargetUse;
 
@@ -89,6 +90,9 @@
     pub(super) listed: bool,
     /// Whether another start is at its address, which is for good.
     replaced: bool,
+    cold_until: Option<Instant>,
+    /// Calls that it got lately while it was cold.
+    cold_sent: SendWindow,
 }
 
 impl StageTarget {
@@ -110,9 +114,22 @@
             pace: 1.0,
             listed: true,
             replaced: false,
+            cold_until: None,
+            cold_sent: SendWindow::default(),
         }
     }
 
+    /// Takes how much longer it is cold.
+    pub(super) fn set_cold(&mut self, cold_ms: u32, now: Instant) {
+        self.cold_until = (cold_ms > 0).then(|| now + Duration::from_millis(u64::from(cold_ms)));
+    }
+
+    fn is_closed_by_cold(&self, spec: &StagePool, now: Instant) -> bool {
+        let is_cold = self.cold_until.is_some_and(|until| until > now);
+        let rate = ColdRate::new(spec.cold_per_s).filter(|_| is_cold);
+        rate.is_some_and(|rate| !self.cold_sent.has_room(rate, now))
+    }
+
     pub(super) fn used_bytes(&self) -> u64 {
         self.results.bytes() + self.reserved
     }
@@ -132,7 +149,8 @@
     pub(super) fn is_free(&self, spec: &StagePool, now: Instant) -> bool {
         let taken = self.taken_until.is_some_and(|until| until > now);
         let has_place = self.busy < spec.slots || self.takes_next(spec, now);
-        self.takes_calls() && !self.rests(now) && !taken && has_place
+        let closed = self.is_closed_by_cold(spec, now);
+        self.takes_calls() && !self.rests(now) && !taken && has_place && !closed
     }
 
     /// Says whether the call at work ends soon enough for the next one to be sent. Only one call is sent
@@ -144,7 +162,15 @@
 
     /// Counts a call that is sent now and should take `expected`; says after which time the next one may
     /// follow, where that is before its end.
-    pub(super) fn begin_call(&mut self, expected: Duration, now: Instant) -> Option<Duration> {
+    pub(super) fn begin_call(
+        &mut self,
+        expected: Duration,
+        spec: &StagePool,
+        now: Instant,
+    ) -> Option<Duration> {
+        if let Some(rate) = ColdRate::new(spec.cold_per_s) {
+            self.cold_sent.note(rate, now);
+        }
         self.busy += 1;
         if self.busy > 1 {
             // Its way is covered by the work of the call before.
--- a/crates/gateway/src/coordinator/state/tests.rs
+++ b/crates/gateway/src/coordinator/state/tests.rs
@@ -21,6 +21,7 @@
         piece_ms: 16.0,
         result_memory_bytes: 1_000_000,
         result_ttl_ms: 4_000,
+        cold_per_s: 0.0,
     }
 }
 
@@ -35,6 +36,7 @@
         state: TargetState::Ready,
         sequence: 1,
         silent: false,
+        cold_ms: 0,
     };
     let mut state = QueueState {
         records: (0..targets).map(record).collect(),
--- a/crates/gateway/src/coordinator/state/tests/burst.rs
+++ b/crates/gateway/src/coordinator/state/tests/burst.rs
@@ -85,6 +85,7 @@
         piece_ms: PIECE_MS,
         result_memory_bytes: 1_000_000_000,
         result_ttl_ms: 4_000,
+        cold_per_s: 0.0,
     }
 }
 
@@ -99,6 +100,7 @@
             state: TargetState::Ready,
             sequence: 1,
             silent: false,
+            cold_ms: 0,
         };
         let mut state = QueueState {
             records: (0..TARGETS).map(record).collect(),
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ask::{Prompt, PromptPart};
+use crate::cold::{ColdRate, SendWindow};
 use crate::hall_bytes::HallBytes;
 use crate::rendezvous;
 use crate::target::{Chosen, Target, TargetBook};
@@ -98,8 +99,10 @@
     pub(crate) heavy_stage: Option<String>,
     /// Where the results of its stages lie.
     pub(crate) results: HallBytes,
-    /// Engines that were tried already.
+    /// Engines that were tried already; used again only where there is no other.
     pub(crate) avoid: Vec<String>,
+    /// Engines that must not be used.
+    pub(crate) closed: Vec<String>,
 }
 
 /// What decided a placement, for the log.
@@ -168,6 +171,8 @@
     holders: HashMap<String, Vec<(String, Instant)>>,
     placed: HashMap<PlacementKey, Placed>,
     slowness: HashMap<String, Slowness>,
+    /// What was placed lately on engines that are cold.
+    cold_sent: HashMap<String, SendWindow>,
     next: u64,
 }
 
@@ -179,6 +184,7 @@
             holders: HashMap::new(),
             placed: HashMap::new(),
             slowness: HashMap::new(),
+            cold_sent: HashMap::new(),
             next: 0,
         }
     }
@@ -191,7 +197,11 @@
     /// at the engine that every host ranks first for it. On any other it has to be read anew, which
     /// counts like a wait.
     pub(crate) fn choose(&self, book: &TargetBook, ask: &PlaceAsk, now: Instant) -> Option<Chosen> {
-        let usable = book.usable(&ask.service, now);
+        let mut usable = book.usable(&ask.service, now);
+        usable.retain(|engine| !ask.closed.contains(&engine.id));
+        if let Some(rate) = book.cold_rate(&ask.service) {
+            usable.retain(|engine| !engine.is_cold(now) || self.has_cold_room(engine, rate, now));
+        }
         let fresh = usable.iter().filter(|one| !ask.avoid.contains(&one.id));
         let mut candidates: Vec<&Target> = fresh.copied().collect();
         if candidates.is_empty() {
@@ -237,6 +247,24 @@
         Some(Chosen::new(best))
     }
 
+    fn has_cold_room(&self, engine: &Target, rate: ColdRate, now: Instant) -> bool {
+        let sent = self.cold_sent.get(&engine.id);
+        sent.is_none_or(|sent| sent.has_room(rate, now))
+    }
+
+    /// Counts a prompt where its engine is cold.
+    fn note_cold(&mut self, book: &TargetBook, service: &str, engine: &str, now: Instant) {
+        let Some(rate) = book.cold_rate(service) else {
+            return;
+        };
+        if book.is_cold(service, engine, now) {
+            let sent = self.cold_sent.entry(engine.to_owned()).or_default();
+            sent.note(rate, now);
+        } else {
+            self.cold_sent.remove(engine);
+        }
+    }
+
     fn holds(&self, engine: &str, part: &str) -> bool {
         let mut holders = self.holders.get(part).into_iter().flatten();
         holders.any(|(id, _)| id == engine)
@@ -315,6 +343,7 @@
         now: Instant,
     ) -> Option<(PlacementKey, Chosen, PlaceFacts)> {
         let (chosen, facts) = self.plan(book, ask, now)?;
+        self.note_cold(book, &ask.service, &chosen.id, now);
         let unread = ask.prompt.tokens_in.saturating_sub(facts.held);
         let load = self.loads.entry(chosen.id.clone()).or_default();
         load.unread += unread;
--- a/crates/gateway/src/engine/tests.rs
+++ b/crates/gateway/src/engine/tests.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+mod cold_hall;
+
 fn record(number: usize, service: &str, hall: usize) -> TargetRecord {
     TargetRecord {
         id: format!("{service}-{number}"),
@@ -14,6 +16,7 @@
         state: TargetState::Ready,
         sequence: 1,
         silent: false,
+        cold_ms: 0,
     }
 }
 
@@ -23,7 +26,7 @@
     let stages = [0, 0, 1, 1, 2].into_iter().enumerate();
     let stages = stages.map(|(number, hall)| record(number, "stage", hall));
     let mut book = TargetBook::default();
-    book.replace(&engines.chain(stages).collect::<Vec<_>>());
+    book.replace(&engines.chain(stages).collect::<Vec<_>>(), Instant::now());
     book
 }
 
@@ -49,6 +52,7 @@
         heavy_stage: None,
         results: HallBytes::default(),
         avoid: Vec::new(),
+        closed: Vec::new(),
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -217,21 +217,33 @@
     /// Takes an update of the directory.
     pub fn take_update(&self, from: SocketAddr, update: DirectoryUpdate) {
         let targets_changed = !update.targets.is_empty();
+        let evacuated = update.evacuations.is_some();
         // The control host is told right after this that the update was taken, and the target then that
         // it gets no more work.
         let withdraws = self.withdraws(&update);
         let gateways_changed = update.gateways.is_some();
-        self.view.borrow_mut().take(from, update);
+        self.view.borrow_mut().take(from, update, Instant::now());
         if gateways_changed {
             self.refresh_gateways();
         }
-        if withdraws {
+        if evacuated {
+            self.note_evacuations();
+        }
+        if withdraws || evacuated {
             self.refresh_targets();
         } else if targets_changed {
             self.targets_due.notify_one();
         }
     }
 
+    fn note_evacuations(&self) {
+        let view = self.view.borrow();
+        let halls: Vec<&str> = view.evacuations().evacuated_halls().collect();
+        self.metrics.halls_evacuated.set(halls.len() as i64);
+        let detail = format!("halls={}", halls.join(","));
+        self.note(EventCode::EvacuationInForce, &detail);
+    }
+
     /// Says whether an update takes a target out that gets work here.
     fn withdraws(&self, update: &DirectoryUpdate) -> bool {
         let targets = self.targets.borrow();
@@ -277,6 +289,7 @@
                 );
                 let table = Rc::new(RouteTable::new(config));
                 self.coordinator.set_services(&table);
+                self.targets.borrow_mut().set_services(table.config());
                 self.table.send_replace(Some(table));
                 self.note(EventCode::RoutingInForce, &detail);
             }
@@ -291,10 +304,11 @@
     }
 
     fn refresh_targets(&self) {
-        let ready = self.view.borrow().ready_targets();
+        let now = Instant::now();
+        let ready = self.view.borrow().ready_targets(now);
         self.metrics.target_lists.inc();
         self.metrics.targets_known.set(ready.len() as i64);
-        self.targets.borrow_mut().replace(&ready);
+        self.targets.borrow_mut().replace(&ready, now);
         self.stages.set_targets(&ready);
         self.coordinator.set_targets(&ready);
         let addresses: std::collections::HashSet<SocketAddr> =
@@ -366,7 +380,7 @@
         if gateway.stages.keeps_unnamed() {
             gateway.refresh_gateways();
         }
-        gateway.view.borrow_mut().forget_unnamed();
+        gateway.view.borrow_mut().forget_past(Instant::now());
         gateway
             .metrics
             .connections_opened
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -88,6 +88,7 @@
         state,
         sequence: 1,
         silent: false,
+        cold_ms: 0,
     };
     DirectoryUpdate {
         targets: vec![record],
@@ -148,10 +149,11 @@
         let gateway = gateway();
         for from in 0..CONTROL_HOSTS {
             for number in 0..TARGETS {
-                gateway
-                    .view
-                    .borrow_mut()
-                    .take(control(from), word(number, TargetState::Ready));
+                gateway.view.borrow_mut().take(
+                    control(from),
+                    word(number, TargetState::Ready),
+                    Instant::now(),
+                );
             }
         }
         const ROUNDS: u32 = 200;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod budget;
 mod caller_watch;
 mod choose;
+mod cold;
 mod coordinator;
 mod dialect;
 mod engine;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,7 @@
     pub(crate) hosts_known: Gauge,
     pub(crate) targets_known: Gauge,
     pub(crate) target_lists: Counter,
+    pub(crate) halls_evacuated: Gauge,
 }
 
 impl GatewayMetrics {
@@ -53,6 +54,7 @@
             hosts_known: Gauge::default(),
             targets_known: Gauge::default(),
             target_lists: Counter::default(),
+            halls_evacuated: Gauge::default(),
         };
         registry.register("requests", "Requests by outcome", metrics.requests.clone());
         registry.register_with_unit(
@@ -102,6 +104,11 @@
             "Lists of targets that were worked out from the words of control hosts",
             metrics.target_lists.clone(),
         );
+        registry.register(
+            "halls_evacuated",
+            "Data halls whose targets get no new work",
+            metrics.halls_evacuated.clone(),
+        );
         *metrics
             .registry
             .lock()
--- a/crates/gateway/src/pool_key/tests.rs
+++ b/crates/gateway/src/pool_key/tests.rs
@@ -18,6 +18,7 @@
                 state: TargetState::Ready,
                 sequence: 1,
                 silent: false,
+                cold_ms: 0,
             });
         }
     }
--- a/crates/gateway/src/stage_client/place.rs
+++ b/crates/gateway/src/stage_client/place.rs
@@ -25,11 +25,16 @@
         targets: &RefCell<TargetBook>,
         ask: PlaceAsk,
     ) -> Option<(Chosen, Placement)> {
-        if let Home::Remote(address) = self.home_of(&PoolKey::whole(&ask.service))
-            && let Some((engine, placement)) = self.place_at(address, ask.clone()).await
-            && let Some(chosen) = targets.borrow().find(&ask.service, &engine)
-        {
-            return Some((chosen, placement));
+        let mut ask = ask;
+        if let Home::Remote(address) = self.home_of(&PoolKey::whole(&ask.service)) {
+            if let Some((engine, placement)) = self.place_at(address, ask.clone()).await
+                && let Some(chosen) = targets.borrow().find(&ask.service, &engine)
+            {
+                return Some((chosen, placement));
+            }
+            // Only the host that places for all counts what cold engines get.
+            let cold = targets.borrow().cold_targets(&ask.service, Instant::now());
+            ask.closed.extend(cold);
         }
         let book = targets.borrow();
         let placed = self.engines.borrow_mut().place(&book, &ask, Instant::now());
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -5,6 +5,9 @@
 use std::time::{Duration, Instant};
 
 use linnet_directory::TargetRecord;
+use linnet_routing::RoutingConfig;
+
+use crate::cold::{ColdRate, SendShare};
 
 /// Failures in a row after which a target gets no work for a while.
 const EJECT_FAILURES: u32 = 2;
@@ -30,6 +33,9 @@
     failures: u32,
     ejections: u32,
     ejected_until: Option<Instant>,
+    cold_until: Option<Instant>,
+    /// When this host may send to it while it is cold and nobody decides for all hosts.
+    share: SendShare,
 }
 
 impl Target {
@@ -43,9 +49,24 @@
             failures: 0,
             ejections: 0,
             ejected_until: None,
+            cold_until: None,
+            share: SendShare::default(),
+        }
+    }
+
+    /// Takes how much longer it is cold. It keeps its share of what it gets then until it is warm.
+    fn set_cold(&mut self, cold_ms: u32, now: Instant) {
+        self.cold_until = (cold_ms > 0).then(|| now + Duration::from_millis(u64::from(cold_ms)));
+        if cold_ms == 0 {
+            self.share = SendShare::default();
         }
     }
 
+    /// Says whether it is cold.
+    pub(crate) fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| until > now)
+    }
+
     fn eject(&mut self, now: Instant) {
         let span = EJECT_FIRST * 2_u32.saturating_pow(self.ejections.min(4));
         self.ejected_until = Some(now + span.min(EJECT_MOST));
@@ -82,6 +103,8 @@
     services: HashMap<String, BTreeMap<String, Target>>,
     /// How many targets each service has in each hall.
     hall_counts: HashMap<String, Vec<(String, u32)>>,
+    /// What cold targets of a service bear, where that is less than others do.
+    cold_rates: HashMap<String, ColdRate>,
 }
 
 fn count_halls(records: &[TargetRecord]) -> HashMap<String, Vec<(String, u32)>> {
@@ -98,7 +121,7 @@
 
 impl TargetBook {
     /// Takes the list of targets that take work; what is not in it gets no more.
-    pub(crate) fn replace(&mut self, records: &[TargetRecord]) {
+    pub(crate) fn replace(&mut self, records: &[TargetRecord], now: Instant) {
         let mut former = std::mem::take(&mut self.services);
         for record in records {
             let known = former
@@ -107,12 +130,81 @@
             let mut target = known.unwrap_or_else(|| Target::new(record));
             target.address = record.address;
             target.slots = record.slots.max(1);
+            target.set_cold(record.cold_ms, now);
             let service = self.services.entry(record.service.clone()).or_default();
             service.insert(record.id.clone(), target);
         }
         self.hall_counts = count_halls(records);
     }
 
+    /// Takes the services of a configuration.
+    pub(crate) fn set_services(&mut self, config: &RoutingConfig) {
+        let rates = config.services.iter().filter_map(|service| {
+            let rate = ColdRate::new(service.cold_per_s)?;
+            Some((service.name.clone(), rate))
+        });
+        self.cold_rates = rates.collect();
+    }
+
+    /// Returns what a cold target of a service bears; nothing where that is as much as others do.
+    pub(crate) fn cold_rate(&self, service: &str) -> Option<ColdRate> {
+        self.cold_rates.get(service).copied()
+    }
+
+    /// Says whether a target is cold.
+    pub(crate) fn is_cold(&self, service: &str, id: &str, now: Instant) -> bool {
+        let targets = self.services.get(service);
+        let target = targets.and_then(|targets| targets.get(id));
+        target.is_some_and(|target| target.is_cold(now))
+    }
+
+    /// Returns the targets of a service that are cold and bear less than others then.
+    pub(crate) fn cold_targets(&self, service: &str, now: Instant) -> Vec<String> {
+        if self.cold_rate(service).is_none() {
+            return Vec::new();
+        }
+        let cold = self.of_service(service).filter(|one| one.is_cold(now));
+        cold.map(|target| target.id.clone()).collect()
+    }
+
+    /// Returns the identities of the targets of a service that are cold and get no request of this host
+    /// now, which is one of so many that do not know of each other.
+    pub(crate) fn closed_by_cold(
+        &mut self,
+        service: &str,
+        hosts: usize,
+        now: Instant,
+    ) -> Vec<String> {
+        let Some(rate) = self.cold_rate(service) else {
+            return Vec::new();
+        };
+        let targets = self.services.get_mut(service).into_iter();
+        let cold = targets
+            .flat_map(BTreeMap::values_mut)
+            .filter(|target| target.is_cold(now));
+        let closed = cold.filter_map(|target| {
+            let open = target.share.has_room(rate, hosts, fastrand::f64(), now);
+            (!open).then(|| target.id.clone())
+        });
+        closed.collect()
+    }
+
+    /// Counts a request that this host, one of so many, sends to a target that is cold.
+    pub(crate) fn note_cold_sending(
+        &mut self,
+        service: &str,
+        id: &str,
+        hosts: usize,
+        now: Instant,
+    ) {
+        let Some(rate) = self.cold_rate(service) else {
+            return;
+        };
+        if let Some(target) = self.find_mut(service, id).filter(|one| one.is_cold(now)) {
+            target.share.note(rate, hosts, now);
+        }
+    }
+
     /// Returns how many targets of a service took work in each hall when the list came.
     pub(crate) fn hall_counts(&self, service: &str) -> &[(String, u32)] {
         self.hall_counts.get(service).map_or(&[], Vec::as_slice)
--- a/crates/gateway/src/target/tests.rs
+++ b/crates/gateway/src/target/tests.rs
@@ -14,6 +14,7 @@
         state: TargetState::Ready,
         sequence: 1,
         silent: false,
+        cold_ms: 0,
     }
 }
 
@@ -23,7 +24,7 @@
         .map(|number| record(&format!("t-{number}"), 1_000 + number))
         .collect();
     let mut book = TargetBook::default();
-    book.replace(&records);
+    book.replace(&records, Instant::now());
     book
 }
 
@@ -90,13 +91,19 @@
     let (mut book, now) = (book(2), Instant::now());
     book.note_unreachable(SERVICE, "t-0", now);
     book.find_mut(SERVICE, "t-0").unwrap().in_flight = 3;
-    book.replace(&[record("t-0", 1_000), record("t-2", 1_002)]);
+    book.replace(
+        &[record("t-0", 1_000), record("t-2", 1_002)],
+        Instant::now(),
+    );
     assert_eq!(usable(&book, now), ["t-2"]);
     assert_eq!(book.find_mut(SERVICE, "t-0").unwrap().in_flight, 3);
     assert!(book.find(SERVICE, "t-1").is_none());
     // A target that went and came back is another start: nothing is known of it.
-    book.replace(&[record("t-2", 1_002)]);
-    book.replace(&[record("t-0", 1_000), record("t-2", 1_002)]);
+    book.replace(&[record("t-2", 1_002)], Instant::now());
+    book.replace(
+        &[record("t-0", 1_000), record("t-2", 1_002)],
+        Instant::now(),
+    );
     assert_eq!(usable(&book, now), ["t-0", "t-2"]);
 }
 
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,5 +1,6 @@
 //! The daemon of a control host.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -10,8 +11,8 @@
 use http::StatusCode;
 use linnet_daemon::{StopSignals, accept_peers, exit_code};
 use linnet_directory::{
-    DirectoryError, DirectoryNode, DirectoryTiming, DirectoryUpdate, DocumentMachine, FollowConfig,
-    FormConfig, follow_directory, form_or_join, serve_call, serve_subscriber,
+    DirectoryError, DirectoryNode, DirectoryTiming, DirectoryUpdate, Document, DocumentMachine,
+    FollowConfig, FormConfig, follow_directory, form_or_join, serve_call, serve_subscriber,
 };
 use linnet_journal::DiskOps;
 use linnet_quorum::{QuorumTiming, Replica, ReplicaConfig, serve_peer};
@@ -150,10 +151,14 @@
         ntex::rt::spawn(serve_metrics(listener, registry));
     }
     let listener = TcpListener::bind(operators).await?;
-    let answering = (Rc::new(dialect.control), node.clone());
+    let answering = (
+        Rc::new(dialect.control),
+        node.clone(),
+        Rc::new(settings.halls.clone()),
+    );
     ntex::rt::spawn(serve_door(listener, MAX_BODY_BYTES, move |request| {
-        let (dialect, node) = answering.clone();
-        async move { answer(&dialect, &node, request).await }
+        let (dialect, node, halls) = answering.clone();
+        async move { answer(&dialect, &node, &halls, request).await }
     }));
     let detail = format!(
         "role=control hall={} peers={peers} operators={operators}",
@@ -195,6 +200,7 @@
 async fn answer(
     dialect: &ControlDialect,
     node: &DirectoryNode,
+    halls: &BTreeMap<String, String>,
     request: DoorRequest,
 ) -> DoorAnswer {
     let ask = match (dialect.read)(&request.method, &request.path, &request.body) {
@@ -206,6 +212,8 @@
         ControlAsk::ReadRouting => node.read_document().await,
         ControlAsk::Heartbeat(record) => node.take_heartbeat(record).await.map(|()| None),
         ControlAsk::Leave(id) => node.take_leave(&id).await.map(|()| None),
+        ControlAsk::Evacuate(hall) => order_evacuation(node, halls, &hall, true).await,
+        ControlAsk::EndEvacuation(hall) => order_evacuation(node, halls, &hall, false).await,
     };
     match outcome {
         Ok(Some(document)) => DoorAnswer::json(StatusCode::OK, document.body),
@@ -214,6 +222,9 @@
             "no configuration was ever accepted\n",
         ),
         Ok(None) => DoorAnswer::json(StatusCode::OK, dialect.done_body),
+        Err(error @ DirectoryError::UnknownHall(_)) => {
+            DoorAnswer::text(StatusCode::NOT_FOUND, format!("{error}\n"))
+        }
         Err(error @ DirectoryError::Invalid(_)) => {
             DoorAnswer::text(StatusCode::BAD_REQUEST, format!("{error}\n"))
         }
@@ -221,6 +232,18 @@
     }
 }
 
+async fn order_evacuation(
+    node: &DirectoryNode,
+    halls: &BTreeMap<String, String>,
+    hall: &str,
+    evacuated: bool,
+) -> Result<Option<Document>, DirectoryError> {
+    if !halls.is_empty() && !halls.contains_key(hall) {
+        return Err(DirectoryError::UnknownHall(hall.to_owned()));
+    }
+    node.order_evacuation(hall, evacuated).await.map(|()| None)
+}
+
 fn fault_answer(fault: &ControlFault) -> DoorAnswer {
     let status = match fault {
         ControlFault::NotFound => StatusCode::NOT_FOUND,
@@ -230,7 +253,7 @@
 }
 
 async fn update_gauges(node: DirectoryNode, registry: Arc<Mutex<Registry>>) {
-    let gauges: [(&str, &str, Gauge); 7] = [
+    let gauges: [(&str, &str, Gauge); 8] = [
         ("term", "Term of the replica", Gauge::default()),
         ("commit_index", "Last committed index", Gauge::default()),
         ("is_leader", "1 while the lease lasts", Gauge::default()),
@@ -250,6 +273,11 @@
             "Entry hosts with an older configuration than is held here",
             Gauge::default(),
         ),
+        (
+            "halls_evacuated",
+            "Data halls that are out of work",
+            Gauge::default(),
+        ),
     ];
     if let Ok(mut registry) = registry.lock() {
         for (name, help, gauge) in &gauges {
@@ -267,6 +295,7 @@
             counts.targets as i64,
             counts.gateways as i64,
             counts.gateways_behind as i64,
+            node.evacuations().evacuated_halls().count() as i64,
         ];
         for ((_, _, gauge), value) in gauges.iter().zip(values) {
             gauge.set(value);
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -16,6 +16,10 @@
     Heartbeat(TargetRecord),
     /// The target of this identity leaves.
     Leave(String),
+    /// Take a data hall out of work.
+    Evacuate(String),
+    /// Take a data hall back.
+    EndEvacuation(String),
 }
 
 /// Why a control host does not know what is asked.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings file of a node: TOML, checked whole, every fault told by its place.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -15,6 +16,10 @@
     pub hall: String,
     /// Where it listens.
     pub listen: ListenSettings,
+    /// The region of each data hall. Orders for a hall that is not named are refused; where none is
+    /// named, any may be.
+    #[serde(default)]
+    pub halls: BTreeMap<String, String>,
     /// The cluster of control hosts.
     pub cluster: ClusterSettings,
     /// Spans of time.
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -102,6 +102,9 @@
     pub health_path: String,
     /// The most connections that one target takes from all callers.
     pub max_connections: u32,
+    /// Requests a second that a target bears from all hosts while it is cold; 0 where it bears as many as
+    /// others.
+    pub cold_per_s: f64,
     /// Set where the targets are model engines.
     pub engine: Option<EngineSpec>,
     /// Set where the targets run stages.
@@ -134,6 +137,8 @@
     pub result_memory_bytes: u64,
     /// How long a result is kept after its call, in milliseconds.
     pub result_ttl_ms: u64,
+    /// Calls a second that a target bears while it is cold; 0 where it bears as many as others.
+    pub cold_per_s: f64,
 }
 
 impl StagePool {
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -40,6 +40,7 @@
             name: "desk".into(),
             health_path: "/health".into(),
             max_connections: 10,
+            cold_per_s: 0.0,
             engine: None,
             stage_pool: None,
         }],
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -99,9 +99,12 @@
     RoutingFetched = 605, Info, "A process got a newer routing configuration from control hosts.";
     RoutingFetchTurned = 606, Warn, "Another control host is asked for the rest of a routing configuration.";
     RoutingFetchFailed = 607, Warn, "What came of a routing configuration could not be used; it is asked for whole.";
+    EvacuationAccepted = 608, Info, "An order that takes a data hall out of work, or back, was committed.";
+    EvacuationFailed = 609, Warn, "Such an order could not be committed in time; it may come into force.";
     TargetRegistered = 610, Info, "A target registered itself by a heartbeat.";
     TargetWithdrawn = 611, Info, "A target said that it drains or leaves; it gets no new work.";
     TargetSilent = 612, Warn, "No heartbeat of a target came for several periods.";
+    EvacuationInForce = 613, Info, "An entry host was told which data halls are out of work.";
     ControlFollowed = 620, Info, "A process follows the directory of a control host.";
     ControlLost = 621, Warn, "The directory of a control host could not be followed any more.";
     ClusterFormed = 630, Info, "The control hosts named as seeds formed a cluster.";
