Measures what gathering and placing cost one host, by the size of the fleet

One host on a thread of its own, 75, 295 and 1,000 light peers, 22 stage targets and 140 engines, 380 batches of 16 pieces or 700 prompts a second.

--- a/crates/gateway/src/serve_pieces.rs
+++ b/crates/gateway/src/serve_pieces.rs
@@ -292,3 +292,6 @@
         send_waiting(&reply, &mut queue, &mut writer).await?;
     }
 }
+
+#[cfg(test)]
+mod tests;
