--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,8 +13,10 @@
 use crate::attempt::{Attempt, AttemptEnd, send_attempt};
 use crate::caller_watch::CallerWatch;
 use crate::choose::{choose, pick_service, place_ask};
+use crate::coordinator::HALL_BYTES;
 use crate::engine::PlaceFacts;
 use crate::graph::{RequestResults, run_stages};
+use crate::path_time::last_stages;
 use crate::relay::{Relay, relay_events};
 use crate::stage_client::Placement;
 use crate::wait_model::PathPlan;
@@ -282,8 +284,15 @@
 }
 
 /// Returns the hall of the engine where a prompt would be placed now; this host's own for a request
-/// without one.
+/// without one, and where no stage has large results for it. The host that places prompts is asked once
+/// less for each of those, which is two of six messages for a prompt.
 async fn plan_hall(gateway: &Gateway, service: &str, ask: &Ask) -> Result<String, Refusal> {
+    if !takes_large_results(ask) {
+        let targets = gateway.targets.borrow();
+        let known = targets.of_service(service).next().is_some();
+        let own = || gateway.config.hall.clone();
+        return known.then(own).ok_or_else(no_target);
+    }
     let Some(place) = place_ask(gateway, service, ask, &[], None) else {
         return Ok(gateway.config.hall.clone());
     };
@@ -291,6 +300,13 @@
     Ok(planned.ok_or_else(no_target)?.hall)
 }
 
+/// Says whether the target of a request fetches results that should not cross halls.
+fn takes_large_results(ask: &Ask) -> bool {
+    let taken = last_stages(ask).into_iter();
+    let mut sizes = taken.map(|stage| ask.route.stages[stage].result_bytes);
+    sizes.any(|bytes| bytes >= HALL_BYTES)
+}
+
 fn note_stages(gateway: &Gateway, ask: &Ask, log: &RunLog, took: Duration) {
     let mut waits = gateway.waits.borrow_mut();
     waits.learn(ask.rank, &log.plan, took);
