Requests stay in the regions of their route and account

allowed_regions of routes and of client accounts bind both: plain targets, engines (also where another host places), the parts and targets of stage pools, trials of suspect targets. A request for which a service on its way has no target in its regions is refused at once as not run. The region of each hall comes from the settings.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -1,15 +1,17 @@
 //! A caller's request, read once into typed form.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri, header};
 
-use linnet_routing::{Route, RouteTable};
+use linnet_routing::{Account, Route, RouteTable};
 
 use serde::{Deserialize, Serialize};
 
 use crate::dialect::HeaderNames;
+use crate::home_halls::HomeHalls;
 use crate::open_request::OpenRequest;
 use crate::{Refusal, RefusalReason};
 
@@ -25,6 +27,8 @@
     pub(crate) body: Bytes,
     pub(crate) route: Route,
     pub(crate) account: Option<String>,
+    /// The halls in which it may run.
+    pub(crate) homes: HomeHalls,
     pub(crate) rank: Rank,
     pub(crate) config_version: u64,
     pub(crate) arrived: Instant,
@@ -109,6 +113,7 @@
 pub(crate) fn read_ask(
     table: &RouteTable,
     names: &HeaderNames,
+    halls: &BTreeMap<String, String>,
     head: http::request::Parts,
     arrived: Instant,
 ) -> Result<Ask, Refusal> {
@@ -135,12 +140,16 @@
         id,
         rank: Rank {
             first: account
-                .as_ref()
-                .and_then(|account| account.1)
+                .and_then(|account| account.priority)
                 .unwrap_or(route.priority),
             second: route.priority,
         },
-        account: account.map(|account| account.0),
+        homes: HomeHalls::new(
+            halls,
+            &route.regions,
+            account.map_or(&[], |account| &account.regions),
+        ),
+        account: account.map(|account| account.name.clone()),
         route: route.clone(),
         config_version: table.config().version,
         method: head.method,
@@ -160,13 +169,11 @@
     headers.get(name)?.to_str().ok()
 }
 
-type AccountFound = Option<(String, Option<u8>)>;
-
-fn find_account(
-    table: &RouteTable,
+fn find_account<'a>(
+    table: &'a RouteTable,
     route: &Route,
     headers: &HeaderMap,
-) -> Result<AccountFound, Refusal> {
+) -> Result<Option<&'a Account>, Refusal> {
     if !table.needs_key(route) {
         return Ok(None);
     }
@@ -174,7 +181,7 @@
     let key = shown.and_then(|value| value.strip_prefix("Bearer "));
     let account = key.and_then(|key| table.find_account(key.trim()));
     match account {
-        Some(account) => Ok(Some((account.name.clone(), account.priority))),
+        Some(account) => Ok(Some(account)),
         None => {
             let detail = format!(
                 "key missing or unknown to version {}",
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -54,7 +54,8 @@
     let usable = book.usable(service, now);
     let fresh = usable
         .iter()
-        .filter(|target| !tried.contains(&target.id) && !closed.contains(&target.id));
+        .filter(|target| !tried.contains(&target.id) && !closed.contains(&target.id))
+        .filter(|target| ask.homes.allow(&target.hall));
     let load = |target: &Target| {
         let other_hall = f64::from(u8::from(target.hall != gateway.config.hall));
         let used = f64::from(target.in_flight) / f64::from(target.slots);
@@ -96,5 +97,6 @@
         results: places.unwrap_or_default(),
         avoid: avoid.take(MAX_AVOIDED).cloned().collect(),
         closed: Vec::new(),
+        homes: ask.homes.to_told(),
     })
 }
--- a/crates/gateway/src/coordinator/pool.rs
+++ b/crates/gateway/src/coordinator/pool.rs
@@ -11,6 +11,7 @@
 use super::batch::PieceKey;
 use super::stage_target::StageTarget;
 use crate::ask::Rank;
+use crate::home_halls::HomeHalls;
 use crate::piece::{PieceBatch, PoolLoad, StageWork, TargetUse};
 use crate::pool_key::PoolKey;
 
@@ -36,6 +37,7 @@
     /// When the piece has to be done for its request to meet its objective.
     pub(super) wanted: Instant,
     pub(super) hall: Option<String>,
+    pub(super) homes: HomeHalls,
     pub(super) result_bytes: u64,
     pub(crate) work: Rc<StageWork>,
     pub(super) tries: u32,
@@ -185,6 +187,12 @@
         wait > LEAST_REFUSED_WAIT_MS && wait + own > batch.wanted_ms as f64
     }
 
+    /// Says whether some target may run pieces in these halls.
+    pub(super) fn has_target_in(&self, homes: &HomeHalls) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|target| target.takes_calls() && homes.allow(&target.hall))
+    }
+
     pub(super) fn forget_expired(&mut self, now: Instant) {
         for target in self.targets.values_mut() {
             target.results.expire(now);
@@ -231,7 +239,10 @@
             return Vec::new();
         };
         let suspects = self.targets.iter().filter(|(_, target)| {
-            target.suspect && target.is_free(&self.spec, now) && self.has_room(target, waiting)
+            target.suspect
+                && waiting.homes.allow(&target.hall)
+                && target.is_free(&self.spec, now)
+                && self.has_room(target, waiting)
         });
         let trial = |(id, target): (&String, &StageTarget)| {
             let mut call = DueCall::new(pool, id, target, now);
@@ -313,6 +324,7 @@
         let fits = |id: &str, target: &StageTarget| {
             let in_call = open.get(id).map_or(0, |call| call.pieces.len());
             in_call < self.spec.batch as usize
+                && waiting.homes.allow(&target.hall)
                 && target.is_free(&self.spec, now)
                 && self.has_room(target, waiting)
         };
--- a/crates/gateway/src/coordinator/pool/tests.rs
+++ b/crates/gateway/src/coordinator/pool/tests.rs
@@ -64,6 +64,7 @@
             deadline: now + Duration::from_secs(8),
             wanted: now + Duration::from_secs(1),
             hall: hall.map(str::to_owned),
+            homes: HomeHalls::default(),
             result_bytes: RESULT_BYTES,
             work: work.clone(),
             tries: 0,
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -16,6 +16,7 @@
 use super::sending::{SendingRate, SendingShare, SharedCall};
 use super::state::{ExpectKey, QueueState};
 use crate::Dialect;
+use crate::home_halls::HomeHalls;
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad, TargetUse};
 use crate::pool_key::PoolKey;
 use crate::stage_call::{CallEnd, StageCall, StageRelease, send_call, send_release};
@@ -184,11 +185,12 @@
     ) -> Option<BatchKey> {
         let count = batch.count as usize;
         let now = Instant::now();
+        let homes = HomeHalls::told(batch.homes.clone());
         let refused = {
             let mut state = self.state.borrow_mut();
             match state.pool_mut(&batch.pool) {
                 None => Some(PieceFault::Lost),
-                Some(pool) if pool.targets.is_empty() => Some(PieceFault::Failed),
+                Some(pool) if !pool.has_target_in(&homes) => Some(PieceFault::Failed),
                 Some(pool) if pool.is_too_late(&batch, now) => Some(PieceFault::Refused),
                 Some(_) => None,
             }
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -13,6 +13,7 @@
 use super::pool::{DueCall, PoolQueue, Waiting};
 use super::stage_target::{CallVerdict, StageTarget};
 use crate::ask::Rank;
+use crate::home_halls::HomeHalls;
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad, maker_of};
 use crate::pool_key::PoolKey;
 use crate::stage_call::{CallEnd, StageRelease};
@@ -168,12 +169,14 @@
             return key;
         };
         let work = Rc::new(batch.work);
+        let homes = HomeHalls::told(batch.homes);
         let pieces = (0..batch.count as usize).map(|place| Waiting {
             piece: PieceKey { batch: key, place },
             rank: batch.rank,
             deadline,
             wanted,
             hall: batch.hall.clone(),
+            homes: homes.clone(),
             result_bytes: batch.result_bytes,
             work: work.clone(),
             tries: 0,
--- a/crates/gateway/src/coordinator/state/tests.rs
+++ b/crates/gateway/src/coordinator/state/tests.rs
@@ -63,6 +63,7 @@
         wanted_ms: 1_000,
         remaining_ms: 8_000,
         hall: None,
+        homes: None,
         result_bytes: 1_000,
         work: StageWork {
             request: "request".to_owned(),
--- a/crates/gateway/src/coordinator/state/tests/burst.rs
+++ b/crates/gateway/src/coordinator/state/tests/burst.rs
@@ -174,6 +174,7 @@
             wanted_ms: 60_000,
             remaining_ms: 60_000,
             hall: None,
+            homes: None,
             result_bytes: 6_000,
             work: StageWork {
                 request: "request".to_owned(),
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -103,6 +103,8 @@
     pub(crate) avoid: Vec<String>,
     /// Engines that must not be used.
     pub(crate) closed: Vec<String>,
+    /// Halls in which the prompt may run; nothing where it may in all.
+    pub(crate) homes: Option<Vec<String>>,
 }
 
 /// What decided a placement, for the log.
@@ -213,6 +215,9 @@
     pub(crate) fn choose(&self, book: &TargetBook, ask: &PlaceAsk, now: Instant) -> Option<Chosen> {
         let mut usable = book.usable(&ask.service, now);
         usable.retain(|engine| !ask.closed.contains(&engine.id));
+        if let Some(homes) = &ask.homes {
+            usable.retain(|engine| homes.contains(&engine.hall));
+        }
         if let Some(rate) = book.cold_rate(&ask.service) {
             usable.retain(|engine| !engine.is_cold(now) || self.has_cold_room(engine, rate, now));
         }
--- a/crates/gateway/src/engine/tests.rs
+++ b/crates/gateway/src/engine/tests.rs
@@ -54,6 +54,7 @@
         results: HallBytes::default(),
         avoid: Vec::new(),
         closed: Vec::new(),
+        homes: None,
     }
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -164,6 +164,9 @@
         .borrow_mut()
         .note_request(&service, Instant::now());
     await_first_targets(gateway, &service, ask).await;
+    if !has_targets_at_home(gateway, &service, ask) {
+        return Err(no_target());
+    }
     let mut results: Option<RequestResults> = None;
     let mut tried: Vec<String> = Vec::new();
     let mut refusals = 0;
@@ -241,11 +244,28 @@
     if patience.is_zero() {
         return;
     }
+    gateway
+        .targets_within(&services_of(service, ask), patience)
+        .await;
+}
+
+/// Says whether each service on the way of a request has a target where the request may run. It is known
+/// at once to be hopeless otherwise.
+fn has_targets_at_home(gateway: &Gateway, service: &str, ask: &Ask) -> bool {
+    let targets = gateway.targets.borrow();
+    let at_home = |service: &&str| {
+        let mut targets = targets.of_service(service);
+        targets.any(|target| ask.homes.allow(&target.hall))
+    };
+    services_of(service, ask).iter().all(at_home)
+}
+
+/// Returns the services that a request needs: those of its stages, and its own.
+fn services_of<'a>(service: &'a str, ask: &'a Ask) -> Vec<&'a str> {
     let stages = ask.route.stages.iter().zip(&ask.piece_counts);
     let stages = stages.filter(|(_, count)| **count > 0);
     let stages = stages.map(|(stage, _)| stage.service.as_str());
-    let services: Vec<&str> = stages.chain([service]).collect();
-    gateway.targets_within(&services, patience).await;
+    stages.chain([service]).collect()
 }
 
 fn refused_everywhere(may_have_run: bool, cause: String) -> Refusal {
@@ -303,7 +323,8 @@
 async fn plan_hall(gateway: &Gateway, service: &str, ask: &Ask) -> Result<String, Refusal> {
     if !takes_large_results(ask) {
         let targets = gateway.targets.borrow();
-        let known = targets.of_service(service).next().is_some();
+        let mut engines = targets.of_service(service);
+        let known = engines.any(|engine| ask.homes.allow(&engine.hall));
         let own = || gateway.config.hall.clone();
         return known.then(own).ok_or_else(no_target);
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! What the tasks of one entry host share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -55,6 +56,8 @@
     pub name: String,
     /// Its data hall.
     pub hall: String,
+    /// The region of each data hall that is known.
+    pub halls: BTreeMap<String, String>,
     /// Where other entry hosts reach it.
     pub peer: SocketAddr,
     /// Repeated sendings that are allowed in any window, as a part of the requests.
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -62,6 +62,7 @@
         recorder: Arc::new(EventRecorder::new("host", clock)),
         name: "host".to_owned(),
         hall: "hall-0".to_owned(),
+        halls: Default::default(),
         peer: SocketAddr::from(([127, 0, 0, 1], 1)),
         retry_ratio: 0.2,
         retry_slack: 10.0,
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -260,6 +260,7 @@
         wanted_ms: wanted.as_millis() as u64,
         remaining_ms: ask.time_left().as_millis() as u64,
         hall,
+        homes: ask.homes.to_told(),
         result_bytes: stage.result_bytes,
         work: StageWork {
             request: ask.id.clone(),
@@ -305,6 +306,7 @@
         hall,
         rank: ask.rank,
         pieces: ask.piece_counts[number],
+        homes: &ask.homes,
     };
     gateway.stages.choose_part(service, &want)
 }
--- /dev/null
+++ b/crates/gateway/src/home_halls/tests.rs
@@ -0,0 +1,36 @@
+use super::*;
+
+fn texts(all: &[&str]) -> Vec<String> {
+    all.iter().map(|one| (*one).to_owned()).collect()
+}
+
+fn halls() -> BTreeMap<String, String> {
+    let halls = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("c1", "c")];
+    let halls = halls.map(|(hall, region)| (hall.to_owned(), region.to_owned()));
+    halls.into()
+}
+
+#[test]
+fn route_and_account_both_bind() {
+    let cases: [(&[&str], &[&str], &[&str]); 5] = [
+        (&[], &[], &["a1", "a2", "b1", "c1", "unknown"]),
+        (&["a"], &[], &["a1", "a2"]),
+        (&[], &["b", "c"], &["b1", "c1"]),
+        (&["a", "b"], &["b", "c"], &["b1"]),
+        (&["a"], &["b"], &[]),
+    ];
+    for (route, account, allowed) in cases {
+        let homes = HomeHalls::new(&halls(), &texts(route), &texts(account));
+        for hall in ["a1", "a2", "b1", "c1", "unknown"] {
+            let wanted = allowed.contains(&hall);
+            assert_eq!(homes.allow(hall), wanted, "{route:?} {account:?} {hall}");
+        }
+    }
+}
+
+#[test]
+fn a_region_without_halls_allows_nothing() {
+    let homes = HomeHalls::new(&halls(), &texts(&["nowhere"]), &[]);
+    assert!(halls().keys().all(|hall| !homes.allow(hall)));
+    assert_eq!(HomeHalls::told(homes.to_told()), homes);
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod gateway;
 mod graph;
 mod hall_bytes;
+mod home_halls;
 mod load;
 mod metrics;
 mod open_request;
--- a/crates/gateway/src/piece.rs
+++ b/crates/gateway/src/piece.rs
@@ -135,6 +135,8 @@
     pub remaining_ms: u64,
     /// The data hall from which or to which large results would cross, where that matters.
     pub hall: Option<String>,
+    /// Halls in which the pieces may run; nothing where they may in all.
+    pub homes: Option<Vec<String>>,
     /// About how large one result is, in bytes.
     pub result_bytes: u64,
     /// What the pieces share; sent once, since the handles of many results are long.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -116,8 +116,8 @@
             .with_retry_after(NOT_READY_RETRY_AFTER);
         return Err((id, refusal));
     };
-    let mut ask =
-        read_ask(&table, names, head, arrived).map_err(|refusal| (id.clone(), refusal))?;
+    let mut ask = read_ask(&table, names, &gateway.config.halls, head, arrived)
+        .map_err(|refusal| (id.clone(), refusal))?;
     ask.body = read_body(body, table.config().limits.max_body_bytes, &ask)
         .await
         .map_err(|refusal| (id, refusal))?;
--- a/crates/gateway/src/serve_pieces/tests/fleet.rs
+++ b/crates/gateway/src/serve_pieces/tests/fleet.rs
@@ -193,6 +193,7 @@
         wanted_ms: 1_500,
         remaining_ms: 6_000,
         hall: None,
+        homes: None,
         result_bytes: 6_000,
         work: StageWork {
             request: format!("{number:016x}"),
@@ -223,6 +224,7 @@
         results: Default::default(),
         avoid: Vec::new(),
         closed: Vec::new(),
+        homes: None,
     }
 }
 
--- a/crates/gateway/src/stage_client/parts.rs
+++ b/crates/gateway/src/stage_client/parts.rs
@@ -6,6 +6,7 @@
 
 use super::{Home, StageClient};
 use crate::ask::Rank;
+use crate::home_halls::HomeHalls;
 use crate::piece::{PieceBatch, PoolLoad};
 use crate::pool_key::PoolKey;
 
@@ -28,6 +29,8 @@
     pub(crate) rank: Rank,
     /// How many pieces there are.
     pub(crate) pieces: u32,
+    /// The halls in which the pieces may run.
+    pub(crate) homes: &'a HomeHalls,
 }
 
 /// Returns the first of some choices that leaves any.
@@ -41,7 +44,7 @@
     /// random, so that hosts with the same news do not all choose the same; where a hall matters,
     /// that hall unless its queue is much longer.
     pub(crate) fn choose_part(&self, service: &str, want: &PartWant<'_>) -> PoolKey {
-        let parts = self.usable_parts(service);
+        let parts = self.usable_parts(service, want.homes);
         let score = |key: &PoolKey| {
             let load = self.load_of_part(key);
             let wait = match (&load, want.spec) {
@@ -61,10 +64,11 @@
         best.map_or_else(|| PoolKey::whole(service), |(_, key)| key)
     }
 
-    fn usable_parts(&self, service: &str) -> Vec<PoolKey> {
+    fn usable_parts(&self, service: &str, homes: &HomeHalls) -> Vec<PoolKey> {
         let state = self.state.borrow();
         let now = Instant::now();
         let all = state.pools.parts_of(service).iter().map(|(key, _)| key);
+        let all = all.filter(|key| key.hall().is_none_or(|hall| homes.allow(hall)));
         let is_usable = |key: &&PoolKey| state.avoided.get(*key).is_none_or(|until| *until <= now);
         let usable: Vec<PoolKey> = all.clone().filter(is_usable).cloned().collect();
         let all: Vec<PoolKey> = all.cloned().collect();
@@ -86,7 +90,8 @@
         let mut state = self.state.borrow_mut();
         state.avoided.insert(batch.pool.clone(), until);
         drop(state);
-        let others = self.usable_parts(&batch.pool.service);
+        let homes = HomeHalls::told(batch.homes.clone());
+        let others = self.usable_parts(&batch.pool.service, &homes);
         let other = others.into_iter().find(|key| *key != batch.pool);
         other.is_some_and(|other| {
             batch.pool = other;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -80,6 +80,7 @@
         recorder: recorder.clone(),
         name: settings.name.clone(),
         hall: settings.hall.clone(),
+        halls: settings.halls.clone(),
         peer: peers,
         retry_ratio: settings.retry.ratio,
         retry_slack: settings.retry.slack,
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -60,6 +60,8 @@
     pub resumable: bool,
     /// The longest wanted pause between two events of a stream, in milliseconds.
     pub event_gap_ms: u64,
+    /// Regions in which its requests may run; all where there are none.
+    pub regions: Vec<String>,
 }
 
 impl Route {
@@ -157,6 +159,8 @@
     pub keys: Vec<String>,
     /// Rank that takes the place of the route's.
     pub priority: Option<u8>,
+    /// Regions in which its requests may run, beside what the route allows; all where there are none.
+    pub regions: Vec<String>,
 }
 
 /// What a caller may send, and how long it may take.
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -21,6 +21,7 @@
         prefix_cached: false,
         resumable: false,
         event_gap_ms: 0,
+        regions: Vec::new(),
     }
 }
 
@@ -29,6 +30,7 @@
         name: name.into(),
         keys: vec![key.into()],
         priority: None,
+        regions: Vec::new(),
     }
 }
 
