--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -62,10 +62,12 @@
         recorder: Arc::new(EventRecorder::new("host", clock)),
         name: "host".to_owned(),
         hall: "hall-0".to_owned(),
+        halls: Default::default(),
         peer: SocketAddr::from(([127, 0, 0, 1], 1)),
         retry_ratio: 0.2,
         retry_slack: 10.0,
         retry_window: Duration::from_secs(10),
+        start_patience: Duration::ZERO,
         shared_bytes_per_s: 250_000.0,
     })
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -80,10 +80,12 @@
         recorder: recorder.clone(),
         name: settings.name.clone(),
         hall: settings.hall.clone(),
+        halls: settings.halls.clone(),
         peer: peers,
         retry_ratio: settings.retry.ratio,
         retry_slack: settings.retry.slack,
         retry_window: Duration::from_millis(settings.retry.window_ms),
+        start_patience: Duration::from_millis(settings.policy.start_patience_ms),
         shared_bytes_per_s: settings.policy.shared_bytes_per_s,
     });
     let (seeds, seeds_read) = watch::channel(settings.seed_peers());
