--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -27,8 +27,10 @@
 const LAST_RETRY_WAIT: Duration = Duration::from_millis(320);
 
 /// Control hosts that tell one process of targets and entry hosts. All tell it of the configuration and of
-/// evacuations. With a fleet of 300 and 19 control hosts each entry host was told of 3,000 targets by 19, and
-/// worked its list out from 57,000 records; control hosts tell each other at once, so three know the same.
+/// evacuations. They tell each other at once, so three know what all know, and what an entry host is told,
+/// and works its list of targets out from, does not grow with their number. With parts of
+/// `TARGETS_AT_ONCE` targets it took the memory of a control host of 300 machines and 3,000 targets from
+/// 135 MB to 26, and the time until that fleet served after all were killed from 30 s to 8.5.
 const TELLERS: usize = 3;
 
 /// How often the set of control hosts is looked at.
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -31,8 +31,8 @@
 const SPAN_PER_SUBSCRIBER: Duration = Duration::from_micros(350);
 
 /// Targets in one update, at most. A subscriber whose link is slow or that has just come gets the rest when
-/// this part has passed, so a control host keeps one part for each of them and not all that they lack.
-/// With 303 hosts and 3,000 targets it used 222 of its 256 MB after all were killed.
+/// this part has passed, so a control host keeps one part for each of them and not all that they lack: with
+/// 300 machines and 3,000 targets that was up to 222 of its 256 MB after all were killed.
 const TARGETS_AT_ONCE: usize = 128;
 
 /// How long a voter has been silent when a new control host takes its place.
--- a/crates/directory/src/view.rs
+++ b/crates/directory/src/view.rs
@@ -22,10 +22,10 @@
 /// The union of what the control hosts told.
 ///
 /// Invariants: the configuration only moves to a higher version, and the evacuation of a hall to a higher
-/// revision; a target that any control host
-/// called withdrawn stays withdrawn. What a lost control host told stays until another one has told all
-/// there is, so a data hall that is cut off goes on with what it knows, and so does a fleet whose control
-/// hosts were all started anew and hear of each target only with its next heartbeat.
+/// revision; a target that any control host called withdrawn stays withdrawn. What a lost control host
+/// told stays until another one has told all there is, so a data hall that is cut off goes on with what it
+/// knows, and so does a fleet whose control hosts were all started anew and hear of each target only with
+/// its next heartbeat.
 #[derive(Default)]
 pub struct DirectoryView {
     document: Option<Arc<HeldDocument>>,
