Withdrawals are told to all, and plain targets that turn slow are learnt

A control host told targets that withdrew only to those that take their lists from it; with the core cut in two a host whose three tellers lie on the other side would have gone on sending. They are told to every subscriber now.

--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -15,7 +15,10 @@
 use crate::document_follower::{DocumentFollower, DocumentSink};
 use crate::fetch::FetchProgress;
 use crate::serve::{SILENCE_LIMIT, UPDATE_PERIOD};
-use crate::{ContentHash, DirectoryUpdate, GatewayRecord, SubscriberHello, SubscriberReport};
+use crate::{
+    ContentHash, DirectoryUpdate, GatewayRecord, SubscriberHello, SubscriberReport, TargetRecord,
+    TargetState,
+};
 
 /// How long opening a connection may take. A first packet that is lost is sent again by the system
 /// only after a second.
@@ -253,8 +256,9 @@
             take_documents(documents, address, &mut update);
         }
         if !following.is_teller(address) {
-            // Sent before the control host knew that another one tells this process.
-            update.targets.clear();
+            // Its lists would not stay up to date; that a target withdrew stays true.
+            let withdrew = |record: &TargetRecord| record.state > TargetState::Ready;
+            update.targets.retain(withdrew);
             update.gateways = None;
             update.lists_whole = false;
         }
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -199,8 +199,7 @@
         let number = self.lock().registry.number();
         let mut changes = self.shared.acknowledged.subscribe();
         let all_took_it = async {
-            // The others are told by these, not by this host.
-            while !self.spread_to(number, |one| one.lists) {
+            while !self.spread_to(number, |_| true) {
                 if changes.changed().await.is_err() {
                     return;
                 }
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -197,6 +197,14 @@
         }
     }
 
+    /// Returns the records that changed after a change number and get no new work.
+    pub fn withdrawn_after(&self, number: u64, now: Instant) -> Vec<TargetRecord> {
+        let after = self.by_change.range(number.saturating_add(1)..);
+        let held = after.filter_map(|(_, id)| self.held.get(id));
+        let withdrawn = held.filter(|held| held.record.state > TargetState::Ready);
+        withdrawn.map(|held| held.told(now)).collect()
+    }
+
     /// Gives a target the number of a new change.
     fn mark_changed(&mut self, id: &str) {
         let Some(held) = self.held.get_mut(id) else {
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -13,7 +13,8 @@
 use crate::node::SubscriberState;
 use crate::sending::DocumentSending;
 use crate::{
-    DirectoryNode, DirectoryUpdate, DocumentKey, EvacuationBook, SubscriberHello, SubscriberReport,
+    DirectoryNode, DirectoryUpdate, DocumentKey, EvacuationBook, Registry, SubscriberHello,
+    SubscriberReport,
 };
 
 /// Between two signs of life to a subscriber.
@@ -49,6 +50,8 @@
     evacuations: Option<Arc<EvacuationBook>>,
     sending: DocumentSending,
     number: u64,
+    /// The number of the last change up to which it was told of targets that withdrew.
+    withdrawn: u64,
     gateways: GatewayPush,
     /// When the next list of entry hosts is due, where one is held back.
     next_list: Option<Duration>,
@@ -156,6 +159,7 @@
         evacuations: None,
         sending: DocumentSending::default(),
         number: 0,
+        withdrawn: 0,
         gateways: GatewayPush::default(),
         next_list: None,
         controls: Vec::new(),
@@ -219,15 +223,15 @@
     }
     let mut state = node.lock();
     pushed.next_list = None;
+    let now = Instant::now();
     if !state.wants_lists(pushed.subscriber) {
-        // It would not know what it acknowledges. All of it is told once it wants lists from here.
+        // All of it is told once it wants lists from here.
         pushed.number = 0;
         pushed.gateways = GatewayPush::default();
-        update.number = state.registry.number();
+        add_withdrawn(&state.registry, pushed, &mut update, now);
         return update;
     }
     if state.registry.number() > pushed.number {
-        let now = Instant::now();
         let changed = state
             .registry
             .changed_after(pushed.number, TARGETS_AT_ONCE, now);
@@ -235,6 +239,7 @@
         pushed.number = changed.number;
     }
     update.number = pushed.number;
+    pushed.withdrawn = pushed.number;
     let is_all = pushed.number >= state.registry.number();
     let gateways = state.gateways(Instant::now());
     match pushed.gateways.due(gateways, Instant::now()) {
@@ -249,6 +254,19 @@
     update
 }
 
+/// Tells a subscriber that takes lists from others of the targets that get no new work, all the same: those
+/// others may be cut off from this host.
+fn add_withdrawn(
+    registry: &Registry,
+    pushed: &mut Pushed,
+    update: &mut DirectoryUpdate,
+    now: Instant,
+) {
+    update.targets = registry.withdrawn_after(pushed.withdrawn, now);
+    update.number = registry.number();
+    pushed.withdrawn = update.number;
+}
+
 fn add_evacuations(node: &DirectoryNode, pushed: &mut Pushed, update: &mut DirectoryUpdate) {
     let held = node.evacuations();
     if pushed.evacuations.as_ref() != Some(&held) {
--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -381,3 +381,32 @@
             .is_empty()
     );
 }
+
+/// What a control host tells those that take their lists from others, which may be cut off from it.
+#[test]
+fn withdrawals_are_told_also_to_those_that_take_no_lists() {
+    let mut registry = Registry::new();
+    let now = Instant::now();
+    for number in 0..300_u16 {
+        let id = format!("i-{number}");
+        registry.take_heartbeat(record(&id, 1_000 + number, TargetState::Ready, 1), now);
+    }
+    assert!(registry.withdrawn_after(0, now).is_empty());
+    let told = registry.number();
+    registry.take_heartbeat(record("i-299", 1_299, TargetState::Draining, 2), now);
+    registry.take_leave("i-7", now);
+    let withdrawn = registry.withdrawn_after(told, now);
+    let ids: Vec<&str> = withdrawn.iter().map(|one| one.id.as_str()).collect();
+    assert_eq!(ids, ["i-299", "i-7"]);
+    // Whoever takes lists elsewhere keeps that it withdrew.
+    let (teller, other) = (([127, 0, 0, 1], 1).into(), ([127, 0, 0, 2], 1).into());
+    let mut view = DirectoryView::new();
+    let ready = vec![record("i-299", 1_299, TargetState::Ready, 1)];
+    view.take(teller, update(ready), now);
+    let told = DirectoryUpdate {
+        lists_whole: false,
+        ..update(withdrawn)
+    };
+    view.take(other, told, now);
+    assert!(view.ready_targets(now).is_empty());
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -67,10 +67,13 @@
     gateway: Rc<Gateway>,
     service: String,
     id: String,
+    sent: Instant,
+    /// The objective of a plain request, whose time says how slow the target is, also where it is given up.
+    objective: Option<Duration>,
 }
 
 impl InFlight {
-    fn new(gateway: &Rc<Gateway>, service: &str, id: &str) -> Self {
+    fn new(gateway: &Rc<Gateway>, service: &str, id: &str, ask: &Ask) -> Self {
         if let Some(target) = gateway.targets.borrow_mut().find_mut(service, id) {
             target.in_flight += 1;
         }
@@ -78,6 +81,9 @@
             gateway: gateway.clone(),
             service: service.to_owned(),
             id: id.to_owned(),
+            sent: Instant::now(),
+            objective: (ask.route.kind != RouteKind::Streaming)
+                .then(|| Duration::from_millis(ask.route.objective_ms)),
         }
     }
 }
@@ -88,6 +94,11 @@
         if let Some(target) = targets.find_mut(&self.service, &self.id) {
             target.in_flight = target.in_flight.saturating_sub(1);
         }
+        if let Some(objective) = self.objective {
+            let now = Instant::now();
+            let took = now.saturating_duration_since(self.sent);
+            targets.learn_time(&self.service, &self.id, took, objective, now);
+        }
     }
 }
 
@@ -158,7 +169,7 @@
             };
         }
     };
-    let in_flight = InFlight::new(gateway, attempt.service, &chosen.id);
+    let in_flight = InFlight::new(gateway, attempt.service, &chosen.id, ask);
     let sent = Instant::now();
     let (answer, lease) = match gateway.pool.send(chosen.address, request).await {
         Ok(answered) => answered,
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -16,9 +16,9 @@
 /// Targets that the host which places prompts is asked to pass over, at most.
 const MAX_AVOIDED: usize = 32;
 
-/// What a cold target counts beside its load, in parts of its slots: it is slow, and gets work only where
-/// the others are full.
-const COLD_LOAD: f64 = 0.5;
+/// Range of what is drawn beside the load of a target, so that hosts with the same news do not all choose
+/// the same.
+const DRAWN_LOAD: f64 = 0.05;
 
 /// Picks the service of a request by the weights of its route.
 pub(crate) fn pick_service(route: &Route) -> &str {
@@ -57,10 +57,8 @@
         .filter(|target| !tried.contains(&target.id) && !closed.contains(&target.id))
         .filter(|target| ask.homes.allow(&target.hall));
     let load = |target: &Target| {
-        let other_hall = f64::from(u8::from(target.hall != gateway.config.hall));
-        let used = f64::from(target.in_flight) / f64::from(target.slots);
-        let cold = f64::from(u8::from(target.is_cold(now)));
-        used + 0.25 * other_hall + COLD_LOAD * cold + 0.05 * fastrand::f64()
+        let other_hall = target.hall != gateway.config.hall;
+        target.load(other_hall, now) + DRAWN_LOAD * fastrand::f64()
     };
     let scored = fresh.map(|target| (load(target), target));
     let best = Chosen::new(scored.min_by(|a, b| a.0.total_cmp(&b.0))?.1);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod stage_call;
 mod stage_client;
 mod target;
+mod target_slowness;
 mod upstream;
 mod wait_model;
 
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -8,6 +8,7 @@
 use linnet_routing::RoutingConfig;
 
 use crate::cold::{ColdRate, SendShare};
+use crate::target_slowness::TargetSlowness;
 
 /// Failures in a row after which a target gets no work for a while.
 const EJECT_FAILURES: u32 = 2;
@@ -21,6 +22,13 @@
 /// Part of the targets of a service that may be left alone at one time.
 const EJECT_PART: f64 = 0.6;
 
+/// What a target of another hall counts beside its load, in parts of its slots: a way there and back of some
+/// milliseconds, and bytes that cross halls.
+const OTHER_HALL_LOAD: f64 = 0.25;
+
+/// What a cold target counts: it gets work only where the others are full.
+const COLD_LOAD: f64 = 0.5;
+
 /// A target in work.
 #[derive(Debug, Clone)]
 pub(crate) struct Target {
@@ -34,6 +42,7 @@
     ejections: u32,
     ejected_until: Option<Instant>,
     cold_until: Option<Instant>,
+    slowness: TargetSlowness,
     /// When this host may send to it while it is cold and nobody decides for all hosts.
     share: SendShare,
 }
@@ -50,6 +59,7 @@
             ejections: 0,
             ejected_until: None,
             cold_until: None,
+            slowness: TargetSlowness::default(),
             share: SendShare::default(),
         }
     }
@@ -62,6 +72,16 @@
         }
     }
 
+    /// Returns what it costs to send it one more request, in parts of its slots; `other_hall` says whether
+    /// it lies in another hall than this host.
+    pub(crate) fn load(&self, other_hall: bool, now: Instant) -> f64 {
+        let part = |counts: bool, load: f64| if counts { load } else { 0.0 };
+        f64::from(self.in_flight) / f64::from(self.slots)
+            + part(other_hall, OTHER_HALL_LOAD)
+            + part(self.is_cold(now), COLD_LOAD)
+            + self.slowness.load(now)
+    }
+
     /// Says whether it is cold.
     pub(crate) fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| until > now)
@@ -261,6 +281,20 @@
         }
     }
 
+    /// Learns from the time that a plain request took, whether it was answered or given up.
+    pub(crate) fn learn_time(
+        &mut self,
+        service: &str,
+        id: &str,
+        took: Duration,
+        objective: Duration,
+        now: Instant,
+    ) {
+        if let Some(target) = self.find_mut(service, id) {
+            target.slowness.learn(took, objective, now);
+        }
+    }
+
     /// Notes a usable answer.
     pub(crate) fn note_success(&mut self, service: &str, id: &str) {
         if let Some(target) = self.find_mut(service, id) {
