Control hosts that were left out ask one that knows a leader

Two control hosts of one hall had no power for 7 s and were left out; back together, each met the other first, by its address, and asked it to be taken in, for ever, so that the next two losses took the majority. A host asks the one that knows a leader, with the longest log.

--- a/crates/directory/src/form.rs
+++ b/crates/directory/src/form.rs
@@ -64,7 +64,7 @@
         let names_me = |other: &&Identity| other.members.is_voter(status.id);
         if let Some(founder) = identities.iter().filter(names_me).find(|other| other.unled) {
             take_founding(&node, founder).await;
-        } else if let Some(other) = identities.iter().find(|o| !o.members.voters.is_empty()) {
+        } else if let Some(other) = host_to_ask(&identities) {
             if !told {
                 told = true;
                 node.record(
@@ -80,6 +80,16 @@
     }
 }
 
+/// Returns the control host that should be asked to take this one in: one that knows a leader, with the
+/// longest log. One that was left out as well knows neither, and two such hosts would ask each other for
+/// ever.
+fn host_to_ask(identities: &[Identity]) -> Option<&Identity> {
+    let members = identities
+        .iter()
+        .filter(|other| !other.members.voters.is_empty());
+    members.max_by_key(|other| (other.leader.is_some(), other.last))
+}
+
 // A founder that was stopped half-way through the forming takes its part from one that finished.
 // Safe since nobody has led that cluster yet, so its members are still the founders.
 async fn take_founding(node: &DirectoryNode, founder: &Identity) {
