Sight: ends of targets and the requests that ran there are told

What could not be told apart in the record: the same request at several hosts, and a broken connection from the end of a target. A request has a key (account, method, host, path, body); a target that breaks a connection is called anew, and where nothing listens an event names it with the keys of all that ran there. Nothing acts on it yet.

--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -18,11 +18,13 @@
     Gone,
 }
 
-/// One start of a target, as it registered itself.
+/// A target, as its newest start registered itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetRecord {
-    /// Identity of this start; another start has another.
+    /// Its identity. Another start may have another, or the same with a later `born`.
     pub id: String,
+    /// When it started, in Unix milliseconds by its own clock; 0 where each start has an identity of its own.
+    pub born: u64,
     /// The service that it belongs to.
     pub service: String,
     /// Where it is reached.
--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -12,6 +12,7 @@
 fn record(id: &str, port: u16, state: TargetState, sequence: u64) -> TargetRecord {
     TargetRecord {
         id: id.to_owned(),
+        born: 0,
         service: "desk".to_owned(),
         address: ([127, 0, 0, 1], port).into(),
         hall: "h".to_owned(),
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -1,11 +1,13 @@
 //! A caller's request, read once into typed form.
 
+use std::cell::OnceCell;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri, header};
 
+use linnet_quarantine::RequestSubject;
 use linnet_routing::{Account, Route, RouteTable};
 
 use serde::{Deserialize, Serialize};
@@ -39,6 +41,8 @@
     pub(crate) piece_key: String,
     /// Counts the request as in flight until its answer has ended.
     pub(crate) open: Option<OpenRequest>,
+    /// By what it is known when it comes again; worked out when that is first asked.
+    pub(crate) known_by: OnceCell<RequestSubject>,
 }
 
 /// How urgent a request is: its account counts before its route, the lower the more urgent.
@@ -97,6 +101,17 @@
 }
 
 impl Ask {
+    /// Returns by what the request is known when it comes again, here or at another host.
+    pub(crate) fn subject(&self) -> &RequestSubject {
+        self.known_by.get_or_init(|| {
+            let host = self.headers.get(header::HOST);
+            let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+            let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+            let account = self.account.as_deref().unwrap_or_default();
+            RequestSubject::new(account, self.method.as_str(), [host, path], &self.body)
+        })
+    }
+
     /// Returns the time until the request is given up.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -162,6 +177,7 @@
         piece_counts,
         piece_key,
         open: None,
+        known_by: OnceCell::new(),
     })
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,7 +18,7 @@
 use crate::graph::RequestResults;
 use crate::stage_client::Placement;
 use crate::target::Chosen;
-use crate::upstream::{Lease, SendError};
+use crate::upstream::{Lease, SendError, is_break};
 
 /// The least time that an attempt gets before a repeatable request goes to another target.
 const LEAST_ATTEMPT: Duration = Duration::from_millis(250);
@@ -45,7 +45,27 @@
         inputs_gone: bool,
     },
     /// It may have run, and there is no usable answer.
-    MayHaveRun(String),
+    MayHaveRun {
+        cause: String,
+        /// Whether the target ended the connection.
+        broke: bool,
+    },
+}
+
+impl AttemptEnd {
+    fn unusable(cause: impl Into<String>) -> Self {
+        Self::MayHaveRun {
+            cause: cause.into(),
+            broke: false,
+        }
+    }
+
+    fn cut(what: &str, error: &hyper::Error) -> Self {
+        Self::MayHaveRun {
+            cause: format!("{what} cut short: {error}"),
+            broke: is_break(error),
+        }
+    }
 }
 
 /// A stream of events of which the first has come.
@@ -126,10 +146,15 @@
     } else {
         left
     };
-    match timeout(bound, exchange(gateway, ask, attempt, left)).await {
-        Ok(end) => end,
-        Err(_) => AttemptEnd::MayHaveRun(format!("no answer within {} ms", bound.as_millis())),
+    let (service, chosen, sent) = (attempt.service, attempt.chosen, Instant::now());
+    let end = timeout(bound, exchange(gateway, ask, attempt, left)).await;
+    let end = end.unwrap_or_else(|_| {
+        AttemptEnd::unusable(format!("no answer within {} ms", bound.as_millis()))
+    });
+    if let AttemptEnd::MayHaveRun { broke: true, .. } = end {
+        gateway.note_break(service, chosen, ask, sent).await;
     }
+    end
 }
 
 /// How long an answer, or the first event of a stream, is waited for where another target may be
@@ -184,7 +209,9 @@
                 inputs_gone: false,
             };
         }
-        Err(SendError::MayHaveRun(cause)) => return AttemptEnd::MayHaveRun(cause),
+        Err(SendError::MayHaveRun { cause, broke }) => {
+            return AttemptEnd::MayHaveRun { cause, broke };
+        }
     };
     let (head, body) = answer.into_parts();
     if let Some(refused) = read_refusal(gateway, &attempt, &head) {
@@ -200,13 +227,13 @@
             &chosen.id,
             "another id".to_owned(),
         );
-        return AttemptEnd::MayHaveRun("an answer of another request".to_owned());
+        return AttemptEnd::unusable("an answer of another request");
     }
     let sealed = head
         .headers
         .contains_key(&gateway.config.dialect.headers.seal);
     if head.status.is_success() && !sealed {
-        return AttemptEnd::MayHaveRun("an answer without the target's seal".to_owned());
+        return AttemptEnd::unusable("an answer without the target's seal");
     }
     if ask.route.kind == RouteKind::Streaming && head.status.is_success() {
         let end = first_events(
@@ -253,7 +280,7 @@
             }
             AttemptEnd::Whole(head.status, head.headers, body.to_bytes())
         }
-        Err(error) => AttemptEnd::MayHaveRun(format!("answer cut short: {error}")),
+        Err(error) => AttemptEnd::cut("answer", &error),
     }
 }
 
@@ -315,7 +342,7 @@
                 return Ok((head.status, head.headers, first, body, splitter, lease));
             }
             Some(Err(error)) => {
-                return Err(AttemptEnd::MayHaveRun(format!("stream cut short: {error}")));
+                return Err(AttemptEnd::cut("stream", &error));
             }
             None => {
                 lease.finish(&head.headers);
--- a/crates/gateway/src/coordinator/pool/tests.rs
+++ b/crates/gateway/src/coordinator/pool/tests.rs
@@ -26,6 +26,7 @@
 fn records() -> [TargetRecord; 2] {
     let record = |hall: u16| TargetRecord {
         id: format!("t-{hall}"),
+        born: 0,
         service: SERVICE.to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 1_000 + hall)),
         hall: format!("hall-{hall}"),
--- a/crates/gateway/src/coordinator/state/tests.rs
+++ b/crates/gateway/src/coordinator/state/tests.rs
@@ -29,6 +29,7 @@
 fn state(targets: u16) -> QueueState {
     let record = |number: u16| TargetRecord {
         id: format!("t-{number}"),
+        born: 0,
         service: SERVICE.to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 1_000 + number)),
         hall: "hall".to_owned(),
--- a/crates/gateway/src/coordinator/state/tests/burst.rs
+++ b/crates/gateway/src/coordinator/state/tests/burst.rs
@@ -93,6 +93,7 @@
     fn new(queue: u32) -> Self {
         let record = |number: u16| TargetRecord {
             id: format!("{number}"),
+            born: 0,
             service: SERVICE.to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], 1_000 + number)),
             hall: "hall".to_owned(),
--- a/crates/gateway/src/engine/tests.rs
+++ b/crates/gateway/src/engine/tests.rs
@@ -10,6 +10,7 @@
 fn record(number: usize, service: &str, hall: usize) -> TargetRecord {
     TargetRecord {
         id: format!("{service}-{number}"),
+        born: 0,
         service: service.to_owned(),
         address: format!("127.0.{hall}.1:{}", 1_000 + number)
             .parse()
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -200,6 +200,7 @@
                 return Ok(relay_events(relay, stream));
             }
             AttemptEnd::Whole(status, headers, body) => {
+                gateway.note_whole_run(ask, &chosen.id);
                 let retried = status.is_server_error() && more && take_repeat(gateway, &service);
                 if !retried {
                     return Ok(answer_of(status, &headers, AnswerBody::whole(body)));
@@ -224,7 +225,7 @@
                 }
                 cause
             }
-            AttemptEnd::MayHaveRun(cause) => {
+            AttemptEnd::MayHaveRun { cause, .. } => {
                 gateway.note_target_failure(&service, &chosen.id, &cause);
                 if !more || !take_repeat(gateway, &service) {
                     return Err(Refusal::new(RefusalReason::TargetFailed, cause));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::open_request::OpenCount;
 use crate::stage_client::StageClient;
+use crate::suspects::SuspectWatch;
 use crate::target::TargetBook;
 use crate::upstream::UpstreamPool;
 use crate::wait_model::WaitModel;
@@ -88,6 +89,7 @@
     pub(crate) waits: RefCell<WaitModel>,
     pub(crate) stages: StageClient,
     pub(crate) coordinator: Rc<Coordinator>,
+    pub(crate) suspects: SuspectWatch,
     pub(crate) stopping: Cell<bool>,
     /// When requests that are still in flight are given up, since the process is about to end.
     give_up_at: watch::Sender<Option<Instant>>,
@@ -141,6 +143,7 @@
             engines: engines.clone(),
             coordinator,
             pool,
+            suspects: SuspectWatch::default(),
             stopping: Cell::new(false),
             give_up_at: watch::Sender::new(None),
             open_requests: OpenCount::default(),
@@ -359,6 +362,7 @@
     loop {
         tokio::time::sleep(HOUSE_PERIOD).await;
         gateway.pool.close_rested();
+        gateway.expire_suspects();
         gateway.coordinator.dispatch_all();
         gateway.stages.probe_cut_halls();
         // Hosts that no control host names any more stay while they are reached.
--- a/crates/gateway/src/gateway/target_list.rs
+++ b/crates/gateway/src/gateway/target_list.rs
@@ -41,6 +41,7 @@
         self.metrics.target_lists.inc();
         self.metrics.targets_known.set(ready.len() as i64);
         self.targets.borrow_mut().replace(&ready, now);
+        self.note_starts();
         self.stages.set_targets(&ready);
         self.coordinator.set_targets(&ready);
         let addresses: HashSet<SocketAddr> = ready.iter().map(|target| target.address).collect();
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -84,6 +84,7 @@
 fn word(number: u16, state: TargetState) -> DirectoryUpdate {
     let record = TargetRecord {
         id: format!("t-{number}"),
+        born: 0,
         service: "engines".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 3], 1_000 + number)),
         hall: format!("hall-{}", number % 5),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod serve_pieces;
 mod stage_call;
 mod stage_client;
+mod suspects;
 mod target;
 mod target_slowness;
 mod upstream;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,9 @@
     pub(crate) targets_known: Gauge,
     pub(crate) target_lists: Counter,
     pub(crate) halls_evacuated: Gauge,
+    pub(crate) targets_ended: Counter,
+    pub(crate) requests_suspected: Gauge,
+    pub(crate) requests_held: Gauge,
 }
 
 impl GatewayMetrics {
@@ -55,7 +58,25 @@
             targets_known: Gauge::default(),
             target_lists: Counter::default(),
             halls_evacuated: Gauge::default(),
+            targets_ended: Counter::default(),
+            requests_suspected: Gauge::default(),
+            requests_held: Gauge::default(),
         };
+        registry.register(
+            "targets_ended",
+            "Targets that ended while requests of this host ran there",
+            metrics.targets_ended.clone(),
+        );
+        registry.register(
+            "requests_suspected",
+            "Requests against which the end of a target stands",
+            metrics.requests_suspected.clone(),
+        );
+        registry.register(
+            "requests_held",
+            "Requests that are refused since targets ended under them",
+            metrics.requests_held.clone(),
+        );
         registry.register("requests", "Requests by outcome", metrics.requests.clone());
         registry.register_with_unit(
             "first_answer",
--- a/crates/gateway/src/pool_key/tests.rs
+++ b/crates/gateway/src/pool_key/tests.rs
@@ -9,6 +9,7 @@
         for number in 0..*count {
             records.push(TargetRecord {
                 id: format!("t-{hall}-{number}"),
+                born: 0,
                 service: "stage".to_owned(),
                 address: format!("127.0.{hall}.1:{}", 1_000 + number)
                     .parse()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,6 +19,7 @@
 use crate::forward::take_repeat;
 use crate::graph::RequestResults;
 use crate::target::Chosen;
+use crate::upstream::is_break;
 use crate::{AnswerBody, Gateway};
 
 /// What a stream needs to go on.
@@ -31,6 +32,8 @@
     results: Option<RequestResults>,
     tried: Vec<String>,
     attempts: u32,
+    /// About when the stream began at its target.
+    sent: Instant,
     last_event: Option<String>,
     events: u64,
     /// Whether its end has a line in the log.
@@ -66,6 +69,7 @@
             // The target has taken the results with its first event.
             results: results.filter(|_| keeps),
             attempts,
+            sent: Instant::now(),
             last_event: None,
             events: 0,
             ended: false,
@@ -97,6 +101,14 @@
         self.note(code, outcome);
     }
 
+    /// Notes that the target broke the stream off.
+    async fn note_break(&self) {
+        let (service, chosen) = (&self.service, &self.chosen);
+        self.gateway
+            .note_break(service, chosen, &self.ask, self.sent)
+            .await;
+    }
+
     /// Finds another target that goes on with the stream.
     async fn resume(&mut self, cause: &str) -> Option<Box<EventStream>> {
         self.gateway
@@ -125,6 +137,7 @@
             let end = send_attempt(&self.gateway, &self.ask, attempt, false).await;
             if let AttemptEnd::Events(stream) = end {
                 self.chosen = chosen;
+                self.sent = Instant::now();
                 self.note(EventCode::StreamResumed, &format!("cause={cause}"));
                 return Some(stream);
             }
@@ -169,10 +182,16 @@
         Ok(Ok(None)) => {
             let EventStream { lease, headers, .. } = *stream;
             lease.finish(&headers);
+            relay.gateway.note_whole_run(&relay.ask, &relay.chosen.id);
             relay.end(EventCode::RequestFinished, "outcome=stream ended");
             None
         }
-        Ok(Err(cause)) => go_on(relay, stream, &cause).await,
+        Ok(Err(error)) => {
+            if is_break(&error) {
+                relay.note_break().await;
+            }
+            go_on(relay, stream, &format!("stream cut short: {error}")).await
+        }
         Err(_) => {
             relay.end(EventCode::RequestFailed, "outcome=timed out in its stream");
             Some((Err(BrokenAnswer), Stage::Ended))
@@ -203,7 +222,7 @@
 }
 
 /// Reads until an event is whole; nothing at the end of the stream.
-async fn read_events(stream: &mut EventStream) -> Result<Option<Bytes>, String> {
+async fn read_events(stream: &mut EventStream) -> Result<Option<Bytes>, hyper::Error> {
     loop {
         match stream.rest.frame().await {
             Some(Ok(frame)) => {
@@ -212,7 +231,7 @@
                     return Ok(Some(events));
                 }
             }
-            Some(Err(error)) => return Err(format!("stream cut short: {error}")),
+            Some(Err(error)) => return Err(error),
             None => {
                 let rest = stream.splitter.rest();
                 return Ok((!rest.is_empty()).then_some(rest));
--- a/crates/gateway/src/serve_pieces/tests/role_cost.rs
+++ b/crates/gateway/src/serve_pieces/tests/role_cost.rs
@@ -123,6 +123,7 @@
 fn records(targets: &[SocketAddr]) -> Vec<TargetRecord> {
     let record = |service: &str, number: usize, address| TargetRecord {
         id: format!("{service}-{number}"),
+        born: 0,
         service: service.to_owned(),
         address,
         hall: format!("hall-{}", number % 3),
--- /dev/null
+++ b/crates/gateway/src/suspects.rs
@@ -0,0 +1,339 @@
+//! What this host knows of requests that may end targets, and how it finds that a target has ended.
+//!
+//! A connection that breaks is no evidence: targets break answers off, connections are reset, halls are cut.
+//! So the target is called anew. Where nothing listens any more it has ended, and all that this host had
+//! running there is accused. Where no answer comes, its next start tells.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use linnet_quarantine::{
+    ChangedSuspects, EndKey, RequestKey, RequestStanding, RequestSubject, SuspectBook,
+    SuspectRecord,
+};
+use linnet_telemetry::EventCode;
+use tokio::sync::{oneshot, watch};
+use tokio::time::timeout;
+
+use crate::Gateway;
+use crate::ask::Ask;
+use crate::target::{Chosen, TargetBook};
+use crate::upstream::ProbeOutcome;
+
+/// How long a request waits to hear whether its target has ended, before it is sent to another one. A target
+/// that listens or has ended answers within a round trip between halls, some 2 ms; one that does not
+/// answer says nothing.
+const PROBE_PATIENCE: Duration = Duration::from_millis(25);
+
+/// How long an end is known here, for requests that hear of their broken connection later than others.
+const END_KEPT: Duration = Duration::from_secs(5);
+
+/// How long the next start of a target that did not answer is waited for.
+const START_AWAITED: Duration = Duration::from_secs(15);
+
+/// A request that was in flight at a target when its connection broke.
+struct CutRequest {
+    /// The identity of this sending, for the log.
+    id: String,
+    subject: RequestSubject,
+    ran: Duration,
+}
+
+/// What is known of the end of a target.
+enum EndState {
+    /// The target is being called.
+    Probing {
+        cut: Vec<CutRequest>,
+        waiting: Vec<oneshot::Sender<()>>,
+    },
+    /// It has ended.
+    Ended(Instant),
+}
+
+/// A target that broke its connections and did not answer.
+struct SilentTarget {
+    service: String,
+    chosen: Chosen,
+    cut: Vec<CutRequest>,
+    since: Instant,
+}
+
+/// What this host knows of requests that may end targets.
+#[derive(Default)]
+pub(crate) struct SuspectWatch {
+    book: RefCell<SuspectBook>,
+    changes: watch::Sender<u64>,
+    ends: RefCell<HashMap<EndKey, EndState>>,
+    silent: RefCell<Vec<SilentTarget>>,
+}
+
+impl SuspectWatch {
+    /// Returns a receiver of the number of the newest change.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Returns the first records that changed after a change number.
+    pub(crate) fn changed_after(&self, number: u64, most: usize) -> ChangedSuspects {
+        let book = self.book.borrow();
+        book.changed_after(number, most, Instant::now())
+    }
+
+    /// Returns what holds of a request.
+    pub(crate) fn standing(&self, ask: &Ask) -> RequestStanding {
+        if self.book.borrow().is_empty() {
+            return RequestStanding::Free;
+        }
+        self.standing_of(ask.subject().key)
+    }
+
+    pub(crate) fn standing_of(&self, key: RequestKey) -> RequestStanding {
+        let now = Instant::now();
+        let mut book = self.book.borrow_mut();
+        book.settle(now);
+        let standing = book.standing(key, now);
+        drop(book);
+        self.tell_changes();
+        standing
+    }
+
+    /// Returns what is held against a request.
+    pub(crate) fn record(&self, key: RequestKey) -> Option<SuspectRecord> {
+        self.book.borrow().record(key, Instant::now())
+    }
+
+    pub(crate) fn note_trial(&self, key: RequestKey) {
+        self.book.borrow_mut().note_trial(key, Instant::now());
+        self.tell_changes();
+    }
+
+    pub(crate) fn note_refused(&self, key: RequestKey) {
+        self.book.borrow_mut().note_refused(key, Instant::now());
+        self.tell_changes();
+    }
+
+    /// Returns how many requests are held, and against how many something stands.
+    pub(crate) fn counts(&self) -> (usize, usize) {
+        let book = self.book.borrow();
+        (book.held_count(), book.records(Instant::now()).len())
+    }
+
+    fn tell_changes(&self) {
+        let number = self.book.borrow().number();
+        self.changes
+            .send_if_modified(|told| std::mem::replace(told, number) != number);
+    }
+
+    /// Forgets what is old; returns the requests that were held until then.
+    fn expire(&self, now: Instant) -> Vec<RequestSubject> {
+        let mut ends = self.ends.borrow_mut();
+        ends.retain(|_, state| match state {
+            EndState::Probing { .. } => true,
+            EndState::Ended(at) => now.saturating_duration_since(*at) < END_KEPT,
+        });
+        let mut silent = self.silent.borrow_mut();
+        silent.retain(|one| now.saturating_duration_since(one.since) < START_AWAITED);
+        self.book.borrow_mut().expire(now)
+    }
+
+    /// Takes those silent targets out of which the list of targets has another start.
+    fn started_anew(&self, targets: &TargetBook) -> Vec<SilentTarget> {
+        let mut silent = self.silent.borrow_mut();
+        let all = std::mem::take(&mut *silent).into_iter();
+        let is_over = |one: &SilentTarget| {
+            let mut known = targets.of_service(&one.service);
+            known.any(|target| {
+                target.address == one.chosen.address
+                    && (target.id != one.chosen.id || target.born > one.chosen.born)
+            })
+        };
+        let (over, rest) = all.partition(is_over);
+        *silent = rest;
+        over
+    }
+}
+
+impl Gateway {
+    /// Notes that a target broke the connection while a request was in flight there, and finds out whether
+    /// the target has ended. Returns when that is known, or cannot be known soon.
+    pub(crate) async fn note_break(
+        self: &Rc<Self>,
+        service: &str,
+        chosen: &Chosen,
+        ask: &Ask,
+        sent: Instant,
+    ) {
+        // A target that was withdrawn ends its connections itself.
+        let target = self.targets.borrow().find(service, &chosen.id);
+        if target.is_none_or(|target| target.born < chosen.born) {
+            return;
+        }
+        let cut = CutRequest {
+            id: ask.id.clone(),
+            subject: ask.subject().clone(),
+            ran: sent.elapsed(),
+        };
+        let Some(probed) = self.join_probe(service, chosen, cut) else {
+            return;
+        };
+        // What the probe finds later counts all the same.
+        let _ = timeout(PROBE_PATIENCE, probed).await;
+    }
+
+    /// Adds a request to those that hear of the call to a target; the first one begins it. Returns nothing
+    /// where the target is known to have ended.
+    fn join_probe(
+        self: &Rc<Self>,
+        service: &str,
+        chosen: &Chosen,
+        request: CutRequest,
+    ) -> Option<oneshot::Receiver<()>> {
+        let end = EndKey::new(&chosen.id, chosen.born);
+        let (done, probed) = oneshot::channel();
+        let mut ends = self.suspects.ends.borrow_mut();
+        match ends.get_mut(&end) {
+            Some(EndState::Ended(_)) => {
+                drop(ends);
+                self.accuse(chosen, end, &[request]);
+                return None;
+            }
+            Some(EndState::Probing { cut, waiting }) => {
+                cut.push(request);
+                waiting.push(done);
+            }
+            None => {
+                let state = EndState::Probing {
+                    cut: vec![request],
+                    waiting: vec![done],
+                };
+                ends.insert(end, state);
+                // Goes on where the caller leaves meanwhile.
+                let (service, chosen) = (service.to_owned(), chosen.clone());
+                ntex::rt::spawn(probe_target(self.clone(), service, chosen, end));
+            }
+        }
+        Some(probed)
+    }
+
+    fn take_probe(&self, service: String, chosen: Chosen, end: EndKey, outcome: ProbeOutcome) {
+        let state = self.suspects.ends.borrow_mut().remove(&end);
+        let Some(EndState::Probing { cut, .. }) = state else {
+            return;
+        };
+        match outcome {
+            ProbeOutcome::Open => {}
+            ProbeOutcome::Refused => self.note_end(&service, &chosen, end, &cut),
+            ProbeOutcome::Silent => {
+                let silent = SilentTarget {
+                    service,
+                    chosen,
+                    cut,
+                    since: Instant::now(),
+                };
+                self.suspects.silent.borrow_mut().push(silent);
+            }
+        }
+    }
+
+    /// Notes that a target has ended while these requests ran there.
+    fn note_end(&self, service: &str, chosen: &Chosen, end: EndKey, cut: &[CutRequest]) {
+        let state = EndState::Ended(Instant::now());
+        self.suspects.ends.borrow_mut().insert(end, state);
+        self.metrics.targets_ended.inc();
+        let keys: Vec<String> = cut.iter().map(|one| one.subject.key.to_string()).collect();
+        let detail = format!(
+            "service={service} address={} born={} requests={} keys={}",
+            chosen.address,
+            chosen.born,
+            cut.len(),
+            keys.join(",")
+        );
+        let code = EventCode::TargetEnded;
+        self.config.recorder.record(code, &chosen.id, detail);
+        self.accuse(chosen, end, cut);
+    }
+
+    fn accuse(&self, chosen: &Chosen, end: EndKey, cut: &[CutRequest]) {
+        let now = Instant::now();
+        for one in cut {
+            let news = self
+                .suspects
+                .book
+                .borrow_mut()
+                .accuse(&one.subject, end, now);
+            if news {
+                let record = self.suspects.record(one.subject.key);
+                let ends = record.map_or(0, |record| record.ends.len());
+                let detail = format!(
+                    "{} ran_ms={} ends={ends}",
+                    describe(&one.subject),
+                    one.ran.as_millis()
+                );
+                let code = EventCode::RequestAccused;
+                self.note_request(code, &one.id, &chosen.id, detail);
+            }
+        }
+        self.suspects.tell_changes();
+    }
+
+    /// Notes that a target answered a request whole, which speaks for the request.
+    pub(crate) fn note_whole_run(&self, ask: &Ask, target: &str) {
+        if self.suspects.book.borrow().is_empty() {
+            return;
+        }
+        let subject = ask.subject();
+        if self.suspects.book.borrow_mut().acquit(subject.key) {
+            let code = EventCode::RequestAcquitted;
+            self.note_request(code, &ask.id, target, describe(subject));
+            self.suspects.tell_changes();
+        }
+    }
+
+    /// Accuses the requests that were cut off by targets which did not answer and have started anew.
+    pub(crate) fn note_starts(&self) {
+        let over = self.suspects.started_anew(&self.targets.borrow());
+        for one in over {
+            let end = EndKey::new(&one.chosen.id, one.chosen.born);
+            self.note_end(&one.service, &one.chosen, end, &one.cut);
+        }
+    }
+
+    /// Takes what another process holds against requests.
+    pub(crate) fn take_suspects(&self, records: &[SuspectRecord]) {
+        let now = Instant::now();
+        let mut book = self.suspects.book.borrow_mut();
+        for record in records {
+            book.merge(record, now);
+        }
+        drop(book);
+        self.suspects.tell_changes();
+    }
+
+    /// Forgets what is old of requests that may end targets.
+    pub(crate) fn expire_suspects(&self) {
+        for subject in self.suspects.expire(Instant::now()) {
+            let detail = format!("{} cause=not seen for long", describe(&subject));
+            self.note(EventCode::RequestReleased, &detail);
+        }
+        let (held, known) = self.suspects.counts();
+        self.metrics.requests_held.set(held as i64);
+        self.metrics.requests_suspected.set(known as i64);
+    }
+}
+
+/// Describes a request for the log.
+pub(crate) fn describe(subject: &RequestSubject) -> String {
+    format!(
+        "key={} account={} method={} path={}",
+        subject.key, subject.account, subject.method, subject.path
+    )
+}
+
+async fn probe_target(gateway: Rc<Gateway>, service: String, chosen: Chosen, end: EndKey) {
+    let address: SocketAddr = chosen.address;
+    let outcome = gateway.pool.probe(address).await;
+    gateway.take_probe(service, chosen, end, outcome);
+}
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -33,6 +33,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Target {
     pub(crate) id: String,
+    /// When this start of it began; see [`TargetRecord::born`].
+    pub(crate) born: u64,
     pub(crate) address: SocketAddr,
     pub(crate) hall: String,
     pub(crate) slots: u32,
@@ -51,6 +53,7 @@
     fn new(record: &TargetRecord) -> Self {
         Self {
             id: record.id.clone(),
+            born: record.born,
             address: record.address,
             hall: record.hall.clone(),
             slots: record.slots.max(1),
@@ -103,6 +106,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Chosen {
     pub(crate) id: String,
+    pub(crate) born: u64,
     pub(crate) address: SocketAddr,
     pub(crate) hall: String,
 }
@@ -111,6 +115,7 @@
     pub(crate) fn new(target: &Target) -> Self {
         Self {
             id: target.id.clone(),
+            born: target.born,
             address: target.address,
             hall: target.hall.clone(),
         }
@@ -147,7 +152,9 @@
             let known = former
                 .get_mut(&record.service)
                 .and_then(|targets| targets.remove(&record.id));
-            let mut target = known.unwrap_or_else(|| Target::new(record));
+            // Another start under the same identity has nothing of the one before.
+            let same_start = known.filter(|known| known.born == record.born);
+            let mut target = same_start.unwrap_or_else(|| Target::new(record));
             target.address = record.address;
             target.slots = record.slots.max(1);
             target.set_cold(record.cold_ms, now);
--- a/crates/gateway/src/target/tests.rs
+++ b/crates/gateway/src/target/tests.rs
@@ -7,6 +7,7 @@
 fn record(id: &str, port: u16) -> TargetRecord {
     TargetRecord {
         id: id.to_owned(),
+        born: 0,
         service: SERVICE.to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         hall: "hall-0".to_owned(),
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -2,6 +2,8 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::error::Error;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -45,9 +47,52 @@
     #[error(ignore)]
     NotSent(String),
     /// It may have reached the target.
-    #[display("send: {_0}")]
-    #[error(ignore)]
-    MayHaveRun(String),
+    #[display("send: {cause}")]
+    MayHaveRun {
+        cause: String,
+        /// Whether the other side ended the connection.
+        broke: bool,
+    },
+}
+
+impl SendError {
+    fn may_have_run(error: &hyper::Error) -> Self {
+        Self::MayHaveRun {
+            cause: error.to_string(),
+            broke: is_break(error),
+        }
+    }
+}
+
+/// Says whether a connection ended since the other side closed or reset it. One that was given up since the
+/// other side was silent says nothing of the target.
+pub(crate) fn is_break(error: &(dyn Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(one) = cause {
+        if let Some(error) = one.downcast_ref::<io::Error>() {
+            return matches!(
+                error.kind(),
+                ErrorKind::ConnectionReset
+                    | ErrorKind::ConnectionAborted
+                    | ErrorKind::BrokenPipe
+                    | ErrorKind::UnexpectedEof
+            );
+        }
+        cause = one.source();
+    }
+    let error = error.downcast_ref::<hyper::Error>();
+    error.is_some_and(|error| error.is_incomplete_message() || error.is_closed())
+}
+
+/// What a new connection to a target tells of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ProbeOutcome {
+    /// It takes connections.
+    Open,
+    /// Nothing listens there.
+    Refused,
+    /// No answer came.
+    Silent,
 }
 
 struct Connection {
@@ -96,7 +141,7 @@
                 Err(mut error) => match error.take_message() {
                     // The connection had ended; the request was never written.
                     Some(unsent) => request = unsent,
-                    None => return Err(SendError::MayHaveRun(error.into_error().to_string())),
+                    None => return Err(SendError::may_have_run(&error.into_error())),
                 },
             }
         }
@@ -105,11 +150,11 @@
             Ok(answer) => Ok((answer, self.lease(address, connection))),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
-                let cause = error.into_error().to_string();
+                let error = error.into_error();
                 Err(if unsent {
-                    SendError::NotSent(cause)
+                    SendError::NotSent(error.to_string())
                 } else {
-                    SendError::MayHaveRun(cause)
+                    SendError::may_have_run(&error)
                 })
             }
         }
@@ -126,11 +171,27 @@
         let body = body
             .collect()
             .await
-            .map_err(|error| SendError::MayHaveRun(error.to_string()))?;
+            .map_err(|error| SendError::may_have_run(&error))?;
         lease.finish(&head.headers);
         Ok((head, body.to_bytes()))
     }
 
+    /// Opens a connection to see whether a target is there; it rests for the next request.
+    pub(crate) async fn probe(&self, address: SocketAddr) -> ProbeOutcome {
+        let socket = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(socket)) => socket,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return ProbeOutcome::Refused;
+            }
+            _ => return ProbeOutcome::Silent,
+        };
+        if let Ok(connection) = self.prepare(socket).await {
+            let mut state = self.state.borrow_mut();
+            state.resting.entry(address).or_default().push(connection);
+        }
+        ProbeOutcome::Open
+    }
+
     /// Closes the resting connections to addresses that are not in use any more.
     pub(crate) fn retain(&self, wanted: impl Fn(&SocketAddr) -> bool) {
         self.state
@@ -171,6 +232,10 @@
             Ok(Err(error)) => return Err(SendError::NotSent(error.to_string())),
             Err(_) => return Err(SendError::NotSent("no answer in time".to_owned())),
         };
+        self.prepare(socket).await
+    }
+
+    async fn prepare(&self, socket: TcpStream) -> Result<Connection, SendError> {
         let _ = socket.set_nodelay(true);
         // Without these a connection behind a cut hangs for minutes.
         let options = SockRef::from(&socket);
--- /dev/null
+++ b/crates/quarantine/src/record.rs
@@ -0,0 +1,117 @@
+//! What is held against one request.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{EndKey, HOLDING_ENDS, RequestKey};
+
+/// The longest path that is kept of a request, in bytes.
+const MAX_PATH_BYTES: usize = 256;
+
+/// The ends that are kept of one request. Far fewer decide; a record stays below a kilobyte.
+const MAX_ENDS: usize = 32;
+
+/// How a request reads to an operator.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestSubject {
+    /// Its key.
+    pub key: RequestKey,
+    /// The client account; empty where the route asks for none.
+    pub account: String,
+    /// Its method.
+    pub method: String,
+    /// Host and path, cut where they are long.
+    pub path: String,
+}
+
+impl RequestSubject {
+    /// Creates the subject of a request at a host and path.
+    pub fn new(account: &str, method: &str, place: [&str; 2], body: &[u8]) -> Self {
+        let mut path = place.concat();
+        let mut end = path.len().min(MAX_PATH_BYTES);
+        while !path.is_char_boundary(end) {
+            end -= 1;
+        }
+        path.truncate(end);
+        Self {
+            key: RequestKey::new(account, method, place, body),
+            account: account.to_owned(),
+            method: method.to_owned(),
+            path,
+        }
+    }
+}
+
+/// What is held against one request.
+///
+/// Records of two hosts merge into the same one whatever the order: a later round wins, and within a round
+/// the ends are united and the counts are the greater ones.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectRecord {
+    /// The request.
+    pub subject: RequestSubject,
+    /// Rises when what was held against it before does not count any more: it ran whole, an end proved to be
+    /// none, or an operator released it.
+    pub round: u32,
+    /// Ends of targets while it ran there.
+    pub ends: BTreeSet<EndKey>,
+    /// Whether it was found to be the cause. Stays within a round.
+    pub held: bool,
+    /// Trials that were begun since.
+    pub trials: u32,
+    /// How long ago the last end, trial or refusal was, in milliseconds, when the record was told.
+    pub age_ms: u64,
+}
+
+impl SuspectRecord {
+    /// Creates a record that holds nothing against a request.
+    pub fn new(subject: RequestSubject) -> Self {
+        Self {
+            subject,
+            round: 0,
+            ends: BTreeSet::new(),
+            held: false,
+            trials: 0,
+            age_ms: 0,
+        }
+    }
+
+    /// Says whether it may have been found, or may be found now, to be the cause of ends.
+    pub(crate) fn may_be_cause(&self) -> bool {
+        self.held || self.ends.len() >= HOLDING_ENDS
+    }
+
+    /// Adds an end; says whether it was new.
+    pub(crate) fn add_end(&mut self, end: EndKey) -> bool {
+        self.ends.len() < MAX_ENDS && self.ends.insert(end)
+    }
+
+    /// Begins a round in which only these ends count.
+    pub(crate) fn begin_round(&mut self, ends: BTreeSet<EndKey>) {
+        self.round += 1;
+        self.ends = ends;
+        self.held = false;
+        self.trials = 0;
+    }
+
+    /// Takes what another host holds against the same request; says whether that changed anything.
+    pub(crate) fn merge(&mut self, other: &Self) -> bool {
+        if other.round < self.round {
+            return false;
+        }
+        if other.round > self.round {
+            let age_ms = self.age_ms;
+            *self = other.clone();
+            self.age_ms = age_ms;
+            return true;
+        }
+        let (ends, held, trials) = (self.ends.len(), self.held, self.trials);
+        for end in &other.ends {
+            self.add_end(*end);
+        }
+        self.held |= other.held;
+        self.trials = self.trials.max(other.trials);
+        (ends, held, trials) != (self.ends.len(), self.held, self.trials)
+    }
+}
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -87,11 +87,17 @@
     AnswerDropped = 413, Error, "An answer of another attempt, or one cut short, was dropped.";
     StreamResumed = 414, Info, "A stream went on at another target from the token it had reached.";
     StagesRunAgain = 415, Warn, "The stages of a request are run again, since results of them were lost.";
+    RequestAccused = 420, Warn, "A target ended while this request ran there.";
+    RequestAcquitted = 421, Info, "A request that was accused ran whole, and nothing is held against it any more.";
+    RequestHeld = 422, Error, "A request was found to end the targets that run it; every host refuses it.";
+    RequestTried = 423, Warn, "A held request is run once more, alone, to see whether it still ends targets.";
+    RequestReleased = 424, Info, "A held request is free again: it did not come for long, or an operator released it.";
     TargetListed = 501, Info, "A target came into the host list.";
     TargetLeaving = 502, Info, "A target is leaving and gets no new work.";
     TargetGone = 503, Info, "A target is no longer in a whole read of the host list.";
     TargetEjected = 504, Warn, "A target failed too often and gets no work for a while.";
     HostListFailed = 505, Warn, "A read of the host list failed or was partial; nothing was removed.";
+    TargetEnded = 506, Warn, "A target ended while requests of this host ran there.";
     RoutingAccepted = 601, Info, "A routing configuration was committed, or a newer one was held already.";
     RoutingRefused = 602, Warn, "A routing configuration was refused or could not be committed in time.";
     RoutingInForce = 603, Info, "A process put a routing configuration in force.";
