Hosts know together which requests end their targets, and refuse them

Cause: a host knew only its own sendings and forgot a request with its answer, so each attempt of a caller, and each retry, began with no evidence.

Change: evidence is the end of a target (its port refuses after the connection broke, or its next start is told), held against all that ran there, told to control hosts and by them to all. The third end that no other request explains holds a request; two set it apart: one host lets it run once at a time, where the fewest others run. A whole run clears it, heartbeats of the same start take the end back, two trials follow within a minute. A held request is refused at once with a status that callers do not repeat.

--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -14,7 +14,8 @@
 
 use crate::document_follower::{DocumentFollower, DocumentSink};
 use crate::fetch::FetchProgress;
-use crate::serve::{SILENCE_LIMIT, UPDATE_PERIOD};
+use crate::serve::{SILENCE_LIMIT, SUSPECTS_AT_ONCE, UPDATE_PERIOD};
+use crate::suspect_reports::{SuspectReports, SuspectSource};
 use crate::{
     ContentHash, DirectoryUpdate, GatewayRecord, SubscriberHello, SubscriberReport, TargetRecord,
     TargetState,
@@ -52,6 +53,8 @@
     pub gateway: watch::Receiver<Option<GatewayRecord>>,
     /// Where configurations are kept; nothing for a control host, which gets them by agreement.
     pub documents: Option<DocumentSink>,
+    /// What this process holds against requests, where it sends them to targets; told to every control host.
+    pub suspects: Option<SuspectSource>,
     /// Whether this process is a control host.
     pub control: bool,
     /// The address of this process, which is not followed.
@@ -287,6 +290,7 @@
     let documents = following.documents.as_ref();
     let mut wanted = documents.map(DocumentFollower::changes);
     let mut tellers = following.tellers.subscribe();
+    let mut suspects = SuspectReports::new(following.config.suspects.as_ref());
     loop {
         // Read before the report is made: what changes while it is sent is told by the next one.
         let told = wanted.as_ref().and_then(|wanted| *wanted.borrow());
@@ -296,13 +300,18 @@
             gateway: gateway.borrow_and_update().clone(),
             acknowledged: *acknowledged.borrow_and_update(),
             lists: tellers.borrow_and_update().contains(&address),
+            suspects: suspects.next(),
         };
         writer.send(&report).await?;
+        if report.suspects.len() == SUSPECTS_AT_ONCE {
+            continue;
+        }
         tokio::select! {
             changed = acknowledged.changed() => if changed.is_err() { return Ok(()) },
             () = record_changed(&mut gateway) => {}
             () = want_changed(&mut wanted, told, address) => {}
             () = teller_changed(&mut tellers, report.lists, address) => {}
+            () = suspects.changed() => {}
             () = sleep(UPDATE_PERIOD) => {}
         }
     }
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -26,6 +26,7 @@
 mod registry;
 mod sending;
 mod serve;
+mod suspect_reports;
 mod view;
 
 pub use call::CallError;
@@ -43,4 +44,5 @@
 pub use payload::{DocumentPayload, PayloadFault, PayloadKey};
 pub use registry::{ChangedTargets, Registry, RegistryChange};
 pub use serve::{serve_call, serve_subscriber};
+pub use suspect_reports::SuspectSource;
 pub use view::DirectoryView;
--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use linnet_quarantine::SuspectRecord;
 use linnet_quorum::{Member, Members, NodeId};
 use serde::{Deserialize, Serialize};
 
@@ -76,6 +77,8 @@
     pub want: Option<DocumentWant>,
     /// Whether this control host should tell of targets and entry hosts.
     pub lists: bool,
+    /// What changed of what the subscriber holds against requests, a part of it at most.
+    pub suspects: Vec<SuspectRecord>,
 }
 
 /// What a subscriber wants of a configuration.
@@ -129,6 +132,8 @@
     pub controls: Option<Vec<SocketAddr>>,
     /// Targets that were heard since the last update; for control hosts only.
     pub heard: Vec<HeardTarget>,
+    /// What changed of what is held against requests, a part of it at most.
+    pub suspects: Vec<SuspectRecord>,
 }
 
 /// A heartbeat that a control host passes on.
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod state;
+mod suspects;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -291,6 +292,7 @@
             let change = self.lock().registry.take_record(record, now);
             self.note_change(&id, &detail, change);
         }
+        self.take_suspects(&update.suspects);
         for heard in &update.heard {
             let change = self.lock().registry.take_heard(heard, now);
             self.note_change(&heard.id, "heard by another control host", change);
@@ -339,6 +341,7 @@
         if !silent.is_empty() {
             node.wake();
         }
+        node.keep_suspects(Instant::now());
     }
 }
 
--- a/crates/directory/src/node/state.rs
+++ b/crates/directory/src/node/state.rs
@@ -4,6 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use linnet_quarantine::SuspectBook;
+
+use super::suspects::LivingTargets;
 use crate::{DocumentWant, GatewayRecord, Registry};
 
 /// What a subscriber told.
@@ -23,6 +26,9 @@
 #[derive(Default)]
 pub(crate) struct NodeState {
     pub(crate) registry: Registry,
+    /// What is held against requests that may end targets.
+    pub(crate) suspects: SuspectBook,
+    pub(crate) living: LivingTargets,
     pub(crate) subscribers: BTreeMap<u64, SubscriberState>,
     pub(crate) next_subscriber: u64,
     /// Entry hosts that were lost without a word, and until when they are told on.
--- /dev/null
+++ b/crates/directory/src/node/suspects/tests.rs
@@ -0,0 +1,55 @@
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::net::SocketAddr;
+
+use linnet_quarantine::RequestSubject;
+
+use super::*;
+use crate::{TargetRecord, TargetState};
+
+fn heartbeat(born: u64, sequence: u64) -> TargetRecord {
+    TargetRecord {
+        id: "t".to_owned(),
+        born,
+        service: "desk".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1_000)),
+        hall: "hall".to_owned(),
+        slots: 1,
+        state: TargetState::Ready,
+        sequence,
+        silent: false,
+        cold_ms: 0,
+    }
+}
+
+/// A cut that refuses connections looks like the end of a target until it heals.
+#[test]
+fn an_end_is_taken_back_when_the_same_start_goes_on_sending_heartbeats() {
+    let now = Instant::now();
+    let mut state = NodeState::default();
+    let subject = RequestSubject::new("a", "GET", ["h", "/x"], b"");
+    state.registry.take_heartbeat(heartbeat(7, 20), now);
+    state.suspects.accuse(&subject, EndKey::new("t", 7), now);
+    for sequence in 20..23 {
+        state.registry.take_heartbeat(heartbeat(7, sequence), now);
+        assert!(state.retract_living().is_empty(), "heartbeat {sequence}");
+    }
+    state.registry.take_heartbeat(heartbeat(7, 23), now);
+    assert_eq!(state.retract_living(), [subject.key]);
+    assert!(state.suspects.records(now).is_empty());
+}
+
+#[test]
+fn heartbeats_of_the_next_start_take_nothing_back() {
+    let now = Instant::now();
+    let mut state = NodeState::default();
+    let subject = RequestSubject::new("a", "GET", ["h", "/x"], b"");
+    state.registry.take_heartbeat(heartbeat(7, 20), now);
+    state.suspects.accuse(&subject, EndKey::new("t", 7), now);
+    assert!(state.retract_living().is_empty());
+    for sequence in 1..60 {
+        state.registry.take_heartbeat(heartbeat(8, sequence), now);
+        assert!(state.retract_living().is_empty(), "heartbeat {sequence}");
+    }
+    assert_eq!(state.suspects.records(now).len(), 1);
+}
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -36,6 +36,9 @@
 /// 300 machines and 3,000 targets that was up to 222 of its 256 MB after all were killed.
 const TARGETS_AT_ONCE: usize = 128;
 
+/// Records of requests that may end targets in one message, at most: some 20 KB.
+pub(crate) const SUSPECTS_AT_ONCE: usize = 64;
+
 /// How long a voter has been silent when a new control host takes its place.
 const LOST_SILENCE: Duration = Duration::from_millis(900);
 
@@ -56,6 +59,8 @@
     /// When the next list of entry hosts is due, where one is held back.
     next_list: Option<Duration>,
     controls: Vec<std::net::SocketAddr>,
+    /// The number of the last change of what is held against requests that it was told.
+    suspects: u64,
 }
 
 /// Pushes the directory to one subscriber until it is lost.
@@ -118,6 +123,7 @@
 ) -> Result<(), WireError> {
     loop {
         let report: SubscriberReport = reader.receive().await?;
+        node.take_suspects(&report.suspects);
         let mut state = node.lock();
         let Some(changes) = state.set_gateway(number, report.gateway) else {
             return Ok(());
@@ -163,6 +169,7 @@
         gateways: GatewayPush::default(),
         next_list: None,
         controls: Vec::new(),
+        suspects: 0,
     };
     let mut last_sent: Option<Instant> = None;
     loop {
@@ -173,7 +180,10 @@
             last_sent = Some(Instant::now());
             writer.send(&update).await?;
         }
-        if update.part.is_some() || update.targets.len() == TARGETS_AT_ONCE {
+        let is_part = update.part.is_some()
+            || update.targets.len() == TARGETS_AT_ONCE
+            || update.suspects.len() == SUSPECTS_AT_ONCE;
+        if is_part {
             // What else changed meanwhile goes out with the next part.
             continue;
         }
@@ -208,6 +218,7 @@
         && update.gateways.is_none()
         && update.controls.is_none()
         && update.heard.is_empty()
+        && update.suspects.is_empty()
 }
 
 fn next_update(node: &DirectoryNode, pushed: &mut Pushed) -> DirectoryUpdate {
@@ -224,6 +235,11 @@
     let mut state = node.lock();
     pushed.next_list = None;
     let now = Instant::now();
+    let suspects = state
+        .suspects
+        .changed_after(pushed.suspects, SUSPECTS_AT_ONCE, now);
+    pushed.suspects = suspects.number;
+    update.suspects = suspects.records;
     if !state.wants_lists(pushed.subscriber) {
         // All of it is told once it wants lists from here.
         pushed.number = 0;
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -1,6 +1,6 @@
 //! A caller's request, read once into typed form.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -43,6 +43,8 @@
     pub(crate) open: Option<OpenRequest>,
     /// By what it is known when it comes again; worked out when that is first asked.
     pub(crate) known_by: OnceCell<RequestSubject>,
+    /// Whether it may end its target, and so goes where the fewest others run.
+    pub(crate) apart: Cell<bool>,
 }
 
 /// How urgent a request is: its account counts before its route, the lower the more urgent.
@@ -178,6 +180,7 @@
         piece_key,
         open: None,
         known_by: OnceCell::new(),
+        apart: Cell::new(false),
     })
 }
 
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -96,5 +96,6 @@
         avoid: avoid.take(MAX_AVOIDED).cloned().collect(),
         closed: Vec::new(),
         homes: ask.homes.to_told(),
+        apart: ask.apart.get(),
     })
 }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -167,6 +167,11 @@
         if candidates.is_empty() {
             candidates = usable;
         }
+        if ask.apart {
+            let running = |one: &Target| self.loads.get(&one.id).map_or(0, |load| load.running);
+            let emptiest = candidates.into_iter().min_by_key(|one| running(one));
+            return emptiest.map(Chosen::new);
+        }
         let weights = ask
             .heavy_stage
             .as_ref()
--- a/crates/gateway/src/engine/place_ask.rs
+++ b/crates/gateway/src/engine/place_ask.rs
@@ -22,6 +22,8 @@
     pub(crate) closed: Vec<String>,
     /// Halls in which the prompt may run; nothing where it may in all.
     pub(crate) homes: Option<Vec<String>>,
+    /// Whether it may end its engine, and so goes where the fewest others run.
+    pub(crate) apart: bool,
 }
 
 /// What decided a placement, for the log.
--- a/crates/gateway/src/engine/tests.rs
+++ b/crates/gateway/src/engine/tests.rs
@@ -57,6 +57,7 @@
         results: HallBytes::default(),
         avoid: Vec::new(),
         closed: Vec::new(),
+        apart: false,
         homes: None,
     }
 }
@@ -204,3 +205,19 @@
     };
     assert_eq!(placer.place(&book, &alone, now).unwrap().2.held, 0);
 }
+
+/// A request that may end its engine goes to the one where the fewest others run, whatever that engine has
+/// to read.
+#[test]
+fn a_prompt_that_may_end_its_engine_goes_where_the_fewest_others_run() {
+    let (book, now) = (book(), Instant::now());
+    let mut placer = EnginePlacer::default();
+    let (_, holder, _) = placer.place(&book, &ask("p"), now).unwrap();
+    let apart = PlaceAsk {
+        apart: true,
+        ..ask("p")
+    };
+    let (key, chosen, _) = placer.place(&book, &apart, now).unwrap();
+    assert_ne!(chosen.id, holder.id);
+    placer.end(key);
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,6 +19,7 @@
 use crate::path_time::last_stages;
 use crate::relay::{Relay, relay_events};
 use crate::stage_client::Placement;
+use crate::turn::take_turn;
 use crate::wait_model::PathPlan;
 use crate::{AnswerBody, Gateway, Refusal, RefusalReason};
 
@@ -158,6 +159,8 @@
     ask: &Rc<Ask>,
     log: &mut RunLog,
 ) -> Result<Response<AnswerBody>, Refusal> {
+    let mut turn = None;
+    take_turn(gateway, ask, &mut turn).await?;
     let service = pick_service(&ask.route).to_owned();
     gateway
         .budget
@@ -176,6 +179,14 @@
             results = Some(prepare(gateway, &service, ask, log).await?);
             log.stages = Some(started.elapsed());
         }
+        // What is held against it may have grown by its own last run, or elsewhere while its stages ran.
+        if let Err(refusal) = take_turn(gateway, ask, &mut turn).await {
+            return Err(if log.may_have_run {
+                Refusal::new(RefusalReason::TargetFailed, refusal.detail)
+            } else {
+                refusal
+            });
+        }
         // Only now: while the stages ran, targets may have gone.
         let (chosen, placement) = choose(gateway, &service, ask, &tried, results.as_ref())
             .await
@@ -196,7 +207,8 @@
         tried.push(chosen.id.clone());
         let failure = match end {
             AttemptEnd::Events(stream) => {
-                let relay = Relay::new(gateway, ask, service, chosen, results, log.attempts);
+                let relay = Relay::new(gateway, ask, service, chosen, results, log.attempts)
+                    .with_turn(turn);
                 return Ok(relay_events(relay, stream));
             }
             AttemptEnd::Whole(status, headers, body) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,9 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use linnet_directory::{DirectoryUpdate, DirectoryView, GatewayRecord, HeldDocument, TargetState};
+use linnet_directory::{
+    DirectoryUpdate, DirectoryView, GatewayRecord, HeldDocument, SuspectSource, TargetState,
+};
 use linnet_routing::{RouteTable, RoutingConfig};
 use linnet_telemetry::{EventCode, EventRecorder};
 use linnet_wire::PeerIdentity;
@@ -230,8 +232,20 @@
         }
     }
 
+    /// Returns what this host holds against requests, for the control hosts.
+    pub fn suspect_source(self: &Rc<Self>) -> SuspectSource {
+        let gateway = self.clone();
+        SuspectSource {
+            changes: self.suspects.changes(),
+            changed_after: Box::new(move |number, most| {
+                gateway.suspects.changed_after(number, most)
+            }),
+        }
+    }
+
     /// Takes an update of the directory.
     pub fn take_update(&self, from: SocketAddr, update: DirectoryUpdate) {
+        self.take_suspects(&update.suspects);
         let targets_changed = !update.targets.is_empty();
         let evacuated = update.evacuations.is_some();
         // The control host is told right after this that the update was taken, and the target then that
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod suspects;
 mod target;
 mod target_slowness;
+mod turn;
 mod upstream;
 mod wait_model;
 
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -28,6 +28,9 @@
     /// Targets are full, or the time left does not hold the work. It did not run.
     #[display("overloaded")]
     Overloaded,
+    /// Targets ended while it ran, each time it came, so it is not sent to any.
+    #[display("ends_targets")]
+    EndsTargets,
     /// A target may have run it and gave no usable answer.
     #[display("target_failed")]
     TargetFailed,
@@ -38,7 +41,7 @@
 
 impl RefusalReason {
     /// Returns every reason.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::NoRoute,
         Self::Unauthorized,
         Self::BadRequest,
@@ -46,6 +49,7 @@
         Self::NotReady,
         Self::NoTarget,
         Self::Overloaded,
+        Self::EndsTargets,
         Self::TargetFailed,
         Self::TimedOut,
     ];
--- a/crates/gateway/src/piece_message.rs
+++ b/crates/gateway/src/piece_message.rs
@@ -1,11 +1,13 @@
 //! What entry hosts tell each other of pieces and prompts.
 
+use linnet_quarantine::{RequestKey, SuspectRecord};
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{PlaceAsk, PlaceFacts};
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad, TargetUse};
 use crate::pool_key::PoolKey;
 use crate::stage_call::{CallEnd, StageCall, StageRelease};
+use crate::turn::TurnAnswer;
 
 /// What an entry host sends to the one that gathers the pieces of a service.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -41,6 +43,16 @@
     Release(StageRelease),
     /// This host could not reach an engine where a prompt was placed.
     Unreachable { service: String, engine: String },
+    /// What this host holds against requests.
+    Suspects(Vec<SuspectRecord>),
+    /// Say whether a request may run now that may end its targets; `id` is that of the sending, for the log.
+    TakeTurn {
+        number: u64,
+        key: RequestKey,
+        id: String,
+    },
+    /// That request has ended, or does not wait any more.
+    EndTurn(u64),
     /// A sign of life.
     Alive,
 }
@@ -58,6 +70,8 @@
         number: u64,
         engine: Option<(String, PlaceFacts)>,
     },
+    /// Whether a request may run now.
+    Turn { number: u64, answer: TurnAnswer },
     /// How a call ended that was sent for the other host.
     Called { number: u64, end: CallEnd },
     /// What this host uses of the targets of a pool; told to the hosts that would gather for the pool
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,6 +19,7 @@
 use crate::forward::take_repeat;
 use crate::graph::RequestResults;
 use crate::target::Chosen;
+use crate::turn::{RunTurn, take_turn};
 use crate::upstream::is_break;
 use crate::{AnswerBody, Gateway};
 
@@ -38,6 +39,8 @@
     events: u64,
     /// Whether its end has a line in the log.
     ended: bool,
+    /// The leave to run that it needed.
+    turn: Option<RunTurn>,
 }
 
 // The HTTP library drops a stream whose caller has closed the connection.
@@ -73,9 +76,16 @@
             last_event: None,
             events: 0,
             ended: false,
+            turn: None,
         }
     }
 
+    /// Sets the leave to run that it has.
+    pub(crate) fn with_turn(mut self, turn: Option<RunTurn>) -> Self {
+        self.turn = turn;
+        self
+    }
+
     fn take(&mut self, events: &Bytes) {
         self.events += 1;
         if let Some(id) = last_event_id(events) {
@@ -115,6 +125,9 @@
             .note_target_failure(&self.service, &self.chosen.id, cause);
         while self.ask.route.may_repeat()
             && self.attempts < self.ask.route.max_attempts
+            && take_turn(&self.gateway, &self.ask, &mut self.turn)
+                .await
+                .is_ok()
             && take_repeat(&self.gateway, &self.service)
         {
             self.attempts += 1;
--- a/crates/gateway/src/serve_pieces.rs
+++ b/crates/gateway/src/serve_pieces.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use linnet_quarantine::RequestKey;
 use linnet_wire::{PeerReader, PeerWriter, WireError};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
@@ -18,6 +19,7 @@
 use crate::pool_key::PoolKey;
 use crate::stage_call::{CallEnd, StageCall, StageRelease, send_call, send_release};
 use crate::stage_client::{ALIVE_PERIOD, IDLE_PERIOD, IDLE_SILENCE_LIMIT, SILENCE_LIMIT};
+use crate::turn::TurnAnswer;
 
 /// Serves the pieces of another entry host until it is lost; what it still waits for is withdrawn.
 ///
@@ -91,6 +93,8 @@
     placements: HashMap<u64, PlacementKey>,
     /// Pieces that it said will come.
     expectations: HashMap<u64, ExpectKey>,
+    /// Requests that may end their targets and run there now.
+    turns: HashMap<u64, RequestKey>,
 }
 
 impl PieceSession {
@@ -101,6 +105,7 @@
             work: Rc::default(),
             placements: HashMap::new(),
             expectations: HashMap::new(),
+            turns: HashMap::new(),
         }
     }
 
@@ -128,6 +133,9 @@
                 let mut targets = self.gateway.targets.borrow_mut();
                 targets.take_unreachable(&service, &engine, Instant::now());
             }
+            PieceRequest::Suspects(records) => self.gateway.take_suspects(&records),
+            PieceRequest::TakeTurn { number, key, id } => self.grant_turn(number, key, &id),
+            PieceRequest::EndTurn(number) => self.end_turn(number),
             PieceRequest::Alive => {}
         }
     }
@@ -196,6 +204,20 @@
         }
     }
 
+    fn grant_turn(&mut self, number: u64, key: RequestKey, id: &str) {
+        let answer = self.gateway.grant_turn(key, id);
+        if answer == TurnAnswer::Granted {
+            self.turns.insert(number, key);
+        }
+        let _ = self.replies.send(PieceReply::Turn { number, answer });
+    }
+
+    fn end_turn(&mut self, number: u64) {
+        if let Some(key) = self.turns.remove(&number) {
+            self.gateway.suspects.end_turn(key);
+        }
+    }
+
     fn send_call(&self, number: u64, call: StageCall) {
         let (gateway, replies) = (self.gateway.clone(), self.replies.clone());
         let work = self.work.clone();
@@ -219,6 +241,8 @@
         let mut engines = self.gateway.engines.borrow_mut();
         self.placements.values().for_each(|key| engines.end(*key));
         drop(engines);
+        let turns = self.turns.values();
+        turns.for_each(|key| self.gateway.suspects.end_turn(*key));
         let coordinator = &self.gateway.coordinator;
         let expected = self.expectations.values();
         expected.for_each(|key| coordinator.arrived(*key));
--- a/crates/gateway/src/serve_pieces/tests/fleet.rs
+++ b/crates/gateway/src/serve_pieces/tests/fleet.rs
@@ -224,6 +224,7 @@
         results: Default::default(),
         avoid: Vec::new(),
         closed: Vec::new(),
+        apart: false,
         homes: None,
     }
 }
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -7,6 +7,7 @@
 mod parts;
 mod place;
 mod sender;
+mod turn_ask;
 
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -399,6 +400,7 @@
             waiting: HashMap::new(),
             placing: HashMap::new(),
             calling: HashMap::new(),
+            turns: HashMap::new(),
         }
     }
 
@@ -421,7 +423,8 @@
             if to == LinkState::Lost {
                 let placing = std::mem::take(&mut link.placing);
                 let calling = std::mem::take(&mut link.calling);
-                (std::mem::take(&mut link.waiting), placing, calling)
+                let turns = std::mem::take(&mut link.turns);
+                (std::mem::take(&mut link.waiting), placing, calling, turns)
             } else {
                 Default::default()
             }
--- a/crates/gateway/src/stage_client/link.rs
+++ b/crates/gateway/src/stage_client/link.rs
@@ -62,6 +62,9 @@
             PieceReply::Done { number, results } => client.take_done(address, number, results),
             PieceReply::Placed { number, engine } => client.take_placed(address, number, engine),
             PieceReply::Called { number, end } => client.take_called(address, number, end),
+            PieceReply::Turn { number, answer } => {
+                client.take_turn_answer(address, number, answer);
+            }
             PieceReply::Uses { pool, uses } => {
                 client.coordinator.set_uses(reader.peer(), &pool, &uses);
             }
--- a/crates/gateway/src/stage_client/link_state.rs
+++ b/crates/gateway/src/stage_client/link_state.rs
@@ -9,6 +9,7 @@
 use crate::engine::PlaceFacts;
 use crate::piece_message::PieceRequest;
 use crate::stage_call::CallEnd;
+use crate::turn::TurnAnswer;
 
 /// Where a connection to another entry host stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,12 +32,17 @@
     pub(super) placing: HashMap<u64, oneshot::Sender<Option<(String, PlaceFacts)>>>,
     /// Calls that this host has the other one send.
     pub(super) calling: HashMap<u64, oneshot::Sender<CallEnd>>,
+    /// Questions whether a request may run.
+    pub(super) turns: HashMap<u64, oneshot::Sender<TurnAnswer>>,
 }
 
 impl Link {
     /// Says whether something is waited for.
     pub(super) fn is_waited_on(&self) -> bool {
-        !self.waiting.is_empty() || !self.placing.is_empty() || !self.calling.is_empty()
+        !self.waiting.is_empty()
+            || !self.placing.is_empty()
+            || !self.calling.is_empty()
+            || !self.turns.is_empty()
     }
 
     /// Sends a request whose answer `note` lets wait. While nothing was waited for the other side had
--- a/crates/gateway/src/stage_client/tests.rs
+++ b/crates/gateway/src/stage_client/tests.rs
@@ -96,6 +96,7 @@
         waiting: HashMap::new(),
         placing: HashMap::new(),
         calling: HashMap::new(),
+        turns: HashMap::new(),
     }
 }
 
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -5,7 +5,7 @@
 //! running there is accused. Where no answer comes, its next start tells.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -68,6 +68,8 @@
     changes: watch::Sender<u64>,
     ends: RefCell<HashMap<EndKey, EndState>>,
     silent: RefCell<Vec<SilentTarget>>,
+    /// Requests that this host lets run now, for all hosts.
+    turns: RefCell<HashSet<RequestKey>>,
 }
 
 impl SuspectWatch {
@@ -117,8 +119,22 @@
 
     /// Returns how many requests are held, and against how many something stands.
     pub(crate) fn counts(&self) -> (usize, usize) {
-        let book = self.book.borrow();
-        (book.held_count(), book.records(Instant::now()).len())
+        self.book.borrow().counts()
+    }
+
+    /// Counts a request as running; says whether it was not before.
+    pub(crate) fn begin_turn(&self, key: RequestKey) -> bool {
+        self.turns.borrow_mut().insert(key)
+    }
+
+    /// Notes that it does not run any more.
+    pub(crate) fn end_turn(&self, key: RequestKey) {
+        self.turns.borrow_mut().remove(&key);
+    }
+
+    /// Returns the records of requests that came to be held here since this was last asked.
+    fn drain_held(&self) -> Vec<SuspectRecord> {
+        self.book.borrow_mut().drain_held(Instant::now())
     }
 
     fn tell_changes(&self) {
@@ -127,7 +143,7 @@
             .send_if_modified(|told| std::mem::replace(told, number) != number);
     }
 
-    /// Forgets what is old; returns the requests that were held until then.
+    /// Decides and forgets what is old; returns the requests that were held until then.
     fn expire(&self, now: Instant) -> Vec<RequestSubject> {
         let mut ends = self.ends.borrow_mut();
         ends.retain(|_, state| match state {
@@ -136,7 +152,12 @@
         });
         let mut silent = self.silent.borrow_mut();
         silent.retain(|one| now.saturating_duration_since(one.since) < START_AWAITED);
-        self.book.borrow_mut().expire(now)
+        let mut book = self.book.borrow_mut();
+        book.settle(now);
+        let past = book.expire(now);
+        drop(book);
+        self.tell_changes();
+        past
     }
 
     /// Takes those silent targets out of which the list of targets has another start.
@@ -312,8 +333,12 @@
         self.suspects.tell_changes();
     }
 
-    /// Forgets what is old of requests that may end targets.
+    /// Decides on requests that may end targets, tells which are held, and forgets what is old.
     pub(crate) fn expire_suspects(&self) {
+        for record in self.suspects.drain_held() {
+            let detail = format!("{} ends={}", describe(&record.subject), record.ends.len());
+            self.note(EventCode::RequestHeld, &detail);
+        }
         for subject in self.suspects.expire(Instant::now()) {
             let detail = format!("{} cause=not seen for long", describe(&subject));
             self.note(EventCode::RequestReleased, &detail);
--- /dev/null
+++ b/crates/gateway/src/turn.rs
@@ -0,0 +1,162 @@
+//! Leave to run a request that may end its targets.
+//!
+//! One host, the same one for all as far as they know the same hosts, lets such a request run once at a time.
+//! Nobody is asked for any other request.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use linnet_quarantine::{RequestKey, RequestStanding};
+use linnet_telemetry::EventCode;
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::ask::Ask;
+use crate::suspects::describe;
+use crate::{Gateway, Refusal, RefusalReason};
+
+/// Between two questions whether a request may run now.
+const ASK_PERIOD: Duration = Duration::from_millis(40);
+
+/// How long a request waits for its turn at most, and the part of the time that is left to it. An end is
+/// decided on after 150 ms; a run of a plain request takes less than that.
+const TURN_PATIENCE: Duration = Duration::from_millis(1_000);
+const TURN_PART: f64 = 0.25;
+
+/// When a caller should come back whose request did not get its turn.
+const TURN_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// What the host that gives turns answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum TurnAnswer {
+    /// It may run now.
+    Granted,
+    /// It runs elsewhere, or it is not decided yet what holds of it.
+    Busy,
+    /// It is held.
+    Held,
+}
+
+/// Where a turn was given.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum TurnHome {
+    /// By this host.
+    Here,
+    /// By another one, under a number of this host's.
+    Remote(SocketAddr, u64),
+}
+
+/// Leave to run a request, given back when it is dropped.
+pub(crate) struct RunTurn {
+    gateway: Rc<Gateway>,
+    key: RequestKey,
+    home: TurnHome,
+}
+
+impl Drop for RunTurn {
+    fn drop(&mut self) {
+        match self.home {
+            TurnHome::Here => self.gateway.suspects.end_turn(self.key),
+            TurnHome::Remote(address, number) => {
+                // What came of the run reaches that host before it lets the request run again.
+                let record = self.gateway.suspects.record(self.key);
+                self.gateway.stages.tell_suspect(address, record);
+                self.gateway.stages.end_turn(address, number);
+            }
+        }
+    }
+}
+
+/// Lets a request run: at once where nothing is held against it, after the others of its kind where it is
+/// suspect. `turn` keeps the leave that it needed.
+///
+/// # Errors
+///
+/// [`RefusalReason::EndsTargets`] where it is held, [`RefusalReason::Overloaded`] where it did not get its
+/// turn in time.
+pub(crate) async fn take_turn(
+    gateway: &Rc<Gateway>,
+    ask: &Ask,
+    turn: &mut Option<RunTurn>,
+) -> Result<(), Refusal> {
+    let patience = TURN_PATIENCE.min(ask.time_left().mul_f64(TURN_PART));
+    let until = Instant::now() + patience;
+    loop {
+        match gateway.suspects.standing(ask) {
+            RequestStanding::Free => return Ok(()),
+            RequestStanding::Suspect if turn.is_some() => return Ok(()),
+            RequestStanding::Held { trial_due: false } => return Err(held(gateway, ask)),
+            RequestStanding::Undecided => {}
+            RequestStanding::Suspect | RequestStanding::Held { trial_due: true } => {
+                let (answer, home) = ask_turn(gateway, ask).await;
+                match answer {
+                    TurnAnswer::Granted => {
+                        ask.apart.set(true);
+                        *turn = Some(RunTurn {
+                            gateway: gateway.clone(),
+                            key: ask.subject().key,
+                            home,
+                        });
+                        return Ok(());
+                    }
+                    TurnAnswer::Held => return Err(held(gateway, ask)),
+                    TurnAnswer::Busy => {}
+                }
+            }
+        }
+        if Instant::now() + ASK_PERIOD > until {
+            return Err(no_turn(ask));
+        }
+        sleep(ASK_PERIOD).await;
+    }
+}
+
+async fn ask_turn(gateway: &Rc<Gateway>, ask: &Ask) -> (TurnAnswer, TurnHome) {
+    let key = ask.subject().key;
+    let Some(address) = gateway.stages.turn_host(key) else {
+        return (gateway.grant_turn(key, &ask.id), TurnHome::Here);
+    };
+    // That host may not have heard yet what is held against the request.
+    let stages = &gateway.stages;
+    stages.tell_suspect(address, gateway.suspects.record(key));
+    let (answer, number) = stages.ask_turn(address, key, &ask.id).await;
+    (answer, TurnHome::Remote(address, number))
+}
+
+fn held(gateway: &Gateway, ask: &Ask) -> Refusal {
+    let key = ask.subject().key;
+    gateway.suspects.note_refused(key);
+    let record = gateway.suspects.record(key);
+    let (ends, age_ms) = record.map_or((0, 0), |record| (record.ends.len(), record.age_ms));
+    let detail = format!(
+        "{ends} targets ended while this request ran, the last one {age_ms} ms ago; key={key}"
+    );
+    Refusal::new(RefusalReason::EndsTargets, detail)
+}
+
+fn no_turn(ask: &Ask) -> Refusal {
+    let key = ask.subject().key;
+    let detail = format!("targets ended under this request; it runs once at a time; key={key}");
+    Refusal::new(RefusalReason::Overloaded, detail).with_retry_after(TURN_RETRY_AFTER)
+}
+
+impl Gateway {
+    /// Decides, for all hosts, whether a request may run now; counts it as running where it may.
+    pub(crate) fn grant_turn(&self, key: RequestKey, id: &str) -> TurnAnswer {
+        match self.suspects.standing_of(key) {
+            RequestStanding::Held { trial_due: false } => return TurnAnswer::Held,
+            RequestStanding::Undecided => return TurnAnswer::Busy,
+            _ if !self.suspects.begin_turn(key) => return TurnAnswer::Busy,
+            RequestStanding::Held { trial_due: true } => {
+                self.suspects.note_trial(key);
+                if let Some(record) = self.suspects.record(key) {
+                    let detail = format!("{} trials={}", describe(&record.subject), record.trials);
+                    self.note_request(EventCode::RequestTried, id, "", detail);
+                }
+            }
+            RequestStanding::Free | RequestStanding::Suspect => {}
+        }
+        TurnAnswer::Granted
+    }
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -181,6 +181,8 @@
     let (_, gateway) = watch::channel(None);
     let taking = node.clone();
     let config = FollowConfig {
+        // Control hosts tell each other in their updates.
+        suspects: None,
         identity: node.identity().clone(),
         recorder: recorder.clone(),
         gateway,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -118,6 +118,7 @@
             held: Box::new(move || holding.held_document()),
             take: Box::new(move |document| taking.take_document(document)),
         }),
+        suspects: Some(gateway.suspect_source()),
         control: false,
         me: peers,
         seeds: seeds_read,
--- a/crates/quarantine/src/book.rs
+++ b/crates/quarantine/src/book.rs
@@ -1,6 +1,6 @@
 //! The records of a process.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use crate::guilt::{Candidate, HOLDING_ENDS, explain_ends, unexplained};
@@ -68,6 +68,8 @@
     number: u64,
     /// The request that explains an end.
     explained: BTreeMap<EndKey, RequestKey>,
+    /// Requests that came to be held here and were not told of by [`SuspectBook::drain_held`] yet.
+    newly_held: Vec<RequestKey>,
     /// When the next request is decided on.
     decides_next: Option<Instant>,
 }
@@ -172,10 +174,11 @@
         freed
     }
 
-    /// Says whether an end is held against any request.
-    pub fn knows_end(&self, end: EndKey) -> bool {
-        let mut all = self.suspects.values();
-        all.any(|one| one.record.ends.contains(&end))
+    /// Returns the ends that are held against any request.
+    pub fn known_ends(&self) -> HashSet<EndKey> {
+        let all = self.suspects.values();
+        all.flat_map(|one| one.record.ends.iter().copied())
+            .collect()
     }
 
     /// Notes that a held request is run once more.
@@ -211,6 +214,7 @@
         let suspect = self.suspect(&told.subject, at);
         let weighed = suspect.record.may_be_cause();
         let ends = suspect.record.ends.len();
+        let was_held = suspect.record.held;
         let refreshed = at.saturating_duration_since(suspect.last) >= REFUSAL_TOLD;
         let altered = suspect.record.merge(told);
         if altered {
@@ -221,6 +225,9 @@
             return false;
         }
         let gained = suspect.record.ends.len() > ends;
+        if suspect.record.held && !was_held {
+            self.newly_held.push(key);
+        }
         self.mark_changed(key);
         if weighed || told.held {
             self.weigh();
@@ -269,6 +276,13 @@
         Some(self.suspects.get(&key)?.told(now))
     }
 
+    /// Returns the records of requests that came to be held here since this was last asked.
+    pub fn drain_held(&mut self, now: Instant) -> Vec<SuspectRecord> {
+        let keys = std::mem::take(&mut self.newly_held);
+        let records = keys.into_iter().filter_map(|key| self.record(key, now));
+        records.filter(|one| one.held).collect()
+    }
+
     /// Returns every record against which anything stands, the held ones first.
     pub fn records(&self, now: Instant) -> Vec<SuspectRecord> {
         let standing = self.suspects.values();
@@ -278,10 +292,11 @@
         records
     }
 
-    /// Returns how many requests are held.
-    pub fn held_count(&self) -> usize {
-        let all = self.suspects.values();
-        all.filter(|one| one.record.held).count()
+    /// Returns how many requests are held, and against how many anything stands.
+    pub fn counts(&self) -> (usize, usize) {
+        let all = || self.suspects.values().map(|one| &one.record);
+        let accused = all().filter(|one| !one.ends.is_empty());
+        (all().filter(|one| one.held).count(), accused.count())
     }
 
     fn suspect(&mut self, subject: &RequestSubject, at: Instant) -> &mut Suspect {
@@ -339,6 +354,7 @@
                 continue;
             };
             suspect.record.held = true;
+            self.newly_held.push(key);
             self.mark_changed(key);
         }
     }
--- a/crates/quarantine/src/book/tests.rs
+++ b/crates/quarantine/src/book/tests.rs
@@ -61,7 +61,7 @@
     accuse_at(&mut book, &guilty, &[3], now);
     assert_eq!(book.standing(guilty.key, now), RequestStanding::Undecided);
     assert_eq!(decided(&mut book, &guilty, now), REFUSED);
-    assert_eq!(book.held_count(), 1);
+    assert_eq!(book.counts(), (1, 1));
 }
 
 #[test]
@@ -123,9 +123,9 @@
     accuse_at(&mut book, &first, &[1, 2, 3], now);
     accuse_at(&mut book, &second, &[3], now);
     assert_eq!(decided(&mut book, &first, now), REFUSED);
-    assert!(book.knows_end(end(3)));
+    assert!(book.known_ends().contains(&end(3)));
     assert_eq!(book.retract(end(3)).len(), 2);
-    assert!(!book.knows_end(end(3)));
+    assert!(!book.known_ends().contains(&end(3)));
     assert_eq!(book.standing(first.key, now), RequestStanding::Suspect);
 }
 
