Stage calls whose target ended: their requests are accused and go on apart

Found by reading; the new test of the state fails on the former code by construction (no such end was known). Another start of a stage target under its identity begins with nothing held.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -14,7 +14,7 @@
 mod state;
 
 pub(crate) use batch::BatchKey;
-pub(crate) use pool::{HALL_BYTES, LEAST_REFUSED_WAIT_MS};
+pub(crate) use pool::{DueCall, HALL_BYTES, LEAST_REFUSED_WAIT_MS};
 pub(crate) use queue::Coordinator;
 pub(crate) use sending::{SendingShare, SharedCall};
 pub(crate) use state::ExpectKey;
--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -12,6 +12,8 @@
 use super::queue::Coordinator;
 use crate::pool_key::PoolKey;
 use crate::stage_call::{CallEnd, CallPart, StageCall, ask_free_bytes};
+use crate::suspects::PROBE_PATIENCE;
+use crate::upstream::ProbeOutcome;
 
 /// How much longer than expected a call is waited for in all, as a factor and a span.
 const BOUND_FACTOR: f64 = 5.0;
@@ -32,6 +34,7 @@
             Err(_) => (wait_on(&coordinator, &call, sent, started).await, true),
         }
     };
+    let end = look_for_end(&coordinator, &call, end).await;
     note_end(&coordinator, &call, &end, sender, started.elapsed());
     let pool = call.pool.clone();
     if let Some(rest) = coordinator.finish_call(call, end, late) {
@@ -40,6 +43,19 @@
     }
 }
 
+/// Finds out whether a target that broke a connection has ended, and tells which requests had pieces there.
+async fn look_for_end(coordinator: &Coordinator, call: &DueCall, end: CallEnd) -> CallEnd {
+    let CallEnd::Broke(cause) = end else {
+        return end;
+    };
+    let probe = timeout(PROBE_PATIENCE, coordinator.pool.probe(call.address));
+    if probe.await != Ok(ProbeOutcome::Refused) {
+        return CallEnd::Failed(cause);
+    }
+    coordinator.note_target_end(call);
+    CallEnd::Ended(cause)
+}
+
 /// Serves what waits in a pool once the next call to one of its targets may be sent.
 pub(super) async fn dispatch_after(coordinator: Rc<Coordinator>, pool: PoolKey, after: Duration) {
     sleep(after).await;
@@ -92,7 +108,13 @@
         }
         CallEnd::Busy => (EventCode::StageCallFailed, "cause=busy".to_owned()),
         CallEnd::OtherTarget => (EventCode::StageCallFailed, "cause=other target".to_owned()),
-        CallEnd::Failed(cause) => (EventCode::StageCallFailed, format!("cause={cause}")),
+        CallEnd::Failed(cause) | CallEnd::Broke(cause) => {
+            (EventCode::StageCallFailed, format!("cause={cause}"))
+        }
+        CallEnd::Ended(cause) => (
+            EventCode::StageCallFailed,
+            format!("cause=the target has ended: {cause}"),
+        ),
         CallEnd::SenderLost => (EventCode::StageCallFailed, "cause=sender lost".to_owned()),
     };
     let mut requests: Vec<&str> = call
--- a/crates/gateway/src/coordinator/pool.rs
+++ b/crates/gateway/src/coordinator/pool.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use linnet_directory::TargetRecord;
+use linnet_quarantine::RequestKey;
 use linnet_routing::StagePool;
 
 use super::batch::PieceKey;
@@ -41,6 +42,12 @@
     pub(super) result_bytes: u64,
     pub(crate) work: Rc<StageWork>,
     pub(super) tries: u32,
+    /// By what its request is known when it comes again.
+    pub(crate) key: RequestKey,
+    /// Targets that ended while they worked on it.
+    pub(super) ends: u32,
+    /// Whether no other's pieces may go with it, since it may have been the cause.
+    pub(super) apart: bool,
 }
 
 pub(super) struct PoolQueue {
@@ -54,10 +61,11 @@
 pub(crate) struct DueCall {
     pub(crate) pool: PoolKey,
     pub(crate) target: String,
+    pub(crate) born: u64,
     pub(crate) address: SocketAddr,
     /// The target's data hall.
     pub(crate) hall: String,
-    pub(super) began: Instant,
+    pub(crate) began: Instant,
     /// How long it takes by the pool's settings.
     pub(crate) expected: Duration,
     /// How long it may take before it counts as late.
@@ -78,6 +86,7 @@
         Self {
             pool: pool.clone(),
             target: id.to_owned(),
+            born: target.born,
             address: target.address,
             hall: target.hall.clone(),
             began: now,
@@ -91,6 +100,13 @@
         }
     }
 
+    /// Says whether a piece may go with those that are in the call: one that may end its target goes with
+    /// those of its own request only.
+    fn takes(&self, waiting: &Waiting) -> bool {
+        let mut others = self.pieces.iter().filter(|one| one.key != waiting.key);
+        others.all(|one| !one.apart && !waiting.apart)
+    }
+
     fn push(&mut self, waiting: Waiting) {
         self.reserved += waiting.result_bytes;
         self.pieces.push(waiting);
@@ -117,6 +133,13 @@
         for (id, target) in &mut self.targets {
             target.listed = wanted.contains_key(id.as_str());
         }
+        // Another start under the same identity holds nothing of the one before.
+        let is_same = |id: &String, target: &mut StageTarget| {
+            wanted
+                .get(id.as_str())
+                .is_none_or(|record| record.born == target.born)
+        };
+        self.targets.retain(is_same);
         for (id, record) in wanted {
             let targets = self.targets.entry(id.to_owned());
             let target = targets.or_insert_with(|| StageTarget::new(record));
@@ -324,6 +347,7 @@
         let fits = |id: &str, target: &StageTarget| {
             let in_call = open.get(id).map_or(0, |call| call.pieces.len());
             in_call < self.spec.batch as usize
+                && open.get(id).is_none_or(|call| call.takes(waiting))
                 && waiting.homes.allow(&target.hall)
                 && target.is_free(&self.spec, now)
                 && self.has_room(target, waiting)
--- a/crates/gateway/src/coordinator/pool/tests.rs
+++ b/crates/gateway/src/coordinator/pool/tests.rs
@@ -69,6 +69,9 @@
             result_bytes: RESULT_BYTES,
             work: work.clone(),
             tries: 0,
+            key: RequestKey::default(),
+            ends: 0,
+            apart: false,
         });
     }
 }
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -25,6 +25,9 @@
 /// The load of each pool that has work, as other hosts are told it.
 pub(crate) type ToldLoads = Rc<[(PoolKey, PoolLoad)]>;
 
+/// Hears of a call under which a target ended.
+pub(crate) type EndWatch = Box<dyn Fn(&DueCall)>;
+
 /// Gathers pieces for the services that this host was chosen for.
 pub(crate) struct Coordinator {
     pub(crate) dialect: Dialect,
@@ -33,6 +36,8 @@
     state: RefCell<QueueState>,
     rate: RefCell<SendingRate>,
     share: OnceCell<SendingShare>,
+    /// Hears of calls under which a target ended.
+    end_watch: OnceCell<EndWatch>,
     /// What [`Coordinator::loads`] returned last, and when it was worked out.
     told_loads: RefCell<Option<(ToldLoads, Instant)>>,
 }
@@ -57,6 +62,7 @@
             state: RefCell::default(),
             rate: RefCell::new(SendingRate::new(shared_bytes_per_s, Instant::now())),
             share: OnceCell::new(),
+            end_watch: OnceCell::new(),
             told_loads: RefCell::default(),
         }
     }
@@ -66,6 +72,17 @@
         let _ = self.share.set(share);
     }
 
+    /// Takes who hears of calls under which a target ended.
+    pub(crate) fn set_end_watch(&self, watch: EndWatch) {
+        let _ = self.end_watch.set(watch);
+    }
+
+    pub(super) fn note_target_end(&self, call: &DueCall) {
+        if let Some(watch) = self.end_watch.get() {
+            watch(call);
+        }
+    }
+
     /// Sends a call to its target, unless another host does.
     pub(super) async fn carry(&self, call: &StageCall, shared: Option<SharedCall>) -> CallEnd {
         match shared {
--- a/crates/gateway/src/coordinator/stage_target.rs
+++ b/crates/gateway/src/coordinator/stage_target.rs
@@ -59,6 +59,8 @@
 
 /// A target of a stage pool.
 pub(super) struct StageTarget {
+    /// When this start of it began.
+    pub(super) born: u64,
     pub(super) address: SocketAddr,
     pub(super) hall: String,
     /// Calls of this host that are at work there.
@@ -98,6 +100,7 @@
 impl StageTarget {
     pub(super) fn new(record: &TargetRecord) -> Self {
         Self {
+            born: record.born,
             address: record.address,
             hall: record.hall.clone(),
             busy: 0,
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -21,6 +21,10 @@
 /// How often a piece is given to a target before it counts as failed.
 const MAX_TRIES: u32 = 3;
 
+/// Targets that may end while they work on a piece. What comes of it after that is decided for the whole
+/// request, by what all hosts know of it.
+const MAX_ENDS: u32 = 2;
+
 /// Names pieces that are expected at a coordinator.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct ExpectKey(u64);
@@ -32,7 +36,7 @@
         CallEnd::Answered(..) => Some(CallVerdict::InTime),
         CallEnd::Busy => Some(CallVerdict::Busy),
         CallEnd::OtherTarget => Some(CallVerdict::OtherTarget),
-        CallEnd::Failed(_) => Some(CallVerdict::Failed),
+        CallEnd::Failed(_) | CallEnd::Broke(_) | CallEnd::Ended(_) => Some(CallVerdict::Failed),
         CallEnd::SenderLost => None,
     }
 }
@@ -49,7 +53,10 @@
     match end {
         CallEnd::Answered(outcomes, _) => outcomes,
         CallEnd::Busy | CallEnd::OtherTarget => vec![Err(PieceFault::NotTaken); pieces],
-        CallEnd::Failed(_) | CallEnd::SenderLost => vec![Err(PieceFault::Failed); pieces],
+        CallEnd::Failed(_) | CallEnd::Broke(_) | CallEnd::SenderLost => {
+            vec![Err(PieceFault::Failed); pieces]
+        }
+        CallEnd::Ended(_) => vec![Err(PieceFault::TargetsEnded); pieces],
     }
 }
 
@@ -82,7 +89,10 @@
 fn may_pay(outcome: &PieceOutcome) -> bool {
     matches!(
         outcome,
-        Err(PieceFault::Failed | PieceFault::NoRoom | PieceFault::NotTaken)
+        Err(PieceFault::Failed
+            | PieceFault::NoRoom
+            | PieceFault::NotTaken
+            | PieceFault::TargetsEnded)
     )
 }
 
@@ -104,10 +114,10 @@
                 }
             }
         }
-        CallEnd::Failed(_) | CallEnd::SenderLost => {
+        CallEnd::Failed(_) | CallEnd::Broke(_) | CallEnd::SenderLost => {
             target.results.insert(lost, call.reserved, until);
         }
-        CallEnd::Busy | CallEnd::OtherTarget => {}
+        CallEnd::Busy | CallEnd::OtherTarget | CallEnd::Ended(_) => {}
     }
 }
 
@@ -180,6 +190,9 @@
             result_bytes: batch.result_bytes,
             work: work.clone(),
             tries: 0,
+            key: batch.key,
+            ends: 0,
+            apart: batch.apart,
         });
         pool.wait(pieces.collect());
         key
@@ -260,7 +273,9 @@
         if !pool.has_sound_target() {
             return;
         }
-        let lone = |waiting: &&Waiting| self.batches.copies_of(waiting.piece) == Some(1);
+        // One that may end its target is at one target at a time.
+        let lone =
+            |waiting: &&Waiting| !waiting.apart && self.batches.copies_of(waiting.piece) == Some(1);
         let copies = call.pieces.iter().filter(lone);
         let copies: Vec<Waiting> = copies.cloned().collect();
         for copy in &copies {
@@ -302,9 +317,13 @@
         let outcomes = outcomes_of(end, call.pieces.len());
         let mut again = Vec::new();
         for (mut waiting, outcome) in call.pieces.into_iter().zip(outcomes) {
+            if outcome == Err(PieceFault::TargetsEnded) {
+                waiting.ends += 1;
+                waiting.apart = true;
+            }
             let alone = self.batches.copies_of(waiting.piece) == Some(1);
-            if alone && may_pay(&outcome) && waiting.tries + 1 < MAX_TRIES && waiting.deadline > now
-            {
+            let tried = waiting.tries + 1 >= MAX_TRIES || waiting.ends >= MAX_ENDS;
+            if alone && may_pay(&outcome) && !tried && waiting.deadline > now {
                 waiting.tries += u32::from(outcome == Err(PieceFault::Failed));
                 again.push(waiting);
                 continue;
--- a/crates/gateway/src/coordinator/state/tests.rs
+++ b/crates/gateway/src/coordinator/state/tests.rs
@@ -1,8 +1,10 @@
 mod burst;
+mod ended;
 
 use std::cell::RefCell;
 
 use linnet_directory::TargetState;
+use linnet_quarantine::RequestKey;
 
 use super::*;
 use crate::load::ReportedLoad;
@@ -66,6 +68,8 @@
         hall: None,
         homes: None,
         result_bytes: 1_000,
+        key: RequestKey::default(),
+        apart: false,
         work: StageWork {
             request: "request".to_owned(),
             stage: 0,
--- a/crates/gateway/src/coordinator/state/tests/burst.rs
+++ b/crates/gateway/src/coordinator/state/tests/burst.rs
@@ -6,6 +6,7 @@
 use std::collections::{BinaryHeap, VecDeque};
 
 use linnet_directory::TargetState;
+use linnet_quarantine::RequestKey;
 
 use super::*;
 use crate::piece::{PieceInput, StageWork};
@@ -177,6 +178,8 @@
             hall: None,
             homes: None,
             result_bytes: 6_000,
+            key: RequestKey::default(),
+            apart: false,
             work: StageWork {
                 request: "request".to_owned(),
                 stage: 2,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -156,6 +156,12 @@
             gateway_record: watch::Sender::new(Some(record)),
             config,
         });
+        let watching = Rc::downgrade(&gateway);
+        gateway.coordinator.set_end_watch(Box::new(move |call| {
+            if let Some(gateway) = watching.upgrade() {
+                gateway.note_call_end(call);
+            }
+        }));
         ntex::rt::spawn(keep_house(gateway.clone()));
         ntex::rt::spawn(target_list::keep_targets(gateway.clone()));
         gateway
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -262,6 +262,8 @@
         hall,
         homes: ask.homes.to_told(),
         result_bytes: stage.result_bytes,
+        key: ask.subject().key,
+        apart: ask.apart.get(),
         work: StageWork {
             request: ask.id.clone(),
             stage: number,
--- a/crates/gateway/src/piece.rs
+++ b/crates/gateway/src/piece.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use derive_more::Display;
+use linnet_quarantine::RequestKey;
 use linnet_routing::StagePool;
 use serde::{Deserialize, Serialize};
 
@@ -47,6 +48,9 @@
     /// The target failed.
     #[display("failed")]
     Failed,
+    /// Targets ended while they worked on it.
+    #[display("its targets ended")]
+    TargetsEnded,
     /// The queue is too long for the time that is left; nothing was started.
     #[display("queue too long")]
     Refused,
@@ -139,6 +143,10 @@
     pub homes: Option<Vec<String>>,
     /// About how large one result is, in bytes.
     pub result_bytes: u64,
+    /// By what the request is known when it comes again.
+    pub(crate) key: RequestKey,
+    /// Whether the request may end its targets, so that no other's pieces go with these.
+    pub(crate) apart: bool,
     /// What the pieces share; sent once, since the handles of many results are long.
     pub work: StageWork,
     /// How many pieces there are, numbered from 0.
--- a/crates/gateway/src/serve_pieces/tests/fleet.rs
+++ b/crates/gateway/src/serve_pieces/tests/fleet.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use linnet_quarantine::RequestKey;
 use linnet_telemetry::HybridClock;
 use linnet_wire::{PeerGreeting, PeerIdentity, PeerKey, PeerKeyRing, PeerReader, connect_peer};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -195,6 +196,8 @@
         hall: None,
         homes: None,
         result_bytes: 6_000,
+        key: RequestKey::default(),
+        apart: false,
         work: StageWork {
             request: format!("{number:016x}"),
             stage: 2,
--- a/crates/gateway/src/stage_call.rs
+++ b/crates/gateway/src/stage_call.rs
@@ -16,7 +16,7 @@
 use crate::dialect::StageItem;
 use crate::load::ReportedLoad;
 use crate::piece::{PieceFault, PieceInput, StageWork};
-use crate::upstream::UpstreamPool;
+use crate::upstream::{SendError, UpstreamPool};
 
 /// About what a piece takes in the body of a call beside its inputs, in bytes: its names and numbers.
 const PIECE_BYTES: usize = 90;
@@ -103,6 +103,10 @@
     OtherTarget,
     /// No usable answer.
     Failed(String),
+    /// The target broke the connection. Whoever gathers finds out whether it has ended.
+    Broke(String),
+    /// The target has ended.
+    Ended(String),
     /// The entry host that was to send it was lost, so that nothing is known of the target.
     SenderLost,
 }
@@ -130,6 +134,7 @@
     };
     let (head, body) = match upstream.exchange(call.address, request).await {
         Ok(answered) => answered,
+        Err(SendError::MayHaveRun { cause, broke: true }) => return CallEnd::Broke(cause),
         Err(error) => return CallEnd::Failed(error.to_string()),
     };
     if head.status == targets.other_target {
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -20,13 +20,14 @@
 
 use crate::Gateway;
 use crate::ask::Ask;
+use crate::coordinator::DueCall;
 use crate::target::{Chosen, TargetBook};
 use crate::upstream::ProbeOutcome;
 
 /// How long a request waits to hear whether its target has ended, before it is sent to another one. A target
 /// that listens or has ended answers within a round trip between halls, some 2 ms; one that does not
 /// answer says nothing.
-const PROBE_PATIENCE: Duration = Duration::from_millis(25);
+pub(crate) const PROBE_PATIENCE: Duration = Duration::from_millis(25);
 
 /// How long an end is known here, for requests that hear of their broken connection later than others.
 const END_KEPT: Duration = Duration::from_secs(5);
@@ -300,6 +301,28 @@
         self.suspects.tell_changes();
     }
 
+    /// Notes that a target of a stage pool ended under a call with pieces of some requests.
+    pub(crate) fn note_call_end(&self, call: &DueCall) {
+        let mut cut: Vec<CutRequest> = Vec::new();
+        for piece in &call.pieces {
+            if cut.iter().all(|one| one.subject.key != piece.key) {
+                cut.push(CutRequest {
+                    id: piece.work.request.clone(),
+                    subject: RequestSubject::unnamed(piece.key),
+                    ran: call.began.elapsed(),
+                });
+            }
+        }
+        let chosen = Chosen {
+            id: call.target.clone(),
+            born: call.born,
+            address: call.address,
+            hall: call.hall.clone(),
+        };
+        let end = EndKey::new(&chosen.id, chosen.born);
+        self.note_end(&call.pool.service, &chosen, end, &cut);
+    }
+
     /// Notes that a target answered a request whole, which speaks for the request.
     pub(crate) fn note_whole_run(&self, ask: &Ask, target: &str) {
         if self.suspects.book.borrow().is_empty() {
--- a/crates/quarantine/src/book.rs
+++ b/crates/quarantine/src/book.rs
@@ -116,6 +116,7 @@
     pub fn accuse(&mut self, subject: &RequestSubject, end: EndKey, now: Instant) -> bool {
         self.make_room(subject);
         let suspect = self.suspect(subject, now);
+        suspect.record.subject.take_name(subject);
         if !suspect.record.add_end(end) {
             return false;
         }
--- a/crates/quarantine/src/key.rs
+++ b/crates/quarantine/src/key.rs
@@ -10,7 +10,7 @@
 /// What all sendings of a request have in common: its account, method, host, path and body. The identity
 /// that a caller gives to one sending is not among them, nor are other headers, since the same request comes
 /// again with other ones. Requests of two accounts never have the same key.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RequestKey([u8; KEY_BYTES]);
 
 impl RequestKey {
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -43,6 +43,28 @@
     }
 }
 
+impl RequestSubject {
+    /// Creates the subject of a request of which only the key is known here. A record takes the rest from
+    /// whoever knows it.
+    pub fn unnamed(key: RequestKey) -> Self {
+        Self {
+            key,
+            account: String::new(),
+            method: String::new(),
+            path: String::new(),
+        }
+    }
+
+    /// Takes the rest where only the key was known; says whether that was so.
+    pub(crate) fn take_name(&mut self, other: &Self) -> bool {
+        let unnamed = self.method.is_empty() && !other.method.is_empty();
+        if unnamed {
+            self.clone_from(other);
+        }
+        unnamed
+    }
+}
+
 /// What is held against one request.
 ///
 /// Records of two hosts merge into the same one whatever the order: a later round wins, and within a round
@@ -97,13 +119,15 @@
 
     /// Takes what another host holds against the same request; says whether that changed anything.
     pub(crate) fn merge(&mut self, other: &Self) -> bool {
+        let named = self.subject.take_name(&other.subject);
         if other.round < self.round {
-            return false;
+            return named;
         }
         if other.round > self.round {
-            let age_ms = self.age_ms;
-            *self = other.clone();
-            self.age_ms = age_ms;
+            self.round = other.round;
+            self.ends.clone_from(&other.ends);
+            self.held = other.held;
+            self.trials = other.trials;
             return true;
         }
         let (ends, held, trials) = (self.ends.len(), self.held, self.trials);
@@ -112,6 +136,6 @@
         }
         self.held |= other.held;
         self.trials = self.trials.max(other.trials);
-        (ends, held, trials) != (self.ends.len(), self.held, self.trials)
+        named || (ends, held, trials) != (self.ends.len(), self.held, self.trials)
     }
 }
