Held requests outlast the loss of all power

A fleet whose processes all end at once forgot what it held, and would find it out again with three more targets. Weighed: a file of each control host's own (no quorum needed, but a replaced host or a lost disk brings an old one back). Telling goes on without the log, which needs a quorum. Test: all seven processes killed and started, less than three ends after; before, it waits in vain for a line of the log.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -18,6 +18,7 @@
 mod follow;
 mod form;
 mod gateway_push;
+mod held_requests;
 mod history;
 mod machine;
 mod message;
--- a/crates/directory/src/machine.rs
+++ b/crates/directory/src/machine.rs
@@ -2,10 +2,13 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use linnet_quarantine::SuspectRecord;
 use linnet_quorum::MachineHooks;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
+use crate::held_requests::HeldRequests;
 use crate::history::DocumentHistory;
 use crate::{
     Document, DocumentKey, DocumentPayload, EvacuationBook, EvacuationOrder, EvacuationOutcome,
@@ -24,6 +27,8 @@
     Read,
     /// Take a hall out of work, or back.
     Evacuate(EvacuationOrder),
+    /// Keep what is held against requests.
+    Hold(Vec<SuspectRecord>),
 }
 
 /// The answer to a [`DocumentCommand`].
@@ -35,6 +40,8 @@
     Document(Option<Document>),
     /// To `Evacuate`.
     Evacuation(EvacuationOutcome),
+    /// To `Hold`.
+    Done,
 }
 
 /// The state machine of the replicated log.
@@ -42,6 +49,8 @@
 pub struct DocumentMachine {
     history: Arc<Mutex<DocumentHistory>>,
     evacuations: Arc<Mutex<Arc<EvacuationBook>>>,
+    held_requests: Arc<Mutex<HeldRequests>>,
+    holds: Arc<watch::Sender<u64>>,
     changed: Arc<watch::Sender<u64>>,
 }
 
@@ -94,6 +103,10 @@
             Ok(DocumentCommand::Evacuate(order)) => {
                 DocumentAnswer::Evacuation(self.evacuate(&order))
             }
+            Ok(DocumentCommand::Hold(records)) => {
+                self.hold(&records);
+                DocumentAnswer::Done
+            }
             // A command of another program version changes nothing here.
             Err(_) => DocumentAnswer::Held(self.held().map_or(0, |held| held.version())),
         };
@@ -120,16 +133,37 @@
         outcome
     }
 
+    /// Returns the held requests that the log keeps.
+    pub(crate) fn held_requests(&self) -> Vec<SuspectRecord> {
+        self.lock_held().records()
+    }
+
+    /// Returns those of some records that the log does not have as they are.
+    pub(crate) fn lacking(&self, known: Vec<SuspectRecord>) -> Vec<SuspectRecord> {
+        self.lock_held().lacking(known)
+    }
+
+    /// Returns a receiver that wakes when the held requests have changed.
+    pub(crate) fn holds(&self) -> watch::Receiver<u64> {
+        self.holds.subscribe()
+    }
+
+    fn hold(&self, records: &[SuspectRecord]) {
+        self.lock_held().apply(records);
+        self.holds.send_modify(|count| *count += 1);
+    }
+
     fn snapshot(&self) -> Vec<u8> {
         let held = self.held().map(|held| held.document().clone());
         let evacuations = self.evacuations();
-        postcard::to_stdvec(&(held, &*evacuations)).unwrap_or_default()
+        let requests = self.lock_held();
+        postcard::to_stdvec(&(held, &*evacuations, &*requests)).unwrap_or_default()
     }
 
     fn restore(&self, bytes: &[u8]) {
         // A snapshot passed its checksum, so bytes that cannot be read come from a newer program.
         // Going on with an empty state would lose what was accepted.
-        let (document, evacuations) = match read_snapshot(bytes) {
+        let (document, evacuations, requests) = match read_snapshot(bytes) {
             Ok(state) => state,
             Err(error) => {
                 log::error!(target: "linnetdale", "the snapshot cannot be read: {error}");
@@ -137,6 +171,8 @@
             }
         };
         *self.lock_evacuations() = Arc::new(evacuations);
+        *self.lock_held() = requests;
+        self.holds.send_modify(|count| *count += 1);
         let version = document.as_ref().map_or(0, |document| document.version);
         if let Some(document) = document {
             self.lock().push(Arc::new(HeldDocument::new(document)));
@@ -148,6 +184,12 @@
         self.history.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lock_held(&self) -> MutexGuard<'_, HeldRequests> {
+        self.held_requests
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_evacuations(&self) -> MutexGuard<'_, Arc<EvacuationBook>> {
         self.evacuations
             .lock()
@@ -155,14 +197,21 @@
     }
 }
 
-/// Reads a snapshot. One that was made before there were evacuations ends after the document.
-fn read_snapshot(bytes: &[u8]) -> Result<(Option<Document>, EvacuationBook), postcard::Error> {
+type Snapshot = (Option<Document>, EvacuationBook, HeldRequests);
+
+/// Reads a snapshot. One of an older program ends after the document, or after the evacuations.
+fn read_snapshot(bytes: &[u8]) -> Result<Snapshot, postcard::Error> {
     let (document, rest) = postcard::take_from_bytes(bytes)?;
-    let evacuations = match rest {
-        [] => EvacuationBook::default(),
-        rest => postcard::from_bytes(rest)?,
-    };
-    Ok((document, evacuations))
+    let (evacuations, rest) = read_part(rest)?;
+    let (requests, _) = read_part(rest)?;
+    Ok((document, evacuations, requests))
+}
+
+fn read_part<T: Default + DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8]), postcard::Error> {
+    match bytes {
+        [] => Ok((T::default(), bytes)),
+        bytes => postcard::take_from_bytes(bytes),
+    }
 }
 
 #[cfg(test)]
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -138,6 +138,8 @@
         };
         ntex::rt::spawn(expire_targets(node.clone()));
         ntex::rt::spawn(announce_documents(node.clone()));
+        ntex::rt::spawn(suspects::take_held(node.clone()));
+        ntex::rt::spawn(suspects::keep_held(node.clone()));
         node
     }
 
--- a/crates/directory/src/node/commands.rs
+++ b/crates/directory/src/node/commands.rs
@@ -123,11 +123,33 @@
         Err(DirectoryError::NoQuorum)
     }
 
+    /// Puts what is held against requests into the log, where this host leads and the log lacks it.
+    pub(crate) async fn keep_held(&self) {
+        let status = self.shared.replica.status();
+        if status.leader != Some(status.id) {
+            return;
+        }
+        let known = self.lock().suspects.all_records(Instant::now());
+        let lacking = self.shared.machine.lacking(known);
+        if lacking.is_empty() {
+            return;
+        }
+        let count = lacking.len();
+        // What could not be committed is tried again with the next look.
+        match self.commit(&DocumentCommand::Hold(lacking)).await {
+            Ok(_) => self.record(EventCode::HoldKept, &format!("requests={count}")),
+            Err(error) => {
+                let detail = format!("requests={count} cause={error}");
+                self.record(EventCode::HoldFailed, &detail);
+            }
+        }
+    }
+
     /// Commits a command, here or at the leader, within the time that a command of its size may take.
     async fn commit(&self, command: &DocumentCommand) -> Result<DocumentAnswer, DirectoryError> {
         let bytes = postcard::to_stdvec(command).map_err(|_| DirectoryError::NoQuorum)?;
         let answer_bytes = match command {
-            DocumentCommand::Put(_) | DocumentCommand::Evacuate(_) => 0,
+            DocumentCommand::Put(_) | DocumentCommand::Evacuate(_) | DocumentCommand::Hold(_) => 0,
             DocumentCommand::Read => self.held_document().map_or(0, |held| held.body().len()),
         };
         let length = bytes.len() + answer_bytes;
--- a/crates/directory/src/node/suspects.rs
+++ b/crates/directory/src/node/suspects.rs
@@ -2,10 +2,11 @@
 //! taken as ended runs on.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use linnet_quarantine::{EndKey, RequestKey, SuspectRecord};
 use linnet_telemetry::EventCode;
+use tokio::time::sleep;
 
 use super::{DirectoryNode, NodeState};
 
@@ -13,6 +14,10 @@
 /// their way since before.
 const LIVING_HEARTBEATS: u64 = 3;
 
+/// How often it is looked whether the log lacks a held request. A request that came to be held less than that
+/// before all power was lost is found out anew.
+const KEEPING_PERIOD: Duration = Duration::from_millis(250);
+
 /// The last heartbeat of each start of a target when its end was first heard of here.
 #[derive(Default)]
 pub(crate) struct LivingTargets {
@@ -104,5 +109,22 @@
     }
 }
 
+/// Takes the held requests that the log keeps, as after a start.
+pub(super) async fn take_held(node: DirectoryNode) {
+    let mut holds = node.shared.machine.holds();
+    holds.mark_changed();
+    while holds.changed().await.is_ok() {
+        node.take_suspects(&node.shared.machine.held_requests());
+    }
+}
+
+/// Has the log keep the requests that are held.
+pub(super) async fn keep_held(node: DirectoryNode) {
+    loop {
+        sleep(KEEPING_PERIOD).await;
+        node.keep_held().await;
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/quarantine/src/book.rs
+++ b/crates/quarantine/src/book.rs
@@ -284,6 +284,11 @@
         records.filter(|one| one.held).collect()
     }
 
+    /// Returns every record, also those against which nothing stands any more.
+    pub fn all_records(&self, now: Instant) -> Vec<SuspectRecord> {
+        self.suspects.values().map(|one| one.told(now)).collect()
+    }
+
     /// Returns every record against which anything stands, the held ones first.
     pub fn records(&self, now: Instant) -> Vec<SuspectRecord> {
         let standing = self.suspects.values();
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -118,7 +118,7 @@
     }
 
     /// Takes what another host holds against the same request; says whether that changed anything.
-    pub(crate) fn merge(&mut self, other: &Self) -> bool {
+    pub fn merge(&mut self, other: &Self) -> bool {
         let named = self.subject.take_name(&other.subject);
         if other.round < self.round {
             return named;
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -111,6 +111,8 @@
     TargetWithdrawn = 611, Info, "A target said that it drains or leaves; it gets no new work.";
     TargetSilent = 612, Warn, "No heartbeat of a target came for several periods.";
     EvacuationInForce = 613, Info, "An entry host was told which data halls are out of work.";
+    HoldFailed = 614, Warn, "Held requests could not be put into the log in time; it is tried again.";
+    HoldKept = 615, Info, "Held requests were put into the log, and outlast a loss of all power.";
     ControlFollowed = 620, Info, "A process follows the directory of a control host.";
     ControlLost = 621, Warn, "The directory of a control host could not be followed any more.";
     ClusterFormed = 630, Info, "The control hosts named as seeds formed a cluster.";
