--- a/crates/ctl/src/logs.rs
+++ b/crates/ctl/src/logs.rs
@@ -34,6 +34,10 @@
         println!("its targets before:");
         story.target_lines.iter().for_each(print_line);
     }
+    if !story.held_lines.is_empty() {
+        println!("what was held against it:");
+        story.held_lines.iter().for_each(print_line);
+    }
     println!("{}", story.verdict);
     Ok(())
 }
--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -56,6 +56,9 @@
     /// Show and change the voters
     #[command(subcommand)]
     Member(MemberCommand),
+    /// Show and release requests that are refused since they end their targets
+    #[command(subcommand)]
+    Held(HeldCommand),
     /// Count what became of requests in collected logs, with planned against real times
     Losses(LossesArgs),
     /// Gather what collected logs tell of one request
@@ -90,6 +93,18 @@
     Apply(ApplyArgs),
 }
 
+/// Commands on held requests.
+#[derive(Debug, Clone, Subcommand)]
+pub(crate) enum HeldCommand {
+    /// List held and suspect requests, by key
+    List,
+    /// Let a request run again
+    Release {
+        /// Its key
+        key: String,
+    },
+}
+
 /// Arguments of `table apply`.
 #[derive(Debug, Clone, Args)]
 pub(crate) struct ApplyArgs {
--- a/crates/directory/src/node/suspects.rs
+++ b/crates/directory/src/node/suspects.rs
@@ -76,6 +76,11 @@
         self.lock().suspects.records(Instant::now())
     }
 
+    /// Returns how many requests are held.
+    pub fn held_count(&self) -> usize {
+        self.lock().suspects.counts().0
+    }
+
     /// Frees a request at an operator's word; says whether anything was held against it.
     pub fn release_suspect(&self, key: RequestKey) -> bool {
         let known = self.lock().suspects.acquit(key);
--- a/crates/logbook/src/explain.rs
+++ b/crates/logbook/src/explain.rs
@@ -14,6 +14,8 @@
     pub lines: Vec<LogLine>,
     /// What happened to targets that it was sent to, until its last line.
     pub target_lines: Vec<LogLine>,
+    /// What was held against it, also when it came under other ids and at other hosts, until its last line.
+    pub held_lines: Vec<LogLine>,
     /// What decided its end, in a sentence.
     pub verdict: String,
 }
@@ -40,14 +42,44 @@
     target_lines.sort_by(|a, b| a.time.cmp(&b.time));
     let more = target_lines.len().saturating_sub(MAX_TARGET_LINES);
     target_lines.drain(..more);
+    let held_lines = held_lines(all, &lines, &last.time);
     let verdict = verdict_of(&lines);
     Some(RequestStory {
         lines,
         target_lines,
+        held_lines,
         verdict,
     })
 }
 
+/// Returns what was written, until a time, of the same request under other ids: its key stands in lines on
+/// suspects and in its refusal.
+fn held_lines(all: &[LogLine], own: &[LogLine], until: &str) -> Vec<LogLine> {
+    let key_of = |line: &LogLine| line.field("key").map(str::to_owned);
+    let Some(key) = own.iter().find_map(key_of) else {
+        return Vec::new();
+    };
+    let tells = |line: &&LogLine| {
+        let tells = matches!(
+            line.code,
+            EventCode::RequestAccused
+                | EventCode::RequestAcquitted
+                | EventCode::RequestHeld
+                | EventCode::RequestTried
+                | EventCode::RequestReleased
+        );
+        tells && line.time.as_str() <= until && line.field("key") == Some(&key)
+    };
+    let mut held: Vec<LogLine> = all
+        .iter()
+        .filter(tells)
+        .filter(|line| !own.contains(line))
+        .cloned()
+        .collect();
+    held.sort_by(|a, b| a.time.cmp(&b.time));
+    held
+}
+
 /// Says whether a line tells that a target failed, leaves or is silent.
 fn tells_of_target(line: &LogLine) -> bool {
     matches!(
@@ -55,6 +87,7 @@
         EventCode::TargetEjected
             | EventCode::TargetWithdrawn
             | EventCode::TargetSilent
+            | EventCode::TargetEnded
             | EventCode::StageCallFailed
             | EventCode::StageCallLate
     )
--- a/crates/logbook/src/explain/tests.rs
+++ b/crates/logbook/src/explain/tests.rs
@@ -46,6 +46,21 @@
     assert!(story.target_lines.is_empty());
 }
 
+/// A caller's next try has another id; the key tells why it was refused.
+#[test]
+fn a_held_request_is_told_with_the_ends_under_its_other_tries() {
+    const LOG: &str = "\
+2026-09-17T19:28:20.000Z WARN event=420 host=edge-2 request=a1 peer=i-1 RequestAccused: key=f00 account=a method=GET path=h/x ran_ms=70 ends=1
+2026-09-17T19:28:20.000Z WARN event=420 host=edge-2 request=b1 peer=i-1 RequestAccused: key=b44 account=b method=GET path=h/y ran_ms=900 ends=1
+2026-09-17T19:28:21.000Z WARN event=422 host=edge-3 RequestHeld: key=f00 account=a method=GET path=h/x ends=3
+2026-09-17T19:28:24.000Z WARN event=402 host=edge-1 request=a9 RequestRefused: took_ms=0 outcome=ends_targets: 3 targets ended while this request ran, the last one 3000 ms ago; key=f00";
+    let lines = read_lines(LOG.as_bytes()).unwrap();
+    let story = explain_request(&lines, "a9").unwrap();
+    let held: Vec<EventCode> = story.held_lines.iter().map(|line| line.code).collect();
+    assert_eq!(held, [EventCode::RequestAccused, EventCode::RequestHeld]);
+    assert!(story.verdict.contains("ends_targets: 3 targets ended"));
+}
+
 #[test]
 fn a_request_without_an_end_or_without_lines_is_told_so() {
     let story = explain_request(&lines(), "zz").unwrap();
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -24,6 +24,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::held_door::answer_held;
 use crate::http_door::{DoorAnswer, DoorRequest, serve_door};
 use crate::metrics_page::serve_metrics;
 use crate::peers::peer_identity;
@@ -205,6 +206,9 @@
     halls: &BTreeMap<String, String>,
     request: DoorRequest,
 ) -> DoorAnswer {
+    if let Some(answer) = answer_held(node, &request) {
+        return answer;
+    }
     let ask = match (dialect.read)(&request.method, &request.path, &request.body) {
         Ok(ask) => ask,
         Err(fault) => return fault_answer(&fault),
@@ -255,7 +259,7 @@
 }
 
 async fn update_gauges(node: DirectoryNode, registry: Arc<Mutex<Registry>>) {
-    let gauges: [(&str, &str, Gauge); 8] = [
+    let gauges: [(&str, &str, Gauge); 9] = [
         ("term", "Term of the replica", Gauge::default()),
         ("commit_index", "Last committed index", Gauge::default()),
         ("is_leader", "1 while the lease lasts", Gauge::default()),
@@ -280,6 +284,11 @@
             "Data halls that are out of work",
             Gauge::default(),
         ),
+        (
+            "requests_held",
+            "Requests that are refused since targets ended under them",
+            Gauge::default(),
+        ),
     ];
     if let Ok(mut registry) = registry.lock() {
         for (name, help, gauge) in &gauges {
@@ -298,6 +307,7 @@
             counts.gateways as i64,
             counts.gateways_behind as i64,
             node.evacuations().evacuated_halls().count() as i64,
+            node.held_count() as i64,
         ];
         for ((_, _, gauge), value) in gauges.iter().zip(values) {
             gauge.set(value);
--- /dev/null
+++ b/crates/node/src/held_door.rs
@@ -0,0 +1,75 @@
+//! Operators' calls on requests that are held since they end their targets.
+
+use http::{Method, StatusCode};
+use linnet_directory::DirectoryNode;
+use linnet_quarantine::{RequestKey, SuspectRecord};
+use serde::Serialize;
+
+use crate::http_door::{DoorAnswer, DoorRequest};
+
+/// Lists what is held; a key after it names one request, which DELETE releases.
+const HELD_PATH: &str = "/-/held-requests";
+
+/// A request against which something stands, as operators read it.
+#[derive(Serialize)]
+struct HeldLine {
+    key: String,
+    account: String,
+    method: String,
+    path: String,
+    /// Whether it is refused; otherwise it is only suspect.
+    held: bool,
+    /// Targets that ended while it ran.
+    ends: usize,
+    trials: u32,
+    /// How long ago the last end, trial or refusal was, in milliseconds.
+    age_ms: u64,
+}
+
+impl HeldLine {
+    fn new(record: SuspectRecord) -> Self {
+        let subject = record.subject;
+        Self {
+            key: subject.key.to_string(),
+            account: subject.account,
+            method: subject.method,
+            path: subject.path,
+            held: record.held,
+            ends: record.ends.len(),
+            trials: record.trials,
+            age_ms: record.age_ms,
+        }
+    }
+}
+
+/// Answers a call on held requests; nothing for any other one.
+pub(crate) fn answer_held(node: &DirectoryNode, request: &DoorRequest) -> Option<DoorAnswer> {
+    let key = request.path.strip_prefix(HELD_PATH)?;
+    Some(match (key, &request.method) {
+        ("", &Method::GET) => list_held(node),
+        (key, &Method::DELETE) => release_held(node, key.trim_start_matches('/')),
+        _ => DoorAnswer::text(StatusCode::NOT_FOUND, "nothing at this path\n"),
+    })
+}
+
+fn list_held(node: &DirectoryNode) -> DoorAnswer {
+    let lines: Vec<HeldLine> = node.suspects().into_iter().map(HeldLine::new).collect();
+    match serde_json::to_vec(&lines) {
+        Ok(body) => DoorAnswer::json(StatusCode::OK, body),
+        Err(error) => DoorAnswer::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+    }
+}
+
+fn release_held(node: &DirectoryNode, key: &str) -> DoorAnswer {
+    let Some(key) = RequestKey::parse(key) else {
+        return DoorAnswer::text(StatusCode::BAD_REQUEST, "this is no key of a request\n");
+    };
+    if node.release_suspect(key) {
+        DoorAnswer::json(StatusCode::OK, "{}")
+    } else {
+        DoorAnswer::text(
+            StatusCode::NOT_FOUND,
+            "nothing is held against this request\n",
+        )
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod control;
 mod dialect;
 mod entry;
+mod held_door;
 mod http_door;
 mod metrics_page;
 mod peers;
