Failing tests: targets that start anew under their identity

Four tests of the registry and the view fail: a start with a later birth is taken as a late word of the one before, and what had left never comes back.

--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -58,6 +58,107 @@
     }
 }
 
+fn reborn(born: u64, state: TargetState, sequence: u64) -> TargetRecord {
+    TargetRecord {
+        born,
+        ..record("i", 1, state, sequence)
+    }
+}
+
+/// Users saw a target that had left, crashed or drained and started again under its identity get no work: its
+/// counts begin anew, so its heartbeats were taken as late ones, and the state of the start before held.
+#[test]
+fn a_target_that_starts_anew_under_its_identity_takes_work_whatever_it_said_before() {
+    use TargetState::{Draining, Gone, Ready};
+    for state in [Ready, Draining, Gone] {
+        let mut registry = Registry::new();
+        let now = Instant::now();
+        registry.take_heartbeat(reborn(5, state, 90), now);
+        registry.expire(now + SILENCE * 2, SILENCE);
+        let change = registry.take_heartbeat(reborn(6, Ready, 1), now + SILENCE * 2);
+        assert_eq!(change, RegistryChange::Registered, "{state:?}");
+        assert_eq!(serving(&registry), ["i"], "{state:?}");
+        // It may leave in its turn.
+        registry.take_heartbeat(reborn(6, Draining, 2), now + SILENCE * 2);
+        assert!(serving(&registry).is_empty(), "{state:?}");
+    }
+}
+
+#[test]
+fn a_late_word_of_the_start_before_changes_nothing() {
+    use TargetState::{Draining, Gone, Ready};
+    let now = Instant::now();
+    for late in [
+        reborn(5, Draining, 91),
+        reborn(5, Gone, 92),
+        reborn(5, Ready, 93),
+    ] {
+        let mut registry = Registry::new();
+        registry.take_heartbeat(reborn(5, Ready, 90), now);
+        registry.take_heartbeat(reborn(6, Ready, 1), now);
+        let change = registry.take_heartbeat(late.clone(), now);
+        assert_eq!(change, RegistryChange::Nothing, "{late:?}");
+        assert_eq!(
+            registry.take_record(late.clone(), now),
+            RegistryChange::Nothing
+        );
+        assert_eq!(serving(&registry), ["i"]);
+        let sequence = registry
+            .records()
+            .next()
+            .map(|one| (one.born, one.sequence));
+        assert_eq!(sequence, Some((6, 1)), "{late:?}");
+        // Nor does it keep a start alive that is silent.
+        registry.expire(now + SILENCE * 2, SILENCE);
+        registry.take_heartbeat(late, now + SILENCE * 2);
+        assert!(serving(&registry).is_empty());
+    }
+}
+
+#[test]
+fn control_hosts_tell_each_other_of_the_newest_start() {
+    use TargetState::{Gone, Ready};
+    let now = Instant::now();
+    let mut registry = Registry::new();
+    registry.take_heartbeat(reborn(5, Gone, 90), now);
+    assert_eq!(
+        registry.take_record(reborn(6, Ready, 1), now),
+        RegistryChange::Registered
+    );
+    assert_eq!(
+        registry.take_record(reborn(5, Gone, 90), now),
+        RegistryChange::Nothing
+    );
+    assert_eq!(serving(&registry), ["i"]);
+    // That another host called the start before silent is no news of this one.
+    let silent = TargetRecord {
+        silent: true,
+        ..reborn(5, Ready, 99)
+    };
+    registry.take_record(silent, now);
+    assert_eq!(serving(&registry), ["i"]);
+}
+
+#[test]
+fn an_entry_host_takes_the_newest_start_that_any_control_host_tells() {
+    use TargetState::{Draining, Ready};
+    let (a, b) = (([127, 0, 0, 1], 1).into(), ([127, 0, 0, 2], 1).into());
+    let now = Instant::now();
+    let mut view = DirectoryView::new();
+    view.take(a, update(vec![reborn(5, Draining, 90)]), now);
+    view.take(b, update(vec![reborn(5, Ready, 89)]), now);
+    assert!(view.ready_targets(now).is_empty());
+    view.take(b, update(vec![reborn(6, Ready, 1)]), now);
+    // The other one has not heard of it yet.
+    let ready = view.ready_targets(now);
+    assert_eq!(ready.len(), 1);
+    assert_eq!((ready[0].born, ready[0].sequence), (6, 1));
+    view.take(a, update(vec![reborn(5, Draining, 91)]), now);
+    assert_eq!(view.ready_targets(now).len(), 1);
+    view.take(a, update(vec![reborn(6, Draining, 2)]), now);
+    assert!(view.ready_targets(now).is_empty());
+}
+
 #[test]
 fn changes_are_told_once() {
     let mut registry = Registry::new();
