A target that starts anew under its identity is another start

Cause: registry and view took the higher sequence as newer and the worse state for good; a start's birth was not read. Now a later birth replaces the record whole, an earlier one is not heard, withdrawals and passed-on heartbeats name their start, and hosts forget what they knew of the start before (load, cold share, held parts of prompts, room for results). Open: a late word of leaving names no start on the users' pages and ends the newest one.

--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -141,6 +141,8 @@
 pub struct HeardTarget {
     /// The target.
     pub id: String,
+    /// Its start; see [`TargetRecord::born`].
+    pub born: u64,
     /// The sequence of the heartbeat.
     pub sequence: u64,
     /// How long ago it came, in milliseconds.
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -161,13 +161,14 @@
         self.finish_change(&id, &detail, change).await
     }
 
-    /// Takes the word of a target that it leaves. A target that is not known is left already.
+    /// Takes the word of a target that it leaves, of the start that it names or the newest. A target that is
+    /// not known is left already.
     ///
     /// # Errors
     ///
     /// As [`DirectoryNode::take_heartbeat`].
-    pub async fn take_leave(&self, id: &str) -> Result<(), DirectoryError> {
-        let change = self.lock().registry.take_leave(id, Instant::now());
+    pub async fn take_leave(&self, id: &str, born: Option<u64>) -> Result<(), DirectoryError> {
+        let change = self.lock().registry.take_leave(id, born, Instant::now());
         match change {
             Some(change) => self.finish_change(id, "state=Gone", change).await,
             None => Ok(()),
@@ -324,8 +325,8 @@
 
 fn describe_target(record: &TargetRecord) -> String {
     format!(
-        "service={} address={} hall={} state={:?} sequence={}",
-        record.service, record.address, record.hall, record.state, record.sequence
+        "service={} address={} hall={} state={:?} born={} sequence={}",
+        record.service, record.address, record.hall, record.state, record.born, record.sequence
     )
 }
 
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -1,5 +1,6 @@
 //! The targets that registered themselves, as one control host knows them.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,17 @@
 /// lost on its way; later ones may as well be late ones of a start that is over.
 const FIRST_HEARTBEATS: u64 = 2;
 
+/// How a start of a target stands to the one that is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StartAge {
+    /// It is over; what it says comes late.
+    Former,
+    /// It is the one that is held, or the first.
+    Known,
+    /// It has followed.
+    Newer,
+}
+
 /// What a heartbeat or a word of another control host changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RegistryChange {
@@ -69,8 +81,9 @@
 
 /// Targets by identity.
 ///
-/// Invariant: the state of a target only goes from ready to draining to gone, whatever order its
-/// words arrive in and through whichever control host.
+/// Invariant: the state of one start of a target only goes from ready to draining to gone, whatever order its
+/// words arrive in and through whichever control host; a later start begins anew, and an earlier one is
+/// not heard any more.
 #[derive(Default)]
 pub struct Registry {
     held: HashMap<String, Held>,
@@ -101,6 +114,9 @@
 
     /// Takes a heartbeat that came to this host.
     pub fn take_heartbeat(&mut self, record: TargetRecord, now: Instant) -> RegistryChange {
+        if self.age_of(&record.id, record.born) == StartAge::Former {
+            return RegistryChange::Nothing;
+        }
         let id = record.id.clone();
         let change = self.merge(record, now, now);
         if let Some(held) = self.held.get_mut(&id) {
@@ -109,9 +125,18 @@
         change
     }
 
-    /// Takes the word of a target that it leaves; `None` where the target is not known.
-    pub fn take_leave(&mut self, id: &str, now: Instant) -> Option<RegistryChange> {
+    /// Takes the word of a target that it leaves, of the start that it names or the newest; `None` where the
+    /// target is not known.
+    pub fn take_leave(
+        &mut self,
+        id: &str,
+        born: Option<u64>,
+        now: Instant,
+    ) -> Option<RegistryChange> {
         let mut record = self.held.get(id)?.record.clone();
+        if born.is_some_and(|born| born < record.born) {
+            return Some(RegistryChange::Nothing);
+        }
         record.state = TargetState::Gone;
         Some(self.merge(record, now, now))
     }
@@ -123,6 +148,11 @@
             // as heard now, so that it is not called silent before its next heartbeat.
             return self.merge(record, now, now);
         }
+        match self.age_of(&record.id, record.born) {
+            StartAge::Former => return RegistryChange::Nothing,
+            StartAge::Newer => return self.replace(record, now, now),
+            StartAge::Known => {}
+        }
         match self.held.get(&record.id) {
             // Silence there is no news here: this host may have heard the target itself.
             Some(held) if held.record.state >= record.state => RegistryChange::Nothing,
@@ -139,7 +169,8 @@
     /// Takes the news that another control host heard a target.
     pub fn take_heard(&mut self, heard: &HeardTarget, now: Instant) -> RegistryChange {
         let contested = self.is_contested(&heard.id);
-        let Some(held) = self.held.get_mut(&heard.id) else {
+        let held = self.held.get_mut(&heard.id);
+        let Some(held) = held.filter(|held| held.record.born == heard.born) else {
             return RegistryChange::Nothing;
         };
         let at = now
@@ -230,6 +261,7 @@
             let age = now.saturating_duration_since(held.heard_here?);
             (age < HEARD_WINDOW).then(|| HeardTarget {
                 id: held.record.id.clone(),
+                born: held.record.born,
                 sequence: held.record.sequence,
                 age_ms: age.as_millis() as u64,
             })
@@ -237,7 +269,29 @@
         lately.collect()
     }
 
+    /// Says how a start of a target stands to the one that is held under its identity.
+    fn age_of(&self, id: &str, born: u64) -> StartAge {
+        match self.held.get(id).map(|held| born.cmp(&held.record.born)) {
+            Some(Ordering::Less) => StartAge::Former,
+            Some(Ordering::Greater) => StartAge::Newer,
+            Some(Ordering::Equal) | None => StartAge::Known,
+        }
+    }
+
+    /// Takes a newer start, of which nothing holds that was known of the one before.
+    fn replace(&mut self, record: TargetRecord, heard: Instant, now: Instant) -> RegistryChange {
+        if let Some(former) = self.held.remove(&record.id) {
+            self.by_change.remove(&former.changed);
+        }
+        self.insert(record, heard, now)
+    }
+
     fn merge(&mut self, record: TargetRecord, heard: Instant, now: Instant) -> RegistryChange {
+        match self.age_of(&record.id, record.born) {
+            StartAge::Former => return RegistryChange::Nothing,
+            StartAge::Newer => return self.replace(record, heard, now),
+            StartAge::Known => {}
+        }
         let contested = self.is_contested(&record.id);
         let Some(held) = self.held.get_mut(&record.id) else {
             return self.insert(record, heard, now);
--- a/crates/directory/src/view.rs
+++ b/crates/directory/src/view.rs
@@ -22,7 +22,7 @@
 /// The union of what the control hosts told.
 ///
 /// Invariants: the configuration only moves to a higher version, and the evacuation of a hall to a higher
-/// revision; a target that any control host called withdrawn stays withdrawn. What a lost control host
+/// revision; a start of a target that any control host called withdrawn stays withdrawn. What a lost control host
 /// told stays until another one has told all there is, so a data hall that is cut off goes on with what it
 /// knows, and so does a fleet whose control hosts were all started anew and hear of each target only with
 /// its next heartbeat.
@@ -30,7 +30,8 @@
 pub struct DirectoryView {
     document: Option<Arc<HeldDocument>>,
     sources: BTreeMap<SocketAddr, Source>,
-    withdrawn: BTreeMap<String, TargetState>,
+    /// The newest start of a target that was called withdrawn.
+    withdrawn: BTreeMap<String, u64>,
     evacuations: EvacuationBook,
     /// Until when targets are cold, by identity.
     cold: HashMap<String, Instant>,
@@ -60,14 +61,17 @@
                 let known = self
                     .withdrawn
                     .entry(record.id.clone())
-                    .or_insert(record.state);
-                *known = record.state.max(*known);
+                    .or_insert(record.born);
+                *known = record.born.max(*known);
             }
             if record.cold_ms > 0 {
                 let until = now + Duration::from_millis(u64::from(record.cold_ms));
                 note_cold(&mut self.cold, &record.id, until);
             }
-            source.targets.insert(record.id.clone(), record);
+            let known = source.targets.get(&record.id);
+            if known.is_none_or(|known| known.born <= record.born) {
+                source.targets.insert(record.id.clone(), record);
+            }
         }
         if let Some(gateways) = update.gateways {
             source.gateways = gateways;
@@ -133,22 +137,29 @@
         self.sources.values().any(|source| source.connected)
     }
 
+    fn takes_work(&self, id: &str, record: &TargetRecord) -> bool {
+        let withdrawn = self.withdrawn.get(id);
+        let withdrew = withdrawn.is_some_and(|born| *born >= record.born);
+        !record.silent && !withdrew && !self.evacuations.is_evacuated(&record.hall)
+    }
+
     /// Returns every target that takes new work as far as is known, and how much longer it is cold.
     pub fn ready_targets(&self, now: Instant) -> Vec<TargetRecord> {
-        let mut ready: BTreeMap<&str, &TargetRecord> = BTreeMap::new();
-        for source in self.sources.values() {
-            for (id, record) in &source.targets {
-                let evacuated = self.evacuations.is_evacuated(&record.hall);
-                if record.silent || evacuated || self.withdrawn.contains_key(id) {
-                    continue;
-                }
-                let known = ready.entry(id).or_insert(record);
-                if record.sequence > known.sequence {
-                    *known = record;
-                }
+        // The newest start of each target that was told of, and its record where it takes work. A start that is
+        // over is not used, also where the next one is silent or told by one host alone.
+        let mut starts: BTreeMap<&str, (u64, Option<&TargetRecord>)> = BTreeMap::new();
+        for (id, record) in self.sources.values().flat_map(|source| &source.targets) {
+            let start = starts.entry(id).or_insert((record.born, None));
+            if record.born > start.0 {
+                *start = (record.born, None);
+            }
+            let is_newer = start.1.is_none_or(|known| record.sequence > known.sequence);
+            if record.born == start.0 && is_newer && self.takes_work(id, record) {
+                start.1 = Some(record);
             }
         }
-        let told = ready.into_values().map(|record| {
+        let ready = starts.into_values().filter_map(|(_, record)| record);
+        let told = ready.map(|record| {
             let mut record = record.clone();
             record.cold_ms = self.cold.get(&record.id).map_or(0, |until| {
                 until.saturating_duration_since(now).as_millis() as u32
--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -173,11 +173,14 @@
         RegistryChange::Nothing
     );
     assert_eq!(
-        registry.take_leave("i", now),
+        registry.take_leave("i", None, now),
         Some(RegistryChange::Withdrawn)
     );
-    assert_eq!(registry.take_leave("i", now), Some(RegistryChange::Nothing));
-    assert_eq!(registry.take_leave("unknown", now), None);
+    assert_eq!(
+        registry.take_leave("i", None, now),
+        Some(RegistryChange::Nothing)
+    );
+    assert_eq!(registry.take_leave("unknown", None, now), None);
 }
 
 #[test]
@@ -496,7 +499,7 @@
     assert!(registry.withdrawn_after(0, now).is_empty());
     let told = registry.number();
     registry.take_heartbeat(record("i-299", 1_299, TargetState::Draining, 2), now);
-    registry.take_leave("i-7", now);
+    registry.take_leave("i-7", None, now);
     let withdrawn = registry.withdrawn_after(told, now);
     let ids: Vec<&str> = withdrawn.iter().map(|one| one.id.as_str()).collect();
     assert_eq!(ids, ["i-299", "i-7"]);
--- a/crates/gateway/src/gateway/target_list.rs
+++ b/crates/gateway/src/gateway/target_list.rs
@@ -40,7 +40,10 @@
         let ready = self.view.borrow().ready_targets(now);
         self.metrics.target_lists.inc();
         self.metrics.targets_known.set(ready.len() as i64);
-        self.targets.borrow_mut().replace(&ready, now);
+        let anew = self.targets.borrow_mut().replace(&ready, now);
+        let mut engines = self.engines.borrow_mut();
+        anew.iter().for_each(|engine| engines.forget_engine(engine));
+        drop(engines);
         self.note_starts();
         self.stages.set_targets(&ready);
         self.coordinator.set_targets(&ready);
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -145,14 +145,22 @@
 }
 
 impl TargetBook {
-    /// Takes the list of targets that take work; what is not in it gets no more.
-    pub(crate) fn replace(&mut self, records: &[TargetRecord], now: Instant) {
+    /// Takes the list of targets that take work; what is not in it gets no more. Returns the identities of
+    /// those that have started anew.
+    pub(crate) fn replace(&mut self, records: &[TargetRecord], now: Instant) -> Vec<String> {
+        let mut anew = Vec::new();
         let mut former = std::mem::take(&mut self.services);
         for record in records {
             let known = former
                 .get_mut(&record.service)
                 .and_then(|targets| targets.remove(&record.id));
             // Another start under the same identity has nothing of the one before.
+            if known
+                .as_ref()
+                .is_some_and(|known| known.born != record.born)
+            {
+                anew.push(record.id.clone());
+            }
             let same_start = known.filter(|known| known.born == record.born);
             let mut target = same_start.unwrap_or_else(|| Target::new(record));
             target.address = record.address;
@@ -162,6 +170,7 @@
             service.insert(record.id.clone(), target);
         }
         self.hall_counts = count_halls(records);
+        anew
     }
 
     /// Takes the services of a configuration.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -217,7 +217,7 @@
         ControlAsk::PutRouting => node.put_document(request.body.to_vec()).await.map(|_| None),
         ControlAsk::ReadRouting => node.read_document().await,
         ControlAsk::Heartbeat(record) => node.take_heartbeat(record).await.map(|()| None),
-        ControlAsk::Leave(id) => node.take_leave(&id).await.map(|()| None),
+        ControlAsk::Leave(id, born) => node.take_leave(&id, born).await.map(|()| None),
         ControlAsk::Evacuate(hall) => order_evacuation(node, halls, &hall, true).await,
         ControlAsk::EndEvacuation(hall) => order_evacuation(node, halls, &hall, false).await,
     };
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -14,8 +14,8 @@
     ReadRouting,
     /// Take the heartbeat of a target.
     Heartbeat(TargetRecord),
-    /// The target of this identity leaves.
-    Leave(String),
+    /// The target of this identity leaves: the start with this birth, or the newest.
+    Leave(String, Option<u64>),
     /// Take a data hall out of work.
     Evacuate(String),
     /// Take a data hall back.
