Heartbeats of another writer name no target and harm none

A field that lacked was taken as empty, so such a heartbeat named a target; one with a service that no configuration names, at the address of a target, ended that target for good. A newcomer ends the one at its address only where its service is named; names are read when such a newcomer comes, not with each version.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -36,7 +36,7 @@
 pub use evacuation::{EvacuationBook, EvacuationOrder, EvacuationOutcome, HallEvacuation};
 pub use follow::{FollowConfig, follow_directory};
 pub use form::{FormConfig, form_or_join};
-pub use machine::{DocumentMachine, DocumentParser};
+pub use machine::{DocumentMachine, DocumentParser, ServiceNames};
 pub use message::{
     DirectoryUpdate, DocumentPart, DocumentWant, GatewayRecord, SubscriberHello, SubscriberReport,
     TargetRecord, TargetState,
--- a/crates/directory/src/machine.rs
+++ b/crates/directory/src/machine.rs
@@ -1,5 +1,6 @@
 //! The replicated state: the configuration with the highest version, and the evacuations of halls.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use linnet_quarantine::SuspectRecord;
@@ -15,8 +16,23 @@
     HeldDocument,
 };
 
+/// Names of services.
+pub type ServiceNames = BTreeSet<String>;
+
 /// Reads the version of a valid document, or says what is wrong with it.
-pub type DocumentParser = Arc<dyn Fn(&[u8]) -> Result<u64, String> + Send + Sync>;
+type VersionReader = Arc<dyn Fn(&[u8]) -> Result<u64, String> + Send + Sync>;
+
+/// Reads the services that a valid document names.
+type ServiceReader = Arc<dyn Fn(&[u8]) -> ServiceNames + Send + Sync>;
+
+/// How documents are read.
+#[derive(Clone)]
+pub struct DocumentParser {
+    /// Version, or what is wrong.
+    pub version: VersionReader,
+    /// Services that are named.
+    pub services: ServiceReader,
+}
 
 /// A command of the replicated log.
 #[derive(Debug, Serialize, Deserialize)]
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -157,10 +157,22 @@
     /// another one.
     pub async fn take_heartbeat(&self, record: TargetRecord) -> Result<(), DirectoryError> {
         let (id, detail) = (record.id.clone(), describe_target(&record));
+        self.name_services(&record);
         let change = self.lock().registry.take_heartbeat(record, Instant::now());
         self.finish_change(&id, &detail, change).await
     }
 
+    /// Tells the registry which services there are, where that decides on a target that has come. Reading the
+    /// whole configuration for each heartbeat, or each version, would cost more than it is needed for.
+    fn name_services(&self, record: &TargetRecord) {
+        if !self.lock().registry.is_newcomer(record) {
+            return;
+        }
+        let held = self.held_document();
+        let services = held.map(|held| (self.shared.parser.services)(held.body()));
+        self.lock().registry.set_services(services);
+    }
+
     /// Takes the word of a target that it leaves, of the start that it names or the newest. A target that is
     /// not known is left already.
     ///
@@ -292,6 +304,7 @@
     pub fn take_from_control(&self, update: DirectoryUpdate, now: Instant) {
         for record in update.targets {
             let (id, detail) = (record.id.clone(), describe_target(&record));
+            self.name_services(&record);
             let change = self.lock().registry.take_record(record, now);
             self.note_change(&id, &detail, change);
         }
--- a/crates/directory/src/node/commands.rs
+++ b/crates/directory/src/node/commands.rs
@@ -41,7 +41,7 @@
     /// [`DirectoryError::Invalid`] changes nothing; [`DirectoryError::NoQuorum`] leaves open
     /// whether the configuration comes into force.
     pub async fn put_document(&self, body: Vec<u8>) -> Result<u64, DirectoryError> {
-        let version = (self.shared.parser)(&body).map_err(|fault| {
+        let version = (self.shared.parser.version)(&body).map_err(|fault| {
             self.record(EventCode::RoutingRefused, &fault);
             DirectoryError::Invalid(fault)
         })?;
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -1,11 +1,11 @@
 //! The targets that registered themselves, as one control host knows them.
 
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use crate::message::HeardTarget;
-use crate::{TargetRecord, TargetState};
+use crate::{ServiceNames, TargetRecord, TargetState};
 
 /// How long a target that left is remembered, so that a late heartbeat does not bring it back.
 const GONE_KEPT: Duration = Duration::from_secs(600);
@@ -88,6 +88,11 @@
 pub struct Registry {
     held: HashMap<String, Held>,
     number: u64,
+    /// The services that the configuration names, as far as was needed.
+    services: Option<ServiceNames>,
+    /// Services whose targets tell their birth. A heartbeat for one of these without it comes from another
+    /// writer.
+    born_services: HashSet<String>,
     /// The targets by the number of the change that last altered them.
     by_change: BTreeMap<u64, String>,
 }
@@ -329,10 +334,15 @@
     }
 
     fn insert(&mut self, mut record: TargetRecord, heard: Instant, now: Instant) -> RegistryChange {
+        if record.born > 0 {
+            self.born_services.insert(record.service.clone());
+        } else if self.born_services.contains(&record.service) {
+            return RegistryChange::Nothing;
+        }
         let starts = record.sequence <= FIRST_HEARTBEATS && !record.silent;
-        if !starts && self.has_live_other(&record) {
-            // Perhaps a late heartbeat of a start that is over. Taking its word ended the target
-            // that is there, for good; it waits until that one is silent.
+        if !(starts && self.is_named(&record.service)) && self.has_live_other(&record) {
+            // Perhaps a late heartbeat of a start that is over, or one of another writer. Taking its word ended
+            // the target that is there, for good; it waits until that one is silent.
             record.silent = true;
         }
         if record.state == TargetState::Ready && !record.silent {
@@ -356,6 +366,22 @@
         }
     }
 
+    /// Takes the services that the configuration names; nothing before there is one.
+    pub(crate) fn set_services(&mut self, services: Option<ServiceNames>) {
+        self.services = services;
+    }
+
+    /// Says whether a target is new and would take the address of another one, which depends on the services
+    /// that are named.
+    pub(crate) fn is_newcomer(&self, record: &TargetRecord) -> bool {
+        !self.held.contains_key(&record.id) && self.has_live_other(record)
+    }
+
+    fn is_named(&self, service: &str) -> bool {
+        let services = self.services.as_ref();
+        services.is_none_or(|names| names.contains(service))
+    }
+
     /// Says whether a target is called silent while another one serves at its address.
     fn is_contested(&self, id: &str) -> bool {
         let held = self.held.get(id);
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -12,7 +12,8 @@
 use linnet_daemon::{StopSignals, accept_peers, exit_code};
 use linnet_directory::{
     DirectoryError, DirectoryNode, DirectoryTiming, DirectoryUpdate, Document, DocumentMachine,
-    FollowConfig, FormConfig, follow_directory, form_or_join, serve_call, serve_subscriber,
+    DocumentParser, FollowConfig, FormConfig, follow_directory, form_or_join, serve_call,
+    serve_subscriber,
 };
 use linnet_journal::DiskOps;
 use linnet_quorum::{QuorumTiming, Replica, ReplicaConfig, serve_peer};
@@ -105,7 +106,14 @@
     };
     let replica = Replica::start(&data, machine.hooks(), config)?;
     let read_config = dialect.control.read_config;
-    let parser = Arc::new(move |body: &[u8]| read_config(body).map(|config| config.version));
+    let parser = DocumentParser {
+        version: Arc::new(move |body| read_config(body).map(|config| config.version)),
+        services: Arc::new(move |body| {
+            let config = read_config(body).ok();
+            let services = config.into_iter().flat_map(|config| config.services);
+            services.map(|service| service.name).collect()
+        }),
+    };
     let node = DirectoryNode::new(
         replica,
         machine,
