Leases are measured by a clock that counts suspended time

A leader whose machine was suspended while another led believed its lease to last by the steady clock, which stands still meanwhile, and might answer reads with an older state. Lease, silence and the vote's rest use the time since the machine started. Tests: the lease of a replica that wakes up has ended (such a moment could not be told apart before), and the clock is the one that counts. A suspended process could not be tried here.

--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -10,7 +10,9 @@
 
 use crate::message::Addressed;
 use crate::replica::ReplicaShared;
-use crate::{LogPosition, Member, PeerReply, PeerRequest, Role, VoteRequest, replicate};
+use crate::{
+    BootInstant, LogPosition, Member, PeerReply, PeerRequest, Role, VoteRequest, replicate,
+};
 
 /// How often the task looks at the clock.
 const TICK: Duration = Duration::from_millis(20);
@@ -29,7 +31,7 @@
 
 fn step_down_without_majority(shared: &ReplicaShared) {
     let mut state = shared.lock();
-    if !state.has_lost_majority(&shared.timing, Instant::now()) {
+    if !state.has_lost_majority(&shared.timing, BootInstant::now()) {
         return;
     }
     let term = state.term;
--- a/crates/quorum/src/election/tests.rs
+++ b/crates/quorum/src/election/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::state::ReplicaState;
+use crate::state::{PeerProgress, ReplicaState};
 use crate::{NodeId, QuorumTiming, grant_vote};
 
 fn answers(given: &[(bool, bool)]) -> RoundAnswers {
@@ -52,12 +52,25 @@
 #[test]
 fn a_replica_that_has_heard_no_leader_since_its_start_stands_early() {
     let timing = QuorumTiming::new();
+    let before = Instant::now();
     let mut state = ReplicaState::new(NodeId(1), Some(7), &timing);
-    let started = state.leader_heard;
+    let started = Instant::now();
     assert!(state.election_due <= started + timing.first_election_max + timing.heartbeat);
     state.heard_since_start = true;
     state.put_off_election(&timing);
-    assert!(state.election_due >= started + timing.election_min);
+    assert!(state.election_due >= before + timing.election_min);
+}
+
+fn member(id: u64) -> Member {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    Member {
+        id: NodeId(id),
+        name: format!("control-{id}"),
+        hall: "hall".to_owned(),
+        peer: address,
+        ops: address,
+        replaces: None,
+    }
 }
 
 /// Leaders stepped down before the first answer to their heartbeats could be there.
@@ -65,23 +78,53 @@
 fn a_leader_that_has_just_begun_is_given_the_time_that_others_wait() {
     let timing = QuorumTiming::new();
     let mut state = ReplicaState::new(NodeId(1), Some(7), &timing);
-    for id in 1..=3 {
-        let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
-        state.members.voters.push(Member {
-            id: NodeId(id),
-            name: format!("control-{id}"),
-            hall: "hall".to_owned(),
-            peer: address,
-            ops: address,
-            replaces: None,
-        });
-    }
+    state.members.voters = (1..=3).map(member).collect();
     state.begin_leading();
     let began = state.leading_since;
     assert!(!state.has_lost_majority(&timing, began));
-    let nearly = began + timing.election_min - Duration::from_millis(1);
+    let nearly = began + (timing.election_min - Duration::from_millis(1));
     assert!(!state.has_lost_majority(&timing, nearly));
     assert!(state.has_lost_majority(&timing, began + timing.election_min));
     // It still holds no lease until a majority has answered.
     assert!(!state.lease_lasts(&timing));
 }
+
+/// A leader whose machine was suspended while another one was elected believed its lease to last, since the
+/// steady clock stands still meanwhile, and answered with what it held before.
+#[test]
+fn a_lease_ends_while_the_machine_is_suspended() {
+    let timing = QuorumTiming::new();
+    let mut state = ReplicaState::new(NodeId(1), Some(7), &timing);
+    state.role = Role::Leader;
+    state.members.voters = (1..=3).map(member).collect();
+    let sent = BootInstant::now();
+    for peer in [2, 3] {
+        let progress = PeerProgress {
+            next: 1,
+            matched: 0,
+            told_commit: 0,
+            answered: Some(sent),
+            since: sent,
+        };
+        state.progress.insert(NodeId(peer), progress);
+    }
+    assert!(state.lease_lasts_at(&timing, sent + timing.lease / 2));
+    // It wakes up; for the steady clock no time has passed.
+    let awake = sent + timing.election_min + timing.lease;
+    assert!(!state.lease_lasts_at(&timing, awake));
+    state.leading_since = sent;
+    assert!(state.has_lost_majority(&timing, awake));
+}
+
+/// The clock of leases is the one that counts suspended time.
+#[test]
+fn leases_are_measured_by_the_time_since_the_machine_started() {
+    use rustix::time::{ClockId, clock_gettime};
+    let read = || {
+        let time = clock_gettime(ClockId::Boottime);
+        Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+    };
+    let (before, instant, after) = (read(), BootInstant::now(), read());
+    let at = |span: Duration| BootInstant::default() + span;
+    assert!(at(before) <= instant && instant <= at(after));
+}
--- a/crates/quorum/src/replicate.rs
+++ b/crates/quorum/src/replicate.rs
@@ -4,7 +4,7 @@
 //! still answers them and the lease lasts.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use linnet_telemetry::EventCode;
 use linnet_wire::{PeerGreeting, PeerReader, PeerWriter, connect_peer};
@@ -14,7 +14,8 @@
 use crate::replica::{ReplicaShared, members_at};
 use crate::state::{PeerProgress, ReplicaState};
 use crate::{
-    LogEntry, LogPosition, Member, MemberChange, Members, NodeId, PeerReply, PeerRequest, Role,
+    BootInstant, LogEntry, LogPosition, Member, MemberChange, Members, NodeId, PeerReply,
+    PeerRequest, Role,
 };
 
 /// Bytes of entries that one message carries.
@@ -54,7 +55,7 @@
                     matched: 0,
                     told_commit: 0,
                     answered: None,
-                    since: Instant::now(),
+                    since: BootInstant::now(),
                 };
                 let known = state.progress.contains_key(&member.id);
                 state.progress.entry(member.id).or_insert(progress);
@@ -109,7 +110,7 @@
     writer: &mut PeerWriter,
 ) -> bool {
     let commit = shared.lock().commit;
-    let sent = Instant::now();
+    let sent = BootInstant::now();
     let request = PeerRequest::Heartbeat { term, commit };
     let reply = exchange(shared, peer, request, reader, writer, shared.timing.lease).await;
     match reply {
--- a/crates/quorum/src/rule.rs
+++ b/crates/quorum/src/rule.rs
@@ -1,7 +1,5 @@
 //! The rules of voting, commit and lease, as functions of plain facts.
 
-use std::time::Instant;
-
 use serde::{Deserialize, Serialize};
 
 use crate::NodeId;
@@ -51,7 +49,7 @@
 
 /// Returns the latest instant at which a majority was known to follow, given the sending times of
 /// the last heartbeat that each voter answered; nothing where no majority answered yet.
-pub fn quorum_instant(mut answered: Vec<Option<Instant>>) -> Option<Instant> {
+pub fn quorum_instant<T: Ord + Copy>(mut answered: Vec<Option<T>>) -> Option<T> {
     answered.sort_unstable();
     match answered.len() {
         0 => None,
--- a/crates/quorum/src/serve.rs
+++ b/crates/quorum/src/serve.rs
@@ -1,6 +1,6 @@
 //! Answers the requests of peers, one connection at a time.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use linnet_journal::JournalTicket;
 use linnet_telemetry::EventCode;
@@ -11,8 +11,8 @@
 use crate::state::ReplicaState;
 use crate::storage::{StoredSnapshot, encode};
 use crate::{
-    LogEntry, LogPosition, Members, NodeId, PeerReply, PeerRequest, Replica, Role, VoteRequest,
-    grant_vote,
+    BootInstant, LogEntry, LogPosition, Members, NodeId, PeerReply, PeerRequest, Replica, Role,
+    VoteRequest, grant_vote,
 };
 
 /// A connection on which no byte passes for so long is closed; its leader is gone or cut off.
@@ -157,7 +157,7 @@
         state.step_down(term, &shared.timing);
     }
     state.leader = Some(leader);
-    state.leader_heard = Instant::now();
+    state.leader_heard = BootInstant::now();
     state.heard_since_start = true;
     state.put_off_election(&shared.timing);
     true
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -14,7 +14,8 @@
 use crate::rule::{quorum_index, quorum_instant};
 use crate::storage::{StoredRecord, encode};
 use crate::{
-    LogEntry, LogPayload, LogPosition, Members, NodeId, ProposeError, QuorumTiming, Role, VoteFacts,
+    BootInstant, LogEntry, LogPayload, LogPosition, Members, NodeId, ProposeError, QuorumTiming,
+    Role, VoteFacts,
 };
 
 /// What a leader knows of one peer.
@@ -27,9 +28,9 @@
     /// The commit index that the peer was last told with entries.
     pub(crate) told_commit: u64,
     /// When the last heartbeat that the peer answered was sent.
-    pub(crate) answered: Option<Instant>,
+    pub(crate) answered: Option<BootInstant>,
     /// When this replica began to call the peer.
-    pub(crate) since: Instant,
+    pub(crate) since: BootInstant,
 }
 
 /// Waits for the answer of the state machine to one proposal.
@@ -59,11 +60,11 @@
     pub(crate) progress: BTreeMap<NodeId, PeerProgress>,
     /// When a leader was last heard; starts at the start of the process, because the process may
     /// have answered a heartbeat just before it died.
-    pub(crate) leader_heard: Instant,
+    pub(crate) leader_heard: BootInstant,
     /// Whether a leader was heard since the start of the process.
     pub(crate) heard_since_start: bool,
     /// When this replica began to lead its term; of use only while it leads.
-    pub(crate) leading_since: Instant,
+    pub(crate) leading_since: BootInstant,
     /// When this replica may next start an election.
     pub(crate) election_due: Instant,
     pub(crate) waiters: HashMap<u64, Waiter>,
@@ -74,7 +75,7 @@
 
 impl ReplicaState {
     pub(crate) fn new(me: NodeId, cluster: Option<u64>, timing: &QuorumTiming) -> Self {
-        let now = Instant::now();
+        let now = BootInstant::now();
         Self {
             me,
             cluster,
@@ -93,7 +94,7 @@
             leader_heard: now,
             heard_since_start: false,
             leading_since: now,
-            election_due: now + first_wait(timing),
+            election_due: Instant::now() + first_wait(timing),
             waiters: HashMap::new(),
             ballot_dirty: false,
             pending: Vec::new(),
@@ -142,23 +143,26 @@
 
     /// Says whether this replica leads and its lease lasts at this moment.
     pub(crate) fn lease_lasts(&self, timing: &QuorumTiming) -> bool {
-        self.role == Role::Leader && self.heard_majority_within(timing.lease)
+        self.lease_lasts_at(timing, BootInstant::now())
+    }
+
+    pub(crate) fn lease_lasts_at(&self, timing: &QuorumTiming, now: BootInstant) -> bool {
+        self.role == Role::Leader && self.heard_majority_within(timing.lease, now)
     }
 
     /// Says whether this replica leads and no majority has answered it for as long as others wait before
     /// they stand. One that has just begun to lead has that time too: where it was given up after a
     /// tick of 20 ms, leaders of a fleet that starts at once, with 295 hosts calling them, stepped down
     /// 94 ms after their election, and the next one came 0.8 s later.
-    pub(crate) fn has_lost_majority(&self, timing: &QuorumTiming, now: Instant) -> bool {
-        let led = now.saturating_duration_since(self.leading_since);
+    pub(crate) fn has_lost_majority(&self, timing: &QuorumTiming, now: BootInstant) -> bool {
+        let led = now - self.leading_since;
         self.role == Role::Leader
             && led >= timing.election_min
-            && !self.heard_majority_within(timing.election_min)
+            && !self.heard_majority_within(timing.election_min, now)
     }
 
     /// Says whether a majority answered a heartbeat that was sent within a span.
-    pub(crate) fn heard_majority_within(&self, span: Duration) -> bool {
-        let now = Instant::now();
+    pub(crate) fn heard_majority_within(&self, span: Duration, now: BootInstant) -> bool {
         let answered = self.members.voters.iter().map(|voter| {
             if voter.id == self.me {
                 Some(now)
@@ -215,7 +219,7 @@
     /// Begins to lead the current term.
     pub(crate) fn begin_leading(&mut self) {
         self.role = Role::Leader;
-        self.leading_since = Instant::now();
+        self.leading_since = BootInstant::now();
         self.leader = Some(self.me);
         self.progress.clear();
         self.append_own(LogPayload::Noop);
