What speaks for and against a request: failures, unframed ends, withdrawn targets, runs apart

A failure that a target answers does not acquit, nor does an answer that ends with its connection, which an end of the target looks like; a target whose next start is known has ended; one that was withdrawn ends its connections itself, stage targets too. Requests that may end their engine go to different ones, and others are placed elsewhere meanwhile.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -146,6 +146,11 @@
     answer
 }
 
+/// Says whether an answer tells where its body ends, other than by the end of the connection.
+pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Says whether an answer names the request that it belongs to.
 pub(crate) fn belongs_to(names: &HeaderNames, headers: &HeaderMap, id: &str) -> bool {
     let echoed = headers
--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -49,7 +49,8 @@
         return end;
     };
     let probe = timeout(PROBE_PATIENCE, coordinator.pool.probe(call.address));
-    if probe.await != Ok(ProbeOutcome::Refused) {
+    // A target that was withdrawn ends its connections itself.
+    if probe.await != Ok(ProbeOutcome::Refused) || !coordinator.is_listed(call) {
         return CallEnd::Failed(cause);
     }
     coordinator.note_target_end(call);
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -77,6 +77,14 @@
         let _ = self.end_watch.set(watch);
     }
 
+    /// Says whether the target of a call is in the list of targets that take work.
+    pub(super) fn is_listed(&self, call: &DueCall) -> bool {
+        let state = self.state.borrow();
+        let pool = state.pools.get(&call.pool);
+        let target = pool.and_then(|pool| pool.targets.get(&call.target));
+        target.is_some_and(|target| target.listed)
+    }
+
     pub(super) fn note_target_end(&self, call: &DueCall) {
         if let Some(watch) = self.end_watch.get() {
             watch(call);
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -38,6 +38,10 @@
 /// What a megabyte of results that crosses halls adds to the cost of an engine, in milliseconds.
 const CROSSING_COST_MS: f64 = 14.0;
 
+/// What a request costs beside one that may end the engine, in milliseconds: about the wait that is worth not
+/// being cut off and sent anew.
+const APART_COST_MS: f64 = 300.0;
+
 const MEGABYTE: f64 = 1_000_000.0;
 
 /// How long a part is taken to stay at an engine after its last use.
@@ -69,10 +73,13 @@
     /// Prompt tokens that are not known to be read yet.
     unread: u64,
     running: u32,
+    /// Of these, requests that may end the engine.
+    apart: u32,
 }
 
 struct Placed {
     engine: String,
+    apart: bool,
     unread: u64,
     at: Instant,
     /// How long the engine was to take until it has read the prompt, in milliseconds.
@@ -168,9 +175,7 @@
             candidates = usable;
         }
         if ask.apart {
-            let running = |one: &Target| self.loads.get(&one.id).map_or(0, |load| load.running);
-            let emptiest = candidates.into_iter().min_by_key(|one| running(one));
-            return emptiest.map(Chosen::new);
+            return self.emptiest(candidates).map(Chosen::new);
         }
         let weights = ask
             .heavy_stage
@@ -214,6 +219,15 @@
         Some(Chosen::new(best))
     }
 
+    /// Returns the engine with the fewest requests that may end it, and of these the one with the fewest others.
+    /// Two that are tried apart tell more than two together, and the fewer lose their work.
+    fn emptiest<'a>(&self, engines: Vec<&'a Target>) -> Option<&'a Target> {
+        engines.into_iter().min_by_key(|engine| {
+            let load = self.loads.get(&engine.id);
+            load.map_or((0, 0), |load| (load.apart, load.running))
+        })
+    }
+
     fn has_cold_room(&self, engine: &Target, rate: ColdRate, now: Instant) -> bool {
         let sent = self.cold_sent.get(&engine.id);
         sent.is_none_or(|sent| sent.has_room(rate, now))
@@ -271,6 +285,7 @@
         let crossing = ask.results.crossing_to(&engine.hall) as f64 / MEGABYTE * CROSSING_COST_MS;
         let load = self.loads.get(&engine.id);
         let (unread, running) = load.map_or((0, 0), |load| (load.unread, load.running));
+        let apart = load.map_or(0, |load| load.apart);
         // On a slow engine the prompt's own reading is slow as well.
         let slowness = self.slowness_of(&engine.id, now);
         let own = self.reading_ms(ask.prompt.own_tokens()) + SLOWNESS_BASE_MS;
@@ -279,6 +294,7 @@
             + own * (slowness - 1.0)
             + crossing
             + running
+            + f64::from(apart) * APART_COST_MS
     }
 
     /// Says where a prompt would be placed now.
@@ -314,6 +330,7 @@
         let load = self.loads.entry(chosen.id.clone()).or_default();
         load.unread += unread;
         load.running += 1;
+        load.apart += u32::from(ask.apart);
         for part in &ask.prompt.shared {
             self.note_holder(&chosen.id, &part.id, now);
         }
@@ -321,6 +338,7 @@
         let key = PlacementKey(self.next);
         let placed = Placed {
             engine: chosen.id.clone(),
+            apart: ask.apart,
             unread,
             at: now,
             expected_ms: f64::from(facts.expected_ms),
@@ -377,6 +395,7 @@
         };
         if let Some(load) = self.loads.get_mut(&placed.engine) {
             load.running = load.running.saturating_sub(1);
+            load.apart = load.apart.saturating_sub(u32::from(placed.apart));
             if load.running == 0 {
                 self.loads.remove(&placed.engine);
             }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -212,7 +212,10 @@
                 return Ok(relay_events(relay, stream));
             }
             AttemptEnd::Whole(status, headers, body) => {
-                gateway.note_whole_run(ask, &chosen.id);
+                // A target that fails part of its requests answers so without having run them.
+                if !status.is_server_error() {
+                    gateway.note_whole_run(ask, &chosen.id);
+                }
                 let retried = status.is_server_error() && more && take_repeat(gateway, &service);
                 if !retried {
                     return Ok(answer_of(status, &headers, AnswerBody::whole(body)));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,7 +10,7 @@
 use linnet_telemetry::EventCode;
 use tokio::time::timeout;
 
-use crate::answer::answer_of;
+use crate::answer::{answer_of, is_framed};
 use crate::ask::Ask;
 use crate::attempt::{Attempt, AttemptEnd, EventStream, send_attempt};
 use crate::body::BrokenAnswer;
@@ -195,7 +195,12 @@
         Ok(Ok(None)) => {
             let EventStream { lease, headers, .. } = *stream;
             lease.finish(&headers);
-            relay.gateway.note_whole_run(&relay.ask, &relay.chosen.id);
+            // The end of a target looks like the end of an answer that ends with its connection.
+            if is_framed(&headers) {
+                relay.gateway.note_whole_run(&relay.ask, &relay.chosen.id);
+            } else {
+                relay.note_break().await;
+            }
             relay.end(EventCode::RequestFinished, "outcome=stream ended");
             None
         }
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -189,15 +189,18 @@
         sent: Instant,
     ) {
         // A target that was withdrawn ends its connections itself.
-        let target = self.targets.borrow().find(service, &chosen.id);
-        if target.is_none_or(|target| target.born < chosen.born) {
+        let Some(known) = self.targets.borrow().find(service, &chosen.id) else {
             return;
-        }
+        };
         let cut = CutRequest {
             id: ask.id.clone(),
             subject: ask.subject().clone(),
             ran: sent.elapsed(),
         };
+        if known.born > chosen.born {
+            let end = EndKey::new(&chosen.id, chosen.born);
+            return self.note_end(service, chosen, end, &[cut]);
+        }
         let Some(probed) = self.join_probe(service, chosen, cut) else {
             return;
         };
@@ -264,6 +267,10 @@
     fn note_end(&self, service: &str, chosen: &Chosen, end: EndKey, cut: &[CutRequest]) {
         let state = EndState::Ended(Instant::now());
         self.suspects.ends.borrow_mut().insert(end, state);
+        let listed = self.targets.borrow().find(service, &chosen.id);
+        if listed.is_some_and(|listed| listed.born == chosen.born) {
+            self.note_unreachable(service, &chosen.id, "it has ended");
+        }
         self.metrics.targets_ended.inc();
         let keys: Vec<String> = cut.iter().map(|one| one.subject.key.to_string()).collect();
         let detail = format!(
--- a/crates/quarantine/src/book.rs
+++ b/crates/quarantine/src/book.rs
@@ -19,7 +19,7 @@
 
 /// How long a request that is not held is remembered after the last end, and one that is held after it was
 /// last refused. A caller that comes again later than that ends a few targets more, once.
-const SUSPECT_KEPT: Duration = Duration::from_secs(300);
+const SUSPECT_KEPT: Duration = Duration::from_secs(3_600);
 const HELD_KEPT: Duration = Duration::from_secs(24 * 3_600);
 
 /// How long after the last end or trial the first, second and later trials are due. An innocent request that
