--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -51,10 +51,12 @@
         .borrow_mut()
         .closed_by_cold(service, hosts, now);
     let book = gateway.targets.borrow();
+    let confined = gateway.suspects.closed_targets(&book, service, ask);
     let usable = book.usable(service, now);
     let fresh = usable
         .iter()
         .filter(|target| !tried.contains(&target.id) && !closed.contains(&target.id))
+        .filter(|target| !confined.contains(&target.id))
         .filter(|target| ask.homes.allow(&target.hall));
     let load = |target: &Target| {
         let other_hall = target.hall != gateway.config.hall;
@@ -94,7 +96,7 @@
         heavy_stage: heavy.map(|stage| stage.service.clone()),
         results: places.unwrap_or_default(),
         avoid: avoid.take(MAX_AVOIDED).cloned().collect(),
-        closed: Vec::new(),
+        closed: gateway.suspects.closed_targets(&book, service, ask),
         homes: ask.homes.to_told(),
         apart: ask.apart.get(),
     })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod caller_watch;
 mod choose;
 mod cold;
+mod confinement;
 mod coordinator;
 mod dialect;
 mod engine;
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -5,7 +5,7 @@
 //! running there is accused. Where no answer comes, its next start tells.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -20,6 +20,7 @@
 
 use crate::Gateway;
 use crate::ask::Ask;
+use crate::confinement::closed_targets;
 use crate::coordinator::DueCall;
 use crate::target::{Chosen, TargetBook};
 use crate::upstream::ProbeOutcome;
@@ -71,6 +72,8 @@
     silent: RefCell<Vec<SilentTarget>>,
     /// Requests that this host lets run now, for all hosts.
     turns: RefCell<HashSet<RequestKey>>,
+    /// Accounts whose requests are confined to a share of the targets.
+    confined: RefCell<BTreeSet<String>>,
 }
 
 impl SuspectWatch {
@@ -133,6 +136,33 @@
         self.turns.borrow_mut().remove(&key);
     }
 
+    /// Returns the targets of a service that a request must not use since some accounts are confined to others;
+    /// none where no account is.
+    pub(crate) fn closed_targets(
+        &self,
+        book: &TargetBook,
+        service: &str,
+        ask: &Ask,
+    ) -> Vec<String> {
+        let confined = self.confined.borrow();
+        if confined.is_empty() {
+            return Vec::new();
+        }
+        let own = ask.account.as_ref();
+        closed_targets(book, service, own.is_some_and(|own| confined.contains(own)))
+    }
+
+    /// Looks which accounts are confined; returns them where that has changed.
+    fn look_for_confined(&self, now: Instant) -> Option<Vec<String>> {
+        let found = self.book.borrow().confined_accounts(now);
+        let mut confined = self.confined.borrow_mut();
+        if *confined == found {
+            return None;
+        }
+        confined.clone_from(&found);
+        Some(found.into_iter().collect())
+    }
+
     /// Returns the records of requests that came to be held here since this was last asked.
     fn drain_held(&self) -> Vec<SuspectRecord> {
         self.book.borrow_mut().drain_held(Instant::now())
@@ -373,6 +403,10 @@
             let detail = format!("{} cause=not seen for long", describe(&subject));
             self.note(EventCode::RequestReleased, &detail);
         }
+        if let Some(accounts) = self.suspects.look_for_confined(Instant::now()) {
+            let detail = format!("accounts={}", accounts.join(","));
+            self.note(EventCode::AccountsConfined, &detail);
+        }
         let (held, known) = self.suspects.counts();
         self.metrics.requests_held.set(held as i64);
         self.metrics.requests_suspected.set(known as i64);
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -88,22 +88,21 @@
             RequestStanding::Suspect if turn.is_some() => return Ok(()),
             RequestStanding::Held { trial_due: false } => return Err(held(gateway, ask)),
             RequestStanding::Undecided => {}
-            RequestStanding::Suspect | RequestStanding::Held { trial_due: true } => {
-                let (answer, home) = ask_turn(gateway, ask).await;
-                match answer {
-                    TurnAnswer::Granted => {
-                        ask.apart.set(true);
-                        *turn = Some(RunTurn {
-                            gateway: gateway.clone(),
-                            key: ask.subject().key,
-                            home,
-                        });
-                        return Ok(());
-                    }
-                    TurnAnswer::Held => return Err(held(gateway, ask)),
-                    TurnAnswer::Busy => {}
-                }
+            RequestStanding::Held { trial_due: true } => {
+                // One of those that come is the trial; the others have nothing to wait for.
+                *turn = ask_turn(gateway, ask)
+                    .await
+                    .map_err(|_| held(gateway, ask))?;
+                return Ok(());
             }
+            RequestStanding::Suspect => match ask_turn(gateway, ask).await {
+                Ok(granted) => {
+                    *turn = granted;
+                    return Ok(());
+                }
+                Err(TurnAnswer::Held) => return Err(held(gateway, ask)),
+                Err(_) => {}
+            },
         }
         if Instant::now() + ASK_PERIOD > until {
             return Err(no_turn(ask));
@@ -112,16 +111,28 @@
     }
 }
 
-async fn ask_turn(gateway: &Rc<Gateway>, ask: &Ask) -> (TurnAnswer, TurnHome) {
+/// Asks the host that gives turns; returns its answer where it gave none.
+async fn ask_turn(gateway: &Rc<Gateway>, ask: &Ask) -> Result<Option<RunTurn>, TurnAnswer> {
     let key = ask.subject().key;
-    let Some(address) = gateway.stages.turn_host(key) else {
-        return (gateway.grant_turn(key, &ask.id), TurnHome::Here);
+    let (answer, home) = match gateway.stages.turn_host(key) {
+        None => (gateway.grant_turn(key, &ask.id), TurnHome::Here),
+        Some(address) => {
+            // That host may not have heard yet what is held against the request.
+            let stages = &gateway.stages;
+            stages.tell_suspect(address, gateway.suspects.record(key));
+            let (answer, number) = stages.ask_turn(address, key, &ask.id).await;
+            (answer, TurnHome::Remote(address, number))
+        }
     };
-    // That host may not have heard yet what is held against the request.
-    let stages = &gateway.stages;
-    stages.tell_suspect(address, gateway.suspects.record(key));
-    let (answer, number) = stages.ask_turn(address, key, &ask.id).await;
-    (answer, TurnHome::Remote(address, number))
+    if answer != TurnAnswer::Granted {
+        return Err(answer);
+    }
+    ask.apart.set(true);
+    Ok(Some(RunTurn {
+        gateway: gateway.clone(),
+        key,
+        home,
+    }))
 }
 
 fn held(gateway: &Gateway, ask: &Ask) -> Refusal {
--- a/crates/quarantine/src/book.rs
+++ b/crates/quarantine/src/book.rs
@@ -36,6 +36,12 @@
 /// ms for each entry host on a large one.
 const SETTLING: Duration = Duration::from_millis(150);
 
+/// Requests of one account that came to be held within a span, from which on the account's requests are confined to
+/// a share of the targets. One that is refused soon ends three targets; a caller that sends ever new ones would
+/// end three for each.
+const CONFINING_REQUESTS: usize = 5;
+const CONFINING_SPAN: Duration = Duration::from_secs(60);
+
 /// How often a refusal is told to others, so that a request that keeps coming is remembered.
 const REFUSAL_TOLD: Duration = Duration::from_secs(60);
 
@@ -298,6 +304,23 @@
         records
     }
 
+    /// Returns the accounts that have sent so many requests which end targets lately that their requests are
+    /// confined to a share of the targets.
+    pub fn confined_accounts(&self, now: Instant) -> BTreeSet<String> {
+        let mut counts: HashMap<&str, usize> = HashMap::new();
+        let held = self.suspects.values().filter(|one| one.record.held);
+        for one in held {
+            if now.saturating_duration_since(one.last_run) < CONFINING_SPAN {
+                *counts.entry(&one.record.subject.account).or_default() += 1;
+            }
+        }
+        let confined = counts.into_iter();
+        // An empty name is that of requests of all callers without an account.
+        let confined =
+            confined.filter(|(name, held)| *held >= CONFINING_REQUESTS && !name.is_empty());
+        confined.map(|(name, _)| name.to_owned()).collect()
+    }
+
     /// Returns how many requests are held, and against how many anything stands.
     pub fn counts(&self) -> (usize, usize) {
         let all = || self.suspects.values().map(|one| &one.record);
--- a/crates/quarantine/src/book/tests.rs
+++ b/crates/quarantine/src/book/tests.rs
@@ -185,6 +185,24 @@
     assert_eq!(told, book.records(now).len());
 }
 
+#[test]
+fn an_account_that_sends_ever_new_such_requests_is_confined_for_a_while() {
+    let start = Instant::now();
+    let mut book = SuspectBook::new();
+    for number in 0..CONFINING_REQUESTS as u64 {
+        assert!(book.confined_accounts(start).is_empty(), "{number}");
+        for (account, first) in [("flood", 0), ("", 1_000)] {
+            let one = subject(account, &format!("/{number}"));
+            let ends = [1, 2, 3].map(|end| first + number * 10 + end);
+            accuse_at(&mut book, &one, &ends, start);
+            assert_eq!(decided(&mut book, &one, start), REFUSED);
+        }
+    }
+    let confined = book.confined_accounts(start);
+    assert_eq!(confined.into_iter().collect::<Vec<_>>(), ["flood"]);
+    assert!(book.confined_accounts(start + CONFINING_SPAN).is_empty());
+}
+
 /// Hosts that tell each other in any order, some of it twice, end with the same.
 #[test]
 fn hosts_come_to_know_the_same_in_any_order() {
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -92,6 +92,7 @@
     RequestHeld = 422, Error, "A request was found to end the targets that run it; every host refuses it.";
     RequestTried = 423, Warn, "A held request is run once more, alone, to see whether it still ends targets.";
     RequestReleased = 424, Info, "A held request is free again: it did not come for long, or an operator released it.";
+    AccountsConfined = 425, Error, "Accounts that send ever new requests which end targets share a few targets; none: no more.";
     TargetListed = 501, Info, "A target came into the host list.";
     TargetLeaving = 502, Info, "A target is leaving and gets no new work.";
     TargetGone = 503, Info, "A target is no longer in a whole read of the host list.";
