--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,7 +19,7 @@
 use crate::path_time::last_stages;
 use crate::relay::{Relay, relay_events};
 use crate::stage_client::Placement;
-use crate::turn::take_turn;
+use crate::turn::{RunTurn, take_turn};
 use crate::wait_model::PathPlan;
 use crate::{AnswerBody, Gateway, Refusal, RefusalReason};
 
@@ -195,6 +195,7 @@
         log.engine = placement.as_ref().and_then(Placement::facts);
         log.attempts += 1;
         log.may_have_run = true;
+        turn.as_mut().into_iter().for_each(RunTurn::note_sending);
         let attempt = Attempt {
             service: &service,
             chosen: &chosen,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -131,6 +131,7 @@
             && take_repeat(&self.gateway, &self.service)
         {
             self.attempts += 1;
+            self.turn.iter_mut().for_each(RunTurn::note_sending);
             let (chosen, placement) = choose(
                 &self.gateway,
                 &self.service,
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -52,6 +52,15 @@
     gateway: Rc<Gateway>,
     key: RequestKey,
     home: TurnHome,
+    /// Whether the request has not been sent since it got its turn.
+    unused: bool,
+}
+
+impl RunTurn {
+    /// Notes that the request is sent.
+    pub(crate) fn note_sending(&mut self) {
+        self.unused = false;
+    }
 }
 
 impl Drop for RunTurn {
@@ -80,6 +89,10 @@
     ask: &Ask,
     turn: &mut Option<RunTurn>,
 ) -> Result<(), Refusal> {
+    // The stages of a request run between its turn and its sending.
+    if turn.as_ref().is_some_and(|turn| turn.unused) {
+        return Ok(());
+    }
     let patience = TURN_PATIENCE.min(ask.time_left().mul_f64(TURN_PART));
     let until = Instant::now() + patience;
     loop {
@@ -132,6 +145,7 @@
         gateway: gateway.clone(),
         key,
         home,
+        unused: true,
     }))
 }
 
