--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -3,6 +3,7 @@
 mod commands;
 mod state;
 mod suspects;
+mod tasks;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -14,7 +15,7 @@
 use linnet_telemetry::{EventCode, EventRecorder};
 use linnet_wire::PeerIdentity;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::{
     DirectoryUpdate, DocumentMachine, DocumentParser, DocumentPayload, DocumentWant,
@@ -29,9 +30,6 @@
 /// the disk holds is better than nothing.
 const LEADER_AWAITED: Duration = Duration::from_secs(2);
 
-/// How often targets are checked for silence.
-const EXPIRY_TICK: Duration = Duration::from_millis(250);
-
 /// Spans of time of the directory.
 #[derive(Debug, Clone, Copy)]
 pub struct DirectoryTiming {
@@ -146,9 +144,9 @@
                 tells_state: AtomicBool::new(false),
             }),
         };
-        ntex::rt::spawn(expire_targets(node.clone()));
-        ntex::rt::spawn(announce_documents(node.clone()));
-        ntex::rt::spawn(announce_state(node.clone()));
+        ntex::rt::spawn(tasks::expire_targets(node.clone()));
+        ntex::rt::spawn(tasks::announce_documents(node.clone()));
+        ntex::rt::spawn(tasks::announce_state(node.clone()));
         ntex::rt::spawn(suspects::take_held(node.clone()));
         ntex::rt::spawn(suspects::keep_held(node.clone()));
         node
@@ -365,38 +363,3 @@
         record.service, record.address, record.hall, record.state, record.born, record.sequence
     )
 }
-
-async fn expire_targets(node: DirectoryNode) {
-    loop {
-        sleep(EXPIRY_TICK).await;
-        let span = node.shared.timing.silence;
-        let silent = node.lock().registry.expire(Instant::now(), span);
-        for id in &silent {
-            let detail = format!("silent_ms={}", span.as_millis());
-            node.shared
-                .recorder
-                .record(EventCode::TargetSilent, id, detail);
-        }
-        if !silent.is_empty() {
-            node.wake();
-        }
-        node.keep_suspects(Instant::now());
-    }
-}
-
-/// Wakes the pushes once what this host holds by agreement may be told.
-async fn announce_state(node: DirectoryNode) {
-    let mut changes = node.shared.replica.changes();
-    while !node.tells_state() {
-        // Also looks by itself, since the wait for a leader ends without a change.
-        let _ = timeout(EXPIRY_TICK, changes.changed()).await;
-    }
-    node.wake();
-}
-
-async fn announce_documents(node: DirectoryNode) {
-    let mut changes = node.shared.machine.changes();
-    while changes.changed().await.is_ok() {
-        node.wake();
-    }
-}
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -6,6 +6,7 @@
 
 mod batch;
 mod call;
+mod due_call;
 mod held;
 mod pool;
 mod queue;
@@ -14,7 +15,8 @@
 mod state;
 
 pub(crate) use batch::BatchKey;
-pub(crate) use pool::{DueCall, HALL_BYTES, LEAST_REFUSED_WAIT_MS};
+pub(crate) use due_call::DueCall;
+pub(crate) use pool::{HALL_BYTES, LEAST_REFUSED_WAIT_MS};
 pub(crate) use queue::Coordinator;
 pub(crate) use sending::{SendingShare, SharedCall};
 pub(crate) use state::ExpectKey;
--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -8,11 +8,11 @@
 use linnet_telemetry::EventCode;
 use tokio::time::{sleep, timeout, timeout_at};
 
-use super::pool::DueCall;
+use super::due_call::DueCall;
 use super::queue::Coordinator;
 use crate::pool_key::PoolKey;
 use crate::stage_call::{CallEnd, CallPart, StageCall, ask_free_bytes};
-use crate::suspects::PROBE_PATIENCE;
+use crate::target_end::PROBE_PATIENCE;
 use crate::upstream::ProbeOutcome;
 
 /// How much longer than expected a call is waited for in all, as a factor and a span.
--- a/crates/gateway/src/coordinator/pool/tests.rs
+++ b/crates/gateway/src/coordinator/pool/tests.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use linnet_directory::TargetState;
 
 use super::super::batch::BatchKey;
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -12,7 +12,7 @@
 
 use super::batch::{BatchKey, PieceOutcome};
 use super::call;
-use super::pool::DueCall;
+use super::due_call::DueCall;
 use super::sending::{SendingRate, SendingShare, SharedCall};
 use super::state::{ExpectKey, QueueState};
 use crate::Dialect;
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -9,8 +9,9 @@
 use linnet_routing::StagePool;
 
 use super::batch::{BatchBook, BatchKey, BatchReply, CopyEnd, PieceKey, PieceOutcome};
+use super::due_call::DueCall;
 use super::held::HeldKey;
-use super::pool::{DueCall, PoolQueue, Waiting};
+use super::pool::{PoolQueue, Waiting};
 use super::stage_target::{CallVerdict, StageTarget};
 use crate::ask::Rank;
 use crate::home_halls::HomeHalls;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,9 +10,7 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use linnet_directory::{
-    DirectoryUpdate, DirectoryView, GatewayRecord, HeldDocument, SuspectSource, TargetState,
-};
+use linnet_directory::{DirectoryUpdate, DirectoryView, GatewayRecord, HeldDocument, TargetState};
 use linnet_routing::{RouteTable, RoutingConfig};
 use linnet_telemetry::{EventCode, EventRecorder};
 use linnet_wire::PeerIdentity;
@@ -27,6 +25,7 @@
 use crate::stage_client::StageClient;
 use crate::suspects::SuspectWatch;
 use crate::target::TargetBook;
+use crate::target_end::TargetEnds;
 use crate::upstream::UpstreamPool;
 use crate::wait_model::WaitModel;
 
@@ -92,6 +91,7 @@
     pub(crate) stages: StageClient,
     pub(crate) coordinator: Rc<Coordinator>,
     pub(crate) suspects: SuspectWatch,
+    pub(crate) ends: TargetEnds,
     pub(crate) stopping: Cell<bool>,
     /// When requests that are still in flight are given up, since the process is about to end.
     give_up_at: watch::Sender<Option<Instant>>,
@@ -146,6 +146,7 @@
             coordinator,
             pool,
             suspects: SuspectWatch::default(),
+            ends: TargetEnds::default(),
             stopping: Cell::new(false),
             give_up_at: watch::Sender::new(None),
             open_requests: OpenCount::default(),
@@ -238,17 +239,6 @@
         }
     }
 
-    /// Returns what this host holds against requests, for the control hosts.
-    pub fn suspect_source(self: &Rc<Self>) -> SuspectSource {
-        let gateway = self.clone();
-        SuspectSource {
-            changes: self.suspects.changes(),
-            changed_after: Box::new(move |number, most| {
-                gateway.suspects.changed_after(number, most)
-            }),
-        }
-    }
-
     /// Takes an update of the directory.
     pub fn take_update(&self, from: SocketAddr, update: DirectoryUpdate) {
         self.take_suspects(&update.suspects);
@@ -383,6 +373,7 @@
         tokio::time::sleep(HOUSE_PERIOD).await;
         gateway.pool.close_rested();
         gateway.expire_suspects();
+        gateway.ends.expire(Instant::now());
         gateway.coordinator.dispatch_all();
         gateway.stages.probe_cut_halls();
         // Hosts that no control host names any more stay while they are reached.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod stage_client;
 mod suspects;
 mod target;
+mod target_end;
 mod target_slowness;
 mod turn;
 mod upstream;
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -1,75 +1,28 @@
-//! What this host knows of requests that may end targets, and how it finds that a target has ended.
-//!
-//! A connection that breaks is no evidence: targets break answers off, connections are reset, halls are cut.
-//! So the target is called anew. Where nothing listens any more it has ended, and all that this host had
-//! running there is accused. Where no answer comes, its next start tells.
+//! What this host knows of requests that may end targets.
 
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap, HashSet};
-use std::net::SocketAddr;
+use std::collections::{BTreeSet, HashSet};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
+use linnet_directory::SuspectSource;
 use linnet_quarantine::{
     ChangedSuspects, EndKey, RequestKey, RequestStanding, RequestSubject, SuspectBook,
     SuspectRecord,
 };
 use linnet_telemetry::EventCode;
-use tokio::sync::{oneshot, watch};
-use tokio::time::timeout;
+use tokio::sync::watch;
 
 use crate::Gateway;
 use crate::ask::Ask;
 use crate::confinement::closed_targets;
-use crate::coordinator::DueCall;
-use crate::target::{Chosen, TargetBook};
-use crate::upstream::ProbeOutcome;
-
-/// How long a request waits to hear whether its target has ended, before it is sent to another one. A target
-/// that listens or has ended answers within a round trip between halls, some 2 ms; one that does not
-/// answer says nothing.
-pub(crate) const PROBE_PATIENCE: Duration = Duration::from_millis(25);
-
-/// How long an end is known here, for requests that hear of their broken connection later than others.
-const END_KEPT: Duration = Duration::from_secs(5);
-
-/// How long the next start of a target that did not answer is waited for.
-const START_AWAITED: Duration = Duration::from_secs(15);
-
-/// A request that was in flight at a target when its connection broke.
-struct CutRequest {
-    /// The identity of this sending, for the log.
-    id: String,
-    subject: RequestSubject,
-    ran: Duration,
-}
-
-/// What is known of the end of a target.
-enum EndState {
-    /// The target is being called.
-    Probing {
-        cut: Vec<CutRequest>,
-        waiting: Vec<oneshot::Sender<()>>,
-    },
-    /// It has ended.
-    Ended(Instant),
-}
-
-/// A target that broke its connections and did not answer.
-struct SilentTarget {
-    service: String,
-    chosen: Chosen,
-    cut: Vec<CutRequest>,
-    since: Instant,
-}
+use crate::target::TargetBook;
 
 /// What this host knows of requests that may end targets.
 #[derive(Default)]
 pub(crate) struct SuspectWatch {
     book: RefCell<SuspectBook>,
     changes: watch::Sender<u64>,
-    ends: RefCell<HashMap<EndKey, EndState>>,
-    silent: RefCell<Vec<SilentTarget>>,
     /// Requests that this host lets run now, for all hosts.
     turns: RefCell<HashSet<RequestKey>>,
     /// Accounts whose requests are confined to a share of the targets.
@@ -106,6 +59,15 @@
         standing
     }
 
+    /// Notes that a target ended while a request ran there; says whether that is news.
+    pub(crate) fn accuse(&self, subject: &RequestSubject, end: EndKey) -> bool {
+        let mut book = self.book.borrow_mut();
+        let news = book.accuse(subject, end, Instant::now());
+        drop(book);
+        self.tell_changes();
+        news
+    }
+
     /// Returns what is held against a request.
     pub(crate) fn record(&self, key: RequestKey) -> Option<SuspectRecord> {
         self.book.borrow().record(key, Instant::now())
@@ -176,13 +138,6 @@
 
     /// Decides and forgets what is old; returns the requests that were held until then.
     fn expire(&self, now: Instant) -> Vec<RequestSubject> {
-        let mut ends = self.ends.borrow_mut();
-        ends.retain(|_, state| match state {
-            EndState::Probing { .. } => true,
-            EndState::Ended(at) => now.saturating_duration_since(*at) < END_KEPT,
-        });
-        let mut silent = self.silent.borrow_mut();
-        silent.retain(|one| now.saturating_duration_since(one.since) < START_AWAITED);
         let mut book = self.book.borrow_mut();
         book.settle(now);
         let past = book.expire(now);
@@ -190,174 +145,18 @@
         self.tell_changes();
         past
     }
-
-    /// Takes those silent targets out of which the list of targets has another start.
-    fn started_anew(&self, targets: &TargetBook) -> Vec<SilentTarget> {
-        let mut silent = self.silent.borrow_mut();
-        let all = std::mem::take(&mut *silent).into_iter();
-        let is_over = |one: &SilentTarget| {
-            let mut known = targets.of_service(&one.service);
-            known.any(|target| {
-                target.address == one.chosen.address
-                    && (target.id != one.chosen.id || target.born > one.chosen.born)
-            })
-        };
-        let (over, rest) = all.partition(is_over);
-        *silent = rest;
-        over
-    }
 }
 
 impl Gateway {
-    /// Notes that a target broke the connection while a request was in flight there, and finds out whether
-    /// the target has ended. Returns when that is known, or cannot be known soon.
-    pub(crate) async fn note_break(
-        self: &Rc<Self>,
-        service: &str,
-        chosen: &Chosen,
-        ask: &Ask,
-        sent: Instant,
-    ) {
-        // A target that was withdrawn ends its connections itself.
-        let Some(known) = self.targets.borrow().find(service, &chosen.id) else {
-            return;
-        };
-        let cut = CutRequest {
-            id: ask.id.clone(),
-            subject: ask.subject().clone(),
-            ran: sent.elapsed(),
-        };
-        if known.born > chosen.born {
-            let end = EndKey::new(&chosen.id, chosen.born);
-            return self.note_end(service, chosen, end, &[cut]);
-        }
-        let Some(probed) = self.join_probe(service, chosen, cut) else {
-            return;
-        };
-        // What the probe finds later counts all the same.
-        let _ = timeout(PROBE_PATIENCE, probed).await;
-    }
-
-    /// Adds a request to those that hear of the call to a target; the first one begins it. Returns nothing
-    /// where the target is known to have ended.
-    fn join_probe(
-        self: &Rc<Self>,
-        service: &str,
-        chosen: &Chosen,
-        request: CutRequest,
-    ) -> Option<oneshot::Receiver<()>> {
-        let end = EndKey::new(&chosen.id, chosen.born);
-        let (done, probed) = oneshot::channel();
-        let mut ends = self.suspects.ends.borrow_mut();
-        match ends.get_mut(&end) {
-            Some(EndState::Ended(_)) => {
-                drop(ends);
-                self.accuse(chosen, end, &[request]);
-                return None;
-            }
-            Some(EndState::Probing { cut, waiting }) => {
-                cut.push(request);
-                waiting.push(done);
-            }
-            None => {
-                let state = EndState::Probing {
-                    cut: vec![request],
-                    waiting: vec![done],
-                };
-                ends.insert(end, state);
-                // Goes on where the caller leaves meanwhile.
-                let (service, chosen) = (service.to_owned(), chosen.clone());
-                ntex::rt::spawn(probe_target(self.clone(), service, chosen, end));
-            }
-        }
-        Some(probed)
-    }
-
-    fn take_probe(&self, service: String, chosen: Chosen, end: EndKey, outcome: ProbeOutcome) {
-        let state = self.suspects.ends.borrow_mut().remove(&end);
-        let Some(EndState::Probing { cut, .. }) = state else {
-            return;
-        };
-        match outcome {
-            ProbeOutcome::Open => {}
-            ProbeOutcome::Refused => self.note_end(&service, &chosen, end, &cut),
-            ProbeOutcome::Silent => {
-                let silent = SilentTarget {
-                    service,
-                    chosen,
-                    cut,
-                    since: Instant::now(),
-                };
-                self.suspects.silent.borrow_mut().push(silent);
-            }
-        }
-    }
-
-    /// Notes that a target has ended while these requests ran there.
-    fn note_end(&self, service: &str, chosen: &Chosen, end: EndKey, cut: &[CutRequest]) {
-        let state = EndState::Ended(Instant::now());
-        self.suspects.ends.borrow_mut().insert(end, state);
-        let listed = self.targets.borrow().find(service, &chosen.id);
-        if listed.is_some_and(|listed| listed.born == chosen.born) {
-            self.note_unreachable(service, &chosen.id, "it has ended");
-        }
-        self.metrics.targets_ended.inc();
-        let keys: Vec<String> = cut.iter().map(|one| one.subject.key.to_string()).collect();
-        let detail = format!(
-            "service={service} address={} born={} requests={} keys={}",
-            chosen.address,
-            chosen.born,
-            cut.len(),
-            keys.join(",")
-        );
-        let code = EventCode::TargetEnded;
-        self.config.recorder.record(code, &chosen.id, detail);
-        self.accuse(chosen, end, cut);
-    }
-
-    fn accuse(&self, chosen: &Chosen, end: EndKey, cut: &[CutRequest]) {
-        let now = Instant::now();
-        for one in cut {
-            let news = self
-                .suspects
-                .book
-                .borrow_mut()
-                .accuse(&one.subject, end, now);
-            if news {
-                let record = self.suspects.record(one.subject.key);
-                let ends = record.map_or(0, |record| record.ends.len());
-                let detail = format!(
-                    "{} ran_ms={} ends={ends}",
-                    describe(&one.subject),
-                    one.ran.as_millis()
-                );
-                let code = EventCode::RequestAccused;
-                self.note_request(code, &one.id, &chosen.id, detail);
-            }
-        }
-        self.suspects.tell_changes();
-    }
-
-    /// Notes that a target of a stage pool ended under a call with pieces of some requests.
-    pub(crate) fn note_call_end(&self, call: &DueCall) {
-        let mut cut: Vec<CutRequest> = Vec::new();
-        for piece in &call.pieces {
-            if cut.iter().all(|one| one.subject.key != piece.key) {
-                cut.push(CutRequest {
-                    id: piece.work.request.clone(),
-                    subject: RequestSubject::unnamed(piece.key),
-                    ran: call.began.elapsed(),
-                });
-            }
+    /// Returns what this host holds against requests, for the control hosts.
+    pub fn suspect_source(self: &Rc<Self>) -> SuspectSource {
+        let gateway = self.clone();
+        SuspectSource {
+            changes: self.suspects.changes(),
+            changed_after: Box::new(move |number, most| {
+                gateway.suspects.changed_after(number, most)
+            }),
         }
-        let chosen = Chosen {
-            id: call.target.clone(),
-            born: call.born,
-            address: call.address,
-            hall: call.hall.clone(),
-        };
-        let end = EndKey::new(&chosen.id, chosen.born);
-        self.note_end(&call.pool.service, &chosen, end, &cut);
     }
 
     /// Notes that a target answered a request whole, which speaks for the request.
@@ -373,15 +172,6 @@
         }
     }
 
-    /// Accuses the requests that were cut off by targets which did not answer and have started anew.
-    pub(crate) fn note_starts(&self) {
-        let over = self.suspects.started_anew(&self.targets.borrow());
-        for one in over {
-            let end = EndKey::new(&one.chosen.id, one.chosen.born);
-            self.note_end(&one.service, &one.chosen, end, &one.cut);
-        }
-    }
-
     /// Takes what another process holds against requests.
     pub(crate) fn take_suspects(&self, records: &[SuspectRecord]) {
         let now = Instant::now();
@@ -420,9 +210,3 @@
         subject.key, subject.account, subject.method, subject.path
     )
 }
-
-async fn probe_target(gateway: Rc<Gateway>, service: String, chosen: Chosen, end: EndKey) {
-    let address: SocketAddr = chosen.address;
-    let outcome = gateway.pool.probe(address).await;
-    gateway.take_probe(service, chosen, end, outcome);
-}
--- a/crates/quarantine/src/book.rs
+++ b/crates/quarantine/src/book.rs
@@ -1,27 +1,19 @@
 //! The records of a process.
 
+mod room;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+pub use room::MAX_SUSPECTS;
+
 use crate::guilt::{Candidate, HOLDING_ENDS, explain_ends, unexplained};
 use crate::{EndKey, RequestKey, RequestStanding, RequestSubject, SuspectRecord};
 
-/// Requests that are kept. Where more are accused those of the account with the most go first, so that one
-/// account which sends ever new ones does not push out those of others. A record takes about 400 bytes.
-pub const MAX_SUSPECTS: usize = 4_096;
-
-/// Records that go at once where there is no more room, so that looking for the weakest is rare.
-const MADE_ROOM: usize = 128;
-
 /// Ends after which a request runs once at a time. With one alone it is as likely as anything else that ran
 /// there, and a popular request would wait for itself after each end of any target.
 const APART_ENDS: usize = 2;
 
-/// How long a request that is not held is remembered after the last end, and one that is held after it was
-/// last refused. A caller that comes again later than that ends a few targets more, once.
-const SUSPECT_KEPT: Duration = Duration::from_secs(3_600);
-const HELD_KEPT: Duration = Duration::from_secs(24 * 3_600);
-
 /// How long after the last end or trial the first, second and later trials are due. An innocent request that
 /// was held in a series of lost targets is free again after the first; the guilty one ends one target at
 /// each.
@@ -245,26 +237,6 @@
         true
     }
 
-    /// Forgets what is old; returns the requests that were held until then.
-    pub fn expire(&mut self, now: Instant) -> Vec<RequestSubject> {
-        let is_past = |one: &Suspect| {
-            let kept = if one.record.held {
-                HELD_KEPT
-            } else {
-                SUSPECT_KEPT
-            };
-            now.saturating_duration_since(one.last) > kept
-        };
-        let past = self.suspects.values().filter(|one| is_past(one));
-        let past: Vec<SuspectRecord> = past.map(|one| one.record.clone()).collect();
-        past.iter().for_each(|one| self.forget(one.subject.key));
-        if !past.is_empty() {
-            self.weigh();
-        }
-        let held = past.into_iter().filter(|one| one.held);
-        held.map(|one| one.subject).collect()
-    }
-
     /// Returns the first records that changed after a change number, so many at most.
     pub fn changed_after(&self, number: u64, most: usize, now: Instant) -> ChangedSuspects {
         let after = self.by_change.range(number.saturating_add(1)..).take(most);
@@ -387,35 +359,6 @@
             self.mark_changed(key);
         }
     }
-
-    /// Makes room for a request that is not known yet.
-    fn make_room(&mut self, subject: &RequestSubject) {
-        if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&subject.key) {
-            return;
-        }
-        let mut accounts: HashMap<&str, usize> = HashMap::new();
-        for one in self.suspects.values() {
-            *accounts.entry(&one.record.subject.account).or_default() += 1;
-        }
-        let Some(most) = accounts.values().copied().max() else {
-            return;
-        };
-        let of_most = |one: &&Suspect| accounts[one.record.subject.account.as_str()] == most;
-        let mut candidates: Vec<&Suspect> = self.suspects.values().filter(of_most).collect();
-        candidates.sort_by_key(|one| {
-            let record = &one.record;
-            (record.held, record.ends.len(), one.last, record.subject.key)
-        });
-        let weakest = candidates.into_iter().take(MADE_ROOM);
-        let keys: Vec<RequestKey> = weakest.map(|one| one.record.subject.key).collect();
-        keys.into_iter().for_each(|key| self.forget(key));
-    }
-
-    fn forget(&mut self, key: RequestKey) {
-        if let Some(suspect) = self.suspects.remove(&key) {
-            self.by_change.remove(&suspect.changed);
-        }
-    }
 }
 
 impl Suspect {
