Entry hosts are told of requests with two ends, not of all that ran where a target ended

A crash of many targets at once would have sent the records of all innocent requests there to every host (by count 2 MB to each of 300 where 450 targets end). Control hosts know all, and tell a record from its second end on, its clearing too.

--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -235,9 +235,11 @@
     let mut state = node.lock();
     pushed.next_list = None;
     let now = Instant::now();
-    let suspects = state
-        .suspects
-        .changed_after(pushed.suspects, SUSPECTS_AT_ONCE, now);
+    let book = &state.suspects;
+    let suspects = match pushed.control {
+        true => book.changed_after(pushed.suspects, SUSPECTS_AT_ONCE, now),
+        false => book.shared_after(pushed.suspects, SUSPECTS_AT_ONCE, now),
+    };
     pushed.suspects = suspects.number;
     update.suspects = suspects.records;
     if !state.wants_lists(pushed.subscriber) {
--- a/crates/quarantine/src/book.rs
+++ b/crates/quarantine/src/book.rs
@@ -239,14 +239,35 @@
 
     /// Returns the first records that changed after a change number, so many at most.
     pub fn changed_after(&self, number: u64, most: usize, now: Instant) -> ChangedSuspects {
-        let after = self.by_change.range(number.saturating_add(1)..).take(most);
-        let found: Vec<(u64, &Suspect)> = after
-            .filter_map(|(change, key)| Some((*change, self.suspects.get(key)?)))
-            .collect();
+        self.wanted_after(number, most, now, |_| true)
+    }
+
+    /// Does the same with those that concern every host. A host that has 300 others beside it would get 9,000
+    /// records of innocent requests, 2 MB, when a seventh of 3,000 targets ended at once.
+    pub fn shared_after(&self, number: u64, most: usize, now: Instant) -> ChangedSuspects {
+        self.wanted_after(number, most, now, |record| record.shared)
+    }
+
+    fn wanted_after(
+        &self,
+        number: u64,
+        most: usize,
+        now: Instant,
+        is_wanted: impl Fn(&SuspectRecord) -> bool,
+    ) -> ChangedSuspects {
+        let after = self.by_change.range(number.saturating_add(1)..);
+        let after = after.filter_map(|(change, key)| Some((*change, self.suspects.get(key)?)));
+        let wanted = after.filter(|(_, one)| is_wanted(&one.record)).take(most);
+        let found: Vec<(u64, &Suspect)> = wanted.collect();
+        let is_rest = found.len() < most;
         let last = found.last().map_or(number, |(change, _)| *change);
         ChangedSuspects {
             records: found.iter().map(|(_, one)| one.told(now)).collect(),
-            number: last,
+            number: if is_rest {
+                self.number.max(number)
+            } else {
+                last
+            },
         }
     }
 
--- a/crates/quarantine/src/book/tests.rs
+++ b/crates/quarantine/src/book/tests.rs
@@ -203,6 +203,28 @@
     assert!(book.confined_accounts(start + CONFINING_SPAN).is_empty());
 }
 
+#[test]
+fn only_requests_with_two_ends_concern_every_host() {
+    let now = Instant::now();
+    let (innocent, guilty) = (subject("a", "/x"), subject("a", "/y"));
+    let mut book = SuspectBook::new();
+    accuse_at(&mut book, &innocent, &[1], now);
+    accuse_at(&mut book, &guilty, &[1], now);
+    assert!(book.shared_after(0, 10, now).records.is_empty());
+    assert_eq!(book.changed_after(0, 10, now).records.len(), 2);
+    accuse_at(&mut book, &guilty, &[2], now);
+    let shared = book.shared_after(0, 10, now);
+    assert_eq!(shared.records.len(), 1);
+    assert_eq!(shared.records[0].ends.len(), 2);
+    assert!(book.shared_after(shared.number, 10, now).records.is_empty());
+    // That it was cleared is told as well.
+    book.acquit(innocent.key);
+    book.acquit(guilty.key);
+    let cleared = book.shared_after(shared.number, 10, now).records;
+    assert_eq!(cleared.len(), 1);
+    assert!(cleared[0].subject == guilty && cleared[0].ends.is_empty());
+}
+
 /// Hosts that tell each other in any order, some of it twice, end with the same.
 #[test]
 fn hosts_come_to_know_the_same_in_any_order() {
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -9,6 +9,9 @@
 /// The longest path that is kept of a request, in bytes.
 const MAX_PATH_BYTES: usize = 256;
 
+/// Ends from which on a request concerns every host.
+const SHARED_ENDS: usize = 2;
+
 /// The ends that are kept of one request. Far fewer decide; a record stays below a kilobyte.
 const MAX_ENDS: usize = 32;
 
@@ -82,6 +85,9 @@
     pub held: bool,
     /// Trials that were begun since.
     pub trials: u32,
+    /// Whether two ends stood against it at any time, so that it concerns every host. What ran at one target that
+    /// ended is mostly innocent, and only those that look for a second end need to know of it.
+    pub shared: bool,
     /// How long ago the last end, trial or refusal was, in milliseconds, when the record was told.
     pub age_ms: u64,
 }
@@ -95,6 +101,7 @@
             ends: BTreeSet::new(),
             held: false,
             trials: 0,
+            shared: false,
             age_ms: 0,
         }
     }
@@ -106,7 +113,9 @@
 
     /// Adds an end; says whether it was new.
     pub(crate) fn add_end(&mut self, end: EndKey) -> bool {
-        self.ends.len() < MAX_ENDS && self.ends.insert(end)
+        let is_new = self.ends.len() < MAX_ENDS && self.ends.insert(end);
+        self.shared |= self.ends.len() >= SHARED_ENDS;
+        is_new
     }
 
     /// Begins a round in which only these ends count.
@@ -119,9 +128,11 @@
 
     /// Takes what another host holds against the same request; says whether that changed anything.
     pub fn merge(&mut self, other: &Self) -> bool {
-        let named = self.subject.take_name(&other.subject);
+        let mut told_more = self.subject.take_name(&other.subject);
+        told_more |= other.shared && !self.shared;
+        self.shared |= other.shared;
         if other.round < self.round {
-            return named;
+            return told_more;
         }
         if other.round > self.round {
             self.round = other.round;
@@ -136,6 +147,6 @@
         }
         self.held |= other.held;
         self.trials = self.trials.max(other.trials);
-        named || (ends, held, trials) != (self.ends.len(), self.held, self.trials)
+        told_more || (ends, held, trials) != (self.ends.len(), self.held, self.trials)
     }
 }
