No trial of a suspect stage target with a piece that may end it

Cause: a suspect stage target that has rested is tried with a copy of the lightest piece that waits.

Change: only pieces that need not stay apart are copied.

Test: a_suspect_target_is_not_tried_with_a_piece_that_may_end_it, written first: 2 calls where 1 is allowed; passes now.

A longest bound of harm is one more target per trial.

--- a/crates/gateway/src/coordinator/pool.rs
+++ b/crates/gateway/src/coordinator/pool.rs
@@ -201,7 +201,9 @@
     /// Returns a call for each suspect target that has rested, with a copy of the piece that costs it
     /// least; no request depends on it.
     fn trial_calls(&self, pool: &PoolKey, now: Instant) -> Vec<DueCall> {
-        let lightest = self.waiting.iter().min_by_key(|one| one.result_bytes);
+        // One that may end its target is at one target at a time.
+        let harmless = self.waiting.iter().filter(|one| !one.apart);
+        let lightest = harmless.min_by_key(|one| one.result_bytes);
         let Some(waiting) = lightest.filter(|_| self.has_sound_target()) else {
             return Vec::new();
         };
--- a/crates/gateway/src/coordinator/state/tests/ended.rs
+++ b/crates/gateway/src/coordinator/state/tests/ended.rs
@@ -64,3 +64,18 @@
     state.note_late(&call, now + Duration::from_secs(1));
     assert!(state.due_calls(&key(), now).is_empty());
 }
+
+/// A suspect target is tried with a copy of a piece on which no request depends. One that may end its target
+/// would end that one too, beside the one that it is sent to.
+#[test]
+fn a_suspect_target_is_not_tried_with_a_piece_that_may_end_it() {
+    let (mut state, now) = (state(3), Instant::now());
+    let suspect = make_suspect(&mut state, now);
+    let rested = now + Duration::from_secs(5);
+    let _replied = submit_of(&mut state, request("/suspect"), 1, rested);
+    let pool = state.pools.get_mut(&key()).unwrap();
+    pool.waiting.iter_mut().for_each(|one| one.apart = true);
+    let calls = state.due_calls(&key(), rested);
+    assert_eq!(calls.len(), 1);
+    assert!(calls[0].target != suspect && !calls[0].trial);
+}
