--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -364,4 +364,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/gateway/src/target/tests.rs
+++ b/crates/gateway/src/target/tests.rs
@@ -2,9 +2,9 @@
 
 use super::*;
 
-const SERVICE: &str = "desk";
+pub(crate) const SERVICE: &str = "desk";
 
-fn record(id: &str, port: u16) -> TargetRecord {
+pub(crate) fn record(id: &str, port: u16) -> TargetRecord {
     TargetRecord {
         id: id.to_owned(),
         born: 0,
@@ -20,7 +20,7 @@
 }
 
 /// A book with targets `t-0`, `t-1` and so on.
-fn book(count: u16) -> TargetBook {
+pub(crate) fn book(count: u16) -> TargetBook {
     let records: Vec<TargetRecord> = (0..count)
         .map(|number| record(&format!("t-{number}"), 1_000 + number))
         .collect();
--- a/crates/gateway/src/target_end.rs
+++ b/crates/gateway/src/target_end.rs
@@ -253,3 +253,6 @@
     let outcome = gateway.pool.probe(chosen.address).await;
     gateway.take_probe(service, chosen, end, outcome);
 }
+
+#[cfg(test)]
+mod tests;
