One line of a held request for door and CLI; one match for a target's start

- HELD_PATH and HeldLine stood in the door of control hosts and in linnetctl, field by field.
Both use those of linnet-quarantine now, as linnetctl uses types of the other parts; what goes over the wire is the same.
- TargetBook::replace compared the birth of a start twice; one match does.

Behaviour unchanged; tests untouched.

--- a/crates/ctl/src/held.rs
+++ b/crates/ctl/src/held.rs
@@ -2,29 +2,14 @@
 
 use std::net::SocketAddr;
 
+use linnet_quarantine::{HELD_PATH, HeldLine};
 use ntex::http::Method;
 use ntex::util::Bytes;
-use serde::Deserialize;
 
 use crate::client::{OpsClient, error_text};
 use crate::settings::HeldCommand;
 use crate::{CtlError, CtlStep};
 
-const HELD_PATH: &str = "/-/held-requests";
-
-/// A request against which something stands.
-#[derive(Deserialize)]
-struct HeldLine {
-    key: String,
-    account: String,
-    method: String,
-    path: String,
-    held: bool,
-    ends: usize,
-    trials: u32,
-    age_ms: u64,
-}
-
 /// Runs a command on held requests. Every control host knows the same, so the first that answers is asked.
 pub(crate) async fn run_held(client: &OpsClient, command: HeldCommand) -> Result<(), CtlError> {
     let mut failure = None;
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -154,15 +154,15 @@
             let known = former
                 .get_mut(&record.service)
                 .and_then(|targets| targets.remove(&record.id));
-            // Another start under the same identity has nothing of the one before.
-            if known
-                .as_ref()
-                .is_some_and(|known| known.born != record.born)
-            {
-                anew.push(record.id.clone());
-            }
-            let same_start = known.filter(|known| known.born == record.born);
-            let mut target = same_start.unwrap_or_else(|| Target::new(record));
+            let mut target = match known {
+                Some(known) if known.born == record.born => known,
+                // Another start under the same identity has nothing of the one before.
+                Some(_) => {
+                    anew.push(record.id.clone());
+                    Target::new(record)
+                }
+                None => Target::new(record),
+            };
             target.address = record.address;
             target.slots = record.slots.max(1);
             target.set_cold(record.cold_ms, now);
--- a/crates/node/src/held_door.rs
+++ b/crates/node/src/held_door.rs
@@ -2,46 +2,10 @@
 
 use http::{Method, StatusCode};
 use linnet_directory::DirectoryNode;
-use linnet_quarantine::{RequestKey, SuspectRecord};
-use serde::Serialize;
+use linnet_quarantine::{HELD_PATH, HeldLine, RequestKey};
 
 use crate::http_door::{DoorAnswer, DoorRequest};
 
-/// Lists what is held; a key after it names one request, which DELETE releases.
-const HELD_PATH: &str = "/-/held-requests";
-
-/// A request against which something stands, as operators read it.
-#[derive(Serialize)]
-struct HeldLine {
-    key: String,
-    account: String,
-    method: String,
-    path: String,
-    /// Whether it is refused; otherwise it is only suspect.
-    held: bool,
-    /// Targets that ended while it ran.
-    ends: usize,
-    trials: u32,
-    /// How long ago the last end, trial or refusal was, in milliseconds.
-    age_ms: u64,
-}
-
-impl HeldLine {
-    fn new(record: SuspectRecord) -> Self {
-        let subject = record.subject;
-        Self {
-            key: subject.key.to_string(),
-            account: subject.account,
-            method: subject.method,
-            path: subject.path,
-            held: record.held,
-            ends: record.ends.len(),
-            trials: record.trials,
-            age_ms: record.age_ms,
-        }
-    }
-}
-
 /// Answers a call on held requests; nothing for any other one.
 pub(crate) fn answer_held(node: &DirectoryNode, request: &DoorRequest) -> Option<DoorAnswer> {
     let key = request.path.strip_prefix(HELD_PATH)?;
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -7,17 +7,20 @@
 //!   into one, in any order, so hosts need no agreement to know the same.
 //! - [`SuspectBook`] keeps the records of a process and says what holds of a request: its
 //!   [`RequestStanding`].
+//! - [`HeldLine`] is what operators are told of one.
 //!
 //! Nothing here reads a clock or sends anything.
 
 mod book;
 mod guilt;
 mod key;
+mod line;
 mod record;
 
 pub use book::{ChangedSuspects, MAX_SUSPECTS, SuspectBook};
 pub use guilt::HOLDING_ENDS;
 pub use key::{EndKey, RequestKey};
+pub use line::{HELD_PATH, HeldLine};
 pub use record::{RequestSubject, SuspectRecord};
 
 /// What holds of a request.
