--- a/crates/directory/src/suspect_reports.rs
+++ b/crates/directory/src/suspect_reports.rs
@@ -15,8 +15,7 @@
 
 /// What one control host was told of what is held against requests.
 pub(crate) struct SuspectReports<'a> {
-    source: Option<&'a SuspectSource>,
-    changes: Option<watch::Receiver<u64>>,
+    source: Option<(&'a SuspectSource, watch::Receiver<u64>)>,
     /// The number of the last change that was told. A control host that comes back is told everything, so
     /// that it knows again what it lost.
     told: u64,
@@ -25,20 +24,17 @@
 impl<'a> SuspectReports<'a> {
     pub(crate) fn new(source: Option<&'a SuspectSource>) -> Self {
         Self {
-            source,
-            changes: source.map(|source| source.changes.clone()),
+            source: source.map(|source| (source, source.changes.clone())),
             told: 0,
         }
     }
 
     /// Returns what the control host has to be told next.
     pub(crate) fn next(&mut self) -> Vec<SuspectRecord> {
-        let Some(source) = self.source else {
+        let Some((source, changes)) = &mut self.source else {
             return Vec::new();
         };
-        if let Some(changes) = &mut self.changes {
-            changes.mark_unchanged();
-        }
+        changes.mark_unchanged();
         let changed = (source.changed_after)(self.told, SUSPECTS_AT_ONCE);
         self.told = changed.number;
         changed.records
@@ -46,7 +42,7 @@
 
     /// Resolves when there is more to tell.
     pub(crate) async fn changed(&mut self) {
-        if let Some(changes) = &mut self.changes
+        if let Some((_, changes)) = &mut self.source
             && changes.changed().await.is_ok()
         {
             return;
