Sight: the log tells when a target asks to be left alone, or says that it leaves

Nothing in the logs of the incident told a target that was full for a moment from one that had asked for seconds without requests, nor that it had asked before. Sendings are as before.

All calls to stage targets go through one StageCaller, so that none of their answers is missed. The clock that counts suspended time has a crate of its own.

--- a/crates/quorum/src/boot_instant.rs
+++ b/crates/clock/src/boot_instant.rs
@@ -7,9 +7,9 @@
 
 /// A moment of the time since the machine was started, with the spans in which it was suspended.
 ///
-/// Leases are measured by it: by the steady clock of the standard library, which stands still meanwhile, a
-/// leader that was suspended for as long as another one led believed its lease to last and answered reads with
-/// what it held before.
+/// Leases, and the time for which a target wants no requests, are measured by it. By the steady clock of the
+/// standard library, which stands still meanwhile, a leader that was suspended for as long as another one led
+/// believed its lease to last and answered reads with what it held before.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BootInstant(Duration);
 
--- /dev/null
+++ b/crates/clock/src/lib.rs
@@ -0,0 +1,5 @@
+//! Clocks by which promises between processes are measured.
+
+mod boot_instant;
+
+pub use boot_instant::BootInstant;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use linnet_clock::BootInstant;
 use linnet_routing::RouteKind;
 use linnet_telemetry::EventCode;
 use tokio::time::timeout;
@@ -16,6 +17,7 @@
 use crate::ask::Ask;
 use crate::events::EventSplitter;
 use crate::graph::RequestResults;
+use crate::notice::read_notice;
 use crate::stage_client::Placement;
 use crate::target::Chosen;
 use crate::upstream::{Lease, SendError, is_break};
@@ -214,6 +216,8 @@
         }
     };
     let (head, body) = answer.into_parts();
+    let notice = read_notice(&gateway.config.dialect, &head, Some(&ask.id));
+    gateway.notices.note(&chosen.id, notice, BootInstant::now());
     if let Some(refused) = read_refusal(gateway, &attempt, &head) {
         if body.collect().await.is_ok() {
             lease.finish(&head.headers);
--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -11,7 +11,7 @@
 use super::due_call::DueCall;
 use super::queue::Coordinator;
 use crate::pool_key::PoolKey;
-use crate::stage_call::{CallEnd, CallPart, StageCall, ask_free_bytes};
+use crate::stage_call::{CallEnd, CallPart, StageCall};
 use crate::target_end::PROBE_PATIENCE;
 use crate::upstream::ProbeOutcome;
 
@@ -48,7 +48,10 @@
     let CallEnd::Broke(cause) = end else {
         return end;
     };
-    let probe = timeout(PROBE_PATIENCE, coordinator.pool.probe(call.address));
+    let probe = timeout(
+        PROBE_PATIENCE,
+        coordinator.caller.upstream.probe(call.address),
+    );
     // A target that was withdrawn ends its connections itself.
     if probe.await != Ok(ProbeOutcome::Refused) || !coordinator.is_listed(call) {
         return CallEnd::Failed(cause);
@@ -166,10 +169,11 @@
 pub(super) async fn learn_free_bytes(
     coordinator: Rc<Coordinator>,
     pool: PoolKey,
+    target: String,
     address: SocketAddr,
 ) {
     sleep(REPORT_LAG).await;
-    let asked = ask_free_bytes(&coordinator.dialect, &coordinator.pool, address);
+    let asked = coordinator.caller.ask_free_bytes(&target, address);
     if let Some(free) = asked.await {
         coordinator.take_free_bytes(&pool, address, free);
     }
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -15,12 +15,10 @@
 use super::due_call::DueCall;
 use super::sending::{SendingRate, SendingShare, SharedCall};
 use super::state::{ExpectKey, QueueState};
-use crate::Dialect;
 use crate::home_halls::HomeHalls;
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad, TargetUse};
 use crate::pool_key::PoolKey;
-use crate::stage_call::{CallEnd, StageCall, StageRelease, send_call, send_release};
-use crate::upstream::UpstreamPool;
+use crate::stage_call::{CallEnd, StageCall, StageCaller, StageRelease};
 
 /// The load of each pool that has work, as other hosts are told it.
 pub(crate) type ToldLoads = Rc<[(PoolKey, PoolLoad)]>;
@@ -30,8 +28,7 @@
 
 /// Gathers pieces for the services that this host was chosen for.
 pub(crate) struct Coordinator {
-    pub(crate) dialect: Dialect,
-    pub(crate) pool: UpstreamPool,
+    pub(crate) caller: StageCaller,
     pub(crate) recorder: Arc<EventRecorder>,
     state: RefCell<QueueState>,
     rate: RefCell<SendingRate>,
@@ -50,14 +47,12 @@
 impl Coordinator {
     /// Creates a coordinator that sends up to `shared_bytes_per_s` bytes of calls in a second by itself.
     pub(crate) fn new(
-        dialect: Dialect,
-        pool: UpstreamPool,
+        caller: StageCaller,
         recorder: Arc<EventRecorder>,
         shared_bytes_per_s: f64,
     ) -> Self {
         Self {
-            dialect,
-            pool,
+            caller,
             recorder,
             state: RefCell::default(),
             rate: RefCell::new(SendingRate::new(shared_bytes_per_s, Instant::now())),
@@ -95,7 +90,7 @@
     pub(super) async fn carry(&self, call: &StageCall, shared: Option<SharedCall>) -> CallEnd {
         match shared {
             Some(shared) => shared.end.await,
-            None => send_call(&self.dialect, &self.pool, call).await,
+            None => self.caller.send_call(call).await,
         }
     }
 
@@ -115,10 +110,8 @@
             None => Some(release),
         };
         if let Some(release) = own {
-            let coordinator = self.clone();
-            ntex::rt::spawn(async move {
-                send_release(&coordinator.dialect, &coordinator.pool, &release).await;
-            });
+            let caller = self.caller.clone();
+            ntex::rt::spawn(async move { caller.send_release(&release).await });
         }
     }
 
@@ -330,8 +323,9 @@
         for (reply, outcomes) in finished.replies {
             reply(outcomes);
         }
-        if let Some(address) = finished.unsure {
-            ntex::rt::spawn(call::learn_free_bytes(self.clone(), pool.clone(), address));
+        if let Some((target, address)) = finished.unsure {
+            let learning = call::learn_free_bytes(self.clone(), pool.clone(), target, address);
+            ntex::rt::spawn(learning);
         }
         if finished.unclaimed.is_empty() {
             self.dispatch(&pool);
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -80,7 +80,7 @@
     /// How long its target rests.
     pub(super) rest: Option<Duration>,
     /// A target whose memory holds more than this host knows.
-    pub(super) unsure: Option<SocketAddr>,
+    pub(super) unsure: Option<(String, SocketAddr)>,
     /// Results that nobody waits for any more.
     pub(super) unclaimed: Vec<String>,
     /// Batches that are complete.
@@ -312,7 +312,7 @@
             if full {
                 let room = pool.spec.result_memory_bytes;
                 target.set_others(room.saturating_sub(target.used_bytes()), now);
-                finished.unsure = Some(target.address);
+                finished.unsure = Some((call.target.clone(), target.address));
             }
         }
         let outcomes = outcomes_of(end, call.pieces.len());
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -20,6 +20,8 @@
     pub expect_target: HeaderName,
     /// Set by a target that did not run the request.
     pub not_run: HeaderName,
+    /// Set, to anything but 0, by a target that leaves.
+    pub leaving: HeaderName,
     /// Load that a target reports with its answers.
     pub load: HeaderName,
     /// Rank of a request at an engine.
@@ -80,6 +82,8 @@
     pub decode_free_bytes: fn(&[u8]) -> Option<u64>,
     /// The status with which a target says that it is another start than was meant.
     pub other_target: StatusCode,
+    /// The status with which a target turns a request away; it may name a time to come back.
+    pub turned_away: StatusCode,
     /// The status with which a target that did not run a request says that results it takes are gone.
     pub inputs_gone: StatusCode,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,7 +21,9 @@
 use crate::coordinator::Coordinator;
 use crate::engine::EnginePlacer;
 use crate::metrics::GatewayMetrics;
+use crate::notice_book::NoticeBook;
 use crate::open_request::OpenCount;
+use crate::stage_call::StageCaller;
 use crate::stage_client::StageClient;
 use crate::suspects::SuspectWatch;
 use crate::target::TargetBook;
@@ -92,6 +94,8 @@
     pub(crate) coordinator: Rc<Coordinator>,
     pub(crate) suspects: SuspectWatch,
     pub(crate) ends: TargetEnds,
+    /// What targets have asked of this host.
+    pub(crate) notices: Rc<NoticeBook>,
     pub(crate) stopping: Cell<bool>,
     /// When requests that are still in flight are given up, since the process is about to end.
     give_up_at: watch::Sender<Option<Instant>>,
@@ -117,9 +121,10 @@
         };
         let pool = UpstreamPool::default();
         let metrics = GatewayMetrics::new();
+        let notices = Rc::new(NoticeBook::new(config.recorder.clone()));
+        let caller = StageCaller::new(config.dialect.clone(), pool.clone(), notices.clone());
         let coordinator = Rc::new(Coordinator::new(
-            config.dialect.clone(),
-            pool.clone(),
+            caller,
             config.recorder.clone(),
             config.shared_bytes_per_s,
         ));
@@ -147,6 +152,7 @@
             pool,
             suspects: SuspectWatch::default(),
             ends: TargetEnds::default(),
+            notices,
             stopping: Cell::new(false),
             give_up_at: watch::Sender::new(None),
             open_requests: OpenCount::default(),
@@ -329,6 +335,11 @@
         self.stages.set_gateways(gateways);
     }
 
+    /// Returns the way to stage targets.
+    pub(crate) fn stage_caller(&self) -> &StageCaller {
+        &self.coordinator.caller
+    }
+
     /// Returns how many entry hosts are known, this one among them.
     pub(crate) fn gateway_count(&self) -> usize {
         self.stages.gateway_count()
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -23,6 +23,7 @@
             account: header("x-account"),
             expect_target: header("x-target"),
             not_run: header("x-not-run"),
+            leaving: header("x-leaving"),
             load: header("x-load"),
             priority: header("x-priority"),
             prompt_parts: header("x-parts"),
@@ -45,6 +46,7 @@
             report_path: "/report",
             decode_free_bytes: |_| None,
             other_target: StatusCode::MISDIRECTED_REQUEST,
+            turned_away: StatusCode::SERVICE_UNAVAILABLE,
             inputs_gone: StatusCode::CONFLICT,
         },
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,8 @@
 mod home_halls;
 mod load;
 mod metrics;
+mod notice;
+mod notice_book;
 mod open_request;
 mod outcome;
 mod path_time;
--- a/crates/gateway/src/serve_pieces.rs
+++ b/crates/gateway/src/serve_pieces.rs
@@ -17,7 +17,7 @@
 use crate::piece::PieceBatch;
 use crate::piece_message::{PieceReply, PieceRequest};
 use crate::pool_key::PoolKey;
-use crate::stage_call::{CallEnd, StageCall, StageRelease, send_call, send_release};
+use crate::stage_call::{CallEnd, StageCall, StageRelease};
 use crate::stage_client::{ALIVE_PERIOD, IDLE_PERIOD, IDLE_SILENCE_LIMIT, SILENCE_LIMIT};
 use crate::turn::TurnAnswer;
 
@@ -231,7 +231,7 @@
     fn send_release(&self, release: StageRelease) {
         let gateway = self.gateway.clone();
         ntex::rt::spawn(async move {
-            send_release(&gateway.config.dialect, &gateway.pool, &release).await;
+            gateway.stage_caller().send_release(&release).await;
         });
     }
 }
@@ -266,7 +266,7 @@
     replies: mpsc::UnboundedSender<PieceReply>,
 ) {
     let bound = Duration::from_millis(call.bound_ms);
-    let sending = send_call(&gateway.config.dialect, &gateway.pool, &call);
+    let sending = gateway.stage_caller().send_call(&call);
     let end = tokio::select! {
         end = timeout(bound, sending) => end,
         () = replies.closed() => return,
--- a/crates/gateway/src/stage_call.rs
+++ b/crates/gateway/src/stage_call.rs
@@ -4,17 +4,22 @@
 //! all pieces of a request, which is a tenth of that.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::response::Parts;
 use http::{Request, header};
 use http_body_util::Full;
+use linnet_clock::BootInstant;
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
 use crate::Dialect;
 use crate::dialect::StageItem;
 use crate::load::ReportedLoad;
+use crate::notice::read_notice;
+use crate::notice_book::NoticeBook;
 use crate::piece::{PieceFault, PieceInput, StageWork};
 use crate::upstream::{SendError, UpstreamPool};
 
@@ -111,85 +116,103 @@
     SenderLost,
 }
 
-/// Sends a call to its target and takes the answer.
-pub(crate) async fn send_call(
-    dialect: &Dialect,
-    upstream: &UpstreamPool,
-    call: &StageCall,
-) -> CallEnd {
-    let targets = &dialect.targets;
-    let names = &dialect.headers;
-    let items: Vec<StageItem<'_>> = call.parts.iter().flat_map(CallPart::items).collect();
-    let longest = call.parts.iter().map(|part| part.remaining_ms).max();
-    let body = (targets.encode_stage_run)(&items);
-    let request = Request::post(targets.stage_run_path)
-        .header(header::HOST, call.address.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .header(&names.deadline_ms, longest.unwrap_or(0))
-        .header(&names.expect_target, &call.target)
-        .body(Full::new(Bytes::from(body)));
-    let request = match request {
-        Ok(request) => request,
-        Err(error) => return CallEnd::Failed(error.to_string()),
-    };
-    let (head, body) = match upstream.exchange(call.address, request).await {
-        Ok(answered) => answered,
-        Err(SendError::MayHaveRun { cause, broke: true }) => return CallEnd::Broke(cause),
-        Err(error) => return CallEnd::Failed(error.to_string()),
-    };
-    if head.status == targets.other_target {
-        return CallEnd::OtherTarget;
-    }
-    if head.headers.contains_key(&names.not_run) {
-        return CallEnd::Busy;
-    }
-    if !head.status.is_success() {
-        return CallEnd::Failed(format!("status {}", head.status.as_u16()));
+/// Calls stage targets. Cheap to clone.
+#[derive(Clone)]
+pub(crate) struct StageCaller {
+    dialect: Dialect,
+    pub(crate) upstream: UpstreamPool,
+    notices: Rc<NoticeBook>,
+}
+
+impl StageCaller {
+    pub(crate) fn new(dialect: Dialect, upstream: UpstreamPool, notices: Rc<NoticeBook>) -> Self {
+        Self {
+            dialect,
+            upstream,
+            notices,
+        }
     }
-    match (targets.decode_stage_run)(&body) {
-        Some(results) if results.len() == call.pieces() => {
-            let load = ReportedLoad::read(&head.headers, &names.load);
-            CallEnd::Answered(results, load)
+
+    /// Sends a call to its target and takes the answer.
+    pub(crate) async fn send_call(&self, call: &StageCall) -> CallEnd {
+        let (targets, names) = (&self.dialect.targets, &self.dialect.headers);
+        let items: Vec<StageItem<'_>> = call.parts.iter().flat_map(CallPart::items).collect();
+        let longest = call.parts.iter().map(|part| part.remaining_ms).max();
+        let body = (targets.encode_stage_run)(&items);
+        let request = Request::post(targets.stage_run_path)
+            .header(header::HOST, call.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .header(&names.deadline_ms, longest.unwrap_or(0))
+            .header(&names.expect_target, &call.target)
+            .body(Full::new(Bytes::from(body)));
+        let request = match request {
+            Ok(request) => request,
+            Err(error) => return CallEnd::Failed(error.to_string()),
+        };
+        let (head, body) = match self.exchange(&call.target, call.address, request).await {
+            Ok(answered) => answered,
+            Err(SendError::MayHaveRun { cause, broke: true }) => return CallEnd::Broke(cause),
+            Err(error) => return CallEnd::Failed(error.to_string()),
+        };
+        if head.status == targets.other_target {
+            return CallEnd::OtherTarget;
+        }
+        if head.headers.contains_key(&names.not_run) {
+            return CallEnd::Busy;
+        }
+        if !head.status.is_success() {
+            return CallEnd::Failed(format!("status {}", head.status.as_u16()));
+        }
+        match (targets.decode_stage_run)(&body) {
+            Some(results) if results.len() == call.pieces() => {
+                let load = ReportedLoad::read(&head.headers, &names.load);
+                CallEnd::Answered(results, load)
+            }
+            Some(results) => CallEnd::Failed(format!("{} results", results.len())),
+            None => CallEnd::Failed("no answer in the dialect".to_owned()),
         }
-        Some(results) => CallEnd::Failed(format!("{} results", results.len())),
-        None => CallEnd::Failed("no answer in the dialect".to_owned()),
     }
-}
 
-/// Tells a target that results are not needed any more. A lost word costs only the time until the
-/// results expire by themselves.
-pub(crate) async fn send_release(
-    dialect: &Dialect,
-    upstream: &UpstreamPool,
-    release: &StageRelease,
-) {
-    let targets = &dialect.targets;
-    let body = (targets.encode_stage_free)(&release.handles);
-    let request = Request::post(targets.stage_free_path)
-        .header(header::HOST, release.address.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(Bytes::from(body)));
-    let Ok(request) = request else {
-        return;
-    };
-    let sent = upstream.exchange(release.address, request);
-    let _ = timeout(WORD_TIMEOUT, sent).await;
-}
+    /// Tells a target that results are not needed any more. A lost word costs only the time until the
+    /// results expire by themselves.
+    pub(crate) async fn send_release(&self, release: &StageRelease) {
+        let targets = &self.dialect.targets;
+        let body = (targets.encode_stage_free)(&release.handles);
+        let request = Request::post(targets.stage_free_path)
+            .header(header::HOST, release.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)));
+        let Ok(request) = request else {
+            return;
+        };
+        let sent = self.exchange(&release.target, release.address, request);
+        let _ = timeout(WORD_TIMEOUT, sent).await;
+    }
+
+    /// Asks a target how many bytes it has free for results; nothing where it does not tell in time.
+    pub(crate) async fn ask_free_bytes(&self, target: &str, address: SocketAddr) -> Option<u64> {
+        let targets = &self.dialect.targets;
+        let request = Request::get(targets.report_path)
+            .header(header::HOST, address.to_string())
+            .body(Full::new(Bytes::new()))
+            .ok()?;
+        let asked = self.exchange(target, address, request);
+        let (_, body) = timeout(WORD_TIMEOUT, asked).await.ok()?.ok()?;
+        (targets.decode_free_bytes)(&body)
+    }
 
-/// Asks a target how many bytes it has free for results; nothing where it does not tell in time.
-pub(crate) async fn ask_free_bytes(
-    dialect: &Dialect,
-    upstream: &UpstreamPool,
-    address: SocketAddr,
-) -> Option<u64> {
-    let targets = &dialect.targets;
-    let request = Request::get(targets.report_path)
-        .header(header::HOST, address.to_string())
-        .body(Full::new(Bytes::new()))
-        .ok()?;
-    let asked = upstream.exchange(address, request);
-    let (_, body) = timeout(WORD_TIMEOUT, asked).await.ok()?.ok()?;
-    (targets.decode_free_bytes)(&body)
+    /// Sends a request to a target, and takes what its answer says of the target.
+    async fn exchange(
+        &self,
+        target: &str,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Parts, Bytes), SendError> {
+        let (head, body) = self.upstream.exchange(address, request).await?;
+        let notice = read_notice(&self.dialect, &head, None);
+        self.notices.note(target, notice, BootInstant::now());
+        Ok((head, body))
+    }
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/stage_client/tests.rs
+++ b/crates/gateway/src/stage_client/tests.rs
@@ -42,12 +42,13 @@
 fn client(name: &str) -> StageClient {
     let clock = std::sync::Arc::new(linnet_telemetry::HybridClock::new());
     let recorder = linnet_telemetry::EventRecorder::new(name, clock.clone());
-    let coordinator = Rc::new(Coordinator::new(
+    let recorder = std::sync::Arc::new(recorder);
+    let caller = crate::stage_call::StageCaller::new(
         crate::gateway::tests::dialect(),
         crate::upstream::UpstreamPool::default(),
-        std::sync::Arc::new(recorder),
-        250_000.0,
-    ));
+        Rc::new(crate::notice_book::NoticeBook::new(recorder.clone())),
+    );
+    let coordinator = Rc::new(Coordinator::new(caller, recorder, 250_000.0));
     let identity = PeerIdentity {
         name: name.to_owned(),
         keys: linnet_wire::PeerKeyRing::new(vec![linnet_wire::PeerKey::new("key", [7; 32])]),
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -4,15 +4,14 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
+use linnet_clock::BootInstant;
 use linnet_telemetry::EventCode;
 use linnet_wire::{PeerGreeting, connect_peer};
 use tokio::time::{sleep, timeout};
 
 use crate::message::Addressed;
 use crate::replica::ReplicaShared;
-use crate::{
-    BootInstant, LogPosition, Member, PeerReply, PeerRequest, Role, VoteRequest, replicate,
-};
+use crate::{LogPosition, Member, PeerReply, PeerRequest, Role, VoteRequest, replicate};
 
 /// How often the task looks at the clock.
 const TICK: Duration = Duration::from_millis(20);
--- a/crates/quorum/src/election/tests.rs
+++ b/crates/quorum/src/election/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::state::{PeerProgress, ReplicaState};
 use crate::{NodeId, QuorumTiming, grant_vote};
+use linnet_clock::BootInstant;
 
 fn answers(given: &[(bool, bool)]) -> RoundAnswers {
     let mut answers = RoundAnswers::default();
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -6,7 +6,6 @@
 //! - [`grant_vote`], [`quorum_index`] and [`quorum_instant`] are the rules, kept as functions so
 //!   that tests can check them over many inputs.
 
-mod boot_instant;
 mod election;
 mod log;
 mod machine;
@@ -21,7 +20,6 @@
 mod storage;
 mod timing;
 
-pub use boot_instant::BootInstant;
 pub use log::{LogEntry, LogPayload};
 pub use machine::MachineHooks;
 pub use member::{Member, MemberChange, MemberError, Members, NodeId};
--- a/crates/quorum/src/replicate.rs
+++ b/crates/quorum/src/replicate.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use linnet_clock::BootInstant;
 use linnet_telemetry::EventCode;
 use linnet_wire::{PeerGreeting, PeerReader, PeerWriter, connect_peer};
 use tokio::time::{sleep, timeout};
@@ -14,8 +15,7 @@
 use crate::replica::{ReplicaShared, members_at};
 use crate::state::{PeerProgress, ReplicaState};
 use crate::{
-    BootInstant, LogEntry, LogPosition, Member, MemberChange, Members, NodeId, PeerReply,
-    PeerRequest, Role,
+    LogEntry, LogPosition, Member, MemberChange, Members, NodeId, PeerReply, PeerRequest, Role,
 };
 
 /// Bytes of entries that one message carries.
--- a/crates/quorum/src/serve.rs
+++ b/crates/quorum/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use linnet_clock::BootInstant;
 use linnet_journal::JournalTicket;
 use linnet_telemetry::EventCode;
 use linnet_wire::{PeerReader, PeerWriter, WireError};
@@ -11,8 +12,8 @@
 use crate::state::ReplicaState;
 use crate::storage::{StoredSnapshot, encode};
 use crate::{
-    BootInstant, LogEntry, LogPosition, Members, NodeId, PeerReply, PeerRequest, Replica, Role,
-    VoteRequest, grant_vote,
+    LogEntry, LogPosition, Members, NodeId, PeerReply, PeerRequest, Replica, Role, VoteRequest,
+    grant_vote,
 };
 
 /// A connection on which no byte passes for so long is closed; its leader is gone or cut off.
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+use linnet_clock::BootInstant;
 use linnet_journal::{JournalTicket, JournalWriter};
 use tokio::sync::oneshot;
 
@@ -14,8 +15,7 @@
 use crate::rule::{quorum_index, quorum_instant};
 use crate::storage::{StoredRecord, encode};
 use crate::{
-    BootInstant, LogEntry, LogPayload, LogPosition, Members, NodeId, ProposeError, QuorumTiming,
-    Role, VoteFacts,
+    LogEntry, LogPayload, LogPosition, Members, NodeId, ProposeError, QuorumTiming, Role, VoteFacts,
 };
 
 /// What a leader knows of one peer.
