Targets that want no requests, or leave, are left alone by the host they told

Cause: a refusal was kept by the request that met it and by nothing else; what a target asks in its answer was not read. Ruled out with the new line in the log (how much of the former wish was left): requests under way, lists that forget, and the host that places prompts as the only cause.

Change: a book of what targets asked of this host, by identity and start, apart from the lists of targets. It is asked where a target is chosen, by the hosts that place prompts through the list of closed engines that they are sent already, where calls with pieces are given out, and once more right before bytes are written. What is held back there is placed anew and charged as nothing. After the time one request tries the target. Where all want nothing, a request waits if half of its objective holds the wait; otherwise it is refused at once, before its stages, and told when the first target opens. A request that may have run is not refused any more as one that has not when no other target is left.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,7 +17,8 @@
 use crate::ask::Ask;
 use crate::events::EventSplitter;
 use crate::graph::RequestResults;
-use crate::notice::read_notice;
+use crate::notice::{TargetNotice, read_notice};
+use crate::notice_book::SendKind;
 use crate::stage_client::Placement;
 use crate::target::Chosen;
 use crate::upstream::{Lease, SendError, is_break};
@@ -46,6 +47,8 @@
         /// Whether results that it takes are gone, so that no target can run it.
         inputs_gone: bool,
     },
+    /// Nothing was sent: the target wants nothing from this host since it was chosen.
+    Withheld,
     /// It may have run, and there is no usable answer.
     MayHaveRun {
         cause: String,
@@ -108,6 +111,11 @@
                 .then(|| Duration::from_millis(ask.route.objective_ms)),
         }
     }
+
+    /// Lets the time say nothing of the target, which did not get the request.
+    fn forget(&mut self) {
+        self.objective = None;
+    }
 }
 
 impl Drop for InFlight {
@@ -196,10 +204,15 @@
             };
         }
     };
-    let in_flight = InFlight::new(gateway, attempt.service, &chosen.id, ask);
+    let mut in_flight = InFlight::new(gateway, attempt.service, &chosen.id, ask);
     let sent = Instant::now();
-    let (answer, lease) = match gateway.pool.send(chosen.address, request).await {
+    let gate = gateway.notices.gate(&chosen.id, SendKind::Work);
+    let (answer, lease) = match gateway.pool.send(chosen.address, request, gate).await {
         Ok(answered) => answered,
+        Err(SendError::Withheld) => {
+            in_flight.forget();
+            return AttemptEnd::Withheld;
+        }
         Err(SendError::NotSent(cause)) => {
             gateway.note_unreachable(attempt.service, &chosen.id, &cause);
             if let Some(placement) = &attempt.placement {
@@ -218,6 +231,11 @@
     let (head, body) = answer.into_parts();
     let notice = read_notice(&gateway.config.dialect, &head, Some(&ask.id));
     gateway.notices.note(&chosen.id, notice, BootInstant::now());
+    if notice != TargetNotice::default()
+        && let Some(placement) = &attempt.placement
+    {
+        placement.note_unreachable(attempt.service, &chosen.id);
+    }
     if let Some(refused) = read_refusal(gateway, &attempt, &head) {
         if body.collect().await.is_ok() {
             lease.finish(&head.headers);
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -1,21 +1,29 @@
 //! Choosing the service and the target of a request.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use linnet_routing::Route;
 
 use crate::Gateway;
 use crate::ask::Ask;
+use crate::closed_service::{await_open, closed_for};
 use crate::coordinator::HALL_BYTES;
 use crate::engine::PlaceAsk;
 use crate::graph::RequestResults;
 use crate::stage_client::Placement;
 use crate::target::Chosen;
 use crate::target::Target;
+use crate::{Refusal, RefusalReason};
 
 /// Targets that the host which places prompts is asked to pass over, at most.
 const MAX_AVOIDED: usize = 32;
 
+/// How often a target is chosen anew for one sending where all were closed.
+const MOST_CHOICES: u32 = 4;
+
+/// When a caller should come back where no target is known.
+const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Range of what is drawn beside the load of a target, so that hosts with the same news do not all choose
 /// the same.
 const DRAWN_LOAD: f64 = 0.05;
@@ -33,6 +41,34 @@
     route.split.last().map_or("", |part| part.service.as_str())
 }
 
+/// Chooses a target, passing over those that were tried. Where all others want no requests for a while it
+/// waits for the first one, if that is soon enough.
+///
+/// # Errors
+///
+/// [`RefusalReason::Overloaded`] where it is not, [`RefusalReason::NoTarget`] where there is none.
+pub(crate) async fn next_target(
+    gateway: &Gateway,
+    service: &str,
+    ask: &Ask,
+    tried: &[String],
+    results: Option<&RequestResults>,
+) -> Result<(Chosen, Option<Placement>), Refusal> {
+    for _ in 0..MOST_CHOICES {
+        if let Some(chosen) = choose(gateway, service, ask, tried, results).await {
+            return Ok(chosen);
+        }
+        let left = closed_for(gateway, service, ask, tried).ok_or_else(no_target)?;
+        await_open(gateway, service, ask, left).await?;
+    }
+    Err(no_target())
+}
+
+pub(crate) fn no_target() -> Refusal {
+    Refusal::new(RefusalReason::NoTarget, "no target is registered")
+        .with_retry_after(NO_TARGET_RETRY_AFTER)
+}
+
 /// Chooses a target, passing over those that were tried.
 pub(crate) async fn choose(
     gateway: &Gateway,
@@ -52,11 +88,12 @@
         .closed_by_cold(service, hosts, now);
     let book = gateway.targets.borrow();
     let confined = gateway.suspects.closed_targets(&book, service, ask);
+    let unwilling = gateway.notices.closed(book.ids_of(service));
     let usable = book.usable(service, now);
     let fresh = usable
         .iter()
         .filter(|target| !tried.contains(&target.id) && !closed.contains(&target.id))
-        .filter(|target| !confined.contains(&target.id))
+        .filter(|target| !confined.contains(&target.id) && !unwilling.contains(&target.id))
         .filter(|target| ask.homes.allow(&target.hall));
     let load = |target: &Target| {
         let other_hall = target.hall != gateway.config.hall;
@@ -90,13 +127,16 @@
     // The host that places may not know yet what this one cannot reach.
     let ejected = book.ejected(service, Instant::now());
     let avoid = tried.iter().chain(ejected.map(|target| &target.id));
+    // That host may place elsewhere what is only to be avoided, but never on what is closed.
+    let mut closed = gateway.suspects.closed_targets(&book, service, ask);
+    closed.extend(gateway.notices.closed(book.ids_of(service)));
     Some(PlaceAsk {
         service: service.to_owned(),
         prompt: prompt.clone(),
         heavy_stage: heavy.map(|stage| stage.service.clone()),
         results: places.unwrap_or_default(),
         avoid: avoid.take(MAX_AVOIDED).cloned().collect(),
-        closed: gateway.suspects.closed_targets(&book, service, ask),
+        closed,
         homes: ask.homes.to_told(),
         apart: ask.apart.get(),
     })
--- a/crates/gateway/src/coordinator/pool.rs
+++ b/crates/gateway/src/coordinator/pool.rs
@@ -150,10 +150,19 @@
         let count = batch.count.min(self.spec.batch);
         let load = self.load(now);
         let wait = load.wait_ms(&self.spec, batch.rank, batch.count);
+        let closed_ms = self.closed_for(now).as_secs_f64() * 1_000.0;
+        let wait = wait.max(closed_ms);
         let own = self.spec.call_time_ms(count as usize);
         wait > LEAST_REFUSED_WAIT_MS && wait + own > batch.wanted_ms as f64
     }
 
+    /// Returns how long all targets want nothing from this host.
+    fn closed_for(&self, now: Instant) -> Duration {
+        let targets = self.targets.values().filter(|one| one.takes_calls());
+        let left = targets.map(|target| target.back_off_left(now));
+        left.min().unwrap_or_default()
+    }
+
     /// Says whether some target may run pieces in these halls.
     pub(super) fn has_target_in(&self, homes: &HomeHalls) -> bool {
         let mut targets = self.targets.values();
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -236,7 +236,7 @@
     /// released as well, since that host may be gone.
     pub(crate) fn free(self: &Rc<Self>, service: &str, handles: Vec<String>, bytes: u64) {
         let mut state = self.state.borrow_mut();
-        let releases = state.take_results(service, handles, bytes);
+        let releases = state.take_results(service, handles, bytes, Instant::now());
         drop(state);
         for (release, hall) in releases {
             self.send_release(release, &hall);
@@ -314,12 +314,17 @@
         call: DueCall,
         end: CallEnd,
         late: bool,
+        sender: Option<SocketAddr>,
     ) -> Option<Duration> {
         let pool = call.pool.clone();
-        let finished = self
-            .state
-            .borrow_mut()
-            .finish_call(call, end, late, Instant::now());
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        // What a target asks of another host that sends calls is that host's to keep.
+        if sender.is_none() {
+            state.set_standing(&call, self.caller.standing(&call.target), now);
+        }
+        let finished = state.finish_call(call, end, late, now);
+        drop(state);
         for (reply, outcomes) in finished.replies {
             reply(outcomes);
         }
--- a/crates/gateway/src/coordinator/stage_target.rs
+++ b/crates/gateway/src/coordinator/stage_target.rs
@@ -9,6 +9,7 @@
 use super::held::{HeldKey, HeldResults};
 use crate::cold::{ColdRate, SendWindow};
 use crate::load::ReportedLoad;
+use crate::notice_book::TargetStanding;
 use crate::piece::TargetUse;
 
 /// How long a target rests after a call that failed or was late.
@@ -69,6 +70,10 @@
     pub(super) reserved: u64,
     pub(super) results: HeldResults,
     rest_until: Option<Instant>,
+    /// Until when it wants nothing from this host.
+    backed_off_until: Option<Instant>,
+    /// Whether it said in an answer that it leaves.
+    leaving: bool,
     /// When its calls are expected to end.
     pub(super) busy_until: Instant,
     /// When the next call may be sent although one is at work.
@@ -107,6 +112,8 @@
             reserved: 0,
             results: HeldResults::default(),
             rest_until: None,
+            backed_off_until: None,
+            leaving: false,
             busy_until: Instant::now(),
             handover_at: None,
             next_work: Duration::ZERO,
@@ -145,7 +152,28 @@
     }
 
     pub(super) fn rests(&self, now: Instant) -> bool {
-        self.rest_until.is_some_and(|until| until > now)
+        let lasts = |until: Option<Instant>| until.is_some_and(|until| until > now);
+        lasts(self.rest_until) || self.wants_nothing(now)
+    }
+
+    /// Says whether it has asked this host for a time without requests.
+    pub(super) fn wants_nothing(&self, now: Instant) -> bool {
+        self.backed_off_until.is_some_and(|until| until > now)
+    }
+
+    /// Returns how long it wants nothing more from this host.
+    pub(super) fn back_off_left(&self, now: Instant) -> Duration {
+        let until = self.backed_off_until.unwrap_or(now);
+        until.saturating_duration_since(now)
+    }
+
+    /// Takes what it asked of this host.
+    pub(super) fn set_standing(&mut self, standing: TargetStanding, now: Instant) {
+        self.leaving = standing == TargetStanding::Leaving;
+        self.backed_off_until = match standing {
+            TargetStanding::BackedOff(left) => Some(now + left),
+            TargetStanding::Open | TargetStanding::Leaving => None,
+        };
     }
 
     /// Says whether it takes a call now: one of its slots is free, or will be when the call is there.
@@ -196,7 +224,7 @@
 
     /// Says whether it may get calls at all.
     pub(super) fn takes_calls(&self) -> bool {
-        self.listed && !self.replaced
+        self.listed && !self.replaced && !self.leaving
     }
 
     /// Returns how long a call that should take `expected` usually takes here.
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -15,6 +15,7 @@
 use super::stage_target::{CallVerdict, StageTarget};
 use crate::ask::Rank;
 use crate::home_halls::HomeHalls;
+use crate::notice_book::TargetStanding;
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad, maker_of};
 use crate::pool_key::PoolKey;
 use crate::stage_call::{CallEnd, StageRelease};
@@ -226,6 +227,7 @@
         service: &str,
         handles: Vec<String>,
         bytes: u64,
+        now: Instant,
     ) -> Vec<(StageRelease, String)> {
         let mut releases: Vec<(StageRelease, String)> = Vec::new();
         let pools = self.pools.iter_mut();
@@ -241,6 +243,10 @@
             let Some((id, target)) = maker else {
                 continue;
             };
+            // It would not be told, so the result keeps its room until it expires.
+            if target.wants_nothing(now) {
+                continue;
+            }
             if !target.results.remove(&HeldKey::Result(handle.clone())) {
                 target.results.take_off_told(bytes);
             }
@@ -285,6 +291,15 @@
         pool.wait(copies);
     }
 
+    /// Takes what the target of a call has asked of this host.
+    pub(super) fn set_standing(&mut self, call: &DueCall, standing: TargetStanding, now: Instant) {
+        let pool = self.pools.get_mut(&call.pool);
+        let target = pool.and_then(|pool| pool.targets.get_mut(&call.target));
+        if let Some(target) = target.filter(|target| target.born == call.born) {
+            target.set_standing(standing, now);
+        }
+    }
+
     pub(super) fn finish_call(
         &mut self,
         call: DueCall,
@@ -299,6 +314,8 @@
         let full = says_no_room(&end);
         if let Some(target) = pool.targets.get_mut(&call.target) {
             finished.rest = target.end_call(verdict_of(&end, late), call.reserved, now);
+            let left = target.back_off_left(now);
+            finished.rest = finished.rest.max((!left.is_zero()).then_some(left));
             let until = now + Duration::from_millis(pool.spec.result_ttl_ms);
             self.last_lost += 1;
             if let CallEnd::Answered(_, load) = &end {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -12,7 +12,8 @@
 use crate::ask::Ask;
 use crate::attempt::{Attempt, AttemptEnd, send_attempt};
 use crate::caller_watch::CallerWatch;
-use crate::choose::{choose, pick_service, place_ask};
+use crate::choose::{next_target, no_target, pick_service, place_ask};
+use crate::closed_service::{check_opens, retry_after};
 use crate::coordinator::HALL_BYTES;
 use crate::engine::PlaceFacts;
 use crate::graph::{RequestResults, run_stages};
@@ -36,8 +37,8 @@
 /// When a caller should come back where every target was full.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// When a caller should come back where no target is known.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// How often a request goes on to another target since the one that was chosen for it wants nothing by then.
+const MAX_WITHHELD: u32 = 8;
 
 /// What decided a request, for its line in the log.
 #[derive(Default)]
@@ -172,7 +173,7 @@
     }
     let mut results: Option<RequestResults> = None;
     let mut tried: Vec<String> = Vec::new();
-    let mut refusals = 0;
+    let (mut refusals, mut withheld) = (0, 0);
     loop {
         if results.is_none() && !ask.route.stages.is_empty() {
             let started = Instant::now();
@@ -181,21 +182,15 @@
         }
         // What is held against it may have grown by its own last run, or elsewhere while its stages ran.
         if let Err(refusal) = take_turn(gateway, ask, &mut turn).await {
-            return Err(if log.may_have_run {
-                Refusal::new(RefusalReason::TargetFailed, refusal.detail)
-            } else {
-                refusal
-            });
+            return Err(after_attempts(log, refusal));
         }
         // Only now: while the stages ran, targets may have gone.
-        let (chosen, placement) = choose(gateway, &service, ask, &tried, results.as_ref())
-            .await
-            .ok_or_else(no_target)?;
+        let next = next_target(gateway, &service, ask, &tried, results.as_ref()).await;
+        let (chosen, placement) = next.map_err(|refusal| after_attempts(log, refusal))?;
         log.target.clone_from(&chosen.id);
         log.engine = placement.as_ref().and_then(Placement::facts);
         log.attempts += 1;
-        log.may_have_run = true;
-        turn.as_mut().into_iter().for_each(RunTurn::note_sending);
+        let may_have_run = std::mem::replace(&mut log.may_have_run, true);
         let attempt = Attempt {
             service: &service,
             chosen: &chosen,
@@ -205,8 +200,25 @@
         };
         let more = log.attempts - refusals < ask.route.max_attempts && ask.route.may_repeat();
         let end = send_attempt(gateway, ask, attempt, more).await;
-        tried.push(chosen.id.clone());
+        if !matches!(end, AttemptEnd::Withheld) {
+            turn.as_mut().into_iter().for_each(RunTurn::note_sending);
+            // One that wants nothing for a while may take it after that.
+            if !gateway.notices.is_backed_off(&chosen.id) {
+                tried.push(chosen.id.clone());
+            }
+        }
         let failure = match end {
+            AttemptEnd::Withheld => {
+                // Nothing was sent, so it counts neither as an attempt nor as a repeat.
+                log.attempts -= 1;
+                log.may_have_run = may_have_run;
+                withheld += 1;
+                if withheld == MAX_WITHHELD {
+                    let cause = "targets were chosen that want no requests".to_owned();
+                    return Err(refused_everywhere(gateway, &service, ask, log, cause));
+                }
+                continue;
+            }
             AttemptEnd::Events(stream) => {
                 let relay = Relay::new(gateway, ask, service, chosen, results, log.attempts)
                     .with_turn(turn);
@@ -237,7 +249,7 @@
                 let repeat =
                     refusals < MAX_REFUSALS && (!arrived || take_repeat(gateway, &service));
                 if !repeat {
-                    return Err(refused_everywhere(log.may_have_run, cause));
+                    return Err(refused_everywhere(gateway, &service, ask, log, cause));
                 }
                 cause
             }
@@ -255,6 +267,15 @@
     }
 }
 
+/// Returns a refusal as it is after the attempts so far: it must not say that the request has not run where it
+/// may have.
+fn after_attempts(log: &RunLog, refusal: Refusal) -> Refusal {
+    if log.may_have_run {
+        return Refusal::new(RefusalReason::TargetFailed, refusal.detail);
+    }
+    refusal
+}
+
 /// On a host that has just started, lets a request wait for targets of the services on its way.
 async fn await_first_targets(gateway: &Gateway, service: &str, ask: &Ask) {
     let patience = gateway.start_patience(Some(ask.time_left()));
@@ -285,16 +306,19 @@
     stages.chain([service]).collect()
 }
 
-fn refused_everywhere(may_have_run: bool, cause: String) -> Refusal {
-    if may_have_run {
+/// Returns the refusal of a request that no target took.
+fn refused_everywhere(
+    gateway: &Gateway,
+    service: &str,
+    ask: &Ask,
+    log: &RunLog,
+    cause: String,
+) -> Refusal {
+    if log.may_have_run {
         return Refusal::new(RefusalReason::TargetFailed, cause);
     }
-    Refusal::new(RefusalReason::Overloaded, cause).with_retry_after(FULL_RETRY_AFTER)
-}
-
-fn no_target() -> Refusal {
-    Refusal::new(RefusalReason::NoTarget, "no target is registered")
-        .with_retry_after(NO_TARGET_RETRY_AFTER)
+    let back = retry_after(gateway, service, ask).max(FULL_RETRY_AFTER);
+    Refusal::new(RefusalReason::Overloaded, cause).with_retry_after(back)
 }
 
 pub(crate) fn take_repeat(gateway: &Gateway, service: &str) -> bool {
@@ -314,6 +338,8 @@
 ) -> Result<RequestResults, Refusal> {
     if log.stage_runs == 0 {
         log.plan = admit(gateway, ask)?;
+        let planned = Duration::from_secs_f64((log.plan.stages_ms + log.plan.waits_ms) / 1_000.0);
+        check_opens(gateway, service, ask, planned)?;
     }
     loop {
         log.stage_runs += 1;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
+use linnet_clock::BootInstant;
 use linnet_directory::{DirectoryUpdate, DirectoryView, GatewayRecord, HeldDocument, TargetState};
 use linnet_routing::{RouteTable, RoutingConfig};
 use linnet_telemetry::{EventCode, EventRecorder};
@@ -18,6 +19,7 @@
 
 use crate::Dialect;
 use crate::budget::{BudgetRule, RetryBudget};
+use crate::closed_service::WaitingCount;
 use crate::coordinator::Coordinator;
 use crate::engine::EnginePlacer;
 use crate::metrics::GatewayMetrics;
@@ -96,6 +98,8 @@
     pub(crate) ends: TargetEnds,
     /// What targets have asked of this host.
     pub(crate) notices: Rc<NoticeBook>,
+    /// Requests that wait until a target takes requests again.
+    pub(crate) waiting: WaitingCount,
     pub(crate) stopping: Cell<bool>,
     /// When requests that are still in flight are given up, since the process is about to end.
     give_up_at: watch::Sender<Option<Instant>>,
@@ -153,6 +157,7 @@
             suspects: SuspectWatch::default(),
             ends: TargetEnds::default(),
             notices,
+            waiting: WaitingCount::default(),
             stopping: Cell::new(false),
             give_up_at: watch::Sender::new(None),
             open_requests: OpenCount::default(),
@@ -353,6 +358,17 @@
         self.config.recorder.record_request(code, id, peer, detail);
     }
 
+    /// Forgets what targets asked and is over, and counts what holds.
+    fn expire_notices(&self) {
+        let now = BootInstant::now();
+        self.notices.expire(now);
+        let counts = self.notices.counts(now);
+        let metrics = &self.metrics;
+        metrics.targets_backed_off.set(counts.backed_off as i64);
+        metrics.targets_leaving.set(counts.leaving as i64);
+        metrics.sendings_withheld.set(counts.withheld as i64);
+    }
+
     /// Notes that a target could not be reached.
     pub(crate) fn note_unreachable(&self, service: &str, id: &str, cause: &str) {
         let now = Instant::now();
@@ -385,6 +401,7 @@
         gateway.pool.close_rested();
         gateway.expire_suspects();
         gateway.ends.expire(Instant::now());
+        gateway.expire_notices();
         gateway.coordinator.dispatch_all();
         gateway.stages.probe_cut_halls();
         // Hosts that no control host names any more stay while they are reached.
--- a/crates/gateway/src/gateway/target_list.rs
+++ b/crates/gateway/src/gateway/target_list.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use linnet_clock::BootInstant;
+
 use super::Gateway;
 
 /// For how long after its start, as a multiple of the longest wait, a host lets requests wait for what it
@@ -44,7 +46,7 @@
         let mut engines = self.engines.borrow_mut();
         anew.iter().for_each(|engine| engines.forget_engine(engine));
         drop(engines);
-        self.notices.set_targets(&ready);
+        self.notices.set_targets(&ready, BootInstant::now());
         self.note_starts();
         self.stages.set_targets(&ready);
         self.coordinator.set_targets(&ready);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod budget;
 mod caller_watch;
 mod choose;
+mod closed_service;
 mod cold;
 mod confinement;
 mod coordinator;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,9 @@
     pub(crate) target_lists: Counter,
     pub(crate) halls_evacuated: Gauge,
     pub(crate) targets_ended: Counter,
+    pub(crate) targets_backed_off: Gauge,
+    pub(crate) targets_leaving: Gauge,
+    pub(crate) sendings_withheld: Gauge,
     pub(crate) requests_suspected: Gauge,
     pub(crate) requests_held: Gauge,
 }
@@ -59,6 +62,9 @@
             target_lists: Counter::default(),
             halls_evacuated: Gauge::default(),
             targets_ended: Counter::default(),
+            targets_backed_off: Gauge::default(),
+            targets_leaving: Gauge::default(),
+            sendings_withheld: Gauge::default(),
             requests_suspected: Gauge::default(),
             requests_held: Gauge::default(),
         };
@@ -67,6 +73,21 @@
             "Targets that ended while requests of this host ran there",
             metrics.targets_ended.clone(),
         );
+        registry.register(
+            "targets_backed_off",
+            "Targets that want no requests of this host for a while",
+            metrics.targets_backed_off.clone(),
+        );
+        registry.register(
+            "targets_leaving",
+            "Targets that said in an answer that they leave",
+            metrics.targets_leaving.clone(),
+        );
+        registry.register(
+            "sendings_withheld",
+            "Sendings since the start that were held back since their target wants none",
+            metrics.sendings_withheld.clone(),
+        );
         registry.register(
             "requests_suspected",
             "Requests against which the end of a target stands",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,7 @@
 use crate::ask::Ask;
 use crate::attempt::{Attempt, AttemptEnd, EventStream, send_attempt};
 use crate::body::BrokenAnswer;
-use crate::choose::choose;
+use crate::choose::next_target;
 use crate::events::last_event_id;
 use crate::forward::take_repeat;
 use crate::graph::RequestResults;
@@ -132,31 +132,35 @@
         {
             self.attempts += 1;
             self.turn.iter_mut().for_each(RunTurn::note_sending);
-            let (chosen, placement) = choose(
-                &self.gateway,
-                &self.service,
-                &self.ask,
-                &self.tried,
-                self.results.as_ref(),
-            )
-            .await?;
-            self.tried.push(chosen.id.clone());
+            if let (chosen, AttemptEnd::Events(stream)) = self.send_on().await? {
+                self.chosen = chosen;
+                self.sent = Instant::now();
+                self.note(EventCode::StreamResumed, &format!("cause={cause}"));
+                return Some(stream);
+            }
+        }
+        None
+    }
+
+    /// Sends the request to another target, which is to go on after the last event; nothing where there is none.
+    async fn send_on(&mut self) -> Option<(Chosen, AttemptEnd)> {
+        loop {
+            let (gateway, results) = (&self.gateway, self.results.as_ref());
+            let next = next_target(gateway, &self.service, &self.ask, &self.tried, results).await;
+            let (chosen, placement) = next.ok()?;
             let attempt = Attempt {
                 service: &self.service,
                 chosen: &chosen,
                 placement,
-                results: self.results.as_ref(),
+                results,
                 last_event: self.last_event.as_deref(),
             };
-            let end = send_attempt(&self.gateway, &self.ask, attempt, false).await;
-            if let AttemptEnd::Events(stream) = end {
-                self.chosen = chosen;
-                self.sent = Instant::now();
-                self.note(EventCode::StreamResumed, &format!("cause={cause}"));
-                return Some(stream);
+            let end = send_attempt(gateway, &self.ask, attempt, false).await;
+            self.tried.push(chosen.id.clone());
+            if !matches!(end, AttemptEnd::Withheld) {
+                return Some((chosen, end));
             }
         }
-        None
     }
 }
 
--- a/crates/gateway/src/stage_call.rs
+++ b/crates/gateway/src/stage_call.rs
@@ -19,7 +19,7 @@
 use crate::dialect::StageItem;
 use crate::load::ReportedLoad;
 use crate::notice::read_notice;
-use crate::notice_book::NoticeBook;
+use crate::notice_book::{NoticeBook, SendKind, TargetStanding};
 use crate::piece::{PieceFault, PieceInput, StageWork};
 use crate::upstream::{SendError, UpstreamPool};
 
@@ -149,8 +149,11 @@
             Ok(request) => request,
             Err(error) => return CallEnd::Failed(error.to_string()),
         };
-        let (head, body) = match self.exchange(&call.target, call.address, request).await {
+        let sent = self.exchange(&call.target, call.address, request, SendKind::Work);
+        let (head, body) = match sent.await {
             Ok(answered) => answered,
+            // Whoever gathers lets its pieces wait, or gives them to another target.
+            Err(SendError::Withheld) => return CallEnd::Busy,
             Err(SendError::MayHaveRun { cause, broke: true }) => return CallEnd::Broke(cause),
             Err(error) => return CallEnd::Failed(error.to_string()),
         };
@@ -173,8 +176,13 @@
         }
     }
 
+    /// Says whether a target takes calls of this host.
+    pub(crate) fn standing(&self, target: &str) -> TargetStanding {
+        self.notices.standing(target, BootInstant::now())
+    }
+
     /// Tells a target that results are not needed any more. A lost word costs only the time until the
-    /// results expire by themselves.
+    /// results expire by themselves, so one that the target does not want now is not kept for it.
     pub(crate) async fn send_release(&self, release: &StageRelease) {
         let targets = &self.dialect.targets;
         let body = (targets.encode_stage_free)(&release.handles);
@@ -185,7 +193,8 @@
         let Ok(request) = request else {
             return;
         };
-        let sent = self.exchange(&release.target, release.address, request);
+        let (target, address) = (&release.target, release.address);
+        let sent = self.exchange(target, address, request, SendKind::Word);
         let _ = timeout(WORD_TIMEOUT, sent).await;
     }
 
@@ -196,7 +205,7 @@
             .header(header::HOST, address.to_string())
             .body(Full::new(Bytes::new()))
             .ok()?;
-        let asked = self.exchange(target, address, request);
+        let asked = self.exchange(target, address, request, SendKind::Word);
         let (_, body) = timeout(WORD_TIMEOUT, asked).await.ok()?.ok()?;
         (targets.decode_free_bytes)(&body)
     }
@@ -207,8 +216,10 @@
         target: &str,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        kind: SendKind,
     ) -> Result<(Parts, Bytes), SendError> {
-        let (head, body) = self.upstream.exchange(address, request).await?;
+        let gate = self.notices.gate(target, kind);
+        let (head, body) = self.upstream.exchange(address, request, gate).await?;
         let notice = read_notice(&self.dialect, &head, None);
         self.notices.note(target, notice, BootInstant::now());
         Ok((head, body))
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -254,6 +254,12 @@
             .flat_map(BTreeMap::values)
     }
 
+    /// Returns the identities of the targets of a service.
+    pub(crate) fn ids_of(&self, service: &str) -> impl Iterator<Item = &String> {
+        let targets = self.services.get(service);
+        targets.into_iter().flat_map(BTreeMap::keys)
+    }
+
     /// Returns the targets of a service that are not left alone; all of them where all are.
     pub(crate) fn usable(&self, service: &str, now: Instant) -> Vec<&Target> {
         let usable: Vec<&Target> = self
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -21,6 +21,8 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::notice_book::SendGate;
+
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -46,6 +48,9 @@
     #[display("connect: {_0}")]
     #[error(ignore)]
     NotSent(String),
+    /// Nothing of it was written, since the target wants nothing now.
+    #[display("withheld")]
+    Withheld,
     /// It may have reached the target.
     #[display("send: {cause}")]
     MayHaveRun {
@@ -129,13 +134,19 @@
         self.state.borrow().opened
     }
 
-    /// Sends a request and returns the head of the answer.
+    /// Sends a request and returns the head of the answer. The gate is asked right before bytes are written:
+    /// a connection may take 300 ms to open.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        mut gate: SendGate<'_>,
     ) -> Result<(Response<Incoming>, Lease), SendError> {
         while let Some(mut connection) = self.take_resting(address) {
+            if !gate.passes() {
+                self.rest(address, connection);
+                return Err(SendError::Withheld);
+            }
             match connection.sender.try_send_request(request).await {
                 Ok(answer) => return Ok((answer, self.lease(address, connection))),
                 Err(mut error) => match error.take_message() {
@@ -146,6 +157,10 @@
             }
         }
         let mut connection = self.open(address).await?;
+        if !gate.passes() {
+            self.rest(address, connection);
+            return Err(SendError::Withheld);
+        }
         match connection.sender.try_send_request(request).await {
             Ok(answer) => Ok((answer, self.lease(address, connection))),
             Err(mut error) => {
@@ -165,8 +180,9 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        gate: SendGate<'_>,
     ) -> Result<(Parts, Bytes), SendError> {
-        let (answer, lease) = self.send(address, request).await?;
+        let (answer, lease) = self.send(address, request, gate).await?;
         let (head, body) = answer.into_parts();
         let body = body
             .collect()
@@ -186,8 +202,7 @@
             _ => return ProbeOutcome::Silent,
         };
         if let Ok(connection) = self.prepare(socket).await {
-            let mut state = self.state.borrow_mut();
-            state.resting.entry(address).or_default().push(connection);
+            self.rest(address, connection);
         }
         ProbeOutcome::Open
     }
@@ -215,6 +230,12 @@
         }
     }
 
+    /// Keeps a connection that nothing was sent on for the next request.
+    fn rest(&self, address: SocketAddr, connection: Connection) {
+        let mut state = self.state.borrow_mut();
+        state.resting.entry(address).or_default().push(connection);
+    }
+
     fn take_resting(&self, address: SocketAddr) -> Option<Connection> {
         let mut state = self.state.borrow_mut();
         let resting = state.resting.get_mut(&address)?;
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -100,6 +100,7 @@
     HostListFailed = 505, Warn, "A read of the host list failed or was partial; nothing was removed.";
     TargetEnded = 506, Warn, "A target ended while requests of this host ran there.";
     TargetBackedOff = 507, Warn, "A target turned a request of this host away and wants no other for a while.";
+    TargetReopened = 508, Info, "A target that wanted no requests for a while gets some again.";
     RoutingAccepted = 601, Info, "A routing configuration was committed, or a newer one was held already.";
     RoutingRefused = 602, Warn, "A routing configuration was refused or could not be committed in time.";
     RoutingInForce = 603, Info, "A process put a routing configuration in force.";
