What a start of a target asks holds also where it was said before its registration came

Now what was said after a start began holds for it, for 30 s where that is not sure, since clocks differ.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -231,10 +231,8 @@
     let (head, body) = answer.into_parts();
     let notice = read_notice(&gateway.config.dialect, &head, Some(&ask.id));
     gateway.notices.note(&chosen.id, notice, BootInstant::now());
-    if notice != TargetNotice::default()
-        && let Some(placement) = &attempt.placement
-    {
-        placement.note_unreachable(attempt.service, &chosen.id);
+    if notice != TargetNotice::default() {
+        hint_placer(gateway, &attempt);
     }
     if let Some(refused) = read_refusal(gateway, &attempt, &head) {
         if body.collect().await.is_ok() {
@@ -306,6 +304,20 @@
     }
 }
 
+/// Has the host that places prompts pass an engine over for a short while, for all hosts. An engine that turns
+/// prompts away looks idle to it: of two that did so for 3 s, with three hosts, each was sent 4 to 6 prompts,
+/// and 6 to 8 without this (three runs each). It may take prompts of others, so it is no more than a hint.
+fn hint_placer(gateway: &Gateway, attempt: &Attempt<'_>) {
+    let Some(placement) = &attempt.placement else {
+        return;
+    };
+    let (service, engine) = (attempt.service, attempt.chosen.id.as_str());
+    placement.note_unreachable(service, engine);
+    // Where this host places itself.
+    let mut targets = gateway.targets.borrow_mut();
+    targets.take_unreachable(service, engine, Instant::now());
+}
+
 fn read_refusal(
     gateway: &Gateway,
     attempt: &Attempt<'_>,
--- a/crates/gateway/src/coordinator/pool.rs
+++ b/crates/gateway/src/coordinator/pool.rs
@@ -128,7 +128,8 @@
         for one in &self.waiting {
             *waiting.entry(one.rank).or_default() += 1;
         }
-        let usable = self.usable();
+        let usable = self.usable(now);
+        let usable = usable.filter(|(_, target)| !target.wants_nothing(now));
         let (mut targets, mut free) = (0, 0);
         for (_, target) in usable {
             targets += 1;
@@ -175,15 +176,16 @@
         }
     }
 
-    /// Says whether some target answers in time, so that suspect ones need not be relied on.
-    pub(super) fn has_sound_target(&self) -> bool {
+    /// Says whether some target answers in time, so that suspect ones need not be relied on. One that wants
+    /// nothing now does not.
+    pub(super) fn has_sound_target(&self, now: Instant) -> bool {
         let mut targets = self.targets.values();
-        targets.any(|target| target.takes_calls() && !target.suspect)
+        targets.any(|target| target.takes_calls() && !target.suspect && !target.wants_nothing(now))
     }
 
     /// Returns the targets that pieces are given to: the sound ones, or all where none is.
-    fn usable(&self) -> impl Iterator<Item = (&String, &StageTarget)> {
-        let any_sound = self.has_sound_target();
+    fn usable(&self, now: Instant) -> impl Iterator<Item = (&String, &StageTarget)> {
+        let any_sound = self.has_sound_target(now);
         let targets = self.targets.iter();
         targets.filter(move |(_, target)| target.takes_calls() && !(any_sound && target.suspect))
     }
@@ -213,7 +215,7 @@
         // One that may end its target is at one target at a time.
         let harmless = self.waiting.iter().filter(|one| !one.apart);
         let lightest = harmless.min_by_key(|one| one.result_bytes);
-        let Some(waiting) = lightest.filter(|_| self.has_sound_target()) else {
+        let Some(waiting) = lightest.filter(|_| self.has_sound_target(now)) else {
             return Vec::new();
         };
         let suspects = self.targets.iter().filter(|(_, target)| {
@@ -286,7 +288,7 @@
 
     /// Says whether a target takes one more piece, whatever room its result needs.
     fn has_place(&self, open: &BTreeMap<String, DueCall>, now: Instant) -> bool {
-        self.usable().any(|(id, target)| {
+        self.usable(now).any(|(id, target)| {
             let in_call = open.get(id).map_or(0, |call| call.pieces.len());
             in_call < self.spec.batch as usize && target.is_free(&self.spec, now)
         })
@@ -313,7 +315,7 @@
                 .as_ref()
                 .is_some_and(|hall| *hall != target.hall)
         };
-        let candidates = self.usable().filter(|(id, target)| fits(id, target));
+        let candidates = self.usable(now).filter(|(id, target)| fits(id, target));
         let (id, target) = candidates.min_by_key(|(id, target)| {
             (
                 elsewhere(target),
@@ -334,7 +336,7 @@
         let own = Duration::from_secs_f64(self.spec.call_time_ms(1) / 1_000.0);
         let spare = waiting.wanted.saturating_duration_since(now + own);
         let patience = spare.mul_f64(HALL_PATIENCE_PART).min(HALL_PATIENCE);
-        let of_hall = self.usable().filter(|(_, target)| {
+        let of_hall = self.usable(now).filter(|(_, target)| {
             waiting.hall.as_ref() == Some(&target.hall)
                 && !target.rests(now)
                 && target.busy_until <= now + patience
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -303,7 +303,9 @@
     /// Takes that a call is late, so that its pieces go to other targets as well; it is waited for until
     /// `until`.
     pub(crate) fn note_late(self: &Rc<Self>, call: &DueCall, until: Instant) {
-        self.state.borrow_mut().note_late(call, until);
+        self.state
+            .borrow_mut()
+            .note_late(call, until, Instant::now());
         self.dispatch(&call.pool);
     }
 
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -270,14 +270,14 @@
     /// Puts the pieces of a call that is late into the queue once more, for other targets, while the call
     /// goes on until `until`. Where no other target answers in time either, that would only add to
     /// what waits.
-    pub(super) fn note_late(&mut self, call: &DueCall, until: Instant) {
+    pub(super) fn note_late(&mut self, call: &DueCall, until: Instant, now: Instant) {
         let Some(pool) = self.pools.get_mut(&call.pool) else {
             return;
         };
         if let Some(target) = pool.targets.get_mut(&call.target) {
             target.note_late(until);
         }
-        if !pool.has_sound_target() {
+        if !pool.has_sound_target(now) {
             return;
         }
         // One that may end its target is at one target at a time.
--- a/crates/gateway/src/coordinator/state/tests.rs
+++ b/crates/gateway/src/coordinator/state/tests.rs
@@ -1,3 +1,4 @@
+mod asked;
 mod burst;
 mod ended;
 
@@ -53,9 +54,8 @@
     PoolKey::whole(SERVICE)
 }
 
-/// Lets the pieces of one request wait.
-fn submit(state: &mut QueueState, pieces: u32, now: Instant) -> Replied {
-    let batch = PieceBatch {
+fn batch(pieces: u32) -> PieceBatch {
+    PieceBatch {
         number: 0,
         pool: key(),
         rank: Rank {
@@ -76,7 +76,12 @@
             input: PieceInput::Key("key".to_owned()),
         },
         count: pieces,
-    };
+    }
+}
+
+/// Lets the pieces of one request wait.
+fn submit(state: &mut QueueState, pieces: u32, now: Instant) -> Replied {
+    let batch = batch(pieces);
     let replied: Replied = Rc::default();
     let sink = replied.clone();
     let reply: BatchReply = Box::new(move |outcomes| *sink.borrow_mut() = outcomes);
@@ -113,7 +118,7 @@
 fn make_suspect(state: &mut QueueState, now: Instant) -> String {
     let replied = submit(state, 2, now);
     let slow = only_call(state, now);
-    state.note_late(&slow, now + Duration::from_secs(1));
+    state.note_late(&slow, now + Duration::from_secs(1), now);
     let quick = only_call(state, now);
     assert_ne!(slow.target, quick.target);
     assert!(answer(state, quick, false).is_empty());
@@ -136,7 +141,7 @@
     let slow = only_call(&mut state, now);
     let busy = submit(&mut state, 1, now);
     let other = only_call(&mut state, now);
-    state.note_late(&slow, now + Duration::from_secs(1));
+    state.note_late(&slow, now + Duration::from_secs(1), now);
     assert!(answer(&mut state, slow, true).is_empty());
     assert_eq!(replied.borrow().len(), 2);
     answer(&mut state, other, false);
@@ -183,7 +188,7 @@
     let (mut state, now) = (state(1), Instant::now());
     let replied = submit(&mut state, 1, now);
     let slow = only_call(&mut state, now);
-    state.note_late(&slow, now + Duration::from_secs(1));
+    state.note_late(&slow, now + Duration::from_secs(1), now);
     assert!(state.pools[&key()].waiting.is_empty());
     answer(&mut state, slow, true);
     assert_eq!(replied.borrow().len(), 1);
--- a/crates/gateway/src/coordinator/state/tests/ended.rs
+++ b/crates/gateway/src/coordinator/state/tests/ended.rs
@@ -61,7 +61,7 @@
     let pool = state.pools.get_mut(&key()).unwrap();
     pool.waiting.iter_mut().for_each(|one| one.apart = true);
     let call = only_call(&mut state, now);
-    state.note_late(&call, now + Duration::from_secs(1));
+    state.note_late(&call, now + Duration::from_secs(1), now);
     assert!(state.due_calls(&key(), now).is_empty());
 }
 
--- a/crates/gateway/src/notice_book.rs
+++ b/crates/gateway/src/notice_book.rs
@@ -8,7 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use linnet_clock::BootInstant;
 use linnet_directory::TargetRecord;
@@ -32,6 +32,10 @@
 /// heartbeat that comes late may put it there again.
 const LEAVING_KEPT: Duration = Duration::from_secs(600);
 
+/// How long a leaving target that may be a former start is taken for the one in the list, see
+/// [`TargetAsk::outlasts`]. One that leaves says so again in its next answer.
+const DOUBT_KEPT: Duration = Duration::from_secs(30);
+
 /// Whether a target gets requests of this host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum TargetStanding {
@@ -80,9 +84,28 @@
     leaving: bool,
     /// When it was last known to be in the list of targets that take work.
     listed: BootInstant,
+    /// The Unix millisecond at which it said so last.
+    said_at: u64,
+    /// Until when it is taken for the start in the list where that is not sure.
+    doubted_until: Option<BootInstant>,
 }
 
 impl TargetAsk {
+    /// Says whether what was asked holds for a start that is now in the list, which began at `born`.
+    ///
+    /// A target answers before its registration has reached this host, which then takes it for the start before:
+    /// with starts 90 ms ahead of their registration, hosts forgot what the new one had said and sent it more. A
+    /// start that began before the word was said may be the one that said it. Clocks differ, so this is not
+    /// believed for long.
+    fn outlasts(&mut self, born: u64, now: BootInstant) -> bool {
+        if born <= *self.born.get_or_insert(born) {
+            return true;
+        }
+        self.born = Some(born);
+        self.doubted_until = Some(now + DOUBT_KEPT);
+        born <= self.said_at
+    }
+
     fn standing(&self, now: BootInstant) -> TargetStanding {
         if self.leaving {
             return TargetStanding::Leaving;
@@ -141,7 +164,7 @@
                 return true;
             };
             ask.listed = now;
-            *born <= *ask.born.get_or_insert(*born)
+            ask.outlasts(*born, now)
         });
     }
 
@@ -160,6 +183,8 @@
             listed: now,
             ..TargetAsk::default()
         });
+        ask.said_at = unix_ms();
+        ask.doubted_until = None;
         if let Some(wait) = notice.back_off {
             self.back_off(target, ask, wait, now);
         }
@@ -278,7 +303,9 @@
                 self.record_end(id, &back_off, "not tried", now);
             }
             let leaving = births.contains_key(id) || now - ask.listed < LEAVING_KEPT;
-            ask.back_off.is_some() || (ask.leaving && leaving)
+            let sure = ask.doubted_until.is_none_or(|until| until > now);
+            ask.leaving &= leaving && sure;
+            ask.back_off.is_some() || ask.leaving
         });
     }
 
@@ -299,6 +326,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
+
 /// The last look before something is sent to a target.
 pub(crate) struct SendGate<'a> {
     book: &'a NoticeBook,
--- a/crates/gateway/src/notice_book/tests.rs
+++ b/crates/gateway/src/notice_book/tests.rs
@@ -133,21 +133,46 @@
         start.born = born;
         [start]
     };
+    let later = |number: u64| unix_ms() + 1_000 * number;
     book.set_targets(&start(7), now);
     book.note("t-0", LEAVES, now);
     book.set_targets(&start(7), now);
     assert_eq!(book.standing("t-0", now), TargetStanding::Leaving);
-    book.set_targets(&start(8), now);
+    let first = later(1);
+    book.set_targets(&start(first), now);
     assert!(is_open(&book, now));
     // What is said while the target is in no list holds for the start that comes next into one.
     book.set_targets(&[], now);
     book.note("t-0", wants_nothing(WAIT), now);
-    book.set_targets(&start(8), now);
+    book.set_targets(&start(first), now);
     assert!(!is_open(&book, now));
-    book.set_targets(&start(9), now);
+    book.set_targets(&start(later(2)), now);
     assert!(is_open(&book, now));
 }
 
+/// A start answered 90 ms before its registration reached this host, which took it for the start before.
+#[test]
+fn what_a_start_says_before_it_is_in_the_list_holds_for_it() {
+    let (book, now) = (book(), BootInstant::now());
+    let start = |born| {
+        let mut start = record("t-0", 1_000);
+        start.born = born;
+        [start]
+    };
+    book.set_targets(&start(7), now);
+    let anew = unix_ms();
+    book.note("t-0", LEAVES, now);
+    book.set_targets(&start(anew), now);
+    assert_eq!(book.standing("t-0", now), TargetStanding::Leaving);
+    // Should the clocks have been wrong, it gets work again.
+    book.expire(now + DOUBT_KEPT);
+    assert!(is_open(&book, now));
+    // What it says once it is in the list is not doubted.
+    book.note("t-0", LEAVES, now);
+    book.expire(now + DOUBT_KEPT * 2);
+    assert_eq!(book.standing("t-0", now), TargetStanding::Leaving);
+}
+
 /// 10,000 targets that ask for a day each, and go.
 #[test]
 fn what_is_remembered_is_bounded_by_what_was_listed_of_late() {
