--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! - [`CtlSettings`] are its arguments; [`run_ctl`] runs one command.
 //! - `client` asks the control hosts and finds the one that leads.
-//! - `table`, `status`, `timeline`, `member`, `held` and `form` hold one family of commands each.
+//! - `table`, `status`, `timeline`, `member`, `held`, `notices` and `form` hold one family of commands each.
 //! - `logs` holds the commands on collected logs, which need no host.
 
 mod client;
@@ -11,6 +11,7 @@
 mod held;
 mod logs;
 mod member;
+mod notices;
 mod picture;
 mod settings;
 mod status;
@@ -52,6 +53,7 @@
         CtlCommand::Timeline(query) => timeline::show_timeline(client, query).await,
         CtlCommand::Member(command) => member::run_member(client, command).await,
         CtlCommand::Held(command) => held::run_held(client, command).await,
+        CtlCommand::Notices(args) => notices::show_notices(client, &args).await,
         CtlCommand::Losses(args) => logs::show_losses(&args),
         CtlCommand::Explain(args) => logs::explain(&args),
         CtlCommand::Key { key } => {
--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -59,6 +59,8 @@
     /// Show and release requests that are refused since they end their targets
     #[command(subcommand)]
     Held(HeldCommand),
+    /// Show what targets asked of entry hosts: no requests for a while, or no new work
+    Notices(NoticesArgs),
     /// Count what became of requests in collected logs, with planned against real times
     Losses(LossesArgs),
     /// Gather what collected logs tell of one request
@@ -153,6 +155,19 @@
     pub(crate) entries: Vec<SocketAddr>,
 }
 
+/// Arguments of `notices`.
+#[derive(Debug, Clone, Args)]
+pub(crate) struct NoticesArgs {
+    /// Addresses of the metrics ports of entry hosts, parted by commas
+    #[arg(
+        long,
+        env = "LINNET_ENTRY_METRICS",
+        value_delimiter = ',',
+        required = true
+    )]
+    pub(crate) entries: Vec<SocketAddr>,
+}
+
 /// Arguments of `losses`.
 #[derive(Debug, Clone, Args)]
 pub(crate) struct LossesArgs {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,7 +18,7 @@
 use crate::events::EventSplitter;
 use crate::graph::RequestResults;
 use crate::notice::{TargetNotice, read_notice};
-use crate::notice_book::SendKind;
+use crate::send_gate::SendKind;
 use crate::stage_client::Placement;
 use crate::target::Chosen;
 use crate::upstream::{Lease, SendError, is_break};
--- a/crates/gateway/src/closed_service.rs
+++ b/crates/gateway/src/closed_service.rs
@@ -9,7 +9,7 @@
 
 use crate::Gateway;
 use crate::ask::Ask;
-use crate::notice_book::TargetStanding;
+use crate::target_ask::TargetStanding;
 use crate::{Refusal, RefusalReason};
 
 /// Part of the time until its objective is missed that a request waits for a target; the rest is for its work.
--- a/crates/gateway/src/coordinator/stage_target.rs
+++ b/crates/gateway/src/coordinator/stage_target.rs
@@ -9,8 +9,8 @@
 use super::held::{HeldKey, HeldResults};
 use crate::cold::{ColdRate, SendWindow};
 use crate::load::ReportedLoad;
-use crate::notice_book::TargetStanding;
 use crate::piece::TargetUse;
+use crate::target_ask::TargetStanding;
 
 /// How long a target rests after a call that failed or was late.
 const FAILED_REST: Duration = Duration::from_millis(400);
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -15,10 +15,10 @@
 use super::stage_target::{CallVerdict, StageTarget};
 use crate::ask::Rank;
 use crate::home_halls::HomeHalls;
-use crate::notice_book::TargetStanding;
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad, maker_of};
 use crate::pool_key::PoolKey;
 use crate::stage_call::{CallEnd, StageRelease};
+use crate::target_ask::TargetStanding;
 
 /// How often a piece is given to a target before it counts as failed.
 const MAX_TRIES: u32 = 3;
--- a/crates/gateway/src/coordinator/state/tests/asked.rs
+++ b/crates/gateway/src/coordinator/state/tests/asked.rs
@@ -1,7 +1,7 @@
 //! Stage targets that want no calls of this host for a while, or leave.
 
 use super::*;
-use crate::notice_book::TargetStanding;
+use crate::target_ask::TargetStanding;
 
 const WAIT: Duration = Duration::from_secs(2);
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 use linnet_clock::BootInstant;
 use linnet_directory::{DirectoryUpdate, DirectoryView, GatewayRecord, HeldDocument, TargetState};
 use linnet_routing::{RouteTable, RoutingConfig};
-use linnet_telemetry::{EventCode, EventRecorder};
+use linnet_telemetry::{EventCode, EventRecorder, NoticeLine};
 use linnet_wire::PeerIdentity;
 use tokio::sync::{Notify, watch};
 
@@ -358,6 +358,11 @@
         self.config.recorder.record_request(code, id, peer, detail);
     }
 
+    /// Returns what targets have asked of this host, for operators.
+    pub fn notice_lines(&self) -> Vec<NoticeLine> {
+        self.notices.lines(BootInstant::now())
+    }
+
     /// Forgets what targets asked and is over, and counts what holds.
     fn expire_notices(&self) {
         let now = BootInstant::now();
--- a/crates/gateway/src/notice_book/tests.rs
+++ b/crates/gateway/src/notice_book/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::target::tests::record;
+use crate::target_ask::{DOUBT_KEPT, LEAVING_KEPT, TRIAL_PATIENCE, UNTRIED_KEPT, unix_ms};
 
 const WAIT: Duration = Duration::from_secs(3);
 
--- a/crates/gateway/src/stage_call.rs
+++ b/crates/gateway/src/stage_call.rs
@@ -19,8 +19,10 @@
 use crate::dialect::StageItem;
 use crate::load::ReportedLoad;
 use crate::notice::read_notice;
-use crate::notice_book::{NoticeBook, SendKind, TargetStanding};
+use crate::notice_book::NoticeBook;
 use crate::piece::{PieceFault, PieceInput, StageWork};
+use crate::send_gate::SendKind;
+use crate::target_ask::TargetStanding;
 use crate::upstream::{SendError, UpstreamPool};
 
 /// About what a piece takes in the body of a call beside its inputs, in bytes: its names and numbers.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -21,7 +21,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::notice_book::SendGate;
+use crate::send_gate::SendGate;
 
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/logbook/src/explain.rs
+++ b/crates/logbook/src/explain.rs
@@ -28,13 +28,14 @@
     let last = lines.last()?;
     let own = lines.iter().filter(|line| line.request.is_some());
     let targets: Vec<&str> = own.filter_map(|line| line.peer.as_deref()).collect();
+    let closed = lines.iter().find_map(closed_service);
     let mut target_lines: Vec<LogLine> = all
         .iter()
         .filter(|line| tells_of_target(line) && line.time <= last.time)
         .filter(|line| {
-            line.peer
-                .as_deref()
-                .is_some_and(|peer| targets.contains(&peer))
+            let peer = line.peer.as_deref();
+            let sent_to = peer.is_some_and(|peer| targets.contains(&peer));
+            sent_to || closed.is_some_and(|closed| closes(line, closed))
         })
         .filter(|line| !line.names(request))
         .cloned()
@@ -80,6 +81,31 @@
     held
 }
 
+/// Where a request was refused since all targets of a service wanted none.
+#[derive(Clone, Copy)]
+struct ClosedService<'a> {
+    host: &'a str,
+    service: &'a str,
+}
+
+fn closed_service(line: &LogLine) -> Option<ClosedService<'_>> {
+    let (_, told) = line.detail.split_once("every target of ")?;
+    let (service, _) = told.split_once(" wants no requests")?;
+    Some(ClosedService {
+        host: &line.host,
+        service,
+    })
+}
+
+/// Says whether a line tells that a target of a closed service wanted no requests of the host.
+fn closes(line: &LogLine, closed: ClosedService<'_>) -> bool {
+    let asked = matches!(
+        line.code,
+        EventCode::TargetBackedOff | EventCode::TargetLeaving
+    );
+    asked && line.host == closed.host && line.field("service") == Some(closed.service)
+}
+
 /// Says whether a line tells that a target failed, leaves or is silent.
 fn tells_of_target(line: &LogLine) -> bool {
     matches!(
@@ -88,6 +114,9 @@
             | EventCode::TargetWithdrawn
             | EventCode::TargetSilent
             | EventCode::TargetEnded
+            | EventCode::TargetBackedOff
+            | EventCode::TargetReopened
+            | EventCode::TargetLeaving
             | EventCode::StageCallFailed
             | EventCode::StageCallLate
     )
--- a/crates/logbook/src/explain/tests.rs
+++ b/crates/logbook/src/explain/tests.rs
@@ -61,6 +61,21 @@
     assert!(story.verdict.contains("ends_targets: 3 targets ended"));
 }
 
+/// Such a request was sent to none of them.
+#[test]
+fn a_request_whose_service_was_closed_is_told_with_what_its_targets_asked() {
+    const LOG: &str = "\
+2026-09-17T19:28:20.000Z WARN event=507 host=edge-1 peer=i-1 TargetBackedOff: service=s wait_ms=3000 former_left_ms=0
+2026-09-17T19:28:20.000Z WARN event=507 host=edge-2 peer=i-2 TargetBackedOff: service=s wait_ms=3000 former_left_ms=0
+2026-09-17T19:28:20.000Z WARN event=507 host=edge-1 peer=i-3 TargetBackedOff: service=t wait_ms=3000 former_left_ms=0
+2026-09-17T19:28:20.500Z INFO event=502 host=edge-1 peer=i-4 TargetLeaving: service=s cause=said in an answer
+2026-09-17T19:28:21.000Z WARN event=402 host=edge-1 request=a9 RequestRefused: took_ms=0 outcome=overloaded: every target of s wants no requests, the first one for 1999 ms";
+    let lines = read_lines(LOG.as_bytes()).unwrap();
+    let story = explain_request(&lines, "a9").unwrap();
+    let targets = story.target_lines.iter().map(|line| line.peer.as_deref());
+    assert_eq!(targets.collect::<Vec<_>>(), [Some("i-1"), Some("i-4")]);
+}
+
 #[test]
 fn a_request_without_an_end_or_without_lines_is_told_so() {
     let story = explain_request(&lines(), "zz").unwrap();
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -157,7 +157,7 @@
     ntex::rt::spawn(update_gauges(node.clone(), registry.clone()));
     if let Some(metrics) = settings.listen.metrics {
         let listener = TcpListener::bind(metrics).await?;
-        ntex::rt::spawn(serve_metrics(listener, registry));
+        ntex::rt::spawn(serve_metrics(listener, registry, Box::new(|_| None)));
     }
     let listener = TcpListener::bind(operators).await?;
     let answering = (
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -10,7 +10,7 @@
 use linnet_daemon::{StopSignals, accept_peers, exit_code};
 use linnet_directory::{DocumentSink, FollowConfig, follow_directory};
 use linnet_gateway::{Gateway, GatewayConfig, serve_callers, serve_pieces};
-use linnet_telemetry::{EventCode, EventRecorder, HybridClock};
+use linnet_telemetry::{EventCode, EventRecorder, HybridClock, NOTICES_PATH};
 use linnet_wire::PeerGreeting;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -18,6 +18,7 @@
 
 use crate::http_door::{DoorAnswer, DoorRequest, serve_door};
 use crate::metrics_page::serve_metrics;
+use crate::notices_page::answer_notices;
 use crate::peers::peer_identity;
 use crate::reload::{SettingsSource, reload_settings};
 use crate::settings::NodeRole;
@@ -128,7 +129,9 @@
 
     if let Some(metrics) = settings.listen.metrics {
         let listener = TcpListener::bind(metrics).await?;
-        ntex::rt::spawn(serve_metrics(listener, gateway.metrics.registry.clone()));
+        let (registry, asked) = (gateway.metrics.registry.clone(), gateway.clone());
+        let more = move |path: &str| (path == NOTICES_PATH).then(|| answer_notices(&asked));
+        ntex::rt::spawn(serve_metrics(listener, registry, Box::new(more)));
     }
     let listener = TcpListener::bind(readiness).await?;
     let (asked, path) = (gateway.clone(), dialect.readiness_path);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod held_door;
 mod http_door;
 mod metrics_page;
+mod notices_page;
 mod peers;
 mod reload;
 mod settings;
