Form of messages is agreed on each connection; builds of the last two landings are understood

Cause: messages know their fields by place, and no connection said which build speaks. Each end now announces the newest form that it knows behind what earlier builds read of the handshake; both speak the older of the two. A peer that announces none is one of the two builds before: its first message tells which, whole in one form only. The first form has types of its own at the edge, in directory and gateway; what it has no word for is not sent (requests that end targets), and a held request is kept out of the log while a control host is known that could not read it.

--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -8,12 +8,15 @@
 use std::time::Duration;
 
 use linnet_telemetry::{EventCode, EventRecorder};
-use linnet_wire::{PeerGreeting, PeerIdentity, PeerReader, PeerWriter, WireError, connect_peer};
+use linnet_wire::{
+    MessageForm, PeerGreeting, PeerIdentity, PeerReader, PeerWriter, WireError, connect_peer,
+};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 use crate::document_follower::{DocumentFollower, DocumentSink};
 use crate::fetch::FetchProgress;
+use crate::first_form::FirstUpdate;
 use crate::serve::{SILENCE_LIMIT, SUSPECTS_AT_ONCE, UPDATE_PERIOD};
 use crate::suspect_reports::{SuspectReports, SuspectSource};
 use crate::{
@@ -249,8 +252,9 @@
     mut reader: PeerReader,
     taken: watch::Sender<u64>,
 ) -> Result<(), WireError> {
+    let mut form = reader.form();
     loop {
-        let mut update: DirectoryUpdate = reader.receive().await?;
+        let mut update = receive_update(following, address, &mut reader, &mut form).await?;
         if let Some(controls) = &update.controls {
             let mut named = following.named.borrow_mut();
             named.insert(address, controls.clone());
@@ -271,6 +275,30 @@
     }
 }
 
+/// Receives an update. The first one of a control host that announced no form tells it.
+async fn receive_update(
+    following: &Following,
+    address: SocketAddr,
+    reader: &mut PeerReader,
+    form: &mut Option<MessageForm>,
+) -> Result<DirectoryUpdate, WireError> {
+    match form {
+        Some(MessageForm::Second) => reader.receive().await,
+        Some(MessageForm::First) => {
+            let update: FirstUpdate = reader.receive().await?;
+            Ok(update.into())
+        }
+        None => {
+            let tell = MessageForm::tell::<DirectoryUpdate, FirstUpdate>;
+            let (update, told) = reader.receive_as(tell).await?;
+            *form = Some(told);
+            let detail = format!("peer={} form={told}", reader.peer());
+            record(&following.config, EventCode::PeerEarlier, address, detail);
+            Ok(update)
+        }
+    }
+}
+
 fn take_documents(documents: &DocumentFollower, address: SocketAddr, update: &mut DirectoryUpdate) {
     if let Some(offer) = update.offer.take() {
         documents.take_offer(address, offer);
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -15,6 +15,7 @@
 mod document_follower;
 mod evacuation;
 mod fetch;
+mod first_form;
 mod follow;
 mod form;
 mod gateway_push;
--- a/crates/directory/src/node/commands.rs
+++ b/crates/directory/src/node/commands.rs
@@ -129,6 +129,11 @@
         if status.leader != Some(status.id) {
             return;
         }
+        // A control host that cannot read this command would pass it over. What is held is told by messages all
+        // the same, and comes into the log once that host is replaced.
+        if self.lock().has_first_form_control() {
+            return;
+        }
         let known = self.lock().suspects.all_records(Instant::now());
         let lacking = self.shared.machine.lacking(known);
         if lacking.is_empty() {
--- a/crates/directory/src/node/state.rs
+++ b/crates/directory/src/node/state.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use linnet_quarantine::SuspectBook;
+use linnet_wire::MessageForm;
 
 use super::suspects::LivingTargets;
 use crate::{DocumentWant, GatewayRecord, Registry};
@@ -21,6 +22,8 @@
     pub(crate) want: Option<DocumentWant>,
     /// Whether it wants to be told of targets and entry hosts by this control host.
     pub(crate) lists: bool,
+    /// The form of its messages; nothing until its first report has told that.
+    pub(crate) form: Option<MessageForm>,
 }
 
 #[derive(Default)]
--- a/crates/directory/src/node/suspects.rs
+++ b/crates/directory/src/node/suspects.rs
@@ -6,6 +6,7 @@
 
 use linnet_quarantine::{EndKey, RequestKey, SuspectRecord};
 use linnet_telemetry::EventCode;
+use linnet_wire::MessageForm;
 use tokio::time::sleep;
 
 use super::{DirectoryNode, NodeState};
@@ -52,7 +53,24 @@
     }
 }
 
+impl NodeState {
+    /// Says whether a control host is known that speaks the first form only.
+    pub(super) fn has_first_form_control(&self) -> bool {
+        let mut subscribers = self.subscribers.values();
+        subscribers.any(|one| one.control && one.form == Some(MessageForm::First))
+    }
+}
+
 impl DirectoryNode {
+    /// Notes the form that a subscriber speaks, which it did not announce.
+    pub(crate) fn note_form(&self, subscriber: u64, peer: &str, form: MessageForm) {
+        if let Some(known) = self.lock().subscribers.get_mut(&subscriber) {
+            known.form = Some(form);
+        }
+        let detail = format!("peer={peer} form={form}");
+        self.record(EventCode::PeerEarlier, &detail);
+    }
+
     /// Takes what another process holds against requests, and tells the others what is news to them.
     pub(crate) fn take_suspects(&self, records: &[SuspectRecord]) {
         if records.is_empty() {
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -4,10 +4,11 @@
 use std::time::{Duration, Instant};
 
 use linnet_quorum::{MemberChange, ProposeError};
-use linnet_wire::{PeerReader, PeerWriter, WireError};
-use tokio::sync::Notify;
+use linnet_wire::{MessageForm, PeerReader, PeerWriter, WireError};
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
+use crate::first_form::{FirstReport, FirstUpdate};
 use crate::gateway_push::{GatewayDue, GatewayPush};
 use crate::message::{DirectoryCall, DirectoryReply};
 use crate::node::SubscriberState;
@@ -77,9 +78,10 @@
     let writer = writer.with_silence_limit(SILENCE_LIMIT);
     let hello: SubscriberHello = reader.receive().await?;
     let wanted = Arc::new(Notify::new());
-    let number = add_subscriber(node, &hello);
-    let taking = take_reports(node, number, &wanted, reader);
-    let pushing = push_updates(node, number, &hello, &wanted, writer);
+    let (told, form) = watch::channel(reader.form());
+    let number = add_subscriber(node, &hello, reader.form());
+    let taking = take_reports(node, number, &wanted, told, reader);
+    let pushing = push_updates(node, number, &hello, &wanted, form, writer);
     // Either half ending means that the subscriber is lost.
     let outcome = tokio::select! {
         outcome = taking => outcome,
@@ -89,7 +91,7 @@
     outcome
 }
 
-fn add_subscriber(node: &DirectoryNode, hello: &SubscriberHello) -> u64 {
+fn add_subscriber(node: &DirectoryNode, hello: &SubscriberHello, form: Option<MessageForm>) -> u64 {
     let mut state = node.lock();
     state.next_subscriber += 1;
     let number = state.next_subscriber;
@@ -101,6 +103,7 @@
         want: None,
         // A control host wants every target.
         lists: hello.control,
+        form,
     };
     state.subscribers.insert(number, subscriber);
     number
@@ -119,10 +122,11 @@
     node: &DirectoryNode,
     number: u64,
     wanted: &Notify,
+    told: watch::Sender<Option<MessageForm>>,
     mut reader: PeerReader,
 ) -> Result<(), WireError> {
     loop {
-        let report: SubscriberReport = reader.receive().await?;
+        let report = receive_report(node, number, &told, &mut reader).await?;
         node.take_suspects(&report.suspects);
         let mut state = node.lock();
         let Some(changes) = state.set_gateway(number, report.gateway) else {
@@ -150,13 +154,42 @@
     }
 }
 
+/// Receives a report. The first one of a subscriber that announced no form tells it.
+async fn receive_report(
+    node: &DirectoryNode,
+    number: u64,
+    told: &watch::Sender<Option<MessageForm>>,
+    reader: &mut PeerReader,
+) -> Result<SubscriberReport, WireError> {
+    let known = *told.borrow();
+    let (report, form) = match known {
+        Some(MessageForm::Second) => return reader.receive().await,
+        Some(MessageForm::First) => {
+            let report: FirstReport = reader.receive().await?;
+            return Ok(report.into());
+        }
+        None => {
+            let tell = MessageForm::tell::<SubscriberReport, FirstReport>;
+            reader.receive_as(tell).await?
+        }
+    };
+    node.note_form(number, reader.peer(), form);
+    told.send_replace(Some(form));
+    Ok(report)
+}
+
 async fn push_updates(
     node: &DirectoryNode,
     subscriber: u64,
     hello: &SubscriberHello,
     wanted: &Notify,
+    mut form: watch::Receiver<Option<MessageForm>>,
     mut writer: PeerWriter,
 ) -> Result<(), WireError> {
+    // Whoever takes the reports is gone, and with it the subscriber, where none came.
+    let Ok(form) = form.wait_for(Option::is_some).await.map(|form| *form) else {
+        return Ok(());
+    };
     let mut changes = node.changes();
     let mut pushed = Pushed {
         subscriber,
@@ -178,7 +211,7 @@
         let due = last_sent.is_none_or(|at| at.elapsed() >= UPDATE_PERIOD);
         if due || !is_empty(&update) {
             last_sent = Some(Instant::now());
-            writer.send(&update).await?;
+            send_update(&mut writer, form, &update).await?;
         }
         let is_part = update.part.is_some()
             || update.targets.len() == TARGETS_AT_ONCE
@@ -201,6 +234,17 @@
     }
 }
 
+async fn send_update(
+    writer: &mut PeerWriter,
+    form: Option<MessageForm>,
+    update: &DirectoryUpdate,
+) -> Result<(), WireError> {
+    if form == Some(MessageForm::First) {
+        return writer.send(&FirstUpdate::from(update.clone())).await;
+    }
+    writer.send(update).await
+}
+
 /// Returns the least time between two updates to one subscriber, of so many, beside parts of a
 /// configuration. Other control hosts are told at once: a target that leaves waits for them.
 fn push_span(control: bool, subscribers: usize) -> Duration {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod dialect;
 mod engine;
 mod events;
+mod first_form;
 mod forward;
 mod gateway;
 mod graph;
--- a/crates/gateway/src/serve_pieces.rs
+++ b/crates/gateway/src/serve_pieces.rs
@@ -6,13 +6,15 @@
 use std::time::{Duration, Instant};
 
 use linnet_quarantine::RequestKey;
-use linnet_wire::{PeerReader, PeerWriter, WireError};
-use tokio::sync::mpsc;
+use linnet_telemetry::EventCode;
+use linnet_wire::{MessageForm, PeerReader, PeerWriter, WireError};
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::Gateway;
 use crate::coordinator::{BatchKey, ExpectKey};
 use crate::engine::{PlaceAsk, PlacementKey};
+use crate::first_form::{FirstRequest, queue_reply};
 use crate::peer_queue::send_waiting;
 use crate::piece::PieceBatch;
 use crate::piece_message::{PieceReply, PieceRequest};
@@ -33,23 +35,58 @@
 ) -> Result<(), WireError> {
     let (replies, queue) = mpsc::unbounded_channel();
     let peer = reader.peer().to_owned();
+    let (told, form) = watch::channel(reader.form());
     let session = PieceSession::new(gateway, replies.clone());
     let work = session.work.clone();
     tokio::select! {
         () = tell_uses(gateway, &peer, replies) => Ok(()),
-        ended = take_requests(session, reader) => ended,
-        ended = send_replies(gateway, &work, queue, writer) => ended,
+        ended = take_requests(session, told, reader) => ended,
+        ended = send_replies(gateway, &work, form, queue, writer) => ended,
     }
 }
 
-async fn take_requests(mut session: PieceSession, reader: PeerReader) -> Result<(), WireError> {
+async fn take_requests(
+    mut session: PieceSession,
+    told: watch::Sender<Option<MessageForm>>,
+    reader: PeerReader,
+) -> Result<(), WireError> {
     let mut reader = reader;
     loop {
         reader = reader.with_silence_limit(session.work.silence_limit());
-        session.take(reader.receive().await?);
+        let known = *told.borrow();
+        let request = match known {
+            Some(MessageForm::Second) => reader.receive().await?,
+            Some(MessageForm::First) => reader.receive::<FirstRequest>().await?.into(),
+            None => {
+                let tell = MessageForm::tell::<PieceRequest, FirstRequest>;
+                let (request, form) = reader.receive_as(tell).await?;
+                // Others read alike in both forms.
+                if !reads_alike(&request) {
+                    session.note_form(reader.peer(), form);
+                    told.send_replace(Some(form));
+                }
+                request
+            }
+        };
+        session.take(request);
     }
 }
 
+/// Says whether a request that was read in the second form would read the same in the first. A sign of life
+/// does not: its number is another.
+fn reads_alike(request: &PieceRequest) -> bool {
+    !matches!(
+        request,
+        PieceRequest::Run(_)
+            | PieceRequest::Plan { .. }
+            | PieceRequest::Place { .. }
+            | PieceRequest::Suspects(_)
+            | PieceRequest::TakeTurn { .. }
+            | PieceRequest::EndTurn(_)
+            | PieceRequest::Alive
+    )
+}
+
 /// What another entry host waits for here.
 #[derive(Default)]
 struct SessionWork {
@@ -109,6 +146,12 @@
         }
     }
 
+    /// Notes the form that the other host speaks, which it did not announce.
+    fn note_form(&self, peer: &str, form: MessageForm) {
+        let detail = format!("peer={peer} form={form}");
+        self.gateway.note(EventCode::PeerEarlier, &detail);
+    }
+
     fn take(&mut self, request: PieceRequest) {
         match request {
             PieceRequest::Run(batch) => self.run_batch(batch),
@@ -302,9 +345,15 @@
 async fn send_replies(
     gateway: &Gateway,
     work: &SessionWork,
+    mut form: watch::Receiver<Option<MessageForm>>,
     mut queue: mpsc::UnboundedReceiver<PieceReply>,
     mut writer: PeerWriter,
 ) -> Result<(), WireError> {
+    // Whoever takes the requests is gone, and with it the other host, where none came.
+    let Ok(Some(form)) = form.wait_for(Option::is_some).await.map(|form| *form) else {
+        return Ok(());
+    };
+    let put = |writer: &mut PeerWriter, reply: &PieceReply| queue_reply(writer, form, reply);
     loop {
         let reply = match timeout(work.alive_period(), queue.recv()).await {
             Ok(Some(reply)) => reply,
@@ -313,7 +362,7 @@
                 loads: gateway.coordinator.loads().to_vec(),
             },
         };
-        send_waiting(&reply, &mut queue, &mut writer).await?;
+        send_waiting(&reply, &mut queue, &mut writer, put).await?;
     }
 }
 
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -17,7 +17,7 @@
 use std::time::{Duration, Instant};
 
 use linnet_directory::{GatewayRecord, TargetRecord};
-use linnet_wire::PeerIdentity;
+use linnet_wire::{MessageForm, PeerIdentity};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::coordinator::{Coordinator, SendingShare};
@@ -395,6 +395,7 @@
         ntex::rt::spawn(run_link(self.clone(), address, queue));
         Link {
             state: LinkState::Opening(Instant::now()),
+            form: MessageForm::NEWEST,
             heard: Instant::now(),
             outgoing,
             waiting: HashMap::new(),
@@ -409,6 +410,21 @@
         state.gateways.iter().any(|one| one.peer == address)
     }
 
+    /// Notes that a link is up, and which form the other side speaks.
+    fn mark_up(&self, address: SocketAddr, form: MessageForm) {
+        if let Some(link) = self.state.borrow_mut().links.get_mut(&address) {
+            link.form = form;
+        }
+        self.mark(address, LinkState::Up);
+    }
+
+    /// Says whether a host can be told of requests that may end their targets.
+    fn knows_turns(&self, address: SocketAddr) -> bool {
+        let state = self.state.borrow();
+        let link = state.links.get(&address);
+        link.is_none_or(|link| link.form > MessageForm::First)
+    }
+
     /// Notes where a link stands. The batches on one that was lost are dropped, which lets their
     /// requests try another host.
     fn mark(&self, address: SocketAddr, to: LinkState) {
--- a/crates/gateway/src/stage_client/link.rs
+++ b/crates/gateway/src/stage_client/link.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddr;
 
-use linnet_wire::{PeerGreeting, PeerReader, PeerWriter, WireError, connect_peer};
+use linnet_telemetry::EventCode;
+use linnet_wire::{MessageForm, PeerGreeting, PeerReader, PeerWriter, WireError, connect_peer};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
 use super::{IDLE_SILENCE_LIMIT, LinkState, RECONNECT_WAIT, SILENCE_LIMIT, StageClient};
+use crate::first_form::{FirstReply, queue_request};
 use crate::peer_queue::send_waiting;
 use crate::piece_message::{PieceReply, PieceRequest};
 
@@ -41,44 +43,71 @@
         return Ok(());
     };
     let (reader, mut writer) = connected?;
-    let reader = reader.with_silence_limit(IDLE_SILENCE_LIMIT);
+    let mut reader = reader.with_silence_limit(IDLE_SILENCE_LIMIT);
     writer.send(&PeerGreeting::Pieces).await?;
-    client.mark(address, LinkState::Up);
+    let form = match reader.form() {
+        Some(form) => form,
+        None => first_sign(client, address, &mut reader).await?,
+    };
+    client.mark_up(address, form);
     tokio::select! {
-        ended = take_replies(client, address, reader) => ended,
-        ended = send_queued(client, address, queue, writer) => ended,
+        ended = take_replies(client, address, form, reader) => ended,
+        ended = send_queued(client, address, form, queue, writer) => ended,
     }
 }
 
+/// Waits for the first sign of life of a host that announced no form, which tells it. Such a host sends one
+/// within 400 ms; requests wait for it, or go elsewhere.
+async fn first_sign(
+    client: &StageClient,
+    address: SocketAddr,
+    reader: &mut PeerReader,
+) -> Result<MessageForm, WireError> {
+    let tell = MessageForm::tell::<PieceReply, FirstReply>;
+    let (reply, form) = reader.receive_as(tell).await?;
+    take_reply(client, address, reader.peer(), reply);
+    let detail = format!("peer={} form={form}", reader.peer());
+    let recorder = &client.coordinator.recorder;
+    recorder.record(EventCode::PeerEarlier, &address.to_string(), detail);
+    Ok(form)
+}
+
 async fn take_replies(
     client: &StageClient,
     address: SocketAddr,
+    form: MessageForm,
     mut reader: PeerReader,
 ) -> Result<(), WireError> {
     loop {
-        let reply = reader.receive::<PieceReply>().await?;
+        let reply = match form {
+            MessageForm::Second => reader.receive().await?,
+            MessageForm::First => reader.receive::<FirstReply>().await?.into(),
+        };
         client.note_heard(address);
-        match reply {
-            PieceReply::Done { number, results } => client.take_done(address, number, results),
-            PieceReply::Placed { number, engine } => client.take_placed(address, number, engine),
-            PieceReply::Called { number, end } => client.take_called(address, number, end),
-            PieceReply::Turn { number, answer } => {
-                client.take_turn_answer(address, number, answer);
-            }
-            PieceReply::Uses { pool, uses } => {
-                client.coordinator.set_uses(reader.peer(), &pool, &uses);
-            }
-            PieceReply::Alive { loads } => client.take_loads(loads),
-        }
+        take_reply(client, address, reader.peer(), reply);
+    }
+}
+
+fn take_reply(client: &StageClient, address: SocketAddr, peer: &str, reply: PieceReply) {
+    match reply {
+        PieceReply::Done { number, results } => client.take_done(address, number, results),
+        PieceReply::Placed { number, engine } => client.take_placed(address, number, engine),
+        PieceReply::Called { number, end } => client.take_called(address, number, end),
+        PieceReply::Turn { number, answer } => client.take_turn_answer(address, number, answer),
+        PieceReply::Uses { pool, uses } => client.coordinator.set_uses(peer, &pool, &uses),
+        PieceReply::Alive { loads } => client.take_loads(loads),
     }
 }
 
 async fn send_queued(
     client: &StageClient,
     address: SocketAddr,
+    form: MessageForm,
     queue: &mut mpsc::UnboundedReceiver<PieceRequest>,
     mut writer: PeerWriter,
 ) -> Result<(), WireError> {
+    let put =
+        |writer: &mut PeerWriter, request: &PieceRequest| queue_request(writer, form, request);
     // Ends once the other side is silent, which ends the connection.
     while let Some(period) = client.next_sign(address) {
         let request = match timeout(period, queue.recv()).await {
@@ -86,7 +115,7 @@
             Ok(None) => return Ok(()),
             Err(_) => PieceRequest::Alive,
         };
-        send_waiting(&request, queue, &mut writer).await?;
+        send_waiting(&request, queue, &mut writer, put).await?;
     }
     Ok(())
 }
--- a/crates/gateway/src/stage_client/link_state.rs
+++ b/crates/gateway/src/stage_client/link_state.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Instant;
 
+use linnet_wire::MessageForm;
 use tokio::sync::{mpsc, oneshot};
 
 use super::{Results, SILENCE_LIMIT};
@@ -25,6 +26,8 @@
 /// A connection to another entry host, and what is waited for on it.
 pub(super) struct Link {
     pub(super) state: LinkState,
+    /// The form of messages that the other side spoke last.
+    pub(super) form: MessageForm,
     /// When the other side was heard last, or something was first waited for since.
     pub(super) heard: Instant,
     pub(super) outgoing: mpsc::UnboundedSender<PieceRequest>,
--- a/crates/gateway/src/stage_client/turn_ask.rs
+++ b/crates/gateway/src/stage_client/turn_ask.rs
@@ -31,8 +31,9 @@
         };
         ranked.push((rendezvous::score(&label, &self.name), None));
         ranked.sort_by_key(|one| Reverse(*one));
-        let reached =
-            |address: &Option<SocketAddr>| address.is_none_or(|address| self.is_reachable(address));
+        let reached = |address: &Option<SocketAddr>| {
+            address.is_none_or(|address| self.is_reachable(address) && self.knows_turns(address))
+        };
         ranked
             .into_iter()
             .map(|(_, address)| address)
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -57,6 +57,7 @@
     PeerConnected = 110, Info, "A connection to or from a peer passed its handshake.";
     PeerLost = 111, Warn, "A connection to a peer ended or could not be opened.";
     PeerRefused = 112, Error, "A peer failed authentication or sent a frame over its limit.";
+    PeerEarlier = 113, Info, "A peer of an earlier build, which announces no form of messages, is spoken to in its own.";
     ElectionStarted = 201, Info, "A voter won its pre-vote and asks for votes in a new term.";
     LeaderElected = 202, Info, "A voter won a term and leads it.";
     LeaderSteppedDown = 203, Warn, "A leader gave up its term, by a higher term or a lapsed lease.";
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -13,7 +13,8 @@
 
 use crate::stream::READ_BYTES;
 use crate::{
-    PeerKey, PeerKeyRing, PeerReader, PeerWriter, Session, WireCause, WireError, WireStep,
+    MessageForm, PeerKey, PeerKeyRing, PeerReader, PeerWriter, Session, WireCause, WireError,
+    WireStep,
 };
 
 /// The longest time that connecting and the handshake may take together.
@@ -125,8 +126,8 @@
         name: identity.name.clone(),
         nonce: fresh_nonce(peer)?,
     };
-    write_message(socket, peer, &hello).await?;
-    let welcome: Welcome = read_message(socket, peer).await?;
+    write_message(socket, peer, &(&hello, MessageForm::NEWEST.number())).await?;
+    let (welcome, form) = read_announced::<Welcome>(socket, peer).await?;
     let transcript = Transcript::new(&key, &hello, &welcome.name, &welcome.nonce);
     if blake3::Hash::from_bytes(welcome.proof) != transcript.accepting_proof {
         return Err(handshake_error(peer, WireCause::BadHash));
@@ -135,7 +136,7 @@
         proof: *transcript.calling_proof.as_bytes(),
     };
     write_message(socket, peer, &proof).await?;
-    Ok(transcript.into_session(welcome.name, identity))
+    Ok(transcript.into_session(welcome.name, form, identity))
 }
 
 async fn accept_handshake(
@@ -143,7 +144,7 @@
     socket: &mut TcpStream,
     peer: &str,
 ) -> Result<Session, WireError> {
-    let hello: Hello = read_message(socket, peer).await?;
+    let (hello, form) = read_announced::<Hello>(socket, peer).await?;
     let key = identity
         .keys
         .find(&hello.key_id)
@@ -155,12 +156,12 @@
         nonce,
         proof: *transcript.accepting_proof.as_bytes(),
     };
-    write_message(socket, peer, &welcome).await?;
+    write_message(socket, peer, &(&welcome, MessageForm::NEWEST.number())).await?;
     let proof: Proof = read_message(socket, peer).await?;
     if blake3::Hash::from_bytes(proof.proof) != transcript.calling_proof {
         return Err(handshake_error(peer, WireCause::BadHash));
     }
-    Ok(transcript.into_session(hello.name, identity))
+    Ok(transcript.into_session(hello.name, form, identity))
 }
 
 struct Transcript {
@@ -188,10 +189,16 @@
         }
     }
 
-    fn into_session(self, peer: String, identity: &PeerIdentity) -> Session {
+    fn into_session(
+        self,
+        peer: String,
+        form: Option<MessageForm>,
+        identity: &PeerIdentity,
+    ) -> Session {
         Session {
             secret: self.session_secret,
             peer,
+            form,
             clock: identity.clock.clone(),
         }
     }
@@ -254,6 +261,29 @@
     socket: &mut TcpStream,
     peer: &str,
 ) -> Result<M, WireError> {
+    let body = read_body(socket, peer).await?;
+    postcard::from_bytes(&body).map_err(|error| handshake_error(peer, WireCause::Malformed(error)))
+}
+
+/// Reads a message behind which its sender announces a form; nothing where it is from a build that does not.
+/// The proof does not cover the form: a wrong one leads to messages that cannot be read, which end the
+/// connection, and frames are proved whatever their form.
+async fn read_announced<M: DeserializeOwned>(
+    socket: &mut TcpStream,
+    peer: &str,
+) -> Result<(M, Option<MessageForm>), WireError> {
+    let body = read_body(socket, peer).await?;
+    let malformed = |error| handshake_error(peer, WireCause::Malformed(error));
+    let (message, rest) = postcard::take_from_bytes(&body).map_err(malformed)?;
+    if rest.is_empty() {
+        return Ok((message, None));
+    }
+    // What a later build writes behind the form is its own.
+    let number: u16 = postcard::from_bytes(rest).map_err(malformed)?;
+    Ok((message, Some(MessageForm::spoken(number))))
+}
+
+async fn read_body(socket: &mut TcpStream, peer: &str) -> Result<Vec<u8>, WireError> {
     let io_error = |error| handshake_error(peer, WireCause::Io(error));
     let mut length = [0; 2];
     socket.read_exact(&mut length).await.map_err(io_error)?;
@@ -263,7 +293,7 @@
     }
     let mut body = vec![0; length];
     socket.read_exact(&mut body).await.map_err(io_error)?;
-    postcard::from_bytes(&body).map_err(|error| handshake_error(peer, WireCause::Malformed(error)))
+    Ok(body)
 }
 
 fn handshake_error(peer: &str, cause: WireCause) -> WireError {
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 
 use crate::key::keyed_hash;
-use crate::{PEER_TRAFFIC, WireCause, WireError, WireStep};
+use crate::{MessageForm, PEER_TRAFFIC, WireCause, WireError, WireStep};
 
 /// The largest message between peers, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 32 * 1024 * 1024;
@@ -37,6 +37,8 @@
 pub struct Session {
     pub(crate) secret: [u8; 32],
     pub(crate) peer: String,
+    /// The form that both ends know; nothing where the peer announced none.
+    pub(crate) form: Option<MessageForm>,
     pub(crate) clock: Arc<HybridClock>,
 }
 
@@ -162,6 +164,18 @@
     ///
     /// [`WireError`] at [`WireStep::Receive`]; the connection is of no use after it.
     pub async fn receive<M: DeserializeOwned>(&mut self) -> Result<M, WireError> {
+        self.receive_as(|bytes| postcard::from_bytes(bytes)).await
+    }
+
+    /// Receives one message in a form of its own, which `decode` reads.
+    ///
+    /// # Errors
+    ///
+    /// As [`PeerReader::receive`].
+    pub async fn receive_as<M>(
+        &mut self,
+        decode: impl FnOnce(&[u8]) -> Result<M, postcard::Error>,
+    ) -> Result<M, WireError> {
         let body = self.receive_body().await?;
         let (stamp, message) = body.split_first_chunk::<STAMP_BYTES>().ok_or_else(|| {
             self.error(WireCause::Malformed(
@@ -169,7 +183,12 @@
             ))
         })?;
         self.session.clock.observe(u64::from_le_bytes(*stamp));
-        postcard::from_bytes(message).map_err(|error| self.error(WireCause::Malformed(error)))
+        decode(message).map_err(|error| self.error(WireCause::Malformed(error)))
+    }
+
+    /// Returns the form that is spoken on the connection; nothing where the peer announced none.
+    pub fn form(&self) -> Option<MessageForm> {
+        self.session.form
     }
 
     /// Returns the name that the peer proved.
