--- a/crates/directory/src/machine.rs
+++ b/crates/directory/src/machine.rs
@@ -123,8 +123,13 @@
                 self.hold(&records);
                 DocumentAnswer::Done
             }
-            // A command of another program version changes nothing here.
-            Err(_) => DocumentAnswer::Held(self.held().map_or(0, |held| held.version())),
+            // A command of a later build changes nothing here, where that build should not have sent it.
+            Err(error) => {
+                log::error!(
+                    "a command of the log cannot be read and changes nothing here: {error}"
+                );
+                DocumentAnswer::Held(self.held().map_or(0, |held| held.version()))
+            }
         };
         postcard::to_stdvec(&answer).unwrap_or_default()
     }
--- a/crates/directory/src/machine/tests.rs
+++ b/crates/directory/src/machine/tests.rs
@@ -47,3 +47,56 @@
     machine.put(document(10));
     assert!(!machine.evacuations().is_evacuated("north"));
 }
+
+/// The bytes of commands, answers and snapshots as they were shipped: other replicas and later starts read them.
+#[test]
+fn what_the_log_and_the_disk_hold_is_as_it_was_shipped() {
+    use crate::message::tests::{hex, report};
+    let document = Document {
+        version: 300,
+        body: vec![1, 2, 3],
+    };
+    let order = EvacuationOrder {
+        hall: "hall-1".to_owned(),
+        evacuated: true,
+        seen: 0,
+    };
+    let outcome = EvacuationBook::default().apply(&order);
+    let records = report().suspects;
+    let commands = [
+        DocumentCommand::Put(document.clone()),
+        DocumentCommand::Read,
+        DocumentCommand::Evacuate(order),
+        DocumentCommand::Hold(records),
+    ];
+    let answers = [
+        DocumentAnswer::Held(300),
+        DocumentAnswer::Document(Some(document)),
+        DocumentAnswer::Evacuation(outcome),
+        DocumentAnswer::Done,
+    ];
+    let machine = DocumentMachine::new();
+    for command in &commands {
+        machine.apply(&postcard::to_stdvec(command).unwrap());
+    }
+    let snapshot = machine.snapshot();
+    let commands = commands.iter().map(|one| format!("command {}", hex(one)));
+    let answers = answers.iter().map(|one| format!("answer {}", hex(one)));
+    let snapshot: String = snapshot.iter().map(|byte| format!("{byte:02x}")).collect();
+    let lines: Vec<String> = commands
+        .chain(answers)
+        .chain([format!("snapshot {snapshot}")])
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// A replica passes over a command that it does not know, and answers so; nothing of its state changes.
+#[test]
+fn a_command_of_a_later_build_changes_nothing() {
+    let machine = DocumentMachine::new();
+    let before = machine.snapshot();
+    let answer = machine.apply(&[250, 1, 2, 3]);
+    let answer: DocumentAnswer = postcard::from_bytes(&answer).unwrap();
+    assert!(matches!(answer, DocumentAnswer::Held(0)), "{answer:?}");
+    assert_eq!(machine.snapshot(), before);
+}
--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -185,3 +185,6 @@
     /// It was refused.
     Refused(String),
 }
+
+#[cfg(test)]
+pub(crate) mod tests;
--- a/crates/directory/src/node/state/tests.rs
+++ b/crates/directory/src/node/state/tests.rs
@@ -21,6 +21,7 @@
             document_version: 0,
             want: None,
             lists: true,
+            form: None,
         };
         state.subscribers.insert(u64::from(number), subscriber);
         assert_eq!(
--- a/crates/gateway/src/piece_message.rs
+++ b/crates/gateway/src/piece_message.rs
@@ -80,3 +80,6 @@
     /// A sign of life, with the load of the pools that this host gathers for.
     Alive { loads: Vec<(PoolKey, PoolLoad)> },
 }
+
+#[cfg(test)]
+pub(crate) mod tests;
--- a/crates/gateway/src/serve_pieces.rs
+++ b/crates/gateway/src/serve_pieces.rs
@@ -74,7 +74,7 @@
 
 /// Says whether a request that was read in the second form would read the same in the first. A sign of life
 /// does not: its number is another.
-fn reads_alike(request: &PieceRequest) -> bool {
+pub(crate) fn reads_alike(request: &PieceRequest) -> bool {
     !matches!(
         request,
         PieceRequest::Run(_)
--- a/crates/gateway/src/stage_client/tests.rs
+++ b/crates/gateway/src/stage_client/tests.rs
@@ -92,6 +92,7 @@
 fn link(state: LinkState, heard: Instant) -> Link {
     Link {
         state,
+        form: MessageForm::NEWEST,
         heard,
         outgoing: mpsc::unbounded_channel().0,
         waiting: HashMap::new(),
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -105,3 +105,6 @@
     /// The peer is of another cluster, or its disk refused.
     Refused,
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -299,3 +299,6 @@
 fn handshake_error(peer: &str, cause: WireCause) -> WireError {
     WireError::new(WireStep::Handshake, peer, cause)
 }
+
+#[cfg(test)]
+mod tests;
