--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -28,6 +28,7 @@
 mod registry;
 mod sending;
 mod serve;
+mod serve_call;
 mod suspect_reports;
 mod view;
 
@@ -45,6 +46,7 @@
 pub use node::{DirectoryCounts, DirectoryError, DirectoryNode, DirectoryTiming};
 pub use payload::{DocumentPayload, PayloadFault, PayloadKey};
 pub use registry::{ChangedTargets, Registry, RegistryChange};
-pub use serve::{serve_call, serve_subscriber};
+pub use serve::serve_subscriber;
+pub use serve_call::serve_call;
 pub use suspect_reports::SuspectSource;
 pub use view::DirectoryView;
--- /dev/null
+++ b/crates/directory/src/serve_call.rs
@@ -0,0 +1,79 @@
+//! Answers calls on a control host.
+
+use std::time::Duration;
+
+use linnet_quorum::{MemberChange, ProposeError};
+use linnet_wire::{PeerReader, PeerWriter, WireError};
+use tokio::time::timeout;
+
+use crate::DirectoryNode;
+use crate::message::{DirectoryCall, DirectoryReply};
+
+/// How long a voter has been silent when a new control host takes its place.
+const LOST_SILENCE: Duration = Duration::from_millis(900);
+
+/// How long a call may take to come in.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Answers one call.
+///
+/// # Errors
+///
+/// [`WireError`] of the connection.
+pub async fn serve_call(
+    node: &DirectoryNode,
+    mut reader: PeerReader,
+    mut writer: PeerWriter,
+) -> Result<(), WireError> {
+    let Ok(request) = timeout(CALL_TIMEOUT, reader.receive::<DirectoryCall>()).await else {
+        return Ok(());
+    };
+    let reply = answer_call(node, request?).await;
+    writer.send(&reply).await
+}
+
+async fn answer_call(node: &DirectoryNode, request: DirectoryCall) -> DirectoryReply {
+    match request {
+        DirectoryCall::Identify => {
+            let status = node.replica().status();
+            DirectoryReply::Identity {
+                member: node.member(),
+                cluster: status.cluster,
+                members: status.members,
+                leader: status.leader,
+                unled: status.last.index == 1,
+                last: status.last.index,
+            }
+        }
+        DirectoryCall::Form { cluster, founders } => {
+            match node.replica().form(cluster, founders).await {
+                Ok(()) => DirectoryReply::Done,
+                Err(error) => DirectoryReply::Refused(error.to_string()),
+            }
+        }
+        DirectoryCall::Join(mut member) => {
+            if member.replaces.is_none() {
+                // A new host comes because one was lost: it takes the place of one that is silent.
+                member.replaces = node.replica().silent_voters(LOST_SILENCE).first().copied();
+            }
+            let change = MemberChange::Add(member);
+            reply_of(
+                node.replica()
+                    .change_members(&change)
+                    .await
+                    .map(|()| Vec::new()),
+            )
+        }
+        DirectoryCall::Command(command) => reply_of(node.replica().propose(command).await),
+    }
+}
+
+fn reply_of(outcome: Result<Vec<u8>, ProposeError>) -> DirectoryReply {
+    match outcome {
+        Ok(answer) => DirectoryReply::Answer(answer),
+        Err(ProposeError::NotLeader { leader }) => {
+            DirectoryReply::NotLeader(leader.map(|member| member.peer))
+        }
+        Err(error) => DirectoryReply::Refused(error.to_string()),
+    }
+}
--- a/crates/gateway/src/first_form/tests.rs
+++ b/crates/gateway/src/first_form/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::piece::PieceBatch;
 use crate::piece_message::tests::{hex, replies, requests};
 
 fn all_requests() -> Vec<FirstRequest> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! What the tasks of one entry host share.
 
 mod target_list;
+mod target_notes;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -10,10 +11,9 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use linnet_clock::BootInstant;
 use linnet_directory::{DirectoryUpdate, DirectoryView, GatewayRecord, HeldDocument, TargetState};
 use linnet_routing::{RouteTable, RoutingConfig};
-use linnet_telemetry::{EventCode, EventRecorder, NoticeLine};
+use linnet_telemetry::{EventCode, EventRecorder};
 use linnet_wire::PeerIdentity;
 use tokio::sync::{Notify, watch};
 
@@ -357,44 +357,6 @@
     pub(crate) fn note_request(&self, code: EventCode, id: &str, peer: &str, detail: String) {
         self.config.recorder.record_request(code, id, peer, detail);
     }
-
-    /// Returns what targets have asked of this host, for operators.
-    pub fn notice_lines(&self) -> Vec<NoticeLine> {
-        self.notices.lines(BootInstant::now())
-    }
-
-    /// Forgets what targets asked and is over, and counts what holds.
-    fn expire_notices(&self) {
-        let now = BootInstant::now();
-        self.notices.expire(now);
-        let counts = self.notices.counts(now);
-        let metrics = &self.metrics;
-        metrics.targets_backed_off.set(counts.backed_off as i64);
-        metrics.targets_leaving.set(counts.leaving as i64);
-        metrics.sendings_withheld.set(counts.withheld as i64);
-    }
-
-    /// Notes that a target could not be reached.
-    pub(crate) fn note_unreachable(&self, service: &str, id: &str, cause: &str) {
-        let now = Instant::now();
-        self.targets.borrow_mut().note_unreachable(service, id, now);
-        let detail = format!("service={service} cause={cause}");
-        self.config
-            .recorder
-            .record(EventCode::TargetEjected, id, detail);
-    }
-
-    /// Notes that a target failed; it may be left alone for a while.
-    pub(crate) fn note_target_failure(&self, service: &str, id: &str, cause: &str) {
-        let now = Instant::now();
-        if self.targets.borrow_mut().note_failure(service, id, now) {
-            self.engines.borrow_mut().forget_engine(id);
-            let detail = format!("service={service} cause={cause}");
-            self.config
-                .recorder
-                .record(EventCode::TargetEjected, id, detail);
-        }
-    }
 }
 
 /// Between two rounds of closing what has rested too long.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -18,7 +18,7 @@
 use linnet_journal::DiskOps;
 use linnet_quorum::{QuorumTiming, Replica, ReplicaConfig, serve_peer};
 use linnet_telemetry::{EventCode, EventRecorder, HybridClock};
-use linnet_wire::PeerGreeting;
+use linnet_wire::{MessageForm, PeerGreeting};
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use tokio::net::TcpListener;
@@ -170,8 +170,10 @@
         async move { answer(&dialect, &node, &halls, request).await }
     }));
     let detail = format!(
-        "role=control hall={} peers={peers} operators={operators}",
-        settings.hall
+        "role=control hall={} peers={peers} operators={operators} build={} form={}",
+        settings.hall,
+        env!("CARGO_PKG_VERSION"),
+        MessageForm::NEWEST
     );
     recorder.record(EventCode::ProcessStarted, "", detail);
     signals.requested().await;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -11,7 +11,7 @@
 use linnet_directory::{DocumentSink, FollowConfig, follow_directory};
 use linnet_gateway::{Gateway, GatewayConfig, serve_callers, serve_pieces};
 use linnet_telemetry::{EventCode, EventRecorder, HybridClock, NOTICES_PATH};
-use linnet_wire::PeerGreeting;
+use linnet_wire::{MessageForm, PeerGreeting};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -143,8 +143,10 @@
     let listener = TcpListener::bind(callers).await?;
     ntex::rt::spawn(serve_callers(gateway.clone(), listener, closed));
     let detail = format!(
-        "role=entry hall={} callers={callers} peers={peers}",
-        settings.hall
+        "role=entry hall={} callers={callers} peers={peers} build={} form={}",
+        settings.hall,
+        env!("CARGO_PKG_VERSION"),
+        MessageForm::NEWEST
     );
     recorder.record(EventCode::ProcessStarted, "", detail);
 
