--- a/crates/gateway/src/first_form/tests.rs
+++ b/crates/gateway/src/first_form/tests.rs
@@ -62,13 +62,16 @@
 #[test]
 fn batches_of_the_first_form_have_a_key_of_their_request() {
     let of = |request: &str| {
-        let batch = all_requests().into_iter().find_map(|one| match one {
-            FirstRequest::Run(batch) => Some(batch),
+        let batch = requests().into_iter().find_map(|one| match one {
+            PieceRequest::Run(batch) => Some(batch),
             _ => None,
         });
         let mut batch = batch.unwrap();
         batch.work.request = request.to_owned();
-        PieceBatch::from(batch).key
+        match first_request(&PieceRequest::Run(batch)) {
+            Some(FirstRequest::Run(told)) => PieceBatch::from(told).key,
+            other => panic!("{other:?}"),
+        }
     };
     assert_eq!(of("a"), of("a"));
     assert_ne!(of("a"), of("b"));
