One place reads messages of two forms and tells which a peer speaks

Four readers (reports, updates, requests, replies) each chose the form, and a list of requests that read alike in both had to be kept in step by hand. PeerReader::receive_formed does it for all; what has the same bytes in both forms leaves it open, found by the bytes. Which message tells which form is as before; the tests compare with the bytes of each form now, in place of that list.

--- a/crates/directory/src/first_form/tests.rs
+++ b/crates/directory/src/first_form/tests.rs
@@ -79,12 +79,12 @@
         let update = any_update(&mut Rng::with_seed(seed));
         let second = postcard::to_stdvec(&update).unwrap();
         let (read, form) = tell(&second).unwrap();
-        assert_eq!(form, MessageForm::Second, "seed {seed}");
+        assert_eq!(form, Some(MessageForm::Second), "seed {seed}");
         assert_eq!(hex(&read), hex(&update), "seed {seed}");
         let first = FirstUpdate::from(update);
         let bytes = postcard::to_stdvec(&first).unwrap();
         let (read, form) = tell(&bytes).unwrap();
-        assert_eq!(form, MessageForm::First, "seed {seed}");
+        assert_eq!(form, Some(MessageForm::First), "seed {seed}");
         assert_eq!(FirstUpdate::from(read), first, "seed {seed}");
     }
 }
@@ -97,13 +97,16 @@
         told.suspects = suspects;
         let second = postcard::to_stdvec(&told).unwrap();
         let (read, form) = tell(&second).unwrap();
-        assert_eq!((hex(&read), form), (hex(&told), MessageForm::Second));
+        assert_eq!((hex(&read), form), (hex(&told), Some(MessageForm::Second)));
         // As a build that knows the first form reads it.
         let first = first_report(told.clone());
         assert_eq!(postcard::from_bytes::<FirstReport>(&second).unwrap(), first);
         let bytes = postcard::to_stdvec(&first).unwrap();
         let (read, form) = tell(&bytes).unwrap();
-        assert_eq!((first_report(read), form), (first, MessageForm::First));
+        assert_eq!(
+            (first_report(read), form),
+            (first, Some(MessageForm::First))
+        );
     }
 }
 
@@ -114,7 +117,7 @@
     for length in 0..whole.len() {
         // Cut anywhere, it is not taken for a message of the second form.
         if let Ok((_, form)) = tell(&whole[..length]) {
-            assert_eq!(form, MessageForm::First, "{length} bytes");
+            assert_eq!(form, Some(MessageForm::First), "{length} bytes");
         }
     }
     assert!(tell(&[]).is_err());
--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -8,9 +8,7 @@
 use std::time::Duration;
 
 use linnet_telemetry::{EventCode, EventRecorder};
-use linnet_wire::{
-    MessageForm, PeerGreeting, PeerIdentity, PeerReader, PeerWriter, WireError, connect_peer,
-};
+use linnet_wire::{PeerGreeting, PeerIdentity, PeerReader, PeerWriter, WireError, connect_peer};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
@@ -252,9 +250,8 @@
     mut reader: PeerReader,
     taken: watch::Sender<u64>,
 ) -> Result<(), WireError> {
-    let mut form = reader.form();
     loop {
-        let mut update = receive_update(following, address, &mut reader, &mut form).await?;
+        let mut update = receive_update(following, address, &mut reader).await?;
         if let Some(controls) = &update.controls {
             let mut named = following.named.borrow_mut();
             named.insert(address, controls.clone());
@@ -280,23 +277,14 @@
     following: &Following,
     address: SocketAddr,
     reader: &mut PeerReader,
-    form: &mut Option<MessageForm>,
 ) -> Result<DirectoryUpdate, WireError> {
-    match form {
-        Some(MessageForm::Second) => reader.receive().await,
-        Some(MessageForm::First) => {
-            let update: FirstUpdate = reader.receive().await?;
-            Ok(update.into())
-        }
-        None => {
-            let tell = MessageForm::tell::<DirectoryUpdate, FirstUpdate>;
-            let (update, told) = reader.receive_as(tell).await?;
-            *form = Some(told);
-            let detail = format!("peer={} form={told}", reader.peer());
-            record(&following.config, EventCode::PeerEarlier, address, detail);
-            Ok(update)
-        }
+    let known = reader.form();
+    let update = reader.receive_formed::<_, FirstUpdate>().await?;
+    if let (None, Some(form)) = (known, reader.form()) {
+        let detail = format!("peer={} form={form}", reader.peer());
+        record(&following.config, EventCode::PeerEarlier, address, detail);
     }
+    Ok(update)
 }
 
 fn take_documents(documents: &DocumentFollower, address: SocketAddr, update: &mut DirectoryUpdate) {
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -153,20 +153,12 @@
     told: &watch::Sender<Option<MessageForm>>,
     reader: &mut PeerReader,
 ) -> Result<SubscriberReport, WireError> {
-    let known = *told.borrow();
-    let (report, form) = match known {
-        Some(MessageForm::Second) => return reader.receive().await,
-        Some(MessageForm::First) => {
-            let report: FirstReport = reader.receive().await?;
-            return Ok(report.into());
-        }
-        None => {
-            let tell = MessageForm::tell::<SubscriberReport, FirstReport>;
-            reader.receive_as(tell).await?
-        }
-    };
-    node.note_form(number, reader.peer(), form);
-    told.send_replace(Some(form));
+    let known = reader.form();
+    let report = reader.receive_formed::<_, FirstReport>().await?;
+    if let (None, Some(form)) = (known, reader.form()) {
+        node.note_form(number, reader.peer(), form);
+        told.send_replace(Some(form));
+    }
     Ok(report)
 }
 
--- a/crates/gateway/src/first_form/tests.rs
+++ b/crates/gateway/src/first_form/tests.rs
@@ -19,22 +19,26 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
-/// Those that read alike in both forms leave it open; no other may be taken for what it is not.
+/// Those of the same bytes in both forms leave it open; no other may be taken for what it is not.
 #[test]
 fn a_first_request_tells_the_form_unless_it_reads_alike() {
     let tell = MessageForm::tell::<PieceRequest, FirstRequest>;
     for request in requests() {
         let bytes = postcard::to_allocvec(&request).unwrap();
         let (read, form) = tell(&bytes).unwrap();
-        assert_eq!((hex(&read), form), (hex(&request), MessageForm::Second));
-        let Some(first) = first_request(&request) else {
+        let first = first_request(&request);
+        let first_bytes = first
+            .as_ref()
+            .map(|one| postcard::to_allocvec(one).unwrap());
+        let alike = first_bytes.as_ref() == Some(&bytes);
+        let second = (!alike).then_some(MessageForm::Second);
+        assert_eq!((hex(&read), form), (hex(&request), second));
+        let Some((first, bytes)) = first.zip(first_bytes) else {
             continue;
         };
-        let bytes = postcard::to_allocvec(&first).unwrap();
         let (read, form) = tell(&bytes).unwrap();
         assert_eq!(first_request(&read), Some(first), "{request:?}");
-        let alike = crate::serve_pieces::reads_alike(&request);
-        assert_eq!(form == MessageForm::First, !alike, "{request:?}");
+        assert_eq!(form, (!alike).then_some(MessageForm::First), "{request:?}");
     }
 }
 
@@ -44,7 +48,9 @@
     for reply in replies() {
         let bytes = postcard::to_allocvec(&reply).unwrap();
         let (read, form) = tell(&bytes).unwrap();
-        assert_eq!((hex(&read), form), (hex(&reply), MessageForm::Second));
+        let first = first_reply(&reply).map(|one| postcard::to_allocvec(&one).unwrap());
+        let second = (first.as_ref() != Some(&bytes)).then_some(MessageForm::Second);
+        assert_eq!((hex(&read), form), (hex(&reply), second));
         // Before anything was asked only these come.
         let Some(first @ (FirstReply::Alive { .. } | FirstReply::Uses { .. })) =
             first_reply(&reply)
@@ -53,7 +59,7 @@
         };
         let bytes = postcard::to_allocvec(&first).unwrap();
         let (read, form) = tell(&bytes).unwrap();
-        assert_eq!(form, MessageForm::First, "{reply:?}");
+        assert_eq!(form, Some(MessageForm::First), "{reply:?}");
         assert_eq!(first_reply(&read), Some(first));
     }
 }
--- a/crates/gateway/src/serve_pieces.rs
+++ b/crates/gateway/src/serve_pieces.rs
@@ -53,40 +53,16 @@
     let mut reader = reader;
     loop {
         reader = reader.with_silence_limit(session.work.silence_limit());
-        let known = *told.borrow();
-        let request = match known {
-            Some(MessageForm::Second) => reader.receive().await?,
-            Some(MessageForm::First) => reader.receive::<FirstRequest>().await?.into(),
-            None => {
-                let tell = MessageForm::tell::<PieceRequest, FirstRequest>;
-                let (request, form) = reader.receive_as(tell).await?;
-                // Others read alike in both forms.
-                if !reads_alike(&request) {
-                    session.note_form(reader.peer(), form);
-                    told.send_replace(Some(form));
-                }
-                request
-            }
-        };
+        let known = reader.form();
+        let request = reader.receive_formed::<_, FirstRequest>().await?;
+        if let (None, Some(form)) = (known, reader.form()) {
+            session.note_form(reader.peer(), form);
+            told.send_replace(Some(form));
+        }
         session.take(request);
     }
 }
 
-/// Says whether a request that was read in the second form would read the same in the first. A sign of life
-/// does not: its number is another.
-pub(crate) fn reads_alike(request: &PieceRequest) -> bool {
-    !matches!(
-        request,
-        PieceRequest::Run(_)
-            | PieceRequest::Plan { .. }
-            | PieceRequest::Place { .. }
-            | PieceRequest::Suspects(_)
-            | PieceRequest::TakeTurn { .. }
-            | PieceRequest::EndTurn(_)
-            | PieceRequest::Alive
-    )
-}
-
 /// What another entry host waits for here.
 #[derive(Default)]
 struct SessionWork {
--- a/crates/gateway/src/stage_client/link.rs
+++ b/crates/gateway/src/stage_client/link.rs
@@ -51,7 +51,7 @@
     };
     client.mark_up(address, form);
     tokio::select! {
-        ended = take_replies(client, address, form, reader) => ended,
+        ended = take_replies(client, address, reader) => ended,
         ended = send_queued(client, address, form, queue, writer) => ended,
     }
 }
@@ -63,40 +63,43 @@
     address: SocketAddr,
     reader: &mut PeerReader,
 ) -> Result<MessageForm, WireError> {
-    let tell = MessageForm::tell::<PieceReply, FirstReply>;
-    let (reply, form) = reader.receive_as(tell).await?;
-    take_reply(client, address, reader.peer(), reply);
-    let detail = format!("peer={} form={form}", reader.peer());
-    let recorder = &client.coordinator.recorder;
-    recorder.record(EventCode::PeerEarlier, &address.to_string(), detail);
-    Ok(form)
+    loop {
+        take_reply(client, address, reader).await?;
+        if let Some(form) = reader.form() {
+            let detail = format!("peer={} form={form}", reader.peer());
+            let recorder = &client.coordinator.recorder;
+            recorder.record(EventCode::PeerEarlier, &address.to_string(), detail);
+            return Ok(form);
+        }
+    }
 }
 
 async fn take_replies(
     client: &StageClient,
     address: SocketAddr,
-    form: MessageForm,
     mut reader: PeerReader,
 ) -> Result<(), WireError> {
     loop {
-        let reply = match form {
-            MessageForm::Second => reader.receive().await?,
-            MessageForm::First => reader.receive::<FirstReply>().await?.into(),
-        };
-        client.note_heard(address);
-        take_reply(client, address, reader.peer(), reply);
+        take_reply(client, address, &mut reader).await?;
     }
 }
 
-fn take_reply(client: &StageClient, address: SocketAddr, peer: &str, reply: PieceReply) {
+async fn take_reply(
+    client: &StageClient,
+    address: SocketAddr,
+    reader: &mut PeerReader,
+) -> Result<(), WireError> {
+    let reply = reader.receive_formed::<_, FirstReply>().await?;
+    client.note_heard(address);
     match reply {
         PieceReply::Done { number, results } => client.take_done(address, number, results),
         PieceReply::Placed { number, engine } => client.take_placed(address, number, engine),
         PieceReply::Called { number, end } => client.take_called(address, number, end),
         PieceReply::Turn { number, answer } => client.take_turn_answer(address, number, answer),
-        PieceReply::Uses { pool, uses } => client.coordinator.set_uses(peer, &pool, &uses),
+        PieceReply::Uses { pool, uses } => client.coordinator.set_uses(reader.peer(), &pool, &uses),
         PieceReply::Alive { loads } => client.take_loads(loads),
     }
+    Ok(())
 }
 
 async fn send_queued(
--- a/crates/wire/src/form.rs
+++ b/crates/wire/src/form.rs
@@ -3,9 +3,10 @@
 //! A message knows its fields by their place, so each change of one is a new form. A build announces the
 //! newest form that it knows in the handshake, behind what earlier builds read of it; both ends speak the older
 //! of their two. Builds from before that announce nothing, and speak the first form or the second: their
-//! first message tells which, see [`MessageForm::tell`].
+//! first messages tell which, see [`MessageForm::tell`].
 
 use derive_more::Display;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 /// The form of messages between processes.
@@ -41,26 +42,33 @@
         }
     }
 
-    /// Reads the first message of a peer that announced no form, and tells by it which form it speaks: a message
-    /// of the first form ends too early for the second, or has what cannot stand at its place.
+    /// Reads a message of a peer that announced no form, and tells by it which form it speaks: a message is whole
+    /// in the form that it was written in. Nothing where both forms have the same bytes for it.
     ///
     /// # Errors
     ///
-    /// What is wrong with it in the second form, where it is none in the first form either.
-    pub fn tell<N, F>(bytes: &[u8]) -> Result<(N, Self), postcard::Error>
+    /// What is wrong with it in the second form, where it is whole in neither.
+    pub fn tell<N, F>(bytes: &[u8]) -> Result<(N, Option<Self>), postcard::Error>
     where
-        N: DeserializeOwned + From<F>,
+        N: Serialize + DeserializeOwned + From<F>,
         F: DeserializeOwned,
     {
-        // Both whole, since the beginning of one may look like the other.
-        let fault = match postcard::take_from_bytes::<N>(bytes) {
-            Ok((message, [])) => return Ok((message, Self::Second)),
-            Ok(_) => postcard::Error::DeserializeBadEncoding,
-            Err(fault) => fault,
-        };
-        match postcard::take_from_bytes::<F>(bytes) {
-            Ok((message, [])) => Ok((message.into(), Self::First)),
-            _ => Err(fault),
+        match (read_whole::<N>(bytes), read_whole::<F>(bytes)) {
+            (Ok(message), Ok(first)) => {
+                let is_same = postcard::to_stdvec(&N::from(first))? == bytes;
+                Ok((message, (!is_same).then_some(Self::Second)))
+            }
+            (Ok(message), Err(_)) => Ok((message, Some(Self::Second))),
+            (Err(_), Ok(first)) => Ok((first.into(), Some(Self::First))),
+            (Err(fault), Err(_)) => Err(fault),
         }
     }
 }
+
+/// Reads a message that ends where the bytes do: the beginning of one may look like another.
+fn read_whole<M: DeserializeOwned>(bytes: &[u8]) -> Result<M, postcard::Error> {
+    match postcard::take_from_bytes(bytes)? {
+        (message, []) => Ok(message),
+        _ => Err(postcard::Error::DeserializeBadEncoding),
+    }
+}
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -37,7 +37,7 @@
 pub struct Session {
     pub(crate) secret: [u8; 32],
     pub(crate) peer: String,
-    /// The form that both ends know; nothing where the peer announced none.
+    /// The form that both ends know; nothing while the peer has neither announced nor shown one.
     pub(crate) form: Option<MessageForm>,
     pub(crate) clock: Arc<HybridClock>,
 }
@@ -167,12 +167,29 @@
         self.receive_as(|bytes| postcard::from_bytes(bytes)).await
     }
 
-    /// Receives one message in a form of its own, which `decode` reads.
+    /// Receives one message that has another shape, `F`, in the first form. Until a peer that announced no form
+    /// has sent one that tells it, each is read for that.
     ///
     /// # Errors
     ///
     /// As [`PeerReader::receive`].
-    pub async fn receive_as<M>(
+    pub async fn receive_formed<N, F>(&mut self) -> Result<N, WireError>
+    where
+        N: Serialize + DeserializeOwned + From<F>,
+        F: DeserializeOwned,
+    {
+        match self.session.form {
+            Some(MessageForm::Second) => self.receive().await,
+            Some(MessageForm::First) => Ok(self.receive::<F>().await?.into()),
+            None => {
+                let (message, form) = self.receive_as(MessageForm::tell::<N, F>).await?;
+                self.session.form = form;
+                Ok(message)
+            }
+        }
+    }
+
+    async fn receive_as<M>(
         &mut self,
         decode: impl FnOnce(&[u8]) -> Result<M, postcard::Error>,
     ) -> Result<M, WireError> {
@@ -186,7 +203,7 @@
         decode(message).map_err(|error| self.error(WireCause::Malformed(error)))
     }
 
-    /// Returns the form that is spoken on the connection; nothing where the peer announced none.
+    /// Returns the form that is spoken on the connection; nothing while that is not known.
     pub fn form(&self) -> Option<MessageForm> {
         self.session.form
     }
