Twins removed: requests that wait are counted as open ones are, closed targets are found once

Requests that wait for a target use the counter of requests in flight; one function names the targets that a request must not use, for plain choices and for prompts; a refusal after attempts is put right in one place; the spread of those that wait for one moment is worked out in one.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -11,8 +11,7 @@
 use crate::engine::PlaceAsk;
 use crate::graph::RequestResults;
 use crate::stage_client::Placement;
-use crate::target::Chosen;
-use crate::target::Target;
+use crate::target::{Chosen, Target, TargetBook};
 use crate::{Refusal, RefusalReason};
 
 /// Targets that the host which places prompts is asked to pass over, at most.
@@ -87,13 +86,12 @@
         .borrow_mut()
         .closed_by_cold(service, hosts, now);
     let book = gateway.targets.borrow();
-    let confined = gateway.suspects.closed_targets(&book, service, ask);
-    let unwilling = gateway.notices.closed(book.ids_of(service));
+    let closed_here = closed_here(gateway, &book, service, ask);
     let usable = book.usable(service, now);
     let fresh = usable
         .iter()
         .filter(|target| !tried.contains(&target.id) && !closed.contains(&target.id))
-        .filter(|target| !confined.contains(&target.id) && !unwilling.contains(&target.id))
+        .filter(|target| !closed_here.contains(&target.id))
         .filter(|target| ask.homes.allow(&target.hall));
     let load = |target: &Target| {
         let other_hall = target.hall != gateway.config.hall;
@@ -107,6 +105,14 @@
     Some((best, None))
 }
 
+/// Returns the targets of a service that a request must not use: those that want nothing from this host, and
+/// those that other accounts are confined to, or its own is not.
+fn closed_here(gateway: &Gateway, book: &TargetBook, service: &str, ask: &Ask) -> Vec<String> {
+    let mut closed = gateway.suspects.closed_targets(book, service, ask);
+    closed.extend(gateway.notices.closed(book.ids_of(service)));
+    closed
+}
+
 /// Returns what to ask of the host that places prompts; nothing for a request without one.
 pub(crate) fn place_ask(
     gateway: &Gateway,
@@ -127,16 +133,14 @@
     // The host that places may not know yet what this one cannot reach.
     let passed = book.passed_over(service, Instant::now());
     let avoid = tried.iter().chain(passed.map(|target| &target.id));
-    // That host may place elsewhere what is only to be avoided, but never on what is closed.
-    let mut closed = gateway.suspects.closed_targets(&book, service, ask);
-    closed.extend(gateway.notices.closed(book.ids_of(service)));
     Some(PlaceAsk {
         service: service.to_owned(),
         prompt: prompt.clone(),
         heavy_stage: heavy.map(|stage| stage.service.clone()),
         results: places.unwrap_or_default(),
         avoid: avoid.take(MAX_AVOIDED).cloned().collect(),
-        closed,
+        // That host may use what is only to be avoided where there is no other, but never these.
+        closed: closed_here(gateway, &book, service, ask),
         homes: ask.homes.to_told(),
         apart: ask.apart.get(),
     })
--- a/crates/gateway/src/closed_service.rs
+++ b/crates/gateway/src/closed_service.rs
@@ -1,7 +1,5 @@
 //! What becomes of a request where every target that may run it wants no requests for a while.
 
-use std::cell::Cell;
-use std::rc::Rc;
 use std::time::Duration;
 
 use linnet_clock::BootInstant;
@@ -9,6 +7,7 @@
 
 use crate::Gateway;
 use crate::ask::Ask;
+use crate::open_request::OpenRequest;
 use crate::target_ask::TargetStanding;
 use crate::{Refusal, RefusalReason};
 
@@ -25,30 +24,6 @@
 const SPREAD_LEAST: Duration = Duration::from_millis(20);
 const SPREAD_MOST: Duration = Duration::from_secs(1);
 
-/// How many requests of this host wait for a target that takes requests again.
-#[derive(Clone, Default)]
-pub(crate) struct WaitingCount(Rc<Cell<usize>>);
-
-impl WaitingCount {
-    /// Counts one more until it is dropped; nothing where there are too many.
-    fn begin(&self) -> Option<WaitingPlace> {
-        if self.0.get() >= MOST_WAITING {
-            return None;
-        }
-        self.0.set(self.0.get() + 1);
-        Some(WaitingPlace(self.clone()))
-    }
-}
-
-struct WaitingPlace(WaitingCount);
-
-impl Drop for WaitingPlace {
-    fn drop(&mut self) {
-        let count = &self.0.0;
-        count.set(count.get() - 1);
-    }
-}
-
 /// Returns how long it is until a target that may run a request, and has not been tried, takes requests of this
 /// host; nothing where none will.
 pub(crate) fn closed_for(
@@ -108,18 +83,17 @@
     left: Duration,
 ) -> Result<(), Refusal> {
     let in_time = left <= ask.objective_left().mul_f64(WAIT_PART);
-    let place = gateway.waiting.begin().filter(|_| in_time);
-    let Some(_place) = place else {
+    if !in_time || gateway.waiting.get() >= MOST_WAITING {
         return Err(closed(service, left));
-    };
-    sleep(left + spread(left)).await;
+    }
+    let _waits = OpenRequest::new(&gateway.waiting);
+    sleep(spread(left)).await;
     Ok(())
 }
 
 /// Returns when a caller should come back: not before a target takes requests of this host again.
 pub(crate) fn retry_after(gateway: &Gateway, service: &str, ask: &Ask) -> Duration {
-    let left = closed_for(gateway, service, ask, &[]).unwrap_or_default();
-    left + spread(left)
+    spread(closed_for(gateway, service, ask, &[]).unwrap_or_default())
 }
 
 fn closed(service: &str, left: Duration) -> Refusal {
@@ -127,11 +101,11 @@
         "every target of {service} wants no requests, the first one for {} ms",
         left.as_millis()
     );
-    let back = left + spread(left);
-    Refusal::new(RefusalReason::Overloaded, detail).with_retry_after(back)
+    Refusal::new(RefusalReason::Overloaded, detail).with_retry_after(spread(left))
 }
 
+/// Returns when one of many comes that wait for the same moment: it and somewhat more.
 fn spread(left: Duration) -> Duration {
     let most = left.mul_f64(SPREAD_PART).clamp(SPREAD_LEAST, SPREAD_MOST);
-    most.mul_f64(fastrand::f64())
+    left + most.mul_f64(fastrand::f64())
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -308,11 +308,9 @@
     log: &RunLog,
     cause: String,
 ) -> Refusal {
-    if log.may_have_run {
-        return Refusal::new(RefusalReason::TargetFailed, cause);
-    }
     let back = retry_after(gateway, service, ask).max(FULL_RETRY_AFTER);
-    Refusal::new(RefusalReason::Overloaded, cause).with_retry_after(back)
+    let refusal = Refusal::new(RefusalReason::Overloaded, cause).with_retry_after(back);
+    after_attempts(log, refusal)
 }
 
 pub(crate) fn take_repeat(gateway: &Gateway, service: &str) -> bool {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,6 @@
 
 use crate::Dialect;
 use crate::budget::{BudgetRule, RetryBudget};
-use crate::closed_service::WaitingCount;
 use crate::coordinator::Coordinator;
 use crate::engine::EnginePlacer;
 use crate::metrics::GatewayMetrics;
@@ -99,7 +98,7 @@
     /// What targets have asked of this host.
     pub(crate) notices: Rc<NoticeBook>,
     /// Requests that wait until a target takes requests again.
-    pub(crate) waiting: WaitingCount,
+    pub(crate) waiting: OpenCount,
     pub(crate) stopping: Cell<bool>,
     /// When requests that are still in flight are given up, since the process is about to end.
     give_up_at: watch::Sender<Option<Instant>>,
@@ -157,7 +156,7 @@
             suspects: SuspectWatch::default(),
             ends: TargetEnds::default(),
             notices,
-            waiting: WaitingCount::default(),
+            waiting: OpenCount::default(),
             stopping: Cell::new(false),
             give_up_at: watch::Sender::new(None),
             open_requests: OpenCount::default(),
--- a/crates/gateway/src/open_request.rs
+++ b/crates/gateway/src/open_request.rs
@@ -1,4 +1,4 @@
-//! How many requests are in flight.
+//! How many requests are in flight, or wait for something.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -13,7 +13,7 @@
     }
 }
 
-/// Counts a request as in flight until it is dropped.
+/// Counts a request until it is dropped.
 pub(crate) struct OpenRequest(OpenCount);
 
 impl OpenRequest {
