--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -86,7 +86,7 @@
     pub(crate) config: GatewayConfig,
     table: watch::Sender<Option<Rc<RouteTable>>>,
     pub(crate) view: RefCell<DirectoryView>,
-    pub(crate) targets: RefCell<TargetBook>,
+    pub(crate) targets: Rc<RefCell<TargetBook>>,
     pub(crate) pool: UpstreamPool,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) engines: Rc<RefCell<EnginePlacer>>,
@@ -124,7 +124,8 @@
         };
         let pool = UpstreamPool::default();
         let metrics = GatewayMetrics::new();
-        let notices = Rc::new(NoticeBook::new(config.recorder.clone()));
+        let targets: Rc<RefCell<TargetBook>> = Rc::default();
+        let notices = Rc::new(NoticeBook::new(config.recorder.clone(), targets.clone()));
         let caller = StageCaller::new(config.dialect.clone(), pool.clone(), notices.clone());
         let coordinator = Rc::new(Coordinator::new(
             caller,
@@ -148,7 +149,7 @@
             waits: RefCell::default(),
             table: watch::Sender::new(None),
             view: RefCell::default(),
-            targets: RefCell::default(),
+            targets,
             budget: RefCell::new(RetryBudget::new(rule)),
             engines: engines.clone(),
             coordinator,
--- a/crates/gateway/src/gateway/target_list.rs
+++ b/crates/gateway/src/gateway/target_list.rs
@@ -46,7 +46,7 @@
         let mut engines = self.engines.borrow_mut();
         anew.iter().for_each(|engine| engines.forget_engine(engine));
         drop(engines);
-        self.notices.set_targets(&ready, BootInstant::now());
+        self.notices.take_list(BootInstant::now());
         self.note_starts();
         self.stages.set_targets(&ready);
         self.coordinator.set_targets(&ready);
--- a/crates/gateway/src/notice_book.rs
+++ b/crates/gateway/src/notice_book.rs
@@ -7,39 +7,18 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use linnet_clock::BootInstant;
-use linnet_directory::TargetRecord;
 use linnet_telemetry::{EventCode, EventRecorder, NoticeLine};
 
 use crate::notice::TargetNotice;
 use crate::send_gate::{SendGate, SendKind};
+use crate::target::TargetBook;
 use crate::target_ask::{BackOff, TargetAsk, TargetStanding};
 
-/// A target that takes work, as the list has it.
-struct ListedTarget {
-    /// When this start of it began.
-    born: u64,
-    service: String,
-}
-
-impl ListedTarget {
-    fn new(record: &TargetRecord) -> Self {
-        Self {
-            born: record.born,
-            service: record.service.clone(),
-        }
-    }
-}
-
-#[derive(Default)]
-struct BookState {
-    asks: HashMap<String, TargetAsk>,
-    listed: HashMap<String, ListedTarget>,
-}
-
 /// How many targets have asked for something.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct NoticeCounts {
@@ -51,40 +30,39 @@
 
 /// What targets have asked of this host, by their identity.
 pub(crate) struct NoticeBook {
-    state: RefCell<BookState>,
+    asks: RefCell<HashMap<String, TargetAsk>>,
+    /// The targets that take work; births and services of the few that ask for something are looked up there.
+    targets: Rc<RefCell<TargetBook>>,
     withheld: Cell<u64>,
     recorder: Arc<EventRecorder>,
 }
 
 impl NoticeBook {
-    pub(crate) fn new(recorder: Arc<EventRecorder>) -> Self {
+    pub(crate) fn new(recorder: Arc<EventRecorder>, targets: Rc<RefCell<TargetBook>>) -> Self {
         Self {
-            state: RefCell::default(),
+            asks: RefCell::default(),
+            targets,
             withheld: Cell::new(0),
             recorder,
         }
     }
 
-    /// Takes the list of targets that take work. What a former start of one has asked holds no more.
-    pub(crate) fn set_targets(&self, records: &[TargetRecord], now: BootInstant) {
-        let mut state = self.state.borrow_mut();
-        let targets = records.iter();
-        let targets = targets.map(|record| (record.id.clone(), ListedTarget::new(record)));
-        state.listed = targets.collect();
-        let BookState { asks, listed } = &mut *state;
+    /// Looks at a new list of targets that take work. What a former start of one has asked holds no more.
+    pub(crate) fn take_list(&self, now: BootInstant) {
+        let targets = self.targets.borrow();
+        let mut asks = self.asks.borrow_mut();
         asks.retain(|id, ask| {
-            let Some(target) = listed.get(id) else {
+            let Some((service, target)) = targets.find_anywhere(id) else {
                 return true;
             };
-            ask.service.clone_from(&target.service);
+            service.clone_into(&mut ask.service);
             ask.outlasts(target.born, now)
         });
     }
 
     /// Takes the head of an answer of a target, and what it said of it.
     pub(crate) fn note(&self, target: &str, notice: TargetNotice, now: BootInstant) {
-        let mut state = self.state.borrow_mut();
-        let BookState { asks, listed } = &mut *state;
+        let mut asks = self.asks.borrow_mut();
         if notice == TargetNotice::default() {
             if let Some(ask) = asks.get_mut(target) {
                 self.note_plain_answer(target, ask, now);
@@ -92,9 +70,10 @@
             return;
         }
         let ask = asks.entry(target.to_owned()).or_insert_with(|| {
-            let known = listed.get(target);
-            let service = known.map_or("", |one| &one.service);
-            TargetAsk::new(service, known.map(|one| one.born), now)
+            let targets = self.targets.borrow();
+            let known = targets.find_anywhere(target);
+            let service = known.map_or("", |(service, _)| service);
+            TargetAsk::new(service, known.map(|(_, one)| one.born), now)
         });
         ask.note_asked();
         if let Some(wait) = notice.back_off {
@@ -148,8 +127,8 @@
 
     /// Says whether a target gets requests of this host.
     pub(crate) fn standing(&self, target: &str, now: BootInstant) -> TargetStanding {
-        let state = self.state.borrow();
-        let ask = state.asks.get(target);
+        let asks = self.asks.borrow();
+        let ask = asks.get(target);
         ask.map_or(TargetStanding::Open, |ask| ask.standing(now))
     }
 
@@ -162,7 +141,7 @@
     /// Returns those of some targets that get no requests of this host now.
     pub(crate) fn closed<'a>(&self, targets: impl Iterator<Item = &'a String>) -> Vec<String> {
         // Most of the time nothing is asked for, and each request asks this.
-        if self.state.borrow().asks.is_empty() {
+        if self.asks.borrow().is_empty() {
             return Vec::new();
         }
         let now = BootInstant::now();
@@ -178,8 +157,8 @@
     /// Counts a sending that was held back.
     pub(crate) fn count_withheld(&self, target: &str) {
         self.withheld.set(self.withheld.get() + 1);
-        let mut state = self.state.borrow_mut();
-        let ask = state.asks.get_mut(target);
+        let mut asks = self.asks.borrow_mut();
+        let ask = asks.get_mut(target);
         if let Some(back_off) = ask.and_then(|ask| ask.back_off.as_mut()) {
             back_off.withheld += 1;
         }
@@ -187,8 +166,8 @@
 
     /// Notes that something is sent. The first after a back-off tries the target; says whether this is it.
     pub(crate) fn begin_trial(&self, target: &str, now: BootInstant) -> bool {
-        let mut state = self.state.borrow_mut();
-        let ask = state.asks.get_mut(target);
+        let mut asks = self.asks.borrow_mut();
+        let ask = asks.get_mut(target);
         let back_off = ask.and_then(|ask| ask.back_off.as_mut());
         let tries = back_off.is_some();
         back_off.into_iter().for_each(|one| one.begin_trial(now));
@@ -197,29 +176,29 @@
 
     /// Says whether the time that a target asked for is over, whoever tries it meanwhile.
     pub(crate) fn has_waited(&self, target: &str, now: BootInstant) -> bool {
-        let state = self.state.borrow();
-        let ask = state.asks.get(target);
+        let asks = self.asks.borrow();
+        let ask = asks.get(target);
         let back_off = ask.and_then(|ask| ask.back_off);
         back_off.is_none_or(|one| one.is_past(now))
     }
 
     /// Forgets what is over.
     pub(crate) fn expire(&self, now: BootInstant) {
-        let mut state = self.state.borrow_mut();
-        let BookState { asks, listed } = &mut *state;
+        let targets = self.targets.borrow();
+        let mut asks = self.asks.borrow_mut();
         asks.retain(|id, ask| {
             if let Some(back_off) = ask.take_untried(now) {
                 self.record_end(id, ask, &back_off, "not tried", now);
             }
-            ask.expire_leaving(listed.contains_key(id), now);
+            ask.expire_leaving(targets.find_anywhere(id).is_some(), now);
             ask.back_off.is_some() || ask.leaving
         });
     }
 
     /// Returns what holds, for operators, by service and target.
     pub(crate) fn lines(&self, now: BootInstant) -> Vec<NoticeLine> {
-        let state = self.state.borrow();
-        let lines = state.asks.iter().map(|(id, ask)| ask.line(id, now));
+        let asks = self.asks.borrow();
+        let lines = asks.iter().map(|(id, ask)| ask.line(id, now));
         let mut lines: Vec<NoticeLine> = lines.collect();
         lines.sort_by(|a, b| (&a.service, &a.target).cmp(&(&b.service, &b.target)));
         lines
@@ -227,12 +206,12 @@
 
     /// Returns how many targets have asked for something.
     pub(crate) fn counts(&self, now: BootInstant) -> NoticeCounts {
-        let state = self.state.borrow();
+        let asks = self.asks.borrow();
         let mut counts = NoticeCounts {
             withheld: self.withheld.get(),
             ..NoticeCounts::default()
         };
-        for ask in state.asks.values() {
+        for ask in asks.values() {
             match ask.standing(now) {
                 TargetStanding::Open => {}
                 TargetStanding::BackedOff(_) => counts.backed_off += 1,
--- a/crates/gateway/src/notice_book/tests.rs
+++ b/crates/gateway/src/notice_book/tests.rs
@@ -1,3 +1,6 @@
+use std::time::Instant;
+
+use linnet_directory::TargetRecord;
 use linnet_telemetry::HybridClock;
 
 use super::*;
@@ -11,7 +14,13 @@
 
 fn book() -> NoticeBook {
     let recorder = EventRecorder::new("host", Arc::new(HybridClock::new()));
-    NoticeBook::new(Arc::new(recorder))
+    NoticeBook::new(Arc::new(recorder), Rc::default())
+}
+
+/// Gives the book a list of targets that take work.
+fn list(book: &NoticeBook, records: &[TargetRecord], now: BootInstant) {
+    book.targets.borrow_mut().replace(records, Instant::now());
+    book.take_list(now);
 }
 
 fn wants_nothing(wait: Duration) -> TargetNotice {
@@ -114,12 +123,12 @@
 fn one_that_leaves_gets_words_but_no_work_whatever_the_lists_say() {
     let (book, now) = (book(), BootInstant::now());
     let listed = [record("t-0", 1_000)];
-    book.set_targets(&listed, now);
+    list(&book, &listed, now);
     book.note("t-0", LEAVES, now);
     // Lists that lack it and have it again, since control hosts were lost and came back.
-    book.set_targets(&[], now);
+    list(&book, &[], now);
     book.expire(now + LEAVING_KEPT / 2);
-    book.set_targets(&listed, now + LEAVING_KEPT / 2);
+    list(&book, &listed, now + LEAVING_KEPT / 2);
     book.expire(now + LEAVING_KEPT);
     assert_eq!(book.standing("t-0", now), TargetStanding::Leaving);
     assert!(!book.gate("t-0", SendKind::Work).passes());
@@ -135,19 +144,19 @@
         [start]
     };
     let later = |number: u64| unix_ms() + 1_000 * number;
-    book.set_targets(&start(7), now);
+    list(&book, &start(7), now);
     book.note("t-0", LEAVES, now);
-    book.set_targets(&start(7), now);
+    list(&book, &start(7), now);
     assert_eq!(book.standing("t-0", now), TargetStanding::Leaving);
     let first = later(1);
-    book.set_targets(&start(first), now);
+    list(&book, &start(first), now);
     assert!(is_open(&book, now));
     // What is said while the target is in no list holds for the start that comes next into one.
-    book.set_targets(&[], now);
+    list(&book, &[], now);
     book.note("t-0", wants_nothing(WAIT), now);
-    book.set_targets(&start(first), now);
+    list(&book, &start(first), now);
     assert!(!is_open(&book, now));
-    book.set_targets(&start(later(2)), now);
+    list(&book, &start(later(2)), now);
     assert!(is_open(&book, now));
 }
 
@@ -160,10 +169,10 @@
         start.born = born;
         [start]
     };
-    book.set_targets(&start(7), now);
+    list(&book, &start(7), now);
     let anew = unix_ms();
     book.note("t-0", LEAVES, now);
-    book.set_targets(&start(anew), now);
+    list(&book, &start(anew), now);
     assert_eq!(book.standing("t-0", now), TargetStanding::Leaving);
     // Should the clocks have been wrong, it gets work again.
     book.expire(now + DOUBT_KEPT);
@@ -185,8 +194,8 @@
     assert_eq!(book.counts(now).leaving, 10_000);
     now = now + LONGEST + UNTRIED_KEPT + Duration::from_millis(1);
     book.expire(now);
-    assert_eq!(book.state.borrow().asks.len(), 10_000);
+    assert_eq!(book.asks.borrow().len(), 10_000);
     now = now + LEAVING_KEPT;
     book.expire(now);
-    assert!(book.state.borrow().asks.is_empty());
+    assert!(book.asks.borrow().is_empty());
 }
--- a/crates/gateway/src/stage_client/tests.rs
+++ b/crates/gateway/src/stage_client/tests.rs
@@ -46,7 +46,10 @@
     let caller = crate::stage_call::StageCaller::new(
         crate::gateway::tests::dialect(),
         crate::upstream::UpstreamPool::default(),
-        Rc::new(crate::notice_book::NoticeBook::new(recorder.clone())),
+        Rc::new(crate::notice_book::NoticeBook::new(
+            recorder.clone(),
+            Rc::default(),
+        )),
     );
     let coordinator = Rc::new(Coordinator::new(caller, recorder, 250_000.0));
     let identity = PeerIdentity {
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -311,6 +311,12 @@
         Some(Chosen::new(target))
     }
 
+    /// Finds a target whose service is not known, and its service.
+    pub(crate) fn find_anywhere(&self, id: &str) -> Option<(&str, &Target)> {
+        let mut services = self.services.iter();
+        services.find_map(|(service, targets)| Some((service.as_str(), targets.get(id)?)))
+    }
+
     /// Says whether a target takes work.
     pub(crate) fn has(&self, service: &str, id: &str) -> bool {
         let targets = self.services.get(service);
