--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! - [`CtlSettings`] are its arguments; [`run_ctl`] runs one command.
 //! - `client` asks the control hosts and finds the one that leads.
-//! - `table`, `status`, `timeline`, `member`, `held`, `notices` and `form` hold one family of commands each.
+//! - `table`, `status`, `timeline`, `member`, `held`, `rollout`, `notices` and `form` hold one family of commands each.
 //! - `logs` holds the commands on collected logs, which need no host.
 
 mod client;
@@ -13,6 +13,7 @@
 mod member;
 mod notices;
 mod picture;
+mod rollout;
 mod settings;
 mod status;
 mod table;
@@ -53,6 +54,7 @@
         CtlCommand::Timeline(query) => timeline::show_timeline(client, query).await,
         CtlCommand::Member(command) => member::run_member(client, command).await,
         CtlCommand::Held(command) => held::run_held(client, command).await,
+        CtlCommand::Rollout(command) => rollout::run_rollout(client, command).await,
         CtlCommand::Notices(args) => notices::show_notices(client, &args).await,
         CtlCommand::Losses(args) => logs::show_losses(&args),
         CtlCommand::Explain(args) => logs::explain(&args),
--- /dev/null
+++ b/crates/ctl/src/rollout.rs
@@ -0,0 +1,100 @@
+//! Starts, shows and ends roll-outs of versions.
+
+use std::net::SocketAddr;
+
+use linnet_rollout::{ROLLOUTS_PATH, RolloutLine, RolloutOrder, RolloutState};
+use ntex::http::Method;
+use ntex::util::Bytes;
+
+use crate::client::{OpsClient, error_text};
+use crate::settings::RolloutVerb;
+use crate::{CtlError, CtlStep};
+
+/// Runs a command on roll-outs at the first control host that does it.
+pub(crate) async fn run_rollout(client: &OpsClient, verb: RolloutVerb) -> Result<(), CtlError> {
+    let mut failure = None;
+    for host in client.control()? {
+        let outcome = match &verb {
+            RolloutVerb::Start {
+                service,
+                version,
+                seconds,
+            } => start(client, *host, service, version, *seconds).await,
+            RolloutVerb::Status => show(client, *host, is_in_progress).await,
+            RolloutVerb::History => show(client, *host, |_| true).await,
+            RolloutVerb::Abort { service } => abort(client, *host, service).await,
+        };
+        match outcome {
+            Ok(()) => return Ok(()),
+            Err(error) => failure = Some(error),
+        }
+    }
+    Err(failure.unwrap_or_else(|| CtlError::refused(CtlStep::Ask, "", "no control host answers")))
+}
+
+fn is_in_progress(line: &RolloutLine) -> bool {
+    line.state == RolloutState::InProgress.to_string()
+}
+
+async fn start(
+    client: &OpsClient,
+    host: SocketAddr,
+    service: &str,
+    version: &str,
+    seconds: u64,
+) -> Result<(), CtlError> {
+    let order = RolloutOrder {
+        service: service.to_owned(),
+        version: version.to_owned(),
+        duration_ms: seconds.saturating_mul(1_000),
+    };
+    let peer = host.to_string();
+    let body = serde_json::to_vec(&order)
+        .map_err(|error| CtlError::refused(CtlStep::Apply, peer.clone(), error.to_string()))?;
+    let answer = client
+        .ask(host, Method::POST, ROLLOUTS_PATH, Bytes::from(body))
+        .await?;
+    if answer.status != 200 {
+        return Err(CtlError::refused(CtlStep::Apply, peer, error_text(&answer)));
+    }
+    println!("under way; `linnetctl rollout status` shows how it goes");
+    Ok(())
+}
+
+async fn show(
+    client: &OpsClient,
+    host: SocketAddr,
+    is_wanted: fn(&RolloutLine) -> bool,
+) -> Result<(), CtlError> {
+    let lines: Vec<RolloutLine> = client.get(host, ROLLOUTS_PATH).await?;
+    for line in lines.iter().filter(|line| is_wanted(line)) {
+        println!(
+            "{} {} {} share={:.1}% cause={:?} answers={} failures={} former_answers={} former_failures={} against={:.2} former={}",
+            line.service,
+            line.version,
+            line.state,
+            f64::from(line.permille) / 10.0,
+            line.cause,
+            line.answers,
+            line.failures,
+            line.former_answers,
+            line.former_failures,
+            line.against,
+            line.former.join(",")
+        );
+    }
+    Ok(())
+}
+
+async fn abort(client: &OpsClient, host: SocketAddr, service: &str) -> Result<(), CtlError> {
+    let path = format!("{ROLLOUTS_PATH}/{service}");
+    let answer = client
+        .ask(host, Method::DELETE, &path, Bytes::new())
+        .await?;
+    if answer.status != 200 {
+        let peer = host.to_string();
+        return Err(CtlError::refused(CtlStep::Apply, peer, error_text(&answer)));
+    }
+    println!("ended; no request goes to the version any more");
+    Ok(())
+}
--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -59,6 +59,9 @@
     /// Show and release requests that are refused since they end their targets
     #[command(subcommand)]
     Held(HeldCommand),
+    /// Move the requests of a service to another version of its software
+    #[command(subcommand)]
+    Rollout(RolloutVerb),
     /// Show what targets asked of entry hosts: no requests for a while, or no new work
     Notices(NoticesArgs),
     /// Count what became of requests in collected logs, with planned against real times
@@ -107,6 +110,30 @@
     },
 }
 
+/// Commands on roll-outs.
+#[derive(Debug, Clone, Subcommand)]
+pub(crate) enum RolloutVerb {
+    /// Begin one; its targets have to be up, or come up within the time
+    Start {
+        /// The service
+        service: String,
+        /// The version that its targets tell
+        version: String,
+        /// Time until all requests have to have moved, in seconds
+        #[arg(long, default_value_t = 600)]
+        seconds: u64,
+    },
+    /// Show those that are under way, with what was counted for them
+    Status,
+    /// Show all that are remembered
+    History,
+    /// End one; no request goes to the version any more
+    Abort {
+        /// The service
+        service: String,
+    },
+}
+
 /// Arguments of `table apply`.
 #[derive(Debug, Clone, Args)]
 pub(crate) struct ApplyArgs {
--- a/crates/directory/src/first_form.rs
+++ b/crates/directory/src/first_form.rs
@@ -38,6 +38,7 @@
             sequence: told.sequence,
             silent: told.silent,
             cold_ms: told.cold_ms,
+            version: String::new(),
         }
     }
 }
@@ -114,6 +115,8 @@
             controls: told.controls,
             heard: told.heard.into_iter().map(HeardTarget::from).collect(),
             suspects: Vec::new(),
+            rollouts: None,
+            counted: Vec::new(),
         }
     }
 }
@@ -154,6 +157,8 @@
             want: told.want,
             lists: told.lists,
             suspects: Vec::new(),
+            start: 0,
+            counted: Vec::new(),
         }
     }
 }
--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use linnet_rollout::PhaseCounts;
 use linnet_telemetry::{EventCode, EventRecorder};
 use linnet_wire::{PeerGreeting, PeerIdentity, PeerReader, PeerWriter, WireError, connect_peer};
 use tokio::sync::watch;
@@ -15,6 +16,7 @@
 use crate::document_follower::{DocumentFollower, DocumentSink};
 use crate::fetch::FetchProgress;
 use crate::first_form::FirstUpdate;
+use crate::message::{ReportTail, UpdateTail};
 use crate::serve::{SILENCE_LIMIT, SUSPECTS_AT_ONCE, UPDATE_PERIOD};
 use crate::suspect_reports::{SuspectReports, SuspectSource};
 use crate::{
@@ -38,12 +40,18 @@
 /// 135 MB to 26, and the time until that fleet served after all were killed from 30 s to 8.5.
 const TELLERS: usize = 3;
 
+/// Between two reports while a roll-out is under way: how long a bad version goes on to get its share.
+const COUNT_PERIOD: Duration = Duration::from_millis(100);
+
 /// How often the set of control hosts is looked at.
 const MEMBERS_TICK: Duration = Duration::from_millis(200);
 
 /// How long a control host that no other one names is followed on.
 const UNNAMED_ROUNDS: u32 = 50;
 
+/// Returns what a process counts for the roll-outs that are under way; nothing where none is.
+pub type CountSource = Box<dyn Fn() -> Vec<PhaseCounts>>;
+
 /// What a follower needs.
 pub struct FollowConfig {
     /// Name, keys and clock towards peers.
@@ -56,6 +64,8 @@
     pub documents: Option<DocumentSink>,
     /// What this process holds against requests, where it sends them to targets; told to every control host.
     pub suspects: Option<SuspectSource>,
+    /// What this process counts for roll-outs, where it sends requests to targets; told to every control host.
+    pub counts: Option<CountSource>,
     /// Whether this process is a control host.
     pub control: bool,
     /// The address of this process, which is not followed.
@@ -79,6 +89,8 @@
     connected: RefCell<BTreeSet<SocketAddr>>,
     /// Those of them that tell it of targets and entry hosts.
     tellers: watch::Sender<BTreeSet<SocketAddr>>,
+    /// Tells this start of the process apart from others.
+    start: u64,
 }
 
 impl Following {
@@ -92,6 +104,7 @@
             followed: RefCell::default(),
             connected: RefCell::default(),
             tellers: watch::Sender::default(),
+            start: fastrand::u64(..),
         }
     }
 
@@ -279,7 +292,10 @@
     reader: &mut PeerReader,
 ) -> Result<DirectoryUpdate, WireError> {
     let known = reader.form();
-    let update = reader.receive_formed::<_, FirstUpdate>().await?;
+    let (update, tail) = reader
+        .receive_tailed::<DirectoryUpdate, FirstUpdate, UpdateTail>()
+        .await?;
+    let update = update.with_tail(tail);
     if let (None, Some(form)) = (known, reader.form()) {
         let detail = format!("peer={} form={form}", reader.peer());
         record(&following.config, EventCode::PeerEarlier, address, detail);
@@ -310,7 +326,10 @@
     loop {
         // Read before the report is made: what changes while it is sent is told by the next one.
         let told = wanted.as_ref().and_then(|wanted| *wanted.borrow());
+        let counts = following.config.counts.as_ref();
         let report = SubscriberReport {
+            start: following.start,
+            counted: counts.map_or_else(Vec::new, |counts| counts()),
             document_version: following.held_version(),
             want: documents.and_then(|documents| documents.want_of(address)),
             gateway: gateway.borrow_and_update().clone(),
@@ -318,7 +337,7 @@
             lists: tellers.borrow_and_update().contains(&address),
             suspects: suspects.next(),
         };
-        writer.send(&report).await?;
+        send_report(&mut writer, &report).await?;
         if report.suspects.len() == SUSPECTS_AT_ONCE {
             continue;
         }
@@ -328,11 +347,30 @@
             () = want_changed(&mut wanted, told, address) => {}
             () = teller_changed(&mut tellers, report.lists, address) => {}
             () = suspects.changed() => {}
-            () = sleep(UPDATE_PERIOD) => {}
+            () = sleep(report_period(&report)) => {}
         }
     }
 }
 
+/// Sends a report, and behind it what was counted for roll-outs.
+async fn send_report(writer: &mut PeerWriter, report: &SubscriberReport) -> Result<(), WireError> {
+    if report.counted.is_empty() {
+        return writer.send(report).await;
+    }
+    let tail = ReportTail {
+        start: report.start,
+        counted: report.counted.clone(),
+    };
+    writer.send(&(report, tail)).await
+}
+
+fn report_period(last: &SubscriberReport) -> Duration {
+    match last.counted.is_empty() {
+        true => UPDATE_PERIOD,
+        false => COUNT_PERIOD,
+    }
+}
+
 // Only what concerns this control host is told to it.
 async fn want_changed(
     wanted: &mut Option<watch::Receiver<Option<FetchProgress>>>,
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`DirectoryNode`] keeps it on a control host: the configuration by agreement, the rest as
 //!   state that every control host relearns from heartbeats and from the others.
 //! - [`follow_directory`] keeps a copy of it in an entry host, as a [`DirectoryView`].
+//! - Roll-outs of versions are orders of the log too; `node/rollouts` moves them on by what entry hosts count.
 //! - [`EvacuationBook`] holds the data halls that an operator took out of work, by agreement too.
 //! - [`form_or_join`] makes control hosts a cluster without an operator's hand.
 //!
@@ -36,7 +37,7 @@
 pub use document::{ContentHash, Document, DocumentKey, HeldDocument};
 pub use document_follower::DocumentSink;
 pub use evacuation::{EvacuationBook, EvacuationOrder, EvacuationOutcome, HallEvacuation};
-pub use follow::{FollowConfig, follow_directory};
+pub use follow::{CountSource, FollowConfig, follow_directory};
 pub use form::{FormConfig, form_or_join};
 pub use machine::{DocumentMachine, DocumentParser, ServiceNames};
 pub use message::{
--- a/crates/directory/src/machine.rs
+++ b/crates/directory/src/machine.rs
@@ -1,10 +1,12 @@
-//! The replicated state: the configuration with the highest version, and the evacuations of halls.
+//! The replicated state: the configuration with the highest version, the evacuations of halls, held requests and
+//! roll-outs.
 
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use linnet_quarantine::SuspectRecord;
 use linnet_quorum::MachineHooks;
+use linnet_rollout::{RolloutBook, RolloutCommand, RolloutOutcome};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -45,6 +47,8 @@
     Evacuate(EvacuationOrder),
     /// Keep what is held against requests.
     Hold(Vec<SuspectRecord>),
+    /// Begin, move or end a roll-out, or look at one.
+    Rollout(RolloutCommand),
 }
 
 /// The answer to a [`DocumentCommand`].
@@ -58,6 +62,8 @@
     Evacuation(EvacuationOutcome),
     /// To `Hold`.
     Done,
+    /// To `Rollout`.
+    Rollout(RolloutOutcome),
 }
 
 /// The state machine of the replicated log.
@@ -66,6 +72,7 @@
     history: Arc<Mutex<DocumentHistory>>,
     evacuations: Arc<Mutex<Arc<EvacuationBook>>>,
     held_requests: Arc<Mutex<HeldRequests>>,
+    rollouts: Arc<Mutex<Arc<RolloutBook>>>,
     holds: Arc<watch::Sender<u64>>,
     changed: Arc<watch::Sender<u64>>,
 }
@@ -96,6 +103,11 @@
         self.lock_evacuations().clone()
     }
 
+    /// Returns the committed roll-outs that this replica has reached.
+    pub fn rollouts(&self) -> Arc<RolloutBook> {
+        self.lock_rollouts().clone()
+    }
+
     /// Returns what brings the configuration `wanted`, or the newest, to a subscriber with `base`.
     pub(crate) fn payload(
         &self,
@@ -123,6 +135,7 @@
                 self.hold(&records);
                 DocumentAnswer::Done
             }
+            Ok(DocumentCommand::Rollout(command)) => DocumentAnswer::Rollout(self.roll(&command)),
             // A command of a later build changes nothing here, where that build should not have sent it.
             Err(error) => {
                 log::error!(
@@ -154,6 +167,12 @@
         outcome
     }
 
+    fn roll(&self, command: &RolloutCommand) -> RolloutOutcome {
+        let outcome = Arc::make_mut(&mut *self.lock_rollouts()).apply(command);
+        self.changed.send_modify(|_| {});
+        outcome
+    }
+
     /// Returns the held requests that the log keeps.
     pub(crate) fn held_requests(&self) -> Vec<SuspectRecord> {
         self.lock_held().records()
@@ -178,13 +197,14 @@
         let held = self.held().map(|held| held.document().clone());
         let evacuations = self.evacuations();
         let requests = self.lock_held();
-        postcard::to_stdvec(&(held, &*evacuations, &*requests)).unwrap_or_default()
+        let rollouts = self.rollouts();
+        postcard::to_stdvec(&(held, &*evacuations, &*requests, &*rollouts)).unwrap_or_default()
     }
 
     fn restore(&self, bytes: &[u8]) {
         // A snapshot passed its checksum, so bytes that cannot be read come from a newer program.
         // Going on with an empty state would lose what was accepted.
-        let (document, evacuations, requests) = match read_snapshot(bytes) {
+        let (document, evacuations, requests, rollouts) = match read_snapshot(bytes) {
             Ok(state) => state,
             Err(error) => {
                 log::error!(target: "linnetdale", "the snapshot cannot be read: {error}");
@@ -192,6 +212,7 @@
             }
         };
         *self.lock_evacuations() = Arc::new(evacuations);
+        *self.lock_rollouts() = Arc::new(rollouts);
         *self.lock_held() = requests;
         self.holds.send_modify(|count| *count += 1);
         let version = document.as_ref().map_or(0, |document| document.version);
@@ -211,6 +232,10 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lock_rollouts(&self) -> MutexGuard<'_, Arc<RolloutBook>> {
+        self.rollouts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_evacuations(&self) -> MutexGuard<'_, Arc<EvacuationBook>> {
         self.evacuations
             .lock()
@@ -218,14 +243,15 @@
     }
 }
 
-type Snapshot = (Option<Document>, EvacuationBook, HeldRequests);
+type Snapshot = (Option<Document>, EvacuationBook, HeldRequests, RolloutBook);
 
-/// Reads a snapshot. One of an older program ends after the document, or after the evacuations.
+/// Reads a snapshot. One of an older program ends after the document, or after a later part.
 fn read_snapshot(bytes: &[u8]) -> Result<Snapshot, postcard::Error> {
     let (document, rest) = postcard::take_from_bytes(bytes)?;
     let (evacuations, rest) = read_part(rest)?;
-    let (requests, _) = read_part(rest)?;
-    Ok((document, evacuations, requests))
+    let (requests, rest) = read_part(rest)?;
+    let (rollouts, _) = read_part(rest)?;
+    Ok((document, evacuations, requests, rollouts))
 }
 
 fn read_part<T: Default + DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8]), postcard::Error> {
--- a/crates/directory/src/machine/tests.rs
+++ b/crates/directory/src/machine/tests.rs
@@ -1,3 +1,5 @@
+use linnet_rollout::{RolloutCause, RolloutOrder};
+
 use super::*;
 
 fn document(version: u64) -> Document {
@@ -79,17 +81,84 @@
     for command in &commands {
         machine.apply(&postcard::to_stdvec(command).unwrap());
     }
+    let shipped = machine.snapshot();
+    let rollouts = rollout_commands();
+    let outcomes = rollouts.iter().map(|one| machine.roll(one));
+    let outcomes: Vec<String> = outcomes
+        .map(|one| format!("answer {}", hex(&DocumentAnswer::Rollout(one))))
+        .collect();
+    let rollouts = rollouts.into_iter().map(DocumentCommand::Rollout);
+    let rollouts = rollouts.map(|one| format!("command {}", hex(&one)));
     let snapshot = machine.snapshot();
+    // The last part of one without a roll-out is an empty list.
+    let (last, shipped) = shipped.split_last().unwrap();
+    assert_eq!(*last, 0);
+    assert!(snapshot.starts_with(shipped));
     let commands = commands.iter().map(|one| format!("command {}", hex(one)));
     let answers = answers.iter().map(|one| format!("answer {}", hex(one)));
-    let snapshot: String = snapshot.iter().map(|byte| format!("{byte:02x}")).collect();
+    let text = |bytes: &[u8]| bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+    let (shipped, snapshot): (String, String) = (text(shipped), text(&snapshot));
     let lines: Vec<String> = commands
         .chain(answers)
+        .chain([format!("snapshot {shipped}")])
+        .chain(rollouts)
+        .chain(outcomes)
         .chain([format!("snapshot {snapshot}")])
         .collect();
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+fn rollout_commands() -> Vec<RolloutCommand> {
+    let begin = |version: &str| RolloutCommand::Begin {
+        order: RolloutOrder {
+            service: "desk".to_owned(),
+            version: version.to_owned(),
+            duration_ms: 12_000,
+        },
+        former: vec!["v1".to_owned()],
+        now_ms: 1_796_271_042_990,
+    };
+    vec![
+        begin("v2"),
+        begin("v3"),
+        RolloutCommand::Look {
+            service: "desk".to_owned(),
+        },
+        RolloutCommand::Move {
+            service: "desk".to_owned(),
+            seen: (1, 0),
+            permille: 35,
+            cause: RolloutCause::Time,
+        },
+        RolloutCommand::End {
+            service: "desk".to_owned(),
+            revision: 1,
+            completed: false,
+            cause: RolloutCause::Failures("quote".to_owned()),
+        },
+    ]
+}
+
+/// Orders are kept by a later start, and by a replica that gets a snapshot.
+#[test]
+fn a_snapshot_carries_roll_outs_and_one_from_before_there_were_any_is_read() {
+    let machine = DocumentMachine::new();
+    machine.put(document(4));
+    let before = machine.snapshot();
+    rollout_commands().iter().for_each(|one| {
+        machine.roll(one);
+    });
+    let other = DocumentMachine::new();
+    other.restore(&machine.snapshot());
+    assert_eq!(other.rollouts(), machine.rollouts());
+    assert!(other.rollouts().newest("desk").is_some());
+    let (last, shipped) = before.split_last().unwrap();
+    assert_eq!(*last, 0);
+    other.restore(shipped);
+    assert_eq!(other.held().map(|held| held.version()), Some(4));
+    assert!(other.rollouts().newest("desk").is_none());
+}
+
 /// A replica passes over a command that it does not know, and answers so; nothing of its state changes.
 #[test]
 fn a_command_of_a_later_build_changes_nothing() {
--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -4,6 +4,7 @@
 
 use linnet_quarantine::SuspectRecord;
 use linnet_quorum::{Member, Members, NodeId};
+use linnet_rollout::{PhaseCounts, ReporterCounts, RolloutBook};
 use serde::{Deserialize, Serialize};
 
 use crate::{DocumentKey, EvacuationBook, PayloadKey};
@@ -42,6 +43,9 @@
     pub silent: bool,
     /// How much longer it is cold, in milliseconds; 0 where it is not.
     pub cold_ms: u32,
+    /// The version of its software; empty where it is not known. It travels in an [`UpdateTail`].
+    #[serde(skip)]
+    pub version: String,
 }
 
 /// A process that takes callers' requests.
@@ -79,6 +83,12 @@
     pub lists: bool,
     /// What changed of what the subscriber holds against requests, a part of it at most.
     pub suspects: Vec<SuspectRecord>,
+    /// Tells the starts of the subscriber apart. It travels in a [`ReportTail`].
+    #[serde(skip)]
+    pub start: u64,
+    /// What it counted for roll-outs. It travels in a [`ReportTail`].
+    #[serde(skip)]
+    pub counted: Vec<PhaseCounts>,
 }
 
 /// What a subscriber wants of a configuration.
@@ -134,6 +144,52 @@
     pub heard: Vec<HeardTarget>,
     /// What changed of what is held against requests, a part of it at most.
     pub suspects: Vec<SuspectRecord>,
+    /// The roll-outs of services, where they changed. They travel in an [`UpdateTail`].
+    #[serde(skip)]
+    pub rollouts: Option<RolloutBook>,
+    /// What entry hosts counted for roll-outs since the last update; for control hosts only. It travels in an
+    /// [`UpdateTail`].
+    #[serde(skip)]
+    pub counted: Vec<ReporterCounts>,
+}
+
+/// What stands behind an update since the third form.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct UpdateTail {
+    /// The version of each target of the update, in their order.
+    versions: Vec<String>,
+    rollouts: Option<RolloutBook>,
+    counted: Vec<ReporterCounts>,
+}
+
+/// What stands behind a report since the third form.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ReportTail {
+    /// Tells the starts of a subscriber apart.
+    pub(crate) start: u64,
+    pub(crate) counted: Vec<PhaseCounts>,
+}
+
+impl DirectoryUpdate {
+    /// Returns what stands behind it on the wire; nothing where that says nothing.
+    pub(crate) fn tail(&self) -> Option<UpdateTail> {
+        let tail = UpdateTail {
+            versions: self.targets.iter().map(|one| one.version.clone()).collect(),
+            rollouts: self.rollouts.clone(),
+            counted: self.counted.clone(),
+        };
+        (tail != UpdateTail::default()).then_some(tail)
+    }
+
+    /// Takes what stood behind it.
+    pub(crate) fn with_tail(mut self, tail: UpdateTail) -> Self {
+        for (target, version) in self.targets.iter_mut().zip(tail.versions) {
+            target.version = version;
+        }
+        self.rollouts = tail.rollouts;
+        self.counted = tail.counted;
+        self
+    }
 }
 
 /// A heartbeat that a control host passes on.
--- a/crates/directory/src/message/tests.rs
+++ b/crates/directory/src/message/tests.rs
@@ -38,6 +38,7 @@
 
 pub(crate) fn target() -> TargetRecord {
     TargetRecord {
+        version: String::new(),
         id: "i-7f3a91c2".to_owned(),
         born: 1_796_271_042_990,
         service: "desk".to_owned(),
@@ -91,6 +92,8 @@
             age_ms: 40,
         }],
         suspects: vec![suspect()],
+        rollouts: None,
+        counted: Vec::new(),
     }
 }
 
@@ -110,6 +113,8 @@
         }),
         lists: true,
         suspects: vec![suspect()],
+        start: 0,
+        counted: Vec::new(),
     }
 }
 
@@ -134,3 +139,45 @@
     ];
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// What stands behind messages since the third form.
+#[test]
+fn tails_are_as_they_were_shipped_and_messages_without_them_are_read() {
+    use linnet_rollout::{RolloutCommand, RolloutOrder, RouteCounts};
+    let mut rollouts = RolloutBook::default();
+    rollouts.apply(&RolloutCommand::Begin {
+        order: RolloutOrder {
+            service: "desk".to_owned(),
+            version: "v2".to_owned(),
+            duration_ms: 12_000,
+        },
+        former: vec!["v1".to_owned()],
+        now_ms: 1_796_271_042_990,
+    });
+    let counted = vec![PhaseCounts {
+        service: "desk".to_owned(),
+        phase: (1, 2),
+        routes: vec![("quote".to_owned(), RouteCounts::default())],
+        open_former: 3,
+    }];
+    let mut full = update();
+    full.targets[0].version = "v2".to_owned();
+    full.rollouts = Some(rollouts);
+    full.counted = vec![ReporterCounts {
+        reporter: "entry-0/7".to_owned(),
+        counted: counted.clone(),
+    }];
+    let tail = full.tail().unwrap();
+    let told = postcard::to_stdvec(&(&full, &tail)).unwrap();
+    let (read, rest): (DirectoryUpdate, _) = postcard::take_from_bytes(&told).unwrap();
+    assert_eq!(hex(&read), hex(&update()));
+    let read = read.with_tail(postcard::from_bytes(rest).unwrap());
+    assert_eq!(read.tail(), full.tail());
+    assert_eq!(DirectoryUpdate::default().tail(), None);
+    let report = ReportTail { start: 7, counted };
+    let lines = [
+        format!("update tail {}", hex(&tail)),
+        format!("report tail {}", hex(&report)),
+    ];
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -1,6 +1,7 @@
 //! A control host's part of the directory.
 
 mod commands;
+mod rollouts;
 mod state;
 mod suspects;
 mod tasks;
@@ -12,6 +13,7 @@
 
 use derive_more::Display;
 use linnet_quorum::{Member, Replica};
+use linnet_rollout::{ExposureRule, OrderFault, RolloutBook};
 use linnet_telemetry::{EventCode, EventRecorder};
 use linnet_wire::PeerIdentity;
 use tokio::sync::watch;
@@ -70,6 +72,21 @@
     #[display("no data hall has the name {_0}")]
     #[error(ignore)]
     UnknownHall(String),
+    /// The order makes no sense.
+    #[display("{_0}")]
+    #[error(ignore)]
+    BadOrder(OrderFault),
+    /// The configuration has no such service.
+    #[display("no service has the name {_0}")]
+    #[error(ignore)]
+    UnknownService(String),
+    /// Another roll-out of the service is under way.
+    #[display("version {_0} is being rolled out")]
+    #[error(ignore)]
+    UnderWay(String),
+    /// A control host of an earlier build is left, which could not keep the order.
+    #[display("a control host of an earlier build is left")]
+    EarlierBuild,
     /// No other control host has taken the word of the target.
     #[display("no other control host has taken it")]
     NotSpread,
@@ -149,6 +166,7 @@
         ntex::rt::spawn(tasks::announce_state(node.clone()));
         ntex::rt::spawn(suspects::take_held(node.clone()));
         ntex::rt::spawn(suspects::keep_held(node.clone()));
+        ntex::rt::spawn(rollouts::steer_rollouts(node.clone()));
         node
     }
 
@@ -157,6 +175,16 @@
         self.shared.machine.evacuations()
     }
 
+    /// Returns the committed roll-outs that this host has reached.
+    pub fn rollouts(&self) -> Arc<RolloutBook> {
+        self.shared.machine.rollouts()
+    }
+
+    /// Sets what a version that is rolled out may be exposed to.
+    pub fn set_exposure(&self, rule: ExposureRule) {
+        self.lock().exposure = rule;
+    }
+
     /// Takes a heartbeat of a target. Returns once it may be acknowledged: a withdrawal only when
     /// another control host has it too and the entry hosts that are heard took it, or had time to.
     ///
@@ -330,6 +358,7 @@
             self.note_change(&id, &detail, change);
         }
         self.take_suspects(&update.suspects);
+        self.lock().evidence.take_told(&update.counted);
         for heard in &update.heard {
             let change = self.lock().registry.take_heard(heard, now);
             self.note_change(&heard.id, "heard by another control host", change);
--- a/crates/directory/src/node/commands.rs
+++ b/crates/directory/src/node/commands.rs
@@ -148,10 +148,16 @@
     }
 
     /// Commits a command, here or at the leader, within the time that a command of its size may take.
-    async fn commit(&self, command: &DocumentCommand) -> Result<DocumentAnswer, DirectoryError> {
+    pub(super) async fn commit(
+        &self,
+        command: &DocumentCommand,
+    ) -> Result<DocumentAnswer, DirectoryError> {
         let bytes = postcard::to_stdvec(command).map_err(|_| DirectoryError::NoQuorum)?;
         let answer_bytes = match command {
-            DocumentCommand::Put(_) | DocumentCommand::Evacuate(_) | DocumentCommand::Hold(_) => 0,
+            DocumentCommand::Put(_)
+            | DocumentCommand::Evacuate(_)
+            | DocumentCommand::Hold(_)
+            | DocumentCommand::Rollout(_) => 0,
             DocumentCommand::Read => self.held_document().map_or(0, |held| held.body().len()),
         };
         let length = bytes.len() + answer_bytes;
--- /dev/null
+++ b/crates/directory/src/node/rollouts.rs
@@ -0,0 +1,261 @@
+//! Roll-outs on a control host: orders of operators, and the next step of each by what entry hosts count.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use linnet_rollout::{
+    RolloutCause, RolloutCommand, RolloutFacts, RolloutLine, RolloutOrder, RolloutOutcome,
+    RolloutRecord, RolloutState, RolloutStep, RolloutSums, next_step,
+};
+use linnet_telemetry::EventCode;
+use tokio::time::sleep;
+
+use super::{DirectoryError, DirectoryNode};
+use crate::SubscriberReport;
+use crate::machine::{DocumentAnswer, DocumentCommand};
+
+/// How often the control host that leads looks whether a roll-out is to move on.
+const STEER_PERIOD: Duration = Duration::from_millis(100);
+
+/// Since when a control host knows of roll-outs, by service and revision, and how old each was then.
+#[derive(Default)]
+struct RolloutAges(HashMap<(String, u64), (Instant, Duration)>);
+
+impl RolloutAges {
+    /// Returns the time since the order of a roll-out. A clock that is set meanwhile does not change it.
+    fn of(&mut self, service: &str, record: &RolloutRecord) -> Duration {
+        let key = (service.to_owned(), record.revision);
+        let (seen, age) = self.0.entry(key).or_insert_with(|| {
+            let age_ms = unix_ms().saturating_sub(record.started_ms);
+            let age = Duration::from_millis(age_ms.min(record.duration_ms));
+            (Instant::now(), age)
+        });
+        *age + seen.elapsed()
+    }
+
+    /// Forgets all but some roll-outs.
+    fn retain(&mut self, is_in_progress: impl Fn(&str, u64) -> bool) {
+        self.0
+            .retain(|(service, revision), _| is_in_progress(service, *revision));
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+impl DirectoryNode {
+    /// Begins a roll-out; returns once a majority of control hosts has the order on disk. An order that was taken is
+    /// answered again.
+    ///
+    /// # Errors
+    ///
+    /// [`DirectoryError::BadOrder`], [`DirectoryError::UnknownService`], [`DirectoryError::UnderWay`] and
+    /// [`DirectoryError::EarlierBuild`] change nothing; [`DirectoryError::NoQuorum`] leaves open whether the order
+    /// comes into force.
+    pub async fn order_rollout(
+        &self,
+        order: RolloutOrder,
+    ) -> Result<RolloutRecord, DirectoryError> {
+        let detail = format!(
+            "service={} version={:.40} duration_ms={}",
+            order.service.escape_default(),
+            order.version.escape_default(),
+            order.duration_ms
+        );
+        let outcome = self.try_order(order).await;
+        let (code, end) = match &outcome {
+            Ok(record) => (
+                EventCode::RolloutAccepted,
+                format!("revision={} state={}", record.revision, record.state),
+            ),
+            Err(error) => (EventCode::RolloutRefused, format!("cause={error}")),
+        };
+        self.record(code, &format!("{detail} {end}"));
+        outcome
+    }
+
+    async fn try_order(&self, order: RolloutOrder) -> Result<RolloutRecord, DirectoryError> {
+        order.check().map_err(DirectoryError::BadOrder)?;
+        let held = self.held_document().ok_or(DirectoryError::NoQuorum)?;
+        if !(self.shared.parser.services)(held.body()).contains(&order.service) {
+            return Err(DirectoryError::UnknownService(order.service));
+        }
+        if !self.lock().knows_rollouts() {
+            return Err(DirectoryError::EarlierBuild);
+        }
+        let slots = self.lock().registry.slots_by_version(&order.service);
+        let former = slots.into_keys().filter(|one| *one != order.version);
+        let command = RolloutCommand::Begin {
+            former: former.collect(),
+            order,
+            now_ms: unix_ms(),
+        };
+        match self.roll(command).await? {
+            RolloutOutcome::Held(record) => record.ok_or(DirectoryError::NoQuorum),
+            RolloutOutcome::UnderWay(other) => Err(DirectoryError::UnderWay(other.version)),
+        }
+    }
+
+    /// Returns the newest roll-out of a service, after a round of the quorum that began with this call.
+    ///
+    /// # Errors
+    ///
+    /// [`DirectoryError::NoQuorum`], [`DirectoryError::EarlierBuild`].
+    pub async fn read_rollout(
+        &self,
+        service: &str,
+    ) -> Result<Option<RolloutRecord>, DirectoryError> {
+        if !self.lock().knows_rollouts() {
+            return Err(DirectoryError::EarlierBuild);
+        }
+        let service = service.to_owned();
+        match self.roll(RolloutCommand::Look { service }).await? {
+            RolloutOutcome::Held(record) => Ok(record),
+            RolloutOutcome::UnderWay(record) => Ok(Some(record)),
+        }
+    }
+
+    /// Ends a roll-out at an operator's word, with no request at its version; says whether one was under way.
+    ///
+    /// # Errors
+    ///
+    /// [`DirectoryError::NoQuorum`].
+    pub async fn abort_rollout(&self, service: &str) -> Result<bool, DirectoryError> {
+        let known = self.rollouts();
+        let Some(record) = known.newest(service).filter(|one| one.is_in_progress()) else {
+            return Ok(false);
+        };
+        self.take_step(service, record, RolloutStep::Revert(RolloutCause::Operator))
+            .await?;
+        Ok(true)
+    }
+
+    /// Returns all roll-outs that are remembered, for operators.
+    pub fn rollout_lines(&self) -> Vec<RolloutLine> {
+        let book = self.rollouts();
+        let state = self.lock();
+        let services = book.all_newest().map(|(service, _)| service);
+        let lines = services.flat_map(|service| {
+            let records = book.history(service).iter();
+            let line = |record: &RolloutRecord| {
+                RolloutLine::new(service, record, &state.evidence.sums(service, record))
+            };
+            records.map(line).collect::<Vec<RolloutLine>>()
+        });
+        lines.collect()
+    }
+
+    /// Takes what a subscriber counted for roll-outs.
+    pub(crate) fn take_counts(&self, report: &SubscriberReport) {
+        let Some(gateway) = report
+            .gateway
+            .as_ref()
+            .filter(|_| !report.counted.is_empty())
+        else {
+            return;
+        };
+        let reporter = format!("{}/{:x}", gateway.name, report.start);
+        self.lock().evidence.take(&reporter, &report.counted);
+    }
+
+    async fn roll(&self, command: RolloutCommand) -> Result<RolloutOutcome, DirectoryError> {
+        match self.commit(&DocumentCommand::Rollout(command)).await? {
+            DocumentAnswer::Rollout(outcome) => Ok(outcome),
+            _ => Err(DirectoryError::NoQuorum),
+        }
+    }
+
+    /// Decides the next step of a roll-out.
+    fn decide_step(&self, service: &str, record: &RolloutRecord, elapsed: Duration) -> RolloutStep {
+        let state = self.lock();
+        let slots = state.registry.slots_by_version(service);
+        let of = |tested: bool| {
+            let wanted = slots.iter();
+            let wanted = wanted.filter(|(version, _)| (**version == record.version) == tested);
+            wanted.map(|(_, slots)| slots).sum()
+        };
+        let sums: RolloutSums = state.evidence.sums(service, record);
+        next_step(&RolloutFacts {
+            record,
+            elapsed,
+            slots: (of(true), of(false)),
+            sums: &sums,
+            rule: state.exposure,
+        })
+    }
+
+    async fn take_step(
+        &self,
+        service: &str,
+        record: &RolloutRecord,
+        step: RolloutStep,
+    ) -> Result<(), DirectoryError> {
+        let (service_name, revision) = (service.to_owned(), record.revision);
+        let end = |completed, cause| RolloutCommand::End {
+            service: service_name.clone(),
+            revision,
+            completed,
+            cause,
+        };
+        let command = match step {
+            RolloutStep::Hold => return Ok(()),
+            RolloutStep::Move(permille, cause) => RolloutCommand::Move {
+                service: service_name.clone(),
+                seen: (revision, record.step),
+                permille,
+                cause,
+            },
+            RolloutStep::Complete(cause) => end(true, cause),
+            RolloutStep::Revert(cause) => end(false, cause),
+        };
+        let outcome = self.roll(command).await;
+        if let Ok(RolloutOutcome::Held(Some(record))) = &outcome {
+            self.note_step(service, record);
+        }
+        outcome.map(|_| ())
+    }
+
+    fn note_step(&self, service: &str, record: &RolloutRecord) {
+        let sums = self.lock().evidence.sums(service, record);
+        let ((tested, former), (tested_bad, former_bad)) = (sums.answers(), sums.failures());
+        let detail = format!(
+            "service={service} version={} revision={} permille={} state={} cause={} answers={tested}/{former} failures={tested_bad}/{former_bad}",
+            record.version, record.revision, record.permille, record.state, record.cause
+        );
+        let code = match record.state {
+            RolloutState::InProgress => EventCode::RolloutMoved,
+            RolloutState::Completed => EventCode::RolloutCompleted,
+            RolloutState::Reverted => EventCode::RolloutReverted,
+        };
+        self.record(code, &detail);
+    }
+}
+
+/// Moves the roll-outs on that are under way, while this control host leads.
+pub(super) async fn steer_rollouts(node: DirectoryNode) {
+    let mut ages = RolloutAges::default();
+    loop {
+        sleep(STEER_PERIOD).await;
+        let book = node.rollouts();
+        ages.retain(|service, revision| {
+            let newest = book.newest(service);
+            newest.is_some_and(|one| one.is_in_progress() && one.revision == revision)
+        });
+        node.lock().evidence.set_book(&book);
+        for (service, record) in book.in_progress() {
+            // Every control host notes when it heard of the order: it may lead later.
+            let elapsed = ages.of(service, record);
+            if !node.replica().status().lease_lasts {
+                continue;
+            }
+            let step = node.decide_step(service, record, elapsed);
+            // What could not be committed is decided anew with the next look.
+            if let Err(error) = node.take_step(service, record, step).await {
+                let detail = format!("service={service} cause={error}");
+                node.record(EventCode::RolloutStepFailed, &detail);
+            }
+        }
+    }
+}
--- a/crates/directory/src/node/state.rs
+++ b/crates/directory/src/node/state.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use linnet_quarantine::SuspectBook;
+use linnet_rollout::{EvidenceBook, ExposureRule};
 use linnet_wire::MessageForm;
 
 use super::suspects::LivingTargets;
@@ -32,6 +33,10 @@
     /// What is held against requests that may end targets.
     pub(crate) suspects: SuspectBook,
     pub(crate) living: LivingTargets,
+    /// What entry hosts counted for roll-outs.
+    pub(crate) evidence: EvidenceBook,
+    /// What a version may be exposed to before it is known to be good.
+    pub(crate) exposure: ExposureRule,
     pub(crate) subscribers: BTreeMap<u64, SubscriberState>,
     pub(crate) next_subscriber: u64,
     /// Entry hosts that were lost without a word, and until when they are told on.
--- a/crates/directory/src/node/suspects.rs
+++ b/crates/directory/src/node/suspects.rs
@@ -59,6 +59,12 @@
         let mut subscribers = self.subscribers.values();
         subscribers.any(|one| one.control && one.form == Some(MessageForm::First))
     }
+
+    /// Says whether all control hosts that are connected know of roll-outs.
+    pub(super) fn knows_rollouts(&self) -> bool {
+        let mut controls = self.subscribers.values().filter(|one| one.control);
+        controls.all(|one| one.form >= Some(MessageForm::Third))
+    }
 }
 
 impl DirectoryNode {
--- a/crates/directory/src/node/suspects/tests.rs
+++ b/crates/directory/src/node/suspects/tests.rs
@@ -9,6 +9,7 @@
 
 fn heartbeat(born: u64, sequence: u64) -> TargetRecord {
     TargetRecord {
+        version: String::new(),
         id: "t".to_owned(),
         born,
         service: "desk".to_owned(),
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -259,6 +259,18 @@
         self.held.values().map(|held| &held.record)
     }
 
+    /// Returns the slots of the targets of a service that take work, by their version.
+    pub fn slots_by_version(&self, service: &str) -> BTreeMap<String, u32> {
+        let mut slots = BTreeMap::new();
+        let ready = |record: &&TargetRecord| {
+            record.service == service && record.state == TargetState::Ready && !record.silent
+        };
+        for record in self.records().filter(ready) {
+            *slots.entry(record.version.clone()).or_default() += record.slots;
+        }
+        slots
+    }
+
     /// Returns the heartbeats that came to this host within the last [`HEARD_WINDOW`].
     ///
     /// Every subscriber gets each heartbeat a few times over, so that none keeps its own record of
@@ -309,6 +321,10 @@
         let before = held.record.clone();
         if newer {
             held.record = record;
+            // A control host of an earlier build tells none.
+            if held.record.version.is_empty() {
+                held.record.version.clone_from(&before.version);
+            }
         }
         held.record.state = state;
         held.record.silent = before.silent && (contested || heard <= held.heard);
@@ -319,7 +335,8 @@
             || colder
             || before.silent != held.record.silent
             || held.record.address != before.address
-            || held.record.slots != before.slots;
+            || held.record.slots != before.slots
+            || held.record.version != before.version;
         if !differs {
             return RegistryChange::Nothing;
         }
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use linnet_rollout::RolloutBook;
 use linnet_wire::{MessageForm, PeerReader, PeerWriter, WireError};
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::first_form::{FirstReport, FirstUpdate};
 use crate::gateway_push::{GatewayDue, GatewayPush};
+use crate::message::ReportTail;
 use crate::node::SubscriberState;
 use crate::sending::DocumentSending;
 use crate::{
@@ -44,6 +46,9 @@
     control: bool,
     offer: Option<DocumentKey>,
     evacuations: Option<Arc<EvacuationBook>>,
+    rollouts: Option<Arc<RolloutBook>>,
+    /// The number of the last change up to which it was told of counts for roll-outs.
+    counted: u64,
     sending: DocumentSending,
     number: u64,
     /// The number of the last change up to which it was told of targets that withdrew.
@@ -120,6 +125,7 @@
     loop {
         let report = receive_report(node, number, &told, &mut reader).await?;
         node.take_suspects(&report.suspects);
+        node.take_counts(&report);
         let mut state = node.lock();
         let Some(changes) = state.set_gateway(number, report.gateway) else {
             return Ok(());
@@ -154,7 +160,11 @@
     reader: &mut PeerReader,
 ) -> Result<SubscriberReport, WireError> {
     let known = reader.form();
-    let report = reader.receive_formed::<_, FirstReport>().await?;
+    let (mut report, tail) = reader
+        .receive_tailed::<SubscriberReport, FirstReport, ReportTail>()
+        .await?;
+    report.start = tail.start;
+    report.counted = tail.counted;
     if let (None, Some(form)) = (known, reader.form()) {
         node.note_form(number, reader.peer(), form);
         told.send_replace(Some(form));
@@ -180,6 +190,8 @@
         control: hello.control,
         offer: None,
         evacuations: None,
+        rollouts: None,
+        counted: 0,
         sending: DocumentSending::default(),
         number: 0,
         withdrawn: 0,
@@ -226,7 +238,10 @@
     if form == Some(MessageForm::First) {
         return writer.send(&FirstUpdate::from(update.clone())).await;
     }
-    writer.send(update).await
+    match update.tail() {
+        Some(tail) => writer.send(&(update, tail)).await,
+        None => writer.send(update).await,
+    }
 }
 
 /// Returns the least time between two updates to one subscriber, of so many, beside parts of a
@@ -242,6 +257,8 @@
     update.offer.is_none()
         && update.part.is_none()
         && update.evacuations.is_none()
+        && update.rollouts.is_none()
+        && update.counted.is_empty()
         && update.targets.is_empty()
         && update.gateways.is_none()
         && update.controls.is_none()
@@ -253,6 +270,7 @@
     let mut update = DirectoryUpdate::default();
     if !pushed.control && node.tells_state() {
         add_evacuations(node, pushed, &mut update);
+        add_rollouts(node, pushed, &mut update);
         add_document(node, pushed, &mut update);
     }
     let controls = node.controls();
@@ -294,6 +312,7 @@
     }
     update.lists_whole = is_all && pushed.next_list.is_none() && node.has_heard_all();
     if pushed.control {
+        (update.counted, pushed.counted) = state.evidence.changed_after(pushed.counted);
         update.heard = state.registry.heard_lately(Instant::now());
     }
     update
@@ -320,6 +339,14 @@
     }
 }
 
+fn add_rollouts(node: &DirectoryNode, pushed: &mut Pushed, update: &mut DirectoryUpdate) {
+    let held = node.rollouts();
+    if pushed.rollouts.as_ref() != Some(&held) {
+        update.rollouts = Some((*held).clone());
+        pushed.rollouts = Some(held);
+    }
+}
+
 fn add_document(node: &DirectoryNode, pushed: &mut Pushed, update: &mut DirectoryUpdate) {
     let held = node.held_document().map(|held| held.key());
     if held != pushed.offer {
--- a/crates/directory/src/view.rs
+++ b/crates/directory/src/view.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use linnet_rollout::{RolloutBook, VersionStanding};
+
 use crate::{
     DirectoryUpdate, EvacuationBook, GatewayRecord, HeldDocument, TargetRecord, TargetState,
 };
@@ -33,6 +35,7 @@
     /// The newest start of a target that was called withdrawn.
     withdrawn: BTreeMap<String, u64>,
     evacuations: EvacuationBook,
+    rollouts: RolloutBook,
     /// Until when targets are cold, by identity.
     cold: HashMap<String, Instant>,
 }
@@ -80,6 +83,9 @@
             source.whole = true;
             self.forget_lost();
         }
+        if let Some(told) = &update.rollouts {
+            self.rollouts.merge(told);
+        }
         if let Some(told) = &update.evacuations {
             let taken_back = self.evacuations.merge(told);
             self.note_taken_back(&taken_back, now);
@@ -95,6 +101,11 @@
         }
     }
 
+    /// Returns the roll-outs of services.
+    pub fn rollouts(&self) -> &RolloutBook {
+        &self.rollouts
+    }
+
     /// Returns the evacuations of halls.
     pub fn evacuations(&self) -> &EvacuationBook {
         &self.evacuations
@@ -140,7 +151,9 @@
     fn takes_work(&self, id: &str, record: &TargetRecord) -> bool {
         let withdrawn = self.withdrawn.get(id);
         let withdrew = withdrawn.is_some_and(|born| *born >= record.born);
-        !record.silent && !withdrew && !self.evacuations.is_evacuated(&record.hall)
+        let standing = self.rollouts.standing_of(&record.service, &record.version);
+        let is_closed = standing == VersionStanding::Closed;
+        !record.silent && !withdrew && !is_closed && !self.evacuations.is_evacuated(&record.hall)
     }
 
     /// Returns every target that takes new work as far as is known, and how much longer it is cold.
--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -11,6 +11,7 @@
 
 fn record(id: &str, port: u16, state: TargetState, sequence: u64) -> TargetRecord {
     TargetRecord {
+        version: String::new(),
         id: id.to_owned(),
         born: 0,
         service: "desk".to_owned(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -157,10 +157,12 @@
         left
     };
     let (service, chosen, sent) = (attempt.service, attempt.chosen, Instant::now());
+    let facts = attempt.placement.as_ref().and_then(Placement::facts);
     let end = timeout(bound, exchange(gateway, ask, attempt, left)).await;
     let end = end.unwrap_or_else(|_| {
         AttemptEnd::unusable(format!("no answer within {} ms", bound.as_millis()))
     });
+    gateway.count_attempt(ask, (service, chosen), &end, sent.elapsed(), facts);
     if let AttemptEnd::MayHaveRun { broke: true, .. } = end {
         gateway.note_break(service, chosen, ask, sent).await;
     }
--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -36,6 +36,7 @@
     };
     let end = look_for_end(&coordinator, &call, end).await;
     note_end(&coordinator, &call, &end, sender, started.elapsed());
+    coordinator.tell_end(&call, &end, started.elapsed());
     let pool = call.pool.clone();
     if let Some(rest) = coordinator.finish_call(call, end, late, sender) {
         sleep(rest).await;
--- a/crates/gateway/src/coordinator/due_call.rs
+++ b/crates/gateway/src/coordinator/due_call.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Says whether it was sent while another call was at work at the target.
+    pub(crate) fn is_ahead(&self) -> bool {
+        self.ahead
+    }
+
     /// Says whether a piece may go with those that are in the call: one that may end its target goes with
     /// those of its own request only.
     pub(super) fn takes(&self, waiting: &Waiting) -> bool {
--- a/crates/gateway/src/coordinator/pool.rs
+++ b/crates/gateway/src/coordinator/pool.rs
@@ -15,6 +15,7 @@
 use crate::home_halls::HomeHalls;
 use crate::piece::{PieceBatch, PoolLoad, StageWork, TargetUse};
 use crate::pool_key::PoolKey;
+use crate::version_split::{CallSplit, VersionSplit};
 
 /// Results smaller than this may lie in any data hall.
 pub(crate) const HALL_BYTES: u64 = 256 * 1024;
@@ -55,6 +56,8 @@
     pub(super) targets: BTreeMap<String, StageTarget>,
     /// In the order in which they are served.
     pub(super) waiting: Vec<Waiting>,
+    /// How calls are split while a version is rolled out.
+    split: Option<CallSplit>,
 }
 
 impl PoolQueue {
@@ -63,9 +66,28 @@
             spec,
             targets: BTreeMap::new(),
             waiting: Vec::new(),
+            split: None,
         }
     }
 
+    /// Takes how calls are split while a version is rolled out.
+    pub(super) fn set_split(&mut self, split: Option<&VersionSplit>) {
+        match (split, &mut self.split) {
+            (Some(split), Some(known)) => known.update(split),
+            (split, known) => *known = split.cloned().map(CallSplit::new),
+        }
+    }
+
+    /// Says whether a target may get a new call while a version is rolled out: one of the side whose turn it is, or
+    /// any where that side has none.
+    fn has_turn(&self, target: &StageTarget) -> bool {
+        let Some(split) = &self.split else {
+            return true;
+        };
+        let mut takers = self.targets.values().filter(|one| one.takes_calls());
+        split.allows(&target.version) || !takers.any(|one| split.allows(&one.version))
+    }
+
     /// Takes the targets that `key` holds of those that take work.
     pub(super) fn set_targets(&mut self, key: &PoolKey, records: &[TargetRecord]) {
         let held = records.iter().filter(|record| key.holds(record));
@@ -87,6 +109,7 @@
         for (id, record) in wanted {
             let targets = self.targets.entry(id.to_owned());
             let target = targets.or_insert_with(|| StageTarget::new(record));
+            target.version.clone_from(&record.version);
             target.set_cold(record.cold_ms, Instant::now());
         }
     }
@@ -220,6 +243,7 @@
         };
         let suspects = self.targets.iter().filter(|(_, target)| {
             target.suspect
+                && self.has_turn(target)
                 && waiting.homes.allow(&target.hall)
                 && target.is_free(&self.spec, now)
                 && self.has_room(target, waiting)
@@ -290,7 +314,9 @@
     fn has_place(&self, open: &BTreeMap<String, DueCall>, now: Instant) -> bool {
         self.usable(now).any(|(id, target)| {
             let in_call = open.get(id).map_or(0, |call| call.pieces.len());
-            in_call < self.spec.batch as usize && target.is_free(&self.spec, now)
+            in_call < self.spec.batch as usize
+                && (in_call > 0 || self.has_turn(target))
+                && target.is_free(&self.spec, now)
         })
     }
 
@@ -304,6 +330,7 @@
         let fits = |id: &str, target: &StageTarget| {
             let in_call = open.get(id).map_or(0, |call| call.pieces.len());
             in_call < self.spec.batch as usize
+                && (in_call > 0 || self.has_turn(target))
                 && open.get(id).is_none_or(|call| call.takes(waiting))
                 && waiting.homes.allow(&target.hall)
                 && target.is_free(&self.spec, now)
@@ -356,6 +383,9 @@
             return;
         };
         target.reserved += waiting.result_bytes;
+        if let Some(split) = self.split.as_mut().filter(|_| !open.contains_key(&id)) {
+            split.note(&target.version);
+        }
         let call = open
             .entry(id.clone())
             .or_insert_with(|| DueCall::new(pool, &id, target, now));
--- a/crates/gateway/src/coordinator/pool/tests.rs
+++ b/crates/gateway/src/coordinator/pool/tests.rs
@@ -27,6 +27,7 @@
 /// One target in each of two halls.
 fn records() -> [TargetRecord; 2] {
     let record = |hall: u16| TargetRecord {
+        version: String::new(),
         id: format!("t-{hall}"),
         born: 0,
         service: SERVICE.to_owned(),
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -1,6 +1,7 @@
 //! Batches of pieces from all entry hosts, and the calls that bring them to targets.
 
 use std::cell::{OnceCell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -19,6 +20,7 @@
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad, TargetUse};
 use crate::pool_key::PoolKey;
 use crate::stage_call::{CallEnd, StageCall, StageCaller, StageRelease};
+use crate::version_split::VersionSplit;
 
 /// The load of each pool that has work, as other hosts are told it.
 pub(crate) type ToldLoads = Rc<[(PoolKey, PoolLoad)]>;
@@ -26,6 +28,9 @@
 /// Hears of a call under which a target ended.
 pub(crate) type EndWatch = Box<dyn Fn(&DueCall)>;
 
+/// Hears of the end of each call, and the time that it took.
+pub(crate) type CallWatch = Box<dyn Fn(&DueCall, &CallEnd, Duration)>;
+
 /// Gathers pieces for the services that this host was chosen for.
 pub(crate) struct Coordinator {
     pub(crate) caller: StageCaller,
@@ -35,6 +40,7 @@
     share: OnceCell<SendingShare>,
     /// Hears of calls under which a target ended.
     end_watch: OnceCell<EndWatch>,
+    call_watch: OnceCell<CallWatch>,
     /// What [`Coordinator::loads`] returned last, and when it was worked out.
     told_loads: RefCell<Option<(ToldLoads, Instant)>>,
 }
@@ -58,6 +64,7 @@
             rate: RefCell::new(SendingRate::new(shared_bytes_per_s, Instant::now())),
             share: OnceCell::new(),
             end_watch: OnceCell::new(),
+            call_watch: OnceCell::new(),
             told_loads: RefCell::default(),
         }
     }
@@ -72,6 +79,27 @@
         let _ = self.end_watch.set(watch);
     }
 
+    /// Takes who hears of the ends of calls.
+    pub(crate) fn set_call_watch(&self, watch: CallWatch) {
+        let _ = self.call_watch.set(watch);
+    }
+
+    pub(super) fn tell_end(&self, call: &DueCall, end: &CallEnd, took: Duration) {
+        if let Some(watch) = self.call_watch.get() {
+            watch(call, end, took);
+        }
+    }
+
+    /// Takes the services of which a version is rolled out.
+    pub(crate) fn set_splits(&self, splits: &HashMap<String, VersionSplit>) {
+        let mut state = self.state.borrow_mut();
+        state.splits.clone_from(splits);
+        let state = &mut *state;
+        for (key, pool) in &mut state.pools {
+            pool.set_split(state.splits.get(&key.service));
+        }
+    }
+
     /// Says whether the target of a call is in the list of targets that take work.
     pub(super) fn is_listed(&self, call: &DueCall) -> bool {
         let state = self.state.borrow();
--- a/crates/gateway/src/coordinator/stage_target.rs
+++ b/crates/gateway/src/coordinator/stage_target.rs
@@ -64,6 +64,8 @@
     pub(super) born: u64,
     pub(super) address: SocketAddr,
     pub(super) hall: String,
+    /// The version of its software; empty where it is not known.
+    pub(super) version: String,
     /// Calls of this host that are at work there.
     pub(super) busy: u32,
     /// Bytes that the results of those calls will take.
@@ -108,6 +110,7 @@
             born: record.born,
             address: record.address,
             hall: record.hall.clone(),
+            version: record.version.clone(),
             busy: 0,
             reserved: 0,
             results: HeldResults::default(),
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -19,6 +19,7 @@
 use crate::pool_key::PoolKey;
 use crate::stage_call::{CallEnd, StageRelease};
 use crate::target_ask::TargetStanding;
+use crate::version_split::VersionSplit;
 
 /// How often a piece is given to a target before it counts as failed.
 const MAX_TRIES: u32 = 3;
@@ -73,6 +74,8 @@
     last_expected: u64,
     last_lost: u64,
     pub(super) records: Vec<TargetRecord>,
+    /// The services of which a version is rolled out.
+    pub(super) splits: HashMap<String, VersionSplit>,
 }
 
 /// What is due after a call has ended.
@@ -163,6 +166,7 @@
             let spec = self.specs.get(&key.service)?.clone();
             let mut pool = PoolQueue::new(spec);
             pool.set_targets(key, &self.records);
+            pool.set_split(self.splits.get(&key.service));
             self.pools.insert(key.clone(), pool);
         }
         self.pools.get_mut(key)
--- a/crates/gateway/src/coordinator/state/tests.rs
+++ b/crates/gateway/src/coordinator/state/tests.rs
@@ -31,6 +31,7 @@
 /// A coordinator's state with so many targets in one pool.
 fn state(targets: u16) -> QueueState {
     let record = |number: u16| TargetRecord {
+        version: String::new(),
         id: format!("t-{number}"),
         born: 0,
         service: SERVICE.to_owned(),
--- a/crates/gateway/src/coordinator/state/tests/burst.rs
+++ b/crates/gateway/src/coordinator/state/tests/burst.rs
@@ -93,6 +93,7 @@
 impl BurstPlay {
     fn new(queue: u32) -> Self {
         let record = |number: u16| TargetRecord {
+            version: String::new(),
             id: format!("{number}"),
             born: 0,
             service: SERVICE.to_owned(),
--- a/crates/gateway/src/engine/tests.rs
+++ b/crates/gateway/src/engine/tests.rs
@@ -9,6 +9,7 @@
 
 fn record(number: usize, service: &str, hall: usize) -> TargetRecord {
     TargetRecord {
+        version: String::new(),
         id: format!("{service}-{number}"),
         born: 0,
         service: service.to_owned(),
--- a/crates/gateway/src/first_form.rs
+++ b/crates/gateway/src/first_form.rs
@@ -25,7 +25,7 @@
     request: &PieceRequest,
 ) -> Result<bool, WireError> {
     match form {
-        MessageForm::Second => writer.queue(request),
+        MessageForm::Second | MessageForm::Third => writer.queue(request),
         MessageForm::First => first_request(request).map_or(Ok(false), |told| writer.queue(&told)),
     }
 }
@@ -41,7 +41,7 @@
     reply: &PieceReply,
 ) -> Result<bool, WireError> {
     match form {
-        MessageForm::Second => writer.queue(reply),
+        MessageForm::Second | MessageForm::Third => writer.queue(reply),
         MessageForm::First => first_reply(reply).map_or(Ok(false), |told| writer.queue(&told)),
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::notice_book::NoticeBook;
 use crate::open_request::OpenCount;
+use crate::rollouts::RolloutWatch;
 use crate::stage_call::StageCaller;
 use crate::stage_client::StageClient;
 use crate::suspects::SuspectWatch;
@@ -95,6 +96,7 @@
     pub(crate) coordinator: Rc<Coordinator>,
     pub(crate) suspects: SuspectWatch,
     pub(crate) ends: TargetEnds,
+    pub(crate) rollouts: RolloutWatch,
     /// What targets have asked of this host.
     pub(crate) notices: Rc<NoticeBook>,
     /// Requests that wait until a target takes requests again.
@@ -156,6 +158,7 @@
             pool,
             suspects: SuspectWatch::default(),
             ends: TargetEnds::default(),
+            rollouts: RolloutWatch::default(),
             notices,
             waiting: OpenCount::default(),
             stopping: Cell::new(false),
@@ -174,6 +177,14 @@
                 gateway.note_call_end(call);
             }
         }));
+        let watching = Rc::downgrade(&gateway);
+        gateway
+            .coordinator
+            .set_call_watch(Box::new(move |call, end, took| {
+                if let Some(gateway) = watching.upgrade() {
+                    gateway.count_call(call, end, took);
+                }
+            }));
         ntex::rt::spawn(keep_house(gateway.clone()));
         ntex::rt::spawn(target_list::keep_targets(gateway.clone()));
         gateway
@@ -260,13 +271,14 @@
         let withdraws = self.withdraws(&update);
         let gateways_changed = update.gateways.is_some();
         self.view.borrow_mut().take(from, update, Instant::now());
+        let rolls = self.refresh_rollouts();
         if gateways_changed {
             self.refresh_gateways();
         }
         if evacuated {
             self.note_evacuations();
         }
-        if withdraws || evacuated {
+        if withdraws || evacuated || rolls {
             self.refresh_targets();
         } else if targets_changed {
             self.targets_due.notify_one();
@@ -306,6 +318,7 @@
     /// Hears that a control host was lost.
     pub fn lose_control(&self, from: SocketAddr) {
         self.view.borrow_mut().lose(from);
+        self.refresh_rollouts();
         self.refresh_gateways();
         self.targets_due.notify_one();
     }
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -85,6 +85,7 @@
 
 fn word(number: u16, state: TargetState) -> DirectoryUpdate {
     let record = TargetRecord {
+        version: String::new(),
         id: format!("t-{number}"),
         born: 0,
         service: "engines".to_owned(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod pool_key;
 mod relay;
 mod rendezvous;
+mod rollouts;
 mod schedule;
 mod send_gate;
 mod serve;
@@ -52,6 +53,7 @@
 mod target_slowness;
 mod turn;
 mod upstream;
+mod version_split;
 mod wait_model;
 
 pub use body::{AnswerBody, BrokenAnswer};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,7 @@
     pub(crate) targets_known: Gauge,
     pub(crate) target_lists: Counter,
     pub(crate) halls_evacuated: Gauge,
+    pub(crate) rollouts_open: Gauge,
     pub(crate) targets_ended: Counter,
     pub(crate) targets_backed_off: Gauge,
     pub(crate) targets_leaving: Gauge,
@@ -61,6 +62,7 @@
             targets_known: Gauge::default(),
             target_lists: Counter::default(),
             halls_evacuated: Gauge::default(),
+            rollouts_open: Gauge::default(),
             targets_ended: Counter::default(),
             targets_backed_off: Gauge::default(),
             targets_leaving: Gauge::default(),
@@ -98,6 +100,11 @@
             "Requests that are refused since targets ended under them",
             metrics.requests_held.clone(),
         );
+        registry.register(
+            "rollouts_open",
+            "Services of which a version is rolled out, as far as this host was told",
+            metrics.rollouts_open.clone(),
+        );
         registry.register("requests", "Requests by outcome", metrics.requests.clone());
         registry.register_with_unit(
             "first_answer",
--- a/crates/gateway/src/pool_key/tests.rs
+++ b/crates/gateway/src/pool_key/tests.rs
@@ -8,6 +8,7 @@
     for (hall, count) in halls.iter().enumerate() {
         for number in 0..*count {
             records.push(TargetRecord {
+                version: String::new(),
                 id: format!("t-{hall}-{number}"),
                 born: 0,
                 service: "stage".to_owned(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,6 +18,7 @@
 use crate::events::last_event_id;
 use crate::forward::take_repeat;
 use crate::graph::RequestResults;
+use crate::rollouts::AnswerQuality;
 use crate::target::Chosen;
 use crate::turn::{RunTurn, take_turn};
 use crate::upstream::is_break;
@@ -121,8 +122,11 @@
 
     /// Finds another target that goes on with the stream.
     async fn resume(&mut self, cause: &str) -> Option<Box<EventStream>> {
+        let (service, target) = (&self.service, &self.chosen.id);
+        self.gateway.note_target_failure(service, target, cause);
+        let route = &self.ask.route.name;
         self.gateway
-            .note_target_failure(&self.service, &self.chosen.id, cause);
+            .count_answer(service, target, route, AnswerQuality::Failed);
         while self.ask.route.may_repeat()
             && self.attempts < self.ask.route.max_attempts
             && take_turn(&self.gateway, &self.ask, &mut self.turn)
--- a/crates/gateway/src/serve_pieces/tests/role_cost.rs
+++ b/crates/gateway/src/serve_pieces/tests/role_cost.rs
@@ -122,6 +122,7 @@
 
 fn records(targets: &[SocketAddr]) -> Vec<TargetRecord> {
     let record = |service: &str, number: usize, address| TargetRecord {
+        version: String::new(),
         id: format!("{service}-{number}"),
         born: 0,
         service: service.to_owned(),
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -9,6 +9,7 @@
 
 use crate::cold::{ColdRate, SendShare};
 use crate::target_slowness::TargetSlowness;
+use crate::version_split::VersionSplit;
 
 /// Failures in a row after which a target gets no work for a while.
 const EJECT_FAILURES: u32 = 2;
@@ -44,6 +45,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) hall: String,
     pub(crate) slots: u32,
+    /// The version of its software; empty where it is not known.
+    pub(crate) version: String,
     /// Requests of this host that are in flight there.
     pub(crate) in_flight: u32,
     failures: u32,
@@ -66,6 +69,7 @@
             address: record.address,
             hall: record.hall.clone(),
             slots: record.slots.max(1),
+            version: record.version.clone(),
             in_flight: 0,
             failures: 0,
             ejections: 0,
@@ -152,6 +156,8 @@
     hall_counts: HashMap<String, Vec<(String, u32)>>,
     /// What cold targets of a service bear, where that is less than others do.
     cold_rates: HashMap<String, ColdRate>,
+    /// The services of which a version is rolled out.
+    splits: HashMap<String, VersionSplit>,
 }
 
 fn count_halls(records: &[TargetRecord]) -> HashMap<String, Vec<(String, u32)>> {
@@ -187,6 +193,7 @@
             };
             target.address = record.address;
             target.slots = record.slots.max(1);
+            target.version.clone_from(&record.version);
             target.set_cold(record.cold_ms, now);
             let service = self.services.entry(record.service.clone()).or_default();
             service.insert(record.id.clone(), target);
@@ -282,10 +289,47 @@
         targets.into_iter().flat_map(BTreeMap::keys)
     }
 
+    /// Takes the services of which a version is rolled out.
+    pub(crate) fn set_splits(&mut self, splits: HashMap<String, VersionSplit>) {
+        self.splits = splits;
+    }
+
+    /// Returns the version of a target; nothing where it is not known.
+    pub(crate) fn version_of(&self, service: &str, id: &str) -> Option<&str> {
+        let target = self.services.get(service)?.get(id)?;
+        Some(&target.version)
+    }
+
+    /// Returns how many requests of this host are under way at targets of other versions than one.
+    pub(crate) fn open_beside(&self, service: &str, version: &str) -> u32 {
+        let others = self
+            .of_service(service)
+            .filter(|one| one.version != version);
+        others.map(|target| target.in_flight).sum()
+    }
+
+    /// Draws by which version a request of a service is to be served, where one is rolled out: returns the targets of
+    /// that side, or all where it has none.
+    fn drawn_side(&self, service: &str) -> Vec<&Target> {
+        let all = || self.of_service(service);
+        let Some(split) = self.splits.get(service) else {
+            return all().collect();
+        };
+        let side = split.draw();
+        let of_side: Vec<&Target> = all()
+            .filter(|one| split.side_of(&one.version) == side)
+            .collect();
+        match of_side.is_empty() {
+            true => all().collect(),
+            false => of_side,
+        }
+    }
+
     /// Returns the targets of a service that are not passed over; where all are, those that can be reached, and
-    /// all of them where none can.
+    /// all of them where none can. While a version is rolled out these are of one side, drawn anew each time.
     pub(crate) fn usable(&self, service: &str, now: Instant) -> Vec<&Target> {
-        let all = || self.of_service(service);
+        let side = self.drawn_side(service);
+        let all = || side.iter().copied();
         let willing: Vec<&Target> = all().filter(|one| !one.is_passed_over(now)).collect();
         if !willing.is_empty() {
             return willing;
--- a/crates/gateway/src/target/tests.rs
+++ b/crates/gateway/src/target/tests.rs
@@ -6,6 +6,7 @@
 
 pub(crate) fn record(id: &str, port: u16) -> TargetRecord {
     TargetRecord {
+        version: String::new(),
         id: id.to_owned(),
         born: 0,
         service: SERVICE.to_owned(),
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -17,6 +17,7 @@
 };
 use linnet_journal::DiskOps;
 use linnet_quorum::{QuorumTiming, Replica, ReplicaConfig, serve_peer};
+use linnet_rollout::{ExposureRule, RolloutRecord};
 use linnet_telemetry::{EventCode, EventRecorder, HybridClock};
 use linnet_wire::{MessageForm, PeerGreeting};
 use prometheus_client::metrics::gauge::Gauge;
@@ -30,6 +31,7 @@
 use crate::metrics_page::serve_metrics;
 use crate::peers::peer_identity;
 use crate::reload::{SettingsSource, reload_settings};
+use crate::rollout_door::answer_rollouts;
 use crate::settings::NodeRole;
 use crate::{ControlAsk, ControlDialect, ControlFault, NodeDialect, NodeSettings};
 
@@ -124,6 +126,10 @@
         (peers, operators),
         settings.hall.clone(),
     );
+    node.set_exposure(ExposureRule {
+        share: settings.rollout.exposure_share,
+        slack: settings.rollout.exposure_slack,
+    });
     let (seeds, seeds_read) = watch::channel(settings.seed_peers());
     ntex::rt::spawn(reload_settings(source, seeds, recorder.clone()));
 
@@ -194,6 +200,7 @@
     let config = FollowConfig {
         // Control hosts tell each other in their updates.
         suspects: None,
+        counts: None,
         identity: node.identity().clone(),
         recorder: recorder.clone(),
         gateway,
@@ -219,45 +226,82 @@
     if let Some(answer) = answer_held(node, &request) {
         return answer;
     }
+    if let Some(answer) = answer_rollouts(node, &request).await {
+        return answer;
+    }
     let ask = match (dialect.read)(&request.method, &request.path, &request.body) {
         Ok(ask) => ask,
         Err(fault) => return fault_answer(&fault),
     };
-    let outcome = match ask {
-        ControlAsk::PutRouting => node.put_document(request.body.to_vec()).await.map(|_| None),
-        ControlAsk::ReadRouting => node.read_document().await,
-        ControlAsk::Heartbeat(record) => node.take_heartbeat(record).await.map(|()| None),
-        ControlAsk::Leave(id, born) => node.take_leave(&id, born).await.map(|()| None),
-        ControlAsk::Evacuate(hall) => order_evacuation(node, halls, &hall, true).await,
-        ControlAsk::EndEvacuation(hall) => order_evacuation(node, halls, &hall, false).await,
-    };
-    match outcome {
-        Ok(Some(document)) => DoorAnswer::json(StatusCode::OK, document.body),
-        Ok(None) if request.method == http::Method::GET => DoorAnswer::text(
+    match do_ask(dialect, node, halls, ask, &request).await {
+        Ok(answer) => answer,
+        Err(error) => error_answer(&error),
+    }
+}
+
+async fn do_ask(
+    dialect: &ControlDialect,
+    node: &DirectoryNode,
+    halls: &BTreeMap<String, String>,
+    ask: ControlAsk,
+    request: &DoorRequest,
+) -> Result<DoorAnswer, DirectoryError> {
+    match ask {
+        ControlAsk::PutRouting => node.put_document(request.body.to_vec()).await.map(|_| ())?,
+        ControlAsk::ReadRouting => return node.read_document().await.map(config_answer),
+        ControlAsk::Heartbeat(record) => node.take_heartbeat(record).await?,
+        ControlAsk::Leave(id, born) => node.take_leave(&id, born).await?,
+        ControlAsk::Evacuate(hall) => order_evacuation(node, halls, &hall, true).await?,
+        ControlAsk::EndEvacuation(hall) => order_evacuation(node, halls, &hall, false).await?,
+        ControlAsk::Rollout(order) => node.order_rollout(order).await.map(|_| ())?,
+        ControlAsk::ReadRollout(service) => {
+            let record = node.read_rollout(&service).await?;
+            return Ok(rollout_answer(dialect, record));
+        }
+    }
+    Ok(DoorAnswer::json(StatusCode::OK, dialect.done_body))
+}
+
+fn config_answer(document: Option<Document>) -> DoorAnswer {
+    match document {
+        Some(document) => DoorAnswer::json(StatusCode::OK, document.body),
+        None => DoorAnswer::text(
             StatusCode::NOT_FOUND,
             "no configuration was ever accepted\n",
         ),
-        Ok(None) => DoorAnswer::json(StatusCode::OK, dialect.done_body),
-        Err(error @ DirectoryError::UnknownHall(_)) => {
-            DoorAnswer::text(StatusCode::NOT_FOUND, format!("{error}\n"))
-        }
-        Err(error @ DirectoryError::Invalid(_)) => {
-            DoorAnswer::text(StatusCode::BAD_REQUEST, format!("{error}\n"))
-        }
-        Err(error) => DoorAnswer::text(StatusCode::SERVICE_UNAVAILABLE, format!("{error}\n")),
     }
 }
 
+fn rollout_answer(dialect: &ControlDialect, record: Option<RolloutRecord>) -> DoorAnswer {
+    match record {
+        Some(record) => DoorAnswer::json(StatusCode::OK, (dialect.write_rollout)(&record)),
+        None => DoorAnswer::text(StatusCode::NOT_FOUND, "no roll-out was ever ordered\n"),
+    }
+}
+
+/// Returns the answer that tells an operator or a target why something was not done.
+pub(crate) fn error_answer(error: &DirectoryError) -> DoorAnswer {
+    let status = match error {
+        DirectoryError::UnknownHall(_) | DirectoryError::UnknownService(_) => StatusCode::NOT_FOUND,
+        DirectoryError::Invalid(_) | DirectoryError::BadOrder(_) => StatusCode::BAD_REQUEST,
+        DirectoryError::UnderWay(_) => StatusCode::CONFLICT,
+        DirectoryError::NoQuorum | DirectoryError::NotSpread | DirectoryError::EarlierBuild => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+    };
+    DoorAnswer::text(status, format!("{error}\n"))
+}
+
 async fn order_evacuation(
     node: &DirectoryNode,
     halls: &BTreeMap<String, String>,
     hall: &str,
     evacuated: bool,
-) -> Result<Option<Document>, DirectoryError> {
+) -> Result<(), DirectoryError> {
     if !halls.is_empty() && !halls.contains_key(hall) {
         return Err(DirectoryError::UnknownHall(hall.to_owned()));
     }
-    node.order_evacuation(hall, evacuated).await.map(|()| None)
+    node.order_evacuation(hall, evacuated).await
 }
 
 fn fault_answer(fault: &ControlFault) -> DoorAnswer {
@@ -269,7 +313,7 @@
 }
 
 async fn update_gauges(node: DirectoryNode, registry: Arc<Mutex<Registry>>) {
-    let gauges: [(&str, &str, Gauge); 9] = [
+    let gauges: [(&str, &str, Gauge); 10] = [
         ("term", "Term of the replica", Gauge::default()),
         ("commit_index", "Last committed index", Gauge::default()),
         ("is_leader", "1 while the lease lasts", Gauge::default()),
@@ -294,6 +338,11 @@
             "Data halls that are out of work",
             Gauge::default(),
         ),
+        (
+            "rollouts_open",
+            "Services of which a version is rolled out",
+            Gauge::default(),
+        ),
         (
             "requests_held",
             "Requests that are refused since targets ended under them",
@@ -317,6 +366,7 @@
             counts.gateways as i64,
             counts.gateways_behind as i64,
             node.evacuations().evacuated_halls().count() as i64,
+            node.rollouts().in_progress().count() as i64,
             node.held_count() as i64,
         ];
         for ((_, _, gauge), value) in gauges.iter().zip(values) {
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -3,6 +3,7 @@
 use derive_more::Display;
 use linnet_directory::TargetRecord;
 use linnet_gateway::Dialect;
+use linnet_rollout::{RolloutOrder, RolloutRecord};
 use linnet_routing::RoutingConfig;
 
 /// What a caller of a control host asks.
@@ -20,6 +21,10 @@
     Evacuate(String),
     /// Take a data hall back.
     EndEvacuation(String),
+    /// Roll a version of a service out.
+    Rollout(RolloutOrder),
+    /// Answer how far the newest roll-out of a service is.
+    ReadRollout(String),
 }
 
 /// Why a control host does not know what is asked.
@@ -40,6 +45,8 @@
     pub read: fn(&http::Method, &str, &[u8]) -> Result<ControlAsk, ControlFault>,
     /// Reads a routing configuration; the error tells every fault.
     pub read_config: fn(&[u8]) -> Result<RoutingConfig, String>,
+    /// Writes how far a roll-out is.
+    pub write_rollout: fn(&RolloutRecord) -> Vec<u8>,
     /// The answer to what was done.
     pub done_body: &'static str,
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod notices_page;
 mod peers;
 mod reload;
+mod rollout_door;
 mod settings;
 
 pub use control::run_control_node;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -31,8 +31,38 @@
     /// Switches and bounds of the policies by which entry hosts decide.
     #[serde(default)]
     pub policy: PolicySettings,
+    /// What a version that is rolled out may harm; control hosts only.
+    #[serde(default)]
+    pub rollout: RolloutSettings,
+}
+
+/// What a version that is rolled out may harm before it is known to be good.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct RolloutSettings {
+    /// The part of the requests of its service that it may get, until the time of the roll-out is over.
+    pub exposure_share: f64,
+    /// Requests that it may get beyond that.
+    pub exposure_slack: f64,
+    /// How long it may go on to get requests once it is known to be bad, in milliseconds: not less than entry hosts
+    /// need to notice that they hear no control host.
+    pub rollback_ms: u64,
+}
+
+impl Default for RolloutSettings {
+    fn default() -> Self {
+        Self {
+            exposure_share: 0.1,
+            exposure_slack: 50.0,
+            rollback_ms: 5_000,
+        }
+    }
 }
 
+/// How long an entry host may go on by what it was told of a roll-out once it hears no control host, in
+/// milliseconds.
+const LEAST_ROLLBACK_MS: u64 = 2_000;
+
 /// Where a node listens. An address that its role does not use may be left out.
 #[derive(Debug, Clone, Default, PartialEq, Deserialize)]
 #[serde(default)]
@@ -228,6 +258,19 @@
             self.policy.shared_bytes_per_s >= 0.0,
             "policy.shared_bytes_per_s: below 0",
         );
+        let rollout = &self.rollout;
+        require(
+            rollout.exposure_share > 0.0 && rollout.exposure_share <= 1.0,
+            "rollout.exposure_share: not above 0 and at most 1",
+        );
+        require(
+            rollout.exposure_slack >= 0.0,
+            "rollout.exposure_slack: below 0",
+        );
+        require(
+            rollout.rollback_ms >= LEAST_ROLLBACK_MS,
+            "rollout.rollback_ms: below 2000, in which entry hosts notice that they hear no control host",
+        );
         match role {
             NodeRole::Control => {
                 require(self.listen.operators.is_some(), "listen.operators: missing");
--- /dev/null
+++ b/crates/rollout/src/order.rs
@@ -0,0 +1,63 @@
+//! What an operator asks: all requests of a service to targets of one version, within a time.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// The longest name of a version, in bytes.
+pub const MAX_VERSION_BYTES: usize = 128;
+
+/// The longest time that a roll-out may take, in milliseconds: a day.
+pub const MAX_DURATION_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// An order to roll a version out.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutOrder {
+    /// The service whose requests move.
+    pub service: String,
+    /// The version that they move to.
+    pub version: String,
+    /// Time until they have to have moved, in milliseconds.
+    pub duration_ms: u64,
+}
+
+/// Why an order makes no sense, whoever gives it.
+#[derive(Debug, Clone, PartialEq, Eq, Display, derive_more::Error)]
+pub enum OrderFault {
+    /// The version has no name.
+    #[display("the version has no name")]
+    NoVersion,
+    /// The name of the version is over [`MAX_VERSION_BYTES`].
+    #[display("a version of {_0} bytes; {MAX_VERSION_BYTES} at most")]
+    #[error(ignore)]
+    LongVersion(usize),
+    /// The name has blanks or signs that cannot be printed.
+    #[display("a version has printable signs only, and no blanks")]
+    BadVersion,
+    /// The time is 0, or over [`MAX_DURATION_MS`].
+    #[display("a duration of {_0} ms; from 1 to {MAX_DURATION_MS}")]
+    #[error(ignore)]
+    BadDuration(u64),
+}
+
+impl RolloutOrder {
+    /// Checks what can be checked without knowing the services.
+    ///
+    /// # Errors
+    ///
+    /// The first [`OrderFault`].
+    pub fn check(&self) -> Result<(), OrderFault> {
+        if self.version.is_empty() {
+            return Err(OrderFault::NoVersion);
+        }
+        if self.version.len() > MAX_VERSION_BYTES {
+            return Err(OrderFault::LongVersion(self.version.len()));
+        }
+        if !self.version.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err(OrderFault::BadVersion);
+        }
+        if !(1..=MAX_DURATION_MS).contains(&self.duration_ms) {
+            return Err(OrderFault::BadDuration(self.duration_ms));
+        }
+        Ok(())
+    }
+}
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -121,6 +121,13 @@
     ControlLost = 621, Warn, "The directory of a control host could not be followed any more.";
     ClusterFormed = 630, Info, "The control hosts named as seeds formed a cluster.";
     ClusterJoined = 631, Info, "A control host asked to become a member of the cluster.";
+    RolloutAccepted = 640, Info, "An order to roll a version out was committed, or had been.";
+    RolloutRefused = 641, Warn, "Such an order was refused, or could not be committed in time; it may come into force.";
+    RolloutMoved = 642, Info, "A version that is rolled out gets another share of the requests.";
+    RolloutCompleted = 643, Info, "All requests of a service go to the version that was rolled out.";
+    RolloutReverted = 644, Error, "A version that was rolled out gets no requests any more.";
+    RolloutStepFailed = 645, Warn, "A step of a roll-out could not be committed in time; it is decided anew.";
+    RolloutInForce = 646, Info, "An entry host was told of a step of a roll-out.";
     StageCallFinished = 701, Info, "A call with pieces of stages was answered by a target.";
     StageCallFailed = 702, Warn, "A call with pieces of stages failed; its pieces go to another target.";
     StageCallLate = 703, Warn, "A call is late; its pieces go to other targets as well, and the first results count.";
--- a/crates/wire/src/form.rs
+++ b/crates/wire/src/form.rs
@@ -18,27 +18,31 @@
     /// They have, and it is.
     #[display("2")]
     Second,
+    /// The log has roll-outs, and tails stand behind some messages; the messages are those of the second form.
+    #[display("3")]
+    Third,
 }
 
 impl MessageForm {
     /// The newest form that this build speaks.
-    pub const NEWEST: Self = Self::Second;
+    pub const NEWEST: Self = Self::Third;
 
     /// Returns the number by which a form is announced.
     pub const fn number(self) -> u16 {
         match self {
             Self::First => 1,
             Self::Second => 2,
+            Self::Third => 3,
         }
     }
 
     /// Returns the form that is spoken with a peer that announces `number`: the newest one where it knows that
     /// or a later one.
     pub fn spoken(number: u16) -> Self {
-        if number < Self::Second.number() {
-            Self::First
-        } else {
-            Self::NEWEST
+        match number {
+            0 | 1 => Self::First,
+            2 => Self::Second,
+            _ => Self::NEWEST,
         }
     }
 
--- a/crates/wire/src/handshake/tests.rs
+++ b/crates/wire/src/handshake/tests.rs
@@ -94,20 +94,17 @@
         nonce: [2; 16],
         proof: [3; 32],
     };
-    let number = MessageForm::NEWEST.number();
+    let hello = |form: MessageForm| hex(postcard::to_stdvec(&(&hello, form.number())).unwrap());
+    let welcome = |form: MessageForm| hex(postcard::to_stdvec(&(&welcome, form.number())).unwrap());
     let lines = [
-        format!(
-            "hello {}",
-            hex(postcard::to_stdvec(&(&hello, number)).unwrap())
-        ),
-        format!(
-            "welcome {}",
-            hex(postcard::to_stdvec(&(&welcome, number)).unwrap())
-        ),
+        format!("hello {}", hello(MessageForm::Second)),
+        format!("welcome {}", welcome(MessageForm::Second)),
         format!(
             "proof {}",
             hex(postcard::to_stdvec(&Proof { proof: [4; 32] }).unwrap())
         ),
+        format!("hello {}", hello(MessageForm::NEWEST)),
+        format!("welcome {}", welcome(MessageForm::NEWEST)),
     ];
     insta::assert_snapshot!(lines.join("\n"));
 }
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -147,6 +147,19 @@
     }
 }
 
+/// Reads a message and its tail, where it has one.
+fn read_tailed<N, T>(bytes: &[u8]) -> Result<(N, T), postcard::Error>
+where
+    N: DeserializeOwned,
+    T: DeserializeOwned + Default,
+{
+    let (message, rest) = postcard::take_from_bytes(bytes)?;
+    if rest.is_empty() {
+        return Ok((message, T::default()));
+    }
+    Ok((message, postcard::from_bytes(rest)?))
+}
+
 impl PeerReader {
     /// Ends a receive once no byte came for `limit`, in place of waiting for ever.
     ///
@@ -179,7 +192,7 @@
         F: DeserializeOwned,
     {
         match self.session.form {
-            Some(MessageForm::Second) => self.receive().await,
+            Some(MessageForm::Second | MessageForm::Third) => self.receive().await,
             Some(MessageForm::First) => Ok(self.receive::<F>().await?.into()),
             None => {
                 let (message, form) = self.receive_as(MessageForm::tell::<N, F>).await?;
@@ -189,6 +202,27 @@
         }
     }
 
+    /// Receives a message as [`PeerReader::receive_formed`] does, and the tail that may stand behind it. Builds that
+    /// know no tail send none, and pass over those that they get.
+    ///
+    /// # Errors
+    ///
+    /// As [`PeerReader::receive`].
+    pub async fn receive_tailed<N, F, T>(&mut self) -> Result<(N, T), WireError>
+    where
+        N: Serialize + DeserializeOwned + From<F>,
+        F: DeserializeOwned,
+        T: DeserializeOwned + Default,
+    {
+        match self.session.form {
+            Some(MessageForm::Second | MessageForm::Third) => self.receive_as(read_tailed).await,
+            Some(MessageForm::First) | None => {
+                let message = self.receive_formed::<N, F>().await?;
+                Ok((message, T::default()))
+            }
+        }
+    }
+
     async fn receive_as<M>(
         &mut self,
         decode: impl FnOnce(&[u8]) -> Result<M, postcard::Error>,
