The share of confined accounts stays while its target is not listed

Trace: the target of the share had ended twice within 0.7 s, so that no heartbeat of it came for a second; it was silent, and the share was worked out from the five that were listed: the next request of the account went to, and ended, one of the others'.

--- a/crates/gateway/src/confinement/tests.rs
+++ b/crates/gateway/src/confinement/tests.rs
@@ -1,5 +1,9 @@
 use super::*;
-use crate::target::tests::{SERVICE, book};
+use crate::target::tests::{SERVICE, book, record};
+
+fn closed_targets(book: &TargetBook, service: &str, confined: bool) -> Vec<String> {
+    RememberedTargets::default().closed_targets(book, service, confined)
+}
 
 #[test]
 fn confined_accounts_and_the_others_share_no_target() {
@@ -17,3 +21,23 @@
     assert!(closed_targets(&book(1), SERVICE, true).is_empty());
     assert!(closed_targets(&book(1), SERVICE, false).is_empty());
 }
+
+/// A target that ends time and again is not listed for moments.
+#[test]
+fn the_share_of_confined_accounts_stays_while_its_target_is_not_listed() {
+    let now = Instant::now();
+    let mut remembered = RememberedTargets::default();
+    let whole = book(6);
+    remembered.note(&whole, now);
+    let within = remembered.closed_targets(&whole, SERVICE, false);
+    let mut rest = TargetBook::default();
+    let ports = (0..6).map(|number| record(&format!("t-{number}"), number));
+    let records: Vec<_> = ports.filter(|one| !within.contains(&one.id)).collect();
+    assert_eq!(records.len(), 5);
+    rest.replace(&records, now);
+    remembered.note(&rest, now + Duration::from_secs(1));
+    assert_eq!(remembered.closed_targets(&rest, SERVICE, false), within);
+    assert_eq!(remembered.closed_targets(&rest, SERVICE, true).len(), 5);
+    remembered.note(&rest, now + REMEMBERED);
+    assert_ne!(remembered.closed_targets(&rest, SERVICE, false), within);
+}
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -15,7 +15,7 @@
 
 use crate::Gateway;
 use crate::ask::Ask;
-use crate::confinement::closed_targets;
+use crate::confinement::RememberedTargets;
 use crate::target::TargetBook;
 
 /// What this host knows of requests that may end targets.
@@ -27,6 +27,8 @@
     turns: RefCell<HashSet<RequestKey>>,
     /// Accounts whose requests are confined to a share of the targets.
     confined: RefCell<BTreeSet<String>>,
+    /// The targets among which their share is chosen.
+    remembered: RefCell<RememberedTargets>,
 }
 
 impl SuspectWatch {
@@ -111,7 +113,18 @@
             return Vec::new();
         }
         let own = ask.account.as_ref();
-        closed_targets(book, service, own.is_some_and(|own| confined.contains(own)))
+        let is_confined = own.is_some_and(|own| confined.contains(own));
+        let remembered = self.remembered.borrow();
+        remembered.closed_targets(book, service, is_confined)
+    }
+
+    /// Notes which targets there are, while something stands against a request.
+    fn remember_targets(&self, book: &TargetBook, now: Instant) {
+        let mut remembered = self.remembered.borrow_mut();
+        match self.book.borrow().is_empty() {
+            true => remembered.clear(),
+            false => remembered.note(book, now),
+        }
     }
 
     /// Looks which accounts are confined; returns them where that has changed.
@@ -193,6 +206,8 @@
             let detail = format!("{} cause=not seen for long", describe(&subject));
             self.note(EventCode::RequestReleased, &detail);
         }
+        self.suspects
+            .remember_targets(&self.targets.borrow(), Instant::now());
         if let Some(accounts) = self.suspects.look_for_confined(Instant::now()) {
             let detail = format!("accounts={}", accounts.join(","));
             self.note(EventCode::AccountsConfined, &detail);
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -325,6 +325,12 @@
         }
     }
 
+    /// Returns the identities of all targets, each with its service.
+    pub(crate) fn all_ids(&self) -> impl Iterator<Item = (&String, &String)> {
+        let services = self.services.iter();
+        services.flat_map(|(service, targets)| targets.keys().map(move |id| (service, id)))
+    }
+
     /// Returns the targets of a service that are not passed over; where all are, those that can be reached, and
     /// all of them where none can. While a version is rolled out these are of one side, drawn anew each time.
     pub(crate) fn usable(&self, service: &str, now: Instant) -> Vec<&Target> {
