What a change of one target costs an entry host follows from the change, not from the fleet

Cause: with each change of any target every entry host worked the list of all targets out anew (view, target book, parts of stage pools, copy for gathering, set of addresses), up to 2.4 times a second for as long as anything changes, which in a fleet is always; the parts of pools took a time that grows with the square of the pool (each part looked at each target). Change: the view tells which targets were listed and unlisted since the last look, all of them only after the loss of a control host, an evacuation or a roll-out; book, parts and gathering pools take these alone; parts are counted in one walk. Test: a list kept by changes equals the whole list over 200 seeds of starts, states, silence, lost control hosts and evacuations.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -50,4 +50,4 @@
 pub use serve::serve_subscriber;
 pub use serve_call::serve_call;
 pub use suspect_reports::SuspectSource;
-pub use view::DirectoryView;
+pub use view::{DirectoryView, TargetChanges};
--- a/crates/directory/src/view.rs
+++ b/crates/directory/src/view.rs
@@ -1,6 +1,6 @@
 //! The directory as an entry host sees it through all control hosts that it follows.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -38,6 +38,26 @@
     rollouts: RolloutBook,
     /// Until when targets are cold, by identity.
     cold: HashMap<String, Instant>,
+    /// The targets that took work when [`DirectoryView::list_changes`] looked last.
+    listed: HashMap<String, TargetRecord>,
+    /// The targets of which something was told since then.
+    told: BTreeSet<String>,
+    /// Whether something changed since then that may concern every target.
+    all_changed: bool,
+}
+
+/// How the targets that take work have changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TargetChanges {
+    /// These are all.
+    Whole(Vec<TargetRecord>),
+    /// A few have changed: what this costs follows from them, not from the size of the fleet.
+    Some {
+        /// Those that take work since then, or are another start, or differ.
+        listed: Vec<TargetRecord>,
+        /// Those that do not any more.
+        unlisted: Vec<TargetRecord>,
+    },
 }
 
 /// How long the targets of a hall count as cold after it was taken back, unless they say that it is
@@ -56,6 +76,7 @@
         let source = self.sources.entry(from).or_default();
         if !source.connected {
             // A control host that comes back tells everything it knows anew.
+            self.all_changed |= !source.targets.is_empty();
             *source = Source::default();
             source.connected = true;
         }
@@ -71,6 +92,7 @@
                 let until = now + Duration::from_millis(u64::from(record.cold_ms));
                 note_cold(&mut self.cold, &record.id, until);
             }
+            self.told.insert(record.id.clone());
             let known = source.targets.get(&record.id);
             if known.is_none_or(|known| known.born <= record.born) {
                 source.targets.insert(record.id.clone(), record);
@@ -84,9 +106,10 @@
             self.forget_lost();
         }
         if let Some(told) = &update.rollouts {
-            self.rollouts.merge(told);
+            self.all_changed |= self.rollouts.merge(told);
         }
         if let Some(told) = &update.evacuations {
+            self.all_changed = true;
             let taken_back = self.evacuations.merge(told);
             self.note_taken_back(&taken_back, now);
         }
@@ -134,7 +157,9 @@
     fn forget_lost(&mut self) {
         let is_whole = |source: &Source| source.connected && source.whole;
         if self.sources.values().any(is_whole) {
+            let before = self.sources.len();
             self.sources.retain(|_, source| source.connected);
+            self.all_changed |= self.sources.len() < before;
         }
     }
 
@@ -156,6 +181,68 @@
         !record.silent && !withdrew && !is_closed && !self.evacuations.is_evacuated(&record.hall)
     }
 
+    /// Returns how the targets that take new work have changed since this was last asked.
+    pub fn list_changes(&mut self, now: Instant) -> TargetChanges {
+        let told = std::mem::take(&mut self.told);
+        if std::mem::take(&mut self.all_changed) {
+            let ready = self.ready_targets(now);
+            let by_id = ready.iter().map(|one| (one.id.clone(), one.clone()));
+            self.listed = by_id.collect();
+            return TargetChanges::Whole(ready);
+        }
+        let (mut listed, mut unlisted) = (Vec::new(), Vec::new());
+        for id in told {
+            let ready = self.ready_target(&id, now);
+            let known = self.listed.get(&id);
+            match (ready, known) {
+                (Some(ready), Some(known)) if ready == *known => {}
+                (Some(ready), _) => {
+                    self.listed.insert(id, ready.clone());
+                    listed.push(ready);
+                }
+                (None, _) => unlisted.extend(self.listed.remove(&id)),
+            }
+        }
+        TargetChanges::Some { listed, unlisted }
+    }
+
+    /// Has a target listed anew with the next look, where it still takes work: whoever asked for the changes has taken
+    /// it out by itself.
+    pub fn list_again(&mut self, id: &str) {
+        if self.listed.remove(id).is_some() {
+            self.told.insert(id.to_owned());
+        }
+    }
+
+    /// Returns how many targets took work when [`DirectoryView::list_changes`] looked last.
+    pub fn listed_count(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// Returns one target, where it takes new work.
+    fn ready_target(&self, id: &str, now: Instant) -> Option<TargetRecord> {
+        let told = self
+            .sources
+            .values()
+            .filter_map(|source| source.targets.get(id));
+        let newest = told.clone().map(|record| record.born).max()?;
+        let ready = told.filter(|one| one.born == newest && self.takes_work(id, one));
+        // Of records with one sequence the first counts, as for all targets.
+        let record = ready.reduce(|known, one| match one.sequence > known.sequence {
+            true => one,
+            false => known,
+        })?;
+        Some(self.with_cold(record, now))
+    }
+
+    fn with_cold(&self, record: &TargetRecord, now: Instant) -> TargetRecord {
+        let mut record = record.clone();
+        record.cold_ms = self.cold.get(&record.id).map_or(0, |until| {
+            until.saturating_duration_since(now).as_millis() as u32
+        });
+        record
+    }
+
     /// Returns every target that takes new work as far as is known, and how much longer it is cold.
     pub fn ready_targets(&self, now: Instant) -> Vec<TargetRecord> {
         // The newest start of each target that was told of, and its record where it takes work. A start that is
@@ -172,14 +259,7 @@
             }
         }
         let ready = starts.into_values().filter_map(|(_, record)| record);
-        let told = ready.map(|record| {
-            let mut record = record.clone();
-            record.cold_ms = self.cold.get(&record.id).map_or(0, |until| {
-                until.saturating_duration_since(now).as_millis() as u32
-            });
-            record
-        });
-        told.collect()
+        ready.map(|record| self.with_cold(record, now)).collect()
     }
 
     /// Returns every entry host that any control host hears, by name.
--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -4,7 +4,7 @@
 
 use linnet_directory::{
     DirectoryUpdate, DirectoryView, Document, GatewayRecord, HeldDocument, Registry,
-    RegistryChange, TargetRecord, TargetState,
+    RegistryChange, TargetChanges, TargetRecord, TargetState,
 };
 
 const SILENCE: Duration = Duration::from_secs(6);
@@ -516,3 +516,101 @@
     view.take(other, told, now);
     assert!(view.ready_targets(now).is_empty());
 }
+
+/// Takes changes into a list that is kept by them alone.
+fn take_changes(
+    kept: &mut std::collections::BTreeMap<String, TargetRecord>,
+    changes: TargetChanges,
+) {
+    match changes {
+        TargetChanges::Whole(all) => {
+            *kept = all.into_iter().map(|one| (one.id.clone(), one)).collect();
+        }
+        TargetChanges::Some { listed, unlisted } => {
+            for one in unlisted {
+                kept.remove(&one.id);
+            }
+            kept.extend(listed.into_iter().map(|one| (one.id.clone(), one)));
+        }
+    }
+}
+
+/// Control hosts come, go and tell of targets in any order: starts, states, silence, evacuations.
+#[test]
+fn a_list_kept_by_changes_is_the_whole_list() {
+    for seed in 0..200 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let (mut view, now) = (DirectoryView::new(), Instant::now());
+        let mut kept = std::collections::BTreeMap::new();
+        let control = |number: u16| std::net::SocketAddr::from(([10, 0, 0, 1], number));
+        for step in 0..300 {
+            let from = control(rng.u16(1..4));
+            if rng.u8(0..20) == 0 {
+                view.lose(from);
+            } else {
+                let mut update = DirectoryUpdate {
+                    lists_whole: rng.bool(),
+                    ..DirectoryUpdate::default()
+                };
+                for _ in 0..rng.usize(0..4) {
+                    let state = rng.choice([
+                        TargetState::Ready,
+                        TargetState::Ready,
+                        TargetState::Ready,
+                        TargetState::Draining,
+                        TargetState::Gone,
+                    ]);
+                    let mut one = record(&format!("t-{}", rng.u8(0..12)), 80, state.unwrap(), step);
+                    one.born = rng.u64(0..3);
+                    one.silent = rng.u8(0..4) == 0;
+                    one.hall = format!("h-{}", rng.u8(0..2));
+                    update.targets.push(one);
+                }
+                if rng.u8(0..30) == 0 {
+                    let mut book = view.evacuations().clone();
+                    book.apply(&linnet_directory::EvacuationOrder {
+                        hall: "h-0".to_owned(),
+                        evacuated: rng.bool(),
+                        seen: book.state_of("h-0").revision,
+                    });
+                    update.evacuations = Some(book);
+                }
+                view.take(from, update, now);
+            }
+            if rng.u8(0..3) == 0 {
+                take_changes(&mut kept, view.list_changes(now));
+                let whole = view.ready_targets(now).into_iter();
+                let whole: std::collections::BTreeMap<_, _> =
+                    whole.map(|one| (one.id.clone(), one)).collect();
+                assert_eq!(kept, whole, "seed {seed} step {step}");
+                assert_eq!(view.listed_count(), kept.len());
+            }
+        }
+    }
+}
+
+/// What a change of one target costs must not grow with the others.
+#[test]
+fn a_change_of_one_target_is_told_alone_however_many_there_are() {
+    let (mut view, now) = (DirectoryView::new(), Instant::now());
+    let from = std::net::SocketAddr::from(([10, 0, 0, 1], 1));
+    let ready =
+        |number: usize, sequence| record(&format!("t-{number}"), 80, TargetState::Ready, sequence);
+    let targets = (0..10_000).map(|number| ready(number, 1)).collect();
+    let tell = |targets| DirectoryUpdate {
+        targets,
+        ..DirectoryUpdate::default()
+    };
+    view.take(from, tell(targets), now);
+    view.list_changes(now);
+    view.take(from, tell(vec![ready(7, 2)]), now);
+    let changes = TargetChanges::Some {
+        listed: vec![ready(7, 2)],
+        unlisted: Vec::new(),
+    };
+    assert_eq!(view.list_changes(now), changes);
+    assert_eq!(view.listed_count(), 10_000);
+    // Taken out by whoever asked, it comes again.
+    view.list_again("t-7");
+    assert_eq!(view.list_changes(now), changes);
+}
--- a/crates/gateway/src/coordinator/pool.rs
+++ b/crates/gateway/src/coordinator/pool.rs
@@ -89,8 +89,12 @@
     }
 
     /// Takes the targets that `key` holds of those that take work.
-    pub(super) fn set_targets(&mut self, key: &PoolKey, records: &[TargetRecord]) {
-        let held = records.iter().filter(|record| key.holds(record));
+    pub(super) fn set_targets<'a>(
+        &mut self,
+        key: &PoolKey,
+        records: impl IntoIterator<Item = &'a TargetRecord>,
+    ) {
+        let held = records.into_iter().filter(|record| key.holds(record));
         let wanted: BTreeMap<&str, &TargetRecord> =
             held.map(|record| (record.id.as_str(), record)).collect();
         // A target that is leaving keeps what it holds until its call has ended.
@@ -106,14 +110,46 @@
                 .is_none_or(|record| record.born == target.born)
         };
         self.targets.retain(is_same);
-        for (id, record) in wanted {
-            let targets = self.targets.entry(id.to_owned());
-            let target = targets.or_insert_with(|| StageTarget::new(record));
-            target.version.clone_from(&record.version);
-            target.set_cold(record.cold_ms, Instant::now());
+        for record in wanted.into_values() {
+            self.list_target(record);
         }
     }
 
+    /// Takes targets of the pool that have come or changed, and those that get no more work; all others stay.
+    pub(super) fn update_targets<'a>(
+        &mut self,
+        listed: impl Iterator<Item = &'a TargetRecord>,
+        unlisted: impl Iterator<Item = &'a TargetRecord>,
+    ) {
+        for record in unlisted {
+            // A target that is leaving keeps what it holds until its call has ended.
+            match self.targets.get_mut(&record.id) {
+                Some(target) if target.busy > 0 => target.listed = false,
+                _ => {
+                    self.targets.remove(&record.id);
+                }
+            }
+        }
+        for record in listed {
+            let known = self.targets.get(&record.id);
+            // Another start under the same identity holds nothing of the one before.
+            if known.is_some_and(|known| known.born != record.born) {
+                self.targets.remove(&record.id);
+            }
+            self.list_target(record);
+        }
+        let listed = |target: &StageTarget| target.listed || target.busy > 0;
+        self.targets.retain(|_, target| listed(target));
+    }
+
+    fn list_target(&mut self, record: &TargetRecord) {
+        let targets = self.targets.entry(record.id.clone());
+        let target = targets.or_insert_with(|| StageTarget::new(record));
+        target.listed = true;
+        target.version.clone_from(&record.version);
+        target.set_cold(record.cold_ms, Instant::now());
+    }
+
     /// Lets pieces wait, each after those of its rank that came earlier.
     pub(super) fn wait(&mut self, pieces: Vec<Waiting>) {
         if pieces.is_empty() {
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -170,15 +170,19 @@
         }
     }
 
-    /// Takes the list of targets that take work.
+    /// Takes all targets that take work.
     pub(crate) fn set_targets(self: &Rc<Self>, records: &[TargetRecord]) {
-        {
-            let mut state = self.state.borrow_mut();
-            state.records = records.to_vec();
-            for (key, pool) in &mut state.pools {
-                pool.set_targets(key, records);
-            }
-        }
+        self.state.borrow_mut().set_targets(records);
+        self.dispatch_all();
+    }
+
+    /// Takes targets that have come or changed, and those that get no more work; all others stay.
+    pub(crate) fn update_targets(
+        self: &Rc<Self>,
+        listed: &[TargetRecord],
+        unlisted: &[TargetRecord],
+    ) {
+        self.state.borrow_mut().update_targets(listed, unlisted);
         self.dispatch_all();
     }
 
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -73,7 +73,8 @@
     expected_sums: HashMap<PoolKey, BTreeMap<Rank, u32>>,
     last_expected: u64,
     last_lost: u64,
-    pub(super) records: Vec<TargetRecord>,
+    /// The targets that take work, by identity.
+    records: HashMap<String, TargetRecord>,
     /// The services of which a version is rolled out.
     pub(super) splits: HashMap<String, VersionSplit>,
 }
@@ -160,12 +161,39 @@
         load
     }
 
+    /// Takes all targets that take work.
+    pub(super) fn set_targets(&mut self, records: &[TargetRecord]) {
+        let by_id = records.iter().map(|one| (one.id.clone(), one.clone()));
+        self.records = by_id.collect();
+        for (key, pool) in &mut self.pools {
+            pool.set_targets(key, self.records.values());
+        }
+    }
+
+    /// Takes targets that have come or changed, and those that get no more work.
+    pub(super) fn update_targets(&mut self, listed: &[TargetRecord], unlisted: &[TargetRecord]) {
+        for record in unlisted {
+            self.records.remove(&record.id);
+        }
+        for record in listed {
+            self.records.insert(record.id.clone(), record.clone());
+        }
+        for (key, pool) in &mut self.pools {
+            let concerns = |record: &&TargetRecord| key.holds(record);
+            let mut changed = listed.iter().chain(unlisted);
+            if changed.any(|record| key.holds(record)) {
+                let gone = unlisted.iter().filter(concerns);
+                pool.update_targets(listed.iter().filter(concerns), gone);
+            }
+        }
+    }
+
     /// Returns a pool, which begins when it is first asked for.
     pub(super) fn pool_mut(&mut self, key: &PoolKey) -> Option<&mut PoolQueue> {
         if !self.pools.contains_key(key) {
             let spec = self.specs.get(&key.service)?.clone();
             let mut pool = PoolQueue::new(spec);
-            pool.set_targets(key, &self.records);
+            pool.set_targets(key, self.records.values());
             pool.set_split(self.splits.get(&key.service));
             self.pools.insert(key.clone(), pool);
         }
--- a/crates/gateway/src/coordinator/state/tests.rs
+++ b/crates/gateway/src/coordinator/state/tests.rs
@@ -43,10 +43,8 @@
         silent: false,
         cold_ms: 0,
     };
-    let mut state = QueueState {
-        records: (0..targets).map(record).collect(),
-        ..QueueState::default()
-    };
+    let mut state = QueueState::default();
+    state.set_targets(&(0..targets).map(record).collect::<Vec<_>>());
     state.specs.insert(SERVICE.to_owned(), spec());
     state
 }
--- a/crates/gateway/src/coordinator/state/tests/asked.rs
+++ b/crates/gateway/src/coordinator/state/tests/asked.rs
@@ -92,10 +92,9 @@
     finish(&mut state, call, CallEnd::Busy, false);
     let later = now + WAIT;
     assert!(state.due_calls(&key(), later).is_empty());
-    let mut records = state.records.clone();
-    records[0].born += 1;
-    let pool = state.pools.get_mut(&key()).unwrap();
-    pool.set_targets(&key(), &records);
+    let mut record = state.records.values().next().unwrap().clone();
+    record.born += 1;
+    state.update_targets(&[record], &[]);
     assert_eq!(only_call(&mut state, later).born, 1);
 }
 
--- a/crates/gateway/src/coordinator/state/tests/burst.rs
+++ b/crates/gateway/src/coordinator/state/tests/burst.rs
@@ -105,10 +105,8 @@
             silent: false,
             cold_ms: 0,
         };
-        let mut state = QueueState {
-            records: (0..TARGETS).map(record).collect(),
-            ..QueueState::default()
-        };
+        let mut state = QueueState::default();
+        state.set_targets(&(0..TARGETS).map(record).collect::<Vec<_>>());
         state.specs.insert(SERVICE.to_owned(), spec(queue));
         assert!(state.pool_mut(&PoolKey::whole(SERVICE)).is_some());
         Self {
--- a/crates/gateway/src/gateway/target_list.rs
+++ b/crates/gateway/src/gateway/target_list.rs
@@ -1,11 +1,12 @@
 //! When the list of targets is worked out anew, and requests that wait for the first one.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use linnet_clock::BootInstant;
+use linnet_directory::{TargetChanges, TargetRecord};
 
 use super::Gateway;
 
@@ -14,15 +15,13 @@
 const START_SPAN: f64 = 2.5;
 const START_PART: f64 = 0.25;
 
-/// The least time between two lists of targets, unless one takes a target out. Working a list of 285
-/// targets out from what five control hosts tell takes 0.4 ms (`measure_a_list_of_targets`, release
-/// build), which is 3 ms of a host with an eighth of a core. When the targets register one by one, as
-/// after a loss of power, 1,425 words would ask for it: 4.6 s of such a host. A new target waits so
-/// long for its first request.
+/// The least time between two looks at what changed of the targets, unless one is taken out. When all register one by
+/// one, as after a loss of power, a look at each would cost more than the changes. A new target waits so long for its
+/// first request.
 pub(super) const TARGETS_SPAN: Duration = Duration::from_millis(50);
 
-/// How much longer than a list took the next one waits, so that lists take a twentieth of the time whatever
-/// the fleet, and at most. With 3,000 targets one takes some milliseconds.
+/// How much longer than a look took the next one waits, so that looks take a twentieth of the time at most, and the
+/// longest such wait.
 const LIST_REST: u32 = 20;
 const TARGETS_MOST_SPAN: Duration = Duration::from_millis(400);
 
@@ -39,20 +38,48 @@
 impl Gateway {
     pub(super) fn refresh_targets(&self) {
         let now = Instant::now();
-        let ready = self.view.borrow().ready_targets(now);
+        let changes = self.view.borrow_mut().list_changes(now);
         self.metrics.target_lists.inc();
-        self.metrics.targets_known.set(ready.len() as i64);
-        let anew = self.targets.borrow_mut().replace(&ready, now);
+        let known = self.view.borrow().listed_count();
+        self.metrics.targets_known.set(known as i64);
+        let anew = match &changes {
+            TargetChanges::Whole(ready) => self.targets.borrow_mut().replace(ready, now),
+            TargetChanges::Some { listed, unlisted } => {
+                self.targets.borrow_mut().update(listed, unlisted, now)
+            }
+        };
         let mut engines = self.engines.borrow_mut();
         anew.iter().for_each(|engine| engines.forget_engine(engine));
         drop(engines);
         self.notices.take_list(BootInstant::now());
         self.note_starts();
-        self.stages.set_targets(&ready);
-        self.coordinator.set_targets(&ready);
+        match &changes {
+            TargetChanges::Whole(ready) => self.spread_whole(ready),
+            TargetChanges::Some { listed, unlisted } => self.spread_changes(listed, unlisted),
+        }
+        self.target_lists.send_replace(());
+    }
+
+    /// Tells the parts of the gateway all targets that take work.
+    fn spread_whole(&self, ready: &[TargetRecord]) {
+        self.stages.set_targets(&self.targets.borrow());
+        self.coordinator.set_targets(ready);
         let addresses: HashSet<SocketAddr> = ready.iter().map(|target| target.address).collect();
         self.pool.retain(|address| addresses.contains(address));
-        self.target_lists.send_replace(());
+    }
+
+    /// Tells the parts of the gateway which targets have changed.
+    fn spread_changes(&self, listed: &[TargetRecord], unlisted: &[TargetRecord]) {
+        let changed = listed.iter().chain(unlisted);
+        let services: BTreeSet<&str> = changed.map(|one| one.service.as_str()).collect();
+        self.stages
+            .update_targets(&self.targets.borrow(), &services);
+        self.coordinator.update_targets(listed, unlisted);
+        // Another target may have the address by now; it only costs a new connection then.
+        let left: HashSet<SocketAddr> = unlisted.iter().map(|target| target.address).collect();
+        if !left.is_empty() {
+            self.pool.retain(|address| !left.contains(address));
+        }
     }
 
     /// Returns how long a request waits here for what a host has to know first: nothing any more where the
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -147,28 +147,31 @@
     });
 }
 
-/// Prints what one list costs, in microseconds: `cargo test --release -p linnet-gateway -- --ignored
-/// --nocapture measure`.
+/// Prints what one change of a target costs a host, in microseconds, by the targets of the fleet:
+/// `cargo test --release -p linnet-gateway -- --ignored --nocapture measure_a_change`.
 #[test]
 #[ignore = "measures"]
-fn measure_a_list_of_targets() {
-    run(async {
-        let gateway = gateway();
-        for from in 0..CONTROL_HOSTS {
-            for number in 0..TARGETS {
-                gateway.view.borrow_mut().take(
-                    control(from),
-                    word(number, TargetState::Ready),
-                    Instant::now(),
-                );
+fn measure_a_change_of_a_target() {
+    for targets in [300, 1_000, 3_000, 10_000] {
+        run(async move {
+            let gateway = gateway();
+            for number in 0..targets {
+                for from in 0..3 {
+                    gateway.take_update(control(from), word(number, TargetState::Ready));
+                }
             }
-        }
-        const ROUNDS: u32 = 200;
-        let began = Instant::now();
-        for _ in 0..ROUNDS {
             gateway.refresh_targets();
-        }
-        let micros = began.elapsed().as_micros() / u128::from(ROUNDS);
-        println!("a list of {TARGETS} targets from {CONTROL_HOSTS} control hosts: {micros} us");
-    });
+            const ROUNDS: u16 = 100;
+            let began = Instant::now();
+            for round in 0..ROUNDS {
+                let mut update = word(round, TargetState::Ready);
+                update.targets[0].sequence = 2;
+                update.targets[0].slots = 65;
+                gateway.take_update(control(0), update);
+                gateway.refresh_targets();
+            }
+            let micros = began.elapsed().as_micros() / u128::from(ROUNDS);
+            println!("a change of one of {targets} targets: {micros} us");
+        });
+    }
 }
--- a/crates/gateway/src/pool_key.rs
+++ b/crates/gateway/src/pool_key.rs
@@ -52,8 +52,7 @@
     /// made when the pool had another size still has its targets.
     pub(crate) fn holds(&self, record: &TargetRecord) -> bool {
         let in_part = |part: &PoolPart| {
-            let number = rendezvous::score(&part.hall, &record.id) % u64::from(part.of.max(1));
-            part.hall == record.hall && number == u64::from(part.number)
+            part.hall == record.hall && part.number == part_number(&part.hall, &record.id, part.of)
         };
         record.service == self.service && self.part.as_ref().is_none_or(in_part)
     }
@@ -67,6 +66,11 @@
     }
 }
 
+/// Returns in which of so many parts of its hall a target is.
+fn part_number(hall: &str, id: &str, of: u16) -> u16 {
+    (rendezvous::score(hall, id) % u64::from(of.max(1))) as u16
+}
+
 /// The parts of every pool, with the number of their targets.
 #[derive(Debug, Default)]
 pub(crate) struct PoolMap {
@@ -74,50 +78,77 @@
 }
 
 impl PoolMap {
-    /// Splits the pools of these targets.
-    pub(crate) fn new(records: &[TargetRecord]) -> Self {
-        let mut by_service: BTreeMap<&str, Vec<&TargetRecord>> = BTreeMap::new();
-        for record in records {
-            by_service.entry(&record.service).or_default().push(record);
+    /// Splits the pools of these targets, each given by its service, hall and identity.
+    pub(crate) fn new<'a>(targets: impl Iterator<Item = (&'a str, &'a str, &'a str)>) -> Self {
+        let mut by_service: BTreeMap<&str, HallTargets<'_>> = BTreeMap::new();
+        for (service, hall, id) in targets {
+            let halls = by_service.entry(service).or_default();
+            halls.entry(hall).or_default().push(id);
         }
         let parts = by_service
             .into_iter()
-            .map(|(service, records)| (service.to_owned(), split(service, &records)));
+            .map(|(service, halls)| (service.to_owned(), split(service, &halls)));
         Self {
             parts: parts.collect(),
         }
     }
 
+    /// Takes the pool of one service anew, from the hall and identity of each of its targets.
+    pub(crate) fn replace<'a>(
+        &mut self,
+        service: &str,
+        targets: impl Iterator<Item = (&'a str, &'a str)>,
+    ) {
+        let mut halls = HallTargets::new();
+        for (hall, id) in targets {
+            halls.entry(hall).or_default().push(id);
+        }
+        match halls.is_empty() {
+            true => self.parts.remove(service),
+            false => self
+                .parts
+                .insert(service.to_owned(), split(service, &halls)),
+        };
+    }
+
     /// Returns the parts of a pool.
     pub(crate) fn parts_of(&self, service: &str) -> &[(PoolKey, u32)] {
         self.parts.get(service).map_or(&[], Vec::as_slice)
     }
 }
 
-fn split(service: &str, records: &[&TargetRecord]) -> Vec<(PoolKey, u32)> {
-    if records.len() <= MAX_PART_TARGETS {
-        return vec![(PoolKey::whole(service), records.len() as u32)];
-    }
-    let mut halls: BTreeMap<&str, usize> = BTreeMap::new();
-    for record in records {
-        *halls.entry(&record.hall).or_default() += 1;
+/// The targets of one service by hall.
+type HallTargets<'a> = BTreeMap<&'a str, Vec<&'a str>>;
+
+fn split(service: &str, halls: &HallTargets<'_>) -> Vec<(PoolKey, u32)> {
+    let all: usize = halls.values().map(Vec::len).sum();
+    if all <= MAX_PART_TARGETS {
+        return vec![(PoolKey::whole(service), all as u32)];
     }
-    let keys = halls.into_iter().flat_map(|(hall, count)| {
-        let of = count.div_ceil(MAX_PART_TARGETS) as u16;
-        (0..of).map(move |number| PoolKey {
+    let parts = halls.iter().flat_map(|(hall, ids)| {
+        let of = ids.len().div_ceil(MAX_PART_TARGETS) as u16;
+        let key = move |number| PoolKey {
             service: service.to_owned(),
             part: Some(PoolPart {
-                hall: hall.to_owned(),
+                hall: (*hall).to_owned(),
                 number,
                 of,
             }),
-        })
-    });
-    let counted = keys.map(|key| {
-        let held = records.iter().filter(|record| key.holds(record)).count();
-        (key, held as u32)
+        };
+        let counts = count_parts(hall, ids, of).into_iter();
+        (0..of).map(key).zip(counts)
     });
-    counted.filter(|(_, count)| *count > 0).collect()
+    parts.filter(|(_, count)| *count > 0).collect()
+}
+
+/// Counts the targets in each of so many parts of a hall, in one walk over them: a walk for each part would take a
+/// time that grows with the square of the pool.
+fn count_parts(hall: &str, ids: &[&str], of: u16) -> Vec<u32> {
+    let mut counts = vec![0; usize::from(of)];
+    for id in ids {
+        counts[usize::from(part_number(hall, id, of))] += 1;
+    }
+    counts
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/pool_key/tests.rs
+++ b/crates/gateway/src/pool_key/tests.rs
@@ -27,6 +27,11 @@
     records
 }
 
+fn map(records: &[TargetRecord]) -> PoolMap {
+    let targets = records.iter();
+    PoolMap::new(targets.map(|one| (one.service.as_str(), one.hall.as_str(), one.id.as_str())))
+}
+
 #[test]
 fn each_target_belongs_to_exactly_one_part_and_no_part_is_large() {
     // Targets by hall, and how many parts there are.
@@ -41,7 +46,7 @@
     ];
     for (halls, parts) in cases {
         let records = records(halls);
-        let map = PoolMap::new(&records);
+        let map = map(&records);
         let keys = map.parts_of("stage");
         assert_eq!(keys.len(), parts, "{halls:?}");
         for record in &records {
@@ -56,7 +61,7 @@
 
 #[test]
 fn a_large_hall_is_split_about_evenly() {
-    let map = PoolMap::new(&records(&[192]));
+    let map = map(&records(&[192]));
     let counts: Vec<u32> = map.parts_of("stage").iter().map(|part| part.1).collect();
     assert_eq!(counts.len(), 8);
     assert!(
@@ -72,3 +77,21 @@
     assert!(records.iter().all(|record| whole.holds(record)));
     assert!(!PoolKey::whole("other").holds(&records[0]));
 }
+
+/// What is counted in one walk is what each part holds, also when one pool is taken anew.
+#[test]
+fn each_part_is_counted_with_the_targets_that_it_holds() {
+    let records = records(&[30, 0, 100, 7]);
+    let mut map = map(&records);
+    let targets = records.iter();
+    map.replace(
+        "stage",
+        targets.map(|one| (one.hall.as_str(), one.id.as_str())),
+    );
+    for (key, count) in map.parts_of("stage") {
+        let held = records.iter().filter(|record| key.holds(record)).count();
+        assert_eq!(*count as usize, held, "{key:?}");
+    }
+    map.replace("stage", std::iter::empty());
+    assert!(map.parts_of("stage").is_empty());
+}
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -16,7 +16,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use linnet_directory::{GatewayRecord, TargetRecord};
+use linnet_directory::GatewayRecord;
 use linnet_wire::{MessageForm, PeerIdentity};
 use tokio::sync::{mpsc, oneshot};
 
@@ -26,6 +26,7 @@
 use crate::piece_message::PieceRequest;
 use crate::pool_key::{PoolKey, PoolMap};
 use crate::rendezvous;
+use crate::target::TargetBook;
 
 pub(crate) use guard::{Expectation, Placement};
 pub(crate) use parts::PartWant;
@@ -215,9 +216,20 @@
         self.state.borrow().keeps_unnamed
     }
 
-    /// Takes the list of targets that take work.
-    pub(crate) fn set_targets(&self, records: &[TargetRecord]) {
-        self.state.borrow_mut().pools = PoolMap::new(records);
+    /// Takes the targets that take work.
+    pub(crate) fn set_targets(&self, book: &TargetBook) {
+        let pools = PoolMap::new(book.all());
+        self.state.borrow_mut().pools = pools;
+    }
+
+    /// Takes the targets of some services that take work, as others have not changed.
+    pub(crate) fn update_targets(&self, book: &TargetBook, services: &BTreeSet<&str>) {
+        let mut state = self.state.borrow_mut();
+        for service in services {
+            let targets = book.of_service(service);
+            let targets = targets.map(|one| (one.hall.as_str(), one.id.as_str()));
+            state.pools.replace(service, targets);
+        }
     }
 
     /// Leaves gathering and placing to other hosts from now on, since this one is about to end.
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -1,6 +1,6 @@
 //! The targets that take work, as this host knows them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -82,6 +82,14 @@
         }
     }
 
+    /// Takes what a record tells of the same start.
+    fn take_record(&mut self, record: &TargetRecord, now: Instant) {
+        self.address = record.address;
+        self.slots = record.slots.max(1);
+        self.version.clone_from(&record.version);
+        self.set_cold(record.cold_ms, now);
+    }
+
     /// Takes how much longer it is cold. It keeps its share of what it gets then until it is warm.
     fn set_cold(&mut self, cold_ms: u32, now: Instant) {
         self.cold_until = (cold_ms > 0).then(|| now + Duration::from_millis(u64::from(cold_ms)));
@@ -161,15 +169,28 @@
 }
 
 fn count_halls(records: &[TargetRecord]) -> HashMap<String, Vec<(String, u32)>> {
-    let mut services: HashMap<String, Vec<(String, u32)>> = HashMap::new();
+    let mut services: HashMap<&str, Vec<&str>> = HashMap::new();
     for record in records {
-        let halls = services.entry(record.service.clone()).or_default();
-        match halls.iter_mut().find(|(hall, _)| *hall == record.hall) {
+        services
+            .entry(&record.service)
+            .or_default()
+            .push(&record.hall);
+    }
+    let counted = services.into_iter();
+    let counted =
+        counted.map(|(service, halls)| (service.to_owned(), count_halls_of(halls.into_iter())));
+    counted.collect()
+}
+
+fn count_halls_of<'a>(targets: impl Iterator<Item = &'a str>) -> Vec<(String, u32)> {
+    let mut halls: Vec<(String, u32)> = Vec::new();
+    for hall in targets {
+        match halls.iter_mut().find(|(known, _)| known == hall) {
             Some((_, count)) => *count += 1,
-            None => halls.push((record.hall.clone(), 1)),
+            None => halls.push((hall.to_owned(), 1)),
         }
     }
-    services
+    halls
 }
 
 impl TargetBook {
@@ -191,10 +212,7 @@
                 }
                 None => Target::new(record),
             };
-            target.address = record.address;
-            target.slots = record.slots.max(1);
-            target.version.clone_from(&record.version);
-            target.set_cold(record.cold_ms, now);
+            target.take_record(record, now);
             let service = self.services.entry(record.service.clone()).or_default();
             service.insert(record.id.clone(), target);
         }
@@ -202,6 +220,48 @@
         anew
     }
 
+    /// Takes targets that have come or changed, and those that get no more work; all others stay. Returns the
+    /// identities of those that have started anew.
+    pub(crate) fn update(
+        &mut self,
+        listed: &[TargetRecord],
+        unlisted: &[TargetRecord],
+        now: Instant,
+    ) -> Vec<String> {
+        for record in unlisted {
+            self.remove(&record.service, &record.id);
+        }
+        let mut anew = Vec::new();
+        for record in listed {
+            let targets = self.services.entry(record.service.clone()).or_default();
+            let target = targets
+                .entry(record.id.clone())
+                .or_insert_with(|| Target::new(record));
+            // Another start under the same identity has nothing of the one before.
+            if target.born != record.born {
+                anew.push(record.id.clone());
+                *target = Target::new(record);
+            }
+            target.take_record(record, now);
+        }
+        let changed = listed.iter().chain(unlisted);
+        let services: BTreeSet<&str> = changed.map(|one| one.service.as_str()).collect();
+        for service in services {
+            let halls = count_halls_of(self.of_service(service).map(|one| one.hall.as_str()));
+            self.hall_counts.insert(service.to_owned(), halls);
+        }
+        anew
+    }
+
+    /// Returns the service, hall and identity of each target.
+    pub(crate) fn all(&self) -> impl Iterator<Item = (&str, &str, &str)> {
+        let services = self.services.iter();
+        services.flat_map(|(service, targets)| {
+            let targets = targets.values();
+            targets.map(move |one| (service.as_str(), one.hall.as_str(), one.id.as_str()))
+        })
+    }
+
     /// Takes the services of a configuration.
     pub(crate) fn set_services(&mut self, config: &RoutingConfig) {
         let rates = config.services.iter().filter_map(|service| {
