An entry host follows three control hosts in place of all; control hosts tell each other whom they hear

Cause: every entry host followed every control host: with 986 and 25 that is 24,650 connections, 62 signs of life a second at each entry host and as many reports, 2,465 of either a second at each control host; each control host worked the heartbeats of the last second out anew for each of the others with every change of a target. Change: an entry host ranks the control hosts by its own address and follows the first three that are of use; one that is not reached for a second, or has heard no leader for 2.5 s (it may be in the smaller part of a fleet that is cut), has one more in its place, and is tried on. Control hosts tell each other the entry hosts that they hear themselves, and all that is held against requests; a withdrawal is acknowledged to another control host once the entry hosts that follow this one took it, so that a target that leaves waits for all hosts as before. While a control host of an earlier build is followed all are, as before. Ruled out: fewer voters. 25 voters cost the leader some 500 small messages a second, and five would not lie in the larger part of a core that is cut in two.

--- a/crates/directory/src/first_form.rs
+++ b/crates/directory/src/first_form.rs
@@ -117,6 +117,8 @@
             suspects: Vec::new(),
             rollouts: None,
             counted: Vec::new(),
+            own_gateways: None,
+            unled: false,
         }
     }
 }
--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -1,16 +1,19 @@
-//! Following the directory of every control host that is known.
+//! Following the directories of control hosts: a control host follows all others, an entry host a few.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use linnet_rollout::PhaseCounts;
 use linnet_telemetry::{EventCode, EventRecorder};
-use linnet_wire::{PeerGreeting, PeerIdentity, PeerReader, PeerWriter, WireError, connect_peer};
-use tokio::sync::watch;
+use linnet_wire::{
+    MessageForm, PeerGreeting, PeerIdentity, PeerReader, PeerWriter, WireError, connect_peer,
+};
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::document_follower::{DocumentFollower, DocumentSink};
@@ -33,12 +36,17 @@
 const FIRST_RETRY_WAIT: Duration = Duration::from_millis(40);
 const LAST_RETRY_WAIT: Duration = Duration::from_millis(320);
 
-/// Control hosts that tell one process of targets and entry hosts. All tell it of the configuration and of
-/// evacuations. They tell each other at once, so three know what all know, and what an entry host is told,
-/// and works its list of targets out from, does not grow with their number. With parts of
-/// `TARGETS_AT_ONCE` targets it took the memory of a control host of 300 machines and 3,000 targets from
-/// 135 MB to 26, and the time until that fleet served after all were killed from 30 s to 8.5.
-const TELLERS: usize = 3;
+/// Control hosts that an entry host follows, and that tell it of targets and entry hosts. They tell each other at once,
+/// so that a few know what all know; one may be lost, and another cut off, before the next ones are found. What an
+/// entry host hears and says, and a control host for each of them, does not grow with the number of control hosts.
+const FOLLOWED: usize = 3;
+
+/// How long a control host that is being connected counts as followed. After that another one is followed too.
+const OPENING_PATIENCE: Duration = Duration::from_millis(1_000);
+
+/// How long a control host that hears no leader counts: longer than an election takes. After that another one is
+/// followed too, which may be in the part of the fleet that has a leader.
+const UNLED_PATIENCE: Duration = Duration::from_millis(2_500);
 
 /// Between two reports while a roll-out is under way: how long a bad version goes on to get its share.
 const COUNT_PERIOD: Duration = Duration::from_millis(100);
@@ -46,8 +54,8 @@
 /// How often the set of control hosts is looked at.
 const MEMBERS_TICK: Duration = Duration::from_millis(200);
 
-/// How long a control host that no other one names is followed on.
-const UNNAMED_ROUNDS: u32 = 50;
+/// How long a control host that is not wanted any more is followed on.
+const UNWANTED_ROUNDS: u32 = 50;
 
 /// Returns what a process counts for the roll-outs that are under way; nothing where none is.
 pub type CountSource = Box<dyn Fn() -> Vec<PhaseCounts>>;
@@ -76,6 +84,47 @@
     pub on_update: Box<dyn Fn(SocketAddr, DirectoryUpdate)>,
     /// Hears that a control host was lost.
     pub on_lost: Box<dyn Fn(SocketAddr)>,
+    /// Waits until those that follow this process know of a withdrawal that it took; nothing where nobody follows it.
+    pub spread: Option<SpreadWait>,
+}
+
+/// Begins to wait until followers know what this process knows now.
+pub type SpreadWait = Box<dyn Fn() -> Pin<Box<dyn Future<Output = ()>>>>;
+
+/// A control host that is followed.
+#[derive(Debug, Clone, Copy)]
+struct FollowedHost {
+    /// Rounds for which it was not wanted.
+    unwanted: u32,
+    /// Whether this process is connected with it.
+    connected: bool,
+    /// Since when it is, or is not.
+    since: Instant,
+    /// Since when it hears no leader.
+    unled: Option<Instant>,
+    /// Whether it is of an earlier build, which does not tell the others whom it hears.
+    earlier: bool,
+}
+
+impl FollowedHost {
+    fn new(now: Instant) -> Self {
+        Self {
+            unwanted: 0,
+            connected: false,
+            since: now,
+            unled: None,
+            earlier: false,
+        }
+    }
+
+    /// Says whether it is of use, or may be soon, so that no other one is needed in its place.
+    fn counts(&self, now: Instant) -> bool {
+        let age = |since: Instant| now.saturating_duration_since(since);
+        match self.connected {
+            true => self.unled.is_none_or(|since| age(since) < UNLED_PATIENCE),
+            false => age(self.since) < OPENING_PATIENCE,
+        }
+    }
 }
 
 struct Following {
@@ -83,8 +132,11 @@
     documents: Option<DocumentFollower>,
     /// The members that each connected control host named.
     named: RefCell<BTreeMap<SocketAddr, Vec<SocketAddr>>>,
-    /// Control hosts that are followed, with the rounds for which nobody named them.
-    followed: RefCell<BTreeMap<SocketAddr, u32>>,
+    followed: RefCell<BTreeMap<SocketAddr, FollowedHost>>,
+    /// Control hosts for which a task runs that follows them: also those that it is about to leave.
+    running: RefCell<BTreeSet<SocketAddr>>,
+    /// Wakes those that follow a control host when one is not followed any more.
+    dropped: watch::Sender<()>,
     /// Control hosts that this process is connected with.
     connected: RefCell<BTreeSet<SocketAddr>>,
     /// Those of them that tell it of targets and entry hosts.
@@ -102,13 +154,51 @@
             config,
             named: RefCell::default(),
             followed: RefCell::default(),
+            running: RefCell::default(),
+            dropped: watch::Sender::default(),
             connected: RefCell::default(),
             tellers: watch::Sender::default(),
             start: fastrand::u64(..),
         }
     }
 
+    fn is_followed(&self, address: SocketAddr) -> bool {
+        self.followed.borrow().contains_key(&address)
+    }
+
+    /// Resolves when a control host is not followed any more.
+    async fn until_dropped(&self, address: SocketAddr) {
+        let mut dropped = self.dropped.subscribe();
+        while self.is_followed(address) {
+            if dropped.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
+    /// Notes the form that a control host has announced.
+    fn note_build(&self, address: SocketAddr, form: Option<MessageForm>) {
+        if let Some(host) = self.followed.borrow_mut().get_mut(&address) {
+            host.earlier = form < Some(MessageForm::Third);
+        }
+    }
+
+    /// Notes whether a control host hears a leader.
+    fn note_leader(&self, address: SocketAddr, unled: bool) {
+        if let Some(host) = self.followed.borrow_mut().get_mut(&address) {
+            host.unled = match (unled, host.unled) {
+                (false, _) => None,
+                (true, since) => Some(since.unwrap_or_else(Instant::now)),
+            };
+        }
+    }
+
     fn note_connection(&self, address: SocketAddr, is_up: bool) {
+        if let Some(host) = self.followed.borrow_mut().get_mut(&address) {
+            host.connected = is_up;
+            host.since = Instant::now();
+            host.unled = None;
+        }
         let mut connected = self.connected.borrow_mut();
         match is_up {
             true => connected.insert(address),
@@ -138,21 +228,49 @@
     }
 }
 
+/// Ranks control hosts for a process, in another order than for the next process.
+fn rank_controls(me: SocketAddr, controls: &BTreeSet<SocketAddr>) -> Vec<SocketAddr> {
+    let score = |address: &SocketAddr| ContentHash::new(format!("{me} {address}").as_bytes());
+    let mut ranked: Vec<SocketAddr> = controls.iter().copied().collect();
+    ranked.sort_by_cached_key(score);
+    ranked
+}
+
 /// Chooses the control hosts that tell a process of targets and entry hosts, the same ones while they are
-/// connected and others than for the next process.
+/// connected.
 fn choose_tellers(me: SocketAddr, connected: &BTreeSet<SocketAddr>) -> BTreeSet<SocketAddr> {
-    let score = |address: &SocketAddr| ContentHash::new(format!("{me} {address}").as_bytes());
-    let mut ranked: Vec<SocketAddr> = connected.iter().copied().collect();
-    ranked.sort_by_key(score);
-    ranked.into_iter().take(TELLERS).collect()
+    rank_controls(me, connected)
+        .into_iter()
+        .take(FOLLOWED)
+        .collect()
+}
+
+/// Chooses the control hosts that an entry host follows: the first ones of its ranking until enough of them count.
+fn choose_followed(
+    ranked: &[SocketAddr],
+    counts: impl Fn(SocketAddr) -> bool,
+) -> BTreeSet<SocketAddr> {
+    let mut chosen = BTreeSet::new();
+    let mut counted = 0;
+    for address in ranked {
+        if counted == FOLLOWED {
+            break;
+        }
+        chosen.insert(*address);
+        counted += usize::from(counts(*address));
+    }
+    chosen
 }
 
-/// Follows every control host that the seeds or the followed ones name, until the process ends.
+/// Follows control hosts that the seeds or the followed ones name, until the process ends: an entry host a few of
+/// them, a control host all.
 pub async fn follow_directory(config: FollowConfig) {
     let following = Rc::new(Following::new(config));
     loop {
         for address in fresh_addresses(&following) {
-            ntex::rt::spawn(follow_one(following.clone(), address));
+            if following.running.borrow_mut().insert(address) {
+                ntex::rt::spawn(follow_one(following.clone(), address));
+            }
         }
         if let Some(documents) = &following.documents {
             documents.check();
@@ -168,28 +286,48 @@
         following.config.seeds.borrow().iter().copied().collect();
     wanted.extend(following.named.borrow().values().flatten().copied());
     wanted.remove(&following.config.me);
+    let now = Instant::now();
+    let chosen = chosen_of(following, wanted, now);
     let mut followed = following.followed.borrow_mut();
-    for (address, rounds) in followed.iter_mut() {
-        *rounds = if wanted.contains(address) {
-            0
-        } else {
-            *rounds + 1
+    for (address, host) in followed.iter_mut() {
+        host.unwanted = match chosen.contains(address) {
+            true => 0,
+            false => host.unwanted + 1,
         };
     }
-    followed.retain(|_, rounds| *rounds <= UNNAMED_ROUNDS);
-    let fresh: Vec<SocketAddr> = wanted
-        .into_iter()
-        .filter(|address| !followed.contains_key(address))
-        .collect();
-    followed.extend(fresh.iter().map(|address| (*address, 0)));
+    let before = followed.len();
+    followed.retain(|_, host| host.unwanted <= UNWANTED_ROUNDS);
+    if followed.len() < before {
+        following.dropped.send_replace(());
+    }
+    let fresh = chosen.into_iter();
+    let fresh: Vec<SocketAddr> = fresh.filter(|one| !followed.contains_key(one)).collect();
+    followed.extend(fresh.iter().map(|one| (*one, FollowedHost::new(now))));
     fresh
 }
 
+/// Returns the control hosts that are to be followed, of those that are known.
+fn chosen_of(
+    following: &Following,
+    known: BTreeSet<SocketAddr>,
+    now: Instant,
+) -> BTreeSet<SocketAddr> {
+    let followed = following.followed.borrow();
+    // One of an earlier build tells the others nothing of whom it hears, so each has to hear this process itself.
+    if following.config.control || followed.values().any(|host| host.earlier) {
+        return known;
+    }
+    let ranked = rank_controls(following.config.me, &known);
+    choose_followed(&ranked, |address| {
+        followed.get(&address).is_none_or(|host| host.counts(now))
+    })
+}
+
 async fn follow_one(following: Rc<Following>, address: SocketAddr) {
     let config = &following.config;
     let mut told_lost = false;
     let mut wait = FIRST_RETRY_WAIT;
-    while following.followed.borrow().contains_key(&address) {
+    while following.is_followed(address) {
         let connected = match timeout(CONNECT_TIMEOUT, connect(config, address)).await {
             Ok(connected) => connected.map_err(|error| error.to_string()),
             Err(_) => Err("no answer in time".to_owned()),
@@ -200,7 +338,11 @@
             let detail = format!("have_version={}", following.held_version());
             record(config, EventCode::ControlFollowed, address, detail);
             following.note_connection(address, true);
-            let ended = exchange(&following, address, reader, writer).await;
+            following.note_build(address, reader.form());
+            let ended = tokio::select! {
+                ended = exchange(&following, address, reader, writer) => ended,
+                () = following.until_dropped(address) => Ok(()),
+            };
             following.note_connection(address, false);
             following.named.borrow_mut().remove(&address);
             if let Some(documents) = &following.documents {
@@ -222,6 +364,7 @@
         sleep(wait).await;
         wait = (wait * 2).min(LAST_RETRY_WAIT);
     }
+    following.running.borrow_mut().remove(&address);
 }
 
 fn record(config: &FollowConfig, code: EventCode, address: SocketAddr, detail: String) {
@@ -251,9 +394,38 @@
     writer: PeerWriter,
 ) -> Result<(), WireError> {
     let (taken, acknowledged) = watch::channel(0);
+    let (took, taking) = mpsc::unbounded_channel();
     tokio::select! {
-        ended = take_updates(following, address, reader, taken) => ended,
+        ended = take_updates(following, address, reader, took) => ended,
         ended = send_reports(following, address, writer, acknowledged) => ended,
+        () = acknowledge(following.config.spread.as_ref(), taking, taken) => Ok(()),
+    }
+}
+
+/// An update that was taken.
+struct TakenUpdate {
+    number: u64,
+    /// Whether it takes a target out of work.
+    withdraws: bool,
+}
+
+/// Acknowledges updates in their order: one that takes a target out of work once those that follow this process know
+/// of it.
+async fn acknowledge(
+    spread: Option<&SpreadWait>,
+    mut taking: mpsc::UnboundedReceiver<TakenUpdate>,
+    taken: watch::Sender<u64>,
+) {
+    while let Some(first) = taking.recv().await {
+        let (mut number, mut withdraws) = (first.number, first.withdraws);
+        while let Ok(next) = taking.try_recv() {
+            number = next.number;
+            withdraws |= next.withdraws;
+        }
+        if let Some(spread) = spread.filter(|_| withdraws) {
+            spread().await;
+        }
+        taken.send_if_modified(|last| std::mem::replace(last, number) != number);
     }
 }
 
@@ -261,7 +433,7 @@
     following: &Following,
     address: SocketAddr,
     mut reader: PeerReader,
-    taken: watch::Sender<u64>,
+    took: mpsc::UnboundedSender<TakenUpdate>,
 ) -> Result<(), WireError> {
     loop {
         let mut update = receive_update(following, address, &mut reader).await?;
@@ -279,9 +451,15 @@
             update.gateways = None;
             update.lists_whole = false;
         }
+        following.note_leader(address, update.unled);
+        let withdraws = update
+            .targets
+            .iter()
+            .any(|one| one.state > TargetState::Ready);
         let number = update.number;
         (following.config.on_update)(address, update);
-        taken.send_if_modified(|last| std::mem::replace(last, number) != number);
+        // Nobody takes it where the exchange is about to end.
+        let _ = took.send(TakenUpdate { number, withdraws });
     }
 }
 
--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -151,6 +151,14 @@
     /// [`UpdateTail`].
     #[serde(skip)]
     pub counted: Vec<ReporterCounts>,
+    /// The entry hosts that this control host hears itself, where they changed; for control hosts only. They travel in
+    /// an [`UpdateTail`].
+    #[serde(skip)]
+    pub own_gateways: Option<Vec<GatewayRecord>>,
+    /// Whether this control host hears no leader: what it tells of configurations and orders may be old. It travels in
+    /// an [`UpdateTail`].
+    #[serde(skip)]
+    pub unled: bool,
 }
 
 /// What stands behind an update since the third form.
@@ -160,6 +168,8 @@
     versions: Vec<String>,
     rollouts: Option<RolloutBook>,
     counted: Vec<ReporterCounts>,
+    own_gateways: Option<Vec<GatewayRecord>>,
+    unled: bool,
 }
 
 /// What stands behind a report since the third form.
@@ -177,6 +187,8 @@
             versions: self.targets.iter().map(|one| one.version.clone()).collect(),
             rollouts: self.rollouts.clone(),
             counted: self.counted.clone(),
+            own_gateways: self.own_gateways.clone(),
+            unled: self.unled,
         };
         (tail != UpdateTail::default()).then_some(tail)
     }
@@ -188,6 +200,8 @@
         }
         self.rollouts = tail.rollouts;
         self.counted = tail.counted;
+        self.own_gateways = tail.own_gateways;
+        self.unled = tail.unled;
         self
     }
 }
--- a/crates/directory/src/message/tests.rs
+++ b/crates/directory/src/message/tests.rs
@@ -94,6 +94,8 @@
         suspects: vec![suspect()],
         rollouts: None,
         counted: Vec::new(),
+        own_gateways: None,
+        unled: false,
     }
 }
 
@@ -167,6 +169,8 @@
         reporter: "entry-0/7".to_owned(),
         counted: counted.clone(),
     }];
+    full.own_gateways = Some(vec![gateway()]);
+    full.unled = true;
     let tail = full.tail().unwrap();
     let told = postcard::to_stdvec(&(&full, &tail)).unwrap();
     let (read, rest): (DirectoryUpdate, _) = postcard::take_from_bytes(&told).unwrap();
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -264,6 +264,29 @@
         safe.then_some(()).ok_or(DirectoryError::NotSpread)
     }
 
+    /// Notes that another control host was lost.
+    pub fn lose_control(&self, from: SocketAddr) {
+        self.lock().lose_control(from, Instant::now());
+        self.wake();
+    }
+
+    /// Resolves when the entry hosts that follow this control host took what it knows now, or had time to: another
+    /// control host acknowledges a withdrawal for those that follow this one as well.
+    pub async fn await_followers(&self) {
+        let number = self.lock().registry.number();
+        let mut changes = self.shared.acknowledged.subscribe();
+        let all_took_it = async {
+            while !self.spread_to(number, |one| !one.control) {
+                if changes.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        // Whoever waits for this host's word has to get it within its own bound.
+        let bound = self.shared.timing.spread / 2;
+        let _ = timeout(bound, all_took_it).await;
+    }
+
     fn spread_to(&self, number: u64, which: impl Fn(&SubscriberState) -> bool) -> bool {
         let state = self.lock();
         let mut wanted = state.subscribers.values().filter(|one| which(one));
@@ -349,8 +372,12 @@
         self.shared.recorder.record(code, "", detail);
     }
 
-    /// Takes what another control host knows of targets.
-    pub fn take_from_control(&self, update: DirectoryUpdate, now: Instant) {
+    /// Takes what another control host knows of targets and entry hosts.
+    pub fn take_from_control(&self, from: SocketAddr, update: DirectoryUpdate, now: Instant) {
+        if let Some(records) = update.own_gateways {
+            self.lock().take_gateways(from, records);
+            self.wake();
+        }
         for record in update.targets {
             let (id, detail) = (record.id.clone(), describe_target(&record));
             self.name_services(&record);
--- a/crates/directory/src/node/state.rs
+++ b/crates/directory/src/node/state.rs
@@ -1,6 +1,7 @@
 //! What a control host keeps of targets and subscribers.
 
 use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -41,15 +42,27 @@
     pub(crate) next_subscriber: u64,
     /// Entry hosts that were lost without a word, and until when they are told on.
     pub(crate) lost_gateways: BTreeMap<String, (GatewayRecord, Instant)>,
+    /// What other control hosts told of the entry hosts that they hear.
+    told_gateways: BTreeMap<SocketAddr, ToldGateways>,
     gateway_list: Option<GatewayList>,
 }
 
+/// The entry hosts that another control host hears.
+struct ToldGateways {
+    records: Vec<GatewayRecord>,
+    names: HashSet<String>,
+    /// Until when they count although that control host was lost.
+    lost: Option<Instant>,
+}
+
 /// The entry hosts as they are told, kept until one of them changes. Working the list of 295 out for each
 /// of as many subscribers took 23 ms a change, 76 ms of a control host with 0.3 of a core, and takes
 /// 0.08 ms (`measure_lists_of_entry_hosts`, release build). After a loss of power 580 hosts and targets
 /// come in a second.
 struct GatewayList {
     list: Arc<[GatewayRecord]>,
+    /// Those of them that this control host hears itself.
+    own: Arc<[GatewayRecord]>,
     /// When the first host that was lost is not told any more.
     until: Instant,
 }
@@ -64,31 +77,83 @@
         if let Some(kept) = self.gateway_list.as_ref().filter(|kept| now < kept.until) {
             return kept.list.clone();
         }
-        let list: Arc<[GatewayRecord]> = self.list_gateways(now).into();
-        let lost = self.lost_gateways.values();
+        let own = self.list_own(now);
+        let list: Arc<[GatewayRecord]> = self.list_gateways(now, &own).into();
+        let lost = self.lost_gateways.values().map(|(_, until)| *until);
+        let told = self.told_gateways.values().filter_map(|told| told.lost);
         self.gateway_list = Some(GatewayList {
             list: list.clone(),
-            until: lost
-                .map(|(_, until)| *until)
-                .min()
-                .unwrap_or(now + LOST_GATEWAY_TOLD),
+            own: own.into_values().collect(),
+            until: lost.chain(told).min().unwrap_or(now + LOST_GATEWAY_TOLD),
         });
         list
     }
 
-    fn list_gateways(&mut self, now: Instant) -> Vec<GatewayRecord> {
+    /// Returns the entry hosts that this control host hears itself, or heard until a moment ago, by name.
+    pub(crate) fn own_gateways(&mut self, now: Instant) -> Arc<[GatewayRecord]> {
+        if self
+            .gateway_list
+            .as_ref()
+            .is_none_or(|kept| now >= kept.until)
+        {
+            self.gateways(now);
+        }
+        let kept = self.gateway_list.as_ref();
+        kept.map_or_else(|| Arc::from([]), |kept| kept.own.clone())
+    }
+
+    /// Returns the entry hosts that this control host hears or lost a moment ago, by name.
+    fn list_own(&mut self, now: Instant) -> BTreeMap<String, GatewayRecord> {
         let heard = self.subscribers.values();
-        let heard: Vec<GatewayRecord> = heard.filter_map(|one| one.gateway.clone()).collect();
-        let names: HashSet<&str> = heard.iter().map(|one| one.name.as_str()).collect();
+        let heard = heard.filter_map(|one| one.gateway.as_ref());
+        let named = |record: &GatewayRecord| (record.name.clone(), record.clone());
+        let mut own: BTreeMap<String, GatewayRecord> = heard.map(named).collect();
+        let told = &self.told_gateways;
+        let is_told = |name: &str| told.values().any(|one| one.names.contains(name));
         self.lost_gateways
-            .retain(|name, (_, until)| *until > now && !names.contains(name.as_str()));
-        let lost = self
-            .lost_gateways
-            .values()
-            .map(|(record, _)| record.clone());
-        let mut all: Vec<GatewayRecord> = heard.iter().cloned().chain(lost).collect();
-        all.sort();
-        all
+            .retain(|name, (_, until)| *until > now && !own.contains_key(name) && !is_told(name));
+        own.extend(self.lost_gateways.values().map(|(record, _)| named(record)));
+        own
+    }
+
+    /// Takes the entry hosts that another control host hears.
+    pub(crate) fn take_gateways(&mut self, from: SocketAddr, records: Vec<GatewayRecord>) {
+        let names = records.iter().map(|one| one.name.clone()).collect();
+        let told = ToldGateways {
+            records,
+            names,
+            lost: None,
+        };
+        self.told_gateways.insert(from, told);
+        self.gateway_list = None;
+    }
+
+    /// Notes that another control host was lost: those that it heard are told on for a while, in which they find
+    /// another one.
+    pub(crate) fn lose_control(&mut self, from: SocketAddr, now: Instant) {
+        if let Some(told) = self.told_gateways.get_mut(&from) {
+            told.lost = Some(now + LOST_GATEWAY_TOLD);
+        }
+        self.gateway_list = None;
+    }
+
+    fn list_gateways(
+        &mut self,
+        now: Instant,
+        own: &BTreeMap<String, GatewayRecord>,
+    ) -> Vec<GatewayRecord> {
+        self.told_gateways
+            .retain(|_, told| told.lost.is_none_or(|until| until > now));
+        let mut all = own.clone();
+        for record in self.told_gateways.values().flat_map(|told| &told.records) {
+            let known = all.entry(record.name.clone());
+            let known = known.or_insert_with(|| record.clone());
+            // Whoever heard that it stops is right.
+            if record.stopping {
+                *known = record.clone();
+            }
+        }
+        all.into_values().collect()
     }
 
     /// Says whether a subscriber wants targets and entry hosts from here.
--- a/crates/directory/src/node/state/tests.rs
+++ b/crates/directory/src/node/state/tests.rs
@@ -85,3 +85,54 @@
     let kept = began.elapsed().as_secs_f64() * 1_000.0;
     println!("list of {HOSTS} hosts for {HOSTS} subscribers: {anew:.2} ms anew, {kept:.2} ms kept");
 }
+
+fn control(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 2], 1_000 + number))
+}
+
+/// An entry host follows a few control hosts, so that none hears all of them.
+#[test]
+fn entry_hosts_that_other_control_hosts_hear_are_told_too() {
+    let (mut state, now) = (state(2), Instant::now());
+    state.take_gateways(control(0), vec![record(1), record(5)]);
+    state.take_gateways(control(1), vec![record(5), record(8)]);
+    assert_eq!(
+        names(&state.gateways(now)),
+        ["host-0", "host-1", "host-5", "host-8"]
+    );
+    assert_eq!(names(&state.own_gateways(now)), ["host-0", "host-1"]);
+    state.take_gateways(control(1), vec![record(8)]);
+    state.take_gateways(control(0), vec![record(1)]);
+    assert_eq!(names(&state.gateways(now)), ["host-0", "host-1", "host-8"]);
+}
+
+#[test]
+fn whoever_heard_that_an_entry_host_stops_is_right() {
+    let (mut state, now) = (state(1), Instant::now());
+    let mut stopping = record(0);
+    stopping.stopping = true;
+    state.take_gateways(control(0), vec![stopping.clone()]);
+    assert_eq!(state.gateways(now).to_vec(), [stopping]);
+}
+
+#[test]
+fn entry_hosts_of_a_lost_control_host_are_told_on_until_they_have_found_another() {
+    let (mut state, now) = (state(1), Instant::now());
+    state.take_gateways(control(0), vec![record(5)]);
+    state.lose_control(control(0), now);
+    assert_eq!(names(&state.gateways(now)), ["host-0", "host-5"]);
+    let later = now + LOST_GATEWAY_TOLD;
+    assert_eq!(names(&state.gateways(later)), ["host-0"]);
+}
+
+/// It has left this control host for another one, and ends there: nothing here brings it back.
+#[test]
+fn an_entry_host_that_went_to_another_control_host_is_not_told_as_lost_here() {
+    let (mut state, now) = (state(2), Instant::now());
+    state.lose_subscriber(1, now);
+    assert_eq!(names(&state.gateways(now)), ["host-0", "host-1"]);
+    state.take_gateways(control(0), vec![record(1)]);
+    assert_eq!(names(&state.own_gateways(now)), ["host-0"]);
+    state.take_gateways(control(0), Vec::new());
+    assert_eq!(names(&state.gateways(now)), ["host-0"]);
+}
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -3,7 +3,7 @@
 mod address;
 
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use crate::message::HeardTarget;
@@ -50,8 +50,6 @@
     heard: Instant,
     /// Number of the change that last altered the record.
     changed: u64,
-    /// When a heartbeat last came to this host itself.
-    heard_here: Option<Instant>,
     /// Until when the target is cold. It only moves later: a late heartbeat may tell of a time before.
     cold_until: Option<Instant>,
 }
@@ -95,6 +93,8 @@
     /// Services whose targets tell their birth. A heartbeat for one of these without it comes from another
     /// writer.
     born_services: HashSet<String>,
+    /// The heartbeats that came to this host lately, in their order.
+    heard_log: VecDeque<(Instant, String)>,
     /// The targets by the number of the change that last altered them.
     by_change: BTreeMap<u64, String>,
 }
@@ -126,8 +126,8 @@
         }
         let id = record.id.clone();
         let change = self.merge(record, now, now);
-        if let Some(held) = self.held.get_mut(&id) {
-            held.heard_here = Some(now);
+        if self.held.contains_key(&id) {
+            self.note_heard_here(id, now);
         }
         change
     }
@@ -271,21 +271,34 @@
         slots
     }
 
-    /// Returns the heartbeats that came to this host within the last [`HEARD_WINDOW`].
-    ///
-    /// Every subscriber gets each heartbeat a few times over, so that none keeps its own record of
-    /// what was passed on.
-    pub fn heard_lately(&self, now: Instant) -> Vec<HeardTarget> {
-        let lately = self.held.values().filter_map(|held| {
-            let age = now.saturating_duration_since(held.heard_here?);
-            (age < HEARD_WINDOW).then(|| HeardTarget {
-                id: held.record.id.clone(),
-                born: held.record.born,
-                sequence: held.record.sequence,
-                age_ms: age.as_millis() as u64,
+    /// Returns the targets of which a heartbeat came to this host after a moment, or within the last
+    /// [`HEARD_WINDOW`] where none is named.
+    pub fn heard_since(&self, since: Option<Instant>, now: Instant) -> Vec<HeardTarget> {
+        let begin = now.checked_sub(HEARD_WINDOW).unwrap_or(now);
+        let since = since.map_or(begin, |since| since.max(begin));
+        let mut told = HashSet::new();
+        let lately = self.heard_log.iter().rev();
+        let lately = lately.take_while(|(at, _)| *at >= since);
+        let lately = lately.filter(|(_, id)| told.insert(id.as_str()));
+        let heard = lately.filter_map(|(at, id)| {
+            let record = &self.held.get(id)?.record;
+            Some(HeardTarget {
+                id: record.id.clone(),
+                born: record.born,
+                sequence: record.sequence,
+                age_ms: now.saturating_duration_since(*at).as_millis() as u64,
             })
         });
-        lately.collect()
+        heard.collect()
+    }
+
+    /// Notes that a heartbeat of a target came to this host.
+    fn note_heard_here(&mut self, id: String, now: Instant) {
+        let is_old = |at: &Instant| now.saturating_duration_since(*at) > HEARD_WINDOW;
+        while self.heard_log.front().is_some_and(|(at, _)| is_old(at)) {
+            self.heard_log.pop_front();
+        }
+        self.heard_log.push_back((now, id));
     }
 
     /// Says how a start of a target stands to the one that is held under its identity.
@@ -371,7 +384,6 @@
         let mut held = Held {
             heard,
             changed: 0,
-            heard_here: None,
             cold_until: None,
             record,
         };
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -57,6 +57,8 @@
     /// When the next list of entry hosts is due, where one is held back.
     next_list: Option<Duration>,
     controls: Vec<std::net::SocketAddr>,
+    /// When it was last told of heartbeats.
+    heard: Option<Instant>,
     /// The number of the last change of what is held against requests that it was told.
     suspects: u64,
 }
@@ -198,6 +200,7 @@
         gateways: GatewayPush::default(),
         next_list: None,
         controls: Vec::new(),
+        heard: None,
         suspects: 0,
     };
     let mut last_sent: Option<Instant> = None;
@@ -259,6 +262,7 @@
         && update.evacuations.is_none()
         && update.rollouts.is_none()
         && update.counted.is_empty()
+        && update.own_gateways.is_none()
         && update.targets.is_empty()
         && update.gateways.is_none()
         && update.controls.is_none()
@@ -267,7 +271,10 @@
 }
 
 fn next_update(node: &DirectoryNode, pushed: &mut Pushed) -> DirectoryUpdate {
-    let mut update = DirectoryUpdate::default();
+    let mut update = DirectoryUpdate {
+        unled: !pushed.control && !node.replica().hears_leader(),
+        ..DirectoryUpdate::default()
+    };
     if !pushed.control && node.tells_state() {
         add_evacuations(node, pushed, &mut update);
         add_rollouts(node, pushed, &mut update);
@@ -281,10 +288,15 @@
     let mut state = node.lock();
     pushed.next_list = None;
     let now = Instant::now();
-    // Entry hosts report all to each control host, so these need not tell each other what has one end.
-    let suspects = state
-        .suspects
-        .shared_after(pushed.suspects, SUSPECTS_AT_ONCE, now);
+    // Two entry hosts may have no control host in common, so control hosts tell each other all.
+    let suspects = match pushed.control {
+        true => state
+            .suspects
+            .changed_after(pushed.suspects, SUSPECTS_AT_ONCE, now),
+        false => state
+            .suspects
+            .shared_after(pushed.suspects, SUSPECTS_AT_ONCE, now),
+    };
     pushed.suspects = suspects.number;
     update.suspects = suspects.records;
     if !state.wants_lists(pushed.subscriber) {
@@ -304,20 +316,35 @@
     update.number = pushed.number;
     pushed.withdrawn = pushed.number;
     let is_all = pushed.number >= state.registry.number();
-    let gateways = state.gateways(Instant::now());
-    match pushed.gateways.due(gateways, Instant::now()) {
+    let gateways = match pushed.control {
+        true => state.own_gateways(now),
+        false => state.gateways(now),
+    };
+    match pushed.gateways.due(gateways, now) {
         GatewayDue::Never => {}
+        GatewayDue::Now(list) if pushed.control => update.own_gateways = Some(list.to_vec()),
         GatewayDue::Now(list) => update.gateways = Some(list.to_vec()),
         GatewayDue::After(span) => pushed.next_list = Some(span),
     }
     update.lists_whole = is_all && pushed.next_list.is_none() && node.has_heard_all();
     if pushed.control {
         (update.counted, pushed.counted) = state.evidence.changed_after(pushed.counted);
-        update.heard = state.registry.heard_lately(Instant::now());
+        add_heard(&state.registry, pushed, &mut update, now);
     }
     update
 }
 
+/// Tells another control host of the heartbeats that came since it was told last, a few times a second: with each
+/// change, as before, the work for one heartbeat grew with the changes of the fleet.
+fn add_heard(registry: &Registry, pushed: &mut Pushed, update: &mut DirectoryUpdate, now: Instant) {
+    let since = pushed.heard;
+    if since.is_some_and(|since| now.saturating_duration_since(since) < UPDATE_PERIOD) {
+        return;
+    }
+    update.heard = registry.heard_since(since, now);
+    pushed.heard = Some(now);
+}
+
 /// Tells a subscriber that takes lists from others of the targets that get no new work, all the same: those
 /// others may be cut off from this host.
 fn add_withdrawn(
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -196,7 +196,7 @@
     recorder: &Arc<EventRecorder>,
 ) {
     let (_, gateway) = watch::channel(None);
-    let taking = node.clone();
+    let (taking, losing, spreading) = (node.clone(), node.clone(), node.clone());
     let config = FollowConfig {
         // Control hosts tell each other in their updates.
         suspects: None,
@@ -209,10 +209,14 @@
         control: true,
         me,
         seeds,
-        on_update: Box::new(move |_, update: DirectoryUpdate| {
-            taking.take_from_control(update, Instant::now());
+        on_update: Box::new(move |from, update: DirectoryUpdate| {
+            taking.take_from_control(from, update, Instant::now());
         }),
-        on_lost: Box::new(|_| {}),
+        on_lost: Box::new(move |from| losing.lose_control(from)),
+        spread: Some(Box::new(move || {
+            let node = spreading.clone();
+            Box::pin(async move { node.await_followers().await })
+        })),
     };
     ntex::rt::spawn(follow_directory(config));
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -126,6 +126,7 @@
         seeds: seeds_read,
         on_update: Box::new(move |from, update| updated.take_update(from, update)),
         on_lost: Box::new(move |from| lost.lose_control(from)),
+        spread: None,
     }));
 
     if let Some(metrics) = settings.listen.metrics {
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -270,6 +270,14 @@
         state.leader.is_some() && state.log.term_at(applied) == Some(state.term)
     }
 
+    /// Says whether this replica leads, or has heard a leader within the longest time after which another is elected.
+    pub fn hears_leader(&self) -> bool {
+        let state = self.shared.lock();
+        let timing = &self.shared.timing;
+        let heard = state.heard_since_start && state.leader_heard.elapsed() < timing.election_max;
+        heard || state.lease_lasts(timing)
+    }
+
     /// Returns what the replica tells of itself.
     pub fn status(&self) -> ReplicaStatus {
         let incarnation = self.shared.lock_folder().mark().incarnation;
