A connection to a host that gathers or places is given up when nothing has needed it for 4 s

Cause: a host keeps a connection to each host that ever gathered or placed for it, with signs of life each 400 ms on both sides and, at the other side, a look at what the successor of a pool has to be told each 150 ms. In a fleet of 986 with some 200 parts of pools a host comes to be connected with all of them, and a host that places for all has 985 of these. Change: a connection on which nothing is waited for, that holds nothing of this host at the other side (placements, expected pieces, turns), and on which nothing was sent for 4 s, is closed and forgotten; the next request opens another one.

--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -47,6 +47,10 @@
 pub(crate) const IDLE_PERIOD: Duration = Duration::from_millis(400);
 pub(crate) const IDLE_SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
 
+/// How long a connection is kept that nothing needs. Signs of life on it cost both ends more in that time than it takes
+/// to open another one; without an end to it a host would come to be connected with every host that gathers or places.
+const UNUSED_KEPT: Duration = Duration::from_secs(4);
+
 /// How long a connection may take to open before requests go to another host meanwhile.
 const CONNECT_PATIENCE: Duration = Duration::from_millis(250);
 
@@ -409,6 +413,8 @@
             state: LinkState::Opening(Instant::now()),
             form: MessageForm::NEWEST,
             heard: Instant::now(),
+            used: Instant::now(),
+            held: 0,
             outgoing,
             waiting: HashMap::new(),
             placing: HashMap::new(),
@@ -505,6 +511,19 @@
         })
     }
 
+    /// Takes a connection out that nothing has needed for a while; says whether it was one.
+    fn take_unused(&self, address: SocketAddr) -> bool {
+        let mut state = self.state.borrow_mut();
+        let now = Instant::now();
+        let link = state.links.get(&address);
+        let unused = link.is_some_and(|link| link.is_unused(UNUSED_KEPT, now));
+        if unused {
+            state.links.remove(&address);
+            state.cut_halls = None;
+        }
+        unused
+    }
+
     fn take_loads(&self, loads: Vec<(PoolKey, PoolLoad)>) {
         let now = Instant::now();
         let loads = loads.into_iter().map(|(pool, load)| (pool, (load, now)));
--- a/crates/gateway/src/stage_client/link.rs
+++ b/crates/gateway/src/stage_client/link.rs
@@ -12,14 +12,26 @@
 use crate::peer_queue::send_waiting;
 use crate::piece_message::{PieceReply, PieceRequest};
 
-/// Keeps a connection to an entry host open for as long as that host is known.
+/// How a connection ended, where it did not fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LinkEnd {
+    /// The other side is lost, or was silent.
+    Lost,
+    /// Nothing needed it, and it is forgotten.
+    Unused,
+}
+
+/// Keeps a connection to an entry host open for as long as that host is known and something needs it.
 pub(super) async fn run_link(
     client: StageClient,
     address: SocketAddr,
     mut queue: mpsc::UnboundedReceiver<PieceRequest>,
 ) {
     while client.knows(address) {
-        let _ = exchange(&client, address, &mut queue).await;
+        // Why it failed says nothing that its being lost does not.
+        if let Ok(LinkEnd::Unused) = exchange(&client, address, &mut queue).await {
+            return;
+        }
         client.mark(address, LinkState::Lost);
         // What waits for this host goes to another one.
         while queue.try_recv().is_ok() {}
@@ -37,10 +49,10 @@
     client: &StageClient,
     address: SocketAddr,
     queue: &mut mpsc::UnboundedReceiver<PieceRequest>,
-) -> Result<(), WireError> {
+) -> Result<LinkEnd, WireError> {
     let Ok(connected) = timeout(SILENCE_LIMIT, connect_peer(&client.identity, address)).await
     else {
-        return Ok(());
+        return Ok(LinkEnd::Lost);
     };
     let (reader, mut writer) = connected?;
     let mut reader = reader.with_silence_limit(IDLE_SILENCE_LIMIT);
@@ -51,7 +63,7 @@
     };
     client.mark_up(address, form);
     tokio::select! {
-        ended = take_replies(client, address, reader) => ended,
+        ended = take_replies(client, address, reader) => ended.map(|()| LinkEnd::Lost),
         ended = send_queued(client, address, form, queue, writer) => ended,
     }
 }
@@ -108,17 +120,18 @@
     form: MessageForm,
     queue: &mut mpsc::UnboundedReceiver<PieceRequest>,
     mut writer: PeerWriter,
-) -> Result<(), WireError> {
+) -> Result<LinkEnd, WireError> {
     let put =
         |writer: &mut PeerWriter, request: &PieceRequest| queue_request(writer, form, request);
     // Ends once the other side is silent, which ends the connection.
     while let Some(period) = client.next_sign(address) {
         let request = match timeout(period, queue.recv()).await {
             Ok(Some(request)) => request,
-            Ok(None) => return Ok(()),
+            Ok(None) => return Ok(LinkEnd::Lost),
+            Err(_) if client.take_unused(address) => return Ok(LinkEnd::Unused),
             Err(_) => PieceRequest::Alive,
         };
         send_waiting(&request, queue, &mut writer, put).await?;
     }
-    Ok(())
+    Ok(LinkEnd::Lost)
 }
--- a/crates/gateway/src/stage_client/link_state.rs
+++ b/crates/gateway/src/stage_client/link_state.rs
@@ -1,7 +1,7 @@
 //! Where a connection to another entry host stands, and whether the other side is silent.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use linnet_wire::MessageForm;
 use tokio::sync::{mpsc, oneshot};
@@ -30,6 +30,10 @@
     pub(super) form: MessageForm,
     /// When the other side was heard last, or something was first waited for since.
     pub(super) heard: Instant,
+    /// When something was sent last, beside signs of life.
+    pub(super) used: Instant,
+    /// What this host has begun at the other side and not ended: placements, expected pieces, turns.
+    pub(super) held: u32,
     pub(super) outgoing: mpsc::UnboundedSender<PieceRequest>,
     pub(super) waiting: HashMap<u64, oneshot::Sender<Results>>,
     pub(super) placing: HashMap<u64, oneshot::Sender<Option<(String, PlaceFacts)>>>,
@@ -56,9 +60,30 @@
         if was_idle && self.is_waited_on() {
             self.heard = Instant::now();
         }
+        self.used = Instant::now();
+        self.note_held(&request);
         let _ = self.outgoing.send(request);
     }
 
+    /// Counts what is begun at the other side, and ends with the connection.
+    fn note_held(&mut self, request: &PieceRequest) {
+        match request {
+            PieceRequest::Place { .. }
+            | PieceRequest::Expect { .. }
+            | PieceRequest::TakeTurn { .. } => self.held += 1,
+            PieceRequest::End(_) | PieceRequest::Arrived(_) | PieceRequest::EndTurn(_) => {
+                self.held = self.held.saturating_sub(1);
+            }
+            _ => {}
+        }
+    }
+
+    /// Says whether nothing has needed it for a span.
+    pub(super) fn is_unused(&self, span: Duration, now: Instant) -> bool {
+        let rested = now.saturating_duration_since(self.used) >= span;
+        rested && self.held == 0 && !self.is_waited_on()
+    }
+
     /// Returns where the connection stands for the reach of its hall. One that nothing is waited for on is
     /// kept up for longer, but where all of a hall are silent the hall is out of reach.
     pub(super) fn state_at(&self, now: Instant) -> LinkState {
--- a/crates/gateway/src/stage_client/tests.rs
+++ b/crates/gateway/src/stage_client/tests.rs
@@ -97,6 +97,8 @@
         state,
         form: MessageForm::NEWEST,
         heard,
+        used: heard,
+        held: 0,
         outgoing: mpsc::unbounded_channel().0,
         waiting: HashMap::new(),
         placing: HashMap::new(),
@@ -134,6 +136,41 @@
     assert_eq!(link.state_at(later), LinkState::Lost);
 }
 
+/// A host would come to be connected with all that gather or place, with signs of life on each connection.
+#[test]
+fn a_connection_is_given_up_when_nothing_has_needed_it_for_a_while() {
+    let mut link = link(LinkState::Up, Instant::now());
+    let unused = |link: &Link| link.is_unused(UNUSED_KEPT, link.used + UNUSED_KEPT);
+    assert!(!link.is_unused(UNUSED_KEPT, link.used));
+    assert!(unused(&link));
+    link.send(PieceRequest::Alive, |link| {
+        link.waiting.insert(1, oneshot::channel().0);
+    });
+    assert!(!unused(&link), "an answer is waited for");
+    link.waiting.clear();
+    assert!(unused(&link));
+}
+
+/// What was begun at the other side would end there with the connection.
+#[test]
+fn a_connection_is_kept_while_the_other_side_holds_something_for_this_host() {
+    let mut link = link(LinkState::Up, Instant::now());
+    let unused = |link: &Link| link.is_unused(UNUSED_KEPT, link.used + UNUSED_KEPT);
+    let key =
+        linnet_quarantine::RequestKey::parse("aae9eaeb7b607c9c61ca6441a4a53d14").expect("a key");
+    let turn = |number| PieceRequest::TakeTurn {
+        number,
+        key,
+        id: "a1".to_owned(),
+    };
+    link.send(turn(1), |_| {});
+    link.send(turn(2), |_| {});
+    link.send(PieceRequest::EndTurn(1), |_| {});
+    assert!(!unused(&link));
+    link.send(PieceRequest::EndTurn(2), |_| {});
+    assert!(unused(&link));
+}
+
 /// Prints what ranking 300 hosts for a pool costs, anew and kept, in nanoseconds.
 #[test]
 #[ignore = "measures"]
