Prompts for many engines are placed by a host for each 192 of them, in one hall

Cause: one host placed all prompts of a service and looked at each of its engines for each prompt: with 5,715 engines and 244 prompts a second that is more than a host of 0.12 cores has, by the slope of CAPACITY.md one core and a half. Change: where a service has more than 192 engines, the last shared part of a prompt names a part of them, in one hall, by weighted rendezvous over halls and parts; a host of that hall places for it. A part of which no engine may be used is passed over for all. The message does not change: both ends work the part out. Test: engines and prompts of one placer are bounded at 100 to 20,000 engines; a few engines more move few prompts.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -15,6 +15,7 @@
 use crate::dialect::HeaderNames;
 use crate::home_halls::HomeHalls;
 use crate::open_request::OpenRequest;
+use crate::rendezvous::ScoreKey;
 use crate::{Refusal, RefusalReason};
 
 /// The most pieces that a request may ask of one stage.
@@ -86,6 +87,15 @@
 }
 
 impl Prompt {
+    /// Returns the key by which a prompt comes to the same engines as others with its shared parts. One without any is
+    /// spread by its size.
+    pub(crate) fn place_score(&self) -> ScoreKey {
+        match self.last_shared() {
+            "" => ScoreKey::new(&self.tokens_in.to_string()),
+            shared => ScoreKey::new(shared),
+        }
+    }
+
     /// Returns the last part that other requests share; empty where there is none.
     pub(crate) fn last_shared(&self) -> &str {
         self.shared.last().map_or("", |part| &part.id)
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -8,6 +8,7 @@
 
 use crate::ask::PromptPart;
 use crate::cold::{ColdRate, SendWindow};
+use crate::pool_key::place_key;
 use crate::rendezvous::ScoreKey;
 use crate::target::{Chosen, Target, TargetBook};
 
@@ -169,6 +170,7 @@
         if let Some(rate) = book.cold_rate(&ask.service) {
             usable.retain(|engine| !engine.is_cold(now) || self.has_cold_room(engine, rate, now));
         }
+        usable = self.of_part(book, ask, usable);
         let fresh = usable.iter().filter(|one| !ask.avoid.contains(&one.id));
         let mut candidates: Vec<&Target> = fresh.copied().collect();
         if candidates.is_empty() {
@@ -219,6 +221,25 @@
         Some(Chosen::new(best))
     }
 
+    /// Returns those of some engines among which a prompt is placed; all where none of them may be used.
+    fn of_part<'a>(
+        &self,
+        book: &TargetBook,
+        ask: &PlaceAsk,
+        usable: Vec<&'a Target>,
+    ) -> Vec<&'a Target> {
+        let part = place_key(&ask.service, book.hall_counts(&ask.service), &ask.prompt);
+        let is_fresh = |one: &&Target| !ask.avoid.contains(&one.id);
+        let held = usable.iter().copied();
+        let held: Vec<&Target> = held
+            .filter(|one| part.holds_target(&one.hall, &one.id))
+            .collect();
+        match held.iter().any(is_fresh) {
+            true => held,
+            false => usable,
+        }
+    }
+
     /// Returns the engine with the fewest requests that may end it, and of these the one with the fewest others.
     /// Two that are tried apart tell more than two together, and the fewer lose their work.
     fn emptiest<'a>(&self, engines: Vec<&'a Target>) -> Option<&'a Target> {
--- a/crates/gateway/src/pool_key.rs
+++ b/crates/gateway/src/pool_key.rs
@@ -9,6 +9,7 @@
 use linnet_directory::TargetRecord;
 use serde::{Deserialize, Serialize};
 
+use crate::ask::Prompt;
 use crate::rendezvous;
 
 /// The most targets for which one host gathers pieces.
@@ -51,10 +52,14 @@
     /// Says whether a target belongs to it. This follows from the key alone, so that a part that was
     /// made when the pool had another size still has its targets.
     pub(crate) fn holds(&self, record: &TargetRecord) -> bool {
-        let in_part = |part: &PoolPart| {
-            part.hall == record.hall && part.number == part_number(&part.hall, &record.id, part.of)
-        };
-        record.service == self.service && self.part.as_ref().is_none_or(in_part)
+        record.service == self.service && self.holds_target(&record.hall, &record.id)
+    }
+
+    /// Says whether a target of its service belongs to it, by the target's hall and identity.
+    pub(crate) fn holds_target(&self, hall: &str, id: &str) -> bool {
+        self.part
+            .as_ref()
+            .is_none_or(|part| part.hall == hall && part.number == part_number(hall, id, part.of))
     }
 
     /// Returns the text by which hosts are ranked for it.
@@ -66,6 +71,37 @@
     }
 }
 
+/// The most engines among which one host places prompts: it looks at each of them for each prompt.
+const MAX_PLACED_TARGETS: u32 = 192;
+
+/// Names the engines among which a prompt is placed: all of a service, or a part of one hall where they are many. The
+/// prompts with the same shared parts come to the same engines, which hold them then.
+pub(crate) fn place_key(service: &str, halls: &[(String, u32)], prompt: &Prompt) -> PoolKey {
+    let all: u32 = halls.iter().map(|(_, count)| count).sum();
+    if all <= MAX_PLACED_TARGETS {
+        return PoolKey::whole(service);
+    }
+    let key = prompt.place_score();
+    let parts = halls.iter().flat_map(|(hall, count)| {
+        let of = count.div_ceil(MAX_PLACED_TARGETS) as u16;
+        let weight = f64::from(*count) / f64::from(of);
+        (0..of).map(move |number| {
+            let part = PoolPart {
+                hall: hall.clone(),
+                number,
+                of,
+            };
+            let label = format!("{hall}/{number}");
+            (key.weighted_score(&label, weight), part)
+        })
+    });
+    let first = parts.max_by(|a, b| a.0.total_cmp(&b.0));
+    PoolKey {
+        service: service.to_owned(),
+        part: first.map(|(_, part)| part),
+    }
+}
+
 /// Returns in which of so many parts of its hall a target is.
 fn part_number(hall: &str, id: &str, of: u16) -> u16 {
     (rendezvous::score(hall, id) % u64::from(of.max(1))) as u16
--- a/crates/gateway/src/pool_key/tests.rs
+++ b/crates/gateway/src/pool_key/tests.rs
@@ -1,6 +1,7 @@
 use linnet_directory::TargetState;
 
 use super::*;
+use crate::ask::PromptPart;
 
 /// Targets of one service: so many in each hall.
 fn records(halls: &[usize]) -> Vec<TargetRecord> {
@@ -95,3 +96,68 @@
     map.replace("stage", std::iter::empty());
     assert!(map.parts_of("stage").is_empty());
 }
+
+fn prompt(shared: &str, tokens_in: u64) -> Prompt {
+    let part = PromptPart {
+        id: shared.to_owned(),
+        tokens: 100,
+    };
+    Prompt {
+        tokens_in,
+        tokens_out: 1,
+        shared: if shared.is_empty() {
+            Vec::new()
+        } else {
+            vec![part]
+        },
+    }
+}
+
+fn halls(engines: u32) -> Vec<(String, u32)> {
+    (0..5)
+        .map(|hall| (format!("hall-{hall}"), engines / 5))
+        .collect()
+}
+
+/// What one host looks at for a prompt, and how many prompts it places, must not grow with the fleet.
+#[test]
+fn the_engines_and_prompts_of_one_placer_are_bounded_however_many_there_are() {
+    for engines in [100, 1_000, 5_715, 20_000] {
+        let halls = halls(engines);
+        let mut placed: BTreeMap<PoolKey, u32> = BTreeMap::new();
+        const PROMPTS: u32 = 40_000;
+        for number in 0..PROMPTS {
+            let key = place_key("engine", &halls, &prompt(&number.to_string(), 5));
+            *placed.entry(key).or_default() += 1;
+        }
+        let most = placed.values().max().copied().unwrap();
+        let even = PROMPTS / placed.len() as u32;
+        assert!(most <= even * 3 / 2, "{engines}: {most} of {even}");
+        for key in placed.keys() {
+            let Some(part) = &key.part else {
+                assert!(engines <= MAX_PLACED_TARGETS);
+                continue;
+            };
+            assert!(engines / 5 / u32::from(part.of) <= MAX_PLACED_TARGETS);
+        }
+    }
+}
+
+#[test]
+fn prompts_with_the_same_shared_part_go_to_the_same_engines_and_others_are_spread() {
+    let halls = halls(5_000);
+    let key = |shared: &str, tokens| place_key("engine", &halls, &prompt(shared, tokens));
+    assert_eq!(key("a", 1), key("a", 900));
+    let spread: std::collections::BTreeSet<PoolKey> =
+        (0..200).map(|tokens| key("", tokens)).collect();
+    assert!(spread.len() > 15, "{}", spread.len());
+    // A few engines more or less move few prompts.
+    let mut other = halls.clone();
+    other[0].1 += 1;
+    let moved = (0..500).filter(|number| {
+        let prompt = prompt(&format!("p{number}"), 1);
+        place_key("engine", &halls, &prompt) != place_key("engine", &other, &prompt)
+    });
+    let moved = moved.count();
+    assert!(moved < 10, "{moved}");
+}
--- a/crates/gateway/src/stage_client/place.rs
+++ b/crates/gateway/src/stage_client/place.rs
@@ -11,13 +11,22 @@
 use super::{Home, StageClient};
 use crate::engine::{PlaceAsk, PlaceFacts};
 use crate::piece_message::PieceRequest;
-use crate::pool_key::PoolKey;
+use crate::pool_key::place_key;
 use crate::target::{Chosen, TargetBook};
 
 /// How long the host that places prompts may take.
 const PLACE_TIMEOUT: Duration = Duration::from_millis(60);
 
 impl StageClient {
+    /// Returns the host that places a prompt: one for the engines of a service, or for a part of them.
+    fn placer_of(&self, targets: &RefCell<TargetBook>, ask: &PlaceAsk) -> Home {
+        let key = {
+            let book = targets.borrow();
+            place_key(&ask.service, book.hall_counts(&ask.service), &ask.prompt)
+        };
+        self.home_of(&key)
+    }
+
     /// Has a prompt placed by the host that places for its service. Where that host does not answer
     /// at once this one places it by what it knows itself.
     pub(crate) async fn place(
@@ -26,7 +35,7 @@
         ask: PlaceAsk,
     ) -> Option<(Chosen, Placement)> {
         let mut ask = ask;
-        if let Home::Remote(address) = self.home_of(&PoolKey::whole(&ask.service)) {
+        if let Home::Remote(address) = self.placer_of(targets, &ask) {
             if let Some((engine, placement)) = self.place_at(address, ask.clone()).await
                 && let Some(chosen) = targets.borrow().find(&ask.service, &engine)
             {
@@ -68,7 +77,7 @@
         targets: &RefCell<TargetBook>,
         ask: PlaceAsk,
     ) -> Option<Chosen> {
-        if let Home::Remote(address) = self.home_of(&PoolKey::whole(&ask.service)) {
+        if let Home::Remote(address) = self.placer_of(targets, &ask) {
             let number = self.next_number();
             let service = ask.service.clone();
             let request = PieceRequest::Plan {
