Entry hosts that control hosts lost are told apart from those that they hear; a lost control host concerns its own targets

Cause: control hosts told each other heard and lost entry hosts in one list, and each took the other's list as a sign that the host had gone there: both dropped it at once. Change: two lists; a host that another control host hears is not lost here, one that it lost is told on by all. Also moves, nothing else changed in them: follow.rs into four modules, the target book into its own.

--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -1,9 +1,12 @@
 //! Following the directories of control hosts: a control host follows all others, an entry host a few.
 
+mod acknowledge;
+mod followed;
+mod report;
+
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -17,15 +20,17 @@
 use tokio::time::{sleep, timeout};
 
 use crate::document_follower::{DocumentFollower, DocumentSink};
-use crate::fetch::FetchProgress;
 use crate::first_form::FirstUpdate;
-use crate::message::{ReportTail, UpdateTail};
-use crate::serve::{SILENCE_LIMIT, SUSPECTS_AT_ONCE, UPDATE_PERIOD};
-use crate::suspect_reports::{SuspectReports, SuspectSource};
-use crate::{
-    ContentHash, DirectoryUpdate, GatewayRecord, SubscriberHello, SubscriberReport, TargetRecord,
-    TargetState,
-};
+use crate::message::UpdateTail;
+use crate::serve::SILENCE_LIMIT;
+use crate::suspect_reports::SuspectSource;
+use crate::{DirectoryUpdate, GatewayRecord, SubscriberHello, TargetRecord, TargetState};
+
+pub use acknowledge::SpreadWait;
+
+use acknowledge::{TakenUpdate, acknowledge};
+use followed::{FollowedHost, choose_followed, choose_tellers, rank_controls};
+use report::send_reports;
 
 /// How long opening a connection may take. A first packet that is lost is sent again by the system
 /// only after a second.
@@ -36,21 +41,6 @@
 const FIRST_RETRY_WAIT: Duration = Duration::from_millis(40);
 const LAST_RETRY_WAIT: Duration = Duration::from_millis(320);
 
-/// Control hosts that an entry host follows, and that tell it of targets and entry hosts. They tell each other at once,
-/// so that a few know what all know; one may be lost, and another cut off, before the next ones are found. What an
-/// entry host hears and says, and a control host for each of them, does not grow with the number of control hosts.
-const FOLLOWED: usize = 3;
-
-/// How long a control host that is being connected counts as followed. After that another one is followed too.
-const OPENING_PATIENCE: Duration = Duration::from_millis(1_000);
-
-/// How long a control host that hears no leader counts: longer than an election takes. After that another one is
-/// followed too, which may be in the part of the fleet that has a leader.
-const UNLED_PATIENCE: Duration = Duration::from_millis(2_500);
-
-/// Between two reports while a roll-out is under way: how long a bad version goes on to get its share.
-const COUNT_PERIOD: Duration = Duration::from_millis(100);
-
 /// How often the set of control hosts is looked at.
 const MEMBERS_TICK: Duration = Duration::from_millis(200);
 
@@ -88,45 +78,6 @@
     pub spread: Option<SpreadWait>,
 }
 
-/// Begins to wait until followers know what this process knows now.
-pub type SpreadWait = Box<dyn Fn() -> Pin<Box<dyn Future<Output = ()>>>>;
-
-/// A control host that is followed.
-#[derive(Debug, Clone, Copy)]
-struct FollowedHost {
-    /// Rounds for which it was not wanted.
-    unwanted: u32,
-    /// Whether this process is connected with it.
-    connected: bool,
-    /// Since when it is, or is not.
-    since: Instant,
-    /// Since when it hears no leader.
-    unled: Option<Instant>,
-    /// Whether it is of an earlier build, which does not tell the others whom it hears.
-    earlier: bool,
-}
-
-impl FollowedHost {
-    fn new(now: Instant) -> Self {
-        Self {
-            unwanted: 0,
-            connected: false,
-            since: now,
-            unled: None,
-            earlier: false,
-        }
-    }
-
-    /// Says whether it is of use, or may be soon, so that no other one is needed in its place.
-    fn counts(&self, now: Instant) -> bool {
-        let age = |since: Instant| now.saturating_duration_since(since);
-        match self.connected {
-            true => self.unled.is_none_or(|since| age(since) < UNLED_PATIENCE),
-            false => age(self.since) < OPENING_PATIENCE,
-        }
-    }
-}
-
 struct Following {
     config: FollowConfig,
     documents: Option<DocumentFollower>,
@@ -228,40 +179,6 @@
     }
 }
 
-/// Ranks control hosts for a process, in another order than for the next process.
-fn rank_controls(me: SocketAddr, controls: &BTreeSet<SocketAddr>) -> Vec<SocketAddr> {
-    let score = |address: &SocketAddr| ContentHash::new(format!("{me} {address}").as_bytes());
-    let mut ranked: Vec<SocketAddr> = controls.iter().copied().collect();
-    ranked.sort_by_cached_key(score);
-    ranked
-}
-
-/// Chooses the control hosts that tell a process of targets and entry hosts, the same ones while they are
-/// connected.
-fn choose_tellers(me: SocketAddr, connected: &BTreeSet<SocketAddr>) -> BTreeSet<SocketAddr> {
-    rank_controls(me, connected)
-        .into_iter()
-        .take(FOLLOWED)
-        .collect()
-}
-
-/// Chooses the control hosts that an entry host follows: the first ones of its ranking until enough of them count.
-fn choose_followed(
-    ranked: &[SocketAddr],
-    counts: impl Fn(SocketAddr) -> bool,
-) -> BTreeSet<SocketAddr> {
-    let mut chosen = BTreeSet::new();
-    let mut counted = 0;
-    for address in ranked {
-        if counted == FOLLOWED {
-            break;
-        }
-        chosen.insert(*address);
-        counted += usize::from(counts(*address));
-    }
-    chosen
-}
-
 /// Follows control hosts that the seeds or the followed ones name, until the process ends: an entry host a few of
 /// them, a control host all.
 pub async fn follow_directory(config: FollowConfig) {
@@ -402,33 +319,6 @@
     }
 }
 
-/// An update that was taken.
-struct TakenUpdate {
-    number: u64,
-    /// Whether it takes a target out of work.
-    withdraws: bool,
-}
-
-/// Acknowledges updates in their order: one that takes a target out of work once those that follow this process know
-/// of it.
-async fn acknowledge(
-    spread: Option<&SpreadWait>,
-    mut taking: mpsc::UnboundedReceiver<TakenUpdate>,
-    taken: watch::Sender<u64>,
-) {
-    while let Some(first) = taking.recv().await {
-        let (mut number, mut withdraws) = (first.number, first.withdraws);
-        while let Ok(next) = taking.try_recv() {
-            number = next.number;
-            withdraws |= next.withdraws;
-        }
-        if let Some(spread) = spread.filter(|_| withdraws) {
-            spread().await;
-        }
-        taken.send_if_modified(|last| std::mem::replace(last, number) != number);
-    }
-}
-
 async fn take_updates(
     following: &Following,
     address: SocketAddr,
@@ -490,101 +380,5 @@
     }
 }
 
-async fn send_reports(
-    following: &Following,
-    address: SocketAddr,
-    mut writer: PeerWriter,
-    mut acknowledged: watch::Receiver<u64>,
-) -> Result<(), WireError> {
-    let mut gateway = following.config.gateway.clone();
-    let documents = following.documents.as_ref();
-    let mut wanted = documents.map(DocumentFollower::changes);
-    let mut tellers = following.tellers.subscribe();
-    let mut suspects = SuspectReports::new(following.config.suspects.as_ref());
-    loop {
-        // Read before the report is made: what changes while it is sent is told by the next one.
-        let told = wanted.as_ref().and_then(|wanted| *wanted.borrow());
-        let counts = following.config.counts.as_ref();
-        let report = SubscriberReport {
-            start: following.start,
-            counted: counts.map_or_else(Vec::new, |counts| counts()),
-            document_version: following.held_version(),
-            want: documents.and_then(|documents| documents.want_of(address)),
-            gateway: gateway.borrow_and_update().clone(),
-            acknowledged: *acknowledged.borrow_and_update(),
-            lists: tellers.borrow_and_update().contains(&address),
-            suspects: suspects.next(),
-        };
-        send_report(&mut writer, &report).await?;
-        if report.suspects.len() == SUSPECTS_AT_ONCE {
-            continue;
-        }
-        tokio::select! {
-            changed = acknowledged.changed() => if changed.is_err() { return Ok(()) },
-            () = record_changed(&mut gateway) => {}
-            () = want_changed(&mut wanted, told, address) => {}
-            () = teller_changed(&mut tellers, report.lists, address) => {}
-            () = suspects.changed() => {}
-            () = sleep(report_period(&report)) => {}
-        }
-    }
-}
-
-/// Sends a report, and behind it what was counted for roll-outs.
-async fn send_report(writer: &mut PeerWriter, report: &SubscriberReport) -> Result<(), WireError> {
-    if report.counted.is_empty() {
-        return writer.send(report).await;
-    }
-    let tail = ReportTail {
-        start: report.start,
-        counted: report.counted.clone(),
-    };
-    writer.send(&(report, tail)).await
-}
-
-fn report_period(last: &SubscriberReport) -> Duration {
-    match last.counted.is_empty() {
-        true => UPDATE_PERIOD,
-        false => COUNT_PERIOD,
-    }
-}
-
-// Only what concerns this control host is told to it.
-async fn want_changed(
-    wanted: &mut Option<watch::Receiver<Option<FetchProgress>>>,
-    told: Option<FetchProgress>,
-    address: SocketAddr,
-) {
-    let Some(wanted) = wanted else {
-        return std::future::pending().await;
-    };
-    let is_of_this = |progress: &FetchProgress| progress.source == address;
-    let concerns = |now: &Option<FetchProgress>| {
-        *now != told
-            && (told.as_ref().is_some_and(is_of_this) || now.as_ref().is_some_and(is_of_this))
-    };
-    if wanted.wait_for(concerns).await.is_err() {
-        std::future::pending::<()>().await;
-    }
-}
-
-async fn teller_changed(
-    tellers: &mut watch::Receiver<BTreeSet<SocketAddr>>,
-    told: bool,
-    address: SocketAddr,
-) {
-    let differs = |now: &BTreeSet<SocketAddr>| now.contains(&address) != told;
-    if tellers.wait_for(differs).await.is_err() {
-        std::future::pending::<()>().await;
-    }
-}
-
-// Where nobody can change the record any more there is nothing to wait for.
-async fn record_changed(gateway: &mut watch::Receiver<Option<GatewayRecord>>) {
-    if gateway.changed().await.is_err() {
-        std::future::pending::<()>().await;
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/directory/src/follow/tests.rs
+++ b/crates/directory/src/follow/tests.rs
@@ -1,3 +1,4 @@
+use super::followed::{FOLLOWED, OPENING_PATIENCE, UNLED_PATIENCE};
 use super::*;
 
 fn address(last: u8) -> SocketAddr {
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -41,8 +41,8 @@
 pub use form::{FormConfig, form_or_join};
 pub use machine::{DocumentMachine, DocumentParser, ServiceNames};
 pub use message::{
-    DirectoryUpdate, DocumentPart, DocumentWant, GatewayRecord, SubscriberHello, SubscriberReport,
-    TargetRecord, TargetState,
+    DirectoryUpdate, DocumentPart, DocumentWant, GatewayRecord, OwnGateways, SubscriberHello,
+    SubscriberReport, TargetRecord, TargetState,
 };
 pub use node::{DirectoryCounts, DirectoryError, DirectoryNode, DirectoryTiming};
 pub use payload::{DocumentPayload, PayloadFault, PayloadKey};
--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -154,7 +154,7 @@
     /// The entry hosts that this control host hears itself, where they changed; for control hosts only. They travel in
     /// an [`UpdateTail`].
     #[serde(skip)]
-    pub own_gateways: Option<Vec<GatewayRecord>>,
+    pub own_gateways: Option<OwnGateways>,
     /// Whether this control host hears no leader: what it tells of configurations and orders may be old. It travels in
     /// an [`UpdateTail`].
     #[serde(skip)]
@@ -168,10 +168,19 @@
     versions: Vec<String>,
     rollouts: Option<RolloutBook>,
     counted: Vec<ReporterCounts>,
-    own_gateways: Option<Vec<GatewayRecord>>,
+    own_gateways: Option<OwnGateways>,
     unled: bool,
 }
 
+/// The entry hosts that one control host hears itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnGateways {
+    /// Those that it hears.
+    pub heard: Vec<GatewayRecord>,
+    /// Those that it lost without a word a while ago: they may be cut off from the control hosts only.
+    pub lost: Vec<GatewayRecord>,
+}
+
 /// What stands behind a report since the third form.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ReportTail {
--- a/crates/directory/src/message/tests.rs
+++ b/crates/directory/src/message/tests.rs
@@ -169,7 +169,10 @@
         reporter: "entry-0/7".to_owned(),
         counted: counted.clone(),
     }];
-    full.own_gateways = Some(vec![gateway()]);
+    full.own_gateways = Some(OwnGateways {
+        heard: vec![gateway()],
+        lost: vec![gateway()],
+    });
     full.unled = true;
     let tail = full.tail().unwrap();
     let told = postcard::to_stdvec(&(&full, &tail)).unwrap();
--- a/crates/directory/src/node/state.rs
+++ b/crates/directory/src/node/state.rs
@@ -10,7 +10,7 @@
 use linnet_wire::MessageForm;
 
 use super::suspects::LivingTargets;
-use crate::{DocumentWant, GatewayRecord, Registry};
+use crate::{DocumentWant, GatewayRecord, OwnGateways, Registry};
 
 /// What a subscriber told.
 #[derive(Debug, Clone)]
@@ -49,8 +49,7 @@
 
 /// The entry hosts that another control host hears.
 struct ToldGateways {
-    records: Vec<GatewayRecord>,
-    names: HashSet<String>,
+    told: OwnGateways,
     /// Until when they count although that control host was lost.
     lost: Option<Instant>,
 }
@@ -61,8 +60,8 @@
 /// come in a second.
 struct GatewayList {
     list: Arc<[GatewayRecord]>,
-    /// Those of them that this control host hears itself.
-    own: Arc<[GatewayRecord]>,
+    /// Those of them that this control host hears itself, or lost.
+    own: Arc<OwnGateways>,
     /// When the first host that was lost is not told any more.
     until: Instant,
 }
@@ -77,20 +76,20 @@
         if let Some(kept) = self.gateway_list.as_ref().filter(|kept| now < kept.until) {
             return kept.list.clone();
         }
-        let own = self.list_own(now);
+        let own = Arc::new(self.list_own(now));
         let list: Arc<[GatewayRecord]> = self.list_gateways(now, &own).into();
         let lost = self.lost_gateways.values().map(|(_, until)| *until);
         let told = self.told_gateways.values().filter_map(|told| told.lost);
         self.gateway_list = Some(GatewayList {
             list: list.clone(),
-            own: own.into_values().collect(),
+            own,
             until: lost.chain(told).min().unwrap_or(now + LOST_GATEWAY_TOLD),
         });
         list
     }
 
-    /// Returns the entry hosts that this control host hears itself, or heard until a moment ago, by name.
-    pub(crate) fn own_gateways(&mut self, now: Instant) -> Arc<[GatewayRecord]> {
+    /// Returns the entry hosts that this control host hears itself, and those that it lost a moment ago.
+    pub(crate) fn own_gateways(&mut self, now: Instant) -> Arc<OwnGateways> {
         if self
             .gateway_list
             .as_ref()
@@ -99,31 +98,31 @@
             self.gateways(now);
         }
         let kept = self.gateway_list.as_ref();
-        kept.map_or_else(|| Arc::from([]), |kept| kept.own.clone())
+        kept.map_or_else(Arc::default, |kept| kept.own.clone())
     }
 
-    /// Returns the entry hosts that this control host hears or lost a moment ago, by name.
-    fn list_own(&mut self, now: Instant) -> BTreeMap<String, GatewayRecord> {
+    fn list_own(&mut self, now: Instant) -> OwnGateways {
         let heard = self.subscribers.values();
-        let heard = heard.filter_map(|one| one.gateway.as_ref());
-        let named = |record: &GatewayRecord| (record.name.clone(), record.clone());
-        let mut own: BTreeMap<String, GatewayRecord> = heard.map(named).collect();
-        let told = &self.told_gateways;
-        let is_told = |name: &str| told.values().any(|one| one.names.contains(name));
+        let mut heard: Vec<GatewayRecord> = heard.filter_map(|one| one.gateway.clone()).collect();
+        heard.sort();
+        let names: HashSet<&str> = heard.iter().map(|one| one.name.as_str()).collect();
         self.lost_gateways
-            .retain(|name, (_, until)| *until > now && !own.contains_key(name) && !is_told(name));
-        own.extend(self.lost_gateways.values().map(|(record, _)| named(record)));
-        own
+            .retain(|name, (_, until)| *until > now && !names.contains(name.as_str()));
+        let lost = self
+            .lost_gateways
+            .values()
+            .map(|(record, _)| record.clone());
+        let lost = lost.collect();
+        OwnGateways { heard, lost }
     }
 
-    /// Takes the entry hosts that another control host hears.
-    pub(crate) fn take_gateways(&mut self, from: SocketAddr, records: Vec<GatewayRecord>) {
-        let names = records.iter().map(|one| one.name.clone()).collect();
-        let told = ToldGateways {
-            records,
-            names,
-            lost: None,
-        };
+    /// Takes the entry hosts that another control host hears. One of them that was lost here has gone there: how it
+    /// ends there is what counts.
+    pub(crate) fn take_gateways(&mut self, from: SocketAddr, told: OwnGateways) {
+        for record in &told.heard {
+            self.lost_gateways.remove(&record.name);
+        }
+        let told = ToldGateways { told, lost: None };
         self.told_gateways.insert(from, told);
         self.gateway_list = None;
     }
@@ -137,23 +136,24 @@
         self.gateway_list = None;
     }
 
-    fn list_gateways(
-        &mut self,
-        now: Instant,
-        own: &BTreeMap<String, GatewayRecord>,
-    ) -> Vec<GatewayRecord> {
+    /// Returns the entry hosts that any control host hears, or lost a moment ago, by name.
+    fn list_gateways(&mut self, now: Instant, own: &OwnGateways) -> Vec<GatewayRecord> {
         self.told_gateways
             .retain(|_, told| told.lost.is_none_or(|until| until > now));
-        let mut all = own.clone();
-        for record in self.told_gateways.values().flat_map(|told| &told.records) {
-            let known = all.entry(record.name.clone());
-            let known = known.or_insert_with(|| record.clone());
+        let told = self.told_gateways.values().map(|told| &told.told);
+        let all = std::iter::once(own).chain(told);
+        let mut by_name: BTreeMap<&str, &GatewayRecord> = BTreeMap::new();
+        for record in all.clone().flat_map(|one| &one.heard) {
+            let known = by_name.entry(&record.name).or_insert(record);
             // Whoever heard that it stops is right.
             if record.stopping {
-                *known = record.clone();
+                *known = record;
             }
         }
-        all.into_values().collect()
+        for record in all.flat_map(|one| &one.lost) {
+            by_name.entry(&record.name).or_insert(record);
+        }
+        by_name.into_values().cloned().collect()
     }
 
     /// Says whether a subscriber wants targets and entry hosts from here.
--- a/crates/directory/src/node/state/tests.rs
+++ b/crates/directory/src/node/state/tests.rs
@@ -90,49 +90,81 @@
     SocketAddr::from(([127, 0, 0, 2], 1_000 + number))
 }
 
+fn heard(numbers: &[u16]) -> OwnGateways {
+    OwnGateways {
+        heard: numbers.iter().map(|number| record(*number)).collect(),
+        lost: Vec::new(),
+    }
+}
+
 /// An entry host follows a few control hosts, so that none hears all of them.
 #[test]
 fn entry_hosts_that_other_control_hosts_hear_are_told_too() {
     let (mut state, now) = (state(2), Instant::now());
-    state.take_gateways(control(0), vec![record(1), record(5)]);
-    state.take_gateways(control(1), vec![record(5), record(8)]);
+    state.take_gateways(control(0), heard(&[1, 5]));
+    state.take_gateways(control(1), heard(&[5, 8]));
     assert_eq!(
         names(&state.gateways(now)),
         ["host-0", "host-1", "host-5", "host-8"]
     );
-    assert_eq!(names(&state.own_gateways(now)), ["host-0", "host-1"]);
-    state.take_gateways(control(1), vec![record(8)]);
-    state.take_gateways(control(0), vec![record(1)]);
+    assert_eq!(*state.own_gateways(now), heard(&[0, 1]));
+    state.take_gateways(control(1), heard(&[8]));
+    state.take_gateways(control(0), heard(&[1]));
     assert_eq!(names(&state.gateways(now)), ["host-0", "host-1", "host-8"]);
 }
 
 #[test]
 fn whoever_heard_that_an_entry_host_stops_is_right() {
     let (mut state, now) = (state(1), Instant::now());
-    let mut stopping = record(0);
-    stopping.stopping = true;
-    state.take_gateways(control(0), vec![stopping.clone()]);
-    assert_eq!(state.gateways(now).to_vec(), [stopping]);
+    let mut stopping = heard(&[0]);
+    stopping.heard[0].stopping = true;
+    state.take_gateways(control(0), stopping.clone());
+    assert_eq!(state.gateways(now).to_vec(), stopping.heard);
 }
 
 #[test]
 fn entry_hosts_of_a_lost_control_host_are_told_on_until_they_have_found_another() {
     let (mut state, now) = (state(1), Instant::now());
-    state.take_gateways(control(0), vec![record(5)]);
+    state.take_gateways(control(0), heard(&[5]));
     state.lose_control(control(0), now);
     assert_eq!(names(&state.gateways(now)), ["host-0", "host-5"]);
     let later = now + LOST_GATEWAY_TOLD;
     assert_eq!(names(&state.gateways(later)), ["host-0"]);
 }
 
+/// Two control hosts lose an entry host in turn, each while the other still tells that it hears it: neither may take
+/// the other's word for more than that.
+#[test]
+fn an_entry_host_that_all_control_hosts_lose_is_told_on_by_each() {
+    let (mut first, now) = (state(2), Instant::now());
+    let mut second = state(2);
+    let tell = |from: &mut NodeState, to: &mut NodeState, number| {
+        to.take_gateways(control(number), (*from.own_gateways(now)).clone());
+    };
+    tell(&mut first, &mut second, 0);
+    tell(&mut second, &mut first, 1);
+    first.lose_subscriber(1, now);
+    tell(&mut first, &mut second, 0);
+    second.lose_subscriber(1, now);
+    tell(&mut second, &mut first, 1);
+    tell(&mut first, &mut second, 0);
+    for state in [&mut first, &mut second] {
+        assert_eq!(names(&state.gateways(now)), ["host-0", "host-1"]);
+    }
+    // A third one, which never heard it, tells it too.
+    let mut third = state(1);
+    tell(&mut second, &mut third, 1);
+    assert_eq!(names(&third.gateways(now)), ["host-0", "host-1"]);
+}
+
 /// It has left this control host for another one, and ends there: nothing here brings it back.
 #[test]
 fn an_entry_host_that_went_to_another_control_host_is_not_told_as_lost_here() {
     let (mut state, now) = (state(2), Instant::now());
     state.lose_subscriber(1, now);
     assert_eq!(names(&state.gateways(now)), ["host-0", "host-1"]);
-    state.take_gateways(control(0), vec![record(1)]);
-    assert_eq!(names(&state.own_gateways(now)), ["host-0"]);
-    state.take_gateways(control(0), Vec::new());
+    state.take_gateways(control(0), heard(&[1]));
+    assert_eq!(*state.own_gateways(now), heard(&[0]));
+    state.take_gateways(control(0), heard(&[]));
     assert_eq!(names(&state.gateways(now)), ["host-0"]);
 }
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -11,11 +11,11 @@
 use crate::first_form::{FirstReport, FirstUpdate};
 use crate::gateway_push::{GatewayDue, GatewayPush};
 use crate::message::ReportTail;
-use crate::node::SubscriberState;
+use crate::node::{NodeState, SubscriberState};
 use crate::sending::DocumentSending;
 use crate::{
-    DirectoryNode, DirectoryUpdate, DocumentKey, EvacuationBook, Registry, SubscriberHello,
-    SubscriberReport,
+    DirectoryNode, DirectoryUpdate, DocumentKey, EvacuationBook, GatewayRecord, OwnGateways,
+    Registry, SubscriberHello, SubscriberReport,
 };
 
 /// Between two signs of life to a subscriber.
@@ -53,7 +53,9 @@
     number: u64,
     /// The number of the last change up to which it was told of targets that withdrew.
     withdrawn: u64,
-    gateways: GatewayPush,
+    gateways: GatewayPush<[GatewayRecord]>,
+    /// The same for another control host, which is told of those that this one hears itself.
+    own_gateways: GatewayPush<OwnGateways>,
     /// When the next list of entry hosts is due, where one is held back.
     next_list: Option<Duration>,
     controls: Vec<std::net::SocketAddr>,
@@ -198,6 +200,7 @@
         number: 0,
         withdrawn: 0,
         gateways: GatewayPush::default(),
+        own_gateways: GatewayPush::default(),
         next_list: None,
         controls: Vec::new(),
         heard: None,
@@ -316,16 +319,7 @@
     update.number = pushed.number;
     pushed.withdrawn = pushed.number;
     let is_all = pushed.number >= state.registry.number();
-    let gateways = match pushed.control {
-        true => state.own_gateways(now),
-        false => state.gateways(now),
-    };
-    match pushed.gateways.due(gateways, now) {
-        GatewayDue::Never => {}
-        GatewayDue::Now(list) if pushed.control => update.own_gateways = Some(list.to_vec()),
-        GatewayDue::Now(list) => update.gateways = Some(list.to_vec()),
-        GatewayDue::After(span) => pushed.next_list = Some(span),
-    }
+    add_gateways(&mut state, pushed, &mut update, now);
     update.lists_whole = is_all && pushed.next_list.is_none() && node.has_heard_all();
     if pushed.control {
         (update.counted, pushed.counted) = state.evidence.changed_after(pushed.counted);
@@ -334,6 +328,28 @@
     update
 }
 
+/// Tells an entry host of all entry hosts, and another control host of those that this one hears.
+fn add_gateways(
+    state: &mut NodeState,
+    pushed: &mut Pushed,
+    update: &mut DirectoryUpdate,
+    now: Instant,
+) {
+    if pushed.control {
+        match pushed.own_gateways.due(state.own_gateways(now), now) {
+            GatewayDue::Never => {}
+            GatewayDue::Now(list) => update.own_gateways = Some((*list).clone()),
+            GatewayDue::After(span) => pushed.next_list = Some(span),
+        }
+        return;
+    }
+    match pushed.gateways.due(state.gateways(now), now) {
+        GatewayDue::Never => {}
+        GatewayDue::Now(list) => update.gateways = Some(list.to_vec()),
+        GatewayDue::After(span) => pushed.next_list = Some(span),
+    }
+}
+
 /// Tells another control host of the heartbeats that came since it was told last, a few times a second: with each
 /// change, as before, the work for one heartbeat grew with the changes of the fleet.
 fn add_heard(registry: &Registry, pushed: &mut Pushed, update: &mut DirectoryUpdate, now: Instant) {
--- a/crates/directory/src/view.rs
+++ b/crates/directory/src/view.rs
@@ -76,7 +76,7 @@
         let source = self.sources.entry(from).or_default();
         if !source.connected {
             // A control host that comes back tells everything it knows anew.
-            self.all_changed |= !source.targets.is_empty();
+            self.told.extend(source.targets.drain().map(|(id, _)| id));
             *source = Source::default();
             source.connected = true;
         }
@@ -157,9 +157,9 @@
     fn forget_lost(&mut self) {
         let is_whole = |source: &Source| source.connected && source.whole;
         if self.sources.values().any(is_whole) {
-            let before = self.sources.len();
-            self.sources.retain(|_, source| source.connected);
-            self.all_changed |= self.sources.len() < before;
+            let lost = self.sources.extract_if(.., |_, source| !source.connected);
+            let forgotten = lost.flat_map(|(_, source)| source.targets.into_keys());
+            self.told.extend(forgotten);
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/target/book.rs
@@ -0,0 +1,374 @@
+//! The targets of all services, as this host knows them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use linnet_directory::TargetRecord;
+use linnet_routing::RoutingConfig;
+
+use super::{Chosen, EJECT_FAILURES, EJECT_FIRST, EJECT_PART, Target};
+use crate::cold::ColdRate;
+use crate::version_split::VersionSplit;
+
+/// The targets of every service. Ordered maps, so that runs with the same input choose alike.
+#[derive(Default)]
+pub(crate) struct TargetBook {
+    services: HashMap<String, BTreeMap<String, Target>>,
+    /// How many targets each service has in each hall.
+    hall_counts: HashMap<String, Vec<(String, u32)>>,
+    /// What cold targets of a service bear, where that is less than others do.
+    cold_rates: HashMap<String, ColdRate>,
+    /// The services of which a version is rolled out.
+    splits: HashMap<String, VersionSplit>,
+}
+
+fn count_halls(records: &[TargetRecord]) -> HashMap<String, Vec<(String, u32)>> {
+    let mut services: HashMap<&str, Vec<&str>> = HashMap::new();
+    for record in records {
+        services
+            .entry(&record.service)
+            .or_default()
+            .push(&record.hall);
+    }
+    let counted = services.into_iter();
+    let counted =
+        counted.map(|(service, halls)| (service.to_owned(), count_halls_of(halls.into_iter())));
+    counted.collect()
+}
+
+fn count_halls_of<'a>(targets: impl Iterator<Item = &'a str>) -> Vec<(String, u32)> {
+    let mut halls: Vec<(String, u32)> = Vec::new();
+    for hall in targets {
+        match halls.iter_mut().find(|(known, _)| known == hall) {
+            Some((_, count)) => *count += 1,
+            None => halls.push((hall.to_owned(), 1)),
+        }
+    }
+    halls
+}
+
+impl TargetBook {
+    /// Takes the list of targets that take work; what is not in it gets no more. Returns the identities of
+    /// those that have started anew.
+    pub(crate) fn replace(&mut self, records: &[TargetRecord], now: Instant) -> Vec<String> {
+        let mut anew = Vec::new();
+        let mut former = std::mem::take(&mut self.services);
+        for record in records {
+            let known = former
+                .get_mut(&record.service)
+                .and_then(|targets| targets.remove(&record.id));
+            let mut target = match known {
+                Some(known) if known.born == record.born => known,
+                // Another start under the same identity has nothing of the one before.
+                Some(_) => {
+                    anew.push(record.id.clone());
+                    Target::new(record)
+                }
+                None => Target::new(record),
+            };
+            target.take_record(record, now);
+            let service = self.services.entry(record.service.clone()).or_default();
+            service.insert(record.id.clone(), target);
+        }
+        self.hall_counts = count_halls(records);
+        anew
+    }
+
+    /// Takes targets that have come or changed, and those that get no more work; all others stay. Returns the
+    /// identities of those that have started anew.
+    pub(crate) fn update(
+        &mut self,
+        listed: &[TargetRecord],
+        unlisted: &[TargetRecord],
+        now: Instant,
+    ) -> Vec<String> {
+        for record in unlisted {
+            self.remove(&record.service, &record.id);
+        }
+        let mut anew = Vec::new();
+        for record in listed {
+            let targets = self.services.entry(record.service.clone()).or_default();
+            let target = targets
+                .entry(record.id.clone())
+                .or_insert_with(|| Target::new(record));
+            // Another start under the same identity has nothing of the one before.
+            if target.born != record.born {
+                anew.push(record.id.clone());
+                *target = Target::new(record);
+            }
+            target.take_record(record, now);
+        }
+        let changed = listed.iter().chain(unlisted);
+        let services: BTreeSet<&str> = changed.map(|one| one.service.as_str()).collect();
+        for service in services {
+            let halls = count_halls_of(self.of_service(service).map(|one| one.hall.as_str()));
+            self.hall_counts.insert(service.to_owned(), halls);
+        }
+        anew
+    }
+
+    /// Returns the service, hall and identity of each target.
+    pub(crate) fn all(&self) -> impl Iterator<Item = (&str, &str, &str)> {
+        let services = self.services.iter();
+        services.flat_map(|(service, targets)| {
+            let targets = targets.values();
+            targets.map(move |one| (service.as_str(), one.hall.as_str(), one.id.as_str()))
+        })
+    }
+
+    /// Takes the services of a configuration.
+    pub(crate) fn set_services(&mut self, config: &RoutingConfig) {
+        let rates = config.services.iter().filter_map(|service| {
+            let rate = ColdRate::new(service.cold_per_s)?;
+            Some((service.name.clone(), rate))
+        });
+        self.cold_rates = rates.collect();
+    }
+
+    /// Returns what a cold target of a service bears; nothing where that is as much as others do.
+    pub(crate) fn cold_rate(&self, service: &str) -> Option<ColdRate> {
+        self.cold_rates.get(service).copied()
+    }
+
+    /// Says whether a target is cold.
+    pub(crate) fn is_cold(&self, service: &str, id: &str, now: Instant) -> bool {
+        let targets = self.services.get(service);
+        let target = targets.and_then(|targets| targets.get(id));
+        target.is_some_and(|target| target.is_cold(now))
+    }
+
+    /// Returns the targets of a service that are cold and bear less than others then.
+    pub(crate) fn cold_targets(&self, service: &str, now: Instant) -> Vec<String> {
+        if self.cold_rate(service).is_none() {
+            return Vec::new();
+        }
+        let cold = self.of_service(service).filter(|one| one.is_cold(now));
+        cold.map(|target| target.id.clone()).collect()
+    }
+
+    /// Returns the identities of the targets of a service that are cold and get no request of this host
+    /// now, which is one of so many that do not know of each other.
+    pub(crate) fn closed_by_cold(
+        &mut self,
+        service: &str,
+        hosts: usize,
+        now: Instant,
+    ) -> Vec<String> {
+        let Some(rate) = self.cold_rate(service) else {
+            return Vec::new();
+        };
+        let targets = self.services.get_mut(service).into_iter();
+        let cold = targets
+            .flat_map(BTreeMap::values_mut)
+            .filter(|target| target.is_cold(now));
+        let closed = cold.filter_map(|target| {
+            let open = target.share.has_room(rate, hosts, fastrand::f64(), now);
+            (!open).then(|| target.id.clone())
+        });
+        closed.collect()
+    }
+
+    /// Counts a request that this host, one of so many, sends to a target that is cold.
+    pub(crate) fn note_cold_sending(
+        &mut self,
+        service: &str,
+        id: &str,
+        hosts: usize,
+        now: Instant,
+    ) {
+        let Some(rate) = self.cold_rate(service) else {
+            return;
+        };
+        if let Some(target) = self.find_mut(service, id).filter(|one| one.is_cold(now)) {
+            target.share.note(rate, hosts, now);
+        }
+    }
+
+    /// Returns how many targets of a service took work in each hall when the list came.
+    pub(crate) fn hall_counts(&self, service: &str) -> &[(String, u32)] {
+        self.hall_counts.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the targets of a service.
+    pub(crate) fn of_service(&self, service: &str) -> impl Iterator<Item = &Target> {
+        self.services
+            .get(service)
+            .into_iter()
+            .flat_map(BTreeMap::values)
+    }
+
+    /// Returns the identities of the targets of a service.
+    pub(crate) fn ids_of(&self, service: &str) -> impl Iterator<Item = &String> {
+        let targets = self.services.get(service);
+        targets.into_iter().flat_map(BTreeMap::keys)
+    }
+
+    /// Takes the services of which a version is rolled out.
+    pub(crate) fn set_splits(&mut self, splits: HashMap<String, VersionSplit>) {
+        self.splits = splits;
+    }
+
+    /// Returns the version of a target; nothing where it is not known.
+    pub(crate) fn version_of(&self, service: &str, id: &str) -> Option<&str> {
+        let target = self.services.get(service)?.get(id)?;
+        Some(&target.version)
+    }
+
+    /// Returns how many requests of this host are under way at targets of other versions than one.
+    pub(crate) fn open_beside(&self, service: &str, version: &str) -> u32 {
+        let others = self
+            .of_service(service)
+            .filter(|one| one.version != version);
+        others.map(|target| target.in_flight).sum()
+    }
+
+    /// Draws by which version a request of a service is to be served, where one is rolled out: returns the targets of
+    /// that side, or all where it has none.
+    fn drawn_side(&self, service: &str) -> Vec<&Target> {
+        let all = || self.of_service(service);
+        let Some(split) = self.splits.get(service) else {
+            return all().collect();
+        };
+        let side = split.draw();
+        let of_side: Vec<&Target> = all()
+            .filter(|one| split.side_of(&one.version) == side)
+            .collect();
+        match of_side.is_empty() {
+            true => all().collect(),
+            false => of_side,
+        }
+    }
+
+    /// Returns the identities of all targets, each with its service.
+    pub(crate) fn all_ids(&self) -> impl Iterator<Item = (&String, &String)> {
+        let services = self.services.iter();
+        services.flat_map(|(service, targets)| targets.keys().map(move |id| (service, id)))
+    }
+
+    /// Returns the targets of a service that are not passed over; where all are, those that can be reached, and
+    /// all of them where none can. While a version is rolled out these are of one side, drawn anew each time.
+    pub(crate) fn usable(&self, service: &str, now: Instant) -> Vec<&Target> {
+        let side = self.drawn_side(service);
+        let all = || side.iter().copied();
+        let willing: Vec<&Target> = all().filter(|one| !one.is_passed_over(now)).collect();
+        if !willing.is_empty() {
+            return willing;
+        }
+        let reached: Vec<&Target> = all().filter(|one| !one.is_ejected(now)).collect();
+        if !reached.is_empty() {
+            return reached;
+        }
+        all().collect()
+    }
+
+    /// Returns the hall of the target at an address, as `IP:PORT`.
+    pub(crate) fn hall_at(&self, service: &str, address: &str) -> Option<String> {
+        let address: SocketAddr = address.parse().ok()?;
+        let mut targets = self.of_service(service);
+        let target = targets.find(|target| target.address == address)?;
+        Some(target.hall.clone())
+    }
+
+    /// Finds a target that takes work.
+    pub(crate) fn find(&self, service: &str, id: &str) -> Option<Chosen> {
+        let target = self.services.get(service)?.get(id)?;
+        Some(Chosen::new(target))
+    }
+
+    /// Finds a target whose service is not known, and its service.
+    pub(crate) fn find_anywhere(&self, id: &str) -> Option<(&str, &Target)> {
+        let mut services = self.services.iter();
+        services.find_map(|(service, targets)| Some((service.as_str(), targets.get(id)?)))
+    }
+
+    /// Says whether a target takes work.
+    pub(crate) fn has(&self, service: &str, id: &str) -> bool {
+        let targets = self.services.get(service);
+        targets.is_some_and(|targets| targets.contains_key(id))
+    }
+
+    pub(crate) fn find_mut(&mut self, service: &str, id: &str) -> Option<&mut Target> {
+        self.services.get_mut(service)?.get_mut(id)
+    }
+
+    /// Takes a target out that proved to be another start than was meant.
+    pub(crate) fn remove(&mut self, service: &str, id: &str) {
+        if let Some(targets) = self.services.get_mut(service) {
+            targets.remove(id);
+        }
+    }
+
+    /// Learns from the time that a plain request took, whether it was answered or given up.
+    pub(crate) fn learn_time(
+        &mut self,
+        service: &str,
+        id: &str,
+        took: Duration,
+        objective: Duration,
+        now: Instant,
+    ) {
+        if let Some(target) = self.find_mut(service, id) {
+            target.slowness.learn(took, objective, now);
+        }
+    }
+
+    /// Notes a usable answer.
+    pub(crate) fn note_success(&mut self, service: &str, id: &str) {
+        if let Some(target) = self.find_mut(service, id) {
+            target.failures = 0;
+            target.ejections = 0;
+            target.refusals = 0;
+        }
+    }
+
+    /// Notes that a target turned a request away. Any of its answers but that ends the row.
+    pub(crate) fn note_refused(&mut self, service: &str, id: &str, now: Instant) {
+        if let Some(target) = self.find_mut(service, id) {
+            target.note_refused(now);
+        }
+    }
+
+    /// Notes that a target could not be reached. That is no matter of chance, so it is left alone at
+    /// once, and as many others as cannot be reached either.
+    pub(crate) fn note_unreachable(&mut self, service: &str, id: &str, now: Instant) {
+        if let Some(target) = self.find_mut(service, id) {
+            target.eject(now);
+        }
+    }
+
+    /// Takes the word of another host that it could not reach a target. The target is passed over for a
+    /// short while, in which this host does not find that out for itself.
+    pub(crate) fn take_unreachable(&mut self, service: &str, id: &str, now: Instant) {
+        if let Some(target) = self.find_mut(service, id)
+            && !target.is_ejected(now)
+        {
+            target.ejected_until = Some(now + EJECT_FIRST);
+        }
+    }
+
+    /// Returns the targets of a service that are passed over now.
+    pub(crate) fn passed_over(&self, service: &str, now: Instant) -> impl Iterator<Item = &Target> {
+        let targets = self.of_service(service);
+        targets.filter(move |target| target.is_passed_over(now))
+    }
+
+    /// Notes a failure; says whether the target is left alone from now on.
+    pub(crate) fn note_failure(&mut self, service: &str, id: &str, now: Instant) -> bool {
+        let all = self.of_service(service).count();
+        let ejected = self
+            .of_service(service)
+            .filter(|one| one.is_ejected(now))
+            .count();
+        let may_eject = ((ejected + 1) as f64) <= all as f64 * EJECT_PART;
+        let Some(target) = self.find_mut(service, id) else {
+            return false;
+        };
+        target.failures += 1;
+        if target.failures < EJECT_FAILURES || !may_eject {
+            return false;
+        }
+        target.eject(now);
+        true
+    }
+}
