linnetctl: one call orders a host to do something, in place of three copies; a comment without history

Held requests and roll-outs each asked a host, compared the status with 200 and made the refusal; OpsClient::order does it. No message and no exit status changes.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -88,6 +88,26 @@
         }
     }
 
+    /// Has a host do something that has no answer but that it is done.
+    ///
+    /// # Errors
+    ///
+    /// [`CtlStep::Apply`] with what the host says, where it does not do it.
+    pub(crate) async fn order(
+        &self,
+        host: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(), CtlError> {
+        let answer = self.ask(host, method, path, body).await?;
+        if answer.status != 200 {
+            let peer = host.to_string();
+            return Err(CtlError::refused(CtlStep::Apply, peer, error_text(&answer)));
+        }
+        Ok(())
+    }
+
     /// Reads a JSON page of one host.
     pub(crate) async fn get<T: DeserializeOwned>(
         &self,
--- a/crates/ctl/src/held.rs
+++ b/crates/ctl/src/held.rs
@@ -6,7 +6,7 @@
 use ntex::http::Method;
 use ntex::util::Bytes;
 
-use crate::client::{OpsClient, error_text};
+use crate::client::OpsClient;
 use crate::settings::HeldCommand;
 use crate::{CtlError, CtlStep};
 
@@ -46,13 +46,9 @@
 
 async fn release_held(client: &OpsClient, host: SocketAddr, key: &str) -> Result<(), CtlError> {
     let path = format!("{HELD_PATH}/{key}");
-    let answer = client
-        .ask(host, Method::DELETE, &path, Bytes::new())
+    client
+        .order(host, Method::DELETE, &path, Bytes::new())
         .await?;
-    if answer.status != 200 {
-        let peer = host.to_string();
-        return Err(CtlError::refused(CtlStep::Apply, peer, error_text(&answer)));
-    }
     println!("released; every host lets it run again");
     Ok(())
 }
--- a/crates/ctl/src/rollout.rs
+++ b/crates/ctl/src/rollout.rs
@@ -6,7 +6,7 @@
 use ntex::http::Method;
 use ntex::util::Bytes;
 
-use crate::client::{OpsClient, error_text};
+use crate::client::OpsClient;
 use crate::settings::RolloutVerb;
 use crate::{CtlError, CtlStep};
 
@@ -50,13 +50,10 @@
     };
     let peer = host.to_string();
     let body = serde_json::to_vec(&order)
-        .map_err(|error| CtlError::refused(CtlStep::Apply, peer.clone(), error.to_string()))?;
-    let answer = client
-        .ask(host, Method::POST, ROLLOUTS_PATH, Bytes::from(body))
+        .map_err(|error| CtlError::refused(CtlStep::Apply, peer, error.to_string()))?;
+    client
+        .order(host, Method::POST, ROLLOUTS_PATH, Bytes::from(body))
         .await?;
-    if answer.status != 200 {
-        return Err(CtlError::refused(CtlStep::Apply, peer, error_text(&answer)));
-    }
     println!("under way; `linnetctl rollout status` shows how it goes");
     Ok(())
 }
@@ -88,13 +85,9 @@
 
 async fn abort(client: &OpsClient, host: SocketAddr, service: &str) -> Result<(), CtlError> {
     let path = format!("{ROLLOUTS_PATH}/{service}");
-    let answer = client
-        .ask(host, Method::DELETE, &path, Bytes::new())
+    client
+        .order(host, Method::DELETE, &path, Bytes::new())
         .await?;
-    if answer.status != 200 {
-        let peer = host.to_string();
-        return Err(CtlError::refused(CtlStep::Apply, peer, error_text(&answer)));
-    }
     println!("ended; no request goes to the version any more");
     Ok(())
 }
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -350,8 +350,8 @@
     }
 }
 
-/// Tells another control host of the heartbeats that came since it was told last, a few times a second: with each
-/// change, as before, the work for one heartbeat grew with the changes of the fleet.
+/// Tells another control host of the heartbeats that came since it was told last, a few times a second: told
+/// with each change of a target, the work for one heartbeat would grow with the changes of the fleet.
 fn add_heard(registry: &Registry, pushed: &mut Pushed, update: &mut DirectoryUpdate, now: Instant) {
     let since = pushed.heard;
     if since.is_some_and(|since| now.saturating_duration_since(since) < UPDATE_PERIOD) {
