A host's log and metrics tell the rate that a target names

No line of any host told that an answer carried one, so that a limit nobody reads and a limit that each host keeps for itself looked alike.

Now the head of each answer is read for it in one typed reader, with what else targets say of themselves: events 509 and 510 when a limit begins, changes or ends, and what the host sent meanwhile; metrics for targets that name one, sendings to them, and values that cannot be read. Nothing acts on it yet. Which of several words of a target holds is decided by when their requests were sent, in crates/rate, since answers cross.

Bad values (empty, negative, no decimal number) are typed, logged and counted, and change nothing; the lowest of several counts; a head that names another request, and another start's 421, say nothing.

--- a/crates/clock/src/boot_instant.rs
+++ b/crates/clock/src/boot_instant.rs
@@ -26,6 +26,11 @@
     pub fn elapsed(self) -> Duration {
         Self::now() - self
     }
+
+    /// Returns the moment a span before this one.
+    pub fn before(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(span))
+    }
 }
 
 impl Add<Duration> for BootInstant {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,7 +17,7 @@
 use crate::ask::Ask;
 use crate::events::EventSplitter;
 use crate::graph::RequestResults;
-use crate::notice::{TargetNotice, read_notice};
+use crate::notice::read_notice;
 use crate::send_gate::SendKind;
 use crate::stage_client::Placement;
 use crate::target::Chosen;
@@ -208,6 +208,7 @@
     };
     let mut in_flight = InFlight::new(gateway, attempt.service, &chosen.id, ask);
     let sent = Instant::now();
+    let asked = BootInstant::now();
     let gate = gateway.notices.gate(&chosen.id, SendKind::Work);
     let (answer, lease) = match gateway.pool.send(chosen.address, request, gate).await {
         Ok(answered) => answered,
@@ -232,8 +233,8 @@
     };
     let (head, body) = answer.into_parts();
     let notice = read_notice(&gateway.config.dialect, &head, Some(&ask.id));
-    gateway.notices.note(&chosen.id, notice, BootInstant::now());
-    if notice != TargetNotice::default() {
+    gateway.notices.note(&chosen.id, notice, asked);
+    if notice.closes() {
         hint_placer(gateway, &attempt);
     }
     if let Some(refused) = read_refusal(gateway, &attempt, &head) {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -22,6 +22,8 @@
     pub not_run: HeaderName,
     /// Set, to anything but 0, by a target that leaves.
     pub leaving: HeaderName,
+    /// Requests a second that a target takes from all hosts together, for as long as it names them.
+    pub rate: HeaderName,
     /// Load that a target reports with its answers.
     pub load: HeaderName,
     /// Rank of a request at an engine.
--- a/crates/gateway/src/gateway/target_notes.rs
+++ b/crates/gateway/src/gateway/target_notes.rs
@@ -22,6 +22,11 @@
         metrics.targets_backed_off.set(counts.backed_off as i64);
         metrics.targets_leaving.set(counts.leaving as i64);
         metrics.sendings_withheld.set(counts.withheld as i64);
+        let rates = self.notices.rates.counts();
+        metrics.rates_named.set(rates.named as i64);
+        metrics.rated_sent.set(rates.used.sent as i64);
+        metrics.rated_withheld.set(rates.used.withheld as i64);
+        metrics.rates_unreadable.set(rates.unreadable as i64);
     }
 
     /// Notes that a target could not be reached.
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -24,6 +24,7 @@
             expect_target: header("x-target"),
             not_run: header("x-not-run"),
             leaving: header("x-leaving"),
+            rate: header("x-rate"),
             load: header("x-load"),
             priority: header("x-priority"),
             prompt_parts: header("x-parts"),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod piece;
 mod piece_message;
 mod pool_key;
+mod rate_watch;
 mod relay;
 mod rendezvous;
 mod rollouts;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,10 @@
     pub(crate) targets_backed_off: Gauge,
     pub(crate) targets_leaving: Gauge,
     pub(crate) sendings_withheld: Gauge,
+    pub(crate) rates_named: Gauge,
+    pub(crate) rated_sent: Gauge,
+    pub(crate) rated_withheld: Gauge,
+    pub(crate) rates_unreadable: Gauge,
     pub(crate) requests_suspected: Gauge,
     pub(crate) requests_held: Gauge,
 }
@@ -67,6 +71,10 @@
             targets_backed_off: Gauge::default(),
             targets_leaving: Gauge::default(),
             sendings_withheld: Gauge::default(),
+            rates_named: Gauge::default(),
+            rated_sent: Gauge::default(),
+            rated_withheld: Gauge::default(),
+            rates_unreadable: Gauge::default(),
             requests_suspected: Gauge::default(),
             requests_held: Gauge::default(),
         };
@@ -90,6 +98,26 @@
             "Sendings since the start that were held back since their target wants none",
             metrics.sendings_withheld.clone(),
         );
+        registry.register(
+            "rates_named",
+            "Targets that name the requests a second that they take from all hosts",
+            metrics.rates_named.clone(),
+        );
+        registry.register(
+            "rated_sent",
+            "Requests since the start that this host sent to such targets",
+            metrics.rated_sent.clone(),
+        );
+        registry.register(
+            "rated_withheld",
+            "Sendings since the start to such targets that were held back",
+            metrics.rated_withheld.clone(),
+        );
+        registry.register(
+            "rates_unreadable",
+            "Rates in answers since the start that could not be read",
+            metrics.rates_unreadable.clone(),
+        );
         registry.register(
             "requests_suspected",
             "Requests against which the end of a target stands",
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -1,11 +1,12 @@
-//! What a target says of itself in the head of an answer: that it wants no requests for a while, or that
-//! it leaves.
+//! What a target says of itself in the head of an answer: that it wants no requests for a while, that it takes
+//! so many a second, or that it leaves.
 
 use std::time::{Duration, SystemTime};
 
 use derive_more::{Display, Error};
 use http::response::Parts;
-use http::{HeaderMap, HeaderValue, header};
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+use linnet_rate::{NamedRate, read_rate};
 
 use crate::Dialect;
 
@@ -20,6 +21,29 @@
     pub(crate) back_off: Option<Duration>,
     /// Whether it leaves, and so takes no new work.
     pub(crate) leaving: bool,
+    /// What it says of the rate at which it takes requests.
+    pub(crate) rate: RateNotice,
+}
+
+/// What the head of an answer says of the rate at which its target takes requests from all hosts together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum RateNotice {
+    /// Nothing: the head is not this target's word.
+    #[default]
+    Unsaid,
+    /// It takes any rate.
+    Any,
+    /// It takes this one.
+    Named(NamedRate),
+    /// It names one that cannot be read, which changes nothing.
+    Unreadable,
+}
+
+impl TargetNotice {
+    /// Says whether the target asks for something that keeps work from it.
+    pub(crate) fn closes(&self) -> bool {
+        self.back_off.is_some() || self.leaving
+    }
 }
 
 /// Why a time to come back cannot be read.
@@ -54,7 +78,27 @@
             .then(|| longest_back_off(&head.headers))
             .flatten(),
         leaving: leaving.is_some_and(|value| value != "0"),
+        rate: lowest_rate(&head.headers, &dialect.headers.rate),
+    }
+}
+
+/// Returns the lowest rate that the head of an answer names.
+fn lowest_rate(headers: &HeaderMap, name: &HeaderName) -> RateNotice {
+    if !headers.contains_key(name) {
+        return RateNotice::Any;
     }
+    let named = headers.get_all(name).iter();
+    let rates = named.filter_map(
+        |value| match read_rate(value.to_str().unwrap_or_default()) {
+            Ok(rate) => Some(rate),
+            Err(fault) => {
+                log::warn!("a target's {name} is ignored: {fault}: {value:?}");
+                None
+            }
+        },
+    );
+    let lowest = rates.min();
+    lowest.map_or(RateNotice::Unreadable, RateNotice::Named)
 }
 
 /// Returns the longest time that the head of an answer names; nothing where it names none.
--- a/crates/gateway/src/notice_book.rs
+++ b/crates/gateway/src/notice_book.rs
@@ -15,6 +15,7 @@
 use linnet_telemetry::{EventCode, EventRecorder, NoticeLine};
 
 use crate::notice::TargetNotice;
+use crate::rate_watch::RateWatch;
 use crate::send_gate::{SendGate, SendKind};
 use crate::target::TargetBook;
 use crate::target_ask::{BackOff, TargetAsk, TargetStanding};
@@ -34,6 +35,8 @@
     /// The targets that take work; births and services of the few that ask for something are looked up there.
     targets: Rc<RefCell<TargetBook>>,
     withheld: Cell<u64>,
+    /// The rates that they named.
+    pub(crate) rates: RateWatch,
     recorder: Arc<EventRecorder>,
 }
 
@@ -41,6 +44,7 @@
     pub(crate) fn new(recorder: Arc<EventRecorder>, targets: Rc<RefCell<TargetBook>>) -> Self {
         Self {
             asks: RefCell::default(),
+            rates: RateWatch::new(recorder.clone(), targets.clone()),
             targets,
             withheld: Cell::new(0),
             recorder,
@@ -49,6 +53,7 @@
 
     /// Looks at a new list of targets that take work. What a former start of one has asked holds no more.
     pub(crate) fn take_list(&self, now: BootInstant) {
+        self.rates.take_list();
         let targets = self.targets.borrow();
         let mut asks = self.asks.borrow_mut();
         asks.retain(|id, ask| {
@@ -60,10 +65,16 @@
         });
     }
 
-    /// Takes the head of an answer of a target, and what it said of it.
-    pub(crate) fn note(&self, target: &str, notice: TargetNotice, now: BootInstant) {
+    /// Takes what the head of an answer says of its target; the request was sent at `asked`.
+    pub(crate) fn note(&self, target: &str, notice: TargetNotice, asked: BootInstant) {
+        let now = BootInstant::now();
+        self.rates.note(target, notice.rate, asked, now);
+        self.note_ask(target, notice, now);
+    }
+
+    fn note_ask(&self, target: &str, notice: TargetNotice, now: BootInstant) {
         let mut asks = self.asks.borrow_mut();
-        if notice == TargetNotice::default() {
+        if !notice.closes() {
             if let Some(ask) = asks.get_mut(target) {
                 self.note_plain_answer(target, ask, now);
             }
@@ -156,6 +167,7 @@
 
     /// Counts a sending that was held back.
     pub(crate) fn count_withheld(&self, target: &str) {
+        self.rates.count_withheld(target);
         self.withheld.set(self.withheld.get() + 1);
         let mut asks = self.asks.borrow_mut();
         let ask = asks.get_mut(target);
@@ -184,6 +196,7 @@
 
     /// Forgets what is over.
     pub(crate) fn expire(&self, now: BootInstant) {
+        self.rates.expire(now);
         let targets = self.targets.borrow();
         let mut asks = self.asks.borrow_mut();
         asks.retain(|id, ask| {
--- /dev/null
+++ b/crates/gateway/src/rate_watch.rs
@@ -0,0 +1,193 @@
+//! The rates at which targets take requests from all hosts together, as far as this host knows them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use linnet_clock::BootInstant;
+use linnet_rate::{NamedRate, RateBook, RateChange, RateWord};
+use linnet_telemetry::{EventCode, EventRecorder};
+
+use crate::notice::RateNotice;
+use crate::target::TargetBook;
+
+/// What this host did at a target since it knows its rate.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct RateUse {
+    /// Requests that it sent.
+    pub(crate) sent: u64,
+    /// Sendings that it held back.
+    pub(crate) withheld: u64,
+}
+
+/// How many targets name a rate, and what this host did at them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct RateCounts {
+    pub(crate) named: usize,
+    /// Since the start, also at targets that name none any more.
+    pub(crate) used: RateUse,
+    /// Rates since the start that could not be read.
+    pub(crate) unreadable: u64,
+}
+
+/// The rates that targets named.
+pub(crate) struct RateWatch {
+    book: RefCell<RateBook>,
+    uses: RefCell<HashMap<String, RateUse>>,
+    total: Cell<RateUse>,
+    unreadable: Cell<u64>,
+    targets: Rc<RefCell<TargetBook>>,
+    recorder: Arc<EventRecorder>,
+}
+
+impl RateWatch {
+    pub(crate) fn new(recorder: Arc<EventRecorder>, targets: Rc<RefCell<TargetBook>>) -> Self {
+        Self {
+            book: RefCell::default(),
+            uses: RefCell::default(),
+            total: Cell::default(),
+            unreadable: Cell::default(),
+            targets,
+            recorder,
+        }
+    }
+
+    /// Takes what the answer to a request that was sent at `asked` says.
+    pub(crate) fn note(
+        &self,
+        target: &str,
+        notice: RateNotice,
+        asked: BootInstant,
+        now: BootInstant,
+    ) {
+        let rate = match notice {
+            RateNotice::Unsaid => return,
+            RateNotice::Unreadable => {
+                self.unreadable.set(self.unreadable.get() + 1);
+                return;
+            }
+            RateNotice::Any if self.book.borrow().is_empty() => return,
+            RateNotice::Any => None,
+            RateNotice::Named(rate) => Some(rate),
+        };
+        let word = RateWord {
+            target: target.to_owned(),
+            rate,
+            asked_ms: (now - asked).as_millis() as u64,
+            heard_ms: 0,
+        };
+        let change = self.book.borrow_mut().take_heard(&word, now);
+        self.record(target, change, "answered");
+    }
+
+    fn record(&self, target: &str, change: RateChange, cause: &str) {
+        let shown = |rate: Option<NamedRate>| rate.map_or("any".to_owned(), |one| one.to_string());
+        let (code, rate, former) = match change {
+            RateChange::Nothing => return,
+            RateChange::Named { former, rate } => (EventCode::RateNamed, Some(rate), former),
+            RateChange::Ended { former } => (EventCode::RateEnded, None, Some(former)),
+        };
+        let used = match rate {
+            Some(_) => self.uses.borrow().get(target).copied(),
+            None => self.uses.borrow_mut().remove(target),
+        };
+        let used = used.unwrap_or_default();
+        let detail = format!(
+            "service={} per_s={} former={} sent={} withheld={} cause={cause}",
+            self.service_of(target),
+            shown(rate),
+            shown(former),
+            used.sent,
+            used.withheld,
+        );
+        self.recorder.record(code, target, detail);
+    }
+
+    fn service_of(&self, target: &str) -> String {
+        let targets = self.targets.borrow();
+        let found = targets.find_anywhere(target);
+        found.map_or("", |(service, _)| service).to_owned()
+    }
+
+    /// Returns the rate that a target named; nothing where it takes any.
+    pub(crate) fn rate(&self, target: &str) -> Option<NamedRate> {
+        self.book.borrow().rate(target)
+    }
+
+    /// Counts a request that is sent.
+    pub(crate) fn count_sent(&self, target: &str) {
+        self.count(target, |used| used.sent += 1);
+    }
+
+    /// Counts a sending that was held back.
+    pub(crate) fn count_withheld(&self, target: &str) {
+        self.count(target, |used| used.withheld += 1);
+    }
+
+    fn count(&self, target: &str, add: impl Fn(&mut RateUse)) {
+        if self.rate(target).is_none() {
+            return;
+        }
+        let mut total = self.total.get();
+        add(&mut total);
+        self.total.set(total);
+        add(self.uses.borrow_mut().entry(target.to_owned()).or_default());
+    }
+
+    /// Looks at a new list of targets that take work: a start that followed owes nothing.
+    pub(crate) fn take_list(&self) {
+        let book = self.book.borrow();
+        if book.is_empty() {
+            return;
+        }
+        let targets = self.targets.borrow();
+        let now = (BootInstant::now(), crate::target_ask::unix_ms());
+        let is_former = |target: &&str| {
+            let born = targets.find_anywhere(target).map_or(0, |(_, one)| one.born);
+            let heard = book.heard(target).unwrap_or_default();
+            let heard_at = now.1.saturating_sub((now.0 - heard).as_millis() as u64);
+            born > heard_at
+        };
+        let named = book.named().map(|(target, _)| target);
+        let former: Vec<String> = named.filter(is_former).map(str::to_owned).collect();
+        drop((book, targets));
+        for target in former {
+            self.end(&target, "another start");
+        }
+    }
+
+    fn end(&self, target: &str, cause: &str) {
+        let former = self.rate(target);
+        self.book.borrow_mut().forget(target);
+        if let Some(former) = former {
+            self.record(target, RateChange::Ended { former }, cause);
+        }
+    }
+
+    /// Forgets what is old.
+    pub(crate) fn expire(&self, now: BootInstant) {
+        let ended = self.book.borrow_mut().expire(now);
+        for (target, former) in ended {
+            self.record(&target, RateChange::Ended { former }, "not heard for long");
+        }
+    }
+
+    /// Returns the rates that hold, with what this host did at their targets.
+    pub(crate) fn uses(&self) -> Vec<(String, NamedRate, RateUse)> {
+        let (book, uses) = (self.book.borrow(), self.uses.borrow());
+        let named = book.named();
+        let used = |target: &str| uses.get(target).copied().unwrap_or_default();
+        let all = named.map(|(target, rate)| (target.to_owned(), rate, used(target)));
+        all.collect()
+    }
+
+    /// Returns how many targets name a rate, and what this host did at them.
+    pub(crate) fn counts(&self) -> RateCounts {
+        RateCounts {
+            named: self.book.borrow().named().count(),
+            used: self.total.get(),
+            unreadable: self.unreadable.get(),
+        }
+    }
+}
--- a/crates/gateway/src/send_gate.rs
+++ b/crates/gateway/src/send_gate.rs
@@ -44,6 +44,7 @@
         };
         if open {
             self.tries |= self.book.begin_trial(self.target, now);
+            self.book.rates.count_sent(self.target);
         } else {
             self.book.count_withheld(self.target);
         }
--- a/crates/gateway/src/stage_call.rs
+++ b/crates/gateway/src/stage_call.rs
@@ -220,10 +220,11 @@
         request: Request<Full<Bytes>>,
         kind: SendKind,
     ) -> Result<(Parts, Bytes), SendError> {
+        let asked = BootInstant::now();
         let gate = self.notices.gate(target, kind);
         let (head, body) = self.upstream.exchange(address, request, gate).await?;
         let notice = read_notice(&self.dialect, &head, None);
-        self.notices.note(target, notice, BootInstant::now());
+        self.notices.note(target, notice, asked);
         Ok((head, body))
     }
 }
--- /dev/null
+++ b/crates/rate/src/book/tests.rs
@@ -0,0 +1,118 @@
+use super::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn rate(per_second: f64) -> Option<NamedRate> {
+    Some(NamedRate::new(per_second))
+}
+
+fn word(rate: Option<NamedRate>, asked_ms: u64, heard_ms: u64) -> RateWord {
+    RateWord {
+        target: "t-0".to_owned(),
+        rate,
+        asked_ms,
+        heard_ms,
+    }
+}
+
+#[test]
+fn the_word_that_was_said_last_holds_whatever_order_they_come_in() {
+    let now = BootInstant::now();
+    let words = [
+        word(rate(1.0), 9_000, 8_900),
+        word(rate(4.0), 5_000, 4_900),
+        word(None, 3_000, 2_900),
+        word(rate(2.0), 1_000, 900),
+    ];
+    let mut book = RateBook::new();
+    let mut other = RateBook::new();
+    for one in &words {
+        book.take_heard(one, now);
+    }
+    for one in words.iter().rev() {
+        other.take_heard(one, now);
+    }
+    assert_eq!(book.rate("t-0"), rate(2.0));
+    assert_eq!(other.rate("t-0"), rate(2.0));
+}
+
+#[test]
+fn of_answers_that_crossed_the_lower_rate_holds() {
+    let now = BootInstant::now();
+    let mut book = RateBook::new();
+    book.take_heard(&word(rate(4.0), 500, 100), now);
+    book.take_heard(&word(rate(1.0), 600, 90), now);
+    book.take_heard(&word(rate(8.0), 700, 80), now);
+    book.take_heard(&word(None, 700, 0), now);
+    assert_eq!(book.rate("t-0"), rate(1.0));
+    book.take_heard(&word(None, 50, 0), now);
+    assert_eq!(book.rate("t-0"), None);
+}
+
+#[test]
+fn an_end_that_is_older_than_the_rate_is_contradicted() {
+    let now = BootInstant::now();
+    let mut book = RateBook::new();
+    book.take_heard(&word(rate(1.0), 100, 50), now);
+    let told = book.number();
+    book.take_told(&word(None, 3_000, 2_000), now);
+    assert_eq!(book.rate("t-0"), rate(1.0));
+    let again = book.changed_after(told, 10, now).words;
+    assert_eq!(again, [word(rate(1.0), 100, 50)]);
+}
+
+#[test]
+fn what_was_told_is_not_told_back() {
+    let now = BootInstant::now();
+    let mut book = RateBook::new();
+    book.take_told(&word(rate(1.0), 100, 50), now);
+    assert_eq!(book.rate("t-0"), rate(1.0));
+    assert!(book.changed_after(0, 10, now).words.is_empty());
+}
+
+#[test]
+fn a_rate_that_goes_on_to_be_named_is_told_now_and_then_and_holds() {
+    let begin = BootInstant::now();
+    let mut book = RateBook::new();
+    let mut told = 0;
+    for second in 0..1_000 {
+        let now = begin + SECOND * second;
+        let number = book.number();
+        book.take_heard(&word(rate(1.0), 10, 0), now);
+        told += book.number() - number;
+        assert!(book.expire(now).is_empty());
+    }
+    assert!((5..20).contains(&told), "{told}");
+}
+
+#[test]
+fn a_rate_of_which_nothing_is_heard_ends_after_a_while() {
+    let now = BootInstant::now();
+    let mut book = RateBook::new();
+    book.take_heard(&word(rate(1.0), 10, 0), now);
+    assert!(book.expire(now + NAMED_KEPT / 2).is_empty());
+    let ended = book.expire(now + NAMED_KEPT);
+    assert_eq!(ended, [("t-0".to_owned(), NamedRate::new(1.0))]);
+    assert!(book.is_empty());
+}
+
+#[test]
+fn changes_are_told_in_parts() {
+    let now = BootInstant::now();
+    let mut book = RateBook::new();
+    for number in 0..10 {
+        let mut one = word(rate(1.0), 10, 0);
+        one.target = format!("t-{number}");
+        book.take_heard(&one, now);
+    }
+    let (mut number, mut words) = (0, Vec::new());
+    loop {
+        let part = book.changed_after(number, 4, now);
+        number = part.number;
+        if part.words.is_empty() {
+            break;
+        }
+        words.extend(part.words);
+    }
+    assert_eq!((words.len(), number), (10, 10));
+}
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -102,6 +102,8 @@
     TargetEnded = 506, Warn, "A target ended while requests of this host ran there.";
     TargetBackedOff = 507, Warn, "A target turned a request of this host away and wants no other for a while.";
     TargetReopened = 508, Info, "A target that wanted no requests for a while gets some again.";
+    RateNamed = 509, Warn, "A target names the requests a second that it takes from all hosts, or another number than before.";
+    RateEnded = 510, Info, "A target that named the requests a second that it takes does not any more.";
     RoutingAccepted = 601, Info, "A routing configuration was committed, or a newer one was held already.";
     RoutingRefused = 602, Warn, "A routing configuration was refused or could not be committed in time.";
     RoutingInForce = 603, Info, "A process put a routing configuration in force.";
