--- a/crates/ctl/src/notices.rs
+++ b/crates/ctl/src/notices.rs
@@ -32,12 +32,18 @@
 
 fn print_line(host: SocketAddr, line: &NoticeLine) {
     let standing = match line.standing {
+        NoticeStanding::Reopening if line.per_second.is_some() => "limited",
         NoticeStanding::Reopening => "reopening",
         NoticeStanding::BackedOff => "backed_off",
         NoticeStanding::Leaving => "leaving",
     };
     println!(
-        "entry={host} target={} service={} standing={standing} left_ms={} withheld={}",
-        line.target, line.service, line.left_ms, line.withheld
+        "entry={host} target={} service={} standing={standing} left_ms={} withheld={} per_s={} sent={}",
+        line.target,
+        line.service,
+        line.left_ms,
+        line.withheld,
+        line.per_second.as_deref().unwrap_or("any"),
+        line.sent
     );
 }
--- a/crates/gateway/src/notice_book.rs
+++ b/crates/gateway/src/notice_book.rs
@@ -213,6 +213,7 @@
         let asks = self.asks.borrow();
         let lines = asks.iter().map(|(id, ask)| ask.line(id, now));
         let mut lines: Vec<NoticeLine> = lines.collect();
+        self.rates.add_lines(&mut lines);
         lines.sort_by(|a, b| (&a.service, &a.target).cmp(&(&b.service, &b.target)));
         lines
     }
--- a/crates/gateway/src/rate_watch.rs
+++ b/crates/gateway/src/rate_watch.rs
@@ -7,7 +7,7 @@
 
 use linnet_clock::BootInstant;
 use linnet_rate::{NamedRate, RateBook, RateChange, RateWord};
-use linnet_telemetry::{EventCode, EventRecorder};
+use linnet_telemetry::{EventCode, EventRecorder, NoticeLine, NoticeStanding};
 
 use crate::notice::RateNotice;
 use crate::target::TargetBook;
@@ -173,13 +173,32 @@
         }
     }
 
-    /// Returns the rates that hold, with what this host did at their targets.
-    pub(crate) fn uses(&self) -> Vec<(String, NamedRate, RateUse)> {
-        let (book, uses) = (self.book.borrow(), self.uses.borrow());
-        let named = book.named();
-        let used = |target: &str| uses.get(target).copied().unwrap_or_default();
-        let all = named.map(|(target, rate)| (target.to_owned(), rate, used(target)));
-        all.collect()
+    /// Adds what operators are told of the rates to the lines of what else targets asked.
+    pub(crate) fn add_lines(&self, lines: &mut Vec<NoticeLine>) {
+        for (target, rate) in self.book.borrow().named() {
+            let used = self.uses.borrow().get(target).copied().unwrap_or_default();
+            let known = lines.iter().position(|line| line.target == target);
+            let place = known.unwrap_or_else(|| {
+                lines.push(self.blank_line(target));
+                lines.len() - 1
+            });
+            let line = &mut lines[place];
+            line.per_second = Some(rate.to_string());
+            line.sent = used.sent;
+            line.withheld = line.withheld.max(used.withheld);
+        }
+    }
+
+    fn blank_line(&self, target: &str) -> NoticeLine {
+        NoticeLine {
+            target: target.to_owned(),
+            service: self.service_of(target),
+            standing: NoticeStanding::Reopening,
+            left_ms: 0,
+            withheld: 0,
+            per_second: None,
+            sent: 0,
+        }
     }
 
     /// Returns how many targets name a rate, and what this host did at them.
--- a/crates/gateway/src/target_ask.rs
+++ b/crates/gateway/src/target_ask.rs
@@ -181,6 +181,8 @@
             standing,
             left_ms: left.as_millis() as u64,
             withheld: self.back_off.map_or(0, |one| one.withheld),
+            per_second: None,
+            sent: 0,
         }
     }
 }
--- a/crates/telemetry/src/notice_line.rs
+++ b/crates/telemetry/src/notice_line.rs
@@ -30,4 +30,10 @@
     pub left_ms: u64,
     /// Sendings that were held back.
     pub withheld: u64,
+    /// Requests a second that it takes from all hosts together, as a decimal number; nothing where it names none.
+    #[serde(default)]
+    pub per_second: Option<String>,
+    /// Requests of this host that went to it since it names them.
+    #[serde(default)]
+    pub sent: u64,
 }
