A target's rate is kept by all hosts together: one host gives leave for it

What callers saw: a target in need, which names how many requests a second it takes from all hosts, got as many as before.

Cause: an answer's word of its target was read field by field, and the rate by nothing. Class: a word that concerns all hosts and all later requests is taken as the fate of one message. A host that keeps the limit only for itself would let each of nine send as much, so leave is given by one host.

Change: leave to send is a token of the host that ranks first for the target by rendezvous, of the hall of the target while any host of it is known: of two sides that are cut off from each other only one has that hall. It spaces requests evenly (crates/rate, RatePacer) and saves nothing up, so any 4 s have the rate and one more. Leave for a little later is given within the time that a request can wait (half of its objective, less for less urgent ranks), and is used within 300 ms of its moment by a clock that counts suspended time; the one gate before bytes are written asks for it. A host that begins to give leave waits as long before the first. Without an answer there is none. At high rates a host gets leave for as many as it sent in the 20 ms before. What beyond that comes is refused at once, before its stages, and callers are told to come back one after the other by the sum of the rates. The host that places prompts places by the rate.

Messages: form 4 adds a request and a reply between entry hosts, sent only to hosts that announce it; the lines of forms 1 to 3 in the golden files are unchanged.

Failed tries: a caller was told 0.000 s to come back, hence the turns of callers.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,6 +15,7 @@
 use crate::Gateway;
 use crate::answer::{Addition, belongs_to, request_for};
 use crate::ask::Ask;
+use crate::closed_service::rate_patience;
 use crate::events::EventSplitter;
 use crate::graph::RequestResults;
 use crate::notice::read_notice;
@@ -207,9 +208,17 @@
         }
     };
     let mut in_flight = InFlight::new(gateway, attempt.service, &chosen.id, ask);
+    let within = rate_patience(gateway, attempt.service, ask, &chosen.id);
+    let rates = &gateway.notices.rates;
+    let Some(permit) = rates.take_permit(&chosen.id, within).await else {
+        in_flight.forget();
+        gateway.notices.count_withheld(&chosen.id);
+        return AttemptEnd::Withheld;
+    };
     let sent = Instant::now();
     let asked = BootInstant::now();
     let gate = gateway.notices.gate(&chosen.id, SendKind::Work);
+    let gate = gate.with_permit(permit);
     let (answer, lease) = match gateway.pool.send(chosen.address, request, gate).await {
         Ok(answered) => answered,
         Err(SendError::Withheld) => {
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -6,7 +6,7 @@
 
 use crate::Gateway;
 use crate::ask::Ask;
-use crate::closed_service::{await_open, closed_for};
+use crate::closed_service::{await_open, next_opening, used_up};
 use crate::coordinator::HALL_BYTES;
 use crate::engine::PlaceAsk;
 use crate::graph::RequestResults;
@@ -57,10 +57,10 @@
         if let Some(chosen) = choose(gateway, service, ask, tried, results).await {
             return Ok(chosen);
         }
-        let left = closed_for(gateway, service, ask, tried).ok_or_else(no_target)?;
-        await_open(gateway, service, ask, left).await?;
+        let opening = next_opening(gateway, service, ask, tried).ok_or_else(no_target)?;
+        await_open(gateway, service, ask, opening).await?;
     }
-    Err(no_target())
+    Err(used_up(gateway, service, ask).unwrap_or_else(no_target))
 }
 
 pub(crate) fn no_target() -> Refusal {
--- a/crates/gateway/src/coordinator/stage_target.rs
+++ b/crates/gateway/src/coordinator/stage_target.rs
@@ -174,7 +174,7 @@
     pub(super) fn set_standing(&mut self, standing: TargetStanding, now: Instant) {
         self.leaving = standing == TargetStanding::Leaving;
         self.backed_off_until = match standing {
-            TargetStanding::BackedOff(left) => Some(now + left),
+            TargetStanding::BackedOff(left) | TargetStanding::Paced(left) => Some(now + left),
             TargetStanding::Open | TargetStanding::Leaving => None,
         };
     }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -6,6 +6,9 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use linnet_clock::BootInstant;
+use linnet_rate::RatePacer;
+
 use crate::ask::PromptPart;
 use crate::cold::{ColdRate, SendWindow};
 use crate::pool_key::place_key;
@@ -61,6 +64,9 @@
 /// Added to expected and real times, so that short ones say little, in milliseconds.
 const SLOWNESS_BASE_MS: f64 = 120.0;
 
+/// How long before it can be sent a prompt is placed on an engine that names a rate.
+const PLACED_AHEAD: Duration = Duration::from_millis(250);
+
 /// Prompts shorter than this say nothing about the reading speed.
 const MEASURED_TOKENS: u64 = 2_000;
 
@@ -138,6 +144,8 @@
     slowness: HashMap<String, Slowness>,
     /// What was placed lately on engines that are cold.
     cold_sent: HashMap<String, SendWindow>,
+    /// When the next prompt may be placed on engines that name rates.
+    paced: HashMap<String, RatePacer>,
     next: u64,
 }
 
@@ -150,6 +158,7 @@
             placed: HashMap::new(),
             slowness: HashMap::new(),
             cold_sent: HashMap::new(),
+            paced: HashMap::new(),
             next: 0,
         }
     }
@@ -170,6 +179,7 @@
         if let Some(rate) = book.cold_rate(&ask.service) {
             usable.retain(|engine| !engine.is_cold(now) || self.has_cold_room(engine, rate, now));
         }
+        usable.retain(|engine| self.has_rate_room(book, &engine.id));
         usable = self.of_part(book, ask, usable);
         let fresh = usable.iter().filter(|one| !ask.avoid.contains(&one.id));
         let mut candidates: Vec<&Target> = fresh.copied().collect();
@@ -254,6 +264,29 @@
         sent.is_none_or(|sent| sent.has_room(rate, now))
     }
 
+    /// Says whether a prompt that is placed now could be sent soon by the rate of its engine.
+    fn has_rate_room(&self, book: &TargetBook, engine: &str) -> bool {
+        let paced = self
+            .paced
+            .get(engine)
+            .filter(|_| book.rate(engine).is_some());
+        paced.is_none_or(|pacer| pacer.wait(BootInstant::now()) <= PLACED_AHEAD)
+    }
+
+    /// Counts a prompt where its engine names a rate.
+    fn note_rate(&mut self, book: &TargetBook, engine: &str) {
+        let Some(rate) = book.rate(engine) else {
+            self.paced.remove(engine);
+            return;
+        };
+        let now = BootInstant::now();
+        let pacer = self.paced.entry(engine.to_owned());
+        let pacer = pacer.or_insert_with(|| RatePacer::new(rate, now));
+        pacer.set_rate(rate, now);
+        // There is room, or the host that asks knows no other engine.
+        let _ = pacer.reserve(now, Duration::MAX);
+    }
+
     /// Counts a prompt where its engine is cold.
     fn note_cold(&mut self, book: &TargetBook, service: &str, engine: &str, now: Instant) {
         let Some(rate) = book.cold_rate(service) else {
@@ -347,6 +380,7 @@
     ) -> Option<(PlacementKey, Chosen, PlaceFacts)> {
         let (chosen, facts) = self.plan(book, ask, now)?;
         self.note_cold(book, &ask.service, &chosen.id, now);
+        self.note_rate(book, &chosen.id);
         let unread = ask.prompt.tokens_in.saturating_sub(facts.held);
         let load = self.loads.entry(chosen.id.clone()).or_default();
         load.unread += unread;
--- a/crates/gateway/src/first_form.rs
+++ b/crates/gateway/src/first_form.rs
@@ -25,8 +25,9 @@
     request: &PieceRequest,
 ) -> Result<bool, WireError> {
     match form {
-        MessageForm::Second | MessageForm::Third => writer.queue(request),
         MessageForm::First => first_request(request).map_or(Ok(false), |told| writer.queue(&told)),
+        _ if form < request.first_known() => Ok(false),
+        _ => writer.queue(request),
     }
 }
 
@@ -41,8 +42,8 @@
     reply: &PieceReply,
 ) -> Result<bool, WireError> {
     match form {
-        MessageForm::Second | MessageForm::Third => writer.queue(reply),
         MessageForm::First => first_reply(reply).map_or(Ok(false), |told| writer.queue(&told)),
+        _ => writer.queue(reply),
     }
 }
 
--- a/crates/gateway/src/first_form/reply.rs
+++ b/crates/gateway/src/first_form/reply.rs
@@ -154,7 +154,7 @@
         },
         PieceReply::Uses { pool, uses } => FirstReply::Uses { pool, uses },
         PieceReply::Alive { loads } => FirstReply::Alive { loads },
-        PieceReply::Turn { .. } => return None,
+        PieceReply::Turn { .. } | PieceReply::Rate { .. } => return None,
     };
     Some(told)
 }
--- a/crates/gateway/src/first_form/request.rs
+++ b/crates/gateway/src/first_form/request.rs
@@ -211,9 +211,10 @@
             FirstRequest::Unreachable { service, engine }
         }
         PieceRequest::Alive => FirstRequest::Alive,
-        PieceRequest::Suspects(_) | PieceRequest::TakeTurn { .. } | PieceRequest::EndTurn(_) => {
-            return None;
-        }
+        PieceRequest::Suspects(_)
+        | PieceRequest::TakeTurn { .. }
+        | PieceRequest::EndTurn(_)
+        | PieceRequest::TakeRate { .. } => return None,
     };
     Some(told)
 }
--- a/crates/gateway/src/forward/stages.rs
+++ b/crates/gateway/src/forward/stages.rs
@@ -9,7 +9,7 @@
 use crate::admission::admit;
 use crate::ask::Ask;
 use crate::choose::{no_target, place_ask};
-use crate::closed_service::check_opens;
+use crate::closed_service::{check_opens, check_rates};
 use crate::coordinator::HALL_BYTES;
 use crate::graph::{RequestResults, run_stages};
 use crate::path_time::last_stages;
@@ -35,6 +35,7 @@
         log.plan = admit(gateway, ask)?;
         let planned = Duration::from_secs_f64((log.plan.stages_ms + log.plan.waits_ms) / 1_000.0);
         check_opens(gateway, service, ask, planned)?;
+        check_rates(gateway, service, ask).await?;
     }
     loop {
         log.stage_runs += 1;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! What the tasks of one entry host share.
 
+mod rates;
 mod target_list;
 mod target_notes;
 
@@ -24,6 +25,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::notice_book::NoticeBook;
 use crate::open_request::OpenCount;
+use crate::rate_turn::RateTurns;
 use crate::rollouts::RolloutWatch;
 use crate::stage_call::StageCaller;
 use crate::stage_client::StageClient;
@@ -99,6 +101,8 @@
     pub(crate) rollouts: RolloutWatch,
     /// What targets have asked of this host.
     pub(crate) notices: Rc<NoticeBook>,
+    /// The targets for which this host gives leave to send.
+    rate_turns: RateTurns,
     /// Requests that wait until a target takes requests again.
     pub(crate) waiting: OpenCount,
     pub(crate) stopping: Cell<bool>,
@@ -160,6 +164,7 @@
             ends: TargetEnds::default(),
             rollouts: RolloutWatch::default(),
             notices,
+            rate_turns: RateTurns::default(),
             waiting: OpenCount::default(),
             stopping: Cell::new(false),
             give_up_at: watch::Sender::new(None),
@@ -185,6 +190,7 @@
                     gateway.count_call(call, end, took);
                 }
             }));
+        gateway.watch_rates();
         ntex::rt::spawn(keep_house(gateway.clone()));
         ntex::rt::spawn(target_list::keep_targets(gateway.clone()));
         gateway
--- /dev/null
+++ b/crates/gateway/src/gateway/rates.rs
@@ -0,0 +1,88 @@
+//! Leave to send to targets that name rates: whom this host asks, and what it answers.
+
+use std::rc::Rc;
+
+use futures_util::FutureExt;
+use linnet_clock::BootInstant;
+
+use super::Gateway;
+use crate::rate_turn::{RateAnswer, RateAsk, RateSubject};
+use crate::stage_client::RateHost;
+
+impl Gateway {
+    /// Has leave asked for by this host.
+    pub(super) fn watch_rates(self: &Rc<Self>) {
+        let watching = Rc::downgrade(self);
+        self.notices.rates.set_asker(Box::new(move |ask| {
+            let gateway = watching.upgrade();
+            async move {
+                match gateway {
+                    Some(gateway) => gateway.ask_rate(ask).await,
+                    None => RateAnswer::UNREACHED,
+                }
+            }
+            .boxed_local()
+        }));
+    }
+
+    async fn ask_rate(&self, ask: RateAsk) -> RateAnswer {
+        match self.rate_host(&ask.subject) {
+            RateHost::Here => self.give_rate(&ask),
+            RateHost::Remote(address) => self.stages.ask_rate(address, ask).await,
+            RateHost::Unreached => RateAnswer::UNREACHED,
+        }
+    }
+
+    fn rate_host(&self, subject: &RateSubject) -> RateHost {
+        let hall = match subject {
+            RateSubject::Target(word) => {
+                let targets = self.targets.borrow();
+                let found = targets.find_anywhere(&word.target);
+                found.map_or(String::new(), |(_, target)| target.hall.clone())
+            }
+            RateSubject::Service(..) => String::new(),
+        };
+        self.stages.rate_host(subject.key(), &hall)
+    }
+
+    /// Answers another host that asks for leave.
+    pub(crate) fn answer_rate(&self, ask: &RateAsk) -> RateAnswer {
+        if let RateSubject::Target(word) = &ask.subject {
+            self.notices.rates.take_word(word);
+        }
+        match self.rate_host(&ask.subject) {
+            RateHost::Here => self.give_rate(ask),
+            // Two that give leave would let twice the rate through.
+            RateHost::Remote(_) | RateHost::Unreached => {
+                self.rate_turns.forget(ask.subject.key());
+                RateAnswer::UNREACHED
+            }
+        }
+    }
+
+    /// Gives leave, as the host that does for all.
+    fn give_rate(&self, ask: &RateAsk) -> RateAnswer {
+        if !self.view.borrow().is_connected() && !self.stages.reaches_any() {
+            // Others that do not reach this host either take another one.
+            return RateAnswer::UNREACHED;
+        }
+        let rate = match &ask.subject {
+            RateSubject::Target(word) => self.notices.rates.rate(&word.target),
+            RateSubject::Service(_, sum) => Some(*sum),
+        };
+        let Some(rate) = rate else {
+            // The host that asks has yet to hear that the target takes any rate.
+            return RateAnswer::Granted {
+                wait_ms: 0,
+                more: 0,
+                next_ms: 0,
+            };
+        };
+        self.rate_turns.give(rate, ask, BootInstant::now())
+    }
+
+    /// Forgets targets for which nobody has asked for long.
+    pub(super) fn expire_rates(&self) {
+        self.rate_turns.expire(BootInstant::now());
+    }
+}
--- a/crates/gateway/src/gateway/target_notes.rs
+++ b/crates/gateway/src/gateway/target_notes.rs
@@ -17,6 +17,7 @@
     pub(super) fn expire_notices(&self) {
         let now = BootInstant::now();
         self.notices.expire(now);
+        self.expire_rates();
         let counts = self.notices.counts(now);
         let metrics = &self.metrics;
         metrics.targets_backed_off.set(counts.backed_off as i64);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,8 @@
 mod piece;
 mod piece_message;
 mod pool_key;
+mod rate_permit;
+mod rate_turn;
 mod rate_watch;
 mod relay;
 mod rendezvous;
--- a/crates/gateway/src/notice_book.rs
+++ b/crates/gateway/src/notice_book.rs
@@ -140,7 +140,12 @@
     pub(crate) fn standing(&self, target: &str, now: BootInstant) -> TargetStanding {
         let asks = self.asks.borrow();
         let ask = asks.get(target);
-        ask.map_or(TargetStanding::Open, |ask| ask.standing(now))
+        let asked = ask.map_or(TargetStanding::Open, |ask| ask.standing(now));
+        let paced = self.rates.closed_for(target, now);
+        if asked == TargetStanding::Open && !paced.is_zero() {
+            return TargetStanding::Paced(paced);
+        }
+        asked
     }
 
     /// Says whether a target wants no requests of this host for a while.
@@ -152,7 +157,7 @@
     /// Returns those of some targets that get no requests of this host now.
     pub(crate) fn closed<'a>(&self, targets: impl Iterator<Item = &'a String>) -> Vec<String> {
         // Most of the time nothing is asked for, and each request asks this.
-        if self.asks.borrow().is_empty() {
+        if self.asks.borrow().is_empty() && self.rates.is_empty() {
             return Vec::new();
         }
         let now = BootInstant::now();
@@ -227,7 +232,7 @@
         };
         for ask in asks.values() {
             match ask.standing(now) {
-                TargetStanding::Open => {}
+                TargetStanding::Open | TargetStanding::Paced(_) => {}
                 TargetStanding::BackedOff(_) => counts.backed_off += 1,
                 TargetStanding::Leaving => counts.leaving += 1,
             }
--- a/crates/gateway/src/piece_message.rs
+++ b/crates/gateway/src/piece_message.rs
@@ -1,11 +1,13 @@
 //! What entry hosts tell each other of pieces and prompts.
 
 use linnet_quarantine::{RequestKey, SuspectRecord};
+use linnet_wire::MessageForm;
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{PlaceAsk, PlaceFacts};
 use crate::piece::{ExpectedPieces, PieceBatch, PieceFault, PoolLoad, TargetUse};
 use crate::pool_key::PoolKey;
+use crate::rate_turn::{RateAnswer, RateAsk};
 use crate::stage_call::{CallEnd, StageCall, StageRelease};
 use crate::turn::TurnAnswer;
 
@@ -55,6 +57,18 @@
     EndTurn(u64),
     /// A sign of life.
     Alive,
+    /// Give leave to send to a target that names a rate.
+    TakeRate { number: u64, ask: RateAsk },
+}
+
+impl PieceRequest {
+    /// Returns the first form after the first one that knows it.
+    pub(crate) fn first_known(&self) -> MessageForm {
+        match self {
+            Self::TakeRate { .. } => MessageForm::Fourth,
+            _ => MessageForm::Second,
+        }
+    }
 }
 
 /// What the host that gathers pieces answers.
@@ -79,6 +93,8 @@
     Uses { pool: PoolKey, uses: Vec<TargetUse> },
     /// A sign of life, with the load of the pools that this host gathers for.
     Alive { loads: Vec<(PoolKey, PoolLoad)> },
+    /// Whether a request may go to a target that names a rate; told to hosts that asked.
+    Rate { number: u64, answer: RateAnswer },
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/piece_message/tests.rs
+++ b/crates/gateway/src/piece_message/tests.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use linnet_quarantine::{EndKey, RequestSubject};
+use linnet_rate::{NamedRate, RateWord};
 
 use super::*;
 use crate::ask::{Prompt, PromptPart, Rank};
@@ -10,6 +11,7 @@
 use crate::load::ReportedLoad;
 use crate::piece::{PieceInput, StageWork};
 use crate::pool_key::PoolPart;
+use crate::rate_turn::RateSubject;
 use crate::stage_call::CallPart;
 
 /// Returns the bytes of a message as text.
@@ -153,6 +155,27 @@
         },
         PieceRequest::EndTurn(305),
         PieceRequest::Alive,
+        PieceRequest::TakeRate {
+            number: 306,
+            ask: RateAsk {
+                subject: RateSubject::Target(RateWord {
+                    target: "i-1".to_owned(),
+                    rate: Some(NamedRate::new(2.5)),
+                    asked_ms: 300,
+                    heard_ms: 200,
+                }),
+                within_ms: 150,
+                more: 1,
+            },
+        },
+        PieceRequest::TakeRate {
+            number: 307,
+            ask: RateAsk {
+                subject: RateSubject::Service("engine".to_owned(), NamedRate::new(40.0)),
+                within_ms: 150,
+                more: 0,
+            },
+        },
     ]
 }
 
@@ -231,7 +254,18 @@
         },
         PieceReply::Alive { loads: Vec::new() },
     ];
-    others.into_iter().chain(called).chain(turns).collect()
+    let granted = RateAnswer::Granted {
+        wait_ms: 150,
+        more: 1,
+        next_ms: 550,
+    };
+    let rates = [granted, RateAnswer::Later(700)];
+    let rates = rates.into_iter().map(|answer| PieceReply::Rate {
+        number: 306,
+        answer,
+    });
+    let all = others.into_iter().chain(called).chain(turns).chain(rates);
+    all.collect()
 }
 
 #[test]
--- a/crates/gateway/src/send_gate.rs
+++ b/crates/gateway/src/send_gate.rs
@@ -3,6 +3,7 @@
 use linnet_clock::BootInstant;
 
 use crate::notice_book::NoticeBook;
+use crate::rate_permit::SendPermit;
 use crate::target_ask::TargetStanding;
 
 /// What is sent to a target.
@@ -19,6 +20,7 @@
     book: &'a NoticeBook,
     target: &'a str,
     kind: SendKind,
+    permit: SendPermit,
     /// Whether this is the request that tries the target after a back-off.
     tries: bool,
 }
@@ -29,15 +31,25 @@
             book,
             target,
             kind,
+            permit: SendPermit::FREE,
             tries: false,
         }
     }
 
+    /// Sends with leave that was taken before.
+    pub(crate) fn with_permit(mut self, permit: SendPermit) -> Self {
+        self.permit = permit;
+        self
+    }
+
     /// Says whether the bytes may be written now. Asked once more for each connection that is tried.
     pub(crate) fn passes(&mut self) -> bool {
         let now = BootInstant::now();
         let open = match self.book.standing(self.target, now) {
-            TargetStanding::Open => true,
+            // Leave that was taken holds also where there is none for others.
+            TargetStanding::Open | TargetStanding::Paced(_) => {
+                self.book.rates.allows(self.target, self.permit, now)
+            }
             TargetStanding::Leaving => self.kind == SendKind::Word,
             // Its own trial holds back only the others.
             TargetStanding::BackedOff(_) => self.tries && self.book.has_waited(self.target, now),
--- a/crates/gateway/src/serve_pieces.rs
+++ b/crates/gateway/src/serve_pieces.rs
@@ -156,6 +156,10 @@
             PieceRequest::TakeTurn { number, key, id } => self.grant_turn(number, key, &id),
             PieceRequest::EndTurn(number) => self.end_turn(number),
             PieceRequest::Alive => {}
+            PieceRequest::TakeRate { number, ask } => {
+                let answer = self.gateway.answer_rate(&ask);
+                let _ = self.replies.send(PieceReply::Rate { number, answer });
+            }
         }
     }
 
--- a/crates/gateway/src/stage_call.rs
+++ b/crates/gateway/src/stage_call.rs
@@ -21,6 +21,7 @@
 use crate::notice::read_notice;
 use crate::notice_book::NoticeBook;
 use crate::piece::{PieceFault, PieceInput, StageWork};
+use crate::rate_permit::SendPermit;
 use crate::send_gate::SendKind;
 use crate::target_ask::TargetStanding;
 use crate::upstream::{SendError, UpstreamPool};
@@ -31,6 +32,9 @@
 /// About what the punctuation around one input takes, in bytes.
 const INPUT_BYTES: usize = 3;
 
+/// How long a call waits for leave by the rate of its target: it is sent by the same rate, as exactly as timers are.
+const CALL_PATIENCE: Duration = Duration::from_millis(20);
+
 /// How long a release of results or a question for a report may take.
 const WORD_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -221,7 +225,16 @@
         kind: SendKind,
     ) -> Result<(Parts, Bytes), SendError> {
         let asked = BootInstant::now();
-        let gate = self.notices.gate(target, kind);
+        let permit = match kind {
+            SendKind::Work => self.notices.rates.take_permit(target, CALL_PATIENCE).await,
+            // None is worth a request of those that the target takes.
+            SendKind::Word => Some(SendPermit::FREE),
+        };
+        let Some(permit) = permit else {
+            self.notices.count_withheld(target);
+            return Err(SendError::Withheld);
+        };
+        let gate = self.notices.gate(target, kind).with_permit(permit);
         let (head, body) = self.upstream.exchange(address, request, gate).await?;
         let notice = read_notice(&self.dialect, &head, None);
         self.notices.note(target, notice, asked);
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -6,6 +6,7 @@
 mod link_state;
 mod parts;
 mod place;
+mod rate_ask;
 mod sender;
 mod turn_ask;
 
@@ -30,6 +31,7 @@
 
 pub(crate) use guard::{Expectation, Placement};
 pub(crate) use parts::PartWant;
+pub(crate) use rate_ask::RateHost;
 
 use guard::{ExpectedAt, LocalBatch, RemoteBatch};
 use link::run_link;
@@ -420,6 +422,7 @@
             placing: HashMap::new(),
             calling: HashMap::new(),
             turns: HashMap::new(),
+            rates: HashMap::new(),
         }
     }
 
@@ -436,11 +439,11 @@
         self.mark(address, LinkState::Up);
     }
 
-    /// Says whether a host can be told of requests that may end their targets.
-    fn knows_turns(&self, address: SocketAddr) -> bool {
+    /// Says whether a host speaks a form or a later one, as far as that is known.
+    fn speaks(&self, address: SocketAddr, form: MessageForm) -> bool {
         let state = self.state.borrow();
         let link = state.links.get(&address);
-        link.is_none_or(|link| link.form > MessageForm::First)
+        link.is_none_or(|link| link.form >= form)
     }
 
     /// Notes where a link stands. The batches on one that was lost are dropped, which lets their
@@ -458,7 +461,9 @@
                 let placing = std::mem::take(&mut link.placing);
                 let calling = std::mem::take(&mut link.calling);
                 let turns = std::mem::take(&mut link.turns);
-                (std::mem::take(&mut link.waiting), placing, calling, turns)
+                let rates = std::mem::take(&mut link.rates);
+                let waiting = std::mem::take(&mut link.waiting);
+                (waiting, placing, calling, turns, rates)
             } else {
                 Default::default()
             }
--- a/crates/gateway/src/stage_client/link.rs
+++ b/crates/gateway/src/stage_client/link.rs
@@ -107,6 +107,7 @@
         PieceReply::Done { number, results } => client.take_done(address, number, results),
         PieceReply::Placed { number, engine } => client.take_placed(address, number, engine),
         PieceReply::Called { number, end } => client.take_called(address, number, end),
+        PieceReply::Rate { number, answer } => client.take_rate_answer(address, number, answer),
         PieceReply::Turn { number, answer } => client.take_turn_answer(address, number, answer),
         PieceReply::Uses { pool, uses } => client.coordinator.set_uses(reader.peer(), &pool, &uses),
         PieceReply::Alive { loads } => client.take_loads(loads),
--- a/crates/gateway/src/stage_client/link_state.rs
+++ b/crates/gateway/src/stage_client/link_state.rs
@@ -9,6 +9,7 @@
 use super::{Results, SILENCE_LIMIT};
 use crate::engine::PlaceFacts;
 use crate::piece_message::PieceRequest;
+use crate::rate_turn::RateAnswer;
 use crate::stage_call::CallEnd;
 use crate::turn::TurnAnswer;
 
@@ -41,6 +42,8 @@
     pub(super) calling: HashMap<u64, oneshot::Sender<CallEnd>>,
     /// Questions whether a request may run.
     pub(super) turns: HashMap<u64, oneshot::Sender<TurnAnswer>>,
+    /// Questions whether a request may go to a target that names a rate.
+    pub(super) rates: HashMap<u64, oneshot::Sender<RateAnswer>>,
 }
 
 impl Link {
@@ -50,6 +53,7 @@
             || !self.placing.is_empty()
             || !self.calling.is_empty()
             || !self.turns.is_empty()
+            || !self.rates.is_empty()
     }
 
     /// Sends a request whose answer `note` lets wait. While nothing was waited for the other side had
--- a/crates/gateway/src/stage_client/tests.rs
+++ b/crates/gateway/src/stage_client/tests.rs
@@ -104,6 +104,7 @@
         placing: HashMap::new(),
         calling: HashMap::new(),
         turns: HashMap::new(),
+        rates: HashMap::new(),
     }
 }
 
--- a/crates/gateway/src/stage_client/turn_ask.rs
+++ b/crates/gateway/src/stage_client/turn_ask.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use linnet_quarantine::{RequestKey, SuspectRecord};
+use linnet_wire::MessageForm;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -32,7 +33,9 @@
         ranked.push((rendezvous::score(&label, &self.name), None));
         ranked.sort_by_key(|one| Reverse(*one));
         let reached = |address: &Option<SocketAddr>| {
-            address.is_none_or(|address| self.is_reachable(address) && self.knows_turns(address))
+            address.is_none_or(|address| {
+                self.is_reachable(address) && self.speaks(address, MessageForm::Second)
+            })
         };
         ranked
             .into_iter()
--- a/crates/gateway/src/target/book.rs
+++ b/crates/gateway/src/target/book.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use linnet_directory::TargetRecord;
+use linnet_rate::NamedRate;
 use linnet_routing::RoutingConfig;
 
 use super::{Chosen, EJECT_FAILURES, EJECT_FIRST, EJECT_PART, Target};
@@ -21,6 +22,8 @@
     cold_rates: HashMap<String, ColdRate>,
     /// The services of which a version is rolled out.
     splits: HashMap<String, VersionSplit>,
+    /// The rates that targets named, by their identity.
+    rates: HashMap<String, NamedRate>,
 }
 
 fn count_halls(records: &[TargetRecord]) -> HashMap<String, Vec<(String, u32)>> {
@@ -117,6 +120,19 @@
         })
     }
 
+    /// Takes the rate that a target names; nothing where it takes any.
+    pub(crate) fn set_rate(&mut self, id: &str, rate: Option<NamedRate>) {
+        match rate {
+            Some(rate) => self.rates.insert(id.to_owned(), rate),
+            None => self.rates.remove(id),
+        };
+    }
+
+    /// Returns the rate that a target names; nothing where it takes any.
+    pub(crate) fn rate(&self, id: &str) -> Option<NamedRate> {
+        self.rates.get(id).copied()
+    }
+
     /// Takes the services of a configuration.
     pub(crate) fn set_services(&mut self, config: &RoutingConfig) {
         let rates = config.services.iter().filter_map(|service| {
--- a/crates/gateway/src/target_ask.rs
+++ b/crates/gateway/src/target_ask.rs
@@ -32,6 +32,8 @@
     Open,
     /// Not for so long.
     BackedOff(Duration),
+    /// It names a rate, by which there is no leave for so long.
+    Paced(Duration),
     /// No new work any more.
     Leaving,
 }
@@ -171,7 +173,9 @@
     /// Returns what operators are told of it.
     pub(crate) fn line(&self, target: &str, now: BootInstant) -> NoticeLine {
         let (standing, left) = match self.standing(now) {
-            TargetStanding::Open => (NoticeStanding::Reopening, Duration::ZERO),
+            TargetStanding::Open | TargetStanding::Paced(_) => {
+                (NoticeStanding::Reopening, Duration::ZERO)
+            }
             TargetStanding::BackedOff(left) => (NoticeStanding::BackedOff, left),
             TargetStanding::Leaving => (NoticeStanding::Leaving, Duration::ZERO),
         };
--- a/crates/rate/src/pacer.rs
+++ b/crates/rate/src/pacer.rs
@@ -36,6 +36,11 @@
         self.next - now
     }
 
+    /// Lets no request go before a moment.
+    pub fn rest(&mut self, until: BootInstant) {
+        self.next = self.next.max(until);
+    }
+
     /// Takes the rate that holds now.
     pub fn set_rate(&mut self, rate: NamedRate, now: BootInstant) {
         if self.rate != rate {
--- a/crates/wire/src/form.rs
+++ b/crates/wire/src/form.rs
@@ -21,11 +21,15 @@
     /// The log has roll-outs, and tails stand behind some messages; the messages are those of the second form.
     #[display("3")]
     Third,
+    /// Entry hosts give each other leave to send to targets that name a rate, and control hosts tell such rates; else
+    /// as the third form.
+    #[display("4")]
+    Fourth,
 }
 
 impl MessageForm {
     /// The newest form that this build speaks.
-    pub const NEWEST: Self = Self::Third;
+    pub const NEWEST: Self = Self::Fourth;
 
     /// Returns the number by which a form is announced.
     pub const fn number(self) -> u16 {
@@ -33,6 +37,7 @@
             Self::First => 1,
             Self::Second => 2,
             Self::Third => 3,
+            Self::Fourth => 4,
         }
     }
 
@@ -42,6 +47,7 @@
         match number {
             0 | 1 => Self::First,
             2 => Self::Second,
+            3 => Self::Third,
             _ => Self::NEWEST,
         }
     }
--- a/crates/wire/src/handshake/tests.rs
+++ b/crates/wire/src/handshake/tests.rs
@@ -60,7 +60,8 @@
     for (number, spoken) in [
         (1, MessageForm::First),
         (2, MessageForm::Second),
-        (3, MessageForm::NEWEST),
+        (3, MessageForm::Third),
+        (4, MessageForm::NEWEST),
         (u16::MAX, MessageForm::NEWEST),
     ] {
         let announced = postcard::to_stdvec::<u16>(&number).unwrap();
@@ -103,6 +104,8 @@
             "proof {}",
             hex(postcard::to_stdvec(&Proof { proof: [4; 32] }).unwrap())
         ),
+        format!("hello {}", hello(MessageForm::Third)),
+        format!("welcome {}", welcome(MessageForm::Third)),
         format!("hello {}", hello(MessageForm::NEWEST)),
         format!("welcome {}", welcome(MessageForm::NEWEST)),
     ];
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -192,8 +192,8 @@
         F: DeserializeOwned,
     {
         match self.session.form {
-            Some(MessageForm::Second | MessageForm::Third) => self.receive().await,
             Some(MessageForm::First) => Ok(self.receive::<F>().await?.into()),
+            Some(_) => self.receive().await,
             None => {
                 let (message, form) = self.receive_as(MessageForm::tell::<N, F>).await?;
                 self.session.form = form;
@@ -215,8 +215,8 @@
         T: DeserializeOwned + Default,
     {
         match self.session.form {
-            Some(MessageForm::Second | MessageForm::Third) => self.receive_as(read_tailed).await,
-            Some(MessageForm::First) | None => {
+            Some(form) if form > MessageForm::First => self.receive_as(read_tailed).await,
+            _ => {
                 let message = self.receive_formed::<N, F>().await?;
                 Ok((message, T::default()))
             }
