Hosts that a target has not answered yet are told of its rate through control hosts

What callers saw: targets that name a rate got more than it whenever an entry host was started anew: 11 requests in 4 s where 10 may come, with three hosts killed one after the other and targets that name 2 a second. A new host asked for no leave until it was answered.

Cause: what a target said of its rate was known to hosts that it had answered, and to the one that gives leave.

Change: entry hosts report changes of the rates that they hear; control hosts keep them in the same book as entry hosts do, tell each other and everybody that follows them. A word travels with the ages of its request and its answer, so that of two words the one that was surely said later holds wherever they meet; of crossing ones the lower. A process that knows better than what it is told says so. The words stand behind the first tail of reports and updates; builds of form 3 pass over them, as a test shows.

The reports of what is held against requests and of rates share one piece of code.

--- a/crates/directory/src/first_form.rs
+++ b/crates/directory/src/first_form.rs
@@ -119,6 +119,7 @@
             counted: Vec::new(),
             own_gateways: None,
             unled: false,
+            rates: Vec::new(),
         }
     }
 }
@@ -161,6 +162,7 @@
             suspects: Vec::new(),
             start: 0,
             counted: Vec::new(),
+            rates: Vec::new(),
         }
     }
 }
--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use linnet_rate::RateWord;
 use linnet_rollout::PhaseCounts;
 use linnet_telemetry::{EventCode, EventRecorder};
 use linnet_wire::{
@@ -19,11 +20,11 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
+use crate::change_reports::{RateSource, SuspectSource};
 use crate::document_follower::{DocumentFollower, DocumentSink};
 use crate::first_form::FirstUpdate;
 use crate::message::UpdateTail;
 use crate::serve::SILENCE_LIMIT;
-use crate::suspect_reports::SuspectSource;
 use crate::{DirectoryUpdate, GatewayRecord, SubscriberHello, TargetRecord, TargetState};
 
 pub use acknowledge::SpreadWait;
@@ -62,6 +63,8 @@
     pub documents: Option<DocumentSink>,
     /// What this process holds against requests, where it sends them to targets; told to every control host.
     pub suspects: Option<SuspectSource>,
+    /// The rates that targets named to this process, where it sends requests to them; told to every control host.
+    pub rates: Option<RateSource>,
     /// What this process counts for roll-outs, where it sends requests to targets; told to every control host.
     pub counts: Option<CountSource>,
     /// Whether this process is a control host.
@@ -360,10 +363,10 @@
     reader: &mut PeerReader,
 ) -> Result<DirectoryUpdate, WireError> {
     let known = reader.form();
-    let (update, tail) = reader
-        .receive_tailed::<DirectoryUpdate, FirstUpdate, UpdateTail>()
+    let (update, tail, rates) = reader
+        .receive_tailed::<DirectoryUpdate, FirstUpdate, UpdateTail, Vec<RateWord>>()
         .await?;
-    let update = update.with_tail(tail);
+    let update = update.with_tails(tail, rates);
     if let (None, Some(form)) = (known, reader.form()) {
         let detail = format!("peer={} form={form}", reader.peer());
         record(&following.config, EventCode::PeerEarlier, address, detail);
--- a/crates/directory/src/follow/report.rs
+++ b/crates/directory/src/follow/report.rs
@@ -9,11 +9,11 @@
 use tokio::time::sleep;
 
 use super::Following;
+use crate::change_reports::ChangeReports;
 use crate::document_follower::DocumentFollower;
 use crate::fetch::FetchProgress;
 use crate::message::ReportTail;
-use crate::serve::{SUSPECTS_AT_ONCE, UPDATE_PERIOD};
-use crate::suspect_reports::SuspectReports;
+use crate::serve::{RATES_AT_ONCE, SUSPECTS_AT_ONCE, UPDATE_PERIOD};
 use crate::{GatewayRecord, SubscriberReport};
 
 /// Between two reports while a roll-out is under way: how long a bad version goes on to get its share.
@@ -29,7 +29,8 @@
     let documents = following.documents.as_ref();
     let mut wanted = documents.map(DocumentFollower::changes);
     let mut tellers = following.tellers.subscribe();
-    let mut suspects = SuspectReports::new(following.config.suspects.as_ref());
+    let mut suspects = ChangeReports::new(following.config.suspects.as_ref(), SUSPECTS_AT_ONCE);
+    let mut rates = ChangeReports::new(following.config.rates.as_ref(), RATES_AT_ONCE);
     loop {
         // Read before the report is made: what changes while it is sent is told by the next one.
         let told = wanted.as_ref().and_then(|wanted| *wanted.borrow());
@@ -43,9 +44,10 @@
             acknowledged: *acknowledged.borrow_and_update(),
             lists: tellers.borrow_and_update().contains(&address),
             suspects: suspects.next(),
+            rates: rates.next(),
         };
         send_report(&mut writer, &report).await?;
-        if report.suspects.len() == SUSPECTS_AT_ONCE {
+        if report.suspects.len() == SUSPECTS_AT_ONCE || report.rates.len() == RATES_AT_ONCE {
             continue;
         }
         tokio::select! {
@@ -54,21 +56,25 @@
             () = want_changed(&mut wanted, told, address) => {}
             () = teller_changed(&mut tellers, report.lists, address) => {}
             () = suspects.changed() => {}
+            () = rates.changed() => {}
             () = sleep(report_period(&report)) => {}
         }
     }
 }
 
-/// Sends a report, and behind it what was counted for roll-outs.
+/// Sends a report, and behind it what was counted for roll-outs and what targets named.
 async fn send_report(writer: &mut PeerWriter, report: &SubscriberReport) -> Result<(), WireError> {
-    if report.counted.is_empty() {
+    if report.counted.is_empty() && report.rates.is_empty() {
         return writer.send(report).await;
     }
     let tail = ReportTail {
         start: report.start,
         counted: report.counted.clone(),
     };
-    writer.send(&(report, tail)).await
+    if report.rates.is_empty() {
+        return writer.send(&(report, tail)).await;
+    }
+    writer.send(&(report, tail, &report.rates)).await
 }
 
 fn report_period(last: &SubscriberReport) -> Duration {
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -12,6 +12,7 @@
 //! `document_follower` into the entry host.
 
 mod call;
+mod change_reports;
 mod document;
 mod document_follower;
 mod evacuation;
@@ -30,10 +31,10 @@
 mod sending;
 mod serve;
 mod serve_call;
-mod suspect_reports;
 mod view;
 
 pub use call::CallError;
+pub use change_reports::{ChangeSource, RateSource, SuspectSource};
 pub use document::{ContentHash, Document, DocumentKey, HeldDocument};
 pub use document_follower::DocumentSink;
 pub use evacuation::{EvacuationBook, EvacuationOrder, EvacuationOutcome, HallEvacuation};
@@ -49,5 +50,4 @@
 pub use registry::{ChangedTargets, Registry, RegistryChange};
 pub use serve::serve_subscriber;
 pub use serve_call::serve_call;
-pub use suspect_reports::SuspectSource;
 pub use view::{DirectoryView, TargetChanges};
--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -4,6 +4,7 @@
 
 use linnet_quarantine::SuspectRecord;
 use linnet_quorum::{Member, Members, NodeId};
+use linnet_rate::RateWord;
 use linnet_rollout::{PhaseCounts, ReporterCounts, RolloutBook};
 use serde::{Deserialize, Serialize};
 
@@ -89,6 +90,10 @@
     /// What it counted for roll-outs. It travels in a [`ReportTail`].
     #[serde(skip)]
     pub counted: Vec<PhaseCounts>,
+    /// What changed of the rates that targets named to it, a part of it at most. It travels behind the
+    /// [`ReportTail`].
+    #[serde(skip)]
+    pub rates: Vec<RateWord>,
 }
 
 /// What a subscriber wants of a configuration.
@@ -159,6 +164,9 @@
     /// an [`UpdateTail`].
     #[serde(skip)]
     pub unled: bool,
+    /// What changed of the rates that targets named, a part of it at most. It travels behind the [`UpdateTail`].
+    #[serde(skip)]
+    pub rates: Vec<RateWord>,
 }
 
 /// What stands behind an update since the third form.
@@ -203,7 +211,8 @@
     }
 
     /// Takes what stood behind it.
-    pub(crate) fn with_tail(mut self, tail: UpdateTail) -> Self {
+    pub(crate) fn with_tails(mut self, tail: UpdateTail, rates: Vec<RateWord>) -> Self {
+        self.rates = rates;
         for (target, version) in self.targets.iter_mut().zip(tail.versions) {
             target.version = version;
         }
--- a/crates/directory/src/message/tests.rs
+++ b/crates/directory/src/message/tests.rs
@@ -96,6 +96,7 @@
         counted: Vec::new(),
         own_gateways: None,
         unled: false,
+        rates: Vec::new(),
     }
 }
 
@@ -117,6 +118,7 @@
         suspects: vec![suspect()],
         start: 0,
         counted: Vec::new(),
+        rates: Vec::new(),
     }
 }
 
@@ -178,13 +180,24 @@
     let told = postcard::to_stdvec(&(&full, &tail)).unwrap();
     let (read, rest): (DirectoryUpdate, _) = postcard::take_from_bytes(&told).unwrap();
     assert_eq!(hex(&read), hex(&update()));
-    let read = read.with_tail(postcard::from_bytes(rest).unwrap());
+    let read = read.with_tails(postcard::from_bytes(rest).unwrap(), Vec::new());
     assert_eq!(read.tail(), full.tail());
     assert_eq!(DirectoryUpdate::default().tail(), None);
     let report = ReportTail { start: 7, counted };
+    let rates = vec![RateWord {
+        target: "i-7f3a91c2".to_owned(),
+        rate: Some(linnet_rate::NamedRate::new(2.5)),
+        asked_ms: 300,
+        heard_ms: 200,
+    }];
     let lines = [
         format!("update tail {}", hex(&tail)),
         format!("report tail {}", hex(&report)),
+        format!("rates behind either {}", hex(&rates)),
     ];
     insta::assert_snapshot!(lines.join("\n"));
+    // Builds of the third form pass over what stands behind the first tail.
+    let told = postcard::to_stdvec(&(&full, &tail, &rates)).unwrap();
+    let (_, rest): (DirectoryUpdate, _) = postcard::take_from_bytes(&told).unwrap();
+    assert_eq!(postcard::from_bytes::<UpdateTail>(rest).unwrap(), tail);
 }
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -1,6 +1,7 @@
 //! A control host's part of the directory.
 
 mod commands;
+mod rates;
 mod rollouts;
 mod state;
 mod suspects;
@@ -385,6 +386,7 @@
             self.note_change(&id, &detail, change);
         }
         self.take_suspects(&update.suspects);
+        self.take_rates(&update.rates);
         self.lock().evidence.take_told(&update.counted);
         for heard in &update.heard {
             let change = self.lock().registry.take_heard(heard, now);
--- a/crates/directory/src/node/state.rs
+++ b/crates/directory/src/node/state.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use linnet_quarantine::SuspectBook;
+use linnet_rate::RateBook;
 use linnet_rollout::{EvidenceBook, ExposureRule};
 use linnet_wire::MessageForm;
 
@@ -34,6 +35,8 @@
     /// What is held against requests that may end targets.
     pub(crate) suspects: SuspectBook,
     pub(crate) living: LivingTargets,
+    /// The rates that targets named to entry hosts.
+    pub(crate) rates: RateBook,
     /// What entry hosts counted for roll-outs.
     pub(crate) evidence: EvidenceBook,
     /// What a version may be exposed to before it is known to be good.
--- a/crates/directory/src/node/tasks.rs
+++ b/crates/directory/src/node/tasks.rs
@@ -25,6 +25,7 @@
             node.wake();
         }
         node.keep_suspects(Instant::now());
+        node.expire_rates();
     }
 }
 
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use linnet_clock::BootInstant;
+use linnet_rate::RateWord;
 use linnet_rollout::RolloutBook;
 use linnet_wire::{MessageForm, PeerReader, PeerWriter, WireError};
 use tokio::sync::{Notify, watch};
@@ -40,6 +42,9 @@
 /// Records of requests that may end targets in one message, at most: some 20 KB.
 pub(crate) const SUSPECTS_AT_ONCE: usize = 64;
 
+/// Rates of targets in one message, at most: some 8 KB.
+pub(crate) const RATES_AT_ONCE: usize = 256;
+
 /// What was pushed to one subscriber so far.
 struct Pushed {
     subscriber: u64,
@@ -63,6 +68,8 @@
     heard: Option<Instant>,
     /// The number of the last change of what is held against requests that it was told.
     suspects: u64,
+    /// The number of the last change of a target's rate that it was told.
+    rates: u64,
 }
 
 /// Pushes the directory to one subscriber until it is lost.
@@ -129,6 +136,7 @@
     loop {
         let report = receive_report(node, number, &told, &mut reader).await?;
         node.take_suspects(&report.suspects);
+        node.take_rates(&report.rates);
         node.take_counts(&report);
         let mut state = node.lock();
         let Some(changes) = state.set_gateway(number, report.gateway) else {
@@ -164,9 +172,10 @@
     reader: &mut PeerReader,
 ) -> Result<SubscriberReport, WireError> {
     let known = reader.form();
-    let (mut report, tail) = reader
-        .receive_tailed::<SubscriberReport, FirstReport, ReportTail>()
+    let (mut report, tail, rates) = reader
+        .receive_tailed::<SubscriberReport, FirstReport, ReportTail, Vec<RateWord>>()
         .await?;
+    report.rates = rates;
     report.start = tail.start;
     report.counted = tail.counted;
     if let (None, Some(form)) = (known, reader.form()) {
@@ -205,6 +214,7 @@
         controls: Vec::new(),
         heard: None,
         suspects: 0,
+        rates: 0,
     };
     let mut last_sent: Option<Instant> = None;
     loop {
@@ -217,7 +227,8 @@
         }
         let is_part = update.part.is_some()
             || update.targets.len() == TARGETS_AT_ONCE
-            || update.suspects.len() == SUSPECTS_AT_ONCE;
+            || update.suspects.len() == SUSPECTS_AT_ONCE
+            || update.rates.len() == RATES_AT_ONCE;
         if is_part {
             // What else changed meanwhile goes out with the next part.
             continue;
@@ -245,6 +256,10 @@
         return writer.send(&FirstUpdate::from(update.clone())).await;
     }
     match update.tail() {
+        tail if !update.rates.is_empty() => {
+            let tails = (tail.unwrap_or_default(), &update.rates);
+            writer.send(&(update, tails)).await
+        }
         Some(tail) => writer.send(&(update, tail)).await,
         None => writer.send(update).await,
     }
@@ -271,6 +286,7 @@
         && update.controls.is_none()
         && update.heard.is_empty()
         && update.suspects.is_empty()
+        && update.rates.is_empty()
 }
 
 fn next_update(node: &DirectoryNode, pushed: &mut Pushed) -> DirectoryUpdate {
@@ -302,6 +318,11 @@
     };
     pushed.suspects = suspects.number;
     update.suspects = suspects.records;
+    let rates = state
+        .rates
+        .changed_after(pushed.rates, RATES_AT_ONCE, BootInstant::now());
+    pushed.rates = rates.number;
+    update.rates = rates.words;
     if !state.wants_lists(pushed.subscriber) {
         // All of it is told once it wants lists from here.
         pushed.number = 0;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -270,6 +270,7 @@
     /// Takes an update of the directory.
     pub fn take_update(&self, from: SocketAddr, update: DirectoryUpdate) {
         self.take_suspects(&update.suspects);
+        self.notices.rates.take_told(&update.rates);
         let targets_changed = !update.targets.is_empty();
         let evacuated = update.evacuations.is_some();
         // The control host is told right after this that the update was taken, and the target then that
--- a/crates/gateway/src/gateway/rates.rs
+++ b/crates/gateway/src/gateway/rates.rs
@@ -4,6 +4,7 @@
 
 use futures_util::FutureExt;
 use linnet_clock::BootInstant;
+use linnet_directory::RateSource;
 
 use super::Gateway;
 use crate::rate_turn::{RateAnswer, RateAsk, RateSubject};
@@ -25,6 +26,18 @@
         }));
     }
 
+    /// Returns the rates that targets named to this host, for the control hosts.
+    pub fn rate_source(self: &Rc<Self>) -> RateSource {
+        let gateway = self.clone();
+        RateSource {
+            changes: self.notices.rates.changes(),
+            changed_after: Box::new(move |number, most| {
+                let changed = gateway.notices.rates.changed_after(number, most);
+                (changed.words, changed.number)
+            }),
+        }
+    }
+
     async fn ask_rate(&self, ask: RateAsk) -> RateAnswer {
         match self.rate_host(&ask.subject) {
             RateHost::Here => self.give_rate(&ask),
--- a/crates/gateway/src/rate_watch.rs
+++ b/crates/gateway/src/rate_watch.rs
@@ -9,8 +9,9 @@
 use futures_util::future::LocalBoxFuture;
 
 use linnet_clock::BootInstant;
-use linnet_rate::{NamedRate, RateBook, RateChange, RatePacer, RateWord};
+use linnet_rate::{ChangedRates, NamedRate, RateBook, RateChange, RatePacer, RateWord};
 use linnet_telemetry::{EventCode, EventRecorder, NoticeLine, NoticeStanding};
+use tokio::sync::watch;
 
 use crate::notice::RateNotice;
 use crate::rate_permit::{RatePermits, SendPermit};
@@ -49,6 +50,7 @@
     permits: RatePermits,
     /// When callers of a service come back that were refused.
     returns: RefCell<HashMap<String, RatePacer>>,
+    changes: watch::Sender<u64>,
     book: RefCell<RateBook>,
     uses: RefCell<HashMap<String, RateUse>>,
     total: Cell<RateUse>,
@@ -63,6 +65,7 @@
             asker: OnceCell::new(),
             permits: RatePermits::default(),
             returns: RefCell::default(),
+            changes: watch::Sender::new(0),
             book: RefCell::default(),
             uses: RefCell::default(),
             total: Cell::default(),
@@ -97,12 +100,41 @@
             heard_ms: 0,
         };
         let change = self.book.borrow_mut().take_heard(&word, now);
+        self.tell_changes();
         self.record(target, change, "answered");
     }
 
+    /// Takes what a control host passes on.
+    pub(crate) fn take_told(&self, words: &[RateWord]) {
+        for word in words {
+            let now = BootInstant::now();
+            let change = self.book.borrow_mut().take_told(word, now);
+            self.tell_changes();
+            self.record(&word.target, change, "told by a control host");
+        }
+    }
+
+    /// Returns a receiver of the number of the newest change.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Returns the first words that changed after a change number.
+    pub(crate) fn changed_after(&self, number: u64, most: usize) -> ChangedRates {
+        let book = self.book.borrow();
+        book.changed_after(number, most, BootInstant::now())
+    }
+
+    fn tell_changes(&self) {
+        let number = self.book.borrow().number();
+        self.changes
+            .send_if_modified(|told| std::mem::replace(told, number) != number);
+    }
+
     /// Takes what another entry host knows of a target.
     pub(crate) fn take_word(&self, word: &RateWord) {
         let change = self.book.borrow_mut().take_heard(word, BootInstant::now());
+        self.tell_changes();
         self.record(&word.target, change, "told by an entry host");
     }
 
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -167,7 +167,8 @@
         SuspectSource {
             changes: self.suspects.changes(),
             changed_after: Box::new(move |number, most| {
-                gateway.suspects.changed_after(number, most)
+                let changed = gateway.suspects.changed_after(number, most);
+                (changed.records, changed.number)
             }),
         }
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -200,6 +200,7 @@
     let config = FollowConfig {
         // Control hosts tell each other in their updates.
         suspects: None,
+        rates: None,
         counts: None,
         identity: node.identity().clone(),
         recorder: recorder.clone(),
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -120,6 +120,7 @@
             take: Box::new(move |document| taking.take_document(document)),
         }),
         suspects: Some(gateway.suspect_source()),
+        rates: Some(gateway.rate_source()),
         counts: Some(gateway.count_source()),
         control: false,
         me: peers,
--- a/crates/rate/src/book.rs
+++ b/crates/rate/src/book.rs
@@ -104,6 +104,18 @@
         change
     }
 
+    /// Takes a word that this process passes on to others; says whether there is something to tell.
+    pub fn relay(&mut self, word: &RateWord, now: BootInstant) -> bool {
+        let before = self.number;
+        self.take_heard(word, now);
+        let known = self.held.get(&word.target);
+        let contradicts = known.is_some_and(|held| held.word.rate != word.rate);
+        if contradicts && self.number == before {
+            self.mark_changed(&word.target, now);
+        }
+        self.number > before
+    }
+
     /// Takes a word from a process that tells the others itself. Where this one knows better it tells that.
     pub fn take_told(&mut self, word: &RateWord, now: BootInstant) -> RateChange {
         let change = self.take(word, now);
--- a/crates/rate/src/book/tests.rs
+++ b/crates/rate/src/book/tests.rs
@@ -116,3 +116,50 @@
     }
     assert_eq!((words.len(), number), (10, 10));
 }
+
+#[test]
+fn a_word_is_passed_on_once() {
+    let now = BootInstant::now();
+    let mut book = RateBook::new();
+    let named = word(rate(1.0), 100, 50);
+    assert!(book.relay(&named, now));
+    assert!(!book.relay(&named, now));
+    assert!(book.relay(&word(None, 40, 10), now));
+    assert!(book.relay(&named, now), "an older word is contradicted");
+    assert_eq!(book.rate("t-0"), None);
+}
+
+/// Processes that get the same words in any order, and tell each other, come to the same.
+#[test]
+fn books_that_tell_each_other_agree() {
+    for seed in 0..500 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let now = BootInstant::now();
+        let mut books = [RateBook::new(), RateBook::new(), RateBook::new()];
+        let mut told = [0; 3];
+        for _ in 0..20 {
+            let heard = random.u64(0..2_000);
+            let asked = heard + random.u64(0..500);
+            let named = random
+                .bool()
+                .then(|| NamedRate::new(f64::from(random.u8(1..4))));
+            books[random.usize(0..3)].relay(&word(named, asked, heard), now);
+        }
+        for _ in 0..20 {
+            for from in 0..3 {
+                let changed = books[from].changed_after(told[from], 100, now);
+                told[from] = changed.number;
+                for to in (0..3).filter(|to| *to != from) {
+                    for one in &changed.words {
+                        books[to].relay(one, now);
+                    }
+                }
+            }
+        }
+        let rates: Vec<_> = books.iter().map(|book| book.rate("t-0")).collect();
+        assert!(
+            rates.iter().all(|one| *one == rates[0]),
+            "seed {seed}: {rates:?}"
+        );
+    }
+}
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -147,17 +147,25 @@
     }
 }
 
-/// Reads a message and its tail, where it has one.
-fn read_tailed<N, T>(bytes: &[u8]) -> Result<(N, T), postcard::Error>
+/// Reads a message and its tails, as many as it has.
+fn read_tailed<N, T, U>(bytes: &[u8]) -> Result<(N, T, U), postcard::Error>
 where
     N: DeserializeOwned,
     T: DeserializeOwned + Default,
+    U: DeserializeOwned + Default,
 {
     let (message, rest) = postcard::take_from_bytes(bytes)?;
-    if rest.is_empty() {
-        return Ok((message, T::default()));
+    let (first, rest) = read_tail(rest)?;
+    let (second, _) = read_tail(rest)?;
+    Ok((message, first, second))
+}
+
+/// Reads one tail; the one that says nothing where there is none.
+fn read_tail<T: DeserializeOwned + Default>(bytes: &[u8]) -> Result<(T, &[u8]), postcard::Error> {
+    if bytes.is_empty() {
+        return Ok((T::default(), bytes));
     }
-    Ok((message, postcard::from_bytes(rest)?))
+    postcard::take_from_bytes(bytes)
 }
 
 impl PeerReader {
@@ -202,23 +210,24 @@
         }
     }
 
-    /// Receives a message as [`PeerReader::receive_formed`] does, and the tail that may stand behind it. Builds that
-    /// know no tail send none, and pass over those that they get.
+    /// Receives a message as [`PeerReader::receive_formed`] does, and the two tails that may stand behind it. Builds
+    /// that know no tail, or only the first, send no more, and pass over those that they get.
     ///
     /// # Errors
     ///
     /// As [`PeerReader::receive`].
-    pub async fn receive_tailed<N, F, T>(&mut self) -> Result<(N, T), WireError>
+    pub async fn receive_tailed<N, F, T, U>(&mut self) -> Result<(N, T, U), WireError>
     where
         N: Serialize + DeserializeOwned + From<F>,
         F: DeserializeOwned,
         T: DeserializeOwned + Default,
+        U: DeserializeOwned + Default,
     {
         match self.session.form {
             Some(form) if form > MessageForm::First => self.receive_as(read_tailed).await,
             _ => {
                 let message = self.receive_formed::<N, F>().await?;
-                Ok((message, T::default()))
+                Ok((message, T::default(), U::default()))
             }
         }
     }
