The wait for leave is no time of the target; requests leave targets without leave after two tries

Found by reading: the time in which a request waited for leave counted as time of the target, so that its limit would make a target look slow, and a version that is rolled out look worse; and the deadline that the target got was not shortened by that wait. A request met up to eight targets that have no leave while others take any rate, and was refused then; after two it goes to the others.

During a replacement a host skips hosts of earlier builds as those that give leave before it looks which are of the target's hall: with none but earlier builds there it would have had no leave at all.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::events::EventSplitter;
 use crate::graph::RequestResults;
 use crate::notice::read_notice;
+use crate::rate_permit::SendPermit;
 use crate::send_gate::SendKind;
 use crate::stage_client::Placement;
 use crate::target::Chosen;
@@ -113,6 +114,11 @@
         }
     }
 
+    /// Notes that the request is sent now; before, it waited for leave.
+    fn note_sending(&mut self) {
+        self.sent = Instant::now();
+    }
+
     /// Lets the time say nothing of the target, which did not get the request.
     fn forget(&mut self) {
         self.objective = None;
@@ -151,6 +157,12 @@
     attempt: Attempt<'_>,
     more: bool,
 ) -> AttemptEnd {
+    let mut in_flight = InFlight::new(gateway, attempt.service, &attempt.chosen.id, ask);
+    let Some(permit) = take_leave(gateway, ask, &attempt).await else {
+        in_flight.forget();
+        return AttemptEnd::Withheld;
+    };
+    in_flight.note_sending();
     let left = ask.time_left();
     let bound = if more {
         patience(ask, &attempt, left)
@@ -159,7 +171,8 @@
     };
     let (service, chosen, sent) = (attempt.service, attempt.chosen, Instant::now());
     let facts = attempt.placement.as_ref().and_then(Placement::facts);
-    let end = timeout(bound, exchange(gateway, ask, attempt, left)).await;
+    let exchanged = exchange(gateway, ask, attempt, left, (in_flight, permit));
+    let end = timeout(bound, exchanged).await;
     let end = end.unwrap_or_else(|_| {
         AttemptEnd::unusable(format!("no answer within {} ms", bound.as_millis()))
     });
@@ -170,6 +183,17 @@
     end
 }
 
+/// Takes leave for a sending by the rate of its target; nothing where there is none soon enough.
+async fn take_leave(gateway: &Gateway, ask: &Ask, attempt: &Attempt<'_>) -> Option<SendPermit> {
+    let target = &attempt.chosen.id;
+    let within = rate_patience(gateway, attempt.service, ask, target);
+    let permit = gateway.notices.rates.take_permit(target, within).await;
+    if permit.is_none() {
+        gateway.notices.count_withheld(target);
+    }
+    permit
+}
+
 /// How long an answer, or the first event of a stream, is waited for where another target may be
 /// tried.
 fn patience(ask: &Ask, attempt: &Attempt<'_>, left: Duration) -> Duration {
@@ -188,6 +212,7 @@
     ask: &Ask,
     mut attempt: Attempt<'_>,
     left: Duration,
+    (mut in_flight, permit): (InFlight, SendPermit),
 ) -> AttemptEnd {
     let chosen = attempt.chosen;
     let addition = Addition {
@@ -207,14 +232,6 @@
             };
         }
     };
-    let mut in_flight = InFlight::new(gateway, attempt.service, &chosen.id, ask);
-    let within = rate_patience(gateway, attempt.service, ask, &chosen.id);
-    let rates = &gateway.notices.rates;
-    let Some(permit) = rates.take_permit(&chosen.id, within).await else {
-        in_flight.forget();
-        gateway.notices.count_withheld(&chosen.id);
-        return AttemptEnd::Withheld;
-    };
     let sent = Instant::now();
     let asked = BootInstant::now();
     let gate = gateway.notices.gate(&chosen.id, SendKind::Work);
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -6,7 +6,7 @@
 
 use crate::Gateway;
 use crate::ask::Ask;
-use crate::closed_service::{await_open, next_opening, used_up};
+use crate::closed_service::{await_open, has_unrated, next_opening, used_up};
 use crate::coordinator::HALL_BYTES;
 use crate::engine::PlaceAsk;
 use crate::graph::RequestResults;
@@ -27,6 +27,15 @@
 /// the same.
 const DRAWN_LOAD: f64 = 0.05;
 
+/// The targets that a request passes over.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Passed<'a> {
+    /// Those that were tried.
+    pub(crate) tried: &'a [String],
+    /// Whether also those that name rates, where another takes any.
+    pub(crate) rated: bool,
+}
+
 /// Picks the service of a request by the weights of its route.
 pub(crate) fn pick_service(route: &Route) -> &str {
     let total: u32 = route.split.iter().map(|part| part.weight).sum();
@@ -50,14 +59,14 @@
     gateway: &Gateway,
     service: &str,
     ask: &Ask,
-    tried: &[String],
+    passed: Passed<'_>,
     results: Option<&RequestResults>,
 ) -> Result<(Chosen, Option<Placement>), Refusal> {
     for _ in 0..MOST_CHOICES {
-        if let Some(chosen) = choose(gateway, service, ask, tried, results).await {
+        if let Some(chosen) = choose(gateway, service, ask, passed, results).await {
             return Ok(chosen);
         }
-        let opening = next_opening(gateway, service, ask, tried).ok_or_else(no_target)?;
+        let opening = next_opening(gateway, service, ask, passed.tried).ok_or_else(no_target)?;
         await_open(gateway, service, ask, opening).await?;
     }
     Err(used_up(gateway, service, ask).unwrap_or_else(no_target))
@@ -73,10 +82,10 @@
     gateway: &Gateway,
     service: &str,
     ask: &Ask,
-    tried: &[String],
+    passed: Passed<'_>,
     results: Option<&RequestResults>,
 ) -> Option<(Chosen, Option<Placement>)> {
-    if let Some(place) = place_ask(gateway, service, ask, tried, results) {
+    if let Some(place) = place_ask(gateway, service, ask, passed, results) {
         let (chosen, placement) = gateway.stages.place(&gateway.targets, place).await?;
         return Some((chosen, Some(placement)));
     }
@@ -86,11 +95,11 @@
         .borrow_mut()
         .closed_by_cold(service, hosts, now);
     let book = gateway.targets.borrow();
-    let closed_here = closed_here(gateway, &book, service, ask);
+    let closed_here = closed_here(gateway, &book, service, ask, passed);
     let usable = book.usable(service, now);
     let fresh = usable
         .iter()
-        .filter(|target| !tried.contains(&target.id) && !closed.contains(&target.id))
+        .filter(|target| !passed.tried.contains(&target.id) && !closed.contains(&target.id))
         .filter(|target| !closed_here.contains(&target.id))
         .filter(|target| ask.homes.allow(&target.hall));
     let load = |target: &Target| {
@@ -107,9 +116,19 @@
 
 /// Returns the targets of a service that a request must not use: those that want nothing from this host, and
 /// those that other accounts are confined to, or its own is not.
-fn closed_here(gateway: &Gateway, book: &TargetBook, service: &str, ask: &Ask) -> Vec<String> {
+fn closed_here(
+    gateway: &Gateway,
+    book: &TargetBook,
+    service: &str,
+    ask: &Ask,
+    passed: Passed<'_>,
+) -> Vec<String> {
     let mut closed = gateway.suspects.closed_targets(book, service, ask);
     closed.extend(gateway.notices.closed(book.ids_of(service)));
+    if passed.rated && has_unrated(gateway, service, ask) {
+        let rated = book.ids_of(service).filter(|id| book.rate(id).is_some());
+        closed.extend(rated.cloned());
+    }
     closed
 }
 
@@ -118,7 +137,7 @@
     gateway: &Gateway,
     service: &str,
     ask: &Ask,
-    tried: &[String],
+    passed: Passed<'_>,
     results: Option<&RequestResults>,
 ) -> Option<PlaceAsk> {
     let prompt = ask.prompt.as_ref()?;
@@ -131,8 +150,11 @@
     let book = gateway.targets.borrow();
     let places = results.map(|results| results.places(ask, &book));
     // The host that places may not know yet what this one cannot reach.
-    let passed = book.passed_over(service, Instant::now());
-    let avoid = tried.iter().chain(passed.map(|target| &target.id));
+    let out_of_reach = book.passed_over(service, Instant::now());
+    let avoid = passed
+        .tried
+        .iter()
+        .chain(out_of_reach.map(|target| &target.id));
     Some(PlaceAsk {
         service: service.to_owned(),
         prompt: prompt.clone(),
@@ -140,7 +162,7 @@
         results: places.unwrap_or_default(),
         avoid: avoid.take(MAX_AVOIDED).cloned().collect(),
         // That host may use what is only to be avoided where there is no other, but never these.
-        closed: closed_here(gateway, &book, service, ask),
+        closed: closed_here(gateway, &book, service, ask, passed),
         homes: ask.homes.to_told(),
         apart: ask.apart.get(),
     })
--- a/crates/gateway/src/closed_service.rs
+++ b/crates/gateway/src/closed_service.rs
@@ -76,18 +76,22 @@
     if gateway.notices.rates.rate(target).is_none() {
         return Duration::ZERO;
     }
+    match has_unrated(gateway, service, ask) {
+        true => Duration::ZERO,
+        false => ranked_patience(ask),
+    }
+}
+
+/// Says whether a target that may run a request is open and takes any rate.
+pub(crate) fn has_unrated(gateway: &Gateway, service: &str, ask: &Ask) -> bool {
     let now = BootInstant::now();
     let book = gateway.targets.borrow();
-    let mut others = book.of_service(service);
-    let is_free = |one: &Target| {
+    let mut targets = book.of_service(service);
+    targets.any(|one: &Target| {
         ask.homes.allow(&one.hall)
             && book.rate(&one.id).is_none()
             && gateway.notices.standing(&one.id, now) == TargetStanding::Open
-    };
-    if others.any(is_free) {
-        return Duration::ZERO;
-    }
-    ranked_patience(ask)
+    })
 }
 
 /// Returns how long a request waits for leave where no target takes any rate.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,7 +13,7 @@
 use crate::ask::Ask;
 use crate::attempt::{Attempt, AttemptEnd, send_attempt};
 use crate::caller_watch::CallerWatch;
-use crate::choose::{next_target, no_target, pick_service};
+use crate::choose::{Passed, next_target, no_target, pick_service};
 use crate::closed_service::retry_after;
 use crate::engine::PlaceFacts;
 use crate::graph::RequestResults;
@@ -34,6 +34,9 @@
 /// How often a request goes on to another target since the one that was chosen for it wants nothing by then.
 const MAX_WITHHELD: u32 = 8;
 
+/// How often a request tries targets that name rates and have no leave for it while others take any.
+const RATED_TRIES: u32 = 2;
+
 /// What decided a request, for its line in the log.
 #[derive(Default)]
 struct RunLog {
@@ -179,7 +182,11 @@
             return Err(after_attempts(log, refusal));
         }
         // Only now: while the stages ran, targets may have gone.
-        let next = next_target(gateway, &service, ask, &tried, results.as_ref()).await;
+        let passed = Passed {
+            tried: &tried,
+            rated: withheld >= RATED_TRIES,
+        };
+        let next = next_target(gateway, &service, ask, passed, results.as_ref()).await;
         let (chosen, placement) = next.map_err(|refusal| after_attempts(log, refusal))?;
         log.target.clone_from(&chosen.id);
         log.engine = placement.as_ref().and_then(Placement::facts);
--- a/crates/gateway/src/stage_client/rate_ask.rs
+++ b/crates/gateway/src/stage_client/rate_ask.rs
@@ -36,7 +36,7 @@
                 return RateHost::Here;
             };
             // Asked first, since that opens the connection.
-            if self.is_reachable(address) && self.speaks(address, MessageForm::Fourth) {
+            if self.is_reachable(address) {
                 return RateHost::Remote(address);
             }
         }
@@ -53,6 +53,12 @@
         if !state.stopping || known.is_empty() {
             known.push((&self.hall, &self.name, None));
         }
+        // One of an earlier build gives no leave.
+        let speaks = |address: &Option<SocketAddr>| {
+            let link = address.and_then(|address| state.links.get(&address));
+            link.is_none_or(|link| link.form >= MessageForm::Fourth)
+        };
+        known.retain(|(.., address)| speaks(address));
         if known.iter().any(|(of, ..)| *of == hall) {
             known.retain(|(of, ..)| *of == hall);
         }
