--- a/crates/logbook/src/explain.rs
+++ b/crates/logbook/src/explain.rs
@@ -81,6 +81,9 @@
     held
 }
 
+/// What a refusal says of all targets of a service behind its name: they wanted nothing, or their rates were used up.
+const CLOSED_FOR: [&str; 2] = [" wants no requests", " names a rate"];
+
 /// Where a request was refused since all targets of a service wanted none.
 #[derive(Clone, Copy)]
 struct ClosedService<'a> {
@@ -90,7 +93,8 @@
 
 fn closed_service(line: &LogLine) -> Option<ClosedService<'_>> {
     let (_, told) = line.detail.split_once("every target of ")?;
-    let (service, _) = told.split_once(" wants no requests")?;
+    let mut causes = CLOSED_FOR.iter();
+    let (service, _) = causes.find_map(|cause| told.split_once(cause))?;
     Some(ClosedService {
         host: &line.host,
         service,
@@ -101,7 +105,7 @@
 fn closes(line: &LogLine, closed: ClosedService<'_>) -> bool {
     let asked = matches!(
         line.code,
-        EventCode::TargetBackedOff | EventCode::TargetLeaving
+        EventCode::TargetBackedOff | EventCode::TargetLeaving | EventCode::RateNamed
     );
     asked && line.host == closed.host && line.field("service") == Some(closed.service)
 }
@@ -117,6 +121,8 @@
             | EventCode::TargetBackedOff
             | EventCode::TargetReopened
             | EventCode::TargetLeaving
+            | EventCode::RateNamed
+            | EventCode::RateEnded
             | EventCode::StageCallFailed
             | EventCode::StageCallLate
     )
--- a/crates/logbook/src/explain/tests.rs
+++ b/crates/logbook/src/explain/tests.rs
@@ -76,6 +76,19 @@
     assert_eq!(targets.collect::<Vec<_>>(), [Some("i-1"), Some("i-4")]);
 }
 
+#[test]
+fn a_request_beyond_the_rates_of_its_service_is_told_with_these() {
+    const LOG: &str = "\
+2026-09-17T19:28:20.000Z WARN event=509 host=edge-1 peer=i-1 RateNamed: service=s per_s=1 former=any sent=0 withheld=0 cause=answered
+2026-09-17T19:28:20.000Z WARN event=509 host=edge-1 peer=i-2 RateNamed: service=t per_s=1 former=any sent=0 withheld=0 cause=answered
+2026-09-17T19:28:21.000Z WARN event=402 host=edge-1 request=a9 RequestRefused: took_ms=0 outcome=overloaded: every target of s names a rate that is used up, the first one for 700 ms";
+    let lines = read_lines(LOG.as_bytes()).unwrap();
+    let story = explain_request(&lines, "a9").unwrap();
+    let targets = story.target_lines.iter().map(|line| line.peer.as_deref());
+    assert_eq!(targets.collect::<Vec<_>>(), [Some("i-1")]);
+    assert!(story.verdict.contains("names a rate that is used up"));
+}
+
 #[test]
 fn a_request_without_an_end_or_without_lines_is_told_so() {
     let story = explain_request(&lines(), "zz").unwrap();
--- a/crates/rate/src/book/tests.rs
+++ b/crates/rate/src/book/tests.rs
@@ -163,3 +163,44 @@
         );
     }
 }
+
+/// `cargo test --release -p linnet-rate measure -- --ignored --nocapture`
+#[test]
+#[ignore = "a measurement"]
+fn measure_ten_thousand_targets_that_change_their_rate_at_once() {
+    const TARGETS: usize = 10_000;
+    let now = BootInstant::now();
+    let words = |per_second: f64| -> Vec<RateWord> {
+        let word = |number| RateWord {
+            target: format!("i-{number:010x}"),
+            rate: rate(per_second),
+            asked_ms: 1_200,
+            heard_ms: 40,
+        };
+        (0..TARGETS).map(word).collect()
+    };
+    let mut book = RateBook::new();
+    for per_second in [5.0, 2.0] {
+        let words = words(per_second);
+        let began = std::time::Instant::now();
+        for word in &words {
+            book.relay(word, now);
+        }
+        let taken = began.elapsed();
+        let (mut number, mut told, mut parts) = (0, 0, 0);
+        let began = std::time::Instant::now();
+        loop {
+            let part = book.changed_after(number, 256, now);
+            number = part.number;
+            told += part.words.len();
+            parts += 1;
+            if part.words.len() < 256 {
+                break;
+            }
+        }
+        println!(
+            "taken in {taken:?}; {told} told in {parts} parts in {:?}",
+            began.elapsed()
+        );
+    }
+}
