Leave that one request was too impatient for stays open to more patient ones

Found by reading: a target was closed to all requests of a host by the answer to one of them that would wait less than others, so a less urgent request kept a more urgent one from leave that it could have waited for. Now the moment of the next leave is kept, and each request is held against it.

--- a/crates/gateway/src/rate_permit.rs
+++ b/crates/gateway/src/rate_permit.rs
@@ -11,6 +11,9 @@
 /// The span by whose requests it is told how many a host is about to send.
 const DEMAND_SPAN: Duration = Duration::from_millis(20);
 
+/// How long it counts that a request would wait for leave: others like it come.
+const PATIENCE_KEPT: Duration = Duration::from_secs(1);
+
 /// Leave to send one request to a target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct SendPermit {
@@ -40,6 +43,15 @@
     former: u32,
 }
 
+impl Leave {
+    fn note_patience(&mut self, within: Duration, now: BootInstant) {
+        let (widest, at) = self.widest;
+        if within >= widest || now - at > PATIENCE_KEPT {
+            self.widest = (within, now);
+        }
+    }
+}
+
 impl Demand {
     fn note(&mut self, now: BootInstant) {
         let age = now - self.since;
@@ -55,8 +67,10 @@
 /// What this host was told of one target's leave.
 #[derive(Debug, Clone, Default)]
 struct Leave {
-    /// No leave before this moment, for as long as this host would wait.
-    closed_until: BootInstant,
+    /// No leave for a moment before this one.
+    next_at: BootInstant,
+    /// The longest time that a request of this host would wait for leave, and when it came.
+    widest: (Duration, BootInstant),
     /// Permits that were given beside one that was asked for.
     spare: Vec<SendPermit>,
     demand: Demand,
@@ -95,7 +109,7 @@
     ) -> Option<(Duration, SendPermit)> {
         let mut leaves = self.leaves.borrow_mut();
         let leave = leaves.entry(target.to_owned()).or_default();
-        let opens = |after_ms| asked + Duration::from_millis(after_ms).saturating_sub(within);
+        leave.note_patience(within, asked);
         match answer {
             RateAnswer::Granted {
                 wait_ms,
@@ -106,22 +120,34 @@
                 let permit = SendPermit::until(asked + wait + PERMIT_LIFE);
                 leave.spare.extend((0..more).map(|_| permit));
                 if more == 0 {
-                    leave.closed_until = opens(next_ms);
+                    leave.next_at = asked + Duration::from_millis(next_ms);
                 }
                 Some((wait, permit))
             }
             RateAnswer::Later(after_ms) => {
-                leave.closed_until = opens(after_ms);
+                leave.next_at = asked + Duration::from_millis(after_ms);
                 None
             }
         }
     }
 
-    /// Returns how long there is no leave for a target.
+    /// Says whether a request that would wait for a span gets no leave for a target.
+    pub(crate) fn is_vain(&self, target: &str, within: Duration, now: BootInstant) -> bool {
+        let mut leaves = self.leaves.borrow_mut();
+        let Some(leave) = leaves.get_mut(target) else {
+            return false;
+        };
+        leave.note_patience(within, now);
+        leave.next_at - now > within
+    }
+
+    /// Returns how long no request of this host gets leave for a target, as long as they wait.
     pub(crate) fn closed_for(&self, target: &str, now: BootInstant) -> Duration {
         let leaves = self.leaves.borrow();
         let leave = leaves.get(target).filter(|leave| leave.spare.is_empty());
-        leave.map_or(Duration::ZERO, |leave| leave.closed_until - now)
+        leave.map_or(Duration::ZERO, |leave| {
+            (leave.next_at - now).saturating_sub(leave.widest.0)
+        })
     }
 
     /// Forgets a target that names no rate any more.
--- a/crates/gateway/src/rate_permit/tests.rs
+++ b/crates/gateway/src/rate_permit/tests.rs
@@ -34,6 +34,23 @@
     assert_eq!(permits.closed_for("t-0", now), Duration::ZERO);
 }
 
+#[test]
+fn a_target_is_open_to_those_that_wait_longer_than_one_that_got_no_leave() {
+    let (permits, now) = (RatePermits::default(), BootInstant::now());
+    permits.take_answer("t-0", RateAnswer::Later(80), WITHIN / 10, now);
+    assert!(permits.is_vain("t-0", WITHIN / 10, now));
+    assert!(!permits.is_vain("t-0", WITHIN, now));
+    assert_eq!(permits.closed_for("t-0", now), Duration::ZERO);
+    permits.take_answer("t-0", RateAnswer::Later(5_000), WITHIN / 10, now);
+    assert_eq!(permits.closed_for("t-0", now), Duration::from_millis(4_900));
+    let later = now + PATIENCE_KEPT + Duration::from_millis(1);
+    permits.take_answer("t-0", RateAnswer::Later(5_000), WITHIN / 10, later);
+    assert_eq!(
+        permits.closed_for("t-0", later),
+        Duration::from_millis(4_990)
+    );
+}
+
 #[test]
 fn permits_beside_one_are_used_before_others_are_asked_for() {
     let (permits, now) = (RatePermits::default(), BootInstant::now());
--- a/crates/gateway/src/rate_watch.rs
+++ b/crates/gateway/src/rate_watch.rs
@@ -153,7 +153,7 @@
         if let Some(spare) = self.permits.take_spare(target, asked) {
             return Some(spare);
         }
-        if !self.permits.closed_for(target, asked).is_zero() {
+        if self.permits.is_vain(target, within, asked) {
             return None;
         }
         let word = self.book.borrow().word(target, asked)?;
