A rate that the next start of a target names, or that was told to a host, outlasts those that forget it

What callers saw: targets that name a rate got more than it after they, or control hosts, started anew.

Cause 1: hosts forget a rate with the start that named it, control hosts did not. Where the next start names the same rate, the host that is answered tells it, and control hosts took it for old news: the others were not told. Now a control host looks at the births of targets as entry hosts do: it forgets what a former start named, and tells again what the present one said. Cause 2: control hosts keep rates in memory only, and only hosts that were answered told them. Where all control hosts and that host were gone, the others knew and told nobody. Now a control host that is connected anew is told all that an entry host knows, also what it was told.

Where no engine has leave and one that takes any rate was left alone for its failures, callers were told that no target is registered; such a target counts no more as one that is open. Ruled out: a rate kept on control hosts' disks, since a fleet that starts anew may be told another one at once.

--- a/crates/directory/src/change_reports.rs
+++ b/crates/directory/src/change_reports.rs
@@ -8,9 +8,20 @@
 pub struct ChangeSource<R> {
     /// Changes with each change of it.
     pub changes: watch::Receiver<u64>,
-    /// Returns the first records that changed after a change number, so many at most, and the number of the last change
-    /// that they bring their reader to.
-    pub changed_after: Box<dyn Fn(u64, usize) -> (Vec<R>, u64)>,
+    /// Returns what is to be told next.
+    pub changed_after: Box<dyn Fn(ChangeAsk) -> (Vec<R>, u64)>,
+}
+
+/// Asks for the first records that changed after a change number, and the number of the last change that they bring
+/// their reader to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ChangeAsk {
+    /// The change number.
+    pub number: u64,
+    /// The most records.
+    pub most: usize,
+    /// Whether the reader may know nothing yet, also not what it usually hears from others.
+    pub catches_up: bool,
 }
 
 /// Where a process keeps what it holds against requests.
@@ -27,6 +38,7 @@
     /// The number of the last change that was told. A control host that comes back is told everything, so
     /// that it knows again what it lost.
     told: u64,
+    catches_up: bool,
 }
 
 impl<'a, R> ChangeReports<'a, R> {
@@ -35,6 +47,7 @@
             source: source.map(|source| (source, source.changes.clone())),
             most,
             told: 0,
+            catches_up: true,
         }
     }
 
@@ -44,8 +57,13 @@
             return Vec::new();
         };
         changes.mark_unchanged();
-        let (records, number) = (source.changed_after)(self.told, self.most);
+        let (records, number) = (source.changed_after)(ChangeAsk {
+            number: self.told,
+            most: self.most,
+            catches_up: self.catches_up,
+        });
         self.told = number;
+        self.catches_up &= records.len() == self.most;
         records
     }
 
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -34,7 +34,7 @@
 mod view;
 
 pub use call::CallError;
-pub use change_reports::{ChangeSource, RateSource, SuspectSource};
+pub use change_reports::{ChangeAsk, ChangeSource, RateSource, SuspectSource};
 pub use document::{ContentHash, Document, DocumentKey, HeldDocument};
 pub use document_follower::DocumentSink;
 pub use evacuation::{EvacuationBook, EvacuationOrder, EvacuationOutcome, HallEvacuation};
--- a/crates/directory/src/node/rates.rs
+++ b/crates/directory/src/node/rates.rs
@@ -1,9 +1,31 @@
 //! The rates that targets named to entry hosts, which a control host passes on.
 
+use std::time::SystemTime;
+
 use linnet_clock::BootInstant;
-use linnet_rate::RateWord;
+use linnet_rate::{RateWord, StartChange};
 
-use super::DirectoryNode;
+use super::{DirectoryNode, NodeState};
+
+impl NodeState {
+    fn note_starts(&mut self, now: BootInstant) {
+        let unix_ms = unix_ms();
+        let named: Vec<String> = self.rates.named().map(|(id, _)| id.to_owned()).collect();
+        for id in named {
+            let Some(born) = self.registry.born_of(&id) else {
+                continue;
+            };
+            if self.rates.note_start(&id, born, unix_ms, now) == StartChange::Spoken {
+                self.rates.tell_again(&id, now);
+            }
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
 
 impl DirectoryNode {
     /// Takes what targets said of their rates, and tells the others what is news to them.
@@ -24,11 +46,21 @@
         }
     }
 
-    /// Forgets rates of which nothing was heard for long.
-    pub(crate) fn expire_rates(&self) {
+    /// Forgets rates of which nothing was heard for long, and those that a former start of a target named. What a
+    /// present start named is told again: others forgot it with the former one.
+    pub(crate) fn keep_rates(&self) {
         let mut state = self.lock();
-        if !state.rates.is_empty() {
-            state.rates.expire(BootInstant::now());
+        if state.rates.is_empty() {
+            return;
+        }
+        let now = BootInstant::now();
+        state.rates.expire(now);
+        let before = state.rates.number();
+        state.note_starts(now);
+        let news = state.rates.number() > before;
+        drop(state);
+        if news {
+            self.wake();
         }
     }
 }
--- a/crates/directory/src/node/tasks.rs
+++ b/crates/directory/src/node/tasks.rs
@@ -25,7 +25,7 @@
             node.wake();
         }
         node.keep_suspects(Instant::now());
-        node.expire_rates();
+        node.keep_rates();
     }
 }
 
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -254,6 +254,11 @@
         self.by_change.insert(self.number, id.to_owned());
     }
 
+    /// Returns when the newest start of a target began; nothing where the target is not known.
+    pub fn born_of(&self, id: &str) -> Option<u64> {
+        Some(self.held.get(id)?.record.born)
+    }
+
     /// Returns every record.
     pub fn records(&self) -> impl Iterator<Item = &TargetRecord> {
         self.held.values().map(|held| &held.record)
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -320,7 +320,7 @@
     update.suspects = suspects.records;
     let rates = state
         .rates
-        .changed_after(pushed.rates, RATES_AT_ONCE, BootInstant::now());
+        .changed_after(pushed.rates, RATES_AT_ONCE, true, BootInstant::now());
     pushed.rates = rates.number;
     update.rates = rates.words;
     if !state.wants_lists(pushed.subscriber) {
--- a/crates/gateway/src/closed_service.rs
+++ b/crates/gateway/src/closed_service.rs
@@ -1,6 +1,6 @@
 //! What becomes of a request where every target that may run it wants no requests for a while.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use linnet_clock::BootInstant;
 use linnet_rate::NamedRate;
@@ -86,8 +86,8 @@
 pub(crate) fn has_unrated(gateway: &Gateway, service: &str, ask: &Ask) -> bool {
     let now = BootInstant::now();
     let book = gateway.targets.borrow();
-    let mut targets = book.of_service(service);
-    targets.any(|one: &Target| {
+    let mut usable = book.usable(service, Instant::now()).into_iter();
+    usable.any(|one: &Target| {
         ask.homes.allow(&one.hall)
             && book.rate(&one.id).is_none()
             && gateway.notices.standing(&one.id, now) == TargetStanding::Open
@@ -107,9 +107,9 @@
         return None;
     }
     let book = gateway.targets.borrow();
-    let targets = book.of_service(service);
-    let targets = targets.filter(|target| ask.homes.allow(&target.hall));
-    let rates = targets.map(|target| book.rate(&target.id));
+    let usable = book.usable(service, Instant::now()).into_iter();
+    let usable = usable.filter(|target| ask.homes.allow(&target.hall));
+    let rates = usable.map(|target| book.rate(&target.id));
     rates.reduce(|sum, rate| Some(sum?.plus(rate?))).flatten()
 }
 
--- a/crates/gateway/src/gateway/rates.rs
+++ b/crates/gateway/src/gateway/rates.rs
@@ -31,8 +31,8 @@
         let gateway = self.clone();
         RateSource {
             changes: self.notices.rates.changes(),
-            changed_after: Box::new(move |number, most| {
-                let changed = gateway.notices.rates.changed_after(number, most);
+            changed_after: Box::new(move |ask| {
+                let changed = gateway.notices.rates.changed_after(ask);
                 (changed.words, changed.number)
             }),
         }
--- a/crates/gateway/src/rate_watch.rs
+++ b/crates/gateway/src/rate_watch.rs
@@ -9,7 +9,10 @@
 use futures_util::future::LocalBoxFuture;
 
 use linnet_clock::BootInstant;
-use linnet_rate::{ChangedRates, NamedRate, RateBook, RateChange, RatePacer, RateWord};
+use linnet_directory::ChangeAsk;
+use linnet_rate::{
+    ChangedRates, NamedRate, RateBook, RateChange, RatePacer, RateWord, StartChange,
+};
 use linnet_telemetry::{EventCode, EventRecorder, NoticeLine, NoticeStanding};
 use tokio::sync::watch;
 
@@ -17,6 +20,7 @@
 use crate::rate_permit::{RatePermits, SendPermit};
 use crate::rate_turn::{RateAnswer, RateAsk, RateSubject};
 use crate::target::TargetBook;
+use crate::target_ask::unix_ms;
 
 /// What this host did at a target since it knows its rate.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -119,10 +123,10 @@
         self.changes.subscribe()
     }
 
-    /// Returns the first words that changed after a change number.
-    pub(crate) fn changed_after(&self, number: u64, most: usize) -> ChangedRates {
-        let book = self.book.borrow();
-        book.changed_after(number, most, BootInstant::now())
+    /// Returns what is to be told to a control host next.
+    pub(crate) fn changed_after(&self, ask: ChangeAsk) -> ChangedRates {
+        let (book, now) = (self.book.borrow(), BootInstant::now());
+        book.changed_after(ask.number, ask.most, ask.catches_up, now)
     }
 
     fn tell_changes(&self) {
@@ -287,31 +291,28 @@
 
     /// Looks at a new list of targets that take work: a start that followed owes nothing.
     pub(crate) fn take_list(&self) {
-        let book = self.book.borrow();
+        let mut book = self.book.borrow_mut();
         if book.is_empty() {
             return;
         }
-        let targets = self.targets.borrow();
-        let now = (BootInstant::now(), crate::target_ask::unix_ms());
-        let is_former = |target: &&str| {
-            let born = targets.find_anywhere(target).map_or(0, |(_, one)| one.born);
-            let heard = book.heard(target).unwrap_or_default();
-            let heard_at = now.1.saturating_sub((now.0 - heard).as_millis() as u64);
-            born > heard_at
-        };
-        let named = book.named().map(|(target, _)| target);
-        let former: Vec<String> = named.filter(is_former).map(str::to_owned).collect();
-        drop((book, targets));
-        for target in former {
-            self.end(&target, "another start");
+        let (now, unix_ms) = (BootInstant::now(), unix_ms());
+        let named: Vec<String> = book.named().map(|(target, _)| target.to_owned()).collect();
+        let mut ended = Vec::new();
+        for target in named {
+            let born = {
+                let targets = self.targets.borrow();
+                targets
+                    .find_anywhere(&target)
+                    .map_or(0, |(_, one)| one.born)
+            };
+            let change = book.note_start(&target, born, unix_ms, now);
+            if let StartChange::Silent(Some(former)) = change {
+                ended.push((target, former));
+            }
         }
-    }
-
-    fn end(&self, target: &str, cause: &str) {
-        let former = self.rate(target);
-        self.book.borrow_mut().forget(target);
-        if let Some(former) = former {
-            self.record(target, RateChange::Ended { former }, cause);
+        drop(book);
+        for (target, former) in ended {
+            self.record(&target, RateChange::Ended { former }, "another start");
         }
     }
 
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -166,8 +166,8 @@
         let gateway = self.clone();
         SuspectSource {
             changes: self.suspects.changes(),
-            changed_after: Box::new(move |number, most| {
-                let changed = gateway.suspects.changed_after(number, most);
+            changed_after: Box::new(move |ask| {
+                let changed = gateway.suspects.changed_after(ask.number, ask.most);
                 (changed.records, changed.number)
             }),
         }
--- a/crates/rate/src/book.rs
+++ b/crates/rate/src/book.rs
@@ -45,11 +45,26 @@
     pub number: u64,
 }
 
+/// How what is known of a target stands to its present start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartChange {
+    /// It is the start that was known.
+    Known,
+    /// It is a newer one, and what is known was said by it.
+    Spoken,
+    /// It is a newer one, which owes nothing; the rate that a former one named is forgotten.
+    Silent(Option<NamedRate>),
+}
+
 #[derive(Debug)]
 struct Held {
     word: TimedWord,
-    /// Number of the change with which it was last to be told; 0 where it is not told on.
+    /// Number of the last change.
     changed: u64,
+    /// Whether this process tells others of it, beside those that have lost everything.
+    own: bool,
+    /// When the start began that is known to run, in Unix milliseconds.
+    born: u64,
     /// When it was last told, or told here.
     told: BootInstant,
 }
@@ -122,14 +137,45 @@
         let Some(held) = self.held.get_mut(&word.target) else {
             return change;
         };
-        if held.word.rate == word.rate {
-            held.told = now;
-        } else {
+        if held.word.rate != word.rate {
             self.mark_changed(&word.target, now);
+            return change;
+        }
+        held.told = now;
+        if change != RateChange::Nothing {
+            held.own = false;
+            self.number_change(&word.target);
         }
         change
     }
 
+    /// Looks at the start of a target that runs, which began at a Unix millisecond. What a former one named is
+    /// forgotten; `unix_ms` is the time of day.
+    pub fn note_start(
+        &mut self,
+        target: &str,
+        born: u64,
+        unix_ms: u64,
+        now: BootInstant,
+    ) -> StartChange {
+        let Some(held) = self.held.get_mut(target).filter(|held| held.born < born) else {
+            return StartChange::Known;
+        };
+        held.born = born;
+        let heard_at = unix_ms.saturating_sub((now - held.word.heard).as_millis() as u64);
+        if heard_at >= born {
+            return StartChange::Spoken;
+        }
+        let former = held.word.rate;
+        self.forget(target);
+        StartChange::Silent(former)
+    }
+
+    /// Has a word told again to those that may have forgotten it.
+    pub fn tell_again(&mut self, target: &str, now: BootInstant) {
+        self.mark_changed(target, now);
+    }
+
     fn take(&mut self, word: &RateWord, now: BootInstant) -> RateChange {
         let timed = TimedWord::new(word, now);
         let Some(held) = self.held.get_mut(&word.target) else {
@@ -139,6 +185,8 @@
             let held = Held {
                 word: timed,
                 changed: 0,
+                own: false,
+                born: 0,
                 told: now,
             };
             self.held.insert(word.target.clone(), held);
@@ -158,23 +206,37 @@
     }
 
     fn mark_changed(&mut self, target: &str, now: BootInstant) {
+        if let Some(held) = self.held.get_mut(target) {
+            held.told = now;
+            held.own = true;
+        }
+        self.number_change(target);
+    }
+
+    fn number_change(&mut self, target: &str) {
         let Some(held) = self.held.get_mut(target) else {
             return;
         };
         self.by_change.remove(&held.changed);
         self.number += 1;
         held.changed = self.number;
-        held.told = now;
         self.by_change.insert(self.number, target.to_owned());
     }
 
-    /// Returns the first words that changed after a change number, so many at most.
-    pub fn changed_after(&self, number: u64, most: usize, now: BootInstant) -> ChangedRates {
-        let after = self.by_change.range(number.saturating_add(1)..).take(most);
-        let found = after.filter_map(|(change, target)| {
-            let held = self.held.get(target)?;
-            Some((*change, held.word.told(target, now)))
-        });
+    /// Returns the first words that changed after a change number, so many at most: those of which this process tells
+    /// others, or all of them for one that may know nothing.
+    pub fn changed_after(
+        &self,
+        number: u64,
+        most: usize,
+        all: bool,
+        now: BootInstant,
+    ) -> ChangedRates {
+        let after = self.by_change.range(number.saturating_add(1)..);
+        let held =
+            after.filter_map(|(change, target)| Some((*change, target, self.held.get(target)?)));
+        let told = held.filter(|(.., held)| all || held.own).take(most);
+        let found = told.map(|(change, target, held)| (change, held.word.told(target, now)));
         let found: Vec<(u64, RateWord)> = found.collect();
         let is_rest = found.len() < most;
         let last = found.last().map_or(number, |(change, _)| *change);
--- a/crates/rate/src/book/tests.rs
+++ b/crates/rate/src/book/tests.rs
@@ -57,7 +57,7 @@
     let told = book.number();
     book.take_told(&word(None, 3_000, 2_000), now);
     assert_eq!(book.rate("t-0"), rate(1.0));
-    let again = book.changed_after(told, 10, now).words;
+    let again = book.changed_after(told, 10, false, now).words;
     assert_eq!(again, [word(rate(1.0), 100, 50)]);
 }
 
@@ -67,7 +67,7 @@
     let mut book = RateBook::new();
     book.take_told(&word(rate(1.0), 100, 50), now);
     assert_eq!(book.rate("t-0"), rate(1.0));
-    assert!(book.changed_after(0, 10, now).words.is_empty());
+    assert!(book.changed_after(0, 10, false, now).words.is_empty());
 }
 
 #[test]
@@ -107,7 +107,7 @@
     }
     let (mut number, mut words) = (0, Vec::new());
     loop {
-        let part = book.changed_after(number, 4, now);
+        let part = book.changed_after(number, 4, false, now);
         number = part.number;
         if part.words.is_empty() {
             break;
@@ -147,7 +147,7 @@
         }
         for _ in 0..20 {
             for from in 0..3 {
-                let changed = books[from].changed_after(told[from], 100, now);
+                let changed = books[from].changed_after(told[from], 100, false, now);
                 told[from] = changed.number;
                 for to in (0..3).filter(|to| *to != from) {
                     for one in &changed.words {
@@ -190,7 +190,7 @@
         let (mut number, mut told, mut parts) = (0, 0, 0);
         let began = std::time::Instant::now();
         loop {
-            let part = book.changed_after(number, 256, now);
+            let part = book.changed_after(number, 256, false, now);
             number = part.number;
             told += part.words.len();
             parts += 1;
@@ -204,3 +204,28 @@
         );
     }
 }
+
+#[test]
+fn one_that_lost_everything_is_told_also_what_was_told() {
+    let now = BootInstant::now();
+    let mut book = RateBook::new();
+    let named = word(rate(1.0), 100, 50);
+    book.take_told(&named, now);
+    assert!(book.changed_after(0, 10, false, now).words.is_empty());
+    assert_eq!(book.changed_after(0, 10, true, now).words, [named]);
+}
+
+#[test]
+fn a_start_that_followed_owes_nothing_of_what_the_one_before_named() {
+    const UNIX_MS: u64 = 1_000_000;
+    let now = BootInstant::now();
+    let mut book = RateBook::new();
+    book.take_heard(&word(rate(1.0), 100, 50), now);
+    let spoken = book.note_start("t-0", UNIX_MS - 60, UNIX_MS, now);
+    assert_eq!(spoken, StartChange::Spoken);
+    let known = book.note_start("t-0", UNIX_MS - 60, UNIX_MS, now);
+    assert_eq!(known, StartChange::Known);
+    let silent = book.note_start("t-0", UNIX_MS - 40, UNIX_MS, now);
+    assert_eq!(silent, StartChange::Silent(rate(1.0)));
+    assert_eq!(book.rate("t-0"), None);
+}
--- a/crates/rate/src/lib.rs
+++ b/crates/rate/src/lib.rs
@@ -6,7 +6,7 @@
 mod pacer;
 mod word;
 
-pub use book::{ChangedRates, RateBook, RateChange};
+pub use book::{ChangedRates, RateBook, RateChange, StartChange};
 pub use named::{NamedRate, RateFault, read_rate};
 pub use pacer::RatePacer;
 pub use word::RateWord;
