--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -1,5 +1,7 @@
 //! Serves subscribers on a control host.
 
+mod additions;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -11,13 +13,17 @@
 use tokio::time::{sleep, timeout};
 
 use crate::first_form::{FirstReport, FirstUpdate};
-use crate::gateway_push::{GatewayDue, GatewayPush};
+use crate::gateway_push::GatewayPush;
 use crate::message::ReportTail;
-use crate::node::{NodeState, SubscriberState};
+use crate::node::SubscriberState;
 use crate::sending::DocumentSending;
 use crate::{
     DirectoryNode, DirectoryUpdate, DocumentKey, EvacuationBook, GatewayRecord, OwnGateways,
-    Registry, SubscriberHello, SubscriberReport,
+    SubscriberHello, SubscriberReport,
+};
+
+use additions::{
+    add_document, add_evacuations, add_gateways, add_heard, add_rollouts, add_withdrawn,
 };
 
 /// Between two signs of life to a subscriber.
@@ -349,83 +355,5 @@
     update
 }
 
-/// Tells an entry host of all entry hosts, and another control host of those that this one hears.
-fn add_gateways(
-    state: &mut NodeState,
-    pushed: &mut Pushed,
-    update: &mut DirectoryUpdate,
-    now: Instant,
-) {
-    if pushed.control {
-        match pushed.own_gateways.due(state.own_gateways(now), now) {
-            GatewayDue::Never => {}
-            GatewayDue::Now(list) => update.own_gateways = Some((*list).clone()),
-            GatewayDue::After(span) => pushed.next_list = Some(span),
-        }
-        return;
-    }
-    match pushed.gateways.due(state.gateways(now), now) {
-        GatewayDue::Never => {}
-        GatewayDue::Now(list) => update.gateways = Some(list.to_vec()),
-        GatewayDue::After(span) => pushed.next_list = Some(span),
-    }
-}
-
-/// Tells another control host of the heartbeats that came since it was told last, a few times a second: told
-/// with each change of a target, the work for one heartbeat would grow with the changes of the fleet.
-fn add_heard(registry: &Registry, pushed: &mut Pushed, update: &mut DirectoryUpdate, now: Instant) {
-    let since = pushed.heard;
-    if since.is_some_and(|since| now.saturating_duration_since(since) < UPDATE_PERIOD) {
-        return;
-    }
-    update.heard = registry.heard_since(since, now);
-    pushed.heard = Some(now);
-}
-
-/// Tells a subscriber that takes lists from others of the targets that get no new work, all the same: those
-/// others may be cut off from this host.
-fn add_withdrawn(
-    registry: &Registry,
-    pushed: &mut Pushed,
-    update: &mut DirectoryUpdate,
-    now: Instant,
-) {
-    update.targets = registry.withdrawn_after(pushed.withdrawn, now);
-    update.number = registry.number();
-    pushed.withdrawn = update.number;
-}
-
-fn add_evacuations(node: &DirectoryNode, pushed: &mut Pushed, update: &mut DirectoryUpdate) {
-    let held = node.evacuations();
-    if pushed.evacuations.as_ref() != Some(&held) {
-        update.evacuations = Some((*held).clone());
-        pushed.evacuations = Some(held);
-    }
-}
-
-fn add_rollouts(node: &DirectoryNode, pushed: &mut Pushed, update: &mut DirectoryUpdate) {
-    let held = node.rollouts();
-    if pushed.rollouts.as_ref() != Some(&held) {
-        update.rollouts = Some((*held).clone());
-        pushed.rollouts = Some(held);
-    }
-}
-
-fn add_document(node: &DirectoryNode, pushed: &mut Pushed, update: &mut DirectoryUpdate) {
-    let held = node.held_document().map(|held| held.key());
-    if held != pushed.offer {
-        pushed.offer = held;
-        update.offer = held;
-    }
-    let want = {
-        let state = node.lock();
-        let subscriber = state.subscribers.get(&pushed.subscriber);
-        subscriber.and_then(|subscriber| subscriber.want.clone())
-    };
-    let find = |want: &_| node.payload(want);
-    pushed.sending.take_want(want.as_ref(), find);
-    update.part = pushed.sending.next_part();
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::closed_service::rate_patience;
 use crate::events::EventSplitter;
 use crate::graph::RequestResults;
+use crate::in_flight::InFlight;
 use crate::notice::read_notice;
 use crate::rate_permit::SendPermit;
 use crate::send_gate::SendKind;
@@ -89,56 +90,6 @@
     pub(crate) _placement: Option<Placement>,
 }
 
-/// Counts a request at its target until it is dropped.
-pub(crate) struct InFlight {
-    gateway: Rc<Gateway>,
-    service: String,
-    id: String,
-    sent: Instant,
-    /// The objective of a plain request, whose time says how slow the target is, also where it is given up.
-    objective: Option<Duration>,
-}
-
-impl InFlight {
-    fn new(gateway: &Rc<Gateway>, service: &str, id: &str, ask: &Ask) -> Self {
-        if let Some(target) = gateway.targets.borrow_mut().find_mut(service, id) {
-            target.in_flight += 1;
-        }
-        Self {
-            gateway: gateway.clone(),
-            service: service.to_owned(),
-            id: id.to_owned(),
-            sent: Instant::now(),
-            objective: (ask.route.kind != RouteKind::Streaming)
-                .then(|| Duration::from_millis(ask.route.objective_ms)),
-        }
-    }
-
-    /// Notes that the request is sent now; before, it waited for leave.
-    fn note_sending(&mut self) {
-        self.sent = Instant::now();
-    }
-
-    /// Lets the time say nothing of the target, which did not get the request.
-    fn forget(&mut self) {
-        self.objective = None;
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        let mut targets = self.gateway.targets.borrow_mut();
-        if let Some(target) = targets.find_mut(&self.service, &self.id) {
-            target.in_flight = target.in_flight.saturating_sub(1);
-        }
-        if let Some(objective) = self.objective {
-            let now = Instant::now();
-            let took = now.saturating_duration_since(self.sent);
-            targets.learn_time(&self.service, &self.id, took, objective, now);
-        }
-    }
-}
-
 /// One sending to one target.
 pub(crate) struct Attempt<'a> {
     pub(crate) service: &'a str,
--- /dev/null
+++ b/crates/gateway/src/in_flight.rs
@@ -0,0 +1,59 @@
+//! Requests that are at work at a target.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use linnet_routing::RouteKind;
+
+use crate::Gateway;
+use crate::ask::Ask;
+
+/// Counts a request at its target until it is dropped.
+pub(crate) struct InFlight {
+    gateway: Rc<Gateway>,
+    service: String,
+    id: String,
+    sent: Instant,
+    /// The objective of a plain request, whose time says how slow the target is, also where it is given up.
+    objective: Option<Duration>,
+}
+
+impl InFlight {
+    pub(crate) fn new(gateway: &Rc<Gateway>, service: &str, id: &str, ask: &Ask) -> Self {
+        if let Some(target) = gateway.targets.borrow_mut().find_mut(service, id) {
+            target.in_flight += 1;
+        }
+        Self {
+            gateway: gateway.clone(),
+            service: service.to_owned(),
+            id: id.to_owned(),
+            sent: Instant::now(),
+            objective: (ask.route.kind != RouteKind::Streaming)
+                .then(|| Duration::from_millis(ask.route.objective_ms)),
+        }
+    }
+
+    /// Notes that the request is sent now; before, it waited for leave.
+    pub(crate) fn note_sending(&mut self) {
+        self.sent = Instant::now();
+    }
+
+    /// Lets the time say nothing of the target, which did not get the request.
+    pub(crate) fn forget(&mut self) {
+        self.objective = None;
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let mut targets = self.gateway.targets.borrow_mut();
+        if let Some(target) = targets.find_mut(&self.service, &self.id) {
+            target.in_flight = target.in_flight.saturating_sub(1);
+        }
+        if let Some(objective) = self.objective {
+            let now = Instant::now();
+            let took = now.saturating_duration_since(self.sent);
+            targets.learn_time(&self.service, &self.id, took, objective, now);
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod graph;
 mod hall_bytes;
 mod home_halls;
+mod in_flight;
 mod load;
 mod metrics;
 mod notice;
