A call to control hosts that was not sent in time was not taken

What callers saw: 503 no_quorum with ran: unknown for requests that nothing had taken, where it must be said what is known. Cause: a call that still waits in the queue of the connection when its time is over was answered as one that may have been taken, and was sent later all the same. Now sending and taking back ask one flag, and whoever asks first has it.

Evidence: the first new test failed before (Unknown in place of NotTaken) and passes.

--- a/crates/entry/src/control_link.rs
+++ b/crates/entry/src/control_link.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -43,6 +44,18 @@
     request: String,
     call: ControlCall,
     done: oneshot::Sender<CallReply>,
+    claim: SendClaim,
+}
+
+/// Whether a call in the queue is sent or taken back: whoever asks first. Cheap to clone.
+#[derive(Debug, Clone, Default)]
+struct SendClaim(Arc<AtomicBool>);
+
+impl SendClaim {
+    /// Takes the call, to send it or to take it back; false where the other side has.
+    fn take(&self) -> bool {
+        !self.0.swap(true, Ordering::AcqRel)
+    }
 }
 
 /// A handle to the task that keeps the connection.
@@ -84,10 +97,12 @@
         let mut failure = CallFailure::NotTaken;
         while Instant::now() < until {
             let (done, reply) = oneshot::channel();
+            let claim = SendClaim::default();
             let queued = QueuedCall {
                 request: request.to_owned(),
                 call: call.clone(),
                 done,
+                claim: claim.clone(),
             };
             if self.queue.try_send(queued).is_err() {
                 return Err(failure);
@@ -98,6 +113,8 @@
                     ..
                 })) => return Ok(answer),
                 Ok(Ok(reply)) if reply.not_taken => sleep(ROTATE_WAIT).await,
+                // Out of time before it was sent, which it is not any more.
+                Err(_) if claim.take() => {}
                 // Lost with its connection or out of time: it may have been taken.
                 _ => failure = CallFailure::Unknown,
             }
@@ -168,6 +185,9 @@
 ) -> Result<(), WireError> {
     let mut number = 0;
     while let Some(queued) = queue.recv().await {
+        if !queued.claim.take() {
+            continue;
+        }
         number += 1;
         lock_open(open).insert(number, queued.done);
         let request = CallRequest {
@@ -208,3 +228,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
