Calls that a control host is about to refuse are not lost with its connection

Cause: an entry host leaves a control host with the first call that it refuses, and dropped the other calls on that connection, here a question about deferred requests beside the request, without waiting for their replies: nobody knew what became of them. Now replies to calls that were sent are waited for for 100 ms before the connection is left.

--- a/crates/entry/src/control_link.rs
+++ b/crates/entry/src/control_link.rs
@@ -19,6 +19,9 @@
 /// such a request is told that it may have run.
 const MAX_LATER: usize = 4_096;
 
+/// How long replies to calls are waited for on a connection that is about to be left.
+const LAST_REPLIES_WAIT: Duration = Duration::from_millis(100);
+
 /// Wait before the next control host is tried.
 const ROTATE_WAIT: Duration = Duration::from_millis(30);
 
@@ -204,15 +207,33 @@
     loop {
         let reply: CallReply = reader.receive().await?;
         let rotate = reply.answer.is_none();
-        if let Some(done) = lock_open(open).remove(&reply.number) {
-            let _ = done.send(reply);
-        }
+        settle_call(open, reply);
         if rotate {
-            return Ok(());
+            return take_last_replies(open, reader).await;
         }
     }
 }
 
+/// Takes the replies to calls that were sent to a host before it refused one: it refuses them as well, and without its
+/// reply nobody knows.
+async fn take_last_replies(open: &OpenCalls, mut reader: PeerReader) -> Result<(), WireError> {
+    let until = Instant::now() + LAST_REPLIES_WAIT;
+    while !lock_open(open).is_empty() {
+        let Ok(reply) = timeout_at(until, reader.receive()).await else {
+            return Ok(());
+        };
+        settle_call(open, reply?);
+    }
+    Ok(())
+}
+
+fn settle_call(open: &OpenCalls, reply: CallReply) {
+    if let Some(done) = lock_open(open).remove(&reply.number) {
+        // Nobody waits any more where its time is over.
+        let _ = done.send(reply);
+    }
+}
+
 fn lock_open(open: &OpenCalls) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<CallReply>>> {
     open.lock().unwrap_or_else(PoisonError::into_inner)
 }
