--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -29,7 +29,7 @@
 
 /// The targets that a request passes over.
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Passed<'a> {
+pub(crate) struct PassedTargets<'a> {
     /// Those that were tried.
     pub(crate) tried: &'a [String],
     /// Whether also those that name rates, where another takes any.
@@ -59,7 +59,7 @@
     gateway: &Gateway,
     service: &str,
     ask: &Ask,
-    passed: Passed<'_>,
+    passed: PassedTargets<'_>,
     results: Option<&RequestResults>,
 ) -> Result<(Chosen, Option<Placement>), Refusal> {
     for _ in 0..MOST_CHOICES {
@@ -82,7 +82,7 @@
     gateway: &Gateway,
     service: &str,
     ask: &Ask,
-    passed: Passed<'_>,
+    passed: PassedTargets<'_>,
     results: Option<&RequestResults>,
 ) -> Option<(Chosen, Option<Placement>)> {
     if let Some(place) = place_ask(gateway, service, ask, passed, results) {
@@ -121,7 +121,7 @@
     book: &TargetBook,
     service: &str,
     ask: &Ask,
-    passed: Passed<'_>,
+    passed: PassedTargets<'_>,
 ) -> Vec<String> {
     let mut closed = gateway.suspects.closed_targets(book, service, ask);
     closed.extend(gateway.notices.closed(book.ids_of(service)));
@@ -137,7 +137,7 @@
     gateway: &Gateway,
     service: &str,
     ask: &Ask,
-    passed: Passed<'_>,
+    passed: PassedTargets<'_>,
     results: Option<&RequestResults>,
 ) -> Option<PlaceAsk> {
     let prompt = ask.prompt.as_ref()?;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,7 +13,7 @@
 use crate::ask::Ask;
 use crate::attempt::{Attempt, AttemptEnd, send_attempt};
 use crate::caller_watch::CallerWatch;
-use crate::choose::{Passed, next_target, no_target, pick_service};
+use crate::choose::{PassedTargets, next_target, no_target, pick_service};
 use crate::closed_service::retry_after;
 use crate::engine::PlaceFacts;
 use crate::graph::RequestResults;
@@ -182,7 +182,7 @@
             return Err(after_attempts(log, refusal));
         }
         // Only now: while the stages ran, targets may have gone.
-        let passed = Passed {
+        let passed = PassedTargets {
             tried: &tried,
             rated: withheld >= RATED_TRIES,
         };
--- a/crates/gateway/src/forward/stages.rs
+++ b/crates/gateway/src/forward/stages.rs
@@ -8,7 +8,7 @@
 use super::RunLog;
 use crate::admission::admit;
 use crate::ask::Ask;
-use crate::choose::{Passed, no_target, place_ask};
+use crate::choose::{PassedTargets, no_target, place_ask};
 use crate::closed_service::{check_opens, check_rates};
 use crate::coordinator::HALL_BYTES;
 use crate::graph::{RequestResults, run_stages};
@@ -67,7 +67,7 @@
         let own = || gateway.config.hall.clone();
         return known.then(own).ok_or_else(no_target);
     }
-    let Some(place) = place_ask(gateway, service, ask, Passed::default(), None) else {
+    let Some(place) = place_ask(gateway, service, ask, PassedTargets::default(), None) else {
         return Ok(gateway.config.hall.clone());
     };
     let planned = gateway.stages.plan(&gateway.targets, place).await;
--- a/crates/gateway/src/rate_permit.rs
+++ b/crates/gateway/src/rate_permit.rs
@@ -37,13 +37,13 @@
 
 /// Requests to one target in one span and in the one before.
 #[derive(Debug, Clone, Copy, Default)]
-struct Demand {
+struct SendDemand {
     since: BootInstant,
     count: u32,
     former: u32,
 }
 
-impl Leave {
+impl TargetLeave {
     fn note_patience(&mut self, within: Duration, now: BootInstant) {
         let (widest, at) = self.widest;
         if within >= widest || now - at > PATIENCE_KEPT {
@@ -52,7 +52,7 @@
     }
 }
 
-impl Demand {
+impl SendDemand {
     fn note(&mut self, now: BootInstant) {
         let age = now - self.since;
         if age >= DEMAND_SPAN {
@@ -66,20 +66,20 @@
 
 /// What this host was told of one target's leave.
 #[derive(Debug, Clone, Default)]
-struct Leave {
+struct TargetLeave {
     /// No leave for a moment before this one.
     next_at: BootInstant,
     /// The longest time that a request of this host would wait for leave, and when it came.
     widest: (Duration, BootInstant),
     /// Permits that were given beside one that was asked for.
     spare: Vec<SendPermit>,
-    demand: Demand,
+    demand: SendDemand,
 }
 
 /// Leave to send to targets that name rates.
 #[derive(Debug, Default)]
 pub(crate) struct RatePermits {
-    leaves: RefCell<HashMap<String, Leave>>,
+    leaves: RefCell<HashMap<String, TargetLeave>>,
 }
 
 impl RatePermits {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,7 @@
 use crate::ask::Ask;
 use crate::attempt::{Attempt, AttemptEnd, EventStream, send_attempt};
 use crate::body::BrokenAnswer;
-use crate::choose::{Passed, next_target};
+use crate::choose::{PassedTargets, next_target};
 use crate::events::last_event_id;
 use crate::forward::take_repeat;
 use crate::graph::RequestResults;
@@ -150,7 +150,7 @@
     async fn send_on(&mut self) -> Option<(Chosen, AttemptEnd)> {
         loop {
             let (gateway, results) = (&self.gateway, self.results.as_ref());
-            let passed = Passed {
+            let passed = PassedTargets {
                 tried: &self.tried,
                 rated: false,
             };
