A refusal at admission tells the pool, the load and the ratio that it follows from; a call tells its overdue pieces

Names that stood in these lines stay; ratio, sample_age_ms, pool, pool_wait_ms, pieces_ahead, targets, free, load_age_ms and overdue are new. No decision changes.

--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -144,9 +144,10 @@
     // Pieces of one request are adjacent.
     requests.dedup();
     let detail = format!(
-        "service={} pieces={} took_ms={} expected_ms={} sender={} {outcome} requests={}",
+        "service={} pieces={} overdue={} took_ms={} expected_ms={} sender={} {outcome} requests={}",
         call.pool.service,
         call.pieces.len(),
+        call.overdue_pieces(),
         took.as_millis(),
         call.expected.as_millis(),
         sender.map_or("-".to_owned(), |sender| sender.to_string()),
--- a/crates/gateway/src/coordinator/due_call.rs
+++ b/crates/gateway/src/coordinator/due_call.rs
@@ -50,6 +50,12 @@
         }
     }
 
+    /// Returns the number of pieces whose requests had missed their objective when it was sent.
+    pub(super) fn overdue_pieces(&self) -> usize {
+        let overdue = |piece: &&QueuedPiece| piece.objective_at < self.started;
+        self.pieces.iter().filter(overdue).count()
+    }
+
     /// Returns whether it was sent while another call was running at the target.
     pub(crate) fn is_overlapping(&self) -> bool {
         self.overlapping
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -53,6 +53,8 @@
     plan: PathEstimate,
     /// Why the engine of the last attempt was selected.
     placement_facts: Option<PlacementFacts>,
+    /// What its refusal at admission followed from; empty if it was not refused there.
+    refusal_facts: String,
     /// Whether a target may have run it.
     may_have_run: bool,
 }
@@ -102,7 +104,7 @@
     let elapsed = request.arrived_at.elapsed();
     let detail = |outcome: &str| {
         format!(
-            "route={} account={} rank={}.{} version={} attempts={} planned_ms={:.0} waits_ms={:.0} stages_ms={} stage_runs={} took_ms={}{} {outcome}",
+            "route={} account={} rank={}.{} version={} attempts={} planned_ms={:.0} waits_ms={:.0} stages_ms={} stage_runs={} took_ms={}{}{} {outcome}",
             request.route.name,
             request.account.as_deref().unwrap_or("-"),
             request.rank.account_priority,
@@ -115,6 +117,7 @@
             trace.stage_runs,
             elapsed.as_millis(),
             prompt_details(request, trace),
+            trace.refusal_facts,
         )
     };
     let (code, outcome, label) = match outcome {
--- a/crates/gateway/src/forward/stages.rs
+++ b/crates/gateway/src/forward/stages.rs
@@ -6,11 +6,11 @@
 use linnet_telemetry::EventCode;
 
 use super::RequestTrace;
-use crate::admission::admit;
+use crate::admission::{admit, refusal_facts};
 use crate::caller_request::CallerRequest;
 use crate::coordinator::LARGE_RESULT_BYTES;
 use crate::graph::{RequestResults, run_stages};
-use crate::path_time::final_stages;
+use crate::path_time::{estimate_path_time, final_stages};
 use crate::service_availability::{check_availability, check_rate_limits};
 use crate::target_selection::{ExcludedTargets, no_target_refusal, placement_request};
 use crate::{Gateway, Refusal};
@@ -32,7 +32,12 @@
     trace: &mut RequestTrace,
 ) -> Result<RequestResults, Refusal> {
     if trace.stage_runs == 0 {
-        trace.plan = admit(gateway, request)?;
+        let path = estimate_path_time(gateway, request);
+        trace.plan = path.plan;
+        if let Err(refusal) = admit(gateway, request, &path) {
+            trace.refusal_facts = refusal_facts(gateway, request, &path);
+            return Err(refusal);
+        }
         let planned =
             Duration::from_secs_f64((trace.plan.stages_ms + trace.plan.waits_ms) / 1_000.0);
         check_availability(gateway, service, request, planned)?;
--- a/crates/gateway/src/path_time.rs
+++ b/crates/gateway/src/path_time.rs
@@ -4,6 +4,7 @@
 
 use crate::Gateway;
 use crate::caller_request::CallerRequest;
+use crate::stage_client::KnownLoad;
 use crate::wait_model::PathEstimate;
 
 /// The estimated times of the stages of a request.
@@ -14,6 +15,19 @@
     pub(crate) stage_times_ms: Vec<f64>,
     /// The totals that admission compares with the time left.
     pub(crate) plan: PathEstimate,
+    /// The stage with the longest wait; `None` if no stage has to wait.
+    pub(crate) longest_wait: Option<StageWait>,
+}
+
+/// How long a stage of a request waits, and the load that this follows from.
+#[derive(Debug, Clone)]
+pub(crate) struct StageWait {
+    pub(crate) service: String,
+    /// Wait in milliseconds, without the time of the stages before.
+    pub(crate) wait_ms: f64,
+    /// Number of pieces that are served first.
+    pub(crate) ahead: u32,
+    pub(crate) known: KnownLoad,
 }
 
 /// Estimates how long the stages of a request would take if it started now.
@@ -25,19 +39,29 @@
     // wait.
     let mut ends: Vec<(f64, f64)> = Vec::with_capacity(stages.len());
     let mut times: Vec<f64> = Vec::with_capacity(stages.len());
+    let mut longest_wait: Option<StageWait> = None;
     for (number, stage) in stages.iter().enumerate() {
         let before = stage.depends_on.iter().map(|before| ends[*before]);
         let (start, waits) = before.fold((0.0, 0.0), later_end);
         let count = request.piece_counts[number];
-        let load = gateway.stage_client.load_of(&stage.service);
+        let known = gateway.stage_client.load_of(&stage.service);
         let pool = stage_pool_of(table.as_deref(), &stage.service);
         let call_ms = call_time_ms(pool, count);
-        let wait = match (pool, load) {
-            (Some(pool), Some(load)) if count > 0 => {
-                (load.expected_wait_ms(pool, request.rank, count) - start).max(0.0)
+        let wait = match (pool, &known) {
+            (Some(pool), Some(known)) if count > 0 => {
+                (known.load.expected_wait_ms(pool, request.rank, count) - start).max(0.0)
             }
             _ => 0.0,
         };
+        let longest_ms = longest_wait.as_ref().map_or(0.0, |longest| longest.wait_ms);
+        if let Some(known) = known.filter(|_| wait > longest_ms) {
+            longest_wait = Some(StageWait {
+                service: stage.service.clone(),
+                wait_ms: wait,
+                ahead: known.load.pieces_ahead(request.rank),
+                known,
+            });
+        }
         ends.push((start + wait + call_ms, waits + wait));
         times.push(wait + call_ms);
     }
@@ -50,6 +74,7 @@
             waits_ms: waits,
             prefill_ms: prefill_ms(gateway, request),
         },
+        longest_wait,
     }
 }
 
--- a/crates/gateway/src/piece.rs
+++ b/crates/gateway/src/piece.rs
@@ -71,6 +71,21 @@
 }
 
 impl PoolLoad {
+    /// Returns the load of a pool without work.
+    pub fn idle(targets: u32) -> Self {
+        Self {
+            waiting: Vec::new(),
+            targets,
+            free: targets,
+        }
+    }
+
+    /// Returns the number of queued or expected pieces that are served before new pieces of a rank.
+    pub fn pieces_ahead(&self, rank: Rank) -> u32 {
+        let same_or_higher = self.waiting.iter().filter(|(other, _)| *other <= rank);
+        same_or_higher.map(|(_, count)| count).sum()
+    }
+
     /// Adds the load of another partition of the same pool.
     pub fn add(&mut self, other: &Self) {
         let mut waiting: BTreeMap<Rank, u32> = self.waiting.iter().copied().collect();
@@ -84,8 +99,7 @@
 
     /// Estimates how long new pieces of a rank wait until they are sent in a call, in milliseconds.
     pub fn expected_wait_ms(&self, pool: &StagePool, rank: Rank, pieces: u32) -> f64 {
-        let same_or_higher = self.waiting.iter().filter(|(other, _)| *other <= rank);
-        let ahead: u32 = same_or_higher.map(|(_, count)| count).sum();
+        let ahead = self.pieces_ahead(rank);
         if ahead == 0 && self.free > 0 {
             return 0.0;
         }
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -31,7 +31,7 @@
 use crate::target::TargetStore;
 
 pub(crate) use guard::{Expectation, Placement};
-pub(crate) use partitions::PartitionRequirements;
+pub(crate) use partitions::{KnownLoad, PartitionRequirements};
 pub(crate) use send_permit::SendPermitHost;
 
 use guard::{ExpectationHandle, LocalBatchGuard, RemoteBatchGuard};
--- a/crates/gateway/src/stage_client/partitions.rs
+++ b/crates/gateway/src/stage_client/partitions.rs
@@ -20,6 +20,15 @@
 /// Age up to which a reported load is used.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(600);
 
+/// The load of a pool as this host knows it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct KnownLoad {
+    pub(crate) load: PoolLoad,
+    /// Age of the oldest report that it is computed from; zero for a pool that this host
+    /// coordinates.
+    pub(crate) age: Duration,
+}
+
 /// The requirements of a batch on the partition that runs it.
 pub(crate) struct PartitionRequirements<'a> {
     /// The settings of the pool, if known.
@@ -54,8 +63,10 @@
         let score = |key: &PoolKey| {
             let load = self.load_of_partition(key);
             let wait_ms = match (&load, requirements.spec) {
-                (Some(load), Some(spec)) => {
-                    load.expected_wait_ms(spec, requirements.rank, requirements.pieces)
+                (Some(known), Some(spec)) => {
+                    known
+                        .load
+                        .expected_wait_ms(spec, requirements.rank, requirements.pieces)
                 }
                 _ => 0.0,
             };
@@ -125,29 +136,36 @@
 
     /// Returns the recent load of the pool of a service; `None` if the load of no partition is
     /// known.
-    pub(crate) fn load_of(&self, service: &str) -> Option<PoolLoad> {
+    pub(crate) fn load_of(&self, service: &str) -> Option<KnownLoad> {
         let partitions = self.state.borrow().pools.partitions_of(service).to_vec();
-        let mut sum = PoolLoad::default();
+        let mut sum = KnownLoad::default();
         let mut any_known = false;
         for (key, targets) in partitions {
-            let load = self.load_of_partition(&key);
-            any_known |= load.is_some();
+            let known = self.load_of_partition(&key);
+            any_known |= known.is_some();
             // A partition without a recent report has no work.
-            sum.add(&load.unwrap_or(PoolLoad {
-                waiting: Vec::new(),
-                targets,
-                free: targets,
-            }));
+            let known = known.unwrap_or_else(|| KnownLoad {
+                load: PoolLoad::idle(targets),
+                age: Duration::ZERO,
+            });
+            sum.load.add(&known.load);
+            sum.age = sum.age.max(known.age);
         }
         any_known.then_some(sum)
     }
 
-    fn load_of_partition(&self, pool: &PoolKey) -> Option<PoolLoad> {
+    fn load_of_partition(&self, pool: &PoolKey) -> Option<KnownLoad> {
         if self.coordinator_of(pool) == HostLocation::Local {
-            return self.coordinator.load_of(pool);
+            let load = self.coordinator.load_of(pool)?;
+            return Some(KnownLoad {
+                load,
+                age: Duration::ZERO,
+            });
         }
         let state = self.state.borrow();
         let (load, reported_at) = state.loads.get(pool)?;
-        (reported_at.elapsed() < MAX_LOAD_AGE).then(|| load.clone())
+        let age = reported_at.elapsed();
+        let load = (age < MAX_LOAD_AGE).then(|| load.clone())?;
+        Some(KnownLoad { load, age })
     }
 }
--- a/crates/gateway/src/wait_model.rs
+++ b/crates/gateway/src/wait_model.rs
@@ -4,7 +4,7 @@
 //! grow after a request was admitted. By how much depends on its rank.
 
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::caller_request::Rank;
 
@@ -29,27 +29,46 @@
     pub(crate) prefill_ms: f64,
 }
 
+/// Ratio of actual to planned waits of one rank.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct WaitRatio {
+    pub(crate) ratio: f64,
+    /// When the last sample was recorded; `None` if there was none.
+    pub(crate) sampled_at: Option<Instant>,
+}
+
 /// Ratios of actual to planned waits, by rank.
 #[derive(Debug, Default)]
 pub(crate) struct WaitModel {
-    ratios: HashMap<Rank, f64>,
+    ratios: HashMap<Rank, WaitRatio>,
 }
 
 impl WaitModel {
     /// Returns the expected duration of a request, corrected by the learned ratio of its rank, in
     /// milliseconds.
     pub(crate) fn expected_ms(&self, rank: Rank, plan: &PathEstimate) -> f64 {
-        let ratio = self.ratios.get(&rank).copied().unwrap_or(1.0);
+        let ratio = self.wait_ratio(rank).ratio;
         plan.stages_ms + plan.waits_ms * ratio.max(1.0) + plan.prefill_ms
     }
 
+    /// Returns the learned ratio of a rank.
+    pub(crate) fn wait_ratio(&self, rank: Rank) -> WaitRatio {
+        let unknown = WaitRatio {
+            ratio: 1.0,
+            sampled_at: None,
+        };
+        self.ratios.get(&rank).copied().unwrap_or(unknown)
+    }
+
     /// Updates the ratio of a rank with a request whose stages took `took`.
     pub(crate) fn record_wait(&mut self, rank: Rank, plan: &PathEstimate, took: Duration) {
         let waited = took.as_secs_f64() * 1_000.0 - plan.stages_ms;
         let planned = plan.waits_ms.max(MIN_WAIT_MS);
         let ratio = (waited / planned).clamp(MIN_RATIO, MAX_RATIO);
-        let known = self.ratios.entry(rank).or_insert(1.0);
-        *known += (ratio - *known) * RATIO_GAIN;
+        let mut known = self.wait_ratio(rank);
+        known.ratio += (ratio - known.ratio) * RATIO_GAIN;
+        known.sampled_at = Some(Instant::now());
+        self.ratios.insert(rank, known);
     }
 }
 
--- a/crates/gateway/src/wait_model/tests.rs
+++ b/crates/gateway/src/wait_model/tests.rs
@@ -39,3 +39,15 @@
     }
     assert_eq!(model.expected_ms(RANK, &plan(200.0)), 800.0);
 }
+
+#[test]
+fn a_ratio_without_samples_is_one_and_has_no_sample_time() {
+    let mut model = WaitModel::default();
+    assert!(model.wait_ratio(RANK).sampled_at.is_none());
+    assert_eq!(model.wait_ratio(RANK).ratio, 1.0);
+    let before = Instant::now();
+    model.record_wait(RANK, &plan(200.0), Duration::from_millis(1_100));
+    let known = model.wait_ratio(RANK);
+    assert!(known.ratio > 1.0);
+    assert!(known.sampled_at.is_some_and(|at| at >= before));
+}
