--- a/crates/gateway/src/coordinator/state/tests.rs
+++ b/crates/gateway/src/coordinator/state/tests.rs
@@ -1,5 +1,6 @@
 mod back_off;
 mod burst;
+mod full_memory;
 mod target_crash;
 
 use std::cell::RefCell;
