--- a/crates/gateway/src/coordinator/pool.rs
+++ b/crates/gateway/src/coordinator/pool.rs
@@ -1,5 +1,6 @@
 //! One stage pool: its queued pieces, its targets, and the assignment of pieces to targets.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -60,6 +61,8 @@
     pub(super) queue: Vec<QueuedPiece>,
     /// How calls are split between versions during a roll-out.
     split: Option<CallSplit>,
+    /// Number of times that a target was examined for a queued piece.
+    examined_targets: Cell<u64>,
 }
 
 impl PoolQueue {
@@ -69,6 +72,7 @@
             targets: BTreeMap::new(),
             queue: Vec::new(),
             split: None,
+            examined_targets: Cell::default(),
         }
     }
 
@@ -165,6 +169,11 @@
             .sort_by_key(|piece| (piece.rank, piece.key.batch));
     }
 
+    /// Returns how often a target was examined for a queued piece.
+    pub(super) fn examined_targets(&self) -> u64 {
+        self.examined_targets.get()
+    }
+
     pub(super) fn has_work(&self) -> bool {
         !self.queue.is_empty() || self.targets.values().any(|target| target.running > 0)
     }
@@ -374,6 +383,7 @@
         now: Instant,
     ) -> Option<String> {
         let fits = |id: &str, target: &StageTarget| {
+            self.examined_targets.set(self.examined_targets.get() + 1);
             let in_call = open.get(id).map_or(0, |call| call.pieces.len());
             in_call < self.spec.batch as usize
                 && (in_call > 0 || self.split_allows(target))
--- a/crates/gateway/src/coordinator/queue.rs
+++ b/crates/gateway/src/coordinator/queue.rs
@@ -229,6 +229,11 @@
         self.state.borrow_mut().end_expected(key);
     }
 
+    /// Returns how often a target was examined for a queued piece: the work of dispatches.
+    pub(crate) fn examined_targets(&self) -> u64 {
+        self.state.borrow().examined_targets()
+    }
+
     /// Returns the load of one pool.
     pub(crate) fn load_of(&self, key: &PoolKey) -> Option<PoolLoad> {
         let state = self.state.borrow();
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -194,6 +194,11 @@
         }
     }
 
+    /// Returns how often a target was examined for a queued piece, in all pools.
+    pub(super) fn examined_targets(&self) -> u64 {
+        self.pools.values().map(PoolQueue::examined_targets).sum()
+    }
+
     /// Returns a pool, which is created on first use.
     pub(super) fn pool_mut(&mut self, key: &PoolKey) -> Option<&mut PoolQueue> {
         if !self.pools.contains_key(key) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -415,6 +415,10 @@
             .metrics
             .connections_opened
             .set(gateway.upstream.opened_count() as i64);
+        gateway
+            .metrics
+            .stage_targets_examined
+            .set(gateway.coordinator.examined_targets() as i64);
         gateway
             .metrics
             .requests_open
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,7 @@
     pub(crate) stage_time: Histogram,
     pub(crate) attempts_failed: Counter,
     pub(crate) connections_opened: Gauge,
+    pub(crate) stage_targets_examined: Gauge,
     pub(crate) requests_open: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) hosts_known: Gauge,
@@ -60,6 +61,7 @@
             stage_time: times(),
             attempts_failed: Counter::default(),
             connections_opened: Gauge::default(),
+            stage_targets_examined: Gauge::default(),
             requests_open: Gauge::default(),
             config_version: Gauge::default(),
             hosts_known: Gauge::default(),
@@ -156,6 +158,11 @@
             "Connections to targets opened since the start",
             metrics.connections_opened.clone(),
         );
+        registry.register(
+            "stage_targets_examined",
+            "Stage targets examined for queued pieces since the start, as a coordinator",
+            metrics.stage_targets_examined.clone(),
+        );
         registry.register(
             "requests_open",
             "Requests in flight",
