A version that fails half of few responses is no longer completed at the end of a roll-out

Cause: the decision at the end asked the verdict only. The verdict is checked with each report, so it pays for many looks, routes and phases: for these counts its log gain is 2.80, and doubt begins at 3.0. Little evidence counted as none. Class: a threshold for a decision that is taken again and again is used for one that is taken once, with the fewest samples.

Why it works: one exact test at one moment has more power with few responses; the seen counts have a probability of 0.00035 there.

--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod count;
 mod evidence;
+mod few_responses;
 mod line;
 mod order;
 mod plan;
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use crate::few_responses::fails_more_often;
 use crate::{RolloutCause, RolloutRecord, RolloutTotals, RolloutVerdict, evaluate_rollout};
 
 /// Limit on the requests that a version may receive before it is known to be good.
@@ -112,7 +113,8 @@
         let may_complete = time >= COMPLETE_FROM
             && progress.totals.former_in_flight == 0
             && progress.totals.lagging_hosts == 0;
-        return match may_complete && !is_doubtful {
+        let may_complete = may_complete && !is_doubtful && !fails_more_often(progress.totals);
+        return match may_complete {
             true => RolloutStep::Complete(supporting_cause(progress.totals)),
             false => RolloutStep::NoChange,
         };
@@ -131,7 +133,7 @@
     verdict: &RolloutVerdict,
     is_doubtful: bool,
 ) -> RolloutStep {
-    if is_doubtful {
+    if is_doubtful || fails_more_often(progress.totals) {
         return RolloutStep::Revert(verdict.cause.clone());
     }
     match has_enough_slots(progress) && progress.record.permille == FULL_PERMILLE {
--- a/crates/rollout/src/plan/tests.rs
+++ b/crates/rollout/src/plan/tests.rs
@@ -260,6 +260,52 @@
     }
 }
 
+/// Promises of the decision at low request rates: a version that fails half of its responses is
+/// completed in at most one of a hundred roll-outs, a good one is reverted in at most one of a
+/// hundred. A version with fewer than `MIN_DECISIVE_RESPONSES` responses is exempt from the first.
+#[test]
+fn a_version_that_fails_half_of_few_responses_is_not_completed() {
+    const SEEDS: u64 = 1_000;
+    const MIN_DECISIVE_RESPONSES: u64 = 16;
+    let bad = VersionFault {
+        errors: 0.5,
+        ..GOOD
+    };
+    for per_s in [5.0, 10.0, 20.0] {
+        for errors in [0.0, 0.005] {
+            let service = Service {
+                per_s,
+                duration_ms: 8_000,
+                errors,
+            };
+            let completed = share_of(SEEDS, |seed| {
+                let outcome = simulate(service, bad, seed, None);
+                outcome.state == RolloutState::Completed && outcome.tested >= MIN_DECISIVE_RESPONSES
+            });
+            assert!(completed <= 0.01, "{service:?}: {completed} completed");
+            let reverted = share_of(SEEDS, |seed| {
+                simulate(service, GOOD, seed, None).state == RolloutState::Reverted
+            });
+            assert!(reverted <= 0.01, "{service:?}: {reverted} reverted");
+        }
+    }
+}
+
+/// 3 of 13 responses of the version failed and 0 of 158 of the former versions.
+#[test]
+fn a_version_with_three_failures_of_thirteen_is_reverted_at_the_end() {
+    let mut counts = crate::RouteCounts::default();
+    (counts.tested.responses, counts.tested.failures) = (13, 3);
+    (counts.former.responses, counts.former.failures) = (158, 0);
+    let mut totals = RolloutTotals::default();
+    let routes = totals.phases.entry((1, 1)).or_default();
+    routes.insert("report".to_owned(), counts);
+    let record = record(FULL_PERMILLE);
+    let step = |time| next_step(&progress(&record, &totals, time, (3, 3)));
+    assert_eq!(step(0.9), RolloutStep::NoChange);
+    assert!(matches!(step(0.96), RolloutStep::Revert(_)));
+}
+
 /// With too few requests for evidence, the roll-out proceeds by time and records that as the cause.
 #[test]
 fn a_rollout_with_few_requests_is_decided_by_time() {
