The crash of a stage target is recorded although its probe is slow; until then its pieces count as possible causes

Callers of other requests meet each such end.

Cause: the coordinator waited 25 ms for the probe of a target that had broken the connection, and dropped the result of a later one. The call then counted as a mere failure: nobody learnt that a target had ended, no request was suspected, and the pieces went on to up to three targets together with pieces of others. The path of plain requests and engines applies a late result; its copy for stages did not. Class: a time-out of a question is taken for its answer.

'So the seen run was this' is likely and not shown: it left no logs.

Why it works: the probe runs to its end and tells the observer. Pieces do not wait for it; they go on, each request in calls of its own, to one more target at most, as after a known crash. A connection that breaks at a target that lives costs this only where the probe takes over 25 ms.

--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use linnet_telemetry::EventCode;
+use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, timeout_at};
 
 use super::due_call::DueCall;
@@ -50,23 +51,43 @@
 /// Probes a target that broke a connection. If it has crashed, notifies the observer, which learns
 /// which requests had pieces there.
 async fn check_for_crash(
-    coordinator: &Coordinator,
+    coordinator: &Rc<Coordinator>,
     call: &DueCall,
     end: CallOutcome,
 ) -> CallOutcome {
     let CallOutcome::ConnectionBroken(cause) = end else {
         return end;
     };
-    let probe = timeout(
-        PROBE_TIMEOUT,
-        coordinator.caller.upstream.probe(call.address),
-    );
-    // A target that was removed from the list closes its connections by itself.
-    if probe.await != Ok(ProbeOutcome::Refused) || !coordinator.is_listed(call) {
-        return CallOutcome::Failed(cause);
+    let (coordinator, call) = (coordinator.clone(), call.clone());
+    let has_crashed = async move {
+        let refused =
+            coordinator.caller.upstream.probe(call.address).await == ProbeOutcome::Refused;
+        // A target that was removed from the list closes its connections by itself.
+        let has_crashed = refused && coordinator.is_listed(&call);
+        if has_crashed {
+            coordinator.notify_target_crash(&call);
+        }
+        has_crashed
+    };
+    outcome_after_check(cause, has_crashed).await
+}
+
+/// Returns the outcome of a call whose connection broke with `cause`. The check whether its target
+/// has crashed goes on if it takes too long for the pieces of the call.
+async fn outcome_after_check(
+    cause: String,
+    has_crashed: impl Future<Output = bool> + 'static,
+) -> CallOutcome {
+    let (done, result) = oneshot::channel();
+    ntex::rt::spawn(async move {
+        // Sending fails only if the result came too late for the call.
+        let _ = done.send(has_crashed.await);
+    });
+    match timeout(PROBE_TIMEOUT, result).await {
+        Ok(Ok(true)) => CallOutcome::TargetCrashed(cause),
+        Ok(_) => CallOutcome::Failed(cause),
+        Err(_) => CallOutcome::ConnectionBroken(cause),
     }
-    coordinator.notify_target_crash(call);
-    CallOutcome::TargetCrashed(cause)
 }
 
 /// Dispatches the queued pieces of a pool once the next call may be sent to one of its targets.
@@ -193,3 +214,6 @@
         coordinator.apply_free_bytes(&pool, address, free);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/coordinator/due_call.rs
+++ b/crates/gateway/src/coordinator/due_call.rs
@@ -8,6 +8,7 @@
 use crate::pool_key::PoolKey;
 
 /// A call that is ready to be sent.
+#[derive(Clone)]
 pub(crate) struct DueCall {
     pub(crate) pool: PoolKey,
     pub(crate) target: String,
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -59,10 +59,13 @@
     match end {
         CallOutcome::Responded(outcomes, _) => outcomes,
         CallOutcome::Busy | CallOutcome::OtherTarget => vec![Err(PieceFault::CallRejected); pieces],
-        CallOutcome::Failed(_) | CallOutcome::ConnectionBroken(_) | CallOutcome::SenderLost => {
+        CallOutcome::Failed(_) | CallOutcome::SenderLost => {
             vec![Err(PieceFault::Failed); pieces]
         }
-        CallOutcome::TargetCrashed(_) => vec![Err(PieceFault::TargetsCrashed); pieces],
+        // It is not known yet whether a target that broke the connection has crashed.
+        CallOutcome::TargetCrashed(_) | CallOutcome::ConnectionBroken(_) => {
+            vec![Err(PieceFault::TargetsCrashed); pieces]
+        }
     }
 }
 
--- a/crates/gateway/src/coordinator/state/tests/target_crash.rs
+++ b/crates/gateway/src/coordinator/state/tests/target_crash.rs
@@ -83,3 +83,27 @@
     assert_eq!(calls.len(), 1);
     assert!(calls[0].target != unhealthy && !calls[0].trial);
 }
+
+/// A target that broke the connection may have crashed. Sent on with others, up to three times, the
+/// pieces of the request that caused it would crash three more targets.
+#[test]
+fn pieces_are_sent_to_two_targets_at_most_while_probes_of_broken_connections_run() {
+    let (mut state, now) = (state(4), Instant::now());
+    let _other = submit_with_key(&mut state, request("/innocent"), 2, now);
+    let cause = submit_with_key(&mut state, request("/guilty"), 2, now);
+    let broken = || CallOutcome::ConnectionBroken("connection reset".to_owned());
+    let call = only_call(&mut state, now);
+    finish(&mut state, call, broken(), false);
+    let calls = state.due_calls(&key(), now);
+    assert_eq!(calls.len(), 2, "each request has a call of its own");
+    for call in calls {
+        if call.pieces[0].request_key == request("/guilty") {
+            finish(&mut state, call, broken(), false);
+        } else {
+            respond(&mut state, call, false);
+        }
+    }
+    let crashed = vec![Err(PieceFault::TargetsCrashed); 2];
+    assert_eq!(*cause.borrow(), crashed);
+    assert!(state.due_calls(&key(), now).is_empty());
+}
