--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -5,6 +5,7 @@
 //! example while a data hall is unreachable, targets refuse the excess calls and the pieces stay
 //! queued.
 
+mod assignment;
 mod batch;
 mod call;
 mod delegation;
