--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -10,7 +10,7 @@
 mod call;
 mod delegation;
 mod due_call;
-mod memory_search;
+mod failed_search;
 mod pool;
 mod queue;
 mod result_memory;
--- a/crates/gateway/src/coordinator/assignment.rs
+++ b/crates/gateway/src/coordinator/assignment.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::due_call::DueCall;
-use super::memory_search::FailedSearches;
+use super::failed_search::FailedSearches;
 use super::pool::{PoolQueue, QueuedPiece};
 use super::stage_target::StageTarget;
 use crate::pool_key::PoolKey;
--- a/crates/gateway/src/coordinator/call.rs
+++ b/crates/gateway/src/coordinator/call.rs
@@ -73,7 +73,8 @@
 }
 
 /// Returns the outcome of a call whose connection broke with `cause`. The check whether its target
-/// has crashed goes on if it takes too long for the pieces of the call.
+/// has crashed always runs to its end; if it takes longer than [`PROBE_TIMEOUT`], the pieces of the
+/// call do not wait for it.
 async fn outcome_after_check(
     cause: String,
     has_crashed: impl Future<Output = bool> + 'static,
