assignment: whether a target has room in its call is asked in one place; a wait names its stage by number

has_open_slot and choose_target stood with the same four conditions since the searches ask for memory; both call has_room_in_call. A wait on the path of a request held a copy of its service's name and a count that its load gives; it is computed for each request with stages and read only for a refusal. No decision changes: the same conditions, the same keys and values in the log.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -45,9 +45,9 @@
     if let Some(longest) = &path.longest_wait {
         facts += &format!(
             " pool={} pool_wait_ms={:.0} pieces_ahead={} targets={} free={} load_age_ms={}",
-            longest.service,
+            request.route.stages[longest.number].service,
             longest.wait_ms,
-            longest.ahead,
+            longest.known.load.pieces_ahead(request.rank),
             longest.known.load.targets,
             longest.known.load.free,
             longest.known.age.as_millis()
--- a/crates/gateway/src/coordinator/assignment.rs
+++ b/crates/gateway/src/coordinator/assignment.rs
@@ -78,13 +78,24 @@
         result_bytes: u64,
         now: Instant,
     ) -> bool {
-        self.usable(now).any(|(id, target)| {
-            let in_call = open.get(id).map_or(0, |call| call.pieces.len());
-            in_call < self.spec.batch as usize
-                && (in_call > 0 || self.split_allows(target))
-                && target.is_free(&self.spec, now)
-                && self.has_memory(target, result_bytes)
-        })
+        self.usable(now)
+            .any(|(id, target)| self.has_room_in_call(target, open.get(id), result_bytes, now))
+    }
+
+    /// Returns whether a target accepts one more piece with a result of this size, in addition to
+    /// those in its `open` call.
+    fn has_room_in_call(
+        &self,
+        target: &StageTarget,
+        open: Option<&DueCall>,
+        result_bytes: u64,
+        now: Instant,
+    ) -> bool {
+        let in_call = open.map_or(0, |call| call.pieces.len());
+        in_call < self.spec.batch as usize
+            && (in_call > 0 || self.split_allows(target))
+            && target.is_free(&self.spec, now)
+            && self.has_memory(target, result_bytes)
     }
 
     fn choose_target(
@@ -96,13 +107,10 @@
     ) -> TargetChoice {
         let fits = |id: &str, target: &StageTarget| {
             self.examined_targets.set(self.examined_targets.get() + 1);
-            let in_call = open.get(id).map_or(0, |call| call.pieces.len());
-            in_call < self.spec.batch as usize
-                && (in_call > 0 || self.split_allows(target))
-                && open.get(id).is_none_or(|call| call.accepts(piece))
+            let call = open.get(id);
+            self.has_room_in_call(target, call, piece.result_bytes, now)
+                && call.is_none_or(|call| call.accepts(piece))
                 && piece.allowed_halls.allows(&target.hall)
-                && target.is_free(&self.spec, now)
-                && self.has_memory(target, piece.result_bytes)
         };
         let is_other_hall =
             |target: &StageTarget| piece.hall.as_ref().is_some_and(|hall| *hall != target.hall);
--- a/crates/gateway/src/path_time.rs
+++ b/crates/gateway/src/path_time.rs
@@ -22,11 +22,10 @@
 /// How long a stage of a request waits, and the load that this follows from.
 #[derive(Debug, Clone)]
 pub(crate) struct StageWait {
-    pub(crate) service: String,
+    /// Index of the stage in the route, from 0.
+    pub(crate) number: usize,
     /// Wait in milliseconds, without the time of the stages before.
     pub(crate) wait_ms: f64,
-    /// Number of pieces that are served first.
-    pub(crate) ahead: u32,
     pub(crate) known: KnownLoad,
 }
 
@@ -56,9 +55,8 @@
         let longest_ms = longest_wait.as_ref().map_or(0.0, |longest| longest.wait_ms);
         if let Some(known) = known.filter(|_| wait > longest_ms) {
             longest_wait = Some(StageWait {
-                service: stage.service.clone(),
+                number,
                 wait_ms: wait,
-                ahead: known.load.pieces_ahead(request.rank),
                 known,
             });
         }
--- a/crates/gateway/src/stage_client/partitions.rs
+++ b/crates/gateway/src/stage_client/partitions.rs
@@ -61,8 +61,8 @@
     ) -> PoolKey {
         let mut candidates = self.usable_partitions(service, requirements.allowed_halls);
         let score = |key: &PoolKey| {
-            let load = self.load_of_partition(key);
-            let wait_ms = match (&load, requirements.spec) {
+            let known = self.load_of_partition(key);
+            let wait_ms = match (&known, requirements.spec) {
                 (Some(known), Some(spec)) => {
                     known
                         .load
