--- a/crates/gateway/src/coordinator/assignment.rs
+++ b/crates/gateway/src/coordinator/assignment.rs
@@ -72,7 +72,7 @@
     }
 
     /// Returns whether some target accepts one more piece with a result of this size.
-    fn has_open_slot(
+    pub(super) fn has_open_slot(
         &self,
         open: &BTreeMap<String, DueCall>,
         result_bytes: u64,
--- a/crates/gateway/src/coordinator/state/tests/full_memory.rs
+++ b/crates/gateway/src/coordinator/state/tests/full_memory.rs
@@ -71,6 +71,22 @@
     );
 }
 
+#[test]
+fn a_queue_is_not_walked_while_no_target_has_memory_for_its_smallest_result() {
+    let (mut state, handles) = full_state();
+    let now = Instant::now();
+    let none_open = BTreeMap::new();
+    let pool = &state.pools[&key()];
+    assert!(!pool.queue.is_empty());
+    assert!(!pool.can_call(now));
+    assert!(!pool.has_open_slot(&none_open, LARGE_RESULT, now));
+    assert!(pool.has_open_slot(&none_open, SMALL_RESULT, now));
+    state.remove_results(SERVICE, handles, LARGE_RESULT, now);
+    let pool = &state.pools[&key()];
+    assert!(pool.can_call(now));
+    assert!(pool.has_open_slot(&none_open, LARGE_RESULT, now));
+}
+
 #[test]
 fn a_dispatch_after_one_release_examines_targets_for_the_piece_that_it_sends() {
     let (mut state, handles) = full_state();
