Gateway: log and count how bodies of targets are framed and end

The line of a stream's end now tells the framing of the body and the bytes after its last complete event; linnet_gateway_target_bodies counts bodies by framing and end. No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,11 +13,13 @@
 use tokio::time::timeout;
 
 use crate::Gateway;
+use crate::body_framing::BodyFraming;
 use crate::caller_request::CallerRequest;
 use crate::events::EventSplitter;
 use crate::graph::RequestResults;
 use crate::in_flight::InFlightGuard;
 use crate::message_heads::{TargetHeaders, build_target_request, echoes_request_id};
+use crate::metrics::BodyEnd;
 use crate::notice::parse_notice;
 use crate::send_gate::SendKind;
 use crate::send_permit::SendPermit;
@@ -81,9 +83,12 @@
 pub(crate) struct EventStream {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
+    pub(crate) framing: BodyFraming,
     pub(crate) first: Bytes,
     pub(crate) rest: Incoming,
     pub(crate) splitter: EventSplitter,
+    /// Bytes after the last complete event, once the body has ended.
+    pub(crate) partial_bytes: usize,
     pub(crate) lease: ConnectionLease,
     /// Counts the request at its target while the stream lasts.
     pub(crate) _in_flight: InFlightGuard,
@@ -265,10 +270,12 @@
                     .record_success(attempt.service, &chosen.id);
                 AttemptOutcome::Streaming(Box::new(EventStream {
                     status,
+                    framing: BodyFraming::of_response(&headers),
                     headers,
                     first,
                     rest,
                     splitter,
+                    partial_bytes: 0,
                     lease,
                     _in_flight: in_flight,
                     _placement: attempt.placement.take(),
@@ -277,8 +284,10 @@
             Err(outcome) => outcome,
         };
     }
+    let framing = BodyFraming::of_response(&head.headers);
     match body.collect().await {
         Ok(body) => {
+            gateway.metrics.count_body(framing, BodyEnd::Clean);
             lease.release(&head.headers);
             if head.status.is_server_error() {
                 let cause = format!("status {}", head.status.as_u16());
@@ -291,7 +300,10 @@
             }
             AttemptOutcome::Complete(head.status, head.headers, body.to_bytes())
         }
-        Err(error) => AttemptOutcome::cut_short("answer", &error),
+        Err(error) => {
+            gateway.metrics.count_body(framing, BodyEnd::Broken);
+            AttemptOutcome::cut_short("answer", &error)
+        }
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod allowed_halls;
 mod attempt;
 mod body;
+mod body_framing;
 mod caller_disconnect;
 mod caller_request;
 mod cold;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,6 +11,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets, linear_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::body_framing::BodyFraming;
+
 /// Labels of a finished request. They exclude routes and accounts, which would make the number of
 /// series unbounded.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -52,6 +54,24 @@
     pub outcome: &'static str,
 }
 
+/// How the body of a target's response ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BodyEnd {
+    /// At the end of its framing.
+    Clean,
+    /// Before it was complete.
+    Broken,
+}
+
+/// Labels of the bodies of targets' responses.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct BodyLabels {
+    /// `length`, `chunks` or `close`.
+    pub framing: String,
+    /// `clean` or `broken`.
+    pub end: &'static str,
+}
+
 /// Metrics of an entry host.
 #[derive(Clone)]
 pub struct GatewayMetrics {
@@ -61,6 +81,7 @@
     pub(crate) first_response: Histogram,
     pub(crate) stage_time: Histogram,
     pub(crate) attempts_failed: Counter,
+    pub(crate) target_bodies: Family<BodyLabels, Counter>,
     pub(crate) connections_opened: Gauge,
     pub(crate) stage_targets_examined: Gauge,
     pub(crate) requests_open: Gauge,
@@ -101,6 +122,7 @@
             first_response: times(),
             stage_time: times(),
             attempts_failed: Counter::default(),
+            target_bodies: Family::default(),
             connections_opened: Gauge::default(),
             stage_targets_examined: Gauge::default(),
             requests_open: Gauge::default(),
@@ -202,6 +224,11 @@
             "Attempts at a target without a usable response",
             metrics.attempts_failed.clone(),
         );
+        registry.register(
+            "target_bodies",
+            "Bodies of responses of targets, by framing and end",
+            metrics.target_bodies.clone(),
+        );
         registry.register(
             "connections_opened",
             "Connections to targets opened since the start",
@@ -299,6 +326,17 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_body(&self, framing: BodyFraming, end: BodyEnd) {
+        let labels = BodyLabels {
+            framing: framing.to_string(),
+            end: match end {
+                BodyEnd::Clean => "clean",
+                BodyEnd::Broken => "broken",
+            },
+        };
+        self.target_bodies.get_or_create(&labels).inc();
+    }
+
     /// Records how far the forecast of the stages of a request was from the time that they took.
     pub(crate) fn observe_forecast_error(&self, forecast_ms: f64, took: Duration) {
         let error = took.as_secs_f64() - forecast_ms / 1_000.0;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,6 +19,7 @@
 use crate::graph::RequestResults;
 use crate::message_heads::build_response;
 use crate::message_heads::has_body_framing;
+use crate::metrics::BodyEnd;
 use crate::rollouts::ResponseQuality;
 use crate::run_permit::{RunPermit, acquire_run_permit};
 use crate::target::ChosenTarget;
@@ -216,6 +217,11 @@
             Some((Ok(events), RelayState::Reading(relay, stream)))
         }
         Ok(Ok(None)) => {
+            let end = format!("{} outcome=stream ended", describe_body(&stream));
+            relay
+                .gateway
+                .metrics
+                .count_body(stream.framing, BodyEnd::Clean);
             let EventStream { lease, headers, .. } = *stream;
             lease.release(&headers);
             // A body without framing ends with its connection, so its end cannot be distinguished
@@ -227,13 +233,17 @@
             } else {
                 relay.probe_target().await;
             }
-            relay.finish(EventCode::RequestFinished, "outcome=stream ended");
+            relay.finish(EventCode::RequestFinished, &end);
             None
         }
         Ok(Err(error)) => {
             if is_peer_disconnect(&error) {
                 relay.probe_target().await;
             }
+            relay
+                .gateway
+                .metrics
+                .count_body(stream.framing, BodyEnd::Broken);
             resume_or_abort(relay, stream, &format!("stream cut short: {error}")).await
         }
         Err(_) => {
@@ -243,11 +253,22 @@
     }
 }
 
+/// Describes the body of a stream that has ended, for the log.
+fn describe_body(stream: &EventStream) -> String {
+    let EventStream {
+        framing,
+        partial_bytes,
+        ..
+    } = stream;
+    format!("framing={framing} partial_bytes={partial_bytes}")
+}
+
 async fn resume_or_abort(
     mut relay: StreamRelay,
     stream: Box<EventStream>,
     cause: &str,
 ) -> Option<(Result<Bytes, IncompleteResponse>, RelayState)> {
+    let body = describe_body(&stream);
     drop(stream);
     match relay.resume(cause).await {
         Some(mut stream) => {
@@ -258,7 +279,7 @@
         None => {
             relay.finish(
                 EventCode::RequestFailed,
-                &format!("outcome=stream cut cause={cause}"),
+                &format!("{body} outcome=stream cut cause={cause}"),
             );
             Some((Err(IncompleteResponse), RelayState::Ended))
         }
@@ -278,6 +299,7 @@
             Some(Err(error)) => return Err(error),
             None => {
                 let rest = stream.splitter.take_remainder();
+                stream.partial_bytes += rest.len();
                 return Ok((!rest.is_empty()).then_some(rest));
             }
         }
