Relay: a stream that ends inside an event has been broken off

Cause: a body with neither a length nor chunks ends with its connection, so the close of a broken stream arrives as a clean end. read_events then returned the bytes after the last complete event as if they were an event, and the caller got the last chunk. The first event of a stream had the same fault, as a complete 200.

Change: a body that ends after bytes that begin an event is broken off, however it is framed: the stream is resumed where its route allows, otherwise the caller's connection is aborted, and before the first event the attempt fails. Partial events are not passed on and do not count as the last event. Blank lines and comments at the end are no event. Lines may end with LF, CR or both: an unrecognized line end would now make a good stream look broken.

Conclusion: an end between two events, without length and chunks, is still taken for complete (RFC 9112, section 8).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -87,7 +87,7 @@
     pub(crate) first: Bytes,
     pub(crate) rest: Incoming,
     pub(crate) splitter: EventSplitter,
-    /// Bytes after the last complete event, once the body has ended.
+    /// Bytes of an event that was incomplete when the body ended.
     pub(crate) partial_bytes: usize,
     pub(crate) lease: ConnectionLease,
     /// Counts the request at its target while the stream lasts.
@@ -399,6 +399,14 @@
             Some(Err(error)) => {
                 return Err(AttemptOutcome::cut_short("stream", &error));
             }
+            None if splitter.partial_bytes() > 0 => {
+                let framing = BodyFraming::of_response(&head.headers);
+                gateway.metrics.count_body(framing, BodyEnd::Broken);
+                return Err(AttemptOutcome::MayHaveRun {
+                    cause: "stream ended inside its first event".to_owned(),
+                    broken: framing == BodyFraming::Close,
+                });
+            }
             None => {
                 lease.release(&head.headers);
                 return Err(AttemptOutcome::Complete(
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -20,23 +20,49 @@
     pub(crate) fn take_remainder(&mut self) -> Bytes {
         self.buffer.split().freeze()
     }
+
+    /// Returns the number of bytes after the last complete event if they begin another event, and 0
+    /// otherwise: blank lines and comments are part of no event.
+    pub(crate) fn partial_bytes(&self) -> usize {
+        let mut lines = self.buffer[..].split(|byte| is_line_end(*byte));
+        if lines.any(|line| !line.is_empty() && !line.starts_with(b":")) {
+            self.buffer.len()
+        } else {
+            0
+        }
+    }
 }
 
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\r' | b'\n')
+}
+
+/// Returns the end of the last blank line, which completes an event. Lines end with LF, CR or both.
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let lf = bytes
-        .windows(2)
-        .rposition(|pair| pair == b"\n\n")
-        .map(|at| at + 2);
-    let crlf = bytes
-        .windows(4)
-        .rposition(|four| four == b"\r\n\r\n")
-        .map(|at| at + 4);
-    lf.max(crlf)
+    let (mut event_end, mut line_start, mut at) = (None, 0, 0);
+    while at < bytes.len() {
+        let width = match &bytes[at..] {
+            [b'\r', b'\n', ..] => 2,
+            [byte, ..] if is_line_end(*byte) => 1,
+            _ => 0,
+        };
+        if width == 0 {
+            at += 1;
+            continue;
+        }
+        let is_blank = line_start == at;
+        at += width;
+        line_start = at;
+        if is_blank {
+            event_end = Some(at);
+        }
+    }
+    event_end
 }
 
 /// Returns the id of the last event that has one.
 pub(crate) fn last_event_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| *byte == b'\n');
+    let lines = events.split(|byte| is_line_end(*byte));
     let mut ids = lines.rev().filter_map(|line| line.strip_prefix(b"id:"));
     let id = ids.next()?;
     Some(String::from_utf8_lossy(id).trim().to_owned())
--- a/crates/gateway/src/events/tests.rs
+++ b/crates/gateway/src/events/tests.rs
@@ -39,3 +39,46 @@
         );
     }
 }
+
+/// Guards against a stream that never yields an event, or is taken for broken, because of its line
+/// endings.
+#[test]
+fn events_end_with_a_blank_line_whatever_ends_the_lines() {
+    for end in ["\n", "\r\n", "\r"] {
+        let events = [
+            "id: 1", "data: a", "", ": note", "", "id: 2", "data: b", "", "",
+        ]
+        .join(end);
+        let text = format!("{events}id: 3{end}data: c");
+        for split in 0..=text.len() {
+            let mut splitter = EventSplitter::default();
+            let parts = [&text.as_bytes()[..split], &text.as_bytes()[split..]];
+            let returned: Vec<Bytes> = parts
+                .iter()
+                .filter_map(|part| splitter.push(part))
+                .collect();
+            let returned = returned.concat();
+            assert_eq!(returned, events.as_bytes(), "{end:?}, split at {split}");
+            assert_eq!(last_event_id(&returned).as_deref(), Some("2"));
+            assert_eq!(splitter.partial_bytes(), text.len() - events.len());
+        }
+    }
+}
+
+#[test]
+fn blank_lines_and_comments_at_the_end_are_no_partial_event() {
+    let cases = [
+        ("", false),
+        ("\n", false),
+        (": note", false),
+        (": note\r\n: another", false),
+        ("d", true),
+        ("data: a\n", true),
+        (": note\nid: 2\n", true),
+    ];
+    for (rest, expected) in cases {
+        let mut splitter = EventSplitter::default();
+        splitter.push(format!("data: a\n\n{rest}").as_bytes());
+        assert_eq!(splitter.partial_bytes() > 0, expected, "{rest:?}");
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,6 +13,7 @@
 
 use crate::attempt::{Attempt, AttemptOutcome, EventStream, send_attempt};
 use crate::body::IncompleteResponse;
+use crate::body_framing::BodyFraming;
 use crate::caller_request::CallerRequest;
 use crate::events::last_event_id;
 use crate::forward::take_retry;
@@ -216,6 +217,17 @@
             relay.record_events(&events);
             Some((Ok(events), RelayState::Reading(relay, stream)))
         }
+        Ok(Ok(None)) if stream.partial_bytes > 0 => {
+            relay
+                .gateway
+                .metrics
+                .count_body(stream.framing, BodyEnd::Broken);
+            // Closing the connection also ends a body without framing, so the target may have crashed.
+            if stream.framing == BodyFraming::Close {
+                relay.probe_target().await;
+            }
+            resume_or_abort(relay, stream, "stream ended inside an event").await
+        }
         Ok(Ok(None)) => {
             let end = format!("{} outcome=stream ended", describe_body(&stream));
             relay
@@ -286,7 +298,8 @@
     }
 }
 
-/// Reads until an event is complete; returns `None` at the end of the stream.
+/// Reads until an event is complete; returns `None` at the end of the body. Bytes that only begin an
+/// event are not returned.
 async fn read_events(stream: &mut EventStream) -> Result<Option<Bytes>, hyper::Error> {
     loop {
         match stream.rest.frame().await {
@@ -298,8 +311,11 @@
             }
             Some(Err(error)) => return Err(error),
             None => {
+                stream.partial_bytes = stream.splitter.partial_bytes();
+                if stream.partial_bytes > 0 {
+                    return Ok(None);
+                }
                 let rest = stream.splitter.take_remainder();
-                stream.partial_bytes += rest.len();
                 return Ok((!rest.is_empty()).then_some(rest));
             }
         }
