Gateway: a crash that ends an unframed body is told from its end

What callers would see: a body with neither a length nor chunks that its target left unfinished by crashing, between two events of a stream or anywhere in a plain answer, arrived as complete; a plain one even got the length of the cut body. A plain one also cleared a held request as if it had run to its end.

Cause: the close of a connection was taken for the end of the body, also when the process behind it had ended.

If nothing listens at the address, the body is broken off; if the target accepts connections, the run counts as complete; otherwise the answer is delivered and the run counts as neither. Bodies without a length because they have none (status 204) are not concerned.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
+use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use linnet_clock::BootInstant;
@@ -26,6 +27,7 @@
 use crate::service_availability::max_permit_wait;
 use crate::stage_client::Placement;
 use crate::target::ChosenTarget;
+use crate::target_crash::TargetState;
 use crate::upstream::{ConnectionLease, SendError, is_peer_disconnect};
 
 /// Minimum timeout of an attempt after which a repeatable request goes to another target.
@@ -39,10 +41,20 @@
 const SILENT_STREAM_TIME_DIVISOR: u32 = 2;
 const SLOW_STREAM_TIMEOUT_FACTOR: u32 = 3;
 
+/// A response whose body has ended.
+pub(crate) struct CompleteResponse {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// Whether the end of the body is known not to come from a crash of the target. The close of a
+    /// connection alone does not tell.
+    pub(crate) is_confirmed: bool,
+}
+
 /// Outcome of one attempt.
 pub(crate) enum AttemptOutcome {
     /// A complete response with any status.
-    Complete(StatusCode, HeaderMap, Bytes),
+    Complete(CompleteResponse),
     /// A streamed response whose first event has arrived.
     Streaming(Box<EventStream>),
     /// The target did not run the request.
@@ -131,13 +143,26 @@
     let facts = attempt.placement.as_ref().and_then(Placement::estimate);
     let exchange = send_and_receive(gateway, request, attempt, time_left, (in_flight, permit));
     let outcome = timeout(time_limit, exchange).await;
-    let outcome = outcome.unwrap_or_else(|_| {
+    let mut outcome = outcome.unwrap_or_else(|_| {
         AttemptOutcome::unusable(format!("no response within {} ms", time_limit.as_millis()))
     });
-    gateway.count_attempt(request, (service, chosen), &outcome, sent.elapsed(), facts);
+    let took = sent.elapsed();
+    if let AttemptOutcome::Complete(response) = &mut outcome
+        && !response.is_confirmed
+    {
+        let target = (service, chosen);
+        match gateway.probe_after_break(target, request, sent).await {
+            TargetState::Crashed => {
+                outcome = AttemptOutcome::unusable("connection closed by a crash of the target");
+            }
+            TargetState::Alive => response.is_confirmed = true,
+            TargetState::Unknown => {}
+        }
+    }
+    gateway.count_attempt(request, (service, chosen), &outcome, took, facts);
     if let AttemptOutcome::MayHaveRun { broken: true, .. } = outcome {
         gateway
-            .probe_after_break(service, chosen, request, sent)
+            .probe_after_break((service, chosen), request, sent)
             .await;
     }
     outcome
@@ -251,12 +276,13 @@
     if head.status.is_success() && !has_seal {
         return AttemptOutcome::unusable("an answer without the target's seal");
     }
+    let framing = BodyFraming::of_response(&head.headers, body.is_end_stream());
     if request.route.kind == RouteKind::Streaming && head.status.is_success() {
         let outcome = await_first_event(
             gateway,
             request,
             head,
-            body,
+            (body, framing),
             lease,
             attempt.placement.as_ref(),
             sent,
@@ -270,7 +296,7 @@
                     .record_success(attempt.service, &chosen.id);
                 AttemptOutcome::Streaming(Box::new(EventStream {
                     status,
-                    framing: BodyFraming::of_response(&headers),
+                    framing,
                     headers,
                     first,
                     rest,
@@ -284,7 +310,6 @@
             Err(outcome) => outcome,
         };
     }
-    let framing = BodyFraming::of_response(&head.headers);
     match body.collect().await {
         Ok(body) => {
             gateway.metrics.count_body(framing, BodyEnd::Clean);
@@ -298,7 +323,12 @@
                     .borrow_mut()
                     .record_success(attempt.service, &chosen.id);
             }
-            AttemptOutcome::Complete(head.status, head.headers, body.to_bytes())
+            AttemptOutcome::Complete(CompleteResponse {
+                status: head.status,
+                headers: head.headers,
+                body: body.to_bytes(),
+                is_confirmed: framing != BodyFraming::Close,
+            })
         }
         Err(error) => {
             gateway.metrics.count_body(framing, BodyEnd::Broken);
@@ -372,7 +402,7 @@
     gateway: &Gateway,
     request: &CallerRequest,
     head: http::response::Parts,
-    mut body: Incoming,
+    (mut body, framing): (Incoming, BodyFraming),
     lease: ConnectionLease,
     placement: Option<&Placement>,
     sent: Instant,
@@ -400,7 +430,6 @@
                 return Err(AttemptOutcome::cut_short("stream", &error));
             }
             None if splitter.partial_bytes() > 0 => {
-                let framing = BodyFraming::of_response(&head.headers);
                 gateway.metrics.count_body(framing, BodyEnd::Broken);
                 return Err(AttemptOutcome::MayHaveRun {
                     cause: "stream ended inside its first event".to_owned(),
@@ -409,11 +438,12 @@
             }
             None => {
                 lease.release(&head.headers);
-                return Err(AttemptOutcome::Complete(
-                    head.status,
-                    head.headers,
-                    splitter.take_remainder(),
-                ));
+                return Err(AttemptOutcome::Complete(CompleteResponse {
+                    status: head.status,
+                    headers: head.headers,
+                    body: splitter.take_remainder(),
+                    is_confirmed: framing != BodyFraming::Close,
+                }));
             }
         }
     }
--- a/crates/gateway/src/body_framing.rs
+++ b/crates/gateway/src/body_framing.rs
@@ -1,12 +1,12 @@
 //! How a response delimits its body.
 
 use derive_more::Display;
-use http::{HeaderMap, header};
+use http::{HeaderMap, HeaderValue, header};
 
 /// How a response delimits its body (RFC 9112, section 6.3).
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
 pub(crate) enum BodyFraming {
-    /// By its length.
+    /// By its length, or by its head if it has none.
     #[display("length")]
     Length,
     /// By chunks, the last of which is empty.
@@ -18,10 +18,12 @@
 }
 
 impl BodyFraming {
-    /// Returns the framing of a response that may have a body.
-    pub(crate) fn of_response(headers: &HeaderMap) -> Self {
-        let codings = headers.get_all(header::TRANSFER_ENCODING).iter();
-        match codings.filter_map(|value| value.to_str().ok()).next_back() {
+    /// Returns the framing of a response; `has_ended` says that no body follows the head, as with
+    /// status 204.
+    pub(crate) fn of_response(headers: &HeaderMap, has_ended: bool) -> Self {
+        let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+        match codings.next_back() {
+            _ if has_ended => Self::Length,
             Some(codings) if is_chunked(codings) => Self::Chunks,
             Some(_) => Self::Close,
             None if headers.contains_key(header::CONTENT_LENGTH) => Self::Length,
@@ -32,7 +34,8 @@
 
 /// Returns whether `chunked` is the last of the listed codings; otherwise the body ends with its
 /// connection.
-fn is_chunked(codings: &str) -> bool {
+fn is_chunked(codings: &HeaderValue) -> bool {
+    let codings = codings.to_str().unwrap_or_default();
     let last = codings.rsplit(',').next().unwrap_or_default();
     last.trim().eq_ignore_ascii_case("chunked")
 }
--- a/crates/gateway/src/body_framing/tests.rs
+++ b/crates/gateway/src/body_framing/tests.rs
@@ -22,6 +22,31 @@
         for (name, value) in lines {
             headers.append(*name, value.parse().unwrap());
         }
-        assert_eq!(BodyFraming::of_response(&headers), expected, "{lines:?}");
+        assert_eq!(
+            BodyFraming::of_response(&headers, false),
+            expected,
+            "{lines:?}"
+        );
     }
 }
+
+/// Guards against a complete response without a body that is taken for one that may be cut.
+#[test]
+fn a_response_without_a_body_does_not_end_with_its_connection() {
+    let framing = BodyFraming::of_response(&HeaderMap::new(), true);
+    assert_eq!(framing, BodyFraming::Length);
+}
+
+#[test]
+fn an_unreadable_transfer_coding_ends_with_its_connection() {
+    let mut headers = HeaderMap::new();
+    headers.append("transfer-encoding", "chunked".parse().unwrap());
+    headers.append(
+        "transfer-encoding",
+        HeaderValue::from_bytes(b"\xff").unwrap(),
+    );
+    assert_eq!(
+        BodyFraming::of_response(&headers, false),
+        BodyFraming::Close
+    );
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,7 +9,7 @@
 use linnet_telemetry::EventCode;
 use tokio::time::timeout;
 
-use crate::attempt::{Attempt, AttemptOutcome, send_attempt};
+use crate::attempt::{Attempt, AttemptOutcome, CompleteResponse, send_attempt};
 use crate::caller_disconnect::CallerDisconnectGuard;
 use crate::caller_request::CallerRequest;
 use crate::engine::PlacementFacts;
@@ -265,10 +265,16 @@
                         .with_run_permit(run_permit);
                 return Ok(relay_stream(relay, stream));
             }
-            AttemptOutcome::Complete(status, headers, body) => {
+            AttemptOutcome::Complete(response) => {
+                let CompleteResponse {
+                    status,
+                    headers,
+                    body,
+                    is_confirmed,
+                } = response;
                 // A server error does not prove that the request ran to its end: a target that
                 // fails a share of its requests responds so without having run them.
-                if !status.is_server_error() {
+                if !status.is_server_error() && is_confirmed {
                     gateway.record_complete_run(request, &chosen.id);
                 }
                 let retries =
--- a/crates/gateway/src/message_heads.rs
+++ b/crates/gateway/src/message_heads.rs
@@ -154,11 +154,6 @@
     response
 }
 
-/// Returns whether a response delimits its body by other means than closing the connection.
-pub(crate) fn has_body_framing(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Returns whether a response echoes the id of the request that it belongs to.
 pub(crate) fn echoes_request_id(names: &HeaderNames, headers: &HeaderMap, id: &str) -> bool {
     let echoed_id = headers
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,11 +19,11 @@
 use crate::forward::take_retry;
 use crate::graph::RequestResults;
 use crate::message_heads::build_response;
-use crate::message_heads::has_body_framing;
 use crate::metrics::BodyEnd;
 use crate::rollouts::ResponseQuality;
 use crate::run_permit::{RunPermit, acquire_run_permit};
 use crate::target::ChosenTarget;
+use crate::target_crash::TargetState;
 use crate::target_selection::ExcludedTargets;
 use crate::target_selection::select_or_await_target;
 use crate::upstream::is_peer_disconnect;
@@ -118,11 +118,11 @@
     }
 
     /// Starts the check whether the target that broke the connection has crashed.
-    async fn probe_target(&self) {
-        let (service, chosen) = (&self.service, &self.chosen);
+    async fn probe_target(&self) -> TargetState {
+        let target = (self.service.as_str(), &self.chosen);
         self.gateway
-            .probe_after_break(service, chosen, &self.request, self.sent)
-            .await;
+            .probe_after_break(target, &self.request, self.sent)
+            .await
     }
 
     /// Finds another target that resumes the stream.
@@ -229,6 +229,19 @@
             resume_or_abort(relay, stream, "stream ended inside an event").await
         }
         Ok(Ok(None)) => {
+            // A body without framing ends with its connection, and so does one cut by a crash.
+            let state = match stream.framing {
+                BodyFraming::Close => relay.probe_target().await,
+                BodyFraming::Length | BodyFraming::Chunks => TargetState::Alive,
+            };
+            if state == TargetState::Crashed {
+                relay
+                    .gateway
+                    .metrics
+                    .count_body(stream.framing, BodyEnd::Broken);
+                let cause = "connection closed by a crash of the target";
+                return resume_or_abort(relay, stream, cause).await;
+            }
             let end = format!("{} outcome=stream ended", describe_body(&stream));
             relay
                 .gateway
@@ -236,14 +249,10 @@
                 .count_body(stream.framing, BodyEnd::Clean);
             let EventStream { lease, headers, .. } = *stream;
             lease.release(&headers);
-            // A body without framing ends with its connection, so its end cannot be distinguished
-            // from a crash of the target.
-            if has_body_framing(&headers) {
+            if state == TargetState::Alive {
                 relay
                     .gateway
                     .record_complete_run(&relay.request, &relay.chosen.id);
-            } else {
-                relay.probe_target().await;
             }
             relay.finish(EventCode::RequestFinished, &end);
             None
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -85,7 +85,9 @@
             // Nothing ran: this reflects the load of the target, not its version.
             AttemptOutcome::NotRun { .. } | AttemptOutcome::Withheld => None,
             AttemptOutcome::MayHaveRun { .. } => Some(Self::Failed),
-            AttemptOutcome::Complete(status, ..) if status.is_server_error() => Some(Self::Failed),
+            AttemptOutcome::Complete(response) if response.status.is_server_error() => {
+                Some(Self::Failed)
+            }
             AttemptOutcome::Complete(..) if request.route.kind != RouteKind::Streaming => {
                 Some(Self::Timed(took_ms))
             }
--- a/crates/gateway/src/target_crash.rs
+++ b/crates/gateway/src/target_crash.rs
@@ -42,12 +42,21 @@
     ran: Duration,
 }
 
+/// What is known of a target whose connection broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum TargetState {
+    Crashed,
+    /// It accepts connections.
+    Alive,
+    Unknown,
+}
+
 /// What is known of the crash of a target.
 enum CrashState {
     /// The probe is in progress.
     Probing {
         interrupted: Vec<InterruptedRequest>,
-        waiting: Vec<oneshot::Sender<()>>,
+        waiting: Vec<oneshot::Sender<ProbeOutcome>>,
     },
     /// The target has crashed, as of this time.
     Crashed(Instant),
@@ -101,14 +110,13 @@
     /// the target has crashed. Returns once that is known or the probe takes too long.
     pub(crate) async fn probe_after_break(
         self: &Rc<Self>,
-        service: &str,
-        chosen: &ChosenTarget,
+        (service, chosen): (&str, &ChosenTarget),
         request: &CallerRequest,
         sent: Instant,
-    ) {
+    ) -> TargetState {
         // A target that was withdrawn closes its connections itself.
         let Some(known) = self.targets.borrow().find(service, &chosen.id) else {
-            return;
+            return TargetState::Unknown;
         };
         let interrupted = InterruptedRequest {
             id: request.id.clone(),
@@ -117,13 +125,18 @@
         };
         if known.born > chosen.born {
             let crash = CrashKey::new(&chosen.id, chosen.born);
-            return self.record_target_crash(service, chosen, crash, &[interrupted]);
+            self.record_target_crash(service, chosen, crash, &[interrupted]);
+            return TargetState::Crashed;
         }
         let Some(probe_done) = self.join_probe(service, chosen, interrupted) else {
-            return;
+            return TargetState::Crashed;
         };
         // The result of the probe is applied even if it arrives later.
-        let _ = timeout(PROBE_TIMEOUT, probe_done).await;
+        match timeout(PROBE_TIMEOUT, probe_done).await {
+            Ok(Ok(ProbeOutcome::Open)) => TargetState::Alive,
+            Ok(Ok(ProbeOutcome::Refused)) => TargetState::Crashed,
+            Ok(Ok(ProbeOutcome::Silent) | Err(_)) | Err(_) => TargetState::Unknown,
+        }
     }
 
     /// Adds a request to those that the probe of a target concerns; the first one starts the probe.
@@ -133,7 +146,7 @@
         service: &str,
         chosen: &ChosenTarget,
         request: InterruptedRequest,
-    ) -> Option<oneshot::Receiver<()>> {
+    ) -> Option<oneshot::Receiver<ProbeOutcome>> {
         let crash = CrashKey::new(&chosen.id, chosen.born);
         let (done, probe_done) = oneshot::channel();
         let mut states = self.crash_tracker.states.borrow_mut();
@@ -172,9 +185,17 @@
         outcome: ProbeOutcome,
     ) {
         let state = self.crash_tracker.states.borrow_mut().remove(&crash);
-        let Some(CrashState::Probing { interrupted, .. }) = state else {
+        let Some(CrashState::Probing {
+            interrupted,
+            waiting,
+        }) = state
+        else {
             return;
         };
+        for done in waiting {
+            // The request may have ended or may no longer wait.
+            let _ = done.send(outcome);
+        }
         match outcome {
             ProbeOutcome::Open => {}
             ProbeOutcome::Refused => {
