Attempt: a late refusal of another request refuses nothing

What callers would see: a request that may run once ran at two targets. A refusal that carries the id of another request, such as a surplus response on a kept connection, was taken for the refusal of the request in hand, which ran at that target and was sent to the next one. Status 421 also removed a sound target.

Cause: the head of a response was judged for 'has not run' before its id.

Evidence: the case RefuseAnother of responses_of_faulty_replicas_never_reach_ the_caller_as_valid failed before with 'RefuseAnother ran twice'.

A refusal without an id still counts, as the protocol allows for requests without one.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -255,20 +255,21 @@
     if notice.stops_work() {
         hint_placer(gateway, &attempt);
     }
+    // A late response to an earlier request says nothing about this one, not even that it was
+    // refused. A refusal may come without an id.
+    let names = &gateway.config.protocol.headers;
+    let echoes_id = echoes_request_id(names, &head.headers, &request.id);
+    if !echoes_id && head.headers.contains_key(&names.request_id) {
+        return drop_foreign_response(gateway, request, chosen);
+    }
     if let Some(not_run) = handle_not_run(gateway, &attempt, &head) {
         if body.collect().await.is_ok() {
             lease.release(&head.headers);
         }
         return not_run;
     }
-    if !echoes_request_id(&gateway.config.protocol.headers, &head.headers, &request.id) {
-        gateway.record_request_event(
-            EventCode::AnswerDropped,
-            &request.id,
-            &chosen.id,
-            "the response carries another request id".to_owned(),
-        );
-        return AttemptOutcome::unusable("an answer of another request");
+    if !echoes_id {
+        return drop_foreign_response(gateway, request, chosen);
     }
     let has_seal = head
         .headers
@@ -352,6 +353,17 @@
     targets.apply_peer_unreachable(service, engine, Instant::now());
 }
 
+/// Drops a response that does not carry the id of the request.
+fn drop_foreign_response(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    chosen: &ChosenTarget,
+) -> AttemptOutcome {
+    let detail = "the response carries another request id".to_owned();
+    gateway.record_request_event(EventCode::AnswerDropped, &request.id, &chosen.id, detail);
+    AttemptOutcome::unusable("an answer of another request")
+}
+
 fn handle_not_run(
     gateway: &Gateway,
     attempt: &Attempt<'_>,
