Attempt: a close before the first event is no complete stream

What callers would see: an empty 200 for a stream whose target closed its connection right after the head, without a length and chunks.

The stream then counted as complete although it had no event.

Evidence: a_stream_closed_before_its_first_event_does_not_look_complete got status 200 before.

Change: such an attempt fails, so a repeatable request goes to another target. A stream that continues after a last event may still end without another one.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -205,25 +205,24 @@
     time_left: Duration,
     (mut in_flight, permit): (InFlightGuard, SendPermit),
 ) -> AttemptOutcome {
-    let chosen = attempt.chosen;
+    let (chosen, protocol) = (attempt.chosen, &gateway.config.protocol);
     let additions = TargetHeaders {
         expected_target: &chosen.id,
         results: attempt.results.map(|results| results.handles().join(",")),
         last_event: attempt.last_event,
         with_priority: request.prompt.is_some(),
     };
-    let outgoing =
-        match build_target_request(&gateway.config.protocol, request, &additions, time_left) {
-            Ok(outgoing) => outgoing,
-            Err(error) => {
-                let cause = format!("cannot build the request: {error}");
-                return AttemptOutcome::NotRun {
-                    cause,
-                    reached_target: false,
-                    inputs_gone: false,
-                };
-            }
-        };
+    let outgoing = match build_target_request(protocol, request, &additions, time_left) {
+        Ok(outgoing) => outgoing,
+        Err(error) => {
+            let cause = format!("cannot build the request: {error}");
+            return AttemptOutcome::NotRun {
+                cause,
+                reached_target: false,
+                inputs_gone: false,
+            };
+        }
+    };
     let sent = Instant::now();
     let sent_at = BootInstant::now();
     let gate = gateway.notices.gate(&chosen.id, SendKind::Work);
@@ -250,14 +249,14 @@
         }
     };
     let (head, body) = response.into_parts();
-    let notice = parse_notice(&gateway.config.protocol, &head, Some(&request.id));
+    let notice = parse_notice(protocol, &head, Some(&request.id));
     gateway.notices.record_response(&chosen.id, notice, sent_at);
     if notice.stops_work() {
         hint_placer(gateway, &attempt);
     }
     // A late response to an earlier request says nothing about this one, not even that it was
     // refused. A refusal may come without an id.
-    let names = &gateway.config.protocol.headers;
+    let names = &protocol.headers;
     let echoes_id = echoes_request_id(names, &head.headers, &request.id);
     if !echoes_id && head.headers.contains_key(&names.request_id) {
         return drop_foreign_response(gateway, request, chosen);
@@ -271,14 +270,14 @@
     if !echoes_id {
         return drop_foreign_response(gateway, request, chosen);
     }
-    let has_seal = head
-        .headers
-        .contains_key(&gateway.config.protocol.headers.seal);
+    let has_seal = head.headers.contains_key(&protocol.headers.seal);
     if head.status.is_success() && !has_seal {
         return AttemptOutcome::unusable("an answer without the target's seal");
     }
     let framing = BodyFraming::of_response(&head.headers, body.is_end_stream());
     if request.route.kind == RouteKind::Streaming && head.status.is_success() {
+        let resumes = attempt.last_event.is_some()
+            || request.headers.contains_key(&protocol.headers.last_event);
         let outcome = await_first_event(
             gateway,
             request,
@@ -308,6 +307,15 @@
                     _placement: attempt.placement.take(),
                 }))
             }
+            // A stream that resumes may have no further event; any other one has at least one.
+            Err(AttemptOutcome::Complete(response))
+                if response.body.is_empty() && !response.is_confirmed && !resumes =>
+            {
+                AttemptOutcome::MayHaveRun {
+                    cause: "connection closed before the first event".to_owned(),
+                    broken: true,
+                }
+            }
             Err(outcome) => outcome,
         };
     }
