Relay: a stream that broke after its last event is complete

What callers would see: a resumable stream that broke between its last event and its end was aborted although the caller had every event.

Cause: the target that resumed it rightly had no further event and ended, and resume took only a stream with an event for an answer. It tried the other targets and gave up.

Evidence: a_resumable_stream_that_broke_after_its_last_event_is_not_aborted got all five events and no end of its chunks before.

Change: a confirmed empty success of the resuming target ends the stream.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -51,6 +51,13 @@
     pub(crate) is_confirmed: bool,
 }
 
+impl CompleteResponse {
+    /// Returns whether a stream that is resumed has no further event.
+    pub(crate) fn is_empty_success(&self) -> bool {
+        self.status.is_success() && self.body.is_empty() && self.is_confirmed
+    }
+}
+
 /// Outcome of one attempt.
 pub(crate) enum AttemptOutcome {
     /// A complete response with any status.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -126,7 +126,7 @@
     }
 
     /// Finds another target that resumes the stream.
-    async fn resume(&mut self, cause: &str) -> Option<Box<EventStream>> {
+    async fn resume(&mut self, cause: &str) -> ResumeOutcome {
         let (service, target) = (&self.service, &self.chosen.id);
         self.gateway.record_target_failure(service, target, cause);
         let route = &self.request.route.name;
@@ -141,14 +141,22 @@
         {
             self.attempts += 1;
             self.run_permit.iter_mut().for_each(RunPermit::mark_sent);
-            if let (chosen, AttemptOutcome::Streaming(stream)) = self.try_next_target().await? {
-                self.chosen = chosen;
-                self.sent = Instant::now();
-                self.record(EventCode::StreamResumed, &format!("cause={cause}"));
-                return Some(stream);
-            }
+            let Some((chosen, outcome)) = self.try_next_target().await else {
+                return ResumeOutcome::Failed;
+            };
+            let resumed = match outcome {
+                AttemptOutcome::Streaming(stream) => ResumeOutcome::Resumed(stream),
+                AttemptOutcome::Complete(response) if response.is_empty_success() => {
+                    ResumeOutcome::Complete
+                }
+                _ => continue,
+            };
+            self.chosen = chosen;
+            self.sent = Instant::now();
+            self.record(EventCode::StreamResumed, &format!("cause={cause}"));
+            return resumed;
         }
-        None
+        ResumeOutcome::Failed
     }
 
     /// Sends the request to another target, which is to resume after the last event; returns `None`
@@ -180,6 +188,15 @@
     }
 }
 
+/// Outcome of an attempt to resume a stream.
+enum ResumeOutcome {
+    /// Another target continues the stream.
+    Resumed(Box<EventStream>),
+    /// The caller has received all events already: another target has no further one.
+    Complete,
+    Failed,
+}
+
 /// The state of a relayed stream.
 enum RelayState {
     /// The first events have arrived and are returned before any more are read.
@@ -292,12 +309,16 @@
     let body = describe_body(&stream);
     drop(stream);
     match relay.resume(cause).await {
-        Some(mut stream) => {
+        ResumeOutcome::Resumed(mut stream) => {
             let first = std::mem::take(&mut stream.first);
             relay.record_events(&first);
             Some((Ok(first), RelayState::Reading(relay, stream)))
         }
-        None => {
+        ResumeOutcome::Complete => {
+            relay.finish(EventCode::RequestFinished, "outcome=stream ended");
+            None
+        }
+        ResumeOutcome::Failed => {
             relay.finish(
                 EventCode::RequestFailed,
                 &format!("{body} outcome=stream cut cause={cause}"),
