Attempt: a refusal does not wait for its body

What callers would see: a target refused at once, but the rest of its answer never arrived; the caller waited out its time and got a 502 that promises nothing (no response within 2999 ms) in place of a 503 that says 'has not run'.

Cause: the end of the body was awaited although the head says all.

Evidence: a_refusal_whose_body_never_arrives_is_not_held_until_the_deadline got 502 before, 503 now.

Change: the head decides at once; the body is read for 200 ms beside, only to keep the connection.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -58,6 +58,9 @@
     }
 }
 
+/// How long the rest of a refusal may take before its connection is closed.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Outcome of one attempt.
 pub(crate) enum AttemptOutcome {
     /// A complete response with any status.
@@ -269,9 +272,13 @@
         return drop_foreign_response(gateway, request, chosen);
     }
     if let Some(not_run) = handle_not_run(gateway, &attempt, &head) {
-        if body.collect().await.is_ok() {
-            lease.release(&head.headers);
-        }
+        // The head is the refusal; the body only decides whether the connection can be used again.
+        ntex::rt::spawn(async move {
+            let drained = timeout(REFUSAL_BODY_TIMEOUT, body.collect()).await;
+            if matches!(drained, Ok(Ok(_))) {
+                lease.release(&head.headers);
+            }
+        });
         return not_run;
     }
     if !echoes_id {
