Callers: a cut stream resets the connection of an HTTP/1.0 caller

What callers would see: a stream that was cut looked complete to a caller of HTTP/1.0, whose responses have no chunks.

Cause: the connection was closed as after a complete response, and there its close is the only end.

Evidence: a_cut_stream_does_not_look_complete_to_an_http_1_0_caller read two events of five and a clean end before; now the connection is reset.

Change: if a response without framing fails, the connection is reset. With chunks the missing last one tells it, and a reset could discard events that the caller has not read yet. The end of the process itself still closes such connections.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,17 +1,19 @@
 //! The port for callers.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use linnet_telemetry::EventCode;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -58,28 +60,41 @@
     let table = gateway.route_table();
     let limits = table.map_or_else(Default::default, |table| table.config().limits.clone());
     let service_gateway = gateway.clone();
-    let service = service_fn(move |request| {
+    let is_unframed = Rc::new(Cell::new(false));
+    let is_request_unframed = is_unframed.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
         let gateway = service_gateway.clone();
+        is_request_unframed.set(request.version() < Version::HTTP_11);
         async move { Ok::<_, Infallible>(handle_request(gateway, request).await) }
     });
-    let connection = Builder::new()
+    let mut connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
         .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BUFFER_BYTES))
         .serve_connection(TokioIo::new(socket), service);
-    let mut connection = std::pin::pin!(connection);
-    loop {
+    // A disconnect or a protocol error of the caller ends only its own connection.
+    let served = loop {
         tokio::select! {
-            // A disconnect or a protocol error of the caller ends only its own connection.
-            _ = connection.as_mut() => return,
+            served = &mut connection => break served,
             changed = stop.changed() => {
                 if changed.is_err() || *stop.borrow() {
-                    connection.as_mut().graceful_shutdown();
-                    let _ = connection.as_mut().await;
-                    return;
+                    Pin::new(&mut connection).graceful_shutdown();
+                    break (&mut connection).await;
                 }
             }
         }
+    };
+    // A streamed response to HTTP/1.0 ends with its connection: only a reset tells the caller that
+    // it was cut.
+    if is_unframed.get() && served.is_err_and(|error| error.is_user()) {
+        reset(connection.into_parts().io.into_inner());
+    }
+}
+
+/// Closes a connection with a reset.
+fn reset(socket: TcpStream) {
+    if let Err(error) = SockRef::from(&socket).set_linger(Some(Duration::ZERO)) {
+        log::warn!("cannot reset the connection of a caller whose response was cut: {error}");
     }
 }
 
