Attempt: comments are no first event of a stream

A stream without length and chunks that closed after a comment and before any event was taken for complete: the comment counted as the first event.

Comments that precede the first event are kept until it arrives, and a stream that ends after comments alone ends without an event.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, StatusCode};
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -16,7 +16,7 @@
 use crate::Gateway;
 use crate::body_framing::BodyFraming;
 use crate::caller_request::CallerRequest;
-use crate::events::EventSplitter;
+use crate::events::{EventSplitter, has_event_lines};
 use crate::graph::RequestResults;
 use crate::in_flight::InFlightGuard;
 use crate::message_heads::{TargetHeaders, build_target_request, echoes_request_id};
@@ -54,7 +54,7 @@
 impl CompleteResponse {
     /// Returns whether a stream that is resumed has no further event.
     pub(crate) fn is_empty_success(&self) -> bool {
-        self.status.is_success() && self.body.is_empty() && self.is_confirmed
+        self.status.is_success() && !has_event_lines(&self.body) && self.is_confirmed
     }
 }
 
@@ -323,7 +323,7 @@
             }
             // A stream that resumes may have no further event; any other one has at least one.
             Err(AttemptOutcome::Complete(response))
-                if response.body.is_empty() && !response.is_confirmed && !resumes =>
+                if !has_event_lines(&response.body) && !response.is_confirmed && !resumes =>
             {
                 AttemptOutcome::MayHaveRun {
                     cause: "connection closed before the first event".to_owned(),
@@ -442,12 +442,16 @@
     sent: Instant,
 ) -> Result<FirstEvent, AttemptOutcome> {
     let mut splitter = EventSplitter::default();
+    let mut first = BytesMut::new();
     loop {
         match body.frame().await {
             Some(Ok(frame)) => {
-                let Some(first) = frame.data_ref().and_then(|bytes| splitter.push(bytes)) else {
+                let events = frame.data_ref().and_then(|bytes| splitter.push(bytes));
+                first.extend_from_slice(&events.unwrap_or_default());
+                // Comments may come before the first event.
+                if !has_event_lines(&first) {
                     continue;
-                };
+                }
                 if let Some(placement) = placement {
                     placement.report_prefill_done();
                 }
@@ -458,6 +462,7 @@
                         .borrow_mut()
                         .learn_prefill_speed(unshared_tokens, sent.elapsed());
                 }
+                let first = first.freeze();
                 return Ok((head.status, head.headers, first, body, splitter, lease));
             }
             Some(Err(error)) => {
@@ -472,10 +477,11 @@
             }
             None => {
                 lease.release(&head.headers);
+                first.extend_from_slice(&splitter.take_remainder());
                 return Err(AttemptOutcome::Complete(CompleteResponse {
                     status: head.status,
                     headers: head.headers,
-                    body: splitter.take_remainder(),
+                    body: first.freeze(),
                     is_confirmed: framing != BodyFraming::Close,
                 }));
             }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -24,8 +24,7 @@
     /// Returns the number of bytes after the last complete event if they begin another event, and 0
     /// otherwise: blank lines and comments are part of no event.
     pub(crate) fn partial_bytes(&self) -> usize {
-        let mut lines = self.buffer[..].split(|byte| is_line_end(*byte));
-        if lines.any(|line| !line.is_empty() && !line.starts_with(b":")) {
+        if has_event_lines(&self.buffer) {
             self.buffer.len()
         } else {
             0
@@ -33,6 +32,12 @@
     }
 }
 
+/// Returns whether there is a line that belongs to an event, other than a comment.
+pub(crate) fn has_event_lines(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| is_line_end(*byte));
+    lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 fn is_line_end(byte: u8) -> bool {
     matches!(byte, b'\r' | b'\n')
 }
