Entry hosts: address map for targets behind a relay

Connections to targets go to the mapped address in place of the registered one. Tests need it to cut the links of single entry hosts, since all entry hosts register the same address of a target and connect from the same source address on loopback.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -88,6 +88,8 @@
     /// Bytes per second of calls to stage targets that this host sends itself; beyond that it
     /// delegates calls to other entry hosts.
     pub shared_bytes_per_s: f64,
+    /// The address to connect to in place of the registered one of a target.
+    pub target_address_map: BTreeMap<IpAddr, IpAddr>,
     /// The enabled policies for overloaded stage pools.
     pub overload: OverloadPolicy,
 }
@@ -137,7 +139,7 @@
             peer: config.peer_address,
             stopping: false,
         };
-        let pool = UpstreamPool::default();
+        let pool = UpstreamPool::new(config.target_address_map.clone());
         let metrics = GatewayMetrics::new();
         let targets: Rc<RefCell<TargetStore>> = Rc::default();
         let notices = Rc::new(NoticeStore::new(config.recorder.clone(), targets.clone()));
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -80,6 +80,7 @@
         retry_window: Duration::from_secs(10),
         max_startup_wait: Duration::ZERO,
         shared_bytes_per_s: 250_000.0,
+        target_address_map: Default::default(),
         overload,
     })
 }
--- a/crates/gateway/src/serve_pieces/tests/role_cost.rs
+++ b/crates/gateway/src/serve_pieces/tests/role_cost.rs
@@ -118,6 +118,7 @@
         retry_window: Duration::from_secs(10),
         max_startup_wait: Duration::ZERO,
         shared_bytes_per_s: f64::MAX,
+        target_address_map: Default::default(),
         overload: OverloadPolicy::default(),
     })
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,10 +1,10 @@
 //! Pool of connections to targets. A connection carries one request at a time.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::error::Error;
 use std::io::{self, ErrorKind};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -118,6 +118,7 @@
 #[derive(Clone, Default)]
 pub(crate) struct UpstreamPool {
     state: Rc<RefCell<PoolState>>,
+    address_map: Rc<BTreeMap<IpAddr, IpAddr>>,
 }
 
 /// A connection in use. If it is dropped before [`ConnectionLease::release`], the connection is
@@ -129,6 +130,23 @@
 }
 
 impl UpstreamPool {
+    /// Creates a pool that connects to the mapped address in place of the registered one.
+    pub(crate) fn new(address_map: BTreeMap<IpAddr, IpAddr>) -> Self {
+        Self {
+            state: Rc::default(),
+            address_map: Rc::new(address_map),
+        }
+    }
+
+    /// Returns the address to connect to for a target with a registered address.
+    fn connect_address(&self, registered: SocketAddr) -> SocketAddr {
+        let mapped = self.address_map.get(&registered.ip());
+        SocketAddr::new(
+            mapped.copied().unwrap_or(registered.ip()),
+            registered.port(),
+        )
+    }
+
     /// Returns how many connections have been opened.
     pub(crate) fn opened_count(&self) -> u64 {
         self.state.borrow().opened_count
@@ -195,7 +213,12 @@
     /// Opens a connection to check whether a target is alive. The connection stays idle for the
     /// next request.
     pub(crate) async fn probe(&self, address: SocketAddr) -> ProbeOutcome {
-        let socket = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        let socket = match timeout(
+            CONNECT_TIMEOUT,
+            TcpStream::connect(self.connect_address(address)),
+        )
+        .await
+        {
             Ok(Ok(socket)) => socket,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                 return ProbeOutcome::Refused;
@@ -249,7 +272,12 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
-        let socket = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        let socket = match timeout(
+            CONNECT_TIMEOUT,
+            TcpStream::connect(self.connect_address(address)),
+        )
+        .await
+        {
             Ok(Ok(socket)) => socket,
             Ok(Err(error)) => return Err(SendError::NotSent(error.to_string())),
             Err(_) => {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -92,6 +92,7 @@
         retry_window: Duration::from_millis(settings.retry.window_ms),
         max_startup_wait: Duration::from_millis(settings.policy.start_patience_ms),
         shared_bytes_per_s: settings.policy.shared_bytes_per_s,
+        target_address_map: settings.targets.address_map.clone(),
         overload: OverloadPolicy {
             measured_waits: settings.overload.measured_waits,
             planned_returns: settings.overload.planned_returns,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 
 use serde::Deserialize;
@@ -37,6 +37,18 @@
     /// Limits on the requests to a version during its roll-out; control hosts only.
     #[serde(default)]
     pub rollout: RolloutSettings,
+    /// Connections to targets; entry hosts only.
+    #[serde(default)]
+    pub targets: TargetSettings,
+}
+
+/// Connections to targets.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct TargetSettings {
+    /// The address to connect to in place of the registered one, as behind a relay or network
+    /// address translation. The port stays the same.
+    pub address_map: BTreeMap<IpAddr, IpAddr>,
 }
 
 /// Limits on the requests that a version may receive during its roll-out, before it is known to be
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -107,3 +107,14 @@
         }
     }
 }
+
+/// Guards against connections to the registered addresses of targets that are behind a relay.
+#[test]
+fn addresses_of_targets_are_mapped_as_the_settings_state() {
+    let mapped = "[targets]\naddress_map = { \"127.0.0.1\" = \"127.0.0.2\" }\n";
+    let settings = NodeSettings::parse(&format!("{REQUIRED}\n{mapped}"), &[]).unwrap();
+    let expected = BTreeMap::from([([127, 0, 0, 1].into(), [127, 0, 0, 2].into())]);
+    assert_eq!(settings.targets.address_map, expected);
+    let default = NodeSettings::parse(REQUIRED, &[]).unwrap();
+    assert!(default.targets.address_map.is_empty());
+}
