Telemetry: events and metrics of lost paths to targets and of tunnels

The timeline of the incident shows no line by which a host that lost its links can be told from one whose targets are down. Nothing records these events yet.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -88,6 +88,10 @@
     pub(crate) batches_returned: Counter,
     pub(crate) unknown_returns: Counter,
     pub(crate) batch_attempts: Histogram,
+    pub(crate) paths_lost: Gauge,
+    pub(crate) tunnels_opened: Counter,
+    pub(crate) tunnels_served: Gauge,
+    pub(crate) tunnels_refused: Counter,
 }
 
 impl GatewayMetrics {
@@ -128,6 +132,10 @@
             batches_returned: Counter::default(),
             unknown_returns: Counter::default(),
             batch_attempts: Histogram::new(linear_buckets(1.0, 1.0, MAX_ROUTE_ATTEMPTS as u16)),
+            paths_lost: Gauge::default(),
+            tunnels_opened: Counter::default(),
+            tunnels_served: Gauge::default(),
+            tunnels_refused: Counter::default(),
         };
         registry.register(
             "targets_ended",
@@ -284,6 +292,26 @@
             "Attempts that batches of this host took, at coordinators and at this host",
             metrics.batch_attempts.clone(),
         );
+        registry.register(
+            "paths_lost",
+            "Targets that this host reaches only through other entry hosts",
+            metrics.paths_lost.clone(),
+        );
+        registry.register(
+            "tunnels_opened",
+            "Connections to targets that other entry hosts opened for this one",
+            metrics.tunnels_opened.clone(),
+        );
+        registry.register(
+            "tunnels_served",
+            "Connections to targets that this host has open for other entry hosts",
+            metrics.tunnels_served.clone(),
+        );
+        registry.register(
+            "tunnels_refused",
+            "Connections to targets that this host did not open for another entry host",
+            metrics.tunnels_refused.clone(),
+        );
         *metrics
             .registry
             .lock()
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -104,6 +104,10 @@
     TargetReopened = 508, Info, "The back-off of a target is over and it gets requests again.";
     RateNamed = 509, Warn, "A target names the requests a second that it takes from all hosts, or another number than before.";
     RateEnded = 510, Info, "A target that stated a rate limit no longer does.";
+    PathLost = 511, Warn, "This host cannot reach a target that another entry host reaches; it opens connections to it through other hosts.";
+    PathRestored = 512, Info, "A target can be reached directly again.";
+    PathUnknown = 513, Warn, "A target cannot be reached, and too few other entry hosts answered to tell whether it is down.";
+    TunnelRefused = 514, Warn, "A connection to a target was not opened for another entry host.";
     RoutingAccepted = 601, Info, "A routing configuration was committed, or a newer one was already stored.";
     RoutingRefused = 602, Warn, "A routing configuration was refused or could not be committed in time.";
     RoutingInForce = 603, Info, "A process put a routing configuration in force.";
