Paths: decisions of an entry host that reaches some targets only through others

A host cut off from targets finds out anew for each request, target by target, and then refuses it. The new crate keeps the path to each target, chooses the peer to open a connection through, and concludes from the answers of peers whether a target is down for everyone. It uses no socket and no clock. Not used yet.

--- /dev/null
+++ b/crates/paths/src/peer_table.rs
@@ -0,0 +1,195 @@
+//! The entry hosts that can open connections for this one.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// How long a peer that opened a connection is preferred.
+const PREFERENCE_TIME: Duration = Duration::from_secs(5);
+
+/// Weight of a peer that opened a connection lately; other peers have weight 1, so that some of the
+/// targets are still tried through them and no peer receives everything.
+const PREFERRED_WEIGHT: f64 = 4.0;
+
+/// How long a peer is left out that is cut off or cannot be reached; doubled each time in a row.
+const BASE_AVOIDANCE: Duration = Duration::from_secs(1);
+const MAX_AVOIDANCE_DOUBLINGS: u32 = 3;
+
+/// How long a peer is left out that serves as many tunnels as it may.
+const FULL_AVOIDANCE: Duration = Duration::from_millis(200);
+
+/// How long a peer is left out that does not know tunnels, as builds before this one.
+const UNSUPPORTED_AVOIDANCE: Duration = Duration::from_secs(5);
+
+/// How long a peer is not asked again for a target that it could not reach.
+const TARGET_AVOIDANCE: Duration = Duration::from_secs(1);
+
+/// An entry host that can open connections for this one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerHost {
+    /// Its name.
+    pub name: String,
+    /// Its address for peers.
+    pub address: SocketAddr,
+}
+
+/// What a peer answered to the request for a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerAnswer {
+    /// The connection is open.
+    Opened,
+    /// The peer's directory does not list the target.
+    UnknownTarget,
+    /// Nothing listens at the address of the target.
+    Refused,
+    /// The target did not respond.
+    Silent,
+    /// The peer has lost its path to the target, which other hosts reach.
+    PathLost,
+    /// The peer has lost several targets.
+    CutOff,
+    /// The peer serves as many tunnels as it may.
+    Full,
+    /// The peer does not know tunnels.
+    Unsupported,
+    /// The peer could not be reached.
+    Unreachable,
+}
+
+impl PeerAnswer {
+    /// Returns whether the answer suggests that no host reaches the target.
+    pub(crate) fn shows_target_down(self) -> bool {
+        matches!(self, Self::Refused | Self::Silent)
+    }
+}
+
+#[derive(Debug)]
+struct Peer {
+    host: PeerHost,
+    opened_at: Option<Instant>,
+    avoided_until: Option<Instant>,
+    /// Avoidances in a row.
+    avoidances: u32,
+    /// Targets that the peer could not reach, with the end of their avoidance.
+    unreached: HashMap<SocketAddr, Instant>,
+}
+
+impl Peer {
+    fn new(host: PeerHost) -> Self {
+        Self {
+            host,
+            opened_at: None,
+            avoided_until: None,
+            avoidances: 0,
+            unreached: HashMap::new(),
+        }
+    }
+
+    fn is_usable(&self, target: SocketAddr, now: Instant) -> bool {
+        let is_over = |until: &Instant| *until <= now;
+        self.avoided_until.as_ref().is_none_or(is_over)
+            && self.unreached.get(&target).is_none_or(is_over)
+    }
+
+    fn weight(&self, now: Instant) -> f64 {
+        let is_recent = |at| now.duration_since(at) < PREFERENCE_TIME;
+        if self.opened_at.is_some_and(is_recent) {
+            PREFERRED_WEIGHT
+        } else {
+            1.0
+        }
+    }
+
+    fn avoid(&mut self, now: Instant) {
+        let doublings = self.avoidances.min(MAX_AVOIDANCE_DOUBLINGS);
+        self.avoided_until = Some(now + BASE_AVOIDANCE * 2_u32.pow(doublings));
+        self.avoidances += 1;
+        self.opened_at = None;
+    }
+}
+
+/// The entry hosts that can open connections for this one, by address.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    peers: BTreeMap<SocketAddr, Peer>,
+}
+
+impl PeerTable {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the known peers. What was learned of those that remain is kept.
+    pub fn set_peers(&mut self, hosts: impl IntoIterator<Item = PeerHost>) {
+        let mut former = std::mem::take(&mut self.peers);
+        for host in hosts {
+            let known = former
+                .remove(&host.address)
+                .filter(|peer| peer.host == host);
+            let peer = known.unwrap_or_else(|| Peer::new(host));
+            self.peers.insert(peer.host.address, peer);
+        }
+    }
+
+    /// Returns whether no peer is known.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// Returns whether a known peer is not among those `asked`.
+    pub fn has_others(&self, asked: &[SocketAddr]) -> bool {
+        self.peers.keys().any(|address| !asked.contains(address))
+    }
+
+    /// Chooses the peer to ask for a connection to a target, by the highest `score` of its name and
+    /// weight; `None` if all are left out or were `asked` already.
+    pub fn choose(
+        &self,
+        target: SocketAddr,
+        asked: &[SocketAddr],
+        now: Instant,
+        score: impl Fn(&str, f64) -> f64,
+    ) -> Option<SocketAddr> {
+        let usable = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_usable(target, now) && !asked.contains(&peer.host.address));
+        let scored = usable.map(|peer| {
+            let score = score(&peer.host.name, peer.weight(now));
+            (score, peer.host.address)
+        });
+        let best = scored.max_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, address)| address)
+    }
+
+    /// Records what a peer answered.
+    pub fn record(
+        &mut self,
+        address: SocketAddr,
+        target: SocketAddr,
+        answer: PeerAnswer,
+        now: Instant,
+    ) {
+        let Some(peer) = self.peers.get_mut(&address) else {
+            return;
+        };
+        match answer {
+            PeerAnswer::Opened => {
+                peer.opened_at = Some(now);
+                peer.avoidances = 0;
+                peer.unreached.remove(&target);
+            }
+            PeerAnswer::UnknownTarget
+            | PeerAnswer::Refused
+            | PeerAnswer::Silent
+            | PeerAnswer::PathLost => {
+                peer.unreached.retain(|_, until| *until > now);
+                peer.unreached.insert(target, now + TARGET_AVOIDANCE);
+            }
+            PeerAnswer::CutOff | PeerAnswer::Unreachable => peer.avoid(now),
+            PeerAnswer::Full => peer.avoided_until = Some(now + FULL_AVOIDANCE),
+            PeerAnswer::Unsupported => peer.avoided_until = Some(now + UNSUPPORTED_AVOIDANCE),
+        }
+    }
+}
