Gateway: reach targets through other entry hosts while the own path is lost

A host that cannot open a connection now asks other entry hosts to open it and to carry its bytes. Choice, limits, at-most-once, deadline and framing stay where the caller is. FIN and reset of the target arrive as they were; a tunnel that ends without either is an error that says nothing about the target.

A refused connection counts as a crash of its target only if the peers that are asked agree, and a target is reported as unreachable to other hosts only then.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -215,6 +215,15 @@
                 inputs_gone: false,
             };
         }
+        // Other hosts may reach the target, so the placer is not told.
+        Err(SendError::NoPath(cause)) => {
+            gateway.record_unreachable(attempt.service, &chosen.id, &cause);
+            return AttemptOutcome::NotRun {
+                cause,
+                reached_target: false,
+                inputs_gone: false,
+            };
+        }
         Err(SendError::MayHaveRun { cause, broken }) => {
             return AttemptOutcome::MayHaveRun { cause, broken };
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use linnet_directory::{
     DirectoryUpdate, DirectoryView, EntryHostRecord, StoredDocument, TargetState,
 };
+use linnet_paths::PeerHost;
 use linnet_routing::{RouteTable, RoutingConfig};
 use linnet_telemetry::{EventCode, EventRecorder};
 use linnet_wire::PeerIdentity;
@@ -38,6 +39,7 @@
 use crate::suspects::SuspectTracker;
 use crate::target::TargetStore;
 use crate::target_crash::CrashTracker;
+use crate::target_links::{TargetLinks, TunnelContext};
 use crate::upstream::UpstreamPool;
 use crate::wait_model::WaitModel;
 
@@ -137,8 +139,12 @@
             peer: config.peer_address,
             stopping: false,
         };
-        let pool = UpstreamPool::default();
         let metrics = GatewayMetrics::new();
+        let pool = UpstreamPool::new(TargetLinks::new(TunnelContext {
+            identity: config.identity.clone(),
+            recorder: config.recorder.clone(),
+            metrics: metrics.clone(),
+        }));
         let targets: Rc<RefCell<TargetStore>> = Rc::default();
         let notices = Rc::new(NoticeStore::new(config.recorder.clone(), targets.clone()));
         let caller = StageTargetClient::new(config.protocol.clone(), pool.clone(), notices.clone());
@@ -214,6 +220,7 @@
             ntex::rt::spawn(queue_returns::run_queue_returns(Rc::downgrade(&gateway)));
         }
         ntex::rt::spawn(run_maintenance(gateway.clone()));
+        ntex::rt::spawn(run_path_probes(gateway.upstream.clone()));
         ntex::rt::spawn(target_list::run_target_refresh(gateway.clone()));
         gateway
     }
@@ -262,6 +269,11 @@
         self.open_requests.get()
     }
 
+    /// Returns the number of connections to targets that this host has open for other entry hosts.
+    pub fn served_tunnels(&self) -> usize {
+        self.upstream.links().served_count()
+    }
+
     /// Begins a planned stop. New callers should use other hosts; requests in flight continue until
     /// `deadline` and are then answered with a refusal.
     pub fn begin_stop(&self, deadline: Instant) {
@@ -385,6 +397,12 @@
 
     fn refresh_entry_hosts(&self) {
         let gateways = self.directory.borrow().entry_hosts();
+        let peers = gateways.iter();
+        let peers = peers.filter(|host| host.name != self.config.name && !host.stopping);
+        self.upstream.links().set_peers(peers.map(|host| PeerHost {
+            name: host.name.clone(),
+            address: host.peer,
+        }));
         self.stage_client.set_entry_hosts(gateways);
     }
 
@@ -420,6 +438,7 @@
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         gateway.upstream.close_expired();
+        gateway.upstream.links().update_metrics();
         gateway.expire_suspects();
         gateway.crash_tracker.expire(Instant::now());
         gateway.expire_notices();
@@ -452,5 +471,15 @@
     }
 }
 
+/// Interval at which due direct attempts to lost targets are looked for.
+const PATH_PROBE_INTERVAL: Duration = Duration::from_millis(100);
+
+async fn run_path_probes(pool: UpstreamPool) {
+    loop {
+        tokio::time::sleep(PATH_PROBE_INTERVAL).await;
+        pool.probe_lost_targets().await;
+    }
+}
+
 #[cfg(test)]
 pub(crate) mod tests;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,8 +5,8 @@
 //!   connections, metrics.
 //! - [`Protocol`] defines the header names, paths, codecs and status codes of a deployment. The
 //!   gateway itself hard-codes none of them.
-//! - [`serve_callers`] serves the port for callers, [`serve_pieces()`] the port for other entry
-//!   hosts.
+//! - [`serve_callers`] serves the port for callers, [`serve_pieces()`] and [`serve_tunnel`] the port
+//!   for other entry hosts.
 
 mod admission;
 mod allowed_halls;
@@ -57,9 +57,11 @@
 mod suspects;
 mod target;
 mod target_crash;
+mod target_links;
 mod target_restriction;
 mod target_selection;
 mod target_slowness;
+mod tunnel;
 mod upstream;
 mod version_split;
 mod wait_model;
@@ -74,3 +76,4 @@
 };
 pub use serve::serve_callers;
 pub use serve_pieces::serve_pieces;
+pub use tunnel::serve_tunnel;
--- a/crates/gateway/src/target/store.rs
+++ b/crates/gateway/src/target/store.rs
@@ -120,6 +120,12 @@
         })
     }
 
+    /// Returns whether a target has this address.
+    pub(crate) fn has_address(&self, address: SocketAddr) -> bool {
+        let mut targets = self.services.values().flat_map(BTreeMap::values);
+        targets.any(|target| target.address == address)
+    }
+
     /// Sets or removes the rate limit of a target.
     pub(crate) fn set_rate_limit(&mut self, id: &str, limit: Option<RateLimit>) {
         match limit {
--- /dev/null
+++ b/crates/gateway/src/target_links.rs
@@ -0,0 +1,199 @@
+//! Opens connections to targets, directly or through another entry host. The decisions are those of
+//! `linnet_paths`.
+
+mod connect;
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use linnet_paths::{PathChange, PathTable, PeerHost, PeerTable, tunnel_limit};
+use linnet_telemetry::{EventCode, EventRecorder};
+use linnet_wire::PeerIdentity;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+use crate::metrics::GatewayMetrics;
+
+pub(crate) use connect::{SERVE_CONNECT_TIMEOUT, TargetSocket};
+
+/// Idle time after which the operating system starts to send keep-alive probes.
+const KEEPALIVE_IDLE_TIME: Duration = Duration::from_secs(1);
+
+/// Interval between two keep-alive probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long sent data may stay unacknowledged before the operating system closes the connection.
+const UNACKNOWLEDGED_DATA_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Makes the operating system close a connection whose other end is gone. Without this a connection
+/// across a network partition hangs for minutes.
+pub(crate) fn detect_dead_peer(socket: &TcpStream) {
+    let options = SockRef::from(socket);
+    let _ = options.set_tcp_user_timeout(Some(UNACKNOWLEDGED_DATA_TIMEOUT));
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE_TIME)
+        .with_interval(KEEPALIVE_INTERVAL);
+    let _ = options.set_tcp_keepalive(&keepalive);
+}
+
+/// What is needed to use tunnels.
+pub(crate) struct TunnelContext {
+    /// Name, keys and clock used towards peers.
+    pub(crate) identity: PeerIdentity,
+    pub(crate) recorder: Arc<EventRecorder>,
+    pub(crate) metrics: GatewayMetrics,
+}
+
+/// The links of this host to targets, direct ones and those through other entry hosts.
+#[derive(Default)]
+pub(crate) struct TargetLinks {
+    paths: RefCell<PathTable>,
+    peers: RefCell<PeerTable>,
+    /// `None` if no tunnels are used.
+    context: Option<TunnelContext>,
+    /// Open direct connections of this host.
+    open_count: Rc<Cell<usize>>,
+    /// Open connections that this host serves for others.
+    served_count: Rc<Cell<usize>>,
+}
+
+/// Counts something while it exists.
+pub(crate) struct CountGuard(Rc<Cell<usize>>);
+
+impl CountGuard {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A tunnel that this host serves.
+pub(crate) type ServedTunnel = CountGuard;
+
+impl TargetLinks {
+    /// Creates links that use tunnels.
+    pub(crate) fn new(context: TunnelContext) -> Self {
+        Self {
+            context: Some(context),
+            ..Self::default()
+        }
+    }
+
+    /// Sets the entry hosts that can open connections for this one.
+    pub(crate) fn set_peers(&self, hosts: impl IntoIterator<Item = PeerHost>) {
+        self.peers.borrow_mut().set_peers(hosts);
+    }
+
+    /// Forgets the paths to targets that `keep` rejects.
+    pub(crate) fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        self.paths.borrow_mut().retain(keep);
+        self.update_metrics();
+    }
+
+    /// Returns whether an idle connection may be used for a request; `peer` is the host that opened
+    /// it if that is another one. Peers that are about to stop are no longer known.
+    pub(crate) fn may_use_idle(&self, target: SocketAddr, peer: Option<SocketAddr>) -> bool {
+        let paths = self.paths.borrow();
+        match peer {
+            Some(peer) => paths.is_lost(target) && self.peers.borrow().contains(peer),
+            None => paths.may_use_idle(target),
+        }
+    }
+
+    /// Records a response over a direct connection.
+    pub(crate) fn record_response(&self, target: SocketAddr) {
+        let mut paths = self.paths.borrow_mut();
+        paths.record_response(target, Instant::now());
+    }
+
+    /// Counts a direct connection of this host while the guard exists.
+    pub(crate) fn count_open(&self) -> CountGuard {
+        CountGuard::new(&self.open_count)
+    }
+
+    /// Returns how many tunnels this host serves.
+    pub(crate) fn served_count(&self) -> usize {
+        self.served_count.get()
+    }
+
+    /// Begins to serve a tunnel; returns `None` if this host serves as many as it may.
+    pub(crate) fn begin_served(&self) -> Option<ServedTunnel> {
+        let limit = tunnel_limit(self.open_count.get());
+        (self.served_count.get() < limit).then(|| CountGuard::new(&self.served_count))
+    }
+
+    /// Returns the next lost target to which a direct attempt is due, and counts it as made.
+    pub(crate) fn next_probe(&self) -> Option<SocketAddr> {
+        self.paths.borrow_mut().next_probe(Instant::now())
+    }
+
+    /// Returns whether a silent target is to be checked now, and counts the check as made.
+    pub(crate) fn begin_check(&self, target: SocketAddr) -> bool {
+        let now = Instant::now();
+        self.has_peers() && self.paths.borrow_mut().begin_check(target, now)
+    }
+
+    /// Updates the gauges.
+    pub(crate) fn update_metrics(&self) {
+        if let Some(context) = &self.context {
+            let lost = self.paths.borrow().lost_count();
+            context.metrics.paths_lost.set(lost as i64);
+            let served = self.served_count.get();
+            context.metrics.tunnels_served.set(served as i64);
+        }
+    }
+
+    fn record_open(&self, target: SocketAddr) {
+        let change = self.paths.borrow_mut().record_open(target, Instant::now());
+        self.record_change(target, change, "");
+    }
+
+    fn record_lost(&self, target: SocketAddr, cause: &str) {
+        let change = self.paths.borrow_mut().record_lost(target, Instant::now());
+        self.record_change(target, change, cause);
+    }
+
+    fn record_change(&self, target: SocketAddr, change: Option<PathChange>, cause: &str) {
+        let Some(change) = change else {
+            return;
+        };
+        let (lost, in_doubt) = {
+            let paths = self.paths.borrow();
+            (paths.lost_count(), paths.is_in_doubt())
+        };
+        let detail = format!("lost={lost} in_doubt={in_doubt}");
+        match change {
+            PathChange::Lost => {
+                self.record(
+                    EventCode::PathLost,
+                    target,
+                    format!("{detail} cause={cause}"),
+                );
+            }
+            PathChange::Restored => self.record(EventCode::PathRestored, target, detail),
+        }
+        self.update_metrics();
+    }
+
+    fn record(&self, code: EventCode, target: SocketAddr, detail: String) {
+        if let Some(context) = &self.context {
+            context.recorder.record(code, &target.to_string(), detail);
+        }
+    }
+
+    fn has_peers(&self) -> bool {
+        self.context.is_some() && !self.peers.borrow().is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/target_links/connect.rs
@@ -0,0 +1,278 @@
+//! The steps of opening a connection.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use linnet_paths::{AnswerTally, ConnectFailure, ConnectPlan, PathVerdict, PeerAnswer};
+use linnet_telemetry::EventCode;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::{TargetLinks, TunnelContext, detect_dead_peer};
+use crate::rendezvous::ScoreKey;
+use crate::tunnel::{TunnelReply, TunnelStream, open_tunnel};
+
+/// Timeout for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Timeout for opening a connection for another host; that host waits 250 ms for the answer.
+pub(crate) const SERVE_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Timeout for asking all peers together. A caller waits for it in addition to the head start of the
+/// direct attempt.
+const ASK_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// A new connection to a target.
+pub(crate) enum TargetSocket {
+    Direct(TcpStream),
+    /// Through the peer with this address.
+    Tunnel(TunnelStream, SocketAddr),
+}
+
+/// Why no connection to a target could be opened.
+#[derive(Debug, Display)]
+#[display("{cause}")]
+pub(crate) struct LinkError {
+    cause: String,
+    /// Whether the target is down as far as can be known, rather than only cut off from this host.
+    pub(crate) is_down: bool,
+    /// Whether nothing listens at its address.
+    pub(crate) is_refused: bool,
+}
+
+/// A direct attempt that failed.
+struct DirectError {
+    failure: ConnectFailure,
+    cause: String,
+}
+
+/// The answers of peers if none opened a connection.
+struct AskError {
+    verdict: PathVerdict,
+    /// Whether all peers that could not reach the target were refused.
+    is_refused: bool,
+}
+
+impl TargetLinks {
+    /// Opens a connection to a target, through a peer if this host cannot reach it.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] if neither this host nor a peer that was asked reaches the target.
+    pub(crate) async fn connect(
+        self: &Rc<Self>,
+        target: SocketAddr,
+    ) -> Result<TargetSocket, LinkError> {
+        let plan = self.paths.borrow().plan(target, Instant::now());
+        match plan {
+            ConnectPlan::Tunnel => match self.ask_peers(target).await {
+                Ok((tunnel, peer)) => Ok(TargetSocket::Tunnel(tunnel, peer)),
+                Err(answers) => Err(self.conclude(target, None, &answers)),
+            },
+            ConnectPlan::Direct { head_start } if self.has_peers() => {
+                self.connect_with_fallback(target, head_start).await
+            }
+            _ => match self.connect_direct(target, CONNECT_TIMEOUT).await {
+                Ok(socket) => Ok(TargetSocket::Direct(socket)),
+                Err(error) => Err(LinkError {
+                    is_down: true,
+                    is_refused: error.failure == ConnectFailure::Refused,
+                    cause: error.cause,
+                }),
+            },
+        }
+    }
+
+    /// Makes a direct attempt, and asks peers if it fails or takes longer than the head start.
+    async fn connect_with_fallback(
+        self: &Rc<Self>,
+        target: SocketAddr,
+        head_start: Duration,
+    ) -> Result<TargetSocket, LinkError> {
+        let links = self.clone();
+        let mut direct =
+            Box::pin(async move { links.connect_direct(target, CONNECT_TIMEOUT).await });
+        let mut asking = Box::pin(self.ask_peers(target));
+        let failed = match timeout(head_start, &mut direct).await {
+            Ok(Ok(socket)) => return Ok(TargetSocket::Direct(socket)),
+            Ok(Err(error)) => error,
+            Err(_) => tokio::select! {
+                direct = &mut direct => match direct {
+                    Ok(socket) => return Ok(TargetSocket::Direct(socket)),
+                    Err(error) => error,
+                },
+                asked = &mut asking => match asked {
+                    Ok((tunnel, peer)) => {
+                        let links = self.clone();
+                        // Only a failed direct attempt shows that the path is lost.
+                        ntex::rt::spawn(async move {
+                            if let Err(error) = direct.await {
+                                links.record_lost(target, &error.cause);
+                            }
+                        });
+                        return Ok(TargetSocket::Tunnel(tunnel, peer));
+                    }
+                    Err(answers) => {
+                        return match direct.await {
+                            Ok(socket) => Ok(TargetSocket::Direct(socket)),
+                            Err(error) => Err(self.conclude(target, Some(error), &answers)),
+                        };
+                    }
+                },
+            },
+        };
+        match asking.await {
+            Ok((tunnel, peer)) => {
+                self.record_lost(target, &failed.cause);
+                Ok(TargetSocket::Tunnel(tunnel, peer))
+            }
+            Err(answers) => Err(self.conclude(target, Some(failed), &answers)),
+        }
+    }
+
+    /// Makes a direct attempt without asking peers.
+    pub(crate) async fn probe_direct(&self, target: SocketAddr) -> Option<TcpStream> {
+        self.connect_direct(target, CONNECT_TIMEOUT).await.ok()
+    }
+
+    /// Opens a direct connection on behalf of another host.
+    ///
+    /// # Errors
+    ///
+    /// The reply to the other host if the connection could not be opened.
+    pub(crate) async fn connect_for_peer(
+        &self,
+        target: SocketAddr,
+    ) -> Result<TcpStream, TunnelReply> {
+        let now = Instant::now();
+        if self.paths.borrow().is_lost(target) {
+            return Err(if self.paths.borrow().is_cut_off(now) {
+                TunnelReply::CutOff
+            } else {
+                TunnelReply::PathLost
+            });
+        }
+        let known_failure = self.paths.borrow().recent_failure(target, now);
+        let failure = match known_failure {
+            Some(failure) => failure,
+            None => match self.connect_direct(target, SERVE_CONNECT_TIMEOUT).await {
+                Ok(socket) => {
+                    detect_dead_peer(&socket);
+                    let _ = socket.set_nodelay(true);
+                    return Ok(socket);
+                }
+                Err(error) => error.failure,
+            },
+        };
+        if self.paths.borrow().is_cut_off(Instant::now()) {
+            return Err(TunnelReply::CutOff);
+        }
+        Err(match failure {
+            ConnectFailure::Refused => TunnelReply::Refused,
+            ConnectFailure::Silent => TunnelReply::Silent,
+        })
+    }
+
+    async fn connect_direct(
+        &self,
+        target: SocketAddr,
+        limit: Duration,
+    ) -> Result<TcpStream, DirectError> {
+        let error = match timeout(limit, TcpStream::connect(target)).await {
+            Ok(Ok(socket)) => {
+                self.record_open(target);
+                return Ok(socket);
+            }
+            Ok(Err(error)) => DirectError {
+                failure: match error.kind() {
+                    ErrorKind::ConnectionRefused => ConnectFailure::Refused,
+                    _ => ConnectFailure::Silent,
+                },
+                cause: error.to_string(),
+            },
+            Err(_) => DirectError {
+                failure: ConnectFailure::Silent,
+                cause: format!("not established within {} ms", limit.as_millis()),
+            },
+        };
+        let mut paths = self.paths.borrow_mut();
+        paths.record_failure(target, error.failure, Instant::now());
+        Err(error)
+    }
+
+    /// Asks peers one after the other until one opens a connection, and returns that peer as well.
+    async fn ask_peers(&self, target: SocketAddr) -> Result<(TunnelStream, SocketAddr), AskError> {
+        let mut tally = AnswerTally::new(self.paths.borrow().is_in_doubt());
+        let (mut asked, mut is_refused) = (Vec::new(), true);
+        let asking = async {
+            while tally.is_open()
+                && let Some(context) = &self.context
+                && let Some(peer) = self.choose_peer(context, target, &asked)
+            {
+                asked.push(peer);
+                let opened = open_tunnel(&context.identity, peer, target).await;
+                let answer = opened
+                    .as_ref()
+                    .map_or_else(|answer| *answer, |_| PeerAnswer::Opened);
+                let mut peers = self.peers.borrow_mut();
+                peers.record(peer, target, answer, Instant::now());
+                drop(peers);
+                if let Ok(tunnel) = opened {
+                    context.metrics.tunnels_opened.inc();
+                    return Some((tunnel, peer));
+                }
+                tally.add(answer);
+                is_refused &= answer != PeerAnswer::Silent;
+            }
+            None
+        };
+        if let Ok(Some(opened)) = timeout(ASK_TIMEOUT, asking).await {
+            return Ok(opened);
+        }
+        let has_others = self.peers.borrow().has_others(&asked);
+        Err(AskError {
+            verdict: tally.verdict(has_others),
+            is_refused,
+        })
+    }
+
+    fn choose_peer(
+        &self,
+        context: &TunnelContext,
+        target: SocketAddr,
+        asked: &[SocketAddr],
+    ) -> Option<SocketAddr> {
+        let key = ScoreKey::new(&format!("{}/{target}", context.identity.name));
+        let score = |name: &str, weight: f64| key.weighted_score(name, weight);
+        let peers = self.peers.borrow();
+        peers.choose(target, asked, Instant::now(), score)
+    }
+
+    /// Records that neither this host nor the peers that were asked reach a target.
+    fn conclude(
+        &self,
+        target: SocketAddr,
+        direct: Option<DirectError>,
+        answers: &AskError,
+    ) -> LinkError {
+        let is_down = answers.verdict == PathVerdict::Down;
+        let was_refused = direct
+            .as_ref()
+            .is_none_or(|error| error.failure == ConnectFailure::Refused);
+        let cause = direct.map_or("path lost".to_owned(), |error| error.cause);
+        if is_down {
+            let mut paths = self.paths.borrow_mut();
+            paths.record_down(target, Instant::now());
+        } else {
+            self.record(EventCode::PathUnknown, target, format!("cause={cause}"));
+        }
+        LinkError {
+            cause: format!("{cause}; no other host opened a connection"),
+            is_down,
+            is_refused: is_down && was_refused && answers.is_refused,
+        }
+    }
+}
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,93 +1,45 @@
 //! Pool of connections to targets. A connection carries one request at a time.
 
+mod send_error;
+
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::error::Error;
-use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use derive_more::Display;
 use http::response::Parts;
 use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::oneshot;
-use tokio::time::timeout;
-
-use crate::send_gate::SendGate;
+use tokio::time::{sleep, timeout};
 
-/// Timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub(crate) use send_error::{SendError, is_peer_disconnect};
 
-/// Idle time after which the operating system starts to send keep-alive probes.
-const KEEPALIVE_IDLE_TIME: Duration = Duration::from_secs(1);
-
-/// Interval between two keep-alive probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// How long sent data may stay unacknowledged before the operating system closes the connection.
-const UNACKNOWLEDGED_DATA_TIMEOUT: Duration = Duration::from_millis(2_500);
+use crate::send_gate::SendGate;
+use crate::target_links::{TargetLinks, TargetSocket, detect_dead_peer};
 
 /// Idle timeout of a connection if the target announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Share of the target's idle timeout after which a connection is not reused.
-const IDLE_TIMEOUT_SHARE: f64 = 0.7;
+/// Idle timeout of a tunnel, which occupies a place at the helping host.
+const TUNNEL_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Why a request got no response.
-#[derive(Debug, Display, derive_more::Error)]
-pub(crate) enum SendError {
-    /// The request did not reach the target.
-    #[display("connect: {_0}")]
-    #[error(ignore)]
-    NotSent(String),
-    /// Nothing was written, since the target does not accept requests now.
-    #[display("withheld")]
-    Withheld,
-    /// The request may have reached the target.
-    #[display("send: {cause}")]
-    MayHaveRun {
-        cause: String,
-        /// Whether the target broke (closed or reset) the connection.
-        broken: bool,
-    },
-}
+/// Time without a response after which a target may be checked by a direct attempt.
+const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(400);
 
-impl SendError {
-    fn may_have_run(error: &hyper::Error) -> Self {
-        Self::MayHaveRun {
-            cause: error.to_string(),
-            broken: is_peer_disconnect(error),
-        }
-    }
-}
+/// Interval between two direct attempts to lost targets after one succeeded.
+const RESTORE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Returns whether an error means that the peer closed or reset the connection. A connection that
-/// was closed because the peer was silent says nothing about the target.
-pub(crate) fn is_peer_disconnect(error: &(dyn Error + 'static)) -> bool {
-    let mut cause = Some(error);
-    while let Some(current) = cause {
-        if let Some(error) = current.downcast_ref::<io::Error>() {
-            return matches!(
-                error.kind(),
-                ErrorKind::ConnectionReset
-                    | ErrorKind::ConnectionAborted
-                    | ErrorKind::BrokenPipe
-                    | ErrorKind::UnexpectedEof
-            );
-        }
-        cause = current.source();
-    }
-    let error = error.downcast_ref::<hyper::Error>();
-    error.is_some_and(|error| error.is_incomplete_message() || error.is_closed())
-}
+/// Share of the target's idle timeout after which a connection is not reused.
+const IDLE_TIMEOUT_SHARE: f64 = 0.7;
 
 /// What an attempt to connect shows about a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -106,6 +58,8 @@
     closer: oneshot::Sender<()>,
     idle_since: Instant,
     idle_timeout: Duration,
+    /// The entry host that opened the connection, if it is another one.
+    peer: Option<SocketAddr>,
 }
 
 #[derive(Default)]
@@ -118,6 +72,7 @@
 #[derive(Clone, Default)]
 pub(crate) struct UpstreamPool {
     state: Rc<RefCell<PoolState>>,
+    links: Rc<TargetLinks>,
 }
 
 /// A connection in use. If it is dropped before [`ConnectionLease::release`], the connection is
@@ -129,6 +84,19 @@
 }
 
 impl UpstreamPool {
+    /// Creates a pool that opens connections through these links.
+    pub(crate) fn new(links: TargetLinks) -> Self {
+        Self {
+            state: Rc::default(),
+            links: Rc::new(links),
+        }
+    }
+
+    /// Returns the links to the targets.
+    pub(crate) fn links(&self) -> &Rc<TargetLinks> {
+        &self.links
+    }
+
     /// Returns how many connections have been opened.
     pub(crate) fn opened_count(&self) -> u64 {
         self.state.borrow().opened_count
@@ -147,7 +115,7 @@
                 self.keep_idle(address, connection);
                 return Err(SendError::Withheld);
             }
-            match connection.sender.try_send_request(request).await {
+            match self.exchange_head(address, &mut connection, request).await {
                 Ok(response) => return Ok((response, self.lease(address, connection))),
                 Err(mut error) => match error.take_message() {
                     // The connection was already closed; the request was never written.
@@ -161,7 +129,7 @@
             self.keep_idle(address, connection);
             return Err(SendError::Withheld);
         }
-        match connection.sender.try_send_request(request).await {
+        match self.exchange_head(address, &mut connection, request).await {
             Ok(response) => Ok((response, self.lease(address, connection))),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
@@ -192,15 +160,39 @@
         Ok((head, body.to_bytes()))
     }
 
+    /// Sends a request on a connection and waits for the head of the response. A direct target
+    /// that is silent for some time is checked in the background: its path may be lost.
+    async fn exchange_head(
+        &self,
+        address: SocketAddr,
+        connection: &mut Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        let is_direct = connection.peer.is_none();
+        let mut response = pin!(connection.sender.try_send_request(request));
+        let result = match timeout(SILENCE_BEFORE_CHECK, &mut response).await {
+            Ok(result) => result,
+            Err(_) => {
+                if is_direct && self.links.begin_check(address) {
+                    let pool = self.clone();
+                    ntex::rt::spawn(async move { pool.probe(address).await });
+                }
+                response.await
+            }
+        };
+        if is_direct && result.is_ok() {
+            self.links.record_response(address);
+        }
+        result
+    }
+
     /// Opens a connection to check whether a target is alive. The connection stays idle for the
-    /// next request.
+    /// next request. A target that only this host cannot reach counts as open.
     pub(crate) async fn probe(&self, address: SocketAddr) -> ProbeOutcome {
-        let socket = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(socket)) => socket,
-            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-                return ProbeOutcome::Refused;
-            }
-            _ => return ProbeOutcome::Silent,
+        let socket = match self.links.connect(address).await {
+            Ok(socket) => socket,
+            Err(error) if error.is_refused => return ProbeOutcome::Refused,
+            Err(_) => return ProbeOutcome::Silent,
         };
         if let Ok(connection) = self.establish(socket).await {
             self.keep_idle(address, connection);
@@ -208,21 +200,39 @@
         ProbeOutcome::Open
     }
 
+    /// Makes direct attempts to lost targets, as far as they are due.
+    pub(crate) async fn probe_lost_targets(&self) {
+        while let Some(address) = self.links.next_probe() {
+            let Some(socket) = self.links.probe_direct(address).await else {
+                return;
+            };
+            if let Ok(connection) = self.establish(TargetSocket::Direct(socket)).await {
+                self.keep_idle(address, connection);
+            }
+            sleep(RESTORE_INTERVAL).await;
+        }
+    }
+
     /// Closes idle connections to addresses that `keep` rejects.
     pub(crate) fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        self.links.retain(&keep);
         self.state
             .borrow_mut()
             .idle
             .retain(|address, _| keep(address));
     }
 
-    /// Closes connections that have been idle for too long.
+    /// Closes connections that have been idle for too long, or whose path is lost.
     pub(crate) fn close_expired(&self) {
-        for idle in self.state.borrow_mut().idle.values_mut() {
-            idle.retain(Connection::is_usable);
+        for (address, idle) in &mut self.state.borrow_mut().idle {
+            idle.retain(|connection| self.is_usable(*address, connection));
         }
     }
 
+    fn is_usable(&self, address: SocketAddr, connection: &Connection) -> bool {
+        connection.is_usable() && self.links.may_use_idle(address, connection.peer)
+    }
+
     fn lease(&self, address: SocketAddr, connection: Connection) -> ConnectionLease {
         ConnectionLease {
             pool: self.clone(),
@@ -241,7 +251,7 @@
         let mut state = self.state.borrow_mut();
         let idle = state.idle.get_mut(&address)?;
         while let Some(connection) = idle.pop() {
-            if connection.is_usable() {
+            if self.is_usable(address, &connection) {
                 return Some(connection);
             }
         }
@@ -249,34 +259,44 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
-        let socket = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(socket)) => socket,
-            Ok(Err(error)) => return Err(SendError::NotSent(error.to_string())),
-            Err(_) => {
-                return Err(SendError::NotSent(format!(
-                    "not established within {} ms",
-                    CONNECT_TIMEOUT.as_millis()
-                )));
-            }
+        let socket = match self.links.connect(address).await {
+            Ok(socket) => socket,
+            Err(error) if error.is_down => return Err(SendError::NotSent(error.to_string())),
+            Err(error) => return Err(SendError::NoPath(error.to_string())),
         };
         self.establish(socket).await
     }
 
-    async fn establish(&self, socket: TcpStream) -> Result<Connection, SendError> {
-        let _ = socket.set_nodelay(true);
-        // Without these a connection across a network partition hangs for minutes.
-        let options = SockRef::from(&socket);
-        let _ = options.set_tcp_user_timeout(Some(UNACKNOWLEDGED_DATA_TIMEOUT));
-        let keepalive = TcpKeepalive::new()
-            .with_time(KEEPALIVE_IDLE_TIME)
-            .with_interval(KEEPALIVE_INTERVAL);
-        let _ = options.set_tcp_keepalive(&keepalive);
+    async fn establish(&self, socket: TargetSocket) -> Result<Connection, SendError> {
+        match socket {
+            TargetSocket::Direct(socket) => {
+                let _ = socket.set_nodelay(true);
+                detect_dead_peer(&socket);
+                let counted = self.links.count_open();
+                self.start_driver(socket, counted).await
+            }
+            TargetSocket::Tunnel(tunnel, peer) => {
+                let mut connection = self.start_driver(tunnel, ()).await?;
+                connection.peer = Some(peer);
+                connection.idle_timeout = TUNNEL_IDLE_TIMEOUT;
+                Ok(connection)
+            }
+        }
+    }
+
+    /// Starts the task that drives a connection; it holds `guard` until the connection is closed.
+    async fn start_driver<T, G>(&self, stream: T, guard: G) -> Result<Connection, SendError>
+    where
+        T: AsyncRead + AsyncWrite + Unpin + 'static,
+        G: 'static,
+    {
         let (sender, driver) = Builder::new()
-            .handshake(TokioIo::new(socket))
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| SendError::NotSent(error.to_string()))?;
         let (closer, closed) = oneshot::channel::<()>();
         ntex::rt::spawn(async move {
+            let _guard = guard;
             tokio::select! {
                 _ = driver => {}
                 _ = closed => {}
@@ -288,6 +308,7 @@
             closer,
             idle_since: Instant::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            peer: None,
         })
     }
 }
@@ -311,6 +332,9 @@
             return;
         }
         connection.idle_timeout = keep_alive_timeout(head).unwrap_or(DEFAULT_IDLE_TIMEOUT);
+        if connection.peer.is_some() {
+            connection.idle_timeout = connection.idle_timeout.min(TUNNEL_IDLE_TIMEOUT);
+        }
         connection.idle_since = Instant::now();
         // The connection is ready for another request only once its task has seen the end of the
         // response. If the response was sent before the request's body was read, it never becomes
--- /dev/null
+++ b/crates/gateway/src/upstream/send_error.rs
@@ -0,0 +1,58 @@
+//! Why a request got no response from a target.
+
+use std::error::Error;
+use std::io::{self, ErrorKind};
+
+use derive_more::Display;
+
+/// Why a request got no response.
+#[derive(Debug, Display, derive_more::Error)]
+pub(crate) enum SendError {
+    /// The request did not reach the target.
+    #[display("connect: {_0}")]
+    #[error(ignore)]
+    NotSent(String),
+    /// The request did not reach the target, which other hosts may reach.
+    #[display("no path: {_0}")]
+    #[error(ignore)]
+    NoPath(String),
+    /// Nothing was written, since the target does not accept requests now.
+    #[display("withheld")]
+    Withheld,
+    /// The request may have reached the target.
+    #[display("send: {cause}")]
+    MayHaveRun {
+        cause: String,
+        /// Whether the target broke (closed or reset) the connection.
+        broken: bool,
+    },
+}
+
+impl SendError {
+    pub(super) fn may_have_run(error: &hyper::Error) -> Self {
+        Self::MayHaveRun {
+            cause: error.to_string(),
+            broken: is_peer_disconnect(error),
+        }
+    }
+}
+
+/// Returns whether an error means that the peer closed or reset the connection. A connection that
+/// was closed because the peer was silent says nothing about the target.
+pub(crate) fn is_peer_disconnect(error: &(dyn Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(current) = cause {
+        if let Some(error) = current.downcast_ref::<io::Error>() {
+            return matches!(
+                error.kind(),
+                ErrorKind::ConnectionReset
+                    | ErrorKind::ConnectionAborted
+                    | ErrorKind::BrokenPipe
+                    | ErrorKind::UnexpectedEof
+            );
+        }
+        cause = current.source();
+    }
+    let error = error.downcast_ref::<hyper::Error>();
+    error.is_some_and(|error| error.is_incomplete_message() || error.is_closed())
+}
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -9,7 +9,9 @@
 use http::StatusCode;
 use linnet_daemon::{StopSignals, accept_peers, exit_code};
 use linnet_directory::{DocumentSink, FollowConfig, follow_directory};
-use linnet_gateway::{Gateway, GatewayConfig, OverloadPolicy, serve_callers, serve_pieces};
+use linnet_gateway::{
+    Gateway, GatewayConfig, OverloadPolicy, serve_callers, serve_pieces, serve_tunnel,
+};
 use linnet_telemetry::{
     ACCOUNT_SHARES_PATH, EventCode, EventRecorder, HybridClock, NOTICES_PATH, POOL_QUEUES_PATH,
 };
@@ -111,6 +113,7 @@
         async move {
             match greeting {
                 PeerGreeting::Pieces => serve_pieces(&gateway, reader, writer).await,
+                PeerGreeting::Tunnel => serve_tunnel(&gateway, reader, writer).await,
                 _ => Ok(()),
             }
         }
@@ -196,7 +199,8 @@
 
 /// Performs a planned stop. The host first reports not ready, so that the load balancer sends
 /// callers elsewhere. After `leave_ms` it closes connections between requests. It returns when no
-/// request is in flight or the deadline is reached.
+/// request is in flight, also not of another entry host through this one, or the deadline is
+/// reached.
 async fn stop(
     gateway: &Rc<Gateway>,
     settings: &NodeSettings,
@@ -211,7 +215,8 @@
     closing.send_replace(true);
     // Requests on connections accepted just before may still arrive.
     sleep(STOP_POLL_INTERVAL * 4).await;
-    while gateway.open_requests() > 0 && started.elapsed() < max_duration {
+    let is_busy = || gateway.open_requests() > 0 || gateway.served_tunnels() > 0;
+    while is_busy() && started.elapsed() < max_duration {
         sleep(STOP_POLL_INTERVAL).await;
     }
     // Allows the last responses to be written.
--- a/crates/paths/src/peer_table.rs
+++ b/crates/paths/src/peer_table.rs
@@ -137,6 +137,11 @@
         self.peers.is_empty()
     }
 
+    /// Returns whether a peer is known.
+    pub fn contains(&self, address: SocketAddr) -> bool {
+        self.peers.contains_key(&address)
+    }
+
     /// Returns whether a known peer is not among those `asked`.
     pub fn has_others(&self, asked: &[SocketAddr]) -> bool {
         self.peers.keys().any(|address| !asked.contains(address))
--- a/crates/wire/src/greeting.rs
+++ b/crates/wire/src/greeting.rs
@@ -17,4 +17,6 @@
     DirectoryCall,
     /// An entry host sends pieces of stages to another one.
     Pieces,
+    /// An entry host opens a connection to a target through another one.
+    Tunnel,
 }
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
 
@@ -84,6 +85,11 @@
         self
     }
 
+    /// Returns the socket, to set its options.
+    pub fn socket(&self) -> &TcpStream {
+        self.socket.as_ref()
+    }
+
     /// Sends the queued messages and this one.
     ///
     /// # Errors
@@ -253,6 +259,11 @@
         decode(message).map_err(|error| self.error(WireCause::Malformed(error)))
     }
 
+    /// Returns the socket, to wait for its readiness.
+    pub fn socket(&self) -> &TcpStream {
+        self.socket.get_ref().as_ref()
+    }
+
     /// Returns the message version of the connection; `None` while it is unknown.
     pub fn message_version(&self) -> Option<MessageVersion> {
         self.session.message_version
