Paths: a target counts as down after new answers, and as crashed after more

A helping host without connections of its own took several crashed targets for a partition of its own, so crashes of targets were not recognized and requests that crash them were not held (five tests of ending_requests failed). A host now calls itself cut off only if peers reach what it has lost. The asking host instead asks two further peers each time it takes a target as down, and six at once before it concludes that a target crashed.

--- a/crates/gateway/src/target_links/connect.rs
+++ b/crates/gateway/src/target_links/connect.rs
@@ -6,7 +6,10 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use linnet_paths::{AnswerTally, ConnectFailure, ConnectPlan, PathVerdict, PeerAnswer};
+use futures_util::future::join_all;
+use linnet_paths::{
+    AnswerTally, Certainty, ConnectFailure, ConnectPlan, MAX_ASKED, PathVerdict, PeerAnswer,
+};
 use linnet_telemetry::EventCode;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -32,6 +35,15 @@
     Tunnel(TunnelStream, SocketAddr),
 }
 
+/// What a connection is opened for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectPurpose {
+    /// A request, or a check of the path to a silent target.
+    Request,
+    /// The check whether a target crashed while requests ran on it.
+    CrashCheck,
+}
+
 /// Why no connection to a target could be opened.
 #[derive(Debug, Display)]
 #[display("{cause}")]
@@ -65,15 +77,22 @@
     pub(crate) async fn connect(
         self: &Rc<Self>,
         target: SocketAddr,
+        purpose: ConnectPurpose,
     ) -> Result<TargetSocket, LinkError> {
         let plan = self.paths.borrow().plan(target, Instant::now());
         match plan {
-            ConnectPlan::Tunnel => match self.ask_peers(target).await {
+            ConnectPlan::Tunnel => match self.ask_peers(target, purpose).await {
                 Ok((tunnel, peer)) => Ok(TargetSocket::Tunnel(tunnel, peer)),
                 Err(answers) => Err(self.conclude(target, None, &answers)),
             },
             ConnectPlan::Direct { head_start } if self.has_peers() => {
-                self.connect_with_fallback(target, head_start).await
+                self.connect_with_fallback(target, purpose, head_start)
+                    .await
+            }
+            // That the target was down for a request is not enough to conclude that it crashed.
+            ConnectPlan::DirectOnly if purpose == ConnectPurpose::CrashCheck => {
+                self.connect_with_fallback(target, purpose, CONNECT_TIMEOUT)
+                    .await
             }
             _ => match self.connect_direct(target, CONNECT_TIMEOUT).await {
                 Ok(socket) => Ok(TargetSocket::Direct(socket)),
@@ -90,12 +109,13 @@
     async fn connect_with_fallback(
         self: &Rc<Self>,
         target: SocketAddr,
+        purpose: ConnectPurpose,
         head_start: Duration,
     ) -> Result<TargetSocket, LinkError> {
         let links = self.clone();
         let mut direct =
             Box::pin(async move { links.connect_direct(target, CONNECT_TIMEOUT).await });
-        let mut asking = Box::pin(self.ask_peers(target));
+        let mut asking = Box::pin(self.ask_peers(target, purpose));
         let failed = match timeout(head_start, &mut direct).await {
             Ok(Ok(socket)) => return Ok(TargetSocket::Direct(socket)),
             Ok(Err(error)) => error,
@@ -149,7 +169,7 @@
     ) -> Result<TcpStream, TunnelReply> {
         let now = Instant::now();
         if self.paths.borrow().is_lost(target) {
-            return Err(if self.paths.borrow().is_cut_off(now) {
+            return Err(if self.paths.borrow().is_cut_off() {
                 TunnelReply::CutOff
             } else {
                 TunnelReply::PathLost
@@ -167,7 +187,7 @@
                 Err(error) => error.failure,
             },
         };
-        if self.paths.borrow().is_cut_off(Instant::now()) {
+        if self.paths.borrow().is_cut_off() {
             return Err(TunnelReply::CutOff);
         }
         Err(match failure {
@@ -203,52 +223,103 @@
         Err(error)
     }
 
-    /// Asks peers one after the other until one opens a connection, and returns that peer as well.
-    async fn ask_peers(&self, target: SocketAddr) -> Result<(TunnelStream, SocketAddr), AskError> {
-        let mut tally = AnswerTally::new(self.paths.borrow().is_in_doubt());
+    /// Asks peers until one opens a connection, and returns that peer as well. For a request they
+    /// are asked one after the other, for a crash check, which has little time, all at once.
+    async fn ask_peers(
+        &self,
+        target: SocketAddr,
+        purpose: ConnectPurpose,
+    ) -> Result<(TunnelStream, SocketAddr), AskError> {
+        let mut tally = self.begin_tally(target, purpose);
+        let at_once = match purpose {
+            ConnectPurpose::Request => 1,
+            ConnectPurpose::CrashCheck => MAX_ASKED,
+        };
         let (mut asked, mut is_refused) = (Vec::new(), true);
         let asking = async {
             while tally.is_open()
                 && let Some(context) = &self.context
-                && let Some(peer) = self.choose_peer(context, target, &asked)
             {
-                asked.push(peer);
-                let opened = open_tunnel(&context.identity, peer, target).await;
-                let answer = opened
-                    .as_ref()
-                    .map_or_else(|answer| *answer, |_| PeerAnswer::Opened);
-                let mut peers = self.peers.borrow_mut();
-                peers.record(peer, target, answer, Instant::now());
-                drop(peers);
-                if let Ok(tunnel) = opened {
-                    context.metrics.tunnels_opened.inc();
-                    return Some((tunnel, peer));
+                let peers = self.choose_peers(context, target, &asked, at_once);
+                if peers.is_empty() {
+                    break;
+                }
+                asked.extend(&peers);
+                let opening = peers
+                    .iter()
+                    .map(|peer| self.ask_peer(context, *peer, target));
+                for (opened, peer) in join_all(opening).await.into_iter().zip(peers) {
+                    match opened {
+                        Ok(tunnel) => return Some((tunnel, peer)),
+                        Err(answer) => {
+                            tally.add(answer);
+                            is_refused &= answer != PeerAnswer::Silent;
+                        }
+                    }
                 }
-                tally.add(answer);
-                is_refused &= answer != PeerAnswer::Silent;
             }
             None
         };
         if let Ok(Some(opened)) = timeout(ASK_TIMEOUT, asking).await {
             return Ok(opened);
         }
-        let has_others = self.peers.borrow().has_others(&asked);
+        let left = self.context.as_ref();
+        let left = left.map(|context| self.choose_peers(context, target, &asked, 1));
         Err(AskError {
-            verdict: tally.verdict(has_others),
+            verdict: tally.verdict(left.is_some_and(|left| !left.is_empty())),
             is_refused,
         })
     }
 
-    fn choose_peer(
+    fn begin_tally(&self, target: SocketAddr, purpose: ConnectPurpose) -> AnswerTally {
+        let certainty = match purpose {
+            ConnectPurpose::CrashCheck => Certainty::Crash,
+            ConnectPurpose::Request if self.paths.borrow().is_in_doubt() => Certainty::InDoubt,
+            ConnectPurpose::Request => Certainty::Usual,
+        };
+        let peers = self.peers.borrow();
+        let agreeing = peers.agreeing_count(target, Instant::now());
+        AnswerTally::new(certainty, peers.count(), agreeing)
+    }
+
+    /// Asks one peer for a connection, and records its answer.
+    async fn ask_peer(
+        &self,
+        context: &TunnelContext,
+        peer: SocketAddr,
+        target: SocketAddr,
+    ) -> Result<TunnelStream, PeerAnswer> {
+        let opened = open_tunnel(&context.identity, peer, target).await;
+        let answer = match &opened {
+            Ok(_) => PeerAnswer::Opened,
+            Err(answer) => *answer,
+        };
+        if opened.is_ok() {
+            context.metrics.tunnels_opened.inc();
+        }
+        let mut peers = self.peers.borrow_mut();
+        peers.record(peer, target, answer, Instant::now());
+        opened
+    }
+
+    /// Returns up to `count` peers to ask next.
+    fn choose_peers(
         &self,
         context: &TunnelContext,
         target: SocketAddr,
         asked: &[SocketAddr],
-    ) -> Option<SocketAddr> {
+        count: usize,
+    ) -> Vec<SocketAddr> {
         let key = ScoreKey::new(&format!("{}/{target}", context.identity.name));
         let score = |name: &str, weight: f64| key.weighted_score(name, weight);
-        let peers = self.peers.borrow();
-        peers.choose(target, asked, Instant::now(), score)
+        let (peers, now) = (self.peers.borrow(), Instant::now());
+        let mut asked = asked.to_vec();
+        let chosen = std::iter::from_fn(|| {
+            let peer = peers.choose(target, &asked, now, score)?;
+            asked.push(peer);
+            Some(peer)
+        });
+        chosen.take(count).collect()
     }
 
     /// Records that neither this host nor the peers that were asked reach a target.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -24,7 +24,7 @@
 pub(crate) use send_error::{SendError, is_peer_disconnect};
 
 use crate::send_gate::SendGate;
-use crate::target_links::{TargetLinks, TargetSocket, detect_dead_peer};
+use crate::target_links::{ConnectPurpose, TargetLinks, TargetSocket, detect_dead_peer};
 
 /// Idle timeout of a connection if the target announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -175,7 +175,7 @@
             Err(_) => {
                 if is_direct && self.links.begin_check(address) {
                     let pool = self.clone();
-                    ntex::rt::spawn(async move { pool.probe(address).await });
+                    ntex::rt::spawn(async move { pool.check_path(address).await });
                 }
                 response.await
             }
@@ -186,10 +186,11 @@
         result
     }
 
-    /// Opens a connection to check whether a target is alive. The connection stays idle for the
+    /// Opens a connection to check whether a target has crashed. The connection stays idle for the
     /// next request. A target that only this host cannot reach counts as open.
     pub(crate) async fn probe(&self, address: SocketAddr) -> ProbeOutcome {
-        let socket = match self.links.connect(address).await {
+        let purpose = ConnectPurpose::CrashCheck;
+        let socket = match self.links.connect(address, purpose).await {
             Ok(socket) => socket,
             Err(error) if error.is_refused => return ProbeOutcome::Refused,
             Err(_) => return ProbeOutcome::Silent,
@@ -200,6 +201,16 @@
         ProbeOutcome::Open
     }
 
+    /// Finds out whether the path to a silent target is lost.
+    async fn check_path(&self, address: SocketAddr) {
+        let purpose = ConnectPurpose::Request;
+        if let Ok(socket) = self.links.connect(address, purpose).await
+            && let Ok(connection) = self.establish(socket).await
+        {
+            self.keep_idle(address, connection);
+        }
+    }
+
     /// Makes direct attempts to lost targets, as far as they are due.
     pub(crate) async fn probe_lost_targets(&self) {
         while let Some(address) = self.links.next_probe() {
@@ -259,7 +270,8 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
-        let socket = match self.links.connect(address).await {
+        let purpose = ConnectPurpose::Request;
+        let socket = match self.links.connect(address, purpose).await {
             Ok(socket) => socket,
             Err(error) if error.is_down => return Err(SendError::NotSent(error.to_string())),
             Err(error) => return Err(SendError::NoPath(error.to_string())),
--- a/crates/paths/src/answer_tally.rs
+++ b/crates/paths/src/answer_tally.rs
@@ -2,15 +2,34 @@
 
 use crate::PeerAnswer;
 
-/// Peers that have to agree that a target cannot be reached.
-const REQUIRED_AGREEMENT: usize = 2;
+/// Maximum number of peers that are asked for one connection.
+pub const MAX_ASKED: usize = 6;
 
-/// The same at a host that has lost several targets lately: the peers may have lost them as well,
-/// without knowing yet.
-const REQUIRED_AGREEMENT_IN_DOUBT: usize = 4;
+/// Minimum number of new answers before a target counts as down, also if former answers suggest it:
+/// the peers that were asked before may be cut off as well.
+const MIN_NEW_ANSWERS: usize = 2;
 
-/// Maximum number of peers that are asked for one connection.
-const MAX_ASKED: usize = 6;
+/// How sure a host has to be before it takes a target as down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Certainty {
+    /// For a request, which can go to another target.
+    Usual,
+    /// The same at a host that has lost several targets lately: its peers may have lost them as
+    /// well, without knowing yet.
+    InDoubt,
+    /// For the conclusion that the target crashed while requests ran on it.
+    Crash,
+}
+
+impl Certainty {
+    fn required_agreement(self) -> usize {
+        match self {
+            Self::Usual => 2,
+            Self::InDoubt => 4,
+            Self::Crash => MAX_ASKED,
+        }
+    }
+}
 
 /// Why a target could not be reached.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,20 +43,23 @@
 /// The answers of peers to the request for one connection.
 #[derive(Debug, Clone, Copy)]
 pub struct AnswerTally {
+    certainty: Certainty,
+    /// Number of peers whose agreement makes the target count as down.
     required: usize,
+    /// Peers that agreed a moment ago.
+    remembered: usize,
     asked: usize,
     agreed: usize,
 }
 
 impl AnswerTally {
-    /// Begins a tally; `in_doubt` says whether this host has lost several targets lately.
-    pub fn new(in_doubt: bool) -> Self {
+    /// Begins a tally with `peers` known peers, of which the `remembered` ones could not reach the
+    /// target a moment ago.
+    pub fn new(certainty: Certainty, peers: usize, remembered: usize) -> Self {
         Self {
-            required: if in_doubt {
-                REQUIRED_AGREEMENT_IN_DOUBT
-            } else {
-                REQUIRED_AGREEMENT
-            },
+            certainty,
+            required: certainty.required_agreement().min(peers).max(1),
+            remembered,
             asked: 0,
             agreed: 0,
         }
@@ -49,15 +71,18 @@
         self.agreed += usize::from(answer.shows_target_down());
     }
 
-    /// Returns whether another peer should be asked.
+    /// Returns whether another peer should be asked, if there is one.
     pub fn is_open(&self) -> bool {
-        self.agreed < self.required && self.asked < MAX_ASKED
+        let has_agreement = self.remembered + self.agreed >= self.required;
+        self.asked < MAX_ASKED && !(has_agreement && self.agreed >= MIN_NEW_ANSWERS)
     }
 
-    /// Concludes from the answers; `peers_left` says whether any peer was not asked. If all were, a
-    /// single agreeing peer is enough.
+    /// Concludes from the answers; `peers_left` says whether another peer could have been asked. If
+    /// none could, a single agreeing peer is enough, except for a host in doubt.
     pub fn verdict(&self, peers_left: bool) -> PathVerdict {
-        if self.agreed >= self.required || (self.agreed > 0 && !peers_left) {
+        let agreed = self.remembered + self.agreed;
+        let is_alone = !peers_left && self.certainty != Certainty::InDoubt;
+        if agreed >= self.required || (agreed > 0 && is_alone) {
             PathVerdict::Down
         } else {
             PathVerdict::Unknown
--- a/crates/paths/src/lib.rs
+++ b/crates/paths/src/lib.rs
@@ -11,7 +11,7 @@
 mod path_table;
 mod peer_table;
 
-pub use answer_tally::{AnswerTally, PathVerdict};
+pub use answer_tally::{AnswerTally, Certainty, MAX_ASKED, PathVerdict};
 pub use path_table::{ConnectFailure, ConnectPlan, PathChange, PathTable};
 pub use peer_table::{PeerAnswer, PeerHost, PeerTable};
 
--- a/crates/paths/src/path_table.rs
+++ b/crates/paths/src/path_table.rs
@@ -241,17 +241,10 @@
         (now.duration_since(at) < FAILURE_MEMORY).then_some(failure)
     }
 
-    /// Returns whether this host is probably cut off from several targets, so that its failure to
-    /// reach one says nothing about that target.
-    pub fn is_cut_off(&self, now: Instant) -> bool {
-        let is_recent = |at: Instant| now.duration_since(at) < DOUBT_WINDOW;
-        let paths = || self.paths.values();
-        let failed = paths().filter(|path| path.failure.is_some_and(|(at, _)| is_recent(at)));
-        let failed = failed.count();
-        let alive = paths().filter(|path| path.failure.is_none());
-        let alive = alive.filter(|path| path.alive_at.is_some_and(is_recent));
+    /// Returns whether this host has lost several targets, so that its failure to reach one says
+    /// nothing about that target.
+    pub fn is_cut_off(&self) -> bool {
         self.lost_count() >= DOUBT_THRESHOLD
-            || (failed >= DOUBT_THRESHOLD && failed > alive.count())
     }
 
     /// Removes targets that `keep` rejects.
--- a/crates/paths/src/peer_table.rs
+++ b/crates/paths/src/peer_table.rs
@@ -21,8 +21,9 @@
 /// How long a peer is left out that does not know tunnels, as builds before this one.
 const UNSUPPORTED_AVOIDANCE: Duration = Duration::from_secs(5);
 
-/// How long a peer is not asked again for a target that it could not reach.
-const TARGET_AVOIDANCE: Duration = Duration::from_secs(1);
+/// How long a peer is not asked again for a target that it could not reach, so that others are asked
+/// meanwhile.
+const TARGET_AVOIDANCE: Duration = Duration::from_secs(3);
 
 /// An entry host that can open connections for this one.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -70,8 +71,8 @@
     avoided_until: Option<Instant>,
     /// Avoidances in a row.
     avoidances: u32,
-    /// Targets that the peer could not reach, with the end of their avoidance.
-    unreached: HashMap<SocketAddr, Instant>,
+    /// Answers for targets that the peer could not reach, with the end of their avoidance.
+    unreached: HashMap<SocketAddr, (PeerAnswer, Instant)>,
 }
 
 impl Peer {
@@ -86,9 +87,14 @@
     }
 
     fn is_usable(&self, target: SocketAddr, now: Instant) -> bool {
-        let is_over = |until: &Instant| *until <= now;
-        self.avoided_until.as_ref().is_none_or(is_over)
-            && self.unreached.get(&target).is_none_or(is_over)
+        let is_avoided = self.avoided_until.is_some_and(|until| until > now);
+        !is_avoided && self.unreached_answer(target, now).is_none()
+    }
+
+    /// Returns the answer of the peer for a target that it could not reach a moment ago.
+    fn unreached_answer(&self, target: SocketAddr, now: Instant) -> Option<PeerAnswer> {
+        let (answer, until) = self.unreached.get(&target)?;
+        (*until > now).then_some(*answer)
     }
 
     fn weight(&self, now: Instant) -> f64 {
@@ -142,9 +148,16 @@
         self.peers.contains_key(&address)
     }
 
-    /// Returns whether a known peer is not among those `asked`.
-    pub fn has_others(&self, asked: &[SocketAddr]) -> bool {
-        self.peers.keys().any(|address| !asked.contains(address))
+    /// Returns the number of known peers.
+    pub fn count(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Returns how many peers answered a moment ago that a target cannot be reached.
+    pub fn agreeing_count(&self, target: SocketAddr, now: Instant) -> usize {
+        let answers = self.peers.values();
+        let answers = answers.filter_map(|peer| peer.unreached_answer(target, now));
+        answers.filter(|answer| answer.shows_target_down()).count()
     }
 
     /// Chooses the peer to ask for a connection to a target, by the highest `score` of its name and
@@ -189,8 +202,9 @@
             | PeerAnswer::Refused
             | PeerAnswer::Silent
             | PeerAnswer::PathLost => {
-                peer.unreached.retain(|_, until| *until > now);
-                peer.unreached.insert(target, now + TARGET_AVOIDANCE);
+                peer.unreached.retain(|_, (_, until)| *until > now);
+                peer.unreached
+                    .insert(target, (answer, now + TARGET_AVOIDANCE));
             }
             PeerAnswer::CutOff | PeerAnswer::Unreachable => peer.avoid(now),
             PeerAnswer::Full => peer.avoided_until = Some(now + FULL_AVOIDANCE),
