--- a/crates/gateway/src/target_links.rs
+++ b/crates/gateway/src/target_links.rs
@@ -4,7 +4,8 @@
 mod connect;
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -54,6 +55,8 @@
     peers: RefCell<PeerTable>,
     /// `None` if no tunnels are used.
     context: Option<TunnelContext>,
+    /// The address to connect to in place of the registered one.
+    address_map: BTreeMap<IpAddr, IpAddr>,
     /// Open direct connections of this host.
     open_count: Rc<Cell<usize>>,
     /// Open connections that this host serves for others.
@@ -88,6 +91,21 @@
         }
     }
 
+    /// Makes direct connections go to the mapped address in place of the registered one.
+    pub(crate) fn with_address_map(mut self, address_map: BTreeMap<IpAddr, IpAddr>) -> Self {
+        self.address_map = address_map;
+        self
+    }
+
+    /// Returns the address to connect to for a target with a registered address.
+    fn connect_address(&self, registered: SocketAddr) -> SocketAddr {
+        let mapped = self.address_map.get(&registered.ip());
+        SocketAddr::new(
+            mapped.copied().unwrap_or(registered.ip()),
+            registered.port(),
+        )
+    }
+
     /// Sets the entry hosts that can open connections for this one.
     pub(crate) fn set_peers(&self, hosts: impl IntoIterator<Item = PeerHost>) {
         self.peers.borrow_mut().set_peers(hosts);
--- a/crates/gateway/src/target_links/connect.rs
+++ b/crates/gateway/src/target_links/connect.rs
@@ -201,7 +201,8 @@
         target: SocketAddr,
         limit: Duration,
     ) -> Result<TcpStream, DirectError> {
-        let error = match timeout(limit, TcpStream::connect(target)).await {
+        let address = self.connect_address(target);
+        let error = match timeout(limit, TcpStream::connect(address)).await {
             Ok(Ok(socket)) => {
                 self.record_open(target);
                 return Ok(socket);
