--- a/crates/gateway/src/target_links/tests.rs
+++ b/crates/gateway/src/target_links/tests.rs
@@ -10,6 +10,7 @@
 use crate::gateway::tests::run;
 use crate::notice_store::NoticeStore;
 use crate::send_gate::SendKind;
+use crate::tunnel::open_tunnel;
 use crate::tunnel::tests::{closed_address, identity, listen, start_helper};
 use crate::upstream::{ProbeOutcome, SendError, UpstreamPool};
 
@@ -202,3 +203,83 @@
         assert_eq!(context.metrics.tunnels_opened.get(), 0);
     });
 }
+
+/// Serves requests on kept connections.
+async fn run_keeping_target(listener: TcpListener) {
+    loop {
+        let (mut socket, _) = listener.accept().await.unwrap();
+        ntex::rt::spawn(async move {
+            let mut request = [0; 1_024];
+            while socket.read(&mut request).await.unwrap_or(0) > 0 {
+                let response = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
+                socket.write_all(response).await.unwrap();
+            }
+        });
+    }
+}
+
+async fn wait_until(condition: impl Fn() -> bool) {
+    let polling = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(Duration::from_secs(5), polling).await.unwrap();
+}
+
+/// Guards against requests that are cut when a helping host stops as planned: it takes no new tunnel,
+/// and waits for the others, so the asking host closes idle ones.
+#[test]
+fn tunnels_leave_a_host_that_is_about_to_stop() {
+    run(async {
+        let (listener, target) = listen().await;
+        ntex::rt::spawn(run_keeping_target(listener));
+        let (gateway, helper) = start_helper(&[target]).await;
+        let pool = pool(&[helper]);
+        pool.links().record_lost(target, "test");
+        let opened = || {
+            let context = pool.links().context.as_ref().unwrap();
+            context.metrics.tunnels_opened.get()
+        };
+        for _ in 0..3 {
+            assert_eq!(exchange(&pool, target).await.unwrap(), "whole");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(opened(), 1, "an idle tunnel is used again");
+        assert_eq!(gateway.served_tunnels(), 1);
+
+        gateway.begin_stop(Instant::now() + Duration::from_secs(60));
+        let answer = open_tunnel(&identity("asker"), helper, target).await;
+        assert_eq!(answer.err(), Some(linnet_paths::PeerAnswer::Full));
+        assert_eq!(exchange(&pool, target).await.unwrap(), "whole");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+
+        // The directory lists the host as stopping.
+        pool.links().set_peers([]);
+        pool.close_expired();
+        wait_until(|| gateway.served_tunnels() == 0).await;
+    });
+}
+
+/// Guards against tunnels that stay in use although the path is direct again, and against direct
+/// connections that are used although the path is lost.
+#[test]
+fn idle_connections_follow_the_path() {
+    run(async {
+        let (listener, target) = listen().await;
+        ntex::rt::spawn(run_keeping_target(listener));
+        let (gateway, helper) = start_helper(&[target]).await;
+        let pool = pool(&[helper]);
+        exchange(&pool, target).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        pool.links().record_lost(target, "test");
+        exchange(&pool, target).await.unwrap();
+        assert_eq!(gateway.served_tunnels(), 1);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        pool.links().record_open(target);
+        let opened = pool.opened_count();
+        exchange(&pool, target).await.unwrap();
+        assert_eq!(pool.opened_count(), opened + 1);
+        wait_until(|| gateway.served_tunnels() == 0).await;
+    });
+}
