Entry: drop responses of services that end with their connection

Callers got a 200 with an empty body when a service answered over HTTP/1.1 with neither length nor chunks, and a truncated 200 when an HTTP/1.0 response was cut short by the close of its connection, even if it announced its length. Both were recorded as successes and stored as outcomes of claims. A 304 with a content-length was taken for truncated.

Cause: read_body took whatever the HTTP library returned without an error for the complete body. The library returns no body for an HTTP/1.1 response without length and chunks, and takes the close of an HTTP/1.0 connection for the end of any body.

The new test failed before in five of its nine cases: both framings without a length, an HTTP/1.0 body with 8 and with 0 of 9 bytes, and an error response.

The length of a body is now compared with the announced one, and a service must send a length or chunks; 204, 304 and responses to HEAD have no body.

An HTTP/1.0 response without length, which arrived so far whether complete or truncated, is now always dropped: the two cannot be distinguished.

--- a/crates/entry/src/adapter/client.rs
+++ b/crates/entry/src/adapter/client.rs
@@ -6,7 +6,7 @@
 use linnet_dispatch::LoadReport;
 use ntex::SharedCfg;
 use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
-use ntex::http::Method;
+use ntex::http::{Method, StatusCode};
 use ntex::time::Seconds;
 use ntex::util::Bytes;
 
@@ -128,20 +128,80 @@
     }
 }
 
-/// Reads the complete body. A body shorter than announced is an error.
+/// Reads the body. A body shorter than announced is an error.
+///
+/// The end of a body that has neither length nor chunks is the close of its connection, which a
+/// crashed target causes as well, so such a body may be truncated. The HTTP library returns it
+/// only for HTTP/1.0, and otherwise an empty body in its place.
 pub(super) async fn read_body(
     response: &ClientResponse,
     limit: usize,
 ) -> Result<Bytes, AttemptError> {
     let body = response.body().limit(limit).await;
-    body.map_err(|error| {
+    let body = body.map_err(|error| {
         let overflow = matches!(error, ntex::http::error::PayloadError::Overflow);
         AttemptError::new(if overflow {
             AttemptCause::TooLarge
         } else {
             AttemptCause::CutShort
         })
-    })
+    })?;
+    // The library takes the close of an HTTP/1.0 connection for the end of any body.
+    match body_framing(response) {
+        BodyFraming::Length(length) if length != body.len() as u64 => {
+            Err(AttemptError::new(AttemptCause::CutShort))
+        }
+        _ => Ok(body),
+    }
+}
+
+/// Reads the body of a response to a request with this method, which must be provably complete.
+pub(super) async fn read_delimited_body(
+    response: &ClientResponse,
+    method: &Method,
+    limit: usize,
+) -> Result<Bytes, AttemptError> {
+    if !may_have_body(response, method) {
+        return Ok(Bytes::new());
+    }
+    if body_framing(response) == BodyFraming::Close {
+        return Err(AttemptError::new(AttemptCause::CutShort));
+    }
+    read_body(response, limit).await
+}
+
+/// How a response delimits its body (RFC 9112, section 6.3).
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyFraming {
+    /// By its length in bytes.
+    Length(u64),
+    /// By chunks, the last of which is empty.
+    Chunks,
+    /// By the close of its connection.
+    Close,
+}
+
+/// Returns the framing of a response that may have a body. The HTTP library has rejected responses
+/// with contradictory headers.
+fn body_framing(response: &ClientResponse) -> BodyFraming {
+    if let Some(codings) = header(response, "transfer-encoding") {
+        let last = codings.rsplit(',').next().unwrap_or_default();
+        return if last.trim().eq_ignore_ascii_case("chunked") {
+            BodyFraming::Chunks
+        } else {
+            BodyFraming::Close
+        };
+    }
+    let length = header(response, "content-length").and_then(|value| value.trim().parse().ok());
+    length.map_or(BodyFraming::Close, BodyFraming::Length)
+}
+
+/// Returns whether a response to a request with this method may have a body.
+fn may_have_body(response: &ClientResponse, method: &Method) -> bool {
+    let status = response.status();
+    *method != Method::HEAD
+        && status != StatusCode::NO_CONTENT
+        && status != StatusCode::NOT_MODIFIED
 }
 
 fn check_response_head(call: &AttemptCall, response: &ClientResponse) -> Result<(), AttemptError> {
--- a/crates/entry/src/adapter/service.rs
+++ b/crates/entry/src/adapter/service.rs
@@ -4,7 +4,7 @@
 use ntex::http::Method;
 use ntex::util::Bytes;
 
-use super::client::{parse_load_report, read_body};
+use super::client::{parse_load_report, read_delimited_body};
 use super::{AttemptCall, AttemptCause, AttemptError, TargetClients};
 
 /// The maximum size of a response body of a service.
@@ -67,7 +67,7 @@
             status: response.status().as_u16(),
             content_type,
             load: parse_load_report(&response),
-            body: read_body(&response, MAX_RESPONSE_BYTES).await?,
+            body: read_delimited_body(&response, &request.method, MAX_RESPONSE_BYTES).await?,
         })
     };
     match tokio::time::timeout(call.time_left, work).await {
@@ -75,3 +75,6 @@
         Err(_) => Err(AttemptError::new(AttemptCause::TimedOut)),
     }
 }
+
+#[cfg(test)]
+mod tests;
