Gateway: take the refusal of a stage call from the head of its response

A piece that its target refused counted as a failed call, or as one whose connection had broken, if the body of the refusal was cut, and waited for the timeout of the call if that body never arrived. The wait that the target asked for was lost, so it received further calls; callers waited longer for their response.

Cause: the outcome and the notice were read only after the complete body.

The new test failed before in six of its seven cases: ConnectionBroken for the cut bodies, no outcome within 10 s for the silent ones, and no back-off for any of these.

The head alone states a refusal (Not-Executed, 421), so it is judged and its notice recorded first. The connection is kept if the body arrives within 200 ms. Other error statuses still wait for the body, whose loss may show a crash.

--- a/crates/gateway/src/stage_call.rs
+++ b/crates/gateway/src/stage_call.rs
@@ -10,7 +10,8 @@
 use bytes::Bytes;
 use http::response::Parts;
 use http::{Request, header};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use linnet_clock::BootInstant;
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
@@ -22,9 +23,8 @@
 use crate::protocol::StageItem;
 use crate::reported_load::ReportedLoad;
 use crate::send_gate::SendKind;
-use crate::send_permit::SendPermit;
 use crate::target_restriction::TargetAvailability;
-use crate::upstream::{SendError, UpstreamPool};
+use crate::upstream::{ConnectionLease, SendError, UpstreamPool, is_peer_disconnect};
 
 /// Approximate size of a piece in the body of a call without its inputs: field names and numbers.
 const PIECE_OVERHEAD_BYTES: usize = 90;
@@ -39,6 +39,10 @@
 /// Timeout of requests that run no pieces: releases of results and queries of free memory.
 const CONTROL_REQUEST_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Timeout for the body of a refusal. Such bodies are a line that is sent with the head; a
+/// connection that is worth keeping delivers it at once.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// The pieces of one stage of one request in a call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct CallPart {
@@ -163,25 +167,22 @@
             Ok(request) => request,
             Err(error) => return CallOutcome::Failed(error.to_string()),
         };
-        let response = self.send_request(&call.target, call.address, request, SendKind::Work);
-        let (head, body) = match response.await {
+        let (head, body, lease) = match self.send_work(call, request).await {
             Ok(response) => response,
-            // The coordinator requeues the pieces or sends them to another target.
-            Err(SendError::Withheld) => return CallOutcome::Busy,
-            Err(SendError::MayHaveRun {
-                cause,
-                broken: true,
-            }) => {
-                return CallOutcome::ConnectionBroken(cause);
+            Err(error) => return outcome_without_response(error),
+        };
+        if let Some(outcome) = self.refusal_outcome(&head) {
+            release_after_body(head, body, lease);
+            return outcome;
+        }
+        let body = match body.collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) if is_peer_disconnect(&error) => {
+                return CallOutcome::ConnectionBroken(error.to_string());
             }
             Err(error) => return CallOutcome::Failed(error.to_string()),
         };
-        if head.status == targets.other_target {
-            return CallOutcome::OtherTarget;
-        }
-        if head.headers.contains_key(&names.not_run) {
-            return CallOutcome::Busy;
-        }
+        lease.release(&head.headers);
         if !head.status.is_success() {
             return CallOutcome::Failed(format!("status {}", head.status.as_u16()));
         }
@@ -199,6 +200,18 @@
         }
     }
 
+    /// Returns the outcome of a call whose target did not run it, which the head of the response
+    /// states whatever becomes of the body.
+    fn refusal_outcome(&self, head: &Parts) -> Option<CallOutcome> {
+        if head.status == self.protocol.targets.other_target {
+            return Some(CallOutcome::OtherTarget);
+        }
+        let not_run = &self.protocol.headers.not_run;
+        head.headers
+            .contains_key(not_run)
+            .then_some(CallOutcome::Busy)
+    }
+
     /// Returns whether a target accepts calls from this host now.
     pub(crate) fn availability(&self, target: &str) -> TargetAvailability {
         self.notices.availability(target, BootInstant::now())
@@ -217,7 +230,7 @@
             return;
         };
         let (target, address) = (&release.target, release.address);
-        let response = self.send_request(target, address, request, SendKind::Control);
+        let response = self.send_control(target, address, request);
         let _ = timeout(CONTROL_REQUEST_TIMEOUT, response).await;
     }
 
@@ -229,7 +242,7 @@
             .header(header::HOST, address.to_string())
             .body(Full::new(Bytes::new()))
             .ok()?;
-        let response = self.send_request(target, address, request, SendKind::Control);
+        let response = self.send_control(target, address, request);
         let (_, body) = timeout(CONTROL_REQUEST_TIMEOUT, response)
             .await
             .ok()?
@@ -237,36 +250,70 @@
         (targets.decode_free_bytes)(&body)
     }
 
-    /// Sends a request to a target, and records the notice that the response headers carry.
-    async fn send_request(
+    /// Sends a call to its target, and records the notice in the head of the response, without
+    /// waiting for the body.
+    async fn send_work(
+        &self,
+        call: &StageCall,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Parts, Incoming, ConnectionLease), SendError> {
+        let sent_at = BootInstant::now();
+        let rates = &self.notices.rates;
+        let permit = rates.acquire_permit(&call.target, CALL_PERMIT_TIMEOUT);
+        let Some(permit) = permit.await else {
+            self.notices.count_withheld(&call.target);
+            return Err(SendError::Withheld);
+        };
+        let gate = self.notices.gate(&call.target, SendKind::Work);
+        let gate = gate.with_permit(permit);
+        let (response, lease) = self.upstream.send(call.address, request, gate).await?;
+        let (head, body) = response.into_parts();
+        self.record_notice(&call.target, &head, sent_at);
+        Ok((head, body, lease))
+    }
+
+    /// Sends a control request to a target, and records the notice that the response headers
+    /// carry. Control requests take no permit from the rate limit of the target; the gate withholds
+    /// them while there is one.
+    async fn send_control(
         &self,
         target: &str,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        kind: SendKind,
     ) -> Result<(Parts, Bytes), SendError> {
         let sent_at = BootInstant::now();
-        let permit = match kind {
-            SendKind::Work => {
-                self.notices
-                    .rates
-                    .acquire_permit(target, CALL_PERMIT_TIMEOUT)
-                    .await
-            }
-            // Control requests take no permit from the rate limit of the target; the gate withholds
-            // them while there is one.
-            SendKind::Control => Some(SendPermit::UNRESTRICTED),
-        };
-        let Some(permit) = permit else {
-            self.notices.count_withheld(target);
-            return Err(SendError::Withheld);
-        };
-        let gate = self.notices.gate(target, kind).with_permit(permit);
+        let gate = self.notices.gate(target, SendKind::Control);
         let (head, body) = self.upstream.exchange(address, request, gate).await?;
-        let notice = parse_notice(&self.protocol, &head, None);
-        self.notices.record_response(target, notice, sent_at);
+        self.record_notice(target, &head, sent_at);
         Ok((head, body))
     }
+
+    fn record_notice(&self, target: &str, head: &Parts, sent_at: BootInstant) {
+        let notice = parse_notice(&self.protocol, head, None);
+        self.notices.record_response(target, notice, sent_at);
+    }
+}
+
+fn outcome_without_response(error: SendError) -> CallOutcome {
+    match error {
+        // The coordinator requeues the pieces or sends them to another target.
+        SendError::Withheld => CallOutcome::Busy,
+        SendError::MayHaveRun {
+            cause,
+            broken: true,
+        } => CallOutcome::ConnectionBroken(cause),
+        error => CallOutcome::Failed(error.to_string()),
+    }
+}
+
+/// Returns a connection to its pool once the body of a refusal has arrived, or closes it if the
+/// body does not arrive in time.
+fn release_after_body(head: Parts, body: Incoming, lease: ConnectionLease) {
+    ntex::rt::spawn(async move {
+        if let Ok(Ok(_)) = timeout(REFUSAL_BODY_TIMEOUT, body.collect()).await {
+            lease.release(&head.headers);
+        }
+    });
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/stage_call/tests.rs
+++ b/crates/gateway/src/stage_call/tests.rs
@@ -1,4 +1,11 @@
+use std::sync::Arc;
+
+use linnet_telemetry::{EventRecorder, HybridClock};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
 use super::*;
+use crate::gateway::tests::{protocol, run};
 
 fn part(pieces: u32, handles: usize) -> CallPart {
     let handle = "10.1.64.7:8080/91bd3f06e44".to_owned();
@@ -27,3 +34,113 @@
         "{encoded} bytes"
     );
 }
+
+const TARGET: &str = "i-7f3a91c2";
+
+/// A time after which a call is regarded as stuck.
+const STUCK_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What a target does after it has written its response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AfterResponse {
+    Close,
+    StaySilent,
+}
+
+/// A client whose targets respond to calls of one piece with `[handle]`.
+fn client() -> (StageTargetClient, Rc<NoticeStore>) {
+    let mut protocol = protocol();
+    protocol.targets.decode_stage_run = |body| {
+        let handle = body.strip_prefix(b"[")?.strip_suffix(b"]")?;
+        Some(vec![Ok(String::from_utf8_lossy(handle).into_owned())])
+    };
+    let recorder = EventRecorder::new("host", Arc::new(HybridClock::new()));
+    let notices = Rc::new(NoticeStore::new(Arc::new(recorder), Rc::default()));
+    let client = StageTargetClient::new(protocol, UpstreamPool::default(), notices.clone());
+    (client, notices)
+}
+
+async fn respond_once(listener: TcpListener, response: String, after: AfterResponse) {
+    let (mut socket, _) = listener.accept().await.unwrap();
+    let mut request = Vec::new();
+    while !request.ends_with(b"\r\n\r\n") {
+        assert!(socket.read_buf(&mut request).await.unwrap() > 0);
+    }
+    socket.write_all(response.as_bytes()).await.unwrap();
+    if after == AfterResponse::StaySilent {
+        let _ = socket.read_buf(&mut request).await;
+    }
+}
+
+/// Sends a call of one piece to a target that responds with `response`; `None` if the call does not
+/// end.
+async fn outcome_of(
+    client: &StageTargetClient,
+    response: String,
+    after: AfterResponse,
+) -> Option<CallOutcome> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let call = StageCall {
+        target: TARGET.to_owned(),
+        address: listener.local_addr().unwrap(),
+        parts: vec![part(1, 1)],
+        timeout_ms: 1_500,
+    };
+    ntex::rt::spawn(respond_once(listener, response, after));
+    timeout(STUCK_TIMEOUT, client.send_call(&call)).await.ok()
+}
+
+#[test]
+fn a_refusal_is_known_from_its_head_even_if_its_body_is_cut_or_never_arrives() {
+    run(async {
+        let refused = "503 Service Unavailable\r\nx-not-run: 1\r\nretry-after: 30";
+        let (busy, other) = (CallOutcome::Busy, CallOutcome::OtherTarget);
+        let cases = [
+            (
+                refused,
+                "content-length: 9\r\n\r\nsee",
+                AfterResponse::Close,
+                &busy,
+            ),
+            (
+                refused,
+                "content-length: 9\r\n\r\nsee",
+                AfterResponse::StaySilent,
+                &busy,
+            ),
+            (
+                refused,
+                "transfer-encoding: chunked\r\n\r\n3\r\nsee\r\n",
+                AfterResponse::Close,
+                &busy,
+            ),
+            (refused, "\r\nsee", AfterResponse::Close, &busy),
+            (refused, "\r\nsee", AfterResponse::StaySilent, &busy),
+            (
+                "421 Misdirected Request",
+                "content-length: 9\r\n\r\nsee",
+                AfterResponse::Close,
+                &other,
+            ),
+            (
+                "421 Misdirected Request",
+                "content-length: 9\r\n\r\n",
+                AfterResponse::StaySilent,
+                &other,
+            ),
+        ];
+        let mut wrong = Vec::new();
+        for (head, rest, after, expected) in cases {
+            let (client, notices) = client();
+            let response = format!("HTTP/1.1 {head}\r\n{rest}");
+            let outcome = outcome_of(&client, response.clone(), after).await;
+            let is_backed_off = notices.is_backed_off(TARGET);
+            if outcome.as_ref() != Some(expected) || is_backed_off != (head == refused) {
+                wrong.push(format!(
+                    "{response:?}, {after:?}: {outcome:?}, backed off: {is_backed_off}"
+                ));
+            }
+        }
+        assert!(wrong.is_empty(), "{wrong:#?}");
+    });
+}
