Gateway: probe the target of a stage call whose unframed response was cut

The pieces of a call were retried as after any failure, although their target had crashed: the crash was noticed only by later calls and connections, and callers waited longer for their results.

Cause: a response with neither length nor chunks ends with its connection, so the HTTP library reports no error when a crash of the target cuts it. The rest could not be decoded, which counted as a malformed response of a live target.

The new test failed before: the cut response gave Failed("response body could not be decoded").

A response that cannot be decoded and whose only end was the close of its connection now counts as a broken connection, which is followed by a probe. A complete response of this framing still arrives, and a malformed one with a length is still a failure.

--- a/crates/gateway/src/stage_call.rs
+++ b/crates/gateway/src/stage_call.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use http::response::Parts;
 use http::{Request, header};
+use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use linnet_clock::BootInstant;
@@ -17,6 +18,7 @@
 use tokio::time::timeout;
 
 use crate::Protocol;
+use crate::body_framing::BodyFraming;
 use crate::notice::parse_notice;
 use crate::notice_store::NoticeStore;
 use crate::piece::{PieceFault, PieceInput, StageWork};
@@ -175,6 +177,7 @@
             release_after_body(head, body, lease);
             return outcome;
         }
+        let framing = BodyFraming::of_response(&head.headers, body.is_end_stream());
         let body = match body.collect().await {
             Ok(body) => body.to_bytes(),
             Err(error) if is_peer_disconnect(&error) => {
@@ -191,6 +194,10 @@
                 let load = ReportedLoad::read(&head.headers, &names.load);
                 CallOutcome::Responded(results, load)
             }
+            // A body that ends with its connection may have been cut by a crash of the target.
+            _ if framing == BodyFraming::Close => CallOutcome::ConnectionBroken(
+                "incomplete response, delimited by the close of its connection".to_owned(),
+            ),
             Some(results) => CallOutcome::Failed(format!(
                 "{} results for {} pieces",
                 results.len(),
--- a/crates/gateway/src/stage_call/tests.rs
+++ b/crates/gateway/src/stage_call/tests.rs
@@ -144,3 +144,35 @@
         assert!(wrong.is_empty(), "{wrong:#?}");
     });
 }
+
+#[test]
+fn a_response_cut_where_only_the_close_could_end_it_counts_as_a_broken_connection() {
+    run(async {
+        let made = CallOutcome::Responded(vec![Ok("handle".to_owned())], None);
+        let cut = CallOutcome::ConnectionBroken(
+            "incomplete response, delimited by the close of its connection".to_owned(),
+        );
+        let malformed = CallOutcome::Failed("response body could not be decoded".to_owned());
+        let cases = [
+            ("complete, ends with its connection", "\r\n[handle]", &made),
+            ("cut, ends with its connection", "\r\n[han", &cut),
+            ("no byte, ends with its connection", "\r\n", &cut),
+            (
+                "complete with a length",
+                "content-length: 8\r\n\r\n[handle]",
+                &made,
+            ),
+            (
+                "malformed with a length",
+                "content-length: 4\r\n\r\n[han",
+                &malformed,
+            ),
+        ];
+        for (name, rest, expected) in cases {
+            let (client, _) = client();
+            let response = format!("HTTP/1.1 200 OK\r\n{rest}");
+            let outcome = outcome_of(&client, response, AfterResponse::Close).await;
+            assert_eq!(outcome.as_ref(), Some(expected), "{name}");
+        }
+    });
+}
