Load: count only complete responses as complete

The rate measurement counted empty and error responses of targets.

Cause: it searched the received text for an end mark or an output, and looked at neither length nor chunks; the rate measurement took any body that the HTTP library returned for a complete one.

A response must now have been received up to the end that its length or chunks define, and its last line must be an output or the end mark of a stream.

--- a/crates/load/src/driver.rs
+++ b/crates/load/src/driver.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpStream;
 
 use crate::Arrival;
+use crate::response::{has_complete_output, parse_response};
 use crate::testbed::account_key;
 
 /// The number of threads that send requests.
@@ -36,7 +37,8 @@
     pub(crate) arrival: Arrival,
     pub(crate) outcome: CallerOutcome,
     pub(crate) elapsed: Duration,
-    /// Code and step of an error response, or the connection error; empty without an error.
+    /// Code and step of an error response, or what went wrong with the connection or the response;
+    /// empty without an error.
     pub(crate) detail: String,
 }
 
@@ -110,20 +112,21 @@
     socket.write_all(request.as_bytes()).await?;
     let mut response = Vec::new();
     socket.read_to_end(&mut response).await?;
-    Ok(classify_response(&String::from_utf8_lossy(&response)))
+    Ok(classify_response(&response))
 }
 
-/// Returns the outcome and the error detail of a response. Chunk sizes between the lines of a
-/// stream are ignored, because only lines that are JSON are parsed.
-fn classify_response(text: &str) -> (CallerOutcome, String) {
-    let status = text.split_whitespace().nth(1).unwrap_or_default();
-    if status == "200" && (text.contains("\"end\":true") || text.contains("\"output\":")) {
+/// Returns the outcome and the error detail of a response, as received.
+fn classify_response(bytes: &[u8]) -> (CallerOutcome, String) {
+    let Some(response) = parse_response(bytes) else {
+        return (CallerOutcome::Failed, "truncated response".to_owned());
+    };
+    if response.status == 200 && has_complete_output(&response.body) {
         return (CallerOutcome::Complete, String::new());
     }
-    let lines = text.lines().rev();
+    let lines = response.body.rsplit(|byte| *byte == b'\n');
     let error = lines
-        .filter(|line| line.starts_with('{'))
-        .find_map(|line| serde_json::from_str::<Value>(line).ok())
+        .filter(|line| line.starts_with(b"{"))
+        .find_map(|line| serde_json::from_slice::<Value>(line).ok())
         .unwrap_or_default();
     let field = |name: &str| {
         let value = error
@@ -138,3 +141,6 @@
         (CallerOutcome::Failed, detail)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,8 +3,8 @@
 //! - [`LoadSettings`] are the command-line arguments; [`run_load`] runs the program.
 //! - `scenario` defines load and faults, `arrival` generates the requests, `testbed` starts the
 //!   system under test.
-//! - `driver` sends the requests; `score` computes the share answered in time and the target time
-//!   spent.
+//! - `driver` sends the requests; `response` tells complete responses from truncated ones; `score`
+//!   computes the share answered in time and the target time spent.
 //! - `report` writes a CSV file and a chart; `rate` measures the latency that an entry host adds
 //!   and its throughput.
 
@@ -13,6 +13,7 @@
 mod policy;
 mod rate;
 mod report;
+mod response;
 mod scenario;
 mod score;
 mod settings;
--- a/crates/load/src/rate.rs
+++ b/crates/load/src/rate.rs
@@ -12,6 +12,7 @@
 use ntex::client::{Client, Connector};
 
 use crate::Arrival;
+use crate::response::has_complete_output;
 use crate::settings::RateArgs;
 use crate::testbed::{
     account_key, reserve_address, serve_table, start_entry_host, wait_until_ready, write_peer_keys,
@@ -241,8 +242,7 @@
     let Ok(body) = response.body().limit(MAX_RESPONSE_BYTES).await else {
         return false;
     };
-    let text = String::from_utf8_lossy(&body);
-    text.contains("\"end\":true") || text.contains("\"output\":")
+    has_complete_output(&body)
 }
 
 async fn send_to_target(client: &Client, host: SocketAddr) -> bool {
@@ -250,10 +250,13 @@
     let request = client
         .post(format!("http://{host}/v1/stage"))
         .header("x-attempt-id", "direct");
-    match request.send_json(&body).await {
-        Ok(response) => response.body().await.is_ok(),
-        Err(_) => false,
-    }
+    let Ok(response) = request.send_json(&body).await else {
+        return false;
+    };
+    // The HTTP library returns a body without length and chunks as empty, and one that ends with an
+    // HTTP/1.0 connection as complete.
+    let body = response.body().await;
+    body.is_ok_and(|body| has_complete_output(&body))
 }
 
 /// Returns the processor time that this process has used so far.
@@ -276,3 +279,6 @@
         (ticks(11) + ticks(12)) / TICKS_PER_SECOND,
     ))
 }
+
+#[cfg(test)]
+mod tests;
