Tests: targets that send bodies without length and chunks, whole and cut

The fake targets always sent a length or chunks, so no test of attempts and claims met a response that ends with its connection. They now send such responses, complete and truncated, to all table tests of attempts.

A new test guards against a truncated response of a service that is stored as the outcome of its claim.

--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -39,6 +39,18 @@
     SkipToken,
     /// Ends the body of a stream properly, but without the line that marks its end.
     NoEndMark,
+    /// Sends the complete body with neither length nor chunks, and closes the connection.
+    Unframed,
+    /// Sends a part of the body with neither length nor chunks, and closes the connection; a stream
+    /// ends within its third token.
+    UnframedShort,
+}
+
+impl FaultKind {
+    /// Returns whether the body of a response ends with its connection.
+    pub(crate) fn omits_framing(self) -> bool {
+        matches!(self, Self::Unframed | Self::UnframedShort)
+    }
 }
 
 /// A fault to inject into a number of requests.
--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -104,6 +104,13 @@
     response
 }
 
+/// Encodes the head of a response whose body ends with its connection.
+pub(crate) fn unframed_response_head(headers: &[(&str, &str)]) -> Vec<u8> {
+    let mut response = response_head(200, headers);
+    response.extend_from_slice(b"\r\n");
+    response
+}
+
 /// Encodes one chunk; an empty one ends the body.
 pub(crate) fn encode_chunk(body: &[u8]) -> Vec<u8> {
     let mut bytes = format!("{:x}\r\n", body.len()).into_bytes();
--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -13,7 +13,9 @@
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
-use crate::http::{chunked_response_head, encode_chunk, fixed_length_response};
+use crate::http::{
+    chunked_response_head, encode_chunk, fixed_length_response, unframed_response_head,
+};
 use crate::response::{engine_tokens, stage_output};
 use crate::{FakeRequest, FaultInjection, FaultKind, read_request};
 
@@ -23,7 +25,8 @@
 /// The time after which the connection of a request with [`FaultKind::Freeze`] is closed.
 const FREEZE_DURATION: Duration = Duration::from_secs(600);
 
-/// The number of tokens that an engine sends before [`FaultKind::CutStream`] closes the stream.
+/// The number of tokens that an engine sends before [`FaultKind::CutStream`] and
+/// [`FaultKind::UnframedShort`] close the stream.
 const TOKENS_BEFORE_CUT: usize = 2;
 
 /// The kind of target that a fake replaces.
@@ -326,6 +329,16 @@
                 socket.write_all(&response).await?;
                 Ok(false)
             }
+            Some(FaultKind::Unframed | FaultKind::UnframedShort) => {
+                let mut response = unframed_response_head(&headers);
+                let sent = match fault {
+                    Some(FaultKind::UnframedShort) => body.len() / 2,
+                    _ => body.len(),
+                };
+                response.extend_from_slice(&body[..sent]);
+                socket.write_all(&response).await?;
+                Ok(false)
+            }
             Some(FaultKind::Twice) => {
                 let copy = response.clone();
                 response.extend(copy);
@@ -358,7 +371,20 @@
             ("x-load-in-flight", &running),
             ("x-load-slots", &slots),
         ];
-        socket.write_all(&chunked_response_head(&headers)).await?;
+        let is_unframed = fault.is_some_and(FaultKind::omits_framing);
+        let head = if is_unframed {
+            unframed_response_head(&headers)
+        } else {
+            chunked_response_head(&headers)
+        };
+        let encode = |body: &[u8]| {
+            if is_unframed {
+                body.to_vec()
+            } else {
+                encode_chunk(body)
+            }
+        };
+        socket.write_all(&head).await?;
         let token_ms = self.lock().behaviour.token_ms;
         for (index, token) in tokens.iter().enumerate().skip(resume_from) {
             let sent = index - resume_from;
@@ -375,9 +401,13 @@
                 "{}\n",
                 json!({ "attempt": attempt, "index": index, "token": token })
             );
-            socket.write_all(&encode_chunk(line.as_bytes())).await?;
+            if fault == Some(FaultKind::UnframedShort) && sent == TOKENS_BEFORE_CUT {
+                socket.write_all(&line.as_bytes()[..line.len() / 2]).await?;
+                return Ok(false);
+            }
+            socket.write_all(&encode(line.as_bytes())).await?;
             if fault == Some(FaultKind::DoubleToken) && sent == 1 {
-                socket.write_all(&encode_chunk(line.as_bytes())).await?;
+                socket.write_all(&encode(line.as_bytes())).await?;
             }
         }
         if fault != Some(FaultKind::NoEndMark) {
@@ -386,10 +416,10 @@
                 "{}\n",
                 json!({ "attempt": attempt, "end": true, "count": count })
             );
-            socket.write_all(&encode_chunk(line.as_bytes())).await?;
+            socket.write_all(&encode(line.as_bytes())).await?;
         }
-        socket.write_all(&encode_chunk(b"")).await?;
-        Ok(true)
+        socket.write_all(&encode(b"")).await?;
+        Ok(!is_unframed)
     }
 
     fn load(&self) -> (String, String) {
--- a/crates/linnetdale/tests/attempts.rs
+++ b/crates/linnetdale/tests/attempts.rs
@@ -46,7 +46,7 @@
     }
 }
 
-const STAGE_FAULTS: [FaultKind; 11] = [
+const STAGE_FAULTS: [FaultKind; 13] = [
     CloseBefore,
     CloseAfterRun,
     Freeze,
@@ -58,9 +58,11 @@
     BadBody,
     Error,
     Busy,
+    Unframed,
+    UnframedShort,
 ];
 
-const STREAM_FAULTS: [FaultKind; 10] = [
+const STREAM_FAULTS: [FaultKind; 12] = [
     CloseBefore,
     CloseAfterRun,
     Freeze,
@@ -71,6 +73,8 @@
     DoubleToken,
     SkipToken,
     NoEndMark,
+    Unframed,
+    UnframedShort,
 ];
 
 #[test]
--- a/crates/linnetdale/tests/claims.rs
+++ b/crates/linnetdale/tests/claims.rs
@@ -298,3 +298,26 @@
     assert_eq!(again.body, first.body);
     assert_eq!(cluster.testbed.runs("orders-", "/reserve?bundle=7"), 1);
 }
+
+#[test]
+fn a_truncated_response_of_a_service_is_not_the_stored_outcome_of_its_claim() {
+    let cluster = Cluster::start(plan());
+    for fault in [
+        FaultKind::UnframedShort,
+        FaultKind::Unframed,
+        FaultKind::Short,
+    ] {
+        let path = format!("/reserve?fault={fault:?}");
+        let call = CallerRequest::to_path("POST", &format!("/v1/services/orders{path}"), b"cedar");
+        let call = call.with("x-request-key", &format!("key of {fault:?}"));
+        cluster.testbed.inject_faults("orders-", fault, 1);
+        let first = send(&cluster, &call, 0);
+        cluster.testbed.clear_faults();
+        let again = send(&cluster, &call, 1);
+        for response in [&first, &again] {
+            assert_ne!(response.status, 200, "{fault:?}: {response:?}");
+            assert_ne!(response.ran(), "no", "{fault:?}: {response:?}");
+        }
+        assert_eq!(cluster.testbed.runs("orders-", &path), 1);
+    }
+}
