Gateway: ask a second peer while the first one is slow

With all hosts overloaded (load average 80 on 12 processors), answers of peers came after their time-out of 250 ms, and the peers were left out for 1 to 8 s, so hosts refused requests to lost targets at once (event 513). A slow peer is now left out for 200 ms, has 500 ms to answer, and a second one is asked after 100 ms. Event 511 names the peer.

--- a/crates/gateway/src/target_links.rs
+++ b/crates/gateway/src/target_links.rs
@@ -172,34 +172,29 @@
 
     fn record_open(&self, target: SocketAddr) {
         let change = self.paths.borrow_mut().record_open(target, Instant::now());
-        self.record_change(target, change, "");
+        if change == Some(PathChange::Restored) {
+            self.record(EventCode::PathRestored, target, self.describe_paths());
+            self.update_metrics();
+        }
     }
 
-    fn record_lost(&self, target: SocketAddr, cause: &str) {
+    /// Records that a direct attempt to a target failed with `cause` and `peer` reached it.
+    fn record_lost(&self, target: SocketAddr, peer: SocketAddr, cause: &str) {
         let change = self.paths.borrow_mut().record_lost(target, Instant::now());
-        self.record_change(target, change, cause);
-    }
-
-    fn record_change(&self, target: SocketAddr, change: Option<PathChange>, cause: &str) {
-        let Some(change) = change else {
-            return;
-        };
-        let (lost, in_doubt) = {
-            let paths = self.paths.borrow();
-            (paths.lost_count(), paths.is_in_doubt())
-        };
-        let detail = format!("lost={lost} in_doubt={in_doubt}");
-        match change {
-            PathChange::Lost => {
-                self.record(
-                    EventCode::PathLost,
-                    target,
-                    format!("{detail} cause={cause}"),
-                );
-            }
-            PathChange::Restored => self.record(EventCode::PathRestored, target, detail),
+        if change == Some(PathChange::Lost) {
+            let detail = format!("{} via={peer} cause={cause}", self.describe_paths());
+            self.record(EventCode::PathLost, target, detail);
+            self.update_metrics();
         }
-        self.update_metrics();
+    }
+
+    fn describe_paths(&self) -> String {
+        let paths = self.paths.borrow();
+        format!(
+            "lost={} in_doubt={}",
+            paths.lost_count(),
+            paths.is_in_doubt()
+        )
     }
 
     fn record(&self, code: EventCode, target: SocketAddr, detail: String) {
--- a/crates/gateway/src/target_links/connect.rs
+++ b/crates/gateway/src/target_links/connect.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use futures_util::future::join_all;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use linnet_paths::{
     AnswerTally, Certainty, ConnectFailure, ConnectPlan, MAX_ASKED, PathVerdict, PeerAnswer,
 };
@@ -21,7 +21,7 @@
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Timeout for opening a connection for another host; that host waits 250 ms for the answer.
+/// Timeout for opening a connection for another host.
 pub(crate) const SERVE_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Timeout for asking all peers together. A caller waits for it in addition to the head start of the
@@ -35,6 +35,12 @@
     Tunnel(TunnelStream, SocketAddr),
 }
 
+/// Time without an answer after which another peer is asked as well.
+const ASK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Peers that are asked at the same time for a request: more would add to the load of busy hosts.
+const MAX_ASKED_AT_ONCE: usize = 2;
+
 /// What a connection is opened for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ConnectPurpose {
@@ -130,7 +136,7 @@
                         // Only a failed direct attempt shows that the path is lost.
                         ntex::rt::spawn(async move {
                             if let Err(error) = direct.await {
-                                links.record_lost(target, &error.cause);
+                                links.record_lost(target, peer, &error.cause);
                             }
                         });
                         return Ok(TargetSocket::Tunnel(tunnel, peer));
@@ -146,7 +152,7 @@
         };
         match asking.await {
             Ok((tunnel, peer)) => {
-                self.record_lost(target, &failed.cause);
+                self.record_lost(target, peer, &failed.cause);
                 Ok(TargetSocket::Tunnel(tunnel, peer))
             }
             Err(answers) => Err(self.conclude(target, Some(failed), &answers)),
@@ -224,38 +230,41 @@
         Err(error)
     }
 
-    /// Asks peers until one opens a connection, and returns that peer as well. For a request they
-    /// are asked one after the other, for a crash check, which has little time, all at once.
+    /// Asks peers until one opens a connection, and returns that peer as well. For a request the next
+    /// one is asked if the one before did not answer quickly, for a crash check, which has little
+    /// time, all are asked at once.
     async fn ask_peers(
         &self,
         target: SocketAddr,
         purpose: ConnectPurpose,
     ) -> Result<(TunnelStream, SocketAddr), AskError> {
         let mut tally = self.begin_tally(target, purpose);
-        let at_once = match purpose {
-            ConnectPurpose::Request => 1,
-            ConnectPurpose::CrashCheck => MAX_ASKED,
-        };
         let (mut asked, mut is_refused) = (Vec::new(), true);
         let asking = async {
-            while tally.is_open()
-                && let Some(context) = &self.context
-            {
-                let peers = self.choose_peers(context, target, &asked, at_once);
-                if peers.is_empty() {
-                    break;
+            let context = self.context.as_ref()?;
+            let mut opening = FuturesUnordered::new();
+            while tally.is_open() {
+                let (at_once, interval) = match purpose {
+                    ConnectPurpose::Request => (MAX_ASKED_AT_ONCE, ASK_INTERVAL),
+                    ConnectPurpose::CrashCheck => (MAX_ASKED, Duration::ZERO),
+                };
+                let next = (opening.len() < at_once)
+                    .then(|| self.choose_peer(context, target, &asked))
+                    .flatten();
+                if let Some(peer) = next {
+                    asked.push(peer);
+                    opening.push(self.ask_peer(context, peer, target));
                 }
-                asked.extend(&peers);
-                let opening = peers
-                    .iter()
-                    .map(|peer| self.ask_peer(context, *peer, target));
-                for (opened, peer) in join_all(opening).await.into_iter().zip(peers) {
-                    match opened {
-                        Ok(tunnel) => return Some((tunnel, peer)),
-                        Err(answer) => {
-                            tally.add(answer);
-                            is_refused &= answer != PeerAnswer::Silent;
-                        }
+                let answer = match timeout(interval, opening.next()).await {
+                    Ok(answer) => answer,
+                    Err(_) if next.is_some() => continue,
+                    Err(_) => opening.next().await,
+                };
+                match answer? {
+                    (Ok(tunnel), peer) => return Some((tunnel, peer)),
+                    (Err(answer), _) => {
+                        tally.add(answer);
+                        is_refused &= answer != PeerAnswer::Silent;
                     }
                 }
             }
@@ -265,9 +274,9 @@
             return Ok(opened);
         }
         let left = self.context.as_ref();
-        let left = left.map(|context| self.choose_peers(context, target, &asked, 1));
+        let left = left.and_then(|context| self.choose_peer(context, target, &asked));
         Err(AskError {
-            verdict: tally.verdict(left.is_some_and(|left| !left.is_empty())),
+            verdict: tally.verdict(left.is_some()),
             is_refused,
         })
     }
@@ -289,7 +298,7 @@
         context: &TunnelContext,
         peer: SocketAddr,
         target: SocketAddr,
-    ) -> Result<TunnelStream, PeerAnswer> {
+    ) -> (Result<TunnelStream, PeerAnswer>, SocketAddr) {
         let opened = open_tunnel(&context.identity, peer, target).await;
         let answer = match &opened {
             Ok(_) => PeerAnswer::Opened,
@@ -300,27 +309,20 @@
         }
         let mut peers = self.peers.borrow_mut();
         peers.record(peer, target, answer, Instant::now());
-        opened
+        (opened, peer)
     }
 
-    /// Returns up to `count` peers to ask next.
-    fn choose_peers(
+    /// Returns the peer to ask next.
+    fn choose_peer(
         &self,
         context: &TunnelContext,
         target: SocketAddr,
         asked: &[SocketAddr],
-        count: usize,
-    ) -> Vec<SocketAddr> {
+    ) -> Option<SocketAddr> {
         let key = ScoreKey::new(&format!("{}/{target}", context.identity.name));
         let score = |name: &str, weight: f64| key.weighted_score(name, weight);
-        let (peers, now) = (self.peers.borrow(), Instant::now());
-        let mut asked = asked.to_vec();
-        let chosen = std::iter::from_fn(|| {
-            let peer = peers.choose(target, &asked, now, score)?;
-            asked.push(peer);
-            Some(peer)
-        });
-        chosen.take(count).collect()
+        let peers = self.peers.borrow();
+        peers.choose(target, asked, Instant::now(), score)
     }
 
     /// Records that neither this host nor the peers that were asked reach a target.
--- a/crates/gateway/src/target_links/tests.rs
+++ b/crates/gateway/src/target_links/tests.rs
@@ -83,7 +83,7 @@
             for is_lost in [false, true] {
                 let pool = pool(&[helper]);
                 if is_lost {
-                    pool.links().record_lost(target, "test");
+                    pool.links().record_lost(target, helper, "test");
                 }
                 let received = exchange(&pool, target).await;
                 match end {
@@ -123,7 +123,7 @@
             let mut peers = peers;
             peers.rotate_left(round);
             let pool = pool(&peers);
-            pool.links().record_lost(target, "test");
+            pool.links().record_lost(target, helper, "test");
             assert_eq!(exchange(&pool, target).await.unwrap(), "whole");
         }
     });
@@ -144,7 +144,10 @@
         let asker = pool(&[helper]);
         for is_lost in [false, true] {
             if is_lost {
-                gateway.upstream.links().record_lost(closed, "test");
+                gateway
+                    .upstream
+                    .links()
+                    .record_lost(closed, third_address, "test");
             }
             let error = exchange(&asker, closed).await.unwrap_err();
             let is_unsent = matches!(error, SendError::NotSent(_) | SendError::NoPath(_));
@@ -179,7 +182,7 @@
         ntex::rt::spawn(run_target(listener, ResponseEnd::Fin));
         let (_gateway, helper) = start_helper(&[target]).await;
         let pool = pool(&[helper]);
-        pool.links().record_lost(target, "test");
+        pool.links().record_lost(target, helper, "test");
         assert_eq!(pool.probe(target).await, ProbeOutcome::Open);
     });
 }
@@ -192,7 +195,7 @@
         ntex::rt::spawn(run_target(listener, ResponseEnd::Fin));
         let (_gateway, helper) = start_helper(&[target]).await;
         let pool = pool(&[helper]);
-        pool.links().record_lost(target, "test");
+        pool.links().record_lost(target, helper, "test");
         pool.probe_lost_targets().await;
         assert!(pool.links().paths.borrow().is_lost(target), "not due yet");
         tokio::time::sleep(Duration::from_millis(510)).await;
@@ -236,7 +239,7 @@
         ntex::rt::spawn(run_keeping_target(listener));
         let (gateway, helper) = start_helper(&[target]).await;
         let pool = pool(&[helper]);
-        pool.links().record_lost(target, "test");
+        pool.links().record_lost(target, helper, "test");
         let opened = || {
             let context = pool.links().context.as_ref().unwrap();
             context.metrics.tunnels_opened.get()
@@ -272,7 +275,7 @@
         let pool = pool(&[helper]);
         exchange(&pool, target).await.unwrap();
         tokio::time::sleep(Duration::from_millis(20)).await;
-        pool.links().record_lost(target, "test");
+        pool.links().record_lost(target, helper, "test");
         exchange(&pool, target).await.unwrap();
         assert_eq!(gateway.served_tunnels(), 1);
         tokio::time::sleep(Duration::from_millis(20)).await;
--- a/crates/gateway/src/tunnel/open.rs
+++ b/crates/gateway/src/tunnel/open.rs
@@ -11,8 +11,9 @@
 use super::{TunnelReply, TunnelRequest, TunnelStream};
 use crate::target_links::detect_dead_peer;
 
-/// Timeout of one peer: three round trips to it, and the time that it waits for the target.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout of one peer: three round trips to it and the time that it waits for the target, at a host
+/// that is busy. Another peer is asked meanwhile.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Asks a peer for a connection to a target.
 ///
@@ -39,7 +40,7 @@
         }
     };
     let answer = timeout(OPEN_TIMEOUT, asked).await;
-    answer.unwrap_or(Err(PeerAnswer::Unreachable))
+    answer.unwrap_or(Err(PeerAnswer::TimedOut))
 }
 
 async fn exchange(
--- a/crates/paths/src/peer_table.rs
+++ b/crates/paths/src/peer_table.rs
@@ -15,8 +15,9 @@
 const BASE_AVOIDANCE: Duration = Duration::from_secs(1);
 const MAX_AVOIDANCE_DOUBLINGS: u32 = 3;
 
-/// How long a peer is left out that serves as many tunnels as it may.
-const FULL_AVOIDANCE: Duration = Duration::from_millis(200);
+/// How long a peer is left out that serves as many tunnels as it may, or that was slow to answer. If
+/// all hosts are slow, longer times would leave a host without any peer.
+const SHORT_AVOIDANCE: Duration = Duration::from_millis(200);
 
 /// How long a peer is left out that does not know tunnels, as builds before this one.
 const UNSUPPORTED_AVOIDANCE: Duration = Duration::from_secs(5);
@@ -55,6 +56,8 @@
     Unsupported,
     /// The peer could not be reached.
     Unreachable,
+    /// The peer did not answer in time; it may be overloaded.
+    TimedOut,
 }
 
 impl PeerAnswer {
@@ -207,7 +210,9 @@
                     .insert(target, (answer, now + TARGET_AVOIDANCE));
             }
             PeerAnswer::CutOff | PeerAnswer::Unreachable => peer.avoid(now),
-            PeerAnswer::Full => peer.avoided_until = Some(now + FULL_AVOIDANCE),
+            PeerAnswer::Full | PeerAnswer::TimedOut => {
+                peer.avoided_until = Some(now + SHORT_AVOIDANCE);
+            }
             PeerAnswer::Unsupported => peer.avoided_until = Some(now + UNSUPPORTED_AVOIDANCE),
         }
     }
--- a/crates/paths/tests/cases.rs
+++ b/crates/paths/tests/cases.rs
@@ -225,6 +225,7 @@
         (CutOff, 1_000, 1_000),
         (Unreachable, 1_000, 1_000),
         (Full, 200, 200),
+        (TimedOut, 200, 200),
         (Unsupported, 5_000, 5_000),
     ];
     for (answer, same, other) in cases {
