Crashes: a good end accuses no request, and a crash is not remembered against a live target

What callers would see: every body without length and chunks that ended well counted as interrupted, so its request was accused if the target restarted within 15 s of a probe that timed out. And for 5 s after a recorded crash all whole unframed answers of that incarnation were taken for broken off, also if the record was wrong.

Cause: the end of a body used the check made for broken connections.

Change: the end of a body has a check of its own, which names the request only if the target has crashed. A crash recorded before the request was sent starts a new probe. The check waits up to 300 ms, at most half of the time left, since other hosts are asked if the target does not accept connections.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -161,7 +161,7 @@
         && !response.is_confirmed
     {
         let target = (service, chosen);
-        match gateway.probe_after_break(target, request, sent).await {
+        match gateway.probe_after_close(target, request, sent).await {
             TargetState::Crashed => {
                 outcome = AttemptOutcome::unusable("connection closed by a crash of the target");
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -118,10 +118,18 @@
     }
 
     /// Starts the check whether the target that broke the connection has crashed.
-    async fn probe_target(&self) -> TargetState {
+    async fn probe_target(&self) {
         let target = (self.service.as_str(), &self.chosen);
         self.gateway
             .probe_after_break(target, &self.request, self.sent)
+            .await;
+    }
+
+    /// Finds out whether the end of a body without framing came from a crash of the target.
+    async fn probe_after_close(&self) -> TargetState {
+        let target = (self.service.as_str(), &self.chosen);
+        self.gateway
+            .probe_after_close(target, &self.request, self.sent)
             .await
     }
 
@@ -248,7 +256,7 @@
         Ok(Ok(None)) => {
             // A body without framing ends with its connection, and so does one cut by a crash.
             let state = match stream.framing {
-                BodyFraming::Close => relay.probe_target().await,
+                BodyFraming::Close => relay.probe_after_close().await,
                 BodyFraming::Length | BodyFraming::Chunks => TargetState::Alive,
             };
             if state == TargetState::Crashed {
--- a/crates/gateway/src/target_crash.rs
+++ b/crates/gateway/src/target_crash.rs
@@ -28,6 +28,10 @@
 /// a timeout proves nothing.
 pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(25);
 
+/// How long the end of a body without framing waits for the result of the probe. Only if the target
+/// does not accept connections does a probe take longer than a round trip; other hosts are asked then.
+const CLOSE_PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// How long a crash is retained for requests that notice their broken connection later than others.
 const CRASH_RETENTION: Duration = Duration::from_secs(5);
 
@@ -42,6 +46,16 @@
     ran: Duration,
 }
 
+impl InterruptedRequest {
+    fn new(request: &CallerRequest, sent: Instant) -> Self {
+        Self {
+            id: request.id.clone(),
+            subject: request.subject().clone(),
+            ran: sent.elapsed(),
+        }
+    }
+}
+
 /// What is known of a target whose connection broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum TargetState {
@@ -110,62 +124,89 @@
     /// the target has crashed. Returns once that is known or the probe takes too long.
     pub(crate) async fn probe_after_break(
         self: &Rc<Self>,
-        (service, chosen): (&str, &ChosenTarget),
+        target: (&str, &ChosenTarget),
+        request: &CallerRequest,
+        sent: Instant,
+    ) {
+        let interrupted = InterruptedRequest::new(request, sent);
+        self.probe_for_crash(target, Some(interrupted), sent, PROBE_TIMEOUT)
+            .await;
+    }
+
+    /// Handles a body without framing that ended with its connection: finds out whether the target
+    /// has crashed. Only then is the request one that the crash interrupted.
+    pub(crate) async fn probe_after_close(
+        self: &Rc<Self>,
+        target: (&str, &ChosenTarget),
         request: &CallerRequest,
         sent: Instant,
+    ) -> TargetState {
+        let interrupted = InterruptedRequest::new(request, sent);
+        let limit = CLOSE_PROBE_TIMEOUT.min(request.time_left() / 2);
+        let state = self.probe_for_crash(target, None, sent, limit).await;
+        if state == TargetState::Crashed {
+            let chosen = target.1;
+            let crash = CrashKey::new(&chosen.id, chosen.born);
+            self.suspect_interrupted(chosen, crash, &[interrupted]);
+        }
+        state
+    }
+
+    async fn probe_for_crash(
+        self: &Rc<Self>,
+        (service, chosen): (&str, &ChosenTarget),
+        interrupted: Option<InterruptedRequest>,
+        sent: Instant,
+        limit: Duration,
     ) -> TargetState {
         // A target that was withdrawn closes its connections itself.
         let Some(known) = self.targets.borrow().find(service, &chosen.id) else {
             return TargetState::Unknown;
         };
-        let interrupted = InterruptedRequest {
-            id: request.id.clone(),
-            subject: request.subject().clone(),
-            ran: sent.elapsed(),
-        };
         if known.born > chosen.born {
             let crash = CrashKey::new(&chosen.id, chosen.born);
-            self.record_target_crash(service, chosen, crash, &[interrupted]);
+            self.record_target_crash(service, chosen, crash, interrupted.as_slice());
             return TargetState::Crashed;
         }
-        let Some(probe_done) = self.join_probe(service, chosen, interrupted) else {
+        let Some(probe_done) = self.join_probe((service, chosen), interrupted, sent) else {
             return TargetState::Crashed;
         };
         // The result of the probe is applied even if it arrives later.
-        match timeout(PROBE_TIMEOUT, probe_done).await {
+        match timeout(limit, probe_done).await {
             Ok(Ok(ProbeOutcome::Open)) => TargetState::Alive,
             Ok(Ok(ProbeOutcome::Refused)) => TargetState::Crashed,
             Ok(Ok(ProbeOutcome::Silent) | Err(_)) | Err(_) => TargetState::Unknown,
         }
     }
 
-    /// Adds a request to those that the probe of a target concerns; the first one starts the probe.
-    /// Returns `None` if the target is known to have crashed.
+    /// Waits for the probe of a target, and starts it if there is none. Returns `None` if the target
+    /// is known to have crashed after the request was sent.
     fn join_probe(
         self: &Rc<Self>,
-        service: &str,
-        chosen: &ChosenTarget,
-        request: InterruptedRequest,
+        (service, chosen): (&str, &ChosenTarget),
+        request: Option<InterruptedRequest>,
+        sent: Instant,
     ) -> Option<oneshot::Receiver<ProbeOutcome>> {
         let crash = CrashKey::new(&chosen.id, chosen.born);
         let (done, probe_done) = oneshot::channel();
         let mut states = self.crash_tracker.states.borrow_mut();
         match states.get_mut(&crash) {
-            Some(CrashState::Crashed(_)) => {
+            Some(CrashState::Crashed(at)) if sent <= *at => {
                 drop(states);
-                self.suspect_interrupted(chosen, crash, &[request]);
+                self.suspect_interrupted(chosen, crash, request.as_slice());
                 return None;
             }
             Some(CrashState::Probing {
                 interrupted,
                 waiting,
             }) => {
-                interrupted.push(request);
+                interrupted.extend(request);
                 waiting.push(done);
             }
-            None => {
+            // A target that took a request after its crash was recorded is not known to have crashed.
+            Some(CrashState::Crashed(_)) | None => {
                 let state = CrashState::Probing {
-                    interrupted: vec![request],
+                    interrupted: request.into_iter().collect(),
                     waiting: vec![done],
                 };
                 states.insert(crash, state);
--- a/crates/gateway/src/target_crash/tests.rs
+++ b/crates/gateway/src/target_crash/tests.rs
@@ -3,6 +3,8 @@
 use linnet_directory::TargetRecord;
 
 use super::*;
+use crate::gateway::tests::{gateway_with, run};
+use crate::overload::OverloadPolicy;
 use crate::target::tests::{SERVICE, record};
 
 fn listed(records: &[TargetRecord]) -> TargetStore {
@@ -63,3 +65,48 @@
             .is_empty()
     );
 }
+
+/// Guards against a target that is taken for crashed although it serves requests again.
+#[test]
+fn a_target_that_took_a_request_after_its_recorded_crash_is_probed_again() {
+    run(async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let port = listener.local_addr().unwrap().port();
+        let chosen = ChosenTarget {
+            address: listener.local_addr().unwrap(),
+            ..listed(&[born(5, "t", port)]).find(SERVICE, "t").unwrap()
+        };
+        let gateway = gateway_with(OverloadPolicy::default(), None);
+        let crashed_at = Instant::now();
+        let crash = CrashKey::new(&chosen.id, chosen.born);
+        let state = CrashState::Crashed(crashed_at);
+        gateway
+            .crash_tracker
+            .states
+            .borrow_mut()
+            .insert(crash, state);
+        let target = (SERVICE, &chosen);
+        let earlier = crashed_at.checked_sub(Duration::from_millis(1)).unwrap();
+        assert!(gateway.join_probe(target, None, earlier).is_none());
+        let later = crashed_at + Duration::from_millis(1);
+        let outcome = gateway.join_probe(target, None, later).unwrap().await;
+        assert_eq!(outcome, Ok(ProbeOutcome::Open));
+    });
+}
+
+/// Guards against a request that ended well and is later accused of a crash of its target.
+#[test]
+fn a_body_that_ended_with_its_connection_is_not_interrupted_by_the_probe() {
+    run(async {
+        let chosen = listed(&[born(5, "t", 1)]).find(SERVICE, "t").unwrap();
+        let gateway = gateway_with(OverloadPolicy::default(), None);
+        let target = (SERVICE, &chosen);
+        let _probe_done = gateway.join_probe(target, None, Instant::now());
+        let states = gateway.crash_tracker.states.borrow();
+        let crash = CrashKey::new(&chosen.id, chosen.born);
+        let Some(CrashState::Probing { interrupted, .. }) = states.get(&crash) else {
+            panic!("no probe was started");
+        };
+        assert!(interrupted.is_empty());
+    });
+}
