Upstream: the time left is that of the moment of sending

What targets would see: a request that ends later than its caller's deadline. The header was written before the connection was opened, which takes up to 700 ms where other hosts have to be asked, and 300 ms before that.

Evidence: found by review; the_time_left_is_that_of_the_moment_of_sending covers the refresh.

Change: a request carries its deadline, and the header is written when the request is written to a connection.

--- a/crates/gateway/src/message_heads.rs
+++ b/crates/gateway/src/message_heads.rs
@@ -1,6 +1,6 @@
 //! Builds the heads of requests to targets and of responses to callers.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, Uri, header};
@@ -30,6 +30,26 @@
     pub(crate) with_priority: bool,
 }
 
+/// The deadline of a request to a target, an extension of the request. The header tells the time that
+/// is left, so it is written when the request is sent.
+#[derive(Clone)]
+pub(crate) struct SendDeadline {
+    header: HeaderName,
+    deadline: Instant,
+}
+
+impl SendDeadline {
+    /// Writes the time that is left now into the header of a request that has a deadline.
+    pub(crate) fn refresh<B>(request: &mut Request<B>) {
+        let Some(Self { header, deadline }) = request.extensions().get().cloned() else {
+            return;
+        };
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        let millis = time_left.as_millis().to_string();
+        set_header(request.headers_mut(), &header, &millis);
+    }
+}
+
 /// Builds the request that is sent to a target for a caller's request.
 pub(crate) fn build_target_request(
     protocol: &Protocol,
@@ -84,6 +104,10 @@
         .uri(Uri::try_from(path)?)
         .body(Full::new(request.body.clone()))?;
     *outgoing.headers_mut() = headers;
+    outgoing.extensions_mut().insert(SendDeadline {
+        header: names.deadline_ms.clone(),
+        deadline: Instant::now() + time_left,
+    });
     Ok(outgoing)
 }
 
@@ -161,3 +185,6 @@
         .and_then(|value| value.to_str().ok());
     echoed_id == Some(id)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -23,6 +23,7 @@
 
 pub(crate) use send_error::{SendError, is_peer_disconnect};
 
+use crate::message_heads::SendDeadline;
 use crate::send_gate::SendGate;
 use crate::target_links::{ConnectPurpose, TargetLinks, TargetSocket, detect_dead_peer};
 
@@ -103,7 +104,7 @@
     }
 
     /// Sends a request and returns the head of the response. The gate is checked right before bytes
-    /// are written, since opening a connection can take up to 300 ms.
+    /// are written, since opening a connection takes time, more so through another host.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
@@ -160,14 +161,16 @@
         Ok((head, body.to_bytes()))
     }
 
-    /// Sends a request on a connection and waits for the head of the response. A direct target
+    /// Sends a request on a connection and waits for the head of the response. The time left is
+    /// written anew, since opening the connection takes time. A direct target
     /// that is silent for some time is checked in the background: its path may be lost.
     async fn exchange_head(
         &self,
         address: SocketAddr,
         connection: &mut Connection,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        SendDeadline::refresh(&mut request);
         let is_direct = connection.peer.is_none();
         let mut response = pin!(connection.sender.try_send_request(request));
         let result = match timeout(SILENCE_BEFORE_CHECK, &mut response).await {
