Paths: slow, full or cut-off peers leave open whether a target is down

A single agreeing peer was enough for the verdict if no other peer could be asked, also if the others had only been slow to answer or were full.

--- a/crates/gateway/src/target_links/connect.rs
+++ b/crates/gateway/src/target_links/connect.rs
@@ -273,10 +273,10 @@
         if let Ok(Some(opened)) = timeout(ASK_TIMEOUT, asking).await {
             return Ok(opened);
         }
-        let left = self.context.as_ref();
-        let left = left.and_then(|context| self.choose_peer(context, target, &asked));
+        let peers = self.peers.borrow();
+        let peers_left = peers.may_be_reached(target, Instant::now());
         Err(AskError {
-            verdict: tally.verdict(left.is_some()),
+            verdict: tally.verdict(peers_left),
             is_refused,
         })
     }
--- a/crates/paths/src/answer_tally.rs
+++ b/crates/paths/src/answer_tally.rs
@@ -77,8 +77,9 @@
         self.asked < MAX_ASKED && !(has_agreement && self.agreed >= MIN_NEW_ANSWERS)
     }
 
-    /// Concludes from the answers; `peers_left` says whether another peer could have been asked. If
-    /// none could, a single agreeing peer is enough, except for a host in doubt.
+    /// Concludes from the answers; `peers_left` says whether a peer may still reach the target, see
+    /// [`crate::PeerTable::may_be_reached`]. If none does, a single agreeing peer is enough, except
+    /// for a host in doubt.
     pub fn verdict(&self, peers_left: bool) -> PathVerdict {
         let agreed = self.remembered + self.agreed;
         let is_alone = !peers_left && self.certainty != Certainty::InDoubt;
--- a/crates/paths/src/peer_table.rs
+++ b/crates/paths/src/peer_table.rs
@@ -71,7 +71,8 @@
 struct Peer {
     host: PeerHost,
     opened_at: Option<Instant>,
-    avoided_until: Option<Instant>,
+    /// The answer for which the peer is left out, and until when.
+    avoided: Option<(PeerAnswer, Instant)>,
     /// Avoidances in a row.
     avoidances: u32,
     /// Answers for targets that the peer could not reach, with the end of their avoidance.
@@ -83,15 +84,32 @@
         Self {
             host,
             opened_at: None,
-            avoided_until: None,
+            avoided: None,
             avoidances: 0,
             unreached: HashMap::new(),
         }
     }
 
     fn is_usable(&self, target: SocketAddr, now: Instant) -> bool {
-        let is_avoided = self.avoided_until.is_some_and(|until| until > now);
-        !is_avoided && self.unreached_answer(target, now).is_none()
+        self.avoided_answer(now).is_none() && self.unreached_answer(target, now).is_none()
+    }
+
+    /// Returns the answer for which the peer is left out.
+    fn avoided_answer(&self, now: Instant) -> Option<PeerAnswer> {
+        let (answer, until) = self.avoided?;
+        (until > now).then_some(answer)
+    }
+
+    /// Returns whether the peer may reach a target, as far as its answers tell.
+    fn may_reach(&self, target: SocketAddr, now: Instant) -> bool {
+        match self.unreached_answer(target, now) {
+            Some(PeerAnswer::PathLost) => true,
+            Some(_) => false,
+            None => !matches!(
+                self.avoided_answer(now),
+                Some(PeerAnswer::Unreachable | PeerAnswer::Unsupported)
+            ),
+        }
     }
 
     /// Returns the answer of the peer for a target that it could not reach a moment ago.
@@ -109,9 +127,9 @@
         }
     }
 
-    fn avoid(&mut self, now: Instant) {
+    fn avoid(&mut self, answer: PeerAnswer, now: Instant) {
         let doublings = self.avoidances.min(MAX_AVOIDANCE_DOUBLINGS);
-        self.avoided_until = Some(now + BASE_AVOIDANCE * 2_u32.pow(doublings));
+        self.avoided = Some((answer, now + BASE_AVOIDANCE * 2_u32.pow(doublings)));
         self.avoidances += 1;
         self.opened_at = None;
     }
@@ -163,6 +181,13 @@
         answers.filter(|answer| answer.shows_target_down()).count()
     }
 
+    /// Returns whether any peer may reach a target, as far as their answers tell: it was not asked, was
+    /// slow, full or cut off, or has lost its path.
+    pub fn may_be_reached(&self, target: SocketAddr, now: Instant) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.may_reach(target, now))
+    }
+
     /// Chooses the peer to ask for a connection to a target, by the highest `score` of its name and
     /// weight; `None` if all are left out or were `asked` already.
     pub fn choose(
@@ -209,11 +234,13 @@
                 peer.unreached
                     .insert(target, (answer, now + TARGET_AVOIDANCE));
             }
-            PeerAnswer::CutOff | PeerAnswer::Unreachable => peer.avoid(now),
+            PeerAnswer::CutOff | PeerAnswer::Unreachable => peer.avoid(answer, now),
             PeerAnswer::Full | PeerAnswer::TimedOut => {
-                peer.avoided_until = Some(now + SHORT_AVOIDANCE);
+                peer.avoided = Some((answer, now + SHORT_AVOIDANCE));
+            }
+            PeerAnswer::Unsupported => {
+                peer.avoided = Some((answer, now + UNSUPPORTED_AVOIDANCE));
             }
-            PeerAnswer::Unsupported => peer.avoided_until = Some(now + UNSUPPORTED_AVOIDANCE),
         }
     }
 }
--- a/crates/paths/tests/cases.rs
+++ b/crates/paths/tests/cases.rs
@@ -355,6 +355,32 @@
     );
 }
 
+/// Guards against a target that counts as down since the peers that reach it were slow or full.
+#[test]
+fn only_peers_without_a_path_or_life_are_ruled_out() {
+    use PeerAnswer::*;
+    let cases = [
+        (None, true),
+        (Some(Opened), true),
+        (Some(UnknownTarget), false),
+        (Some(Refused), false),
+        (Some(Silent), false),
+        (Some(PathLost), true),
+        (Some(CutOff), true),
+        (Some(Full), true),
+        (Some(TimedOut), true),
+        (Some(Unsupported), false),
+        (Some(Unreachable), false),
+    ];
+    for (answer, expected) in cases {
+        let (mut peers, now) = (peers(&[0]), Instant::now());
+        if let Some(answer) = answer {
+            peers.record(peer(0), target(0), answer, now);
+        }
+        assert_eq!(peers.may_be_reached(target(0), now), expected, "{answer:?}");
+    }
+}
+
 #[test]
 fn agreement_is_remembered_by_target() {
     let (mut peers, now) = (peers(&ASKING_PEERS), Instant::now());
--- a/crates/paths/tests/cuts.rs
+++ b/crates/paths/tests/cuts.rs
@@ -256,8 +256,8 @@
             tally.add(answer);
         }
         let peers = &self.hosts[host].peers;
-        let left = peers.choose(address, &asked, self.at(now), |_, weight| weight);
-        (now, Err(tally.verdict(left.is_some())))
+        let peers_left = peers.may_be_reached(address, self.at(now));
+        (now, Err(tally.verdict(peers_left)))
     }
 
     /// Opens a connection as the gateway does; returns how, and after which time.
