Paths: answers of the same moment leave a peer out once

What callers would see: refusals at a cut-off host although a peer could have helped. Four requests that met one slow handshake of that peer left it out for 8 s, since each answer doubled the time.

Evidence: found by review; answers_of_the_same_moment_leave_a_peer_out_once fails without the change.

Change: answers that come while a peer is left out do not prolong it.

--- a/crates/paths/src/peer_table.rs
+++ b/crates/paths/src/peer_table.rs
@@ -48,7 +48,7 @@
     Silent,
     /// The peer has lost its path to the target, which other hosts reach.
     PathLost,
-    /// The peer has lost several targets.
+    /// The peer has lost most targets.
     CutOff,
     /// The peer serves as many tunnels as it may.
     Full,
@@ -127,7 +127,12 @@
         }
     }
 
+    /// Leaves the peer out, for longer each time. Answers that come while it is left out belong to the
+    /// same failure.
     fn avoid(&mut self, answer: PeerAnswer, now: Instant) {
+        if self.avoided.is_some_and(|(_, until)| until > now) {
+            return;
+        }
         let doublings = self.avoidances.min(MAX_AVOIDANCE_DOUBLINGS);
         self.avoided = Some((answer, now + BASE_AVOIDANCE * 2_u32.pow(doublings)));
         self.avoidances += 1;
--- a/crates/paths/tests/cases.rs
+++ b/crates/paths/tests/cases.rs
@@ -241,6 +241,17 @@
     }
 }
 
+/// Guards against a peer that is left out for seconds because several requests met one failure.
+#[test]
+fn answers_of_the_same_moment_leave_a_peer_out_once() {
+    let (mut peers, now) = (peers(&[0]), Instant::now());
+    for number in 0..4 {
+        peers.record(peer(0), target(number), PeerAnswer::Unreachable, now);
+    }
+    let chosen = peers.choose(target(9), &[], now + ms(1_000), by_weight);
+    assert_eq!(chosen, Some(peer(0)));
+}
+
 #[test]
 fn a_peer_that_stays_cut_off_is_asked_less_and_less() {
     let (mut peers, mut now) = (peers(&[0]), Instant::now());
