Paths: a host that lost a few targets still helps with the others

What callers would see: where some hosts are cut off from everything and the helping ones from two plain targets, an ask for one of those two left the helping host out for engines too, for 1 to 8 s.

Cause: a host that had lost two targets called itself cut off, and the asking host did not ask it for anything.

Change: a host says that it is cut off only if it has lost most of the targets that it uses, and otherwise that it has lost this one.

--- a/crates/gateway/src/target_links/connect.rs
+++ b/crates/gateway/src/target_links/connect.rs
@@ -175,11 +175,7 @@
     ) -> Result<TcpStream, TunnelReply> {
         let now = Instant::now();
         if self.paths.borrow().is_lost(target) {
-            return Err(if self.paths.borrow().is_cut_off() {
-                TunnelReply::CutOff
-            } else {
-                TunnelReply::PathLost
-            });
+            return Err(self.lost_reply());
         }
         let known_failure = self.paths.borrow().recent_failure(target, now);
         let failure = match known_failure {
@@ -194,7 +190,7 @@
             },
         };
         if self.paths.borrow().is_cut_off() {
-            return Err(TunnelReply::CutOff);
+            return Err(self.lost_reply());
         }
         Err(match failure {
             ConnectFailure::Refused => TunnelReply::Refused,
@@ -202,6 +198,15 @@
         })
     }
 
+    /// Returns the reply for a target that this host has lost, or may have lost as well.
+    fn lost_reply(&self) -> TunnelReply {
+        if self.paths.borrow().has_lost_most() {
+            TunnelReply::CutOff
+        } else {
+            TunnelReply::PathLost
+        }
+    }
+
     async fn connect_direct(
         &self,
         target: SocketAddr,
--- a/crates/paths/src/path_table.rs
+++ b/crates/paths/src/path_table.rs
@@ -247,6 +247,12 @@
         self.lost_count() >= DOUBT_THRESHOLD
     }
 
+    /// Returns whether this host has lost most of the targets that it used, so that other hosts had
+    /// better ask another one for any target.
+    pub fn has_lost_most(&self) -> bool {
+        self.is_cut_off() && 2 * self.lost_count() > self.paths.len()
+    }
+
     /// Removes targets that `keep` rejects.
     pub fn retain(&mut self, keep: impl Fn(&SocketAddr) -> bool) {
         self.paths.retain(|target, _| keep(target));
--- a/crates/paths/tests/cases.rs
+++ b/crates/paths/tests/cases.rs
@@ -252,6 +252,19 @@
     assert_eq!(chosen, Some(peer(0)));
 }
 
+/// Guards against a peer that is not asked for any target because it lost a few.
+#[test]
+fn a_host_that_lost_a_few_targets_is_not_cut_off_from_most() {
+    let (mut paths, now) = (PathTable::new(), Instant::now());
+    for number in 0..6 {
+        paths.record_open(target(number), now);
+    }
+    for (number, most) in [(0, false), (1, false), (2, false), (3, true)] {
+        paths.record_lost(target(number), now);
+        assert_eq!(paths.has_lost_most(), most, "{number}");
+    }
+}
+
 #[test]
 fn a_peer_that_stays_cut_off_is_asked_less_and_less() {
     let (mut peers, mut now) = (peers(&[0]), Instant::now());
--- a/crates/paths/tests/cuts.rs
+++ b/crates/paths/tests/cuts.rs
@@ -199,12 +199,7 @@
         let (at, address) = (self.at(now), target_address(target));
         let paths = &self.hosts[peer].paths;
         if paths.is_lost(address) {
-            let answer = if paths.is_cut_off() {
-                PeerAnswer::CutOff
-            } else {
-                PeerAnswer::PathLost
-            };
-            return (now + 2 * ROUND_TRIP_MS, answer);
+            return (now + 2 * ROUND_TRIP_MS, lost_answer(paths));
         }
         let (end, failure) = match paths.recent_failure(address, at) {
             Some(failure) => (now, failure),
@@ -214,7 +209,7 @@
             },
         };
         let answer = match failure {
-            _ if self.hosts[peer].paths.is_cut_off() => PeerAnswer::CutOff,
+            _ if self.hosts[peer].paths.is_cut_off() => lost_answer(&self.hosts[peer].paths),
             ConnectFailure::Refused => PeerAnswer::Refused,
             ConnectFailure::Silent => PeerAnswer::Silent,
         };
@@ -445,3 +440,12 @@
     assert!(fleet.hosts.iter().all(|host| host.served == 0));
     assert!(fleet.hosts.iter().all(|host| host.paths.lost_count() == 0));
 }
+
+/// Returns the answer of a host for a target that it has lost, or may have lost as well.
+fn lost_answer(paths: &PathTable) -> PeerAnswer {
+    if paths.has_lost_most() {
+        PeerAnswer::CutOff
+    } else {
+        PeerAnswer::PathLost
+    }
+}
