--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,9 +1,11 @@
 //! One attempt to run a request at one target.
 
+mod first_event;
+
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -13,6 +15,8 @@
 use linnet_telemetry::EventCode;
 use tokio::time::timeout;
 
+use first_event::await_first_event;
+
 use crate::Gateway;
 use crate::body_framing::BodyFraming;
 use crate::caller_request::CallerRequest;
@@ -58,9 +62,6 @@
     }
 }
 
-/// How long the rest of a refusal may take before its connection is closed.
-const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Outcome of one attempt.
 pub(crate) enum AttemptOutcome {
     /// A complete response with any status.
@@ -282,12 +283,7 @@
     }
     if let Some(not_run) = handle_not_run(gateway, &attempt, &head) {
         // The head is the refusal; the body only decides whether the connection can be used again.
-        ntex::rt::spawn(async move {
-            let drained = timeout(REFUSAL_BODY_TIMEOUT, body.collect()).await;
-            if matches!(drained, Ok(Ok(_))) {
-                lease.release(&head.headers);
-            }
-        });
+        lease.release_after(body, head.headers);
         return not_run;
     }
     if !echoes_id {
@@ -429,71 +425,3 @@
     }
     None
 }
-
-type FirstEvent = (
-    StatusCode,
-    HeaderMap,
-    Bytes,
-    Incoming,
-    EventSplitter,
-    ConnectionLease,
-);
-
-/// Waits for the first complete event. A response that ends before any event counts as a complete
-/// one.
-async fn await_first_event(
-    gateway: &Gateway,
-    request: &CallerRequest,
-    head: http::response::Parts,
-    (mut body, framing): (Incoming, BodyFraming),
-    lease: ConnectionLease,
-    placement: Option<&Placement>,
-    sent: Instant,
-) -> Result<FirstEvent, AttemptOutcome> {
-    let mut splitter = EventSplitter::default();
-    let mut first = BytesMut::new();
-    loop {
-        match body.frame().await {
-            Some(Ok(frame)) => {
-                let events = frame.data_ref().and_then(|bytes| splitter.push(bytes));
-                first.extend_from_slice(&events.unwrap_or_default());
-                // Comments may come before the first event.
-                if !has_event_lines(&first) {
-                    continue;
-                }
-                if let Some(placement) = placement {
-                    placement.report_prefill_done();
-                }
-                if let Some(prompt) = &request.prompt {
-                    let unshared_tokens = prompt.unshared_tokens();
-                    gateway
-                        .engine_placer
-                        .borrow_mut()
-                        .learn_prefill_speed(unshared_tokens, sent.elapsed());
-                }
-                let first = first.freeze();
-                return Ok((head.status, head.headers, first, body, splitter, lease));
-            }
-            Some(Err(error)) => {
-                return Err(AttemptOutcome::cut_short("stream", &error));
-            }
-            None if splitter.partial_bytes() > 0 => {
-                gateway.metrics.count_body(framing, BodyEnd::Broken);
-                return Err(AttemptOutcome::MayHaveRun {
-                    cause: "stream ended inside its first event".to_owned(),
-                    broken: framing == BodyFraming::Close,
-                });
-            }
-            None => {
-                lease.release(&head.headers);
-                first.extend_from_slice(&splitter.take_remainder());
-                return Err(AttemptOutcome::Complete(CompleteResponse {
-                    status: head.status,
-                    headers: head.headers,
-                    body: first.freeze(),
-                    is_confirmed: framing != BodyFraming::Close,
-                }));
-            }
-        }
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/attempt/first_event.rs
@@ -0,0 +1,85 @@
+//! Waits for the first event of a stream.
+
+use std::time::Instant;
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use super::{AttemptOutcome, CompleteResponse};
+use crate::Gateway;
+use crate::body_framing::BodyFraming;
+use crate::caller_request::CallerRequest;
+use crate::events::{EventSplitter, has_event_lines};
+use crate::metrics::BodyEnd;
+use crate::stage_client::Placement;
+use crate::upstream::ConnectionLease;
+
+pub(super) type FirstEvent = (
+    StatusCode,
+    HeaderMap,
+    Bytes,
+    Incoming,
+    EventSplitter,
+    ConnectionLease,
+);
+
+/// Waits for the first complete event. A response that ends before any event counts as a complete
+/// one.
+pub(super) async fn await_first_event(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    head: http::response::Parts,
+    (mut body, framing): (Incoming, BodyFraming),
+    lease: ConnectionLease,
+    placement: Option<&Placement>,
+    sent: Instant,
+) -> Result<FirstEvent, AttemptOutcome> {
+    let mut splitter = EventSplitter::default();
+    let mut first = BytesMut::new();
+    loop {
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                let events = frame.data_ref().and_then(|bytes| splitter.push(bytes));
+                first.extend_from_slice(&events.unwrap_or_default());
+                // Comments may come before the first event.
+                if !has_event_lines(&first) {
+                    continue;
+                }
+                if let Some(placement) = placement {
+                    placement.report_prefill_done();
+                }
+                if let Some(prompt) = &request.prompt {
+                    let unshared_tokens = prompt.unshared_tokens();
+                    gateway
+                        .engine_placer
+                        .borrow_mut()
+                        .learn_prefill_speed(unshared_tokens, sent.elapsed());
+                }
+                let first = first.freeze();
+                return Ok((head.status, head.headers, first, body, splitter, lease));
+            }
+            Some(Err(error)) => {
+                return Err(AttemptOutcome::cut_short("stream", &error));
+            }
+            None if splitter.partial_bytes() > 0 => {
+                gateway.metrics.count_body(framing, BodyEnd::Broken);
+                return Err(AttemptOutcome::MayHaveRun {
+                    cause: "stream ended inside its first event".to_owned(),
+                    broken: framing == BodyFraming::Close,
+                });
+            }
+            None => {
+                lease.release(&head.headers);
+                first.extend_from_slice(&splitter.take_remainder());
+                return Err(AttemptOutcome::Complete(CompleteResponse {
+                    status: head.status,
+                    headers: head.headers,
+                    body: first.freeze(),
+                    is_confirmed: framing != BodyFraming::Close,
+                }));
+            }
+        }
+    }
+}
--- a/crates/gateway/src/stage_call.rs
+++ b/crates/gateway/src/stage_call.rs
@@ -41,10 +41,6 @@
 /// Timeout of requests that run no pieces: releases of results and queries of free memory.
 const CONTROL_REQUEST_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Timeout for the body of a refusal. Such bodies are a line that is sent with the head; a
-/// connection that is worth keeping delivers it at once.
-const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// The pieces of one stage of one request in a call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct CallPart {
@@ -174,7 +170,7 @@
             Err(error) => return outcome_without_response(error),
         };
         if let Some(outcome) = self.refusal_outcome(&head) {
-            release_after_body(head, body, lease);
+            lease.release_after(body, head.headers);
             return outcome;
         }
         let framing = BodyFraming::of_response(&head.headers, body.is_end_stream());
@@ -313,15 +309,5 @@
     }
 }
 
-/// Returns a connection to its pool once the body of a refusal has arrived, or closes it if the
-/// body does not arrive in time.
-fn release_after_body(head: Parts, body: Incoming, lease: ConnectionLease) {
-    ntex::rt::spawn(async move {
-        if let Ok(Ok(_)) = timeout(REFUSAL_BODY_TIMEOUT, body.collect()).await {
-            lease.release(&head.headers);
-        }
-    });
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/target_crash.rs
+++ b/crates/gateway/src/target_crash.rs
@@ -24,8 +24,8 @@
 use crate::upstream::ProbeOutcome;
 
 /// How long a request waits for the result of the probe before it is sent to another target. A
-/// target that listens or has crashed answers a probe within a round trip between halls, some 2 ms;
-/// a timeout proves nothing.
+/// target that listens answers a probe within a round trip between halls, some 2 ms; if it does not,
+/// other hosts are asked, which takes some round trips more. A timeout proves nothing.
 pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(25);
 
 /// How long the end of a body without framing waits for the result of the probe. Only if the target
--- a/crates/gateway/src/target_links/tests.rs
+++ b/crates/gateway/src/target_links/tests.rs
@@ -19,8 +19,8 @@
 fn pool(peers: &[SocketAddr]) -> UpstreamPool {
     let clock = Arc::new(linnet_telemetry::HybridClock::new());
     let links = TargetLinks::new(TunnelContext {
-        identity: identity("asker"),
-        recorder: Arc::new(EventRecorder::new("asker", clock)),
+        identity: identity("asking"),
+        recorder: Arc::new(EventRecorder::new("asking", clock)),
         metrics: GatewayMetrics::new(),
     });
     links.set_peers(peers.iter().enumerate().map(|(number, address)| PeerHost {
@@ -32,7 +32,7 @@
 
 fn notices() -> NoticeStore {
     let clock = Arc::new(linnet_telemetry::HybridClock::new());
-    let recorder = Arc::new(EventRecorder::new("asker", clock));
+    let recorder = Arc::new(EventRecorder::new("asking", clock));
     NoticeStore::new(recorder, Rc::default())
 }
 
@@ -141,7 +141,7 @@
             name: "third".to_owned(),
             address: third_address,
         }]);
-        let asker = pool(&[helper]);
+        let asking = pool(&[helper]);
         for is_lost in [false, true] {
             if is_lost {
                 gateway
@@ -149,7 +149,7 @@
                     .links()
                     .record_lost(closed, third_address, "test");
             }
-            let error = exchange(&asker, closed).await.unwrap_err();
+            let error = exchange(&asking, closed).await.unwrap_err();
             let is_unsent = matches!(error, SendError::NotSent(_) | SendError::NoPath(_));
             assert!(is_unsent, "{error}");
         }
@@ -187,7 +187,7 @@
     });
 }
 
-/// Guards against hosts that keep using a detour after the partition has ended.
+/// Guards against hosts that keep using tunnels after the partition has ended.
 #[test]
 fn the_path_is_direct_again_once_a_direct_attempt_succeeds() {
     run(async {
@@ -252,7 +252,7 @@
         assert_eq!(gateway.served_tunnels(), 1);
 
         gateway.begin_stop(Instant::now() + Duration::from_secs(60));
-        let answer = open_tunnel(&identity("asker"), helper, target).await;
+        let answer = open_tunnel(&identity("asking"), helper, target).await;
         assert_eq!(answer.err(), Some(linnet_paths::PeerAnswer::Full));
         assert_eq!(exchange(&pool, target).await.unwrap(), "whole");
         tokio::time::sleep(Duration::from_millis(20)).await;
--- a/crates/gateway/src/tunnel/tests.rs
+++ b/crates/gateway/src/tunnel/tests.rs
@@ -81,7 +81,7 @@
 /// Opens a tunnel and returns both ends of the connection.
 async fn open(helper: SocketAddr, target: &TcpListener) -> (TunnelStream, TcpStream) {
     let address = target.local_addr().unwrap();
-    let identity = identity("asker");
+    let identity = identity("asking");
     let opening = open_tunnel(&identity, helper, address);
     let (tunnel, accepted) = tokio::join!(opening, target.accept());
     (tunnel.unwrap(), accepted.unwrap().0)
@@ -176,7 +176,7 @@
         let (listener, address) = listen().await;
         ntex::rt::spawn(break_off(listener, Vec::new()));
         let target = closed_address().await;
-        let tunnel = open_tunnel(&identity("asker"), address, target).await;
+        let tunnel = open_tunnel(&identity("asking"), address, target).await;
         let mut answer = Vec::new();
         let end = timeout(LIMIT, tunnel.unwrap().read_to_end(&mut answer)).await;
         let error = end.unwrap().unwrap_err();
@@ -192,7 +192,7 @@
         let (listener, address) = listen().await;
         ntex::rt::spawn(break_off(listener, vec![TunnelFrame::End]));
         let target = closed_address().await;
-        let tunnel = open_tunnel(&identity("asker"), address, target).await;
+        let tunnel = open_tunnel(&identity("asking"), address, target).await;
         let mut answer = Vec::new();
         let end = timeout(LIMIT, tunnel.unwrap().read_to_end(&mut answer)).await;
         assert_eq!(end.unwrap().unwrap(), 4);
@@ -249,8 +249,8 @@
         let (unlisted_target, unlisted) = listen().await;
         let closed = closed_address().await;
         let (gateway, helper) = start_helper(&[closed]).await;
-        let asker = identity("asker");
-        let answer = |target| open_tunnel(&asker, helper, target);
+        let asking = identity("asking");
+        let answer = |target| open_tunnel(&asking, helper, target);
         let unknown = answer(unlisted).await.err();
         assert_eq!(unknown, Some(PeerAnswer::UnknownTarget));
         let accepted = timeout(Duration::from_millis(50), unlisted_target.accept()).await;
@@ -275,7 +275,7 @@
             let _closed = accept_peer(&identity("earlier"), socket, from).await;
         });
         let target = closed_address().await;
-        let answer = open_tunnel(&identity("asker"), address, target).await;
+        let answer = open_tunnel(&identity("asking"), address, target).await;
         assert_eq!(answer.err(), Some(PeerAnswer::Unsupported));
     });
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -27,6 +27,9 @@
 use crate::send_gate::SendGate;
 use crate::target_links::{ConnectPurpose, TargetLinks, TargetSocket, detect_dead_peer};
 
+/// How long the rest of a body that nobody reads may take before its connection is closed.
+const UNREAD_BODY_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Idle timeout of a connection if the target announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -336,6 +339,17 @@
 }
 
 impl ConnectionLease {
+    /// Returns the connection to the pool once the rest of a body that nobody reads has arrived, and
+    /// closes it if that takes too long.
+    pub(crate) fn release_after(self, body: Incoming, head: HeaderMap) {
+        ntex::rt::spawn(async move {
+            let drained = timeout(UNREAD_BODY_TIMEOUT, body.collect()).await;
+            if matches!(drained, Ok(Ok(_))) {
+                self.release(&head);
+            }
+        });
+    }
+
     /// Returns the connection to the pool after a complete response, unless the response closes it.
     pub(crate) fn release(self, head: &HeaderMap) {
         let Self {
--- a/crates/paths/src/answer_tally.rs
+++ b/crates/paths/src/answer_tally.rs
@@ -82,8 +82,8 @@
     /// for a host in doubt.
     pub fn verdict(&self, peers_left: bool) -> PathVerdict {
         let agreed = self.remembered + self.agreed;
-        let is_alone = !peers_left && self.certainty != Certainty::InDoubt;
-        if agreed >= self.required || (agreed > 0 && is_alone) {
+        let is_last_peer = !peers_left && self.certainty != Certainty::InDoubt;
+        if agreed >= self.required || (agreed > 0 && is_last_peer) {
             PathVerdict::Down
         } else {
             PathVerdict::Unknown
