Attempt: a complete document on a streaming route is no broken stream

What callers would see: a 502 for a whole JSON document with a length, which a target sent in place of a stream, since it contains no complete event.

Cause: the rule for streams that end inside an event looked at the route only.

Change: a response with another type than text/event-stream is read as a plain one. Without a type it still counts as a stream.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -20,7 +20,7 @@
 use crate::Gateway;
 use crate::body_framing::BodyFraming;
 use crate::caller_request::CallerRequest;
-use crate::events::{EventSplitter, has_event_lines};
+use crate::events::{EventSplitter, has_event_lines, is_event_stream};
 use crate::graph::RequestResults;
 use crate::in_flight::InFlightGuard;
 use crate::message_heads::{TargetHeaders, build_target_request, echoes_request_id};
@@ -294,7 +294,8 @@
         return AttemptOutcome::unusable("an answer without the target's seal");
     }
     let framing = BodyFraming::of_response(&head.headers, body.is_end_stream());
-    if request.route.kind == RouteKind::Streaming && head.status.is_success() {
+    let is_streamed = request.route.kind == RouteKind::Streaming && is_event_stream(&head.headers);
+    if is_streamed && head.status.is_success() {
         let resumes = attempt.last_event.is_some()
             || request.headers.contains_key(&protocol.headers.last_event);
         let outcome = await_first_event(
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,6 +1,7 @@
 //! Splits a byte stream into complete server-sent events.
 
 use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, header};
 
 /// Buffers bytes until an event is complete.
 #[derive(Default)]
@@ -38,6 +39,17 @@
     lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
 }
 
+/// Returns whether a response on a streaming route is a stream of events: one of another type is not,
+/// such as a JSON document.
+pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(media_type) = headers.get(header::CONTENT_TYPE) else {
+        return true;
+    };
+    let media_type = media_type.to_str().unwrap_or_default();
+    let essence = media_type.split(';').next().unwrap_or_default().trim();
+    essence.eq_ignore_ascii_case("text/event-stream")
+}
+
 fn is_line_end(byte: u8) -> bool {
     matches!(byte, b'\r' | b'\n')
 }
--- a/crates/gateway/src/events/tests.rs
+++ b/crates/gateway/src/events/tests.rs
@@ -82,3 +82,21 @@
         assert_eq!(splitter.partial_bytes() > 0, expected, "{rest:?}");
     }
 }
+
+/// Guards against a complete document on a streaming route that is taken for a broken stream.
+#[test]
+fn a_response_of_another_type_is_no_event_stream() {
+    let cases = [
+        (None, true),
+        (Some("text/event-stream"), true),
+        (Some("Text/Event-Stream; charset=utf-8"), true),
+        (Some("application/json"), false),
+    ];
+    for (media_type, expected) in cases {
+        let mut headers = HeaderMap::new();
+        if let Some(media_type) = media_type {
+            headers.insert(header::CONTENT_TYPE, media_type.parse().unwrap());
+        }
+        assert_eq!(is_event_stream(&headers), expected, "{media_type:?}");
+    }
+}
