--- a/crates/gateway/src/overload/tests.rs
+++ b/crates/gateway/src/overload/tests.rs
@@ -156,7 +156,7 @@
 }
 
 /// Returns a request whose caller waits for `deadline_ms`.
-fn request(gateway: &Gateway, deadline_ms: u64) -> CallerRequest {
+pub(crate) fn request(gateway: &Gateway, deadline_ms: u64) -> CallerRequest {
     let head = http::Request::builder()
         .uri("/x")
         .header("host", "a.example")
--- a/crates/gateway/src/target_crash/tests.rs
+++ b/crates/gateway/src/target_crash/tests.rs
@@ -1,10 +1,12 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+use futures_util::FutureExt;
 use linnet_directory::TargetRecord;
 
 use super::*;
 use crate::gateway::tests::{gateway_with, run};
 use crate::overload::OverloadPolicy;
+use crate::overload::tests::{loaded_gateway, request};
 use crate::target::tests::{SERVICE, record};
 
 fn listed(records: &[TargetRecord]) -> TargetStore {
@@ -98,10 +100,17 @@
 #[test]
 fn a_body_that_ended_with_its_connection_is_not_interrupted_by_the_probe() {
     run(async {
-        let chosen = listed(&[born(5, "t", 1)]).find(SERVICE, "t").unwrap();
-        let gateway = gateway_with(OverloadPolicy::default(), None);
+        let gateway = loaded_gateway(OverloadPolicy::default());
+        let request = request(&gateway, 8_000);
+        let records = [born(5, "t", 1_000)];
+        gateway
+            .targets
+            .borrow_mut()
+            .replace(&records, Instant::now());
+        let chosen = gateway.targets.borrow().find(SERVICE, "t").unwrap();
         let target = (SERVICE, &chosen);
-        let _probe_done = gateway.join_probe(target, None, Instant::now());
+        let mut probe = Box::pin(gateway.probe_after_close(target, &request, Instant::now()));
+        assert_eq!(probe.as_mut().now_or_never(), None, "the probe has ended");
         let states = gateway.crash_tracker.states.borrow();
         let crash = CrashKey::new(&chosen.id, chosen.born);
         let Some(CrashState::Probing { interrupted, .. }) = states.get(&crash) else {
