--- a/crates/gateway/src/events/tests.rs
+++ b/crates/gateway/src/events/tests.rs
@@ -1,16 +1,18 @@
 use super::*;
 
+/// Pushes a text in two parts; returns the splitter and the events that it returned.
+fn push_in_two(text: &str, split: usize) -> (EventSplitter, Vec<u8>) {
+    let mut splitter = EventSplitter::default();
+    let (first, rest) = text.as_bytes().split_at(split);
+    let returned = [first, rest].map(|part| splitter.push(part).unwrap_or_default());
+    (splitter, returned.concat())
+}
+
 #[test]
 fn only_complete_events_are_returned_for_every_split_of_the_bytes() {
     let text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
     for split in 0..text.len() {
-        let mut splitter = EventSplitter::default();
-        let parts = [&text.as_bytes()[..split], &text.as_bytes()[split..]];
-        let returned: Vec<Bytes> = parts
-            .iter()
-            .filter_map(|part| splitter.push(part))
-            .collect();
-        let events = returned.concat();
+        let (mut splitter, events) = push_in_two(text, split);
         assert_eq!(
             events, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
             "split at {split}"
@@ -51,13 +53,7 @@
         .join(end);
         let text = format!("{events}id: 3{end}data: c");
         for split in 0..=text.len() {
-            let mut splitter = EventSplitter::default();
-            let parts = [&text.as_bytes()[..split], &text.as_bytes()[split..]];
-            let returned: Vec<Bytes> = parts
-                .iter()
-                .filter_map(|part| splitter.push(part))
-                .collect();
-            let returned = returned.concat();
+            let (splitter, returned) = push_in_two(&text, split);
             assert_eq!(returned, events.as_bytes(), "{end:?}, split at {split}");
             assert_eq!(last_event_id(&returned).as_deref(), Some("2"));
             assert_eq!(splitter.partial_bytes(), text.len() - events.len());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -111,6 +111,10 @@
             .record_request_event(code, &self.request.id, &self.chosen.id, detail);
     }
 
+    fn count_body(&self, stream: &EventStream, end: BodyEnd) {
+        self.gateway.metrics.count_body(stream.framing, end);
+    }
+
     /// Logs the end of the stream.
     fn finish(&mut self, code: EventCode, outcome: &str) {
         self.ended = true;
@@ -243,10 +247,7 @@
             Some((Ok(events), RelayState::Reading(relay, stream)))
         }
         Ok(Ok(None)) if stream.partial_bytes > 0 => {
-            relay
-                .gateway
-                .metrics
-                .count_body(stream.framing, BodyEnd::Broken);
+            relay.count_body(&stream, BodyEnd::Broken);
             // Closing the connection also ends a body without framing, so the target may have crashed.
             if stream.framing == BodyFraming::Close {
                 relay.probe_target().await;
@@ -260,18 +261,12 @@
                 BodyFraming::Length | BodyFraming::Chunks => TargetState::Alive,
             };
             if state == TargetState::Crashed {
-                relay
-                    .gateway
-                    .metrics
-                    .count_body(stream.framing, BodyEnd::Broken);
+                relay.count_body(&stream, BodyEnd::Broken);
                 let cause = "connection closed by a crash of the target";
                 return resume_or_abort(relay, stream, cause).await;
             }
             let end = format!("{} outcome=stream ended", describe_body(&stream));
-            relay
-                .gateway
-                .metrics
-                .count_body(stream.framing, BodyEnd::Clean);
+            relay.count_body(&stream, BodyEnd::Clean);
             let EventStream { lease, headers, .. } = *stream;
             lease.release(&headers);
             if state == TargetState::Alive {
@@ -286,10 +281,7 @@
             if is_peer_disconnect(&error) {
                 relay.probe_target().await;
             }
-            relay
-                .gateway
-                .metrics
-                .count_body(stream.framing, BodyEnd::Broken);
+            relay.count_body(&stream, BodyEnd::Broken);
             resume_or_abort(relay, stream, &format!("stream cut short: {error}")).await
         }
         Err(_) => {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -17,6 +17,7 @@
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
+use linnet_paths::{RESTORE_INTERVAL, SILENCE_BEFORE_CHECK};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
@@ -36,12 +37,6 @@
 /// Idle timeout of a tunnel, which occupies a place at the helping host.
 const TUNNEL_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Time without a response after which a target may be checked by a direct attempt.
-const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(400);
-
-/// Interval between two direct attempts to lost targets after one succeeded.
-const RESTORE_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Share of the target's idle timeout after which a connection is not reused.
 const IDLE_TIMEOUT_SHARE: f64 = 0.7;
 
@@ -165,8 +160,8 @@
     }
 
     /// Sends a request on a connection and waits for the head of the response. The time left is
-    /// written anew, since opening the connection takes time. A direct target
-    /// that is silent for some time is checked in the background: its path may be lost.
+    /// written anew, since opening the connection takes time. A direct target that is silent for some
+    /// time is checked in the background: its path may be lost.
     async fn exchange_head(
         &self,
         address: SocketAddr,
--- a/crates/paths/src/lib.rs
+++ b/crates/paths/src/lib.rs
@@ -12,7 +12,9 @@
 mod peer_table;
 
 pub use answer_tally::{AnswerTally, Certainty, MAX_ASKED, PathVerdict};
-pub use path_table::{ConnectFailure, ConnectPlan, PathChange, PathTable};
+pub use path_table::{
+    ConnectFailure, ConnectPlan, PathChange, PathTable, RESTORE_INTERVAL, SILENCE_BEFORE_CHECK,
+};
 pub use peer_table::{PeerAnswer, PeerHost, PeerTable};
 
 /// Maximum number of tunnels that a host serves. Each uses two sockets and at most 96 KiB of
--- a/crates/paths/src/path_table.rs
+++ b/crates/paths/src/path_table.rs
@@ -21,8 +21,9 @@
 /// Interval of direct attempts to lost targets, of this host in total.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The same after a successful one: the partition has probably ended.
-const RESTORE_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval of direct attempts to lost targets after a successful one: the partition has probably
+/// ended.
+pub const RESTORE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Interval of checks of silent targets, of this host in total.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -31,7 +32,7 @@
 const URGENT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time without a sign of life after which a target that owes a response is checked.
-const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(400);
+pub const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(400);
 
 /// How long a failed direct attempt answers the requests of other hosts for the same target.
 const FAILURE_MEMORY: Duration = Duration::from_millis(500);
