Retries: the budget of a service holds when hosts start anew, wait or are cut off

Cause: the budget lived in the memory of each process. A process that started had forgotten what its predecessor had sent within the same window, and took a full part again; the parts were divided by the hosts listed at that moment, so they grew on both sides of a cut; and a retry counted when it was decided, not when it was sent after a wait for a target. The class: a bound that each part keeps alone, where what it bounds is the sum over all parts and over their lives.

Why this holds: hosts pay from their own requests, half of the window and half of the one before it, whose sum is within the rule whichever is larger in the fleet. The slack is dealt out in whole retries among a roster that includes every host whose retries are in the window: hosts use slack under a lease, wait after their start, and count hosts that are no longer listed. A retry is reserved when it is decided and counts when its bytes are written, at the gate that each request to a target passes. Arrivals at stand-in targets are as many as the gates count, after failures, rejections, time-outs, foreign answers and resumed streams.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -71,13 +71,13 @@
     /// The target did not run the request.
     NotRun {
         cause: String,
-        /// Whether the request reached the target.
-        reached_target: bool,
         /// Whether stage results that it uses as input are gone, so that no target can run it.
         inputs_gone: bool,
     },
     /// Nothing was sent: the target stopped accepting requests after it was selected.
     Withheld,
+    /// Nothing was sent: the retry budget allows the request no further attempt.
+    OverBudget,
     /// The request may have run, and there is no usable response.
     MayHaveRun {
         cause: String,
@@ -229,7 +229,6 @@
             let cause = format!("cannot build the request: {error}");
             return AttemptOutcome::NotRun {
                 cause,
-                reached_target: false,
                 inputs_gone: false,
             };
         }
@@ -237,13 +236,19 @@
     let sent = Instant::now();
     let sent_at = BootInstant::now();
     let gate = gateway.notices.gate(&chosen.id, SendKind::Work);
-    let gate = gate.with_permit(permit);
+    let gate = gate
+        .with_permit(permit)
+        .with_sends(&request.sends, &gateway.metrics);
     let (response, lease) = match gateway.upstream.send(chosen.address, outgoing, gate).await {
         Ok(received) => received,
         Err(SendError::Withheld) => {
             in_flight.discard_timing();
             return AttemptOutcome::Withheld;
         }
+        Err(SendError::OverBudget) => {
+            in_flight.discard_timing();
+            return AttemptOutcome::OverBudget;
+        }
         Err(SendError::NotSent(cause)) => {
             gateway.record_unreachable(attempt.service, &chosen.id, &cause);
             if let Some(placement) = &attempt.placement {
@@ -251,7 +256,6 @@
             }
             return AttemptOutcome::NotRun {
                 cause,
-                reached_target: false,
                 inputs_gone: false,
             };
         }
@@ -260,7 +264,6 @@
             gateway.record_unreachable(attempt.service, &chosen.id, &cause);
             return AttemptOutcome::NotRun {
                 cause,
-                reached_target: false,
                 inputs_gone: false,
             };
         }
@@ -407,7 +410,6 @@
         let cause = "another target or incarnation runs at the address".to_owned();
         return Some(AttemptOutcome::NotRun {
             cause,
-            reached_target: true,
             inputs_gone: false,
         });
     }
@@ -418,11 +420,7 @@
             let mut targets = gateway.targets.borrow_mut();
             targets.record_refusal(attempt.service, &attempt.chosen.id, Instant::now());
         }
-        return Some(AttemptOutcome::NotRun {
-            cause,
-            reached_target: true,
-            inputs_gone,
-        });
+        return Some(AttemptOutcome::NotRun { cause, inputs_gone });
     }
     None
 }
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -16,6 +16,7 @@
 use crate::open_request::OpenRequestGuard;
 use crate::protocol::HeaderNames;
 use crate::rendezvous::ScoreKey;
+use crate::request_sends::RequestSends;
 use crate::{Refusal, RefusalReason};
 
 /// Maximum number of pieces that a request may have at one stage.
@@ -51,6 +52,8 @@
     pub(crate) age: Duration,
     /// Whether it was admitted although it will miss its objective.
     pub(crate) is_late: Cell<bool>,
+    /// How often it was sent to targets.
+    pub(crate) sends: RequestSends,
 }
 
 /// Priority of a request: the account's priority is compared before the route's. Lower values are
@@ -204,6 +207,7 @@
         isolated: Cell::new(false),
         age: Duration::ZERO,
         is_late: Cell::new(false),
+        sends: RequestSends::default(),
     })
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -16,7 +16,7 @@
 use crate::graph::RequestResults;
 use crate::message_heads::{build_response, refusal_response};
 use crate::relay::{StreamRelay, relay_stream};
-use crate::retry_budget::{RetryCause, take_retry};
+use crate::retry_budget::RetryCause;
 use crate::run_permit::{RunPermit, acquire_run_permit};
 use crate::service_availability::retry_after;
 use crate::stage_client::Placement;
@@ -189,13 +189,11 @@
     request: &Rc<CallerRequest>,
     trace: &mut RequestTrace,
 ) -> Result<Response<ResponseBody>, Refusal> {
+    let service = pick_service(&request.route).to_owned();
+    let budget = &gateway.retry_budget;
+    budget.record_request(&service);
     let mut run_permit = None;
     acquire_run_permit(gateway, request, &mut run_permit).await?;
-    let service = pick_service(&request.route).to_owned();
-    gateway
-        .retry_budget
-        .borrow_mut()
-        .record_request(&service, Instant::now());
     wait_for_first_targets(gateway, &service, request).await;
     if !has_allowed_targets(gateway, &service, request) {
         return Err(no_target_refusal());
@@ -236,7 +234,10 @@
         let may_retry =
             trace.attempts - refusals < request.route.max_attempts && request.route.is_repeatable();
         let outcome = send_attempt(gateway, request, attempt, may_retry).await;
-        if !matches!(outcome, AttemptOutcome::Withheld) {
+        if !matches!(
+            outcome,
+            AttemptOutcome::Withheld | AttemptOutcome::OverBudget
+        ) {
             run_permit
                 .as_mut()
                 .into_iter()
@@ -260,6 +261,14 @@
                 }
                 continue;
             }
+            AttemptOutcome::OverBudget => {
+                trace.attempts -= 1;
+                trace.may_have_run = may_have_run_before;
+                let cause = "the retry budget of the service is used up".to_owned();
+                return Err(not_accepted_refusal(
+                    gateway, &service, request, trace, cause,
+                ));
+            }
             AttemptOutcome::Streaming(stream) => {
                 let relay =
                     StreamRelay::new(gateway, request, service, chosen, results, trace.attempts)
@@ -280,17 +289,13 @@
                 }
                 let retries = status.is_server_error()
                     && may_retry
-                    && take_retry(gateway, request, &service, RetryCause::Failure);
+                    && budget.allow_retry(request, &service, RetryCause::Failure);
                 if !retries {
                     return Ok(build_response(status, &headers, ResponseBody::full(body)));
                 }
                 format!("status {}", status.as_u16())
             }
-            AttemptOutcome::NotRun {
-                cause,
-                reached_target,
-                inputs_gone,
-            } => {
+            AttemptOutcome::NotRun { cause, inputs_gone } => {
                 refusals += 1;
                 trace.may_have_run = trace.attempts > refusals;
                 if inputs_gone && may_rerun_stages(request, trace) {
@@ -298,8 +303,7 @@
                     results = None;
                 }
                 let retries = refusals < MAX_REFUSALS
-                    && (!reached_target
-                        || take_retry(gateway, request, &service, RetryCause::Rejection));
+                    && budget.allow_retry(request, &service, RetryCause::Rejection);
                 if !retries {
                     return Err(not_accepted_refusal(
                         gateway, &service, request, trace, cause,
@@ -309,7 +313,7 @@
             }
             AttemptOutcome::MayHaveRun { cause, .. } => {
                 gateway.record_target_failure(&service, &chosen.id, &cause);
-                if !may_retry || !take_retry(gateway, request, &service, RetryCause::Failure) {
+                if !may_retry || !budget.allow_retry(request, &service, RetryCause::Failure) {
                     return Err(Refusal::new(RefusalReason::TargetFailed, cause));
                 }
                 cause
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
     DirectoryUpdate, DirectoryView, EntryHostRecord, StoredDocument, TargetState,
 };
 use linnet_paths::PeerHost;
+use linnet_retries::BudgetRule;
 use linnet_routing::{RouteTable, RoutingConfig};
 use linnet_telemetry::{EventCode, EventRecorder};
 use linnet_wire::PeerIdentity;
@@ -30,7 +31,6 @@
 use crate::notice_store::NoticeStore;
 use crate::open_request::OpenRequestCount;
 use crate::overload::{OverloadControl, OverloadPolicy, report_account_use};
-use crate::retry_budget::BudgetRule;
 use crate::retry_budget::RetryBudget;
 use crate::rollouts::RolloutTracker;
 use crate::send_permit_issuer::SendPermitIssuer;
@@ -103,7 +103,7 @@
     pub(crate) directory: RefCell<DirectoryView>,
     pub(crate) targets: Rc<RefCell<TargetStore>>,
     pub(crate) upstream: UpstreamPool,
-    pub(crate) retry_budget: RefCell<RetryBudget>,
+    pub(crate) retry_budget: Rc<RetryBudget>,
     pub(crate) engine_placer: Rc<RefCell<EnginePlacer>>,
     pub(crate) wait_model: RefCell<WaitModel>,
     pub(crate) overload: OverloadControl,
@@ -163,6 +163,7 @@
             slack: config.retry_slack,
             window: config.retry_window,
         };
+        let budget = RetryBudget::new(&config.name, rule, config.recorder.clone(), metrics.clone());
         let engines = Rc::new(RefCell::new(EnginePlacer::default()));
         let gateway = Rc::new(Self {
             stage_client: StageClient::new(
@@ -178,7 +179,7 @@
             route_table: watch::Sender::new(None),
             directory: RefCell::default(),
             targets,
-            retry_budget: RefCell::new(RetryBudget::new(rule)),
+            retry_budget: Rc::new(budget),
             engine_placer: engines.clone(),
             coordinator,
             upstream: pool,
@@ -268,11 +269,6 @@
         })
     }
 
-    /// Returns the time since this gateway was created.
-    pub(crate) fn uptime(&self) -> Duration {
-        self.started_at.elapsed()
-    }
-
     /// Returns the number of requests in flight.
     pub fn open_requests(&self) -> usize {
         self.open_requests.get()
@@ -320,6 +316,9 @@
         // out of the list by then.
         let withdraws_active_target = self.withdraws_active_target(&update);
         let entry_hosts_changed = update.entry_hosts.is_some();
+        if !update.leaderless {
+            self.retry_budget.record_leader_contact();
+        }
         self.directory
             .borrow_mut()
             .apply_update(from, update, Instant::now());
@@ -413,6 +412,8 @@
             address: host.peer,
         }));
         self.stage_client.set_entry_hosts(gateways);
+        self.retry_budget
+            .set_hosts(&self.stage_client.entry_host_names());
     }
 
     /// Returns the client that calls stage targets.
@@ -475,6 +476,11 @@
             .metrics
             .config_version
             .set(gateway.config_version() as i64);
+        let is_granted = gateway.retry_budget.is_slack_granted();
+        gateway
+            .metrics
+            .retry_slack_granted
+            .set(i64::from(is_granted));
         let hosts = gateway.entry_host_count() as i64;
         gateway.metrics.hosts_known.set(hosts);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod relay;
 mod rendezvous;
 mod reported_load;
+mod request_sends;
 mod retry_budget;
 mod rollouts;
 mod run_permit;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::body_framing::BodyFraming;
+use crate::retry_budget::RetryCause;
 
 /// Labels of a finished request. They exclude routes and accounts, which would make the number of
 /// series unbounded.
@@ -72,13 +73,20 @@
     pub end: &'static str,
 }
 
-/// Labels of retries.
+/// Labels of denied retries.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RetryLabels {
     /// `failure`, `rejection` or `resume`.
     pub cause: String,
 }
 
+/// Labels of requests that were sent to targets.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SendLabels {
+    /// `first`; the cause of a retry; `unsent` for those of the others that wrote nothing.
+    pub kind: String,
+}
+
 /// Metrics of an entry host.
 #[derive(Clone)]
 pub struct GatewayMetrics {
@@ -88,8 +96,9 @@
     pub(crate) first_response: Histogram,
     pub(crate) stage_time: Histogram,
     pub(crate) attempts_failed: Counter,
-    pub(crate) retries_allowed: Family<RetryLabels, Counter>,
+    pub(crate) requests_sent: Family<SendLabels, Counter>,
     pub(crate) retries_denied: Family<RetryLabels, Counter>,
+    pub(crate) retry_slack_granted: Gauge,
     pub(crate) target_bodies: Family<BodyLabels, Counter>,
     pub(crate) connections_opened: Gauge,
     pub(crate) stage_targets_examined: Gauge,
@@ -135,8 +144,9 @@
             first_response: times(),
             stage_time: times(),
             attempts_failed: Counter::default(),
-            retries_allowed: Family::default(),
+            requests_sent: Family::default(),
             retries_denied: Family::default(),
+            retry_slack_granted: Gauge::default(),
             target_bodies: Family::default(),
             connections_opened: Gauge::default(),
             stage_targets_examined: Gauge::default(),
@@ -244,15 +254,20 @@
             metrics.attempts_failed.clone(),
         );
         registry.register(
-            "retries_allowed",
-            "Retries that the budgets of their services allowed, by cause",
-            metrics.retries_allowed.clone(),
+            "requests_sent",
+            "Requests sent to targets, first or as a retry of a cause; unsent: without reaching one",
+            metrics.requests_sent.clone(),
         );
         registry.register(
             "retries_denied",
             "Retries that the budgets of their services denied, by cause",
             metrics.retries_denied.clone(),
         );
+        registry.register(
+            "retry_slack_granted",
+            "Whether this host has its part of the retries beyond the share of the requests",
+            metrics.retry_slack_granted.clone(),
+        );
         registry.register(
             "target_bodies",
             "Bodies of responses of targets, by framing and end",
@@ -386,6 +401,30 @@
         self.target_bodies.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_first_send(&self) {
+        self.count_send("first".to_owned());
+    }
+
+    pub(crate) fn count_retry_sent(&self, cause: RetryCause) {
+        self.count_send(cause.to_string());
+    }
+
+    /// Counts a request that was counted as sent although nothing was written.
+    pub(crate) fn count_unsent(&self) {
+        self.count_send("unsent".to_owned());
+    }
+
+    fn count_send(&self, kind: String) {
+        self.requests_sent.get_or_create(&SendLabels { kind }).inc();
+    }
+
+    pub(crate) fn count_denied_retry(&self, cause: RetryCause) {
+        let labels = RetryLabels {
+            cause: cause.to_string(),
+        };
+        self.retries_denied.get_or_create(&labels).inc();
+    }
+
     /// Records how far the forecast of the stages of a request was from the time that they took.
     pub(crate) fn observe_forecast_error(&self, forecast_ms: f64, took: Duration) {
         let error = took.as_secs_f64() - forecast_ms / 1_000.0;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,7 +19,7 @@
 use crate::graph::RequestResults;
 use crate::message_heads::build_response;
 use crate::metrics::BodyEnd;
-use crate::retry_budget::{RetryCause, take_retry};
+use crate::retry_budget::RetryCause;
 use crate::rollouts::ResponseQuality;
 use crate::run_permit::{RunPermit, acquire_run_permit};
 use crate::target::ChosenTarget;
@@ -149,8 +149,7 @@
             && acquire_run_permit(&self.gateway, &self.request, &mut self.run_permit)
                 .await
                 .is_ok()
-            && take_retry(
-                &self.gateway,
+            && self.gateway.retry_budget.allow_retry(
                 &self.request,
                 &self.service,
                 RetryCause::Resume,
@@ -166,6 +165,7 @@
                 AttemptOutcome::Complete(response) if response.is_empty_success() => {
                     ResumeOutcome::Complete
                 }
+                AttemptOutcome::OverBudget => return ResumeOutcome::Failed,
                 _ => continue,
             };
             self.chosen = chosen;
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -1,14 +1,21 @@
-//! The retry budget, divided among the entry hosts.
+//! The retry budget of this host: decides about retries, and counts and logs them.
 
-use std::collections::{HashMap, VecDeque};
-use std::time::{Duration, Instant};
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::sync::Arc;
 
 use derive_more::Display;
-use linnet_telemetry::EventCode;
+use linnet_clock::BootInstant;
+use linnet_retries::{
+    BudgetFacts, BudgetRule, HostRoster, RetryLedger, ServiceKey, SlackShare, SlackState,
+    SpentRetry,
+};
+use linnet_telemetry::{EventCode, EventRecorder};
 
-use crate::Gateway;
 use crate::caller_request::CallerRequest;
-use crate::metrics::RetryLabels;
+use crate::metrics::GatewayMetrics;
+use crate::rendezvous;
 
 /// Why a request is sent once more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -24,107 +31,177 @@
     Resume,
 }
 
-/// Fraction of the budget that is used, so that hosts with different counts stay within it
-/// together.
-const USABLE_FRACTION: f64 = 0.7;
-
-/// The limits of the budget: over all hosts, each service gets in any window at most `ratio` times
-/// its requests plus `slack` retries.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct BudgetRule {
-    pub(crate) ratio: f64,
-    pub(crate) slack: f64,
-    pub(crate) window: Duration,
-}
-
-#[derive(Default)]
-struct ServiceCount {
-    requests: VecDeque<Instant>,
-    retries: VecDeque<Instant>,
+/// The retry budget of this host.
+pub(crate) struct RetryBudget {
+    ledger: RefCell<RetryLedger>,
+    roster: RefCell<HostRoster>,
+    recorder: Arc<EventRecorder>,
+    pub(crate) metrics: GatewayMetrics,
 }
 
-/// Counts the requests and retries of each service over the window.
-pub(crate) struct RetryBudget {
-    rule: BudgetRule,
-    services: HashMap<String, ServiceCount>,
+/// A retry that the budget allows one request. It is given back when dropped.
+pub(crate) struct RetryPermit {
+    budget: Rc<RetryBudget>,
+    service: String,
+    key: ServiceKey,
+    request: String,
+    cause: RetryCause,
+    reserved_at: BootInstant,
+    /// Set while the retry is sent.
+    spent: Option<SpentRetry>,
 }
 
 impl RetryBudget {
-    pub(crate) fn new(rule: BudgetRule) -> Self {
+    /// Creates the budget of the host `name`.
+    pub(crate) fn new(
+        name: &str,
+        rule: BudgetRule,
+        recorder: Arc<EventRecorder>,
+        metrics: GatewayMetrics,
+    ) -> Self {
+        let now = BootInstant::now();
         Self {
-            rule,
-            services: HashMap::new(),
+            ledger: RefCell::new(RetryLedger::new(rule, now)),
+            roster: RefCell::new(HostRoster::new(name, &rule, rendezvous::score, now)),
+            recorder,
+            metrics,
         }
     }
 
+    /// Applies the list of entry hosts.
+    pub(crate) fn set_hosts(&self, hosts: &HashSet<String>) {
+        let names = hosts.iter().map(String::as_str);
+        let now = BootInstant::now();
+        self.roster.borrow_mut().set_listed(names, now);
+    }
+
+    /// Records that a control host in contact with the leader was heard.
+    pub(crate) fn record_leader_contact(&self) {
+        self.roster.borrow_mut().renew_lease(BootInstant::now());
+    }
+
     /// Counts a request for a service.
-    pub(crate) fn record_request(&mut self, service: &str, now: Instant) {
-        let window = self.rule.window;
-        let count = self.services.entry(service.to_owned()).or_default();
-        remove_expired(&mut count.requests, now, window);
-        count.requests.push_back(now);
+    pub(crate) fn record_request(&self, service: &str) {
+        let mut ledger = self.ledger.borrow_mut();
+        let key = ledger.service_key(service);
+        ledger.record_request(key, BootInstant::now());
     }
 
-    /// Takes one retry out of the budget, as one of `hosts` hosts; returns false if none is left.
-    pub(crate) fn try_take_retry(&mut self, service: &str, hosts: usize, now: Instant) -> bool {
-        let rule = self.rule;
-        let count = self.services.entry(service.to_owned()).or_default();
-        remove_expired(&mut count.requests, now, rule.window);
-        remove_expired(&mut count.retries, now, rule.window);
-        let share = rule.slack / hosts.max(1) as f64;
-        let max_retries = (rule.ratio * count.requests.len() as f64 + share) * USABLE_FRACTION;
-        if (count.retries.len() + 1) as f64 > max_retries {
-            return false;
+    /// Returns whether a request may be sent to another target. If it has reached one before, a retry
+    /// is reserved for it.
+    pub(crate) fn allow_retry(
+        self: &Rc<Self>,
+        request: &CallerRequest,
+        service: &str,
+        cause: RetryCause,
+    ) -> bool {
+        if request.sends.may_send() {
+            return true;
         }
-        count.retries.push_back(now);
-        true
+        let now = BootInstant::now();
+        let slack = self.slack_share(service, now);
+        let mut ledger = self.ledger.borrow_mut();
+        let key = ledger.service_key(service);
+        let facts = ledger.facts(key, slack, now);
+        let is_reserved = ledger.reserve(key, slack, now);
+        drop(ledger);
+        if is_reserved {
+            request.sends.set_permit(RetryPermit {
+                budget: self.clone(),
+                service: service.to_owned(),
+                key,
+                request: request.id.clone(),
+                cause,
+                reserved_at: now,
+                spent: None,
+            });
+        } else {
+            let detail = describe(service, cause, slack, facts);
+            self.record_denied(&request.id, cause, &detail);
+        }
+        is_reserved
+    }
+
+    /// Returns whether this host has its part of the slack.
+    pub(crate) fn is_slack_granted(&self) -> bool {
+        let state = self.roster.borrow().state(BootInstant::now());
+        state == SlackState::Granted
     }
 
-    /// Describes what a decision followed from, for the log.
-    fn describe(&self, service: &str) -> String {
-        let count = self.services.get(service);
-        let (requests, retries) =
-            count.map_or((0, 0), |count| (count.requests.len(), count.retries.len()));
-        format!("requests={requests} retries={retries}")
+    fn slack_share(&self, service: &str, now: BootInstant) -> SlackShare {
+        self.roster.borrow_mut().slack_share(service, now)
+    }
+
+    fn record_denied(&self, request: &str, cause: RetryCause, detail: &str) {
+        self.metrics.count_denied_retry(cause);
+        let code = EventCode::RetryDenied;
+        self.recorder
+            .record_request(code, request, "", detail.to_owned());
     }
 }
 
-/// Takes one retry of a request out of the budget of a service; returns false if none is left.
-pub(crate) fn take_retry(
-    gateway: &Gateway,
-    request: &CallerRequest,
-    service: &str,
-    cause: RetryCause,
-) -> bool {
-    let hosts = gateway.entry_host_count();
-    let mut budget = gateway.retry_budget.borrow_mut();
-    let is_allowed = budget.try_take_retry(service, hosts, Instant::now());
-    let metrics = &gateway.metrics;
-    let (code, counter) = match is_allowed {
-        true => (EventCode::RequestRepeated, &metrics.retries_allowed),
-        false => (EventCode::RetryDenied, &metrics.retries_denied),
-    };
-    let labels = RetryLabels {
-        cause: cause.to_string(),
-    };
-    counter.get_or_create(&labels).inc();
-    let detail = format!(
-        "service={service} cause={cause} hosts={hosts} {} up_ms={}",
-        budget.describe(service),
-        gateway.uptime().as_millis()
-    );
-    gateway.record_request_event(code, &request.id, "", detail);
-    is_allowed
+impl RetryPermit {
+    /// Returns whether the budget still allows the retry.
+    pub(crate) fn is_valid(&self) -> bool {
+        let now = BootInstant::now();
+        let slack = self.budget.slack_share(&self.service, now);
+        let facts = self.budget.ledger.borrow().facts(self.key, slack, now);
+        if facts.left == 0 {
+            let detail = describe(&self.service, self.cause, slack, facts);
+            self.budget
+                .record_denied(&self.request, self.cause, &detail);
+        }
+        facts.left > 0
+    }
+
+    /// Counts the retry, which is sent now.
+    pub(crate) fn spend(&mut self) {
+        let now = BootInstant::now();
+        let slack = self.budget.slack_share(&self.service, now);
+        let mut ledger = self.budget.ledger.borrow_mut();
+        let facts = ledger.facts(self.key, slack, now);
+        self.spent = ledger.spend(self.key, slack, now);
+        let detail = format!(
+            "{} waited_ms={}",
+            describe(&self.service, self.cause, slack, facts),
+            self.reserved_at.elapsed().as_millis()
+        );
+        let code = EventCode::RequestRepeated;
+        let recorder = &self.budget.recorder;
+        recorder.record_request(code, &self.request, "", detail);
+        self.budget.metrics.count_retry_sent(self.cause);
+    }
+
+    /// Reserves the retry again, since it reached no target.
+    pub(crate) fn take_back(&mut self) {
+        if let Some(spent) = self.spent.take() {
+            self.budget.ledger.borrow_mut().refund(spent);
+        }
+    }
 }
 
-fn remove_expired(times: &mut VecDeque<Instant>, now: Instant, window: Duration) {
-    while times
-        .front()
-        .is_some_and(|time| now.saturating_duration_since(*time) > window)
-    {
-        times.pop_front();
+impl Drop for RetryPermit {
+    fn drop(&mut self) {
+        if self.spent.is_none() {
+            self.budget.ledger.borrow_mut().release(self.key);
+        }
     }
 }
 
-#[cfg(test)]
-mod tests;
+/// Describes what a decision followed from, for the log.
+fn describe(service: &str, cause: RetryCause, slack: SlackShare, facts: BudgetFacts) -> String {
+    let SlackShare {
+        retries: slack_retries,
+        hosts,
+        state,
+    } = slack;
+    let BudgetFacts {
+        requests,
+        retries,
+        reserved,
+        left,
+    } = facts;
+    format!(
+        "service={service} cause={cause} left={left} reserved={reserved} requests={requests} retries={retries} slack={slack_retries} hosts={hosts} state={state}"
+    )
+}
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -83,7 +83,9 @@
         let took_ms = took.as_secs_f64() * 1_000.0;
         match outcome {
             // Nothing ran: this reflects the load of the target, not its version.
-            AttemptOutcome::NotRun { .. } | AttemptOutcome::Withheld => None,
+            AttemptOutcome::NotRun { .. }
+            | AttemptOutcome::Withheld
+            | AttemptOutcome::OverBudget => None,
             AttemptOutcome::MayHaveRun { .. } => Some(Self::Failed),
             AttemptOutcome::Complete(response) if response.status.is_server_error() => {
                 Some(Self::Failed)
--- a/crates/gateway/src/send_gate.rs
+++ b/crates/gateway/src/send_gate.rs
@@ -2,9 +2,12 @@
 
 use linnet_clock::BootInstant;
 
+use crate::metrics::GatewayMetrics;
 use crate::notice_store::NoticeStore;
+use crate::request_sends::RequestSends;
 use crate::send_permit::SendPermit;
 use crate::target_restriction::TargetAvailability;
+use crate::upstream::SendError;
 
 /// What is sent to a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,6 +26,8 @@
     permit: SendPermit,
     /// Whether this is the trial request after a back-off.
     is_trial: bool,
+    /// The sends of the caller's request, if it is one.
+    sends: Option<(&'a RequestSends, &'a GatewayMetrics)>,
 }
 
 impl<'a> SendGate<'a> {
@@ -33,6 +38,7 @@
             kind,
             permit: SendPermit::UNRESTRICTED,
             is_trial: false,
+            sends: None,
         }
     }
 
@@ -42,7 +48,44 @@
         self
     }
 
-    /// Returns whether the bytes may be written now, and counts the request as sent or withheld.
+    /// Makes the gate count the sends of a caller's request.
+    pub(crate) fn with_sends(
+        mut self,
+        sends: &'a RequestSends,
+        metrics: &'a GatewayMetrics,
+    ) -> Self {
+        self.sends = Some((sends, metrics));
+        self
+    }
+
+    /// Checks that the bytes may be written now, and counts the request as sent. Called again for
+    /// each connection that is tried.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::OverBudget`] if the request was sent before and the retry budget does not allow
+    /// to send it again, [`SendError::Withheld`] if the target does not accept it now.
+    pub(crate) fn begin_send(&mut self) -> Result<(), SendError> {
+        if self.sends.is_some_and(|(sends, _)| !sends.is_paid()) {
+            return Err(SendError::OverBudget);
+        }
+        if !self.try_pass() {
+            return Err(SendError::Withheld);
+        }
+        if let Some((sends, metrics)) = self.sends {
+            sends.record_sent(metrics);
+        }
+        Ok(())
+    }
+
+    /// Takes back the last send, which turned out to have written nothing.
+    pub(crate) fn take_back(&self) {
+        if let Some((sends, metrics)) = self.sends {
+            sends.take_back(metrics);
+        }
+    }
+
+    /// Returns whether the target accepts the bytes now, and counts the request as sent or withheld.
     /// Called again for each connection that is tried.
     pub(crate) fn try_pass(&mut self) -> bool {
         let now = BootInstant::now();
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -266,6 +266,13 @@
         state.clear_rankings();
     }
 
+    /// Returns the names of the known entry hosts.
+    pub(crate) fn entry_host_names(&self) -> HashSet<String> {
+        let state = self.state.borrow();
+        let hosts = state.entry_hosts.iter();
+        hosts.map(|host| host.name.clone()).collect()
+    }
+
     /// Returns the number of known entry hosts, including this one.
     pub(crate) fn entry_host_count(&self) -> usize {
         let state = self.state.borrow();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -110,34 +110,37 @@
         mut gate: SendGate<'_>,
     ) -> Result<(Response<Incoming>, ConnectionLease), SendError> {
         while let Some(mut connection) = self.take_idle(address) {
-            if !gate.try_pass() {
+            if let Err(error) = gate.begin_send() {
                 self.keep_idle(address, connection);
-                return Err(SendError::Withheld);
+                return Err(error);
             }
             match self.exchange_head(address, &mut connection, request).await {
                 Ok(response) => return Ok((response, self.lease(address, connection))),
                 Err(mut error) => match error.take_message() {
                     // The connection was already closed; the request was never written.
-                    Some(unsent) => request = unsent,
+                    Some(unsent) => {
+                        gate.take_back();
+                        request = unsent;
+                    }
                     None => return Err(SendError::may_have_run(&error.into_error())),
                 },
             }
         }
         let mut connection = self.connect(address).await?;
-        if !gate.try_pass() {
+        if let Err(error) = gate.begin_send() {
             self.keep_idle(address, connection);
-            return Err(SendError::Withheld);
+            return Err(error);
         }
         match self.exchange_head(address, &mut connection, request).await {
             Ok(response) => Ok((response, self.lease(address, connection))),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let error = error.into_error();
-                Err(if unsent {
-                    SendError::NotSent(error.to_string())
-                } else {
-                    SendError::may_have_run(&error)
-                })
+                if unsent {
+                    gate.take_back();
+                    return Err(SendError::NotSent(error.to_string()));
+                }
+                Err(SendError::may_have_run(&error))
             }
         }
     }
--- a/crates/gateway/src/upstream/send_error.rs
+++ b/crates/gateway/src/upstream/send_error.rs
@@ -19,6 +19,9 @@
     /// Nothing was written, since the target does not accept requests now.
     #[display("withheld")]
     Withheld,
+    /// Nothing was written, since the retry budget does not allow to send the request again.
+    #[display("retry budget used up")]
+    OverBudget,
     /// The request may have reached the target.
     #[display("send: {cause}")]
     MayHaveRun {
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -88,7 +88,7 @@
     AnswerDropped = 413, Error, "An answer of another attempt, or one cut short, was dropped.";
     StreamResumed = 414, Info, "A stream was resumed at another target from the last token received.";
     StagesRunAgain = 415, Warn, "The stages of a request are run again because results of them were lost.";
-    RequestRepeated = 416, Info, "The retry budget of a service allowed to send a request to another target.";
+    RequestRepeated = 416, Info, "A request is sent to a target once more, within the retry budget of its service.";
     RetryDenied = 417, Warn, "The retry budget of a service allowed no further attempt, and the request ends.";
     RequestAccused = 420, Warn, "A target crashed while this request was running on it.";
     RequestAcquitted = 421, Info, "A request that was accused ran whole, and nothing is held against it any more.";
