--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -168,9 +168,13 @@
                 AttemptOutcome::OverBudget => return ResumeOutcome::Failed,
                 _ => continue,
             };
-            self.chosen = chosen;
+            let former = std::mem::replace(&mut self.chosen, chosen);
             self.sent = Instant::now();
-            self.record(EventCode::StreamResumed, &format!("cause={cause}"));
+            let detail = format!(
+                "version={} from_version={} cause={cause}",
+                self.chosen.version, former.version
+            );
+            self.record(EventCode::StreamResumed, &detail);
             return resumed;
         }
         ResumeOutcome::Failed
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -146,6 +146,8 @@
     pub(crate) born: u64,
     pub(crate) address: SocketAddr,
     pub(crate) hall: String,
+    /// The software version; empty if unknown.
+    pub(crate) version: String,
 }
 
 impl ChosenTarget {
@@ -155,6 +157,7 @@
             born: target.born,
             address: target.address,
             hall: target.hall.clone(),
+            version: target.version.clone(),
         }
     }
 }
--- a/crates/gateway/src/target_crash.rs
+++ b/crates/gateway/src/target_crash.rs
@@ -329,6 +329,7 @@
             born: call.born,
             address: call.address,
             hall: call.hall.clone(),
+            version: String::new(),
         };
         let crash = CrashKey::new(&chosen.id, chosen.born);
         self.record_target_crash(&call.pool.service, &chosen, crash, &interrupted);
