Relay: a stream resumes only at the software version that began it

What callers saw: streams of one answer with events of two software versions, which do not fit together.

Cause: the target that goes on with a broken stream was chosen without regard to versions. Only roll-outs looked at them, and versions may run side by side without one.

Why this works: once a target's first event has arrived the request is bound to its version. Selection, the wait for a target and rate limits look at targets of that version only, also those that a roll-out gives a smaller share. If none is left the stream ends at once. Placers know no versions, so the host places such a stream itself.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -17,6 +17,7 @@
 use crate::protocol::HeaderNames;
 use crate::rendezvous::ScoreKey;
 use crate::request_sends::RequestSends;
+use crate::target::Target;
 use crate::{Refusal, RefusalReason};
 
 /// Maximum number of pieces that a request may have at one stage.
@@ -54,6 +55,9 @@
     pub(crate) is_late: Cell<bool>,
     /// How often it was sent to targets.
     pub(crate) sends: RequestSends,
+    /// The only software version whose targets may run it; set once its caller has events of a
+    /// stream.
+    pub(crate) bound_version: OnceCell<String>,
 }
 
 /// Priority of a request: the account's priority is compared before the route's. Lower values are
@@ -134,6 +138,18 @@
         })
     }
 
+    /// Lets only targets of a software version run the request from now on.
+    pub(crate) fn bind_version(&self, version: &str) {
+        self.bound_version.get_or_init(|| version.to_owned());
+    }
+
+    /// Returns whether a target may run the request, by its data hall and its software version.
+    pub(crate) fn allows_target(&self, target: &Target) -> bool {
+        let bound = self.bound_version.get();
+        self.allowed_halls.allows(&target.hall)
+            && bound.is_none_or(|version| *version == target.version)
+    }
+
     /// Returns the time until the deadline.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -208,6 +224,7 @@
         age: Duration::ZERO,
         is_late: Cell::new(false),
         sends: RequestSends::default(),
+        bound_version: OnceCell::new(),
     })
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -68,6 +68,7 @@
         results: Option<RequestResults>,
         attempts: u32,
     ) -> Self {
+        request.bind_version(&chosen.version);
         let may_resume = request.route.is_repeatable() && attempts < request.route.max_attempts;
         Self {
             gateway: gateway.clone(),
--- a/crates/gateway/src/service_availability.rs
+++ b/crates/gateway/src/service_availability.rs
@@ -54,7 +54,7 @@
     let store = gateway.targets.borrow();
     let confined = gateway.suspects.closed_targets(&store, service, request);
     let targets = store.of_service(service).filter(|target| {
-        request.allowed_halls.allows(&target.hall)
+        request.allows_target(target)
             && !confined.contains(&target.id)
             && !tried.contains(&target.id)
     });
@@ -95,9 +95,11 @@
 ) -> bool {
     let now = BootInstant::now();
     let store = gateway.targets.borrow();
-    let mut usable = store.usable(service, Instant::now()).into_iter();
+    let mut usable = store
+        .usable_by(service, request.bound_version.get(), Instant::now())
+        .into_iter();
     usable.any(|one: &Target| {
-        request.allowed_halls.allows(&one.hall)
+        request.allows_target(one)
             && store.rate_limit(&one.id).is_none()
             && gateway.notices.availability(&one.id, now) == TargetAvailability::Open
     })
@@ -122,8 +124,10 @@
         return None;
     }
     let store = gateway.targets.borrow();
-    let usable = store.usable(service, Instant::now()).into_iter();
-    let usable = usable.filter(|target| request.allowed_halls.allows(&target.hall));
+    let usable = store
+        .usable_by(service, request.bound_version.get(), Instant::now())
+        .into_iter();
+    let usable = usable.filter(|target| request.allows_target(target));
     let rates = usable.map(|target| store.rate_limit(&target.id));
     rates.reduce(|sum, rate| Some(sum?.plus(rate?))).flatten()
 }
--- a/crates/gateway/src/target/store.rs
+++ b/crates/gateway/src/target/store.rs
@@ -268,7 +268,26 @@
     /// not ejected, and if all are ejected, all of them. During a roll-out, the targets are of one
     /// side, drawn anew for each call.
     pub(crate) fn usable(&self, service: &str, now: Instant) -> Vec<&Target> {
-        let side = self.candidates_of_drawn_side(service);
+        Self::preferred(self.candidates_of_drawn_side(service), now)
+    }
+
+    /// Same as [`TargetStore::usable`], but of the targets of a version if one is given, whatever
+    /// share of the requests a roll-out gives it.
+    pub(crate) fn usable_by(
+        &self,
+        service: &str,
+        version: Option<&String>,
+        now: Instant,
+    ) -> Vec<&Target> {
+        let Some(version) = version else {
+            return self.usable(service, now);
+        };
+        let of_version = self.of_service(service);
+        let of_version = of_version.filter(|one| one.version == *version);
+        Self::preferred(of_version.collect(), now)
+    }
+
+    fn preferred(side: Vec<&Target>, now: Instant) -> Vec<&Target> {
         let all = || side.iter().copied();
         let preferred: Vec<&Target> = all().filter(|one| !one.is_avoided(now)).collect();
         if !preferred.is_empty() {
--- a/crates/gateway/src/target_selection.rs
+++ b/crates/gateway/src/target_selection.rs
@@ -89,7 +89,10 @@
     excluded: ExcludedTargets<'_>,
     results: Option<&RequestResults>,
 ) -> Option<(ChosenTarget, Option<Placement>)> {
-    if let Some(place) = placement_request(gateway, service, request, excluded, results) {
+    // Placers know no versions. The few streams that go on are placed by this host.
+    if request.bound_version.get().is_none()
+        && let Some(place) = placement_request(gateway, service, request, excluded, results)
+    {
         let (chosen, placement) = gateway
             .stage_client
             .place_prompt(&gateway.targets, place)
@@ -103,12 +106,12 @@
         .throttled_cold_targets(service, hosts, now);
     let store = gateway.targets.borrow();
     let closed_targets = closed_targets(gateway, &store, service, request, excluded);
-    let usable = store.usable(service, now);
+    let usable = store.usable_by(service, request.bound_version.get(), now);
     let eligible = usable
         .iter()
         .filter(|target| !excluded.tried.contains(&target.id) && !throttled.contains(&target.id))
         .filter(|target| !closed_targets.contains(&target.id))
-        .filter(|target| request.allowed_halls.allows(&target.hall));
+        .filter(|target| request.allows_target(target));
     let load = |target: &Target| {
         let other_hall = target.hall != gateway.config.hall;
         target.load(other_hall, now) + LOAD_JITTER * fastrand::f64()
