Streams: a stream that its caller takes up goes on only at the version that began it

What callers saw: a caller that took up a broken stream could get events of another software version.

Cause: nothing remembered which version began a stream, the header Resumes was not read, and a request with Last-Event-Id was placed like a new one, also at another service of a split route. The class, as inside one answer: what is of one run is joined with another target's.

A host that finds none lets the stream go on only if the service has had one version; otherwise it refuses it at once as not run. Message version 7; hosts of earlier builds are told nothing.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -189,7 +189,8 @@
     request: &Rc<CallerRequest>,
     trace: &mut RequestTrace,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let service = pick_service(&request.route).to_owned();
+    let taken_up = gateway.bind_taken_up_stream(request).await?;
+    let service = taken_up.unwrap_or_else(|| pick_service(&request.route).to_owned());
     let budget = &gateway.retry_budget;
     budget.record_request(&service);
     let mut run_permit = None;
@@ -220,6 +221,7 @@
         let next =
             select_or_await_target(gateway, &service, request, excluded, results.as_ref()).await;
         let (chosen, placement) = next.map_err(|refusal| adjust_refusal(trace, refusal))?;
+        gateway.record_stream_origin(request, &service, &chosen);
         trace.target.clone_from(&chosen.id);
         trace.placement_facts = placement.as_ref().and_then(Placement::estimate);
         trace.attempts += 1;
@@ -357,7 +359,9 @@
         let mut targets = targets.of_service(service);
         targets.any(|target| request.allowed_halls.allows(&target.hall))
     };
-    required_services(service, request).iter().all(has_allowed)
+    let mut own_targets = targets.of_service(service);
+    own_targets.any(|target| request.allows_target(target))
+        && required_services(service, request).iter().all(has_allowed)
 }
 
 /// Returns the services that a request needs: those of its stages, and its own.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,6 +36,7 @@
 use crate::send_permit_issuer::SendPermitIssuer;
 use crate::stage_call::StageTargetClient;
 use crate::stage_client::StageClient;
+use crate::stream_origins::StreamOrigins;
 use crate::suspects::SuspectTracker;
 use crate::target::TargetStore;
 use crate::target_crash::CrashTracker;
@@ -104,6 +105,7 @@
     pub(crate) targets: Rc<RefCell<TargetStore>>,
     pub(crate) upstream: UpstreamPool,
     pub(crate) retry_budget: Rc<RetryBudget>,
+    pub(crate) stream_origins: StreamOrigins,
     pub(crate) engine_placer: Rc<RefCell<EnginePlacer>>,
     pub(crate) wait_model: RefCell<WaitModel>,
     pub(crate) overload: OverloadControl,
@@ -180,6 +182,7 @@
             directory: RefCell::default(),
             targets,
             retry_budget: Rc::new(budget),
+            stream_origins: StreamOrigins::default(),
             engine_placer: engines.clone(),
             coordinator,
             upstream: pool,
@@ -444,9 +447,19 @@
 /// Interval between two runs of the periodic maintenance.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Number of maintenance runs between two records of the listed versions.
+const VERSIONS_RUNS: u32 = 4;
+
 async fn run_maintenance(gateway: Rc<Gateway>) {
+    let mut runs: u32 = 0;
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
+        runs = runs.wrapping_add(1);
+        if runs.is_multiple_of(VERSIONS_RUNS) {
+            let targets = gateway.targets.borrow();
+            gateway.stream_origins.record_versions(&targets);
+        }
+        gateway.stream_origins.expire(&gateway.metrics);
         gateway.upstream.close_expired();
         gateway.upstream.links().update_metrics();
         gateway.expire_suspects();
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -34,6 +34,7 @@
             piece_key: header("x-piece-key"),
             results: header("x-results"),
             last_event: header("x-last-event"),
+            resumes: header("x-resumes"),
         },
         callers: CallerProtocol {
             private: Vec::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -56,6 +56,7 @@
 mod service_availability;
 mod stage_call;
 mod stage_client;
+mod stream_origins;
 mod suspects;
 mod target;
 mod target_crash;
--- a/crates/gateway/src/message_v1/reply.rs
+++ b/crates/gateway/src/message_v1/reply.rs
@@ -166,7 +166,8 @@
         | PieceReply::SendPermit { .. }
         | PieceReply::PoolTimes { .. }
         | PieceReply::AccountLimits { .. }
-        | PieceReply::BatchReturned { .. } => return None,
+        | PieceReply::BatchReturned { .. }
+        | PieceReply::StreamFound { .. } => return None,
     };
     Some(message)
 }
--- a/crates/gateway/src/message_v1/request.rs
+++ b/crates/gateway/src/message_v1/request.rs
@@ -226,7 +226,9 @@
         | PieceRequest::AcquireRunPermit { .. }
         | PieceRequest::ReleaseRunPermit(_)
         | PieceRequest::AcquireSendPermit { .. }
-        | PieceRequest::ReportUse { .. } => return None,
+        | PieceRequest::ReportUse { .. }
+        | PieceRequest::BindStream { .. }
+        | PieceRequest::FindStream { .. } => return None,
     };
     Some(message)
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 
 use crate::body_framing::BodyFraming;
 use crate::retry_budget::RetryCause;
+use crate::stream_origins::OriginSource;
 
 /// Labels of a finished request. They exclude routes and accounts, which would make the number of
 /// series unbounded.
@@ -80,6 +81,13 @@
     pub cause: String,
 }
 
+/// Labels of streams that callers take up.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OriginLabels {
+    /// How the version that began the stream was found, or why it was not.
+    pub origin: String,
+}
+
 /// Labels of requests that were sent to targets.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct SendLabels {
@@ -99,6 +107,8 @@
     pub(crate) requests_sent: Family<SendLabels, Counter>,
     pub(crate) retries_denied: Family<RetryLabels, Counter>,
     pub(crate) retry_slack_granted: Gauge,
+    pub(crate) streams_known: Gauge,
+    pub(crate) streams_taken_up: Family<OriginLabels, Counter>,
     pub(crate) target_bodies: Family<BodyLabels, Counter>,
     pub(crate) connections_opened: Gauge,
     pub(crate) stage_targets_examined: Gauge,
@@ -147,6 +157,8 @@
             requests_sent: Family::default(),
             retries_denied: Family::default(),
             retry_slack_granted: Gauge::default(),
+            streams_known: Gauge::default(),
+            streams_taken_up: Family::default(),
             target_bodies: Family::default(),
             connections_opened: Gauge::default(),
             stage_targets_examined: Gauge::default(),
@@ -268,6 +280,16 @@
             "Whether this host has its part of the retries beyond the share of the requests",
             metrics.retry_slack_granted.clone(),
         );
+        registry.register(
+            "streams_known",
+            "Streams of which this host knows the software version that began them",
+            metrics.streams_known.clone(),
+        );
+        registry.register(
+            "streams_taken_up",
+            "Streams that callers took up, by how the version that began them was found",
+            metrics.streams_taken_up.clone(),
+        );
         registry.register(
             "target_bodies",
             "Bodies of responses of targets, by framing and end",
@@ -425,6 +447,13 @@
         self.retries_denied.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_taken_up(&self, source: OriginSource) {
+        let labels = OriginLabels {
+            origin: source.to_string(),
+        };
+        self.streams_taken_up.get_or_create(&labels).inc();
+    }
+
     /// Records how far the forecast of the stages of a request was from the time that they took.
     pub(crate) fn observe_forecast_error(&self, forecast_ms: f64, took: Duration) {
         let error = took.as_secs_f64() - forecast_ms / 1_000.0;
--- a/crates/gateway/src/piece_message.rs
+++ b/crates/gateway/src/piece_message.rs
@@ -3,6 +3,7 @@
 use linnet_forecast::PoolTimes;
 use linnet_quarantine::{RequestKey, SuspectRecord};
 use linnet_shares::{AccountLimit, UseReport};
+use linnet_streams::{StreamKey, StreamOrigin};
 use linnet_wire::MessageVersion;
 use serde::{Deserialize, Serialize};
 
@@ -80,6 +81,14 @@
     },
     /// Runs a batch of pieces that another coordinator returned. It is not returned again.
     RunReturnedBatch(PieceBatch),
+    /// Stores where a stream began, for callers that take it up.
+    BindStream {
+        stream: StreamKey,
+        origin: StreamOrigin,
+        lifetime_ms: u64,
+    },
+    /// Asks where a stream began.
+    FindStream { number: u64, stream: StreamKey },
 }
 
 impl PieceRequest {
@@ -90,6 +99,7 @@
             Self::AcquireSendPermit { .. } => MessageVersion::V4,
             Self::ReportUse { .. } => MessageVersion::V5,
             Self::RunReturnedBatch(_) => MessageVersion::V6,
+            Self::BindStream { .. } | Self::FindStream { .. } => MessageVersion::V7,
             _ => MessageVersion::V2,
         }
     }
@@ -143,6 +153,11 @@
     },
     /// Returns a batch, as a better coordinator is reachable. None of its pieces was sent in a call.
     BatchReturned { number: u64 },
+    /// Where a stream began; `None` if the sender does not hold it.
+    StreamFound {
+        number: u64,
+        origin: Option<StreamOrigin>,
+    },
 }
 
 impl PieceReply {
@@ -152,6 +167,7 @@
         match self {
             Self::PoolTimes { .. } | Self::AccountLimits { .. } => MessageVersion::V5,
             Self::BatchReturned { .. } => MessageVersion::V6,
+            Self::StreamFound { .. } => MessageVersion::V7,
             _ => MessageVersion::V2,
         }
     }
--- a/crates/gateway/src/piece_message/tests.rs
+++ b/crates/gateway/src/piece_message/tests.rs
@@ -154,6 +154,7 @@
 
 /// Returns a request of each kind.
 pub(crate) fn requests() -> Vec<PieceRequest> {
+    let [bind_stream, find_stream] = stream_requests();
     let key = batch().request_key;
     vec![
         PieceRequest::RunBatch(batch()),
@@ -235,6 +236,8 @@
         },
         report_use(),
         run_returned(),
+        bind_stream,
+        find_stream,
     ]
 }
 
@@ -331,7 +334,49 @@
     let all = others.into_iter().chain(calls);
     let all = all.chain(run_permits).chain(send_permits);
     let all = all.chain(overload_replies());
-    all.chain([batch_returned()]).collect()
+    let all = all.chain([batch_returned()]);
+    all.chain(stream_replies()).collect()
+}
+
+/// Returns the messages about origins of streams.
+fn stream_requests() -> [PieceRequest; 2] {
+    let stream = StreamKey::new("acme", "9c41d07be2a35f68");
+    [
+        PieceRequest::BindStream {
+            stream,
+            origin: stream_origin(),
+            lifetime_ms: 12_000,
+        },
+        PieceRequest::FindStream {
+            number: 307,
+            stream,
+        },
+    ]
+}
+
+fn stream_origin() -> StreamOrigin {
+    StreamOrigin {
+        service: "engine".to_owned(),
+        version: "v1.2".to_owned(),
+    }
+}
+
+fn stream_replies() -> [PieceReply; 2] {
+    [Some(stream_origin()), None].map(|origin| PieceReply::StreamFound {
+        number: 307,
+        origin,
+    })
+}
+
+/// Guards against a message that earlier builds cannot read: they close the connection on it.
+#[test]
+fn messages_about_streams_need_message_version_7() {
+    for request in stream_requests() {
+        assert_eq!(request.min_message_version(), MessageVersion::V7);
+    }
+    for reply in stream_replies() {
+        assert_eq!(reply.min_message_version(), MessageVersion::V7);
+    }
 }
 
 #[test]
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -41,6 +41,8 @@
     pub results: HeaderName,
     /// Id of the last event of a stream that the caller has received.
     pub last_event: HeaderName,
+    /// Id of the attempt that brought the first event of the stream that the caller takes up.
+    pub resumes: HeaderName,
 }
 
 /// The protocol towards callers.
--- a/crates/gateway/src/serve_pieces.rs
+++ b/crates/gateway/src/serve_pieces.rs
@@ -207,6 +207,20 @@
             PieceRequest::ReleaseRunPermit(number) => self.release_run_permit(number),
             PieceRequest::Heartbeat => {}
             PieceRequest::ReportUse { pool, report } => self.apply_use(pool, &report),
+            PieceRequest::BindStream {
+                stream,
+                origin,
+                lifetime_ms,
+            } => {
+                let lifetime = Duration::from_millis(lifetime_ms);
+                self.gateway.stream_origins.bind(stream, &origin, lifetime);
+            }
+            PieceRequest::FindStream { number, stream } => {
+                let origin = self.gateway.stream_origins.find(stream);
+                let _ = self
+                    .replies
+                    .send(PieceReply::StreamFound { number, origin });
+            }
             PieceRequest::AcquireSendPermit { number, request } => {
                 let reply = self.gateway.handle_send_permit_request(&request);
                 let _ = self.replies.send(PieceReply::SendPermit { number, reply });
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -13,6 +13,7 @@
 mod run_permit;
 mod send_permit;
 mod sender;
+mod stream_origin;
 mod succession;
 mod unreachable_halls;
 
@@ -413,6 +414,7 @@
             pending_calls: HashMap::new(),
             pending_run_permits: HashMap::new(),
             pending_send_permits: HashMap::new(),
+            pending_streams: HashMap::new(),
         }
     }
 
--- a/crates/gateway/src/stage_client/link.rs
+++ b/crates/gateway/src/stage_client/link.rs
@@ -117,6 +117,9 @@
         PieceReply::SendPermit { number, reply } => {
             client.complete_send_permit(address, number, reply)
         }
+        PieceReply::StreamFound { number, origin } => {
+            client.complete_stream(address, number, origin)
+        }
         PieceReply::RunPermit { number, reply } => {
             client.complete_run_permit(address, number, reply)
         }
--- a/crates/gateway/src/stage_client/link_state.rs
+++ b/crates/gateway/src/stage_client/link_state.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use linnet_streams::StreamOrigin;
 use linnet_succession::LinkView;
 use linnet_wire::MessageVersion;
 use tokio::sync::{mpsc, oneshot};
@@ -50,6 +51,8 @@
     pub(super) pending_calls: HashMap<u64, oneshot::Sender<CallOutcome>>,
     pub(super) pending_run_permits: HashMap<u64, oneshot::Sender<RunPermitReply>>,
     pub(super) pending_send_permits: HashMap<u64, oneshot::Sender<SendPermitReply>>,
+    /// Questions for the origin of a stream. They have a timeout of their own.
+    pub(super) pending_streams: HashMap<u64, oneshot::Sender<Option<StreamOrigin>>>,
 }
 
 impl Link {
--- /dev/null
+++ b/crates/gateway/src/stage_client/stream_origin.rs
@@ -0,0 +1,115 @@
+//! The entry hosts that hold the origin of a stream, so that a caller can take it up at any host,
+//! also after the first one was lost.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::future::select_ok;
+use linnet_streams::{StreamKey, StreamOrigin};
+use linnet_wire::MessageVersion;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::StageClient;
+use crate::piece_message::PieceRequest;
+use crate::rendezvous;
+
+/// Number of hosts that hold an origin, besides the one that serves the stream.
+const HOLDERS: usize = 3;
+
+/// Number of groups of streams, each with holders of its own. It bounds the hosts to which each host
+/// keeps a connection for this.
+const SHARDS: u8 = 8;
+
+/// Timeout for the reply of a holder.
+const FIND_TIMEOUT: Duration = Duration::from_millis(200);
+
+impl StageClient {
+    /// Sends the origin of a stream to its holders.
+    pub(crate) fn send_stream_origin(
+        &self,
+        stream: StreamKey,
+        origin: &StreamOrigin,
+        lifetime: Duration,
+    ) {
+        for address in self.stream_holders(stream) {
+            let request = PieceRequest::BindStream {
+                stream,
+                origin: origin.clone(),
+                lifetime_ms: lifetime.as_millis() as u64,
+            };
+            self.send_to(address, request, |_| {});
+        }
+    }
+
+    /// Asks the holders of a stream for its origin; returns the first one that is known.
+    pub(crate) async fn request_stream_origin(&self, stream: StreamKey) -> Option<StreamOrigin> {
+        let holders = self.stream_holders(stream).into_iter();
+        let asked = holders.map(|address| Box::pin(self.ask_holder(address, stream)));
+        let asked: Vec<_> = asked.collect();
+        if asked.is_empty() {
+            return None;
+        }
+        let found = select_ok(asked).await;
+        found.ok().map(|(origin, _)| origin)
+    }
+
+    async fn ask_holder(&self, address: SocketAddr, stream: StreamKey) -> Result<StreamOrigin, ()> {
+        let number = self.next_number();
+        let (done, reply) = oneshot::channel();
+        let request = PieceRequest::FindStream { number, stream };
+        self.send_to(address, request, |link| {
+            link.pending_streams.insert(number, done);
+        });
+        let reply = timeout(FIND_TIMEOUT, reply).await;
+        if let Some(link) = self.state.borrow_mut().links.get_mut(&address) {
+            link.pending_streams.remove(&number);
+        }
+        reply.ok().and_then(Result::ok).flatten().ok_or(())
+    }
+
+    pub(super) fn complete_stream(
+        &self,
+        address: SocketAddr,
+        number: u64,
+        origin: Option<StreamOrigin>,
+    ) {
+        let mut state = self.state.borrow_mut();
+        let link = state.links.get_mut(&address);
+        if let Some(waiter) = link.and_then(|link| link.pending_streams.remove(&number)) {
+            // The receiver is gone if another holder was faster.
+            let _ = waiter.send(origin);
+        }
+    }
+
+    /// Returns the other hosts that hold the origin of a stream and can be reached: the best one of
+    /// each hall first, since halls are cut off and lost as a whole.
+    fn stream_holders(&self, stream: StreamKey) -> Vec<SocketAddr> {
+        let label = format!("stream-{}", stream.shard(SHARDS));
+        let mut ranked: Vec<(u64, String, Option<SocketAddr>)> = {
+            let state = self.state.borrow();
+            let others = state.entry_hosts.iter();
+            let others = others.filter(|host| host.name != self.name && !host.stopping);
+            let scored = others.map(|host| {
+                let score = rendezvous::score(&label, &host.name);
+                (score, host.hall.clone(), Some(host.peer))
+            });
+            scored.collect()
+        };
+        let own = rendezvous::score(&label, &self.name);
+        ranked.push((own, self.hall.clone(), None));
+        ranked.sort_by_key(|(score, ..)| Reverse(*score));
+        let mut halls = BTreeSet::new();
+        let (first, rest): (Vec<_>, Vec<_>) = ranked
+            .into_iter()
+            .partition(|(_, hall, _)| halls.insert(hall.clone()));
+        let holders = first.into_iter().chain(rest).take(HOLDERS);
+        let others = holders.filter_map(|(.., address)| address);
+        let is_usable = |address: &SocketAddr| {
+            self.connect_or_check(*address) && self.supports(*address, MessageVersion::V7)
+        };
+        others.filter(is_usable).collect()
+    }
+}
--- a/crates/gateway/src/stage_client/tests.rs
+++ b/crates/gateway/src/stage_client/tests.rs
@@ -131,6 +131,7 @@
         pending_calls: HashMap::new(),
         pending_run_permits: HashMap::new(),
         pending_send_permits: HashMap::new(),
+        pending_streams: HashMap::new(),
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/stream_origins.rs
@@ -0,0 +1,230 @@
+//! Where the streams began that callers take up again, at this host or through another one.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use http::HeaderMap;
+use linnet_clock::BootInstant;
+use linnet_routing::RouteKind;
+use linnet_streams::{OriginTable, StreamKey, StreamOrigin, VersionHistory};
+use linnet_telemetry::EventCode;
+
+use crate::caller_request::CallerRequest;
+use crate::metrics::GatewayMetrics;
+use crate::protocol::HeaderNames;
+use crate::target::{ChosenTarget, TargetStore};
+use crate::{Gateway, Refusal, RefusalReason};
+
+/// Maximum length of the id by which a caller names a stream.
+const MAX_ID_BYTES: usize = 256;
+
+/// How much longer than its request an origin is kept, for a caller whose clock starts later.
+const LIFETIME_SLACK: Duration = Duration::from_secs(2);
+
+/// The origins of streams, and the versions that services have had lately.
+#[derive(Default)]
+pub(crate) struct StreamOrigins {
+    table: RefCell<OriginTable>,
+    versions: RefCell<VersionHistory>,
+}
+
+/// How the caller of a request names the stream that it takes up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StreamName {
+    Named(StreamKey),
+    /// No header names it, or the header is empty.
+    Missing,
+    /// The header occurs twice, is too long or not text.
+    Malformed,
+}
+
+/// Why the origin of a stream is known, or not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub(crate) enum OriginSource {
+    /// This host holds it.
+    #[display("local")]
+    Local,
+    /// Another entry host holds it.
+    #[display("peer")]
+    Peer,
+    /// It is not known, but the service has had one version only.
+    #[display("sole-version")]
+    SoleVersion,
+    /// The caller did not name the stream.
+    #[display("missing-name")]
+    MissingName,
+    /// The caller named the stream in a way that cannot be read.
+    #[display("malformed-name")]
+    MalformedName,
+    /// No host that was reached holds it.
+    #[display("not-found")]
+    NotFound,
+    /// The route no longer leads to its service.
+    #[display("other-service")]
+    OtherService,
+}
+
+impl StreamOrigins {
+    /// Stores the origin of a stream.
+    pub(crate) fn bind(&self, stream: StreamKey, origin: &StreamOrigin, lifetime: Duration) {
+        let now = BootInstant::now();
+        self.table.borrow_mut().bind(stream, origin, lifetime, now);
+    }
+
+    /// Returns the origin of a stream if this host holds it.
+    pub(crate) fn find(&self, stream: StreamKey) -> Option<StreamOrigin> {
+        self.table
+            .borrow()
+            .find(stream, BootInstant::now())
+            .cloned()
+    }
+
+    /// Records which versions are listed.
+    pub(crate) fn record_versions(&self, store: &TargetStore) {
+        let now = BootInstant::now();
+        let mut versions = self.versions.borrow_mut();
+        for (service, version) in store.service_versions() {
+            versions.record_listed(service, version, now);
+        }
+        versions.expire(now);
+    }
+
+    /// Returns the version of a service if it has had no other one lately.
+    fn sole_version(&self, store: &TargetStore, service: &str) -> Option<String> {
+        let now = BootInstant::now();
+        let mut versions = self.versions.borrow_mut();
+        for target in store.of_service(service) {
+            versions.record_listed(service, &target.version, now);
+        }
+        versions.sole_version(service, now).map(str::to_owned)
+    }
+
+    /// Removes streams whose time is over.
+    pub(crate) fn expire(&self, metrics: &GatewayMetrics) {
+        let mut table = self.table.borrow_mut();
+        table.expire(BootInstant::now());
+        metrics.streams_known.set(table.len() as i64);
+    }
+}
+
+/// Returns whether callers may take up the streams of a request.
+fn is_resumable(request: &CallerRequest) -> bool {
+    request.route.kind == RouteKind::Streaming && request.route.is_repeatable()
+}
+
+fn stream_key(request: &CallerRequest, id: &str) -> StreamKey {
+    StreamKey::new(request.account.as_deref().unwrap_or_default(), id)
+}
+
+fn stream_name(request: &CallerRequest, names: &HeaderNames) -> StreamName {
+    let headers: &HeaderMap = &request.headers;
+    let mut values = headers.get_all(&names.resumes).iter();
+    let Some(value) = values.next() else {
+        return StreamName::Missing;
+    };
+    if values.next().is_some() || value.len() > MAX_ID_BYTES {
+        return StreamName::Malformed;
+    }
+    match value.to_str().map(str::trim) {
+        Ok("") => StreamName::Missing,
+        Ok(id) => StreamName::Named(stream_key(request, id)),
+        Err(_) => StreamName::Malformed,
+    }
+}
+
+impl Gateway {
+    /// Records the target that is about to run a request, for callers that take up its stream at any
+    /// host. Before the first event another target may take its place.
+    pub(crate) fn record_stream_origin(
+        &self,
+        request: &CallerRequest,
+        service: &str,
+        chosen: &ChosenTarget,
+    ) {
+        if !is_resumable(request) || request.id.is_empty() {
+            return;
+        }
+        let stream = stream_key(request, &request.id);
+        let origin = StreamOrigin {
+            service: service.to_owned(),
+            version: chosen.version.clone(),
+        };
+        let lifetime = request.time_left() + LIFETIME_SLACK;
+        self.stream_origins.bind(stream, &origin, lifetime);
+        self.stage_client
+            .send_stream_origin(stream, &origin, lifetime);
+    }
+
+    /// Binds a request that takes up a stream to the service and the version that began it. Returns
+    /// the service; `None` for a request that takes up no stream.
+    ///
+    /// # Errors
+    ///
+    /// [`RefusalReason::NoTarget`] if the version is not known and the service has had several.
+    pub(crate) async fn bind_taken_up_stream(
+        &self,
+        request: &CallerRequest,
+    ) -> Result<Option<String>, Refusal> {
+        let names = &self.config.protocol.headers;
+        if !is_resumable(request) || !request.headers.contains_key(&names.last_event) {
+            return Ok(None);
+        }
+        let (source, origin) = self.find_stream_origin(request).await;
+        self.metrics.count_taken_up(source);
+        let version = origin.as_ref().map_or("-", |origin| &origin.version);
+        let detail = format!(
+            "route={} origin={source} version={version}",
+            request.route.name
+        );
+        self.record_request_event(EventCode::StreamTakenUp, &request.id, "", detail);
+        let Some(origin) = origin else {
+            // The same words for all causes: they tell nothing about the streams of others.
+            let detail = "the software version that began the stream is not known";
+            return Err(Refusal::new(RefusalReason::NoTarget, detail));
+        };
+        request.bind_version(&origin.version);
+        Ok(Some(origin.service))
+    }
+
+    async fn find_stream_origin(
+        &self,
+        request: &CallerRequest,
+    ) -> (OriginSource, Option<StreamOrigin>) {
+        let names = &self.config.protocol.headers;
+        let (source, found) = match stream_name(request, names) {
+            StreamName::Missing => (OriginSource::MissingName, None),
+            StreamName::Malformed => (OriginSource::MalformedName, None),
+            StreamName::Named(stream) => match self.stream_origins.find(stream) {
+                Some(origin) => (OriginSource::Local, Some(origin)),
+                None => match self.stage_client.request_stream_origin(stream).await {
+                    Some(origin) => (OriginSource::Peer, Some(origin)),
+                    None => (OriginSource::NotFound, None),
+                },
+            },
+        };
+        let services = || request.route.split.iter().map(|part| &part.service);
+        match found {
+            Some(origin) if services().any(|service| *service == origin.service) => {
+                (source, Some(origin))
+            }
+            Some(_) => (OriginSource::OtherService, None),
+            None => match self.sole_origin(request) {
+                Some(origin) => (OriginSource::SoleVersion, Some(origin)),
+                None => (source, None),
+            },
+        }
+    }
+
+    /// Returns the only service and version to which the route of a request has led lately.
+    fn sole_origin(&self, request: &CallerRequest) -> Option<StreamOrigin> {
+        let [part] = request.route.split.as_slice() else {
+            return None;
+        };
+        let store = self.targets.borrow();
+        let version = self.stream_origins.sole_version(&store, &part.service)?;
+        Some(StreamOrigin {
+            service: part.service.clone(),
+            version,
+        })
+    }
+}
--- a/crates/gateway/src/target/store.rs
+++ b/crates/gateway/src/target/store.rs
@@ -120,6 +120,15 @@
         })
     }
 
+    /// Returns the service and the version of each target.
+    pub(crate) fn service_versions(&self) -> impl Iterator<Item = (&str, &str)> {
+        let services = self.services.iter();
+        services.flat_map(|(service, targets)| {
+            let targets = targets.values();
+            targets.map(move |one| (service.as_str(), one.version.as_str()))
+        })
+    }
+
     /// Returns whether a target has this address.
     pub(crate) fn has_address(&self, address: SocketAddr) -> bool {
         let mut targets = self.services.values().flat_map(BTreeMap::values);
--- a/crates/wire/src/message_version.rs
+++ b/crates/wire/src/message_version.rs
@@ -34,11 +34,14 @@
     /// Adds the return of queued batches by a coordinator; otherwise the same as version 5.
     #[display("6")]
     V6,
+    /// Adds the origins of streams between entry hosts; otherwise the same as version 6.
+    #[display("7")]
+    V7,
 }
 
 impl MessageVersion {
     /// The newest version that this build supports.
-    pub const NEWEST: Self = Self::V6;
+    pub const NEWEST: Self = Self::V7;
 
     /// Returns the number that announces this version in the handshake.
     pub const fn number(self) -> u16 {
@@ -49,6 +52,7 @@
             Self::V4 => 4,
             Self::V5 => 5,
             Self::V6 => 6,
+            Self::V7 => 7,
         }
     }
 
@@ -61,6 +65,7 @@
             3 => Self::V3,
             4 => Self::V4,
             5 => Self::V5,
+            6 => Self::V6,
             _ => Self::NEWEST,
         }
     }
