--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The state that the tasks of one entry host share.
 
 mod account_share_lines;
+mod maintenance;
 mod queue_returns;
 mod send_permits;
 mod target_health;
@@ -227,8 +228,8 @@
         if gateway.config.overload.queue_returns {
             ntex::rt::spawn(queue_returns::run_queue_returns(Rc::downgrade(&gateway)));
         }
-        ntex::rt::spawn(run_maintenance(gateway.clone()));
-        ntex::rt::spawn(run_path_probes(gateway.upstream.clone()));
+        ntex::rt::spawn(maintenance::run_maintenance(gateway.clone()));
+        ntex::rt::spawn(maintenance::run_path_probes(gateway.upstream.clone()));
         ntex::rt::spawn(target_list::run_target_refresh(gateway.clone()));
         gateway
     }
@@ -444,70 +445,5 @@
     }
 }
 
-/// Interval between two runs of the periodic maintenance.
-const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Number of maintenance runs between two records of the listed versions.
-const VERSIONS_RUNS: u32 = 4;
-
-async fn run_maintenance(gateway: Rc<Gateway>) {
-    let mut runs: u32 = 0;
-    loop {
-        tokio::time::sleep(MAINTENANCE_INTERVAL).await;
-        runs = runs.wrapping_add(1);
-        if runs.is_multiple_of(VERSIONS_RUNS) {
-            let targets = gateway.targets.borrow();
-            gateway.stream_origins.record_versions(&targets);
-        }
-        gateway.stream_origins.expire(&gateway.metrics);
-        gateway.upstream.close_expired();
-        gateway.upstream.links().update_metrics();
-        gateway.expire_suspects();
-        gateway.crash_tracker.expire(Instant::now());
-        gateway.expire_notices();
-        gateway.coordinator.dispatch_all();
-        gateway.stage_client.probe_unreachable_halls();
-        // Entry hosts that no control host lists any more stay known as long as this host reaches
-        // them.
-        if gateway.stage_client.keeps_unlisted_hosts() {
-            gateway.refresh_entry_hosts();
-        }
-        gateway.directory.borrow_mut().prune(Instant::now());
-        gateway
-            .metrics
-            .connections_opened
-            .set(gateway.upstream.opened_count() as i64);
-        gateway
-            .metrics
-            .stage_targets_examined
-            .set(gateway.coordinator.examined_targets() as i64);
-        gateway
-            .metrics
-            .requests_open
-            .set(gateway.open_requests.get() as i64);
-        gateway
-            .metrics
-            .config_version
-            .set(gateway.config_version() as i64);
-        let is_granted = gateway.retry_budget.is_slack_granted();
-        gateway
-            .metrics
-            .retry_slack_granted
-            .set(i64::from(is_granted));
-        let hosts = gateway.entry_host_count() as i64;
-        gateway.metrics.hosts_known.set(hosts);
-    }
-}
-
-/// Interval at which due direct attempts to lost targets are looked for.
-const PATH_PROBE_INTERVAL: Duration = Duration::from_millis(100);
-
-async fn run_path_probes(pool: UpstreamPool) {
-    loop {
-        tokio::time::sleep(PATH_PROBE_INTERVAL).await;
-        pool.probe_lost_targets().await;
-    }
-}
-
 #[cfg(test)]
 pub(crate) mod tests;
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -10,7 +10,6 @@
 use linnet_telemetry::EventCode;
 
 use crate::caller_request::CallerRequest;
-use crate::metrics::GatewayMetrics;
 use crate::protocol::HeaderNames;
 use crate::target::{ChosenTarget, TargetStore};
 use crate::{Gateway, Refusal, RefusalReason};
@@ -100,10 +99,13 @@
     }
 
     /// Removes streams whose time is over.
-    pub(crate) fn expire(&self, metrics: &GatewayMetrics) {
-        let mut table = self.table.borrow_mut();
-        table.expire(BootInstant::now());
-        metrics.streams_known.set(table.len() as i64);
+    pub(crate) fn expire(&self) {
+        self.table.borrow_mut().expire(BootInstant::now());
+    }
+
+    /// Returns the number of streams whose origin this host holds.
+    pub(crate) fn len(&self) -> usize {
+        self.table.borrow().len()
     }
 }
 
--- a/crates/gateway/src/version_split/tests.rs
+++ b/crates/gateway/src/version_split/tests.rs
@@ -1,6 +1,8 @@
 use linnet_rollout::{RolloutCause, RolloutCommand, RolloutOrder};
 
 use super::*;
+use crate::target::TargetStore;
+use crate::target::tests::{SERVICE, record};
 
 fn rollouts(permille: u16) -> RolloutStore {
     let mut rollouts = RolloutStore::default();
@@ -77,3 +79,23 @@
     let all = CallSplit::new(split(1_000, true));
     assert!(all.allows("v2") && !all.allows("v1"));
 }
+
+/// Streams of the former version found no target once a roll-out sent all new requests elsewhere.
+#[test]
+fn targets_of_a_bound_version_are_usable_whatever_share_a_rollout_gives_it() {
+    let records = ["v1", "v2"].map(|version| linnet_directory::TargetRecord {
+        version: version.to_owned(),
+        ..record(version, 1_000)
+    });
+    let now = std::time::Instant::now();
+    for permille in [0, 500, 1_000] {
+        let mut store = TargetStore::default();
+        store.replace(&records, now);
+        store.set_splits(HashMap::from([(SERVICE.to_owned(), split(permille, true))]));
+        for version in ["v1", "v2"] {
+            let usable = store.usable_by(SERVICE, Some(&version.to_owned()), now);
+            let ids: Vec<&str> = usable.iter().map(|one| one.id.as_str()).collect();
+            assert_eq!(ids, [version], "{permille}");
+        }
+    }
+}
