Gateway: log the parts of prompts, and count interrupted requests

Neither the accusation of a request nor the line that ends one named the parts of its prompt, so the log could not tell a part that crashes targets from an account, a route or a target that fails by itself.

The types and the parser of prompts move to a module of their own.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, OnceCell};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -14,8 +15,8 @@
 
 use crate::allowed_halls::AllowedHalls;
 use crate::open_request::OpenRequestGuard;
+use crate::prompt::{Prompt, parse_prompt};
 use crate::protocol::HeaderNames;
-use crate::rendezvous::ScoreKey;
 use crate::request_sends::RequestSends;
 use crate::target::Target;
 use crate::{Refusal, RefusalReason};
@@ -39,7 +40,7 @@
     pub(crate) arrived_at: Instant,
     /// When it times out, by the caller's deadline or the route's timeout.
     pub(crate) deadline: Instant,
-    pub(crate) prompt: Option<Prompt>,
+    pub(crate) prompt: Option<Rc<Prompt>>,
     pub(crate) piece_counts: Vec<u32>,
     pub(crate) piece_key: String,
     /// Counts the request as in flight until its response has ended.
@@ -81,50 +82,6 @@
     }
 }
 
-/// Sizes and cacheable parts of a prompt.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Prompt {
-    pub(crate) input_tokens: u64,
-    pub(crate) max_output_tokens: u64,
-    /// The parts that other requests share, in the order in which they stand in the prompt.
-    pub(crate) shared_parts: Vec<PromptPart>,
-}
-
-/// A part of a prompt that engines cache for later prompts.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PromptPart {
-    /// The identifier of the part.
-    pub id: String,
-    /// The number of its tokens.
-    pub tokens: u64,
-}
-
-impl Prompt {
-    /// Returns the key that sends prompts with the same last shared part to the same engines.
-    /// Prompts without shared parts are distributed by their size.
-    pub(crate) fn affinity_key(&self) -> ScoreKey {
-        match self.last_shared_id() {
-            "" => ScoreKey::new(&self.input_tokens.to_string()),
-            shared_parts => ScoreKey::new(shared_parts),
-        }
-    }
-
-    /// Returns the id of the last shared part; empty if there is none.
-    pub(crate) fn last_shared_id(&self) -> &str {
-        self.shared_parts.last().map_or("", |part| &part.id)
-    }
-
-    /// Returns the number of tokens in all shared parts.
-    pub(crate) fn shared_tokens(&self) -> u64 {
-        self.shared_parts.iter().map(|part| part.tokens).sum()
-    }
-
-    /// Returns the number of tokens that no other request shares.
-    pub(crate) fn unshared_tokens(&self) -> u64 {
-        self.input_tokens.saturating_sub(self.shared_tokens())
-    }
-}
-
 impl CallerRequest {
     /// Returns the subject that identifies the request when it is sent again, to this or another
     /// entry host.
@@ -188,7 +145,7 @@
         .unwrap_or_default()
         .to_owned();
     let deadline = parse_deadline(&head.headers, names, route)?;
-    let prompt = parse_prompt(&head.headers, names)?;
+    let prompt = parse_prompt(&head.headers, names)?.map(Rc::new);
     let piece_counts = parse_piece_counts(&head.headers, names, route)?;
     let piece_key = header_text(&head.headers, &names.piece_key)
         .unwrap_or_default()
@@ -228,7 +185,7 @@
     })
 }
 
-fn header_text<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> Option<&'a str> {
+pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
 
@@ -255,7 +212,7 @@
     }
 }
 
-fn malformed_header(header: &http::HeaderName, expected: &str) -> Refusal {
+pub(crate) fn malformed_header(header: &http::HeaderName, expected: &str) -> Refusal {
     let detail = format!("{header}: expected {expected}");
     Refusal::new(RefusalReason::BadRequest, detail)
 }
@@ -286,38 +243,6 @@
     Ok(Duration::from_millis(route_timeout_ms.min(requested_ms)))
 }
 
-fn parse_prompt(headers: &HeaderMap, names: &HeaderNames) -> Result<Option<Prompt>, Refusal> {
-    let Some(tokens) = header_text(headers, &names.tokens) else {
-        return Ok(None);
-    };
-    let expected = || malformed_header(&names.tokens, "IN,OUT");
-    let (input_tokens, max_output_tokens) = tokens.split_once(',').ok_or_else(expected)?;
-    let input_tokens = input_tokens.trim().parse().map_err(|_| expected())?;
-    let max_output_tokens = max_output_tokens.trim().parse().map_err(|_| expected())?;
-    let parts = header_text(headers, &names.prompt_parts).unwrap_or_default();
-    let parts = parts
-        .split(',')
-        .filter(|part| !part.trim().is_empty())
-        .map(|part| {
-            let (id, tokens) = part.trim().split_once(':')?;
-            Some(PromptPart {
-                id: id.to_owned(),
-                tokens: tokens.parse().ok()?,
-            })
-        })
-        .collect::<Option<Vec<_>>>()
-        .ok_or_else(|| malformed_header(&names.prompt_parts, "ID:TOKENS,..."))?;
-    // The last part belongs to this request alone.
-    let shared_parts = parts
-        .split_last()
-        .map_or(&[][..], |(_, shared_parts)| shared_parts);
-    Ok(Some(Prompt {
-        input_tokens,
-        max_output_tokens,
-        shared_parts: shared_parts.to_vec(),
-    }))
-}
-
 fn parse_piece_counts(
     headers: &HeaderMap,
     names: &HeaderNames,
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -10,9 +10,9 @@
 use linnet_clock::BootInstant;
 use linnet_rate::RatePacer;
 
-use crate::caller_request::PromptPart;
 use crate::cold::{ColdRate, SendWindow};
 use crate::pool_key::placement_pool_key;
+use crate::prompt::PromptPart;
 use crate::rendezvous::ScoreKey;
 use crate::target::{ChosenTarget, Target, TargetStore};
 
--- a/crates/gateway/src/engine/placement_request.rs
+++ b/crates/gateway/src/engine/placement_request.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::caller_request::Prompt;
 use crate::hall_bytes::HallBytes;
+use crate::prompt::Prompt;
 
 /// A request to the host that places prompts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gateway/src/engine/tests.rs
+++ b/crates/gateway/src/engine/tests.rs
@@ -1,8 +1,8 @@
 use linnet_directory::{TargetRecord, TargetState};
 
 use super::*;
-use crate::caller_request::Prompt;
 use crate::hall_bytes::HallBytes;
+use crate::prompt::Prompt;
 
 mod cold_hall;
 mod placing_cost;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,6 +15,7 @@
 use crate::engine::PlacementFacts;
 use crate::graph::RequestResults;
 use crate::message_heads::{build_response, refusal_response};
+use crate::prompt::describe_parts;
 use crate::relay::{StreamRelay, relay_stream};
 use crate::retry_budget::RetryCause;
 use crate::run_permit::{RunPermit, acquire_run_permit};
@@ -175,7 +176,8 @@
         return String::new();
     };
     format!(
-        " tokens={} shared={} held={} ahead={} read_ms={}",
+        " parts={} tokens={} shared={} held={} ahead={} read_ms={}",
+        describe_parts(Some(prompt)),
         prompt.input_tokens,
         prompt.shared_tokens(),
         facts.cached_tokens,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod piece;
 mod piece_message;
 mod pool_key;
+mod prompt;
 mod protocol;
 mod rate_tracker;
 mod relay;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -120,6 +120,7 @@
     pub(crate) halls_evacuated: Gauge,
     pub(crate) rollouts_open: Gauge,
     pub(crate) targets_ended: Counter,
+    pub(crate) requests_interrupted: Counter,
     pub(crate) targets_backed_off: Gauge,
     pub(crate) targets_leaving: Gauge,
     pub(crate) sendings_withheld: Gauge,
@@ -170,6 +171,7 @@
             halls_evacuated: Gauge::default(),
             rollouts_open: Gauge::default(),
             targets_ended: Counter::default(),
+            requests_interrupted: Counter::default(),
             targets_backed_off: Gauge::default(),
             targets_leaving: Gauge::default(),
             sendings_withheld: Gauge::default(),
@@ -197,6 +199,11 @@
             "Targets that crashed while requests of this host ran on them",
             metrics.targets_ended.clone(),
         );
+        registry.register(
+            "requests_interrupted",
+            "Requests of this host that were in flight at targets when these crashed",
+            metrics.requests_interrupted.clone(),
+        );
         registry.register(
             "targets_backed_off",
             "Targets that are backed off for this host",
--- a/crates/gateway/src/pool_key.rs
+++ b/crates/gateway/src/pool_key.rs
@@ -9,7 +9,7 @@
 use linnet_directory::TargetRecord;
 use serde::{Deserialize, Serialize};
 
-use crate::caller_request::Prompt;
+use crate::prompt::Prompt;
 use crate::rendezvous;
 
 /// Maximum number of targets in a pool with a single coordinator; larger pools are partitioned.
--- a/crates/gateway/src/pool_key/tests.rs
+++ b/crates/gateway/src/pool_key/tests.rs
@@ -1,7 +1,7 @@
 use linnet_directory::TargetState;
 
 use super::*;
-use crate::caller_request::PromptPart;
+use crate::prompt::PromptPart;
 
 /// Returns targets of one service, with the given number in each hall.
 fn records(halls: &[usize]) -> Vec<TargetRecord> {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,6 +19,7 @@
 use crate::graph::RequestResults;
 use crate::message_heads::build_response;
 use crate::metrics::BodyEnd;
+use crate::prompt::describe_parts;
 use crate::retry_budget::RetryCause;
 use crate::rollouts::ResponseQuality;
 use crate::run_permit::{RunPermit, acquire_run_permit};
@@ -102,8 +103,10 @@
 
     fn record(&self, code: EventCode, outcome: &str) {
         let detail = format!(
-            "route={} chunks={} last_event={} took_ms={} {outcome}",
+            "route={} account={} parts={} chunks={} last_event={} took_ms={} {outcome}",
             self.request.route.name,
+            self.request.account.as_deref().unwrap_or("-"),
+            describe_parts(self.request.prompt.as_deref()),
             self.chunks,
             self.last_event.as_deref().unwrap_or("-"),
             self.request.arrived_at.elapsed().as_millis()
--- a/crates/gateway/src/target_crash.rs
+++ b/crates/gateway/src/target_crash.rs
@@ -19,6 +19,7 @@
 use crate::Gateway;
 use crate::caller_request::CallerRequest;
 use crate::coordinator::DueCall;
+use crate::prompt::{Prompt, describe_parts};
 use crate::suspects::describe_subject;
 use crate::target::{ChosenTarget, TargetStore};
 use crate::upstream::ProbeOutcome;
@@ -43,6 +44,7 @@
     /// The request ID of this sending, for the log.
     id: String,
     subject: RequestSubject,
+    prompt: Option<Rc<Prompt>>,
     ran: Duration,
 }
 
@@ -51,6 +53,7 @@
         Self {
             id: request.id.clone(),
             subject: request.subject().clone(),
+            prompt: request.prompt.clone(),
             ran: sent.elapsed(),
         }
     }
@@ -295,12 +298,14 @@
         interrupted: &[InterruptedRequest],
     ) {
         for one in interrupted {
+            self.metrics.requests_interrupted.inc();
             if self.suspects.record_crash(&one.subject, crash) {
                 let record = self.suspects.record(one.subject.key);
                 let ends = record.map_or(0, |record| record.crashes.len());
                 let detail = format!(
-                    "{} ran_ms={} ends={ends}",
+                    "{} parts={} ran_ms={} ends={ends}",
                     describe_subject(&one.subject),
+                    describe_parts(one.prompt.as_deref()),
                     one.ran.as_millis()
                 );
                 let code = EventCode::RequestAccused;
@@ -320,6 +325,7 @@
                 interrupted.push(InterruptedRequest {
                     id: piece.work.request.clone(),
                     subject: RequestSubject::unnamed(piece.request_key),
+                    prompt: None,
                     ran: call.started.elapsed(),
                 });
             }
--- a/crates/gateway/src/target_selection.rs
+++ b/crates/gateway/src/target_selection.rs
@@ -8,6 +8,7 @@
 use crate::coordinator::LARGE_RESULT_BYTES;
 use crate::engine::PlacementRequest;
 use crate::graph::RequestResults;
+use crate::prompt::Prompt;
 use crate::service_availability::{
     has_unlimited_target, next_availability, rates_used_up, wait_until_available,
 };
@@ -174,7 +175,7 @@
         .chain(unreachable.map(|target| &target.id));
     Some(PlacementRequest {
         service: service.to_owned(),
-        prompt: prompt.clone(),
+        prompt: Prompt::clone(prompt),
         large_result_stage: large_stage.map(|stage| stage.service.clone()),
         results: result_bytes.unwrap_or_default(),
         tried: avoid.take(MAX_AVOIDED_TARGETS).cloned().collect(),
