--- a/crates/ctl/src/held.rs
+++ b/crates/ctl/src/held.rs
@@ -1,8 +1,8 @@
-//! Lists and releases requests that are held because they crash their targets.
+//! Lists and releases requests, and parts of prompts, that are held because they crash their targets.
 
 use std::net::SocketAddr;
 
-use linnet_quarantine::{HELD_PATH, HeldLine};
+use linnet_quarantine::{HELD_PARTS_PATH, HELD_PATH, HeldLine, PartLine};
 use ntex::http::Method;
 use ntex::util::Bytes;
 
@@ -43,14 +43,40 @@
             line.path
         );
     }
+    list_held_parts(client, host).await
+}
+
+async fn list_held_parts(client: &OpsClient, host: SocketAddr) -> Result<(), CtlError> {
+    let lines: Vec<PartLine> = client.get(host, HELD_PARTS_PATH).await?;
+    for line in &lines {
+        let state = if line.held { "held" } else { "suspect" };
+        println!(
+            "{} {state} part={} service={} account={} crashes={} origins={} runs={} trials={} age_s={}",
+            line.key,
+            line.part,
+            line.service,
+            line.account.as_deref().unwrap_or("*"),
+            line.crashes,
+            line.origins,
+            line.runs,
+            line.trials,
+            line.age_ms / 1_000
+        );
+    }
     Ok(())
 }
 
 async fn release_held(client: &OpsClient, host: SocketAddr, key: &str) -> Result<(), CtlError> {
-    let path = format!("{HELD_PATH}/{key}");
-    client
-        .execute(host, Method::DELETE, &path, Bytes::new())
-        .await?;
+    let release = async |path| {
+        let path = format!("{path}/{key}");
+        client
+            .execute(host, Method::DELETE, &path, Bytes::new())
+            .await
+    };
+    // The key does not tell whether it is one of a request or of a part.
+    if release(HELD_PATH).await.is_err() {
+        release(HELD_PARTS_PATH).await?;
+    }
     println!("released; all hosts accept it again");
     Ok(())
 }
--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -105,9 +105,9 @@
 /// Commands on held requests.
 #[derive(Debug, Clone, Subcommand)]
 pub(crate) enum HeldCommand {
-    /// List held and suspect requests, by key
+    /// List held and suspect requests and parts of prompts, by key
     List,
-    /// Let a request run again
+    /// Let a request, or requests with a part, run again
     Release {
         /// Its key
         key: String,
--- a/crates/directory/src/change_reports.rs
+++ b/crates/directory/src/change_reports.rs
@@ -1,6 +1,6 @@
 //! Reports to control hosts of records that changed in a process.
 
-use linnet_quarantine::SuspectRecord;
+use linnet_quarantine::{PartRecord, SuspectRecord};
 use linnet_rate::RateObservation;
 use tokio::sync::watch;
 
@@ -28,6 +28,9 @@
 /// The suspected requests that a process knows of.
 pub type SuspectSource = ChangeSource<SuspectRecord>;
 
+/// The suspected parts of prompts that a process knows of.
+pub type PartSource = ChangeSource<PartRecord>;
+
 /// The rate limits that targets announced to a process.
 pub type RateLimitSource = ChangeSource<RateObservation>;
 
--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use linnet_quarantine::PartRecord;
 use linnet_rate::RateObservation;
 use linnet_rollout::PhaseCounts;
 use linnet_telemetry::{EventCode, EventRecorder};
@@ -21,7 +22,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
-use crate::change_reports::{RateLimitSource, SuspectSource};
+use crate::change_reports::{PartSource, RateLimitSource, SuspectSource};
 use crate::document_follower::{DocumentFollower, DocumentSink};
 use crate::message::UpdateTail;
 use crate::message_v1::DirectoryUpdateV1;
@@ -65,6 +66,9 @@
     /// Suspected requests that this process knows of, if it sends requests to targets; reported to
     /// every control host.
     pub suspects: Option<SuspectSource>,
+    /// Suspected parts of prompts that this process knows of, if it sends requests to targets;
+    /// reported to every control host.
+    pub parts: Option<PartSource>,
     /// Rate limits that targets announced to this process, if it sends requests to them; reported
     /// to every control host.
     pub rate_limits: Option<RateLimitSource>,
@@ -378,11 +382,11 @@
     reader: &mut PeerReader,
 ) -> Result<DirectoryUpdate, WireError> {
     let known = reader.message_version();
-    let (update, tail, rate_limits) = reader
-        .receive_with_tails::<DirectoryUpdate, DirectoryUpdateV1, UpdateTail, Vec<RateObservation>>(
+    let (update, tail, rate_limits, parts) = reader
+        .receive_with_tails::<DirectoryUpdate, DirectoryUpdateV1, UpdateTail, Vec<RateObservation>, Vec<PartRecord>>(
         )
         .await?;
-    let update = update.with_tails(tail, rate_limits);
+    let update = update.with_tails(tail, rate_limits, parts);
     if let (None, Some(message_version)) = (known, reader.message_version()) {
         let detail = format!("peer={} form={message_version}", reader.peer());
         record(&state.config, EventCode::PeerEarlier, address, detail);
--- a/crates/directory/src/follow/report.rs
+++ b/crates/directory/src/follow/report.rs
@@ -13,7 +13,9 @@
 use crate::document_follower::DocumentFollower;
 use crate::fetch::FetchProgress;
 use crate::message::ReportTail;
-use crate::serve::{MAX_RATE_LIMITS_PER_MESSAGE, MAX_SUSPECTS_PER_MESSAGE, UPDATE_INTERVAL};
+use crate::serve::{
+    MAX_PARTS_PER_MESSAGE, MAX_RATE_LIMITS_PER_MESSAGE, MAX_SUSPECTS_PER_MESSAGE, UPDATE_INTERVAL,
+};
 use crate::{EntryHostRecord, SubscriberReport};
 
 /// Time between two reports during a roll-out. It bounds how long a bad version keeps its share of
@@ -31,6 +33,7 @@
     let mut requests = documents.map(DocumentFollower::changes);
     let mut list_sources = state.list_sources.subscribe();
     let mut suspects = ChangeReports::new(state.config.suspects.as_ref(), MAX_SUSPECTS_PER_MESSAGE);
+    let mut parts = ChangeReports::new(state.config.parts.as_ref(), MAX_PARTS_PER_MESSAGE);
     let mut rate_limits = ChangeReports::new(
         state.config.rate_limits.as_ref(),
         MAX_RATE_LIMITS_PER_MESSAGE,
@@ -50,10 +53,12 @@
             wants_lists: list_sources.borrow_and_update().contains(&address),
             suspects: suspects.next(),
             rate_limits: rate_limits.next(),
+            parts: parts.next(),
         };
         send_report(&mut writer, &report).await?;
         if report.suspects.len() == MAX_SUSPECTS_PER_MESSAGE
             || report.rate_limits.len() == MAX_RATE_LIMITS_PER_MESSAGE
+            || report.parts.len() == MAX_PARTS_PER_MESSAGE
         {
             continue;
         }
@@ -64,24 +69,32 @@
             () = list_sources_changed(&mut list_sources, report.wants_lists, address) => {}
             () = suspects.changed() => {}
             () = rate_limits.changed() => {}
+            () = parts.changed() => {}
             () = sleep(report_interval(&report)) => {}
         }
     }
 }
 
-/// Sends a report, followed by counts for roll-outs and rate limits if there are any.
+/// Sends a report, followed by counts for roll-outs, rate limits and suspected parts if there are
+/// any.
 async fn send_report(writer: &mut PeerWriter, report: &SubscriberReport) -> Result<(), WireError> {
-    if report.phase_counts.is_empty() && report.rate_limits.is_empty() {
+    let has_counts = !report.phase_counts.is_empty();
+    let (has_rates, has_parts) = (!report.rate_limits.is_empty(), !report.parts.is_empty());
+    if !has_counts && !has_rates && !has_parts {
         return writer.send(report).await;
     }
     let tail = ReportTail {
         incarnation: report.incarnation,
         phase_counts: report.phase_counts.clone(),
     };
-    if report.rate_limits.is_empty() {
-        return writer.send(&(report, tail)).await;
+    if has_parts {
+        let tails = (tail, &report.rate_limits, &report.parts);
+        return writer.send(&(report, tails)).await;
     }
-    writer.send(&(report, tail, &report.rate_limits)).await
+    if has_rates {
+        return writer.send(&(report, tail, &report.rate_limits)).await;
+    }
+    writer.send(&(report, tail)).await
 }
 
 fn report_interval(last: &SubscriberReport) -> Duration {
--- a/crates/directory/src/held_requests.rs
+++ b/crates/directory/src/held_requests.rs
@@ -1,68 +1,84 @@
-//! Held requests in the replicated log, so that they are still refused after the complete fleet
-//! lost power.
+//! Held requests and parts of prompts in the replicated log, so that they are still refused after
+//! the complete fleet lost power.
 //!
-//! Processes also send held requests to each other directly, which is faster and needs no quorum.
-//! In addition, the leading control host writes the held requests that it knows to the log.
+//! Processes also send them to each other directly, which is faster and needs no quorum. In
+//! addition, the leading control host writes those that it knows to the log.
 
-use std::collections::BTreeMap;
-
-use linnet_quarantine::{RequestKey, SuspectRecord};
+use linnet_quarantine::{PartKey, PartRecord, RequestKey, SuspectRecord};
 use serde::{Deserialize, Serialize};
 
-/// Maximum number of requests stored on disk. A record takes some 300 bytes, so a snapshot grows by
-/// 150 KB at most.
-const MAX_HELD_REQUESTS: usize = 512;
+use crate::held_records::{HeldRecords, RecordKind};
+
+const REQUESTS: RecordKind<RequestKey, SuspectRecord> = RecordKind {
+    key: |record| record.subject.key,
+    crashes: |record| record.crashes.len(),
+    merge: SuspectRecord::merge,
+};
+
+const PARTS: RecordKind<PartKey, PartRecord> = RecordKind {
+    key: |record| record.subject.key,
+    crashes: |record| record.crashes.len(),
+    merge: PartRecord::merge,
+};
 
-/// Records of held requests, by request. Each replica applies the same commands and so has the same
-/// records.
+/// Records of held requests.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct HeldRequests {
-    records: BTreeMap<RequestKey, SuspectRecord>,
-}
+pub(crate) struct HeldRequests(HeldRecords<RequestKey, SuspectRecord>);
 
 impl HeldRequests {
     pub(crate) fn records(&self) -> Vec<SuspectRecord> {
-        self.records.values().cloned().collect()
+        self.0.records()
     }
 
-    /// Applies a committed command. A request whose record lists no target crashes any more is
-    /// removed.
+    /// Applies a committed command.
     pub(crate) fn apply(&mut self, records: &[SuspectRecord]) {
-        for record in records {
-            let key = record.subject.key;
-            let known = self.records.entry(key).or_insert_with(|| record.clone());
-            known.merge(record);
-            if known.crashes.is_empty() {
-                self.records.remove(&key);
-            }
-        }
-        while self.records.len() > MAX_HELD_REQUESTS {
-            // Removes the request with the fewest target crashes first. The order is the same on
-            // every replica.
-            let weakest = self.records.iter();
-            let weakest = weakest.min_by_key(|(key, one)| (one.crashes.len(), **key));
-            let Some(key) = weakest.map(|(key, _)| *key) else {
-                return;
-            };
-            self.records.remove(&key);
-        }
+        self.0.apply(&REQUESTS, records);
     }
 
     /// Returns the records of held requests that the log lacks, if it has room for more, and the
     /// records that it has in another state.
     pub(crate) fn missing(&self, known: Vec<SuspectRecord>) -> Vec<SuspectRecord> {
-        let is_missing = |record: &SuspectRecord| match self.records.get(&record.subject.key) {
-            Some(kept) => kept.clone().merge(record),
-            None => record.held && self.records.len() < MAX_HELD_REQUESTS,
-        };
-        let missing = known.into_iter().filter(is_missing);
+        let missing = self.0.missing(&REQUESTS, known, |record| record.held);
         // The age depends on the time of reading, so the log does not store it.
-        missing
-            .map(|record| SuspectRecord {
-                age_ms: 0,
-                ..record
-            })
-            .collect()
+        let without_age = |record| SuspectRecord {
+            age_ms: 0,
+            ..record
+        };
+        missing.into_iter().map(without_age).collect()
+    }
+}
+
+/// Records of held parts of prompts.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct HeldParts(HeldRecords<PartKey, PartRecord>);
+
+impl HeldParts {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub(crate) fn records(&self) -> Vec<PartRecord> {
+        self.0.records()
+    }
+
+    /// Applies a committed command.
+    pub(crate) fn apply(&mut self, records: &[PartRecord]) {
+        self.0.apply(&PARTS, records);
+    }
+
+    /// Returns the records of held parts that the log lacks, if it has room for more, and the records
+    /// that it has in another state.
+    pub(crate) fn missing(
+        &self,
+        known: Vec<PartRecord>,
+        is_held: impl Fn(&PartRecord) -> bool,
+    ) -> Vec<PartRecord> {
+        let missing = self.0.missing(&PARTS, known, is_held);
+        let without_age = |record| PartRecord {
+            age_ms: 0,
+            ..record
+        };
+        missing.into_iter().map(without_age).collect()
     }
 }
 
--- a/crates/directory/src/held_requests/tests.rs
+++ b/crates/directory/src/held_requests/tests.rs
@@ -1,6 +1,7 @@
 use linnet_quarantine::{CrashKey, RequestSubject};
 
 use super::*;
+use crate::held_records::MAX_HELD_RECORDS;
 
 fn record(path: &str, round: u32, ends: u64) -> SuspectRecord {
     let subject = RequestSubject::new("a", "GET", ["h", path], b"");
@@ -44,6 +45,6 @@
     let (mut first, mut second) = (HeldRequests::default(), HeldRequests::default());
     first.apply(&records);
     records.chunks(10).for_each(|some| second.apply(some));
-    assert_eq!(first.records().len(), MAX_HELD_REQUESTS);
-    assert_eq!(second.records().len(), MAX_HELD_REQUESTS);
+    assert_eq!(first.records().len(), MAX_HELD_RECORDS);
+    assert_eq!(second.records().len(), MAX_HELD_RECORDS);
 }
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -25,6 +25,7 @@
 mod fetch;
 mod follow;
 mod form;
+mod held_records;
 mod held_requests;
 mod history;
 mod machine;
@@ -38,7 +39,7 @@
 mod view;
 
 pub use call::CallError;
-pub use change_reports::{ChangeQuery, ChangeSource, RateLimitSource, SuspectSource};
+pub use change_reports::{ChangeQuery, ChangeSource, PartSource, RateLimitSource, SuspectSource};
 pub use document::{ContentHash, Document, DocumentKey, StoredDocument};
 pub use document_follower::DocumentSink;
 pub use evacuation::{EvacuationOrder, EvacuationOutcome, EvacuationStore, HallEvacuation};
--- a/crates/directory/src/machine.rs
+++ b/crates/directory/src/machine.rs
@@ -4,14 +4,14 @@
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use linnet_quarantine::SuspectRecord;
+use linnet_quarantine::{PartRecord, SuspectRecord};
 use linnet_quorum::StateMachineHooks;
 use linnet_rollout::{RolloutCommand, RolloutOutcome, RolloutStore};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use crate::held_requests::HeldRequests;
+use crate::held_requests::{HeldParts, HeldRequests};
 use crate::history::DocumentHistory;
 use crate::{
     Document, DocumentKey, DocumentPayload, EvacuationOrder, EvacuationOutcome, EvacuationStore,
@@ -49,6 +49,8 @@
     Hold(Vec<SuspectRecord>),
     /// Begins, advances, ends or reads a roll-out.
     Rollout(RolloutCommand),
+    /// Stores records of held parts of prompts.
+    HoldParts(Vec<PartRecord>),
 }
 
 /// The reply to a [`DocumentCommand`].
@@ -60,7 +62,7 @@
     Document(Option<Document>),
     /// The reply to `Evacuate`.
     Evacuation(EvacuationOutcome),
-    /// The reply to `Hold`.
+    /// The reply to `Hold` and `HoldParts`.
     Done,
     /// The reply to `Rollout`.
     Rollout(RolloutOutcome),
@@ -72,6 +74,7 @@
     history: Arc<Mutex<DocumentHistory>>,
     evacuations: Arc<Mutex<Arc<EvacuationStore>>>,
     held_requests: Arc<Mutex<HeldRequests>>,
+    held_parts: Arc<Mutex<HeldParts>>,
     rollouts: Arc<Mutex<Arc<RolloutStore>>>,
     held_requests_changed: Arc<watch::Sender<u64>>,
     changed: Arc<watch::Sender<u64>>,
@@ -138,6 +141,10 @@
                 self.store_held(&records);
                 DocumentReply::Done
             }
+            Ok(DocumentCommand::HoldParts(records)) => {
+                self.store_held_parts(&records);
+                DocumentReply::Done
+            }
             Ok(DocumentCommand::Rollout(command)) => {
                 DocumentReply::Rollout(self.apply_rollout(&command))
             }
@@ -189,7 +196,21 @@
         self.lock_held().missing(known)
     }
 
-    /// Returns a receiver that wakes when the held requests have changed.
+    /// Returns the held parts that the log stores.
+    pub(crate) fn held_parts(&self) -> Vec<PartRecord> {
+        self.lock_held_parts().records()
+    }
+
+    /// Returns the part records that the log lacks or has in another state.
+    pub(crate) fn parts_missing_from_log(
+        &self,
+        known: Vec<PartRecord>,
+        is_held: impl Fn(&PartRecord) -> bool,
+    ) -> Vec<PartRecord> {
+        self.lock_held_parts().missing(known, is_held)
+    }
+
+    /// Returns a receiver that wakes when the held requests or parts have changed.
     pub(crate) fn held_request_changes(&self) -> watch::Receiver<u64> {
         self.held_requests_changed.subscribe()
     }
@@ -199,6 +220,11 @@
         self.held_requests_changed.send_modify(|count| *count += 1);
     }
 
+    fn store_held_parts(&self, records: &[PartRecord]) {
+        self.lock_held_parts().apply(records);
+        self.held_requests_changed.send_modify(|count| *count += 1);
+    }
+
     fn snapshot(&self) -> Vec<u8> {
         let current = self
             .current_document()
@@ -206,13 +232,20 @@
         let evacuations = self.evacuations();
         let requests = self.lock_held();
         let rollouts = self.rollouts();
-        postcard::to_stdvec(&(current, &*evacuations, &*requests, &*rollouts)).unwrap_or_default()
+        let parts = self.lock_held_parts();
+        let state = (current, &*evacuations, &*requests, &*rollouts);
+        // Without held parts, earlier builds find the snapshot that they write themselves.
+        let bytes = match parts.is_empty() {
+            true => postcard::to_stdvec(&state),
+            false => postcard::to_stdvec(&(state, &*parts)),
+        };
+        bytes.unwrap_or_default()
     }
 
     fn restore(&self, bytes: &[u8]) {
         // The snapshot passed its checksum, so if it cannot be decoded, a newer program wrote it.
         // Continuing with an empty state would lose committed data.
-        let (document, evacuations, requests, rollouts) = match read_snapshot(bytes) {
+        let (document, evacuations, requests, rollouts, parts) = match read_snapshot(bytes) {
             Ok(state) => state,
             Err(error) => {
                 log::error!(target: "linnetdale", "cannot decode the snapshot, exiting: {error}");
@@ -222,6 +255,7 @@
         *self.lock_evacuations() = Arc::new(evacuations);
         *self.lock_rollouts() = Arc::new(rollouts);
         *self.lock_held() = requests;
+        *self.lock_held_parts() = parts;
         self.held_requests_changed.send_modify(|count| *count += 1);
         let version = document.as_ref().map_or(0, |document| document.version);
         if let Some(document) = document {
@@ -240,6 +274,12 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lock_held_parts(&self) -> MutexGuard<'_, HeldParts> {
+        self.held_parts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_rollouts(&self) -> MutexGuard<'_, Arc<RolloutStore>> {
         self.rollouts.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -256,6 +296,7 @@
     EvacuationStore,
     HeldRequests,
     RolloutStore,
+    HeldParts,
 );
 
 /// Decodes a snapshot. One that an older program wrote ends after the document, or after one of the
@@ -264,8 +305,9 @@
     let (document, rest) = postcard::take_from_bytes(bytes)?;
     let (evacuations, rest) = read_part(rest)?;
     let (requests, rest) = read_part(rest)?;
-    let (rollouts, _) = read_part(rest)?;
-    Ok((document, evacuations, requests, rollouts))
+    let (rollouts, rest) = read_part(rest)?;
+    let (parts, _) = read_part(rest)?;
+    Ok((document, evacuations, requests, rollouts, parts))
 }
 
 fn read_part<T: Default + DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8]), postcard::Error> {
--- a/crates/directory/src/machine/tests.rs
+++ b/crates/directory/src/machine/tests.rs
@@ -60,7 +60,7 @@
 /// read them.
 #[test]
 fn log_and_snapshot_encoding_is_unchanged() {
-    use crate::message::tests::{hex, report};
+    use crate::message::tests::{hex, part_record, report};
     let document = Document {
         version: 300,
         body: vec![1, 2, 3],
@@ -97,6 +97,13 @@
     let rollouts = rollouts.into_iter().map(DocumentCommand::Rollout);
     let rollouts = rollouts.map(|one| format!("command {}", hex(&one)));
     let snapshot = machine.snapshot();
+    let hold_parts = DocumentCommand::HoldParts(vec![part_record()]);
+    machine.apply(&postcard::to_stdvec(&hold_parts).unwrap());
+    let with_parts = machine.snapshot();
+    assert!(with_parts.starts_with(&snapshot));
+    let restored = DocumentMachine::new();
+    restored.restore(&with_parts);
+    assert_eq!(restored.held_parts(), vec![part_record()]);
     // Without a roll-out, the last part of a snapshot is an empty list.
     let (last, shipped) = shipped.split_last().unwrap();
     assert_eq!(*last, 0);
@@ -104,6 +111,7 @@
     let commands = commands.iter().map(|one| format!("command {}", hex(one)));
     let replies = replies.iter().map(|one| format!("answer {}", hex(one)));
     let text = |bytes: &[u8]| bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+    let with_parts: String = text(&with_parts);
     let (shipped, snapshot): (String, String) = (text(shipped), text(&snapshot));
     let lines: Vec<String> = commands
         .chain(replies)
@@ -111,6 +119,8 @@
         .chain(rollouts)
         .chain(outcomes)
         .chain([format!("snapshot {snapshot}")])
+        .chain([format!("command {}", hex(&hold_parts))])
+        .chain([format!("snapshot {with_parts}")])
         .collect();
     insta::assert_snapshot!(lines.join("\n"));
 }
--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use linnet_quarantine::SuspectRecord;
+use linnet_quarantine::{PartRecord, SuspectRecord};
 use linnet_quorum::{Member, Members, NodeId};
 use linnet_rate::RateObservation;
 use linnet_rollout::{PhaseCounts, ReporterCounts, RolloutStore};
@@ -97,6 +97,10 @@
     /// [`ReportTail`].
     #[serde(skip)]
     pub rate_limits: Vec<RateObservation>,
+    /// Suspected parts of prompts whose records changed, up to a maximum per message. Sent after the
+    /// rate limits.
+    #[serde(skip)]
+    pub parts: Vec<PartRecord>,
 }
 
 /// A subscriber's request for a configuration.
@@ -173,6 +177,10 @@
     /// [`UpdateTail`].
     #[serde(skip)]
     pub rate_limits: Vec<RateObservation>,
+    /// Suspected parts of prompts whose records changed, up to a maximum per message. Sent after the
+    /// rate limits.
+    #[serde(skip)]
+    pub parts: Vec<PartRecord>,
 }
 
 /// The bytes that follow an update since message version 3.
@@ -222,8 +230,10 @@
         mut self,
         tail: UpdateTail,
         rate_limits: Vec<RateObservation>,
+        parts: Vec<PartRecord>,
     ) -> Self {
         self.rate_limits = rate_limits;
+        self.parts = parts;
         for (target, version) in self.targets.iter_mut().zip(tail.versions) {
             target.version = version;
         }
--- a/crates/directory/src/message/tests.rs
+++ b/crates/directory/src/message/tests.rs
@@ -1,7 +1,9 @@
 //! The encoding of each message as it was shipped. It must never change: a new message version gets
 //! lines of its own.
 
-use linnet_quarantine::{CrashKey, RequestSubject};
+use std::collections::BTreeSet;
+
+use linnet_quarantine::{CrashKey, OriginTag, PartScope, PartSubject, RequestSubject, RunTag};
 
 use super::*;
 use crate::{ContentHash, EvacuationOrder};
@@ -65,6 +67,20 @@
     record
 }
 
+pub(crate) fn part_record() -> PartRecord {
+    let scope = PartScope::Account("acme");
+    let mut record = PartRecord::new(PartSubject::new("engine", scope, "5c1e07a2"));
+    let origin = OriginTag::of_account("acme");
+    let crash = CrashKey::new("i-7f3a91c2", 7);
+    record.crashes.insert(crash, BTreeSet::from([origin]));
+    record.runs.insert(RunTag::new(300));
+    record.round = 2;
+    record.was_held = true;
+    (record.trials, record.passed_trials) = (2, 1);
+    record.age_ms = 1_200;
+    record
+}
+
 /// An update with all fields of message version 2 set.
 pub(crate) fn update() -> DirectoryUpdate {
     let mut evacuations = EvacuationStore::default();
@@ -98,6 +114,7 @@
         local_entry_hosts: None,
         leaderless: false,
         rate_limits: Vec::new(),
+        parts: Vec::new(),
     }
 }
 
@@ -120,6 +137,7 @@
         incarnation: 0,
         phase_counts: Vec::new(),
         rate_limits: Vec::new(),
+        parts: Vec::new(),
     }
 }
 
@@ -181,7 +199,7 @@
     let encoded = postcard::to_stdvec(&(&full, &tail)).unwrap();
     let (read, rest): (DirectoryUpdate, _) = postcard::take_from_bytes(&encoded).unwrap();
     assert_eq!(hex(&read), hex(&update()));
-    let read = read.with_tails(postcard::from_bytes(rest).unwrap(), Vec::new());
+    let read = read.with_tails(postcard::from_bytes(rest).unwrap(), Vec::new(), Vec::new());
     assert_eq!(read.tail(), full.tail());
     assert_eq!(DirectoryUpdate::default().tail(), None);
     let report = ReportTail {
@@ -198,8 +216,16 @@
         format!("update tail {}", hex(&tail)),
         format!("report tail {}", hex(&report)),
         format!("rates behind either {}", hex(&rate_limits)),
+        format!("parts behind the rates {}", hex(&vec![part_record()])),
     ];
     insta::assert_snapshot!(lines.join("\n"));
+    // Builds of message version 7 skip the bytes after the second tail.
+    let parts = vec![part_record()];
+    let encoded = postcard::to_stdvec(&(&full, (&tail, &rate_limits, &parts))).unwrap();
+    let (_, rest): (DirectoryUpdate, _) = postcard::take_from_bytes(&encoded).unwrap();
+    let (_, rest): (UpdateTail, _) = postcard::take_from_bytes(rest).unwrap();
+    let (read, _): (Vec<RateObservation>, _) = postcard::take_from_bytes(rest).unwrap();
+    assert_eq!(read, rate_limits);
     // Builds of message version 3 skip the bytes after the first tail.
     let encoded = postcard::to_stdvec(&(&full, &tail, &rate_limits)).unwrap();
     let (_, rest): (DirectoryUpdate, _) = postcard::take_from_bytes(&encoded).unwrap();
--- a/crates/directory/src/message_v1.rs
+++ b/crates/directory/src/message_v1.rs
@@ -128,6 +128,7 @@
             local_entry_hosts: None,
             leaderless: false,
             rate_limits: Vec::new(),
+            parts: Vec::new(),
         }
     }
 }
@@ -179,6 +180,7 @@
             incarnation: 0,
             phase_counts: Vec::new(),
             rate_limits: Vec::new(),
+            parts: Vec::new(),
         }
     }
 }
--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -1,6 +1,7 @@
 //! The directory of a control host.
 
 mod commands;
+mod parts;
 mod rate_limits;
 mod rollouts;
 mod state;
@@ -167,6 +168,7 @@
         ntex::rt::spawn(tasks::announce_documents(node.clone()));
         ntex::rt::spawn(tasks::announce_state(node.clone()));
         ntex::rt::spawn(suspects::load_held_requests(node.clone()));
+        ntex::rt::spawn(parts::load_held_parts(node.clone()));
         ntex::rt::spawn(suspects::persist_held_requests(node.clone()));
         ntex::rt::spawn(rollouts::advance_rollouts(node.clone()));
         node
@@ -399,6 +401,7 @@
             self.record_change(&id, &detail, change);
         }
         self.merge_suspects(&update.suspects);
+        self.merge_parts(&update.parts);
         self.merge_rate_limits(&update.rate_limits);
         self.lock()
             .evidence
--- a/crates/directory/src/node/commands.rs
+++ b/crates/directory/src/node/commands.rs
@@ -6,6 +6,7 @@
 
 use linnet_quorum::ProposeError;
 use linnet_telemetry::EventCode;
+use linnet_wire::MessageVersion;
 use tokio::time::{sleep, timeout};
 
 use super::{DirectoryError, DirectoryNode};
@@ -146,14 +147,27 @@
         }
         let known = self.lock().suspects.all_records(Instant::now());
         let missing = self.shared.machine.missing_from_log(known);
-        if missing.is_empty() {
+        if !missing.is_empty() {
+            let detail = format!("requests={}", missing.len());
+            self.persist(&DocumentCommand::Hold(missing), &detail).await;
+        }
+        // A control host of an earlier build would skip the command.
+        if !self.lock().all_controls_support(MessageVersion::V8) {
             return;
         }
-        let count = missing.len();
-        // If the commit failed, the next check retries it, unless the command was committed
-        // nevertheless.
-        if let Err(error) = self.commit(&DocumentCommand::Hold(missing)).await {
-            let detail = format!("requests={count} cause={error}");
+        let missing = self.parts_missing_from_log();
+        if !missing.is_empty() {
+            let detail = format!("parts={}", missing.len());
+            self.persist(&DocumentCommand::HoldParts(missing), &detail)
+                .await;
+        }
+    }
+
+    /// Commits what is held. If that failed, the next check retries it, unless the command was
+    /// committed nevertheless.
+    async fn persist(&self, command: &DocumentCommand, content: &str) {
+        if let Err(error) = self.commit(command).await {
+            let detail = format!("{content} cause={error}");
             self.record(EventCode::HoldFailed, &detail);
         }
     }
@@ -168,6 +182,7 @@
             DocumentCommand::Put(_)
             | DocumentCommand::Evacuate(_)
             | DocumentCommand::Hold(_)
+            | DocumentCommand::HoldParts(_)
             | DocumentCommand::Rollout(_) => 0,
             DocumentCommand::Read => self
                 .current_document()
--- a/crates/directory/src/node/rollouts.rs
+++ b/crates/directory/src/node/rollouts.rs
@@ -9,6 +9,7 @@
     RolloutRecord, RolloutState, RolloutStep, RolloutTotals, next_step,
 };
 use linnet_telemetry::EventCode;
+use linnet_wire::MessageVersion;
 use tokio::time::sleep;
 
 use super::{DirectoryError, DirectoryNode};
@@ -85,7 +86,7 @@
         if !(self.shared.parser.services)(current.body()).contains(&order.service) {
             return Err(DirectoryError::UnknownService(order.service));
         }
-        if !self.lock().all_controls_support_rollouts() {
+        if !self.lock().all_controls_support(MessageVersion::V3) {
             return Err(DirectoryError::OutdatedControlHost);
         }
         let slots = self.lock().registry.slots_by_version(&order.service);
@@ -112,7 +113,7 @@
         &self,
         service: &str,
     ) -> Result<Option<RolloutRecord>, DirectoryError> {
-        if !self.lock().all_controls_support_rollouts() {
+        if !self.lock().all_controls_support(MessageVersion::V3) {
             return Err(DirectoryError::OutdatedControlHost);
         }
         let service = service.to_owned();
--- a/crates/directory/src/node/state.rs
+++ b/crates/directory/src/node/state.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use linnet_quarantine::SuspectStore;
+use linnet_quarantine::{PartStore, SuspectStore};
 use linnet_rate::RateStore;
 use linnet_rollout::{EvidenceStore, ExposureLimit};
 use linnet_wire::MessageVersion;
@@ -34,6 +34,8 @@
     pub(crate) registry: Registry,
     /// Requests suspected of crashing targets.
     pub(crate) suspects: SuspectStore,
+    /// Parts of prompts suspected of crashing targets.
+    pub(crate) parts: PartStore,
     pub(crate) liveness_probes: LivenessProbes,
     /// Rate limits that targets announced to entry hosts.
     pub(crate) rate_limits: RateStore,
--- a/crates/directory/src/node/suspects.rs
+++ b/crates/directory/src/node/suspects.rs
@@ -41,7 +41,8 @@
     fn retract_refuted_crashes(&mut self) -> Vec<RequestKey> {
         let targets = self.registry.records();
         let ends = targets.map(|one| (CrashKey::new(&one.id, one.born), one.sequence));
-        let known = self.suspects.known_crashes();
+        let mut known = self.suspects.known_crashes();
+        known.extend(self.parts.known_crashes());
         let reported: Vec<(CrashKey, u64)> = ends.filter(|(end, _)| known.contains(end)).collect();
         let probes = &mut self.liveness_probes;
         probes.sequences.retain(|end, _| known.contains(end));
@@ -49,6 +50,7 @@
         for (end, sequence) in reported {
             if probes.proves_running(end, sequence) {
                 cleared.extend(self.suspects.retract_crash(end));
+                self.parts.retract_crash(end);
             }
         }
         cleared
@@ -62,10 +64,10 @@
         subscribers.any(|one| one.is_control && one.message_version == Some(MessageVersion::V1))
     }
 
-    /// Returns whether all connected control hosts support roll-outs.
-    pub(super) fn all_controls_support_rollouts(&self) -> bool {
+    /// Returns whether all connected control hosts support a message version.
+    pub(super) fn all_controls_support(&self, version: MessageVersion) -> bool {
         let mut controls = self.subscribers.values().filter(|one| one.is_control);
-        controls.all(|one| one.message_version >= Some(MessageVersion::V3))
+        controls.all(|one| one.message_version >= Some(version))
     }
 }
 
@@ -129,14 +131,17 @@
     /// old records.
     pub(crate) fn update_suspects(&self, now: Instant) {
         let mut state = self.lock();
-        if state.suspects.is_empty() {
+        if state.suspects.is_empty() && state.parts.is_empty() {
             return;
         }
-        let before = state.suspects.revision();
+        let revisions = |state: &NodeState| (state.suspects.revision(), state.parts.revision());
+        let before = revisions(&state);
         state.suspects.decide_due(now);
+        state.parts.decide_due(now);
         let cleared = state.retract_refuted_crashes();
         state.suspects.expire(now);
-        let changed = state.suspects.revision() != before;
+        state.parts.expire(now);
+        let changed = revisions(&state) != before;
         drop(state);
         for key in cleared {
             let detail = format!("key={key} cause=target still running");
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use linnet_clock::BootInstant;
+use linnet_quarantine::PartRecord;
 use linnet_rate::RateObservation;
 use linnet_rollout::RolloutStore;
 use linnet_wire::{MessageVersion, PeerReader, PeerWriter, WireError};
@@ -49,6 +50,9 @@
 /// Maximum number of records of suspected requests in one message: some 20 KB.
 pub(crate) const MAX_SUSPECTS_PER_MESSAGE: usize = 64;
 
+/// Maximum number of records of suspected parts of prompts in one message: some 10 KB.
+pub(crate) const MAX_PARTS_PER_MESSAGE: usize = 32;
+
 /// Maximum number of rate limits of targets in one message: some 8 KB.
 pub(crate) const MAX_RATE_LIMITS_PER_MESSAGE: usize = 256;
 
@@ -75,6 +79,8 @@
     heartbeats_sent: Option<Instant>,
     /// Number of the last change of suspected requests that was sent.
     suspects_sent: u64,
+    /// Number of the last change of suspected parts that was sent.
+    parts_sent: u64,
     /// Number of the last change of a target's rate limit that was sent.
     rate_limits_sent: u64,
 }
@@ -160,6 +166,7 @@
     loop {
         let report = receive_report(node, subscriber_id, &version_sender, &mut reader).await?;
         node.merge_suspects(&report.suspects);
+        node.merge_parts(&report.parts);
         node.merge_rate_limits(&report.rate_limits);
         node.record_counts(&report);
         let mut state = node.lock();
@@ -197,10 +204,11 @@
     reader: &mut PeerReader,
 ) -> Result<SubscriberReport, WireError> {
     let known = reader.message_version();
-    let (mut report, tail, rate_limits) = reader
-        .receive_with_tails::<SubscriberReport, SubscriberReportV1, ReportTail, Vec<RateObservation>>()
+    let (mut report, tail, rate_limits, parts) = reader
+        .receive_with_tails::<SubscriberReport, SubscriberReportV1, ReportTail, Vec<RateObservation>, Vec<PartRecord>>()
         .await?;
     report.rate_limits = rate_limits;
+    report.parts = parts;
     report.incarnation = tail.incarnation;
     report.phase_counts = tail.phase_counts;
     if let (None, Some(message_version)) = (known, reader.message_version()) {
@@ -243,6 +251,7 @@
         control_addresses: Vec::new(),
         heartbeats_sent: None,
         suspects_sent: 0,
+        parts_sent: 0,
         rate_limits_sent: 0,
     };
     let mut last_sent: Option<Instant> = None;
@@ -257,7 +266,8 @@
         let is_partial = update.part.is_some()
             || update.targets.len() == MAX_TARGETS_PER_UPDATE
             || update.suspects.len() == MAX_SUSPECTS_PER_MESSAGE
-            || update.rate_limits.len() == MAX_RATE_LIMITS_PER_MESSAGE;
+            || update.rate_limits.len() == MAX_RATE_LIMITS_PER_MESSAGE
+            || update.parts.len() == MAX_PARTS_PER_MESSAGE;
         if is_partial {
             // Other changes of the meantime go out with the next part.
             continue;
@@ -288,6 +298,10 @@
         return writer.send(&DirectoryUpdateV1::from(update.clone())).await;
     }
     match update.tail() {
+        tail if !update.parts.is_empty() => {
+            let tails = (tail.unwrap_or_default(), &update.rate_limits, &update.parts);
+            writer.send(&(update, tails)).await
+        }
         tail if !update.rate_limits.is_empty() => {
             let tails = (tail.unwrap_or_default(), &update.rate_limits);
             writer.send(&(update, tails)).await
@@ -320,6 +334,7 @@
         && update.heartbeats.is_empty()
         && update.suspects.is_empty()
         && update.rate_limits.is_empty()
+        && update.parts.is_empty()
 }
 
 fn next_update(node: &DirectoryNode, pushed: &mut Pushed) -> DirectoryUpdate {
@@ -351,6 +366,16 @@
     };
     pushed.suspects_sent = suspects.revision;
     update.suspects = suspects.records;
+    let parts = match pushed.is_control {
+        true => state
+            .parts
+            .changed_after(pushed.parts_sent, MAX_PARTS_PER_MESSAGE, now),
+        false => state
+            .parts
+            .shared_after(pushed.parts_sent, MAX_PARTS_PER_MESSAGE, now),
+    };
+    pushed.parts_sent = parts.revision;
+    update.parts = parts.records;
     let rate_limits = state.rate_limits.changed_after(
         pushed.rate_limits_sent,
         MAX_RATE_LIMITS_PER_MESSAGE,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -254,6 +254,7 @@
             if let Some(placement) = &attempt.placement {
                 placement.report_unreachable(attempt.service, &chosen.id);
             }
+            gateway.probe_after_refusal((attempt.service, chosen)).await;
             return AttemptOutcome::NotRun {
                 cause,
                 inputs_gone: false,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -18,7 +18,7 @@
 use crate::prompt::describe_parts;
 use crate::relay::{StreamRelay, relay_stream};
 use crate::retry_budget::RetryCause;
-use crate::run_permit::{RunPermit, acquire_run_permit};
+use crate::run_permit::{RunPermits, acquire_run_permits};
 use crate::service_availability::retry_after;
 use crate::stage_client::Placement;
 use crate::target_selection::{
@@ -195,8 +195,8 @@
     let service = taken_up.unwrap_or_else(|| pick_service(&request.route).to_owned());
     let budget = &gateway.retry_budget;
     budget.record_request(&service);
-    let mut run_permit = None;
-    acquire_run_permit(gateway, request, &mut run_permit).await?;
+    let mut run_permits = RunPermits::default();
+    acquire_run_permits(gateway, &service, request, &mut run_permits).await?;
     wait_for_first_targets(gateway, &service, request).await;
     if !has_allowed_targets(gateway, &service, request) {
         return Err(no_target_refusal());
@@ -207,21 +207,25 @@
     loop {
         if results.is_none() && !request.route.stages.is_empty() {
             let started = Instant::now();
-            results = Some(run_stages_with_rerun(gateway, &service, request, trace).await?);
+            let running = run_stages_with_rerun(gateway, &service, request, trace);
+            let is_trial = run_permits.is_part_trial();
+            let outcome = unless_held(gateway, &service, request, is_trial, running).await;
+            results = Some(outcome.map_err(|refusal| adjust_refusal(trace, refusal))?);
             trace.stages_time = Some(started.elapsed());
         }
         // The status of the request may have changed because of its own last run, or at another
         // entry host while its stages ran.
-        if let Err(refusal) = acquire_run_permit(gateway, request, &mut run_permit).await {
-            return Err(adjust_refusal(trace, refusal));
-        }
+        let acquired = acquire_run_permits(gateway, &service, request, &mut run_permits).await;
+        acquired.map_err(|refusal| adjust_refusal(trace, refusal))?;
         // Selects the target only now, since targets may have been withdrawn while the stages ran.
         let excluded = ExcludedTargets {
             tried: &tried,
             rate_limited: withheld >= MAX_RATE_LIMITED_TRIES,
         };
-        let next =
-            select_or_await_target(gateway, &service, request, excluded, results.as_ref()).await;
+        let selecting =
+            select_or_await_target(gateway, &service, request, excluded, results.as_ref());
+        let is_trial = run_permits.is_part_trial();
+        let next = unless_held(gateway, &service, request, is_trial, selecting).await;
         let (chosen, placement) = next.map_err(|refusal| adjust_refusal(trace, refusal))?;
         gateway.record_stream_origin(request, &service, &chosen);
         trace.target.clone_from(&chosen.id);
@@ -242,10 +246,7 @@
             outcome,
             AttemptOutcome::Withheld | AttemptOutcome::OverBudget
         ) {
-            run_permit
-                .as_mut()
-                .into_iter()
-                .for_each(RunPermit::mark_sent);
+            run_permits.mark_sent();
             // A target that is backed off is not excluded: it may be used again after the back-off.
             if !gateway.notices.is_backed_off(&chosen.id) {
                 tried.push(chosen.id.clone());
@@ -276,7 +277,7 @@
             AttemptOutcome::Streaming(stream) => {
                 let relay =
                     StreamRelay::new(gateway, request, service, chosen, results, trace.attempts)
-                        .with_run_permit(run_permit);
+                        .with_run_permits(run_permits);
                 return Ok(relay_stream(relay, stream));
             }
             AttemptOutcome::Complete(response) => {
@@ -289,7 +290,7 @@
                 // A server error does not prove that the request ran to its end: a target that
                 // fails a share of its requests responds so without having run them.
                 if !status.is_server_error() && is_confirmed {
-                    gateway.record_complete_run(request, &chosen.id);
+                    gateway.record_complete_run(&service, request, &chosen);
                 }
                 let retries = status.is_server_error()
                     && may_retry
@@ -317,7 +318,10 @@
             }
             AttemptOutcome::MayHaveRun { cause, .. } => {
                 gateway.record_target_failure(&service, &chosen.id, &cause);
-                if !may_retry || !budget.allow_retry(request, &service, RetryCause::Failure) {
+                if !may_retry
+                    || gateway.may_crash_again(&service, request)
+                    || !budget.allow_retry(request, &service, RetryCause::Failure)
+                {
                     return Err(Refusal::new(RefusalReason::TargetFailed, cause));
                 }
                 cause
@@ -332,6 +336,24 @@
     }
 }
 
+/// Waits for a step of a request before it is sent, unless a part of its prompt becomes held.
+async fn unless_held<T>(
+    gateway: &Gateway,
+    service: &str,
+    request: &CallerRequest,
+    is_trial: bool,
+    step: impl Future<Output = Result<T, Refusal>>,
+) -> Result<T, Refusal> {
+    if is_trial || request.prompt.is_none() {
+        return step.await;
+    }
+    tokio::select! {
+        biased;
+        outcome = step => outcome,
+        refusal = gateway.refuse_when_held(service, request) => Err(refusal),
+    }
+}
+
 /// Adjusts a refusal to the attempts so far: it must not promise that the request has not run if it
 /// may have.
 fn adjust_refusal(trace: &RequestTrace, refusal: Refusal) -> Refusal {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,7 @@
 use crate::notice_store::NoticeStore;
 use crate::open_request::OpenRequestCount;
 use crate::overload::{OverloadControl, OverloadPolicy, report_account_use};
+use crate::part_suspects::PartTracker;
 use crate::retry_budget::RetryBudget;
 use crate::rollouts::RolloutTracker;
 use crate::send_permit_issuer::SendPermitIssuer;
@@ -113,6 +114,7 @@
     pub(crate) stage_client: StageClient,
     pub(crate) coordinator: Rc<Coordinator>,
     pub(crate) suspects: SuspectTracker,
+    pub(crate) parts: PartTracker,
     pub(crate) crash_tracker: CrashTracker,
     pub(crate) rollouts: RolloutTracker,
     /// Back-offs, leave notices and rate limits that targets sent to this host.
@@ -188,6 +190,7 @@
             coordinator,
             upstream: pool,
             suspects: SuspectTracker::default(),
+            parts: PartTracker::default(),
             crash_tracker: CrashTracker::default(),
             rollouts: RolloutTracker::default(),
             notices,
@@ -312,6 +315,7 @@
     /// Applies an update of the directory.
     pub fn apply_update(&self, from: SocketAddr, update: DirectoryUpdate) {
         self.merge_suspects(&update.suspects);
+        self.merge_parts(&update.parts);
         self.notices.rates.apply_published(&update.rate_limits);
         let targets_updated = !update.targets.is_empty();
         let evacuated = update.evacuations.is_some();
--- a/crates/gateway/src/gateway/maintenance.rs
+++ b/crates/gateway/src/gateway/maintenance.rs
@@ -47,11 +47,14 @@
 
 impl Gateway {
     /// Removes state whose time is over.
-    fn expire_state(&self) {
+    fn expire_state(self: &Rc<Self>) {
         let now = Instant::now();
         self.stream_origins.expire();
+        // Before closed connections are removed.
+        self.check_answered_targets();
         self.upstream.close_expired();
         self.expire_suspects();
+        self.expire_parts();
         self.crash_tracker.expire(now);
         self.expire_notices();
         self.directory.borrow_mut().prune(now);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -130,6 +130,8 @@
     pub(crate) rates_unreadable: Gauge,
     pub(crate) requests_suspected: Gauge,
     pub(crate) requests_held: Gauge,
+    pub(crate) parts_held: Gauge,
+    pub(crate) parts_suspected: Gauge,
     pub(crate) forecast_error: Histogram,
     pub(crate) refusals: Family<RefusalLabels, Counter>,
     pub(crate) retry_after: Histogram,
@@ -181,6 +183,8 @@
             rates_unreadable: Gauge::default(),
             requests_suspected: Gauge::default(),
             requests_held: Gauge::default(),
+            parts_held: Gauge::default(),
+            parts_suspected: Gauge::default(),
             forecast_error: times(),
             refusals: Family::default(),
             retry_after: times(),
@@ -249,6 +253,16 @@
             "Requests that are refused since targets ended under them",
             metrics.requests_held.clone(),
         );
+        registry.register(
+            "parts_held",
+            "Parts of prompts that are refused since targets crashed under requests with them",
+            metrics.parts_held.clone(),
+        );
+        registry.register(
+            "parts_suspected",
+            "Parts of prompts of requests that were in flight at a crash",
+            metrics.parts_suspected.clone(),
+        );
         registry.register(
             "rollouts_open",
             "Services with a roll-out in progress, as reported to this host",
--- /dev/null
+++ b/crates/gateway/src/part_suspects.rs
@@ -0,0 +1,371 @@
+//! The parts of prompts that may crash targets, as far as this host knows them.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use linnet_directory::PartSource;
+use linnet_quarantine::{
+    CrashKey, OriginTag, PartCrash, PartKey, PartRecord, PartScope, PartStatus, PartStore,
+    PartSubject, RequestKey, RunTag,
+};
+use linnet_telemetry::EventCode;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::caller_request::CallerRequest;
+use crate::completed_runs::{CompletedRun, CompletedRuns};
+use crate::prompt::Prompt;
+use crate::target::ChosenTarget;
+use crate::{Gateway, Refusal, RefusalReason};
+
+/// Number of parts of one prompt that are considered: the first ones, which many prompts share, and
+/// the last ones. The bound keeps the work for one request small.
+const FIRST_PARTS: usize = 16;
+const LAST_PARTS: usize = 48;
+
+/// Number of earlier completed runs that this host reports of a part with a new record.
+const REPORTED_RUNS: usize = 4;
+
+/// Interval at which a waiting request looks for decisions that became due.
+const DECISION_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Tracks the parts of prompts that may crash targets.
+#[derive(Default)]
+pub(crate) struct PartTracker {
+    store: RefCell<PartStore>,
+    changes: watch::Sender<u64>,
+    completed: RefCell<CompletedRuns>,
+}
+
+impl PartTracker {
+    /// Returns the status of a request of a service.
+    pub(crate) fn status(&self, service: &str, request: &CallerRequest) -> PartStatus {
+        let Some(prompt) = &request.prompt else {
+            return PartStatus::Clear;
+        };
+        if self.store.borrow().is_empty() {
+            return PartStatus::Clear;
+        }
+        let keys = part_keys(service, account_of(request), prompt);
+        let now = Instant::now();
+        let mut store = self.store.borrow_mut();
+        store.decide_due(now);
+        store.status(&keys, now)
+    }
+
+    /// Returns the record of a part, if there is one.
+    pub(crate) fn record(&self, key: PartKey) -> Option<PartRecord> {
+        self.store.borrow().record(key, Instant::now())
+    }
+
+    /// Returns whether a part has a record.
+    pub(crate) fn contains(&self, key: PartKey) -> bool {
+        self.store.borrow().contains(key)
+    }
+
+    /// Returns whether a request with a held part may run now as a trial.
+    pub(crate) fn is_trial_due(&self, key: PartKey) -> bool {
+        let now = Instant::now();
+        let mut store = self.store.borrow_mut();
+        store.decide_due(now);
+        store.is_trial_due(key, now)
+    }
+
+    /// Records that a request with a held part runs as a trial.
+    pub(crate) fn record_trial(&self, key: PartKey) {
+        self.store.borrow_mut().record_trial(key, Instant::now());
+        self.notify_changes();
+    }
+
+    /// Records that a request with a held part was refused.
+    pub(crate) fn record_refusal(&self, key: PartKey) {
+        self.store.borrow_mut().record_refusal(key, Instant::now());
+        self.notify_changes();
+    }
+
+    /// Returns how many parts are held, and how many have crashes recorded.
+    pub(crate) fn counts(&self) -> (usize, usize) {
+        self.store.borrow().counts()
+    }
+
+    /// Records the crash of a target where a request was in flight, against all parts of its prompt.
+    fn add_crash(
+        &self,
+        crash: CrashKey,
+        (request, service, account): (RequestKey, &str, &str),
+        prompt: &Prompt,
+    ) {
+        let now = Instant::now();
+        let part_crash = PartCrash {
+            crash,
+            request: OriginTag::of_request(request),
+            account: OriginTag::of_account(account),
+        };
+        let mut store = self.store.borrow_mut();
+        for subject in part_subjects(service, account, prompt) {
+            let is_new = !store.contains(subject.key);
+            store.add_crash(&subject, part_crash, now);
+            if is_new {
+                self.report_runs(&mut store, subject.key);
+            }
+        }
+    }
+
+    /// Adds the last completed runs with a part that is new to this host.
+    fn report_runs(&self, store: &mut PartStore, key: PartKey) {
+        let completed = self.completed.borrow();
+        let with_part = completed.settled().filter(|run| has_part(run, key));
+        with_part.take(REPORTED_RUNS).for_each(|run| {
+            store.add_run(key, run.tag);
+        });
+    }
+
+    /// Merges records of another process.
+    fn merge(&self, records: &[PartRecord]) {
+        let now = Instant::now();
+        let mut store = self.store.borrow_mut();
+        for record in records {
+            let key = record.subject.key;
+            let is_new = !store.contains(key);
+            store.merge(record, now);
+            if is_new {
+                self.report_runs(&mut store, key);
+            }
+        }
+        drop(store);
+        self.notify_changes();
+    }
+
+    /// Counts the runs that completed a while ago for the parts of their prompts.
+    fn settle_runs(&self, now: Instant) {
+        let mut completed = self.completed.borrow_mut();
+        let settled = completed.settle(now);
+        let mut store = self.store.borrow_mut();
+        if store.is_empty() {
+            return;
+        }
+        for run in completed.settled().take(settled) {
+            for key in part_keys(&run.service, &run.account, &run.prompt) {
+                store.add_run(key, run.tag);
+            }
+        }
+    }
+
+    fn notify_changes(&self) {
+        let revision = self.store.borrow().revision();
+        self.changes
+            .send_if_modified(|published| std::mem::replace(published, revision) != revision);
+    }
+}
+
+/// Returns the account of a request; empty if its route requires none.
+fn account_of(request: &CallerRequest) -> &str {
+    request.account.as_deref().unwrap_or_default()
+}
+
+/// Returns the identifiers of the parts of a prompt that are considered.
+fn considered_ids(prompt: &Prompt) -> impl Iterator<Item = &str> {
+    let parts = &prompt.shared_parts;
+    let last = parts.len().saturating_sub(LAST_PARTS).max(FIRST_PARTS);
+    let first = &parts[..parts.len().min(FIRST_PARTS)];
+    let last = parts.get(last..).unwrap_or_default();
+    first.iter().chain(last).map(|part| part.id.as_str())
+}
+
+fn scopes(account: &str) -> [PartScope<'_>; 2] {
+    [PartScope::Account(account), PartScope::AllAccounts]
+}
+
+fn part_subjects(service: &str, account: &str, prompt: &Prompt) -> Vec<PartSubject> {
+    let ids = considered_ids(prompt);
+    let subjects =
+        ids.flat_map(|id| scopes(account).map(|scope| PartSubject::new(service, scope, id)));
+    subjects.collect()
+}
+
+fn part_keys(service: &str, account: &str, prompt: &Prompt) -> Vec<PartKey> {
+    let ids = considered_ids(prompt);
+    let keys = ids.flat_map(|id| scopes(account).map(|scope| PartKey::new(service, scope, id)));
+    keys.collect()
+}
+
+fn has_part(run: &CompletedRun, key: PartKey) -> bool {
+    part_keys(&run.service, &run.account, &run.prompt).contains(&key)
+}
+
+impl Gateway {
+    /// Returns the part records of this host, as a source for the control hosts.
+    pub fn part_source(self: &Rc<Self>) -> PartSource {
+        let gateway = self.clone();
+        PartSource {
+            changes: self.parts.changes.subscribe(),
+            changed_after: Box::new(move |query| {
+                let store = gateway.parts.store.borrow();
+                let changed = store.changed_after(query.after, query.limit, Instant::now());
+                (changed.records, changed.revision)
+            }),
+        }
+    }
+
+    /// Records that a target crashed while requests with prompts were in flight there, or right after
+    /// they completed.
+    pub(crate) fn accuse_parts<'a>(
+        &self,
+        service: &str,
+        chosen: &ChosenTarget,
+        crash: CrashKey,
+        interrupted: impl Iterator<Item = (RequestKey, &'a str, &'a Prompt)>,
+    ) {
+        for (request, account, prompt) in interrupted {
+            self.parts
+                .add_crash(crash, (request, service, account), prompt);
+        }
+        let mut completed = self.parts.completed.borrow_mut();
+        let ended = completed.take_unsettled(&chosen.id, chosen.born);
+        drop(completed);
+        for run in ended {
+            // The key of the request is a hash of its body, which is not computed for every run.
+            let request = RequestKey::new("", "", [&run.id, ""], b"");
+            let origin = (request, run.service.as_str(), run.account.as_str());
+            self.parts.add_crash(crash, origin, &run.prompt);
+            let detail = format!(
+                "parts={} ended_ms={}",
+                run.prompt.describe_parts(),
+                run.ended_at.elapsed().as_millis()
+            );
+            self.record_request_event(EventCode::PartAccused, &run.id, &chosen.id, detail);
+        }
+        self.parts.notify_changes();
+    }
+
+    /// Records that a target completed a request with a prompt.
+    pub(crate) fn record_part_run(
+        &self,
+        service: &str,
+        request: &CallerRequest,
+        chosen: &ChosenTarget,
+    ) {
+        let Some(prompt) = &request.prompt else {
+            return;
+        };
+        let run = CompletedRun {
+            tag: RunTag::new(fastrand::u64(..)),
+            id: request.id.clone(),
+            service: service.to_owned(),
+            account: account_of(request).to_owned(),
+            prompt: prompt.clone(),
+            chosen: chosen.clone(),
+            ended_at: Instant::now(),
+        };
+        self.parts.completed.borrow_mut().add(run);
+    }
+
+    /// Returns whether a run at a target completed so recently that a crash now would count against
+    /// the parts of its prompt.
+    pub(crate) fn has_unsettled_run(&self, chosen: &ChosenTarget) -> bool {
+        let completed = self.parts.completed.borrow();
+        completed.has_unsettled(&chosen.id, chosen.born)
+    }
+
+    /// Returns the runs that completed so recently, one for each incarnation of a target.
+    pub(crate) fn unsettled_runs(&self) -> Vec<CompletedRun> {
+        self.parts.completed.borrow().unsettled_by_target()
+    }
+
+    /// Returns whether a request must not be sent to another target after one crashed under it.
+    pub(crate) fn may_crash_again(&self, service: &str, request: &CallerRequest) -> bool {
+        matches!(
+            self.parts.status(service, request),
+            PartStatus::Suspect | PartStatus::Held { .. }
+        )
+    }
+
+    /// Merges part records of another process.
+    pub(crate) fn merge_parts(&self, records: &[PartRecord]) {
+        if !records.is_empty() {
+            self.parts.merge(records);
+        }
+    }
+
+    /// Counts completed runs, makes the decisions that are due, reports what became held or free, and
+    /// removes expired records.
+    pub(crate) fn expire_parts(&self) {
+        let now = Instant::now();
+        self.parts.settle_runs(now);
+        let mut store = self.parts.store.borrow_mut();
+        if store.is_empty() {
+            return;
+        }
+        store.decide_due(now);
+        store.expire(now);
+        store.decide_due(now);
+        let (held, released) = (store.drain_held(now), store.drain_released());
+        drop(store);
+        for record in held {
+            let (crashes, runs) = (record.crashes.len(), record.runs.len());
+            let part = describe_part(&record.subject);
+            let detail = format!("{part} crashes={crashes} runs={runs}");
+            self.record_event(EventCode::PartHeld, &detail);
+        }
+        for key in released {
+            self.record_event(EventCode::PartReleased, &format!("key={key}"));
+        }
+        self.parts.notify_changes();
+        let (held, known) = self.parts.counts();
+        self.metrics.parts_held.set(held as i64);
+        self.metrics.parts_suspected.set(known as i64);
+    }
+
+    /// Waits until a request has a held part, while it waits for something else; returns its refusal.
+    pub(crate) async fn refuse_when_held(&self, service: &str, request: &CallerRequest) -> Refusal {
+        let mut changes = self.parts.changes.subscribe();
+        loop {
+            if let PartStatus::Held {
+                part,
+                trial_due: false,
+            } = self.parts.status(service, request)
+            {
+                return self.refuse_held_part(part);
+            }
+            let is_pending = !self.parts.store.borrow().is_empty();
+            let changed = changes.changed();
+            match is_pending {
+                // Decisions become due without a change of the records.
+                true => drop(timeout(DECISION_INTERVAL, changed).await),
+                // The sender lives as long as the gateway.
+                false => drop(changed.await),
+            }
+        }
+    }
+
+    /// Returns the refusal of a request with a held part.
+    pub(crate) fn refuse_held_part(&self, key: PartKey) -> Refusal {
+        self.parts.record_refusal(key);
+        let Some(record) = self.parts.record(key) else {
+            return Refusal::new(RefusalReason::CrashesTargets, format!("key={key}"));
+        };
+        let detail = format!(
+            "{} targets of {} crashed under requests with part {} of their prompts, the last one or its trial {} ms ago; key={key}",
+            record.crashes.len(),
+            record.subject.service,
+            record.subject.id,
+            record.age_ms
+        );
+        Refusal::new(RefusalReason::CrashesTargets, detail)
+    }
+}
+
+/// Describes a part for the log.
+pub(crate) fn describe_part(subject: &PartSubject) -> String {
+    format!(
+        "key={} service={} account={} part={}",
+        subject.key,
+        subject.service,
+        subject.account.as_deref().unwrap_or("*"),
+        subject.id
+    )
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/prompt.rs
+++ b/crates/gateway/src/prompt.rs
@@ -52,7 +52,7 @@
     }
 
     /// Returns the identifiers of the shared parts for the log: the last ones if there are many.
-    fn describe_parts(&self) -> String {
+    pub(crate) fn describe_parts(&self) -> String {
         let skipped = self.shared_parts.len().saturating_sub(MAX_LOGGED_PARTS);
         let mut text = String::new();
         for part in &self.shared_parts[skipped..] {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,7 +22,7 @@
 use crate::prompt::describe_parts;
 use crate::retry_budget::RetryCause;
 use crate::rollouts::ResponseQuality;
-use crate::run_permit::{RunPermit, acquire_run_permit};
+use crate::run_permit::{RunPermits, acquire_run_permits};
 use crate::target::ChosenTarget;
 use crate::target_crash::TargetState;
 use crate::target_selection::ExcludedTargets;
@@ -46,8 +46,8 @@
     chunks: u64,
     /// Whether the end of the stream has been logged.
     ended: bool,
-    /// The run permit of the request, if it needs one.
-    run_permit: Option<RunPermit>,
+    /// The run permits of the request.
+    run_permits: RunPermits,
 }
 
 // The HTTP library drops a stream when its caller closes the connection.
@@ -84,13 +84,13 @@
             last_event: None,
             chunks: 0,
             ended: false,
-            run_permit: None,
+            run_permits: RunPermits::default(),
         }
     }
 
-    /// Sets the run permit that the request holds.
-    pub(crate) fn with_run_permit(mut self, run_permit: Option<RunPermit>) -> Self {
-        self.run_permit = run_permit;
+    /// Sets the run permits that the request holds.
+    pub(crate) fn with_run_permits(mut self, run_permits: RunPermits) -> Self {
+        self.run_permits = run_permits;
         self
     }
 
@@ -150,9 +150,8 @@
             .count_response(service, target, route, ResponseQuality::Failed);
         while self.request.route.is_repeatable()
             && self.attempts < self.request.route.max_attempts
-            && acquire_run_permit(&self.gateway, &self.request, &mut self.run_permit)
-                .await
-                .is_ok()
+            && !self.gateway.may_crash_again(&self.service, &self.request)
+            && self.acquire_run_permits().await
             && self.gateway.retry_budget.allow_retry(
                 &self.request,
                 &self.service,
@@ -160,7 +159,7 @@
             )
         {
             self.attempts += 1;
-            self.run_permit.iter_mut().for_each(RunPermit::mark_sent);
+            self.run_permits.mark_sent();
             let Some((chosen, outcome)) = self.try_next_target().await else {
                 return ResumeOutcome::Failed;
             };
@@ -184,6 +183,13 @@
         ResumeOutcome::Failed
     }
 
+    async fn acquire_run_permits(&mut self) -> bool {
+        let (gateway, request) = (&self.gateway, &self.request);
+        let acquired =
+            acquire_run_permits(gateway, &self.service, request, &mut self.run_permits).await;
+        acquired.is_ok()
+    }
+
     /// Sends the request to another target, which is to resume after the last event; returns `None`
     /// if no target is available.
     async fn try_next_target(&mut self) -> Option<(ChosenTarget, AttemptOutcome)> {
@@ -285,7 +291,7 @@
             if state == TargetState::Alive {
                 relay
                     .gateway
-                    .record_complete_run(&relay.request, &relay.chosen.id);
+                    .record_complete_run(&relay.service, &relay.request, &relay.chosen);
             }
             relay.finish(EventCode::RequestFinished, &end);
             None
--- a/crates/gateway/src/run_permit.rs
+++ b/crates/gateway/src/run_permit.rs
@@ -1,18 +1,20 @@
 //! Permits to run a request that may crash targets.
 //!
 //! One host issues the permits for such a request and lets it run once at a time. All hosts that
-//! know the same hosts agree on the issuer. Other requests need no permit.
+//! know the same hosts agree on the issuer. Other requests need no permit. The same holds for
+//! trials of a held part of prompts, under the key of the part.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use linnet_quarantine::{RequestKey, RequestStatus};
+use linnet_quarantine::{PartKey, PartStatus, RequestKey, RequestStatus};
 use linnet_telemetry::EventCode;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
 use crate::caller_request::CallerRequest;
+use crate::part_suspects::describe_part;
 use crate::suspects::describe_subject;
 use crate::{Gateway, Refusal, RefusalReason};
 
@@ -83,25 +85,95 @@
     }
 }
 
-/// Acquires permission to run a request: at once if there is no evidence against it, and after
-/// other runs of the same request if it is a suspect. `permit` receives the permit, if one is
-/// needed.
+/// The permits that a request holds.
+#[derive(Default)]
+pub(crate) struct RunPermits {
+    /// To run it, if it is a suspect.
+    request: Option<RunPermit>,
+    /// To run it as the trial of a held part of its prompt.
+    part: Option<RunPermit>,
+}
+
+impl RunPermits {
+    /// Records that the request is sent.
+    pub(crate) fn mark_sent(&mut self) {
+        let all = self.request.iter_mut().chain(&mut self.part);
+        all.for_each(RunPermit::mark_sent);
+    }
+
+    /// Returns whether the request may run as the trial of a part.
+    pub(crate) fn is_part_trial(&self) -> bool {
+        self.part.as_ref().is_some_and(|permit| permit.unused)
+    }
+}
+
+/// Acquires permission to run a request of a service: at once if there is no evidence against it or
+/// the parts of its prompt, and after other runs of the same request if it is a suspect. `permits`
+/// receives the permits that are needed.
 ///
 /// # Errors
 ///
-/// [`RefusalReason::CrashesTargets`] if the request is held, [`RefusalReason::Overloaded`] if it
-/// did not get a permit in time.
-pub(crate) async fn acquire_run_permit(
+/// [`RefusalReason::CrashesTargets`] if the request or a part is held, [`RefusalReason::Overloaded`]
+/// if it did not get a permit in time.
+pub(crate) async fn acquire_run_permits(
+    gateway: &Rc<Gateway>,
+    service: &str,
+    request: &CallerRequest,
+    permits: &mut RunPermits,
+) -> Result<(), Refusal> {
+    let max_wait = MAX_PERMIT_WAIT.min(request.time_left().mul_f64(MAX_PERMIT_WAIT_FRACTION));
+    let until = Instant::now() + max_wait;
+    if !permits.is_part_trial() {
+        permits.part = acquire_part_permit(gateway, service, request, until).await?;
+    }
+    acquire_request_permit(gateway, request, &mut permits.request, until).await
+}
+
+/// Waits for the decision about the parts of a prompt, and acquires a permit if it is to run as the
+/// trial of a held one.
+async fn acquire_part_permit(
+    gateway: &Rc<Gateway>,
+    service: &str,
+    request: &CallerRequest,
+    until: Instant,
+) -> Result<Option<RunPermit>, Refusal> {
+    loop {
+        match gateway.parts.status(service, request) {
+            PartStatus::Clear | PartStatus::Suspect => return Ok(None),
+            PartStatus::Held { part, trial_due } => {
+                if !trial_due {
+                    return Err(gateway.refuse_held_part(part));
+                }
+                // One of the arriving requests becomes the trial; the others need not wait for it.
+                let permit = request_run_permit(gateway, request, part.permit_key()).await;
+                let permit = permit.map_err(|_| gateway.refuse_held_part(part))?;
+                // The issuer may not have the record of the part yet.
+                if gateway.parts.is_trial_due(part) {
+                    gateway.parts.record_trial(part);
+                }
+                return Ok(Some(permit));
+            }
+            PartStatus::Undecided => {}
+        }
+        if Instant::now() + POLL_INTERVAL > until {
+            let detail = "targets crashed under requests with a part of its prompt; whether that part is held is decided shortly";
+            let refusal = Refusal::new(RefusalReason::Overloaded, detail);
+            return Err(refusal.with_retry_after(PERMIT_RETRY_AFTER));
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+async fn acquire_request_permit(
     gateway: &Rc<Gateway>,
     request: &CallerRequest,
     permit: &mut Option<RunPermit>,
+    until: Instant,
 ) -> Result<(), Refusal> {
     // The stages of a request run after the permit is issued and before the request is sent.
     if permit.as_ref().is_some_and(|permit| permit.unused) {
         return Ok(());
     }
-    let max_wait = MAX_PERMIT_WAIT.min(request.time_left().mul_f64(MAX_PERMIT_WAIT_FRACTION));
-    let until = Instant::now() + max_wait;
     loop {
         match gateway.suspects.status(request) {
             RequestStatus::Clear => return Ok(()),
@@ -110,19 +182,22 @@
             RequestStatus::Undecided => {}
             RequestStatus::Held { trial_due: true } => {
                 // One of the arriving requests becomes the trial; the others need not wait for it.
-                *permit = request_run_permit(gateway, request)
-                    .await
-                    .map_err(|_| held(gateway, request))?;
+                let key = request.subject().key;
+                let granted = request_run_permit(gateway, request, key).await;
+                *permit = Some(granted.map_err(|_| held(gateway, request))?);
                 return Ok(());
             }
-            RequestStatus::Suspect => match request_run_permit(gateway, request).await {
-                Ok(granted) => {
-                    *permit = granted;
-                    return Ok(());
+            RequestStatus::Suspect => {
+                let key = request.subject().key;
+                match request_run_permit(gateway, request, key).await {
+                    Ok(granted) => {
+                        *permit = Some(granted);
+                        return Ok(());
+                    }
+                    Err(RunPermitReply::Held) => return Err(held(gateway, request)),
+                    Err(_) => {}
                 }
-                Err(RunPermitReply::Held) => return Err(held(gateway, request)),
-                Err(_) => {}
-            },
+            }
         }
         if Instant::now() + POLL_INTERVAL > until {
             return Err(permit_timeout(request));
@@ -135,8 +210,8 @@
 async fn request_run_permit(
     gateway: &Rc<Gateway>,
     request: &CallerRequest,
-) -> Result<Option<RunPermit>, RunPermitReply> {
-    let key = request.subject().key;
+    key: RequestKey,
+) -> Result<RunPermit, RunPermitReply> {
     let (reply, origin) = match gateway.stage_client.run_permit_host(key) {
         None => (
             gateway.issue_run_permit(key, &request.id),
@@ -154,12 +229,12 @@
         return Err(reply);
     }
     request.isolated.set(true);
-    Ok(Some(RunPermit {
+    Ok(RunPermit {
         gateway: gateway.clone(),
         key,
         origin,
         unused: true,
-    }))
+    })
 }
 
 fn held(gateway: &Gateway, request: &CallerRequest) -> Refusal {
@@ -182,6 +257,9 @@
 impl Gateway {
     /// Decides, for all hosts, whether a request may run now, and marks it as running if so.
     pub(crate) fn issue_run_permit(&self, key: RequestKey, id: &str) -> RunPermitReply {
+        if self.parts.contains(key.into()) {
+            return self.issue_trial_permit(key.into(), id);
+        }
         match self.suspects.status_of(key) {
             RequestStatus::Held { trial_due: false } => return RunPermitReply::Held,
             RequestStatus::Undecided => return RunPermitReply::Busy,
@@ -201,4 +279,24 @@
         }
         RunPermitReply::Granted
     }
+
+    /// Decides, for all hosts, whether a request with a held part may run now as its trial.
+    fn issue_trial_permit(&self, part: PartKey, id: &str) -> RunPermitReply {
+        if !self.parts.is_trial_due(part) {
+            return RunPermitReply::Held;
+        }
+        if !self.suspects.begin_run(part.permit_key()) {
+            return RunPermitReply::Busy;
+        }
+        self.parts.record_trial(part);
+        if let Some(record) = self.parts.record(part) {
+            let detail = format!(
+                "{} trials={}",
+                describe_part(&record.subject),
+                record.trials
+            );
+            self.record_request_event(EventCode::PartTried, id, "", detail);
+        }
+        RunPermitReply::Granted
+    }
 }
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -16,7 +16,7 @@
 use crate::Gateway;
 use crate::caller_request::CallerRequest;
 use crate::confinement::RecentTargets;
-use crate::target::TargetStore;
+use crate::target::{ChosenTarget, TargetStore};
 
 /// Tracks the requests that may crash targets.
 #[derive(Default)]
@@ -176,14 +176,21 @@
     }
 
     /// Records that a target completed a request, which clears the request.
-    pub(crate) fn record_complete_run(&self, request: &CallerRequest, target: &str) {
+    pub(crate) fn record_complete_run(
+        &self,
+        service: &str,
+        request: &CallerRequest,
+        chosen: &ChosenTarget,
+    ) {
+        self.record_part_run(service, request, chosen);
         if self.suspects.store.borrow().is_empty() {
             return;
         }
         let subject = request.subject();
         if self.suspects.store.borrow_mut().clear_request(subject.key) {
             let code = EventCode::RequestAcquitted;
-            self.record_request_event(code, &request.id, target, describe_subject(subject));
+            let detail = describe_subject(subject);
+            self.record_request_event(code, &request.id, &chosen.id, detail);
             self.suspects.notify_changes();
         }
     }
--- a/crates/gateway/src/target_crash.rs
+++ b/crates/gateway/src/target_crash.rs
@@ -150,11 +150,39 @@
         if state == TargetState::Crashed {
             let chosen = target.1;
             let crash = CrashKey::new(&chosen.id, chosen.born);
-            self.suspect_interrupted(chosen, crash, &[interrupted]);
+            self.suspect_interrupted(target.0, chosen, crash, &[interrupted]);
         }
         state
     }
 
+    /// Handles a target that refused a connection although no request was in flight there: finds out
+    /// whether it crashed after an answer.
+    pub(crate) async fn probe_after_refusal(self: &Rc<Self>, target: (&str, &ChosenTarget)) {
+        if self.has_unsettled_run(target.1) {
+            self.probe_for_crash(target, None, Instant::now(), PROBE_TIMEOUT)
+                .await;
+        }
+    }
+
+    /// Finds out whether targets crashed after their answers: those that closed an idle connection
+    /// since, or that are listed with a new incarnation.
+    pub(crate) fn check_answered_targets(self: &Rc<Self>) {
+        for run in self.unsettled_runs() {
+            let (gateway, chosen) = (self.clone(), run.chosen);
+            let listed = self.targets.borrow().find(&run.service, &chosen.id);
+            let has_restarted = listed.is_some_and(|listed| listed.born > chosen.born);
+            if has_restarted || self.upstream.has_closed_idle(chosen.address) {
+                ntex::rt::spawn(async move {
+                    let target = (run.service.as_str(), &chosen);
+                    let sent = Instant::now();
+                    gateway
+                        .probe_for_crash(target, None, sent, PROBE_TIMEOUT)
+                        .await;
+                });
+            }
+        }
+    }
+
     async fn probe_for_crash(
         self: &Rc<Self>,
         (service, chosen): (&str, &ChosenTarget),
@@ -196,7 +224,7 @@
         match states.get_mut(&crash) {
             Some(CrashState::Crashed(at)) if sent <= *at => {
                 drop(states);
-                self.suspect_interrupted(chosen, crash, request.as_slice());
+                self.suspect_interrupted(service, chosen, crash, request.as_slice());
                 return None;
             }
             Some(CrashState::Probing {
@@ -288,15 +316,21 @@
         );
         let code = EventCode::TargetEnded;
         self.config.recorder.record(code, &chosen.id, detail);
-        self.suspect_interrupted(chosen, crash, interrupted);
+        self.suspect_interrupted(service, chosen, crash, interrupted);
     }
 
     fn suspect_interrupted(
         &self,
+        service: &str,
         chosen: &ChosenTarget,
         crash: CrashKey,
         interrupted: &[InterruptedRequest],
     ) {
+        let with_prompts = interrupted.iter().filter_map(|one| {
+            let account = one.subject.account.as_str();
+            Some((one.subject.key, account, one.prompt.as_deref()?))
+        });
+        self.accuse_parts(service, chosen, crash, with_prompts);
         for one in interrupted {
             self.metrics.requests_interrupted.inc();
             if self.suspects.record_crash(&one.subject, crash) {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -244,6 +244,13 @@
         }
     }
 
+    /// Returns whether a target closed an idle connection that has not been removed yet.
+    pub(crate) fn has_closed_idle(&self, address: SocketAddr) -> bool {
+        let state = self.state.borrow();
+        let mut idle = state.idle.get(&address).into_iter().flatten();
+        idle.any(|connection| connection.peer.is_none() && connection.sender.is_closed())
+    }
+
     fn is_usable(&self, address: SocketAddr, connection: &Connection) -> bool {
         connection.is_usable() && self.links.may_use_idle(address, connection.peer)
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -200,6 +200,7 @@
     let config = FollowConfig {
         // Control hosts exchange these in their updates.
         suspects: None,
+        parts: None,
         rate_limits: None,
         counts: None,
         identity: node.identity().clone(),
@@ -320,7 +321,7 @@
 }
 
 async fn update_gauges(node: DirectoryNode, registry: Arc<Mutex<Registry>>) {
-    let gauges: [(&str, &str, Gauge); 10] = [
+    let gauges: [(&str, &str, Gauge); 11] = [
         ("term", "Term of the replica", Gauge::default()),
         ("commit_index", "Last committed index", Gauge::default()),
         (
@@ -355,6 +356,11 @@
             "Requests that are refused since targets ended under them",
             Gauge::default(),
         ),
+        (
+            "parts_held",
+            "Parts of prompts that are refused since targets crashed under requests with them",
+            Gauge::default(),
+        ),
     ];
     if let Ok(mut registry) = registry.lock() {
         for (name, help, gauge) in &gauges {
@@ -376,6 +382,7 @@
             node.evacuations().evacuated_halls().count() as i64,
             node.rollouts().in_progress().count() as i64,
             node.held_count() as i64,
+            node.held_part_count() as i64,
         ];
         for ((_, _, gauge), value) in gauges.iter().zip(values) {
             gauge.set(value);
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -137,6 +137,7 @@
             store: Box::new(move |document| writer.apply_document(document)),
         }),
         suspects: Some(gateway.suspect_source()),
+        parts: Some(gateway.part_source()),
         rate_limits: Some(gateway.rate_source()),
         counts: Some(gateway.count_source()),
         is_control: false,
--- a/crates/quarantine/src/key.rs
+++ b/crates/quarantine/src/key.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Bytes of a request key; collisions are negligible at this size.
-const KEY_BYTES: usize = 16;
+pub(crate) const KEY_BYTES: usize = 16;
 
 /// Identifies a request across its retries: a hash of account, method, host, path and body. The
 /// request ID of a single sending and other headers are not included, since retries by the caller
@@ -17,16 +17,19 @@
     /// Creates the key of a request from its account, method, host and path as the caller sent
     /// them, and body.
     pub fn new(account: &str, method: &str, host_and_path: [&str; 2], body: &[u8]) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        for part in [account, method, host_and_path[0], host_and_path[1]] {
-            // The length prefix keeps different lists of parts distinct.
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part.as_bytes());
-        }
+        let mut hasher = hash_texts(&[account, method, host_and_path[0], host_and_path[1]]);
         hasher.update(body);
         Self(first_bytes(&hasher))
     }
 
+    pub(crate) fn from_bytes(bytes: [u8; KEY_BYTES]) -> Self {
+        Self(bytes)
+    }
+
+    pub(crate) fn bytes(self) -> [u8; KEY_BYTES] {
+        self.0
+    }
+
     /// Parses a key in the format of its [`fmt::Display`]; returns `None` if it is malformed.
     pub fn parse(text: &str) -> Option<Self> {
         if text.len() != KEY_BYTES * 2 || !text.is_ascii() {
@@ -73,7 +76,18 @@
     }
 }
 
-fn first_bytes<const N: usize>(hasher: &blake3::Hasher) -> [u8; N] {
+/// Hashes a list of texts.
+pub(crate) fn hash_texts(texts: &[&str]) -> blake3::Hasher {
+    let mut hasher = blake3::Hasher::new();
+    for text in texts {
+        // The length prefix keeps different lists distinct.
+        hasher.update(&(text.len() as u64).to_le_bytes());
+        hasher.update(text.as_bytes());
+    }
+    hasher
+}
+
+pub(crate) fn first_bytes<const N: usize>(hasher: &blake3::Hasher) -> [u8; N] {
     let mut bytes = [0; N];
     hasher.finalize_xof().fill(&mut bytes);
     bytes
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -7,19 +7,27 @@
 //!   hosts merge in any order, so hosts converge without an agreement protocol.
 //! - [`SuspectStore`] keeps the records of a process and derives the [`RequestStatus`] of a
 //!   request.
+//! - [`PartStore`] does the same for parts of prompts that different requests share.
 //! - [`HeldLine`] describes a suspect request to operators.
 //!
 //! This crate reads no clock and sends nothing.
 
 mod attribution;
+mod changes;
 mod key;
 mod line;
+mod parts;
 mod record;
 mod store;
 
 pub use attribution::HOLD_CRASHES;
+pub use changes::RecordChanges;
 pub use key::{CrashKey, RequestKey};
 pub use line::{HELD_PATH, HeldLine};
+pub use parts::{
+    HELD_PARTS_PATH, OriginTag, PartChanges, PartCrash, PartKey, PartLine, PartRecord, PartScope,
+    PartStatus, PartStore, PartSubject, RunTag,
+};
 pub use record::{RequestSubject, SuspectRecord};
 pub use store::{MAX_SUSPECTS, SuspectChanges, SuspectStore};
 
--- /dev/null
+++ b/crates/quarantine/src/parts/attribution.rs
@@ -0,0 +1,99 @@
+//! Attribution of target crashes to the parts of prompts that caused them.
+//!
+//! All parts of all prompts in flight at a crash are accused of it. The cause is told from the others
+//! by three rules: requests with a cause seldom complete; a cause explains crashes that no other part
+//! explains; and no single request was in flight at all of them, since then that request may be the
+//! cause. Parts that cannot be told apart, since they always came together, are a group: only
+//! requests with all of them are refused.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::record::RUNS_PER_CRASH;
+use super::{PartKey, PartRecord};
+use crate::{CrashKey, HOLD_CRASHES};
+
+/// Crashes that have to remain if any one request, or account, is left out.
+const INDEPENDENT_CRASHES: usize = 2;
+
+/// Crashes after which a part is held while most crashes of the service are not explained by it. A
+/// part that is not the cause is then interrupted now and then by the crashes of others.
+const HOLD_CRASHES_AMONG_OTHERS: usize = 5;
+
+/// Parts that were found to be the cause of crashes, and cannot be told apart.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct HeldGroup {
+    /// Never empty.
+    pub(crate) parts: Vec<PartKey>,
+}
+
+/// Returns the groups of parts to which crashes are attributed. `is_decided` says whether all hosts
+/// have had time to report a part; until then, it only prevents others from being found the cause.
+pub(crate) fn find_causes<'a>(
+    records: impl Iterator<Item = &'a PartRecord>,
+    is_decided: impl Fn(PartKey) -> bool,
+) -> Vec<HeldGroup> {
+    let records: Vec<&PartRecord> = records.collect();
+    let mut candidates: Vec<&PartRecord> = records.clone();
+    candidates.retain(|record| record.is_candidate());
+    if candidates.is_empty() {
+        return Vec::new();
+    }
+    candidates.sort_by_key(|record| {
+        let suspicion = record.crashes.len() * RUNS_PER_CRASH - record.runs.len();
+        (
+            Reverse(suspicion),
+            record.runs.len(),
+            Reverse(record.crashes.len()),
+            record.subject.key,
+        )
+    });
+    let mut unattributed = crashes_by_service(&records);
+    let mut groups = Vec::new();
+    for record in &candidates {
+        let Some(remaining) = unattributed.get_mut(record.subject.service.as_str()) else {
+            continue;
+        };
+        let own: BTreeSet<CrashKey> = own_crashes(record, remaining).collect();
+        let explains_most = own.len() * 2 >= remaining.len();
+        let needed = match explains_most || record.was_held {
+            true => HOLD_CRASHES,
+            false => HOLD_CRASHES_AMONG_OTHERS,
+        };
+        let is_cause = record.outweighs_runs(own.len(), needed)
+            && record.independent_crashes(own.iter()) >= INDEPENDENT_CRASHES
+            && is_decided(record.subject.key);
+        if !is_cause {
+            continue;
+        }
+        let is_alike = |other: &&&PartRecord| {
+            other.subject.service == record.subject.service
+                && other.runs.len() == record.runs.len()
+                && own_crashes(other, remaining).eq(own.iter().copied())
+        };
+        let alike = candidates.iter().filter(is_alike);
+        let parts = alike.map(|other| other.subject.key).collect();
+        groups.push(HeldGroup { parts });
+        remaining.retain(|crash| !own.contains(crash));
+    }
+    groups
+}
+
+fn own_crashes(
+    record: &PartRecord,
+    unattributed: &BTreeSet<CrashKey>,
+) -> impl Iterator<Item = CrashKey> {
+    let crashes = record.crashes.keys();
+    crashes
+        .filter(|crash| unattributed.contains(crash))
+        .copied()
+}
+
+fn crashes_by_service<'a>(records: &[&'a PartRecord]) -> BTreeMap<&'a str, BTreeSet<CrashKey>> {
+    let mut crashes: BTreeMap<&str, BTreeSet<CrashKey>> = BTreeMap::new();
+    for record in records {
+        let known = crashes.entry(&record.subject.service).or_default();
+        known.extend(record.crashes.keys());
+    }
+    crashes
+}
--- /dev/null
+++ b/crates/quarantine/src/parts/store.rs
@@ -0,0 +1,415 @@
+//! The records of suspect parts of a process.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use super::attribution::{HeldGroup, find_causes};
+use super::{OriginTag, PartKey, PartRecord, PartStatus, PartSubject, RunTag};
+use crate::CrashKey;
+use crate::changes::{ChangeLog, RecordChanges};
+use crate::store::{DECISION_DELAY, REFUSAL_PUBLISH_INTERVAL};
+
+/// Crashes without a completed run after which a request with the part is not retried.
+const NO_RETRY_CRASHES: usize = 2;
+
+/// Delay from the last crash or trial to the next trial, by the number of trials that crashed a
+/// target. Each trial of a part that is the cause crashes one, so after the last of these an operator
+/// decides.
+const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(1_800)];
+
+/// Crashes beyond which the early trial is left out: so many are seldom a coincidence.
+const EARLY_TRIAL_CRASHES: usize = 4;
+
+/// Delay from one trial to the next while all have completed. Several are needed to release a part,
+/// since a part may crash targets in most runs only.
+const PASSED_TRIAL_DELAY: Duration = Duration::from_secs(1);
+
+/// Part records that changed, in the order of their changes.
+pub type PartChanges = RecordChanges<PartRecord>;
+
+/// A crash of a target while a request with some parts in its prompt was in flight there.
+#[derive(Debug, Clone, Copy)]
+pub struct PartCrash {
+    /// The crash.
+    pub crash: CrashKey,
+    /// The request, in the scope of its account.
+    pub request: OriginTag,
+    /// The account, in the scope of all accounts.
+    pub account: OriginTag,
+}
+
+impl PartCrash {
+    fn origin(&self, subject: &PartSubject) -> OriginTag {
+        match subject.account {
+            Some(_) => self.request,
+            None => self.account,
+        }
+    }
+}
+
+pub(super) struct Part {
+    pub(super) record: PartRecord,
+    pub(super) created_at: Instant,
+    /// The time of the last crash, trial or refusal.
+    pub(super) last_seen: Instant,
+    /// The time of the last crash or trial.
+    pub(super) last_crash_or_trial: Instant,
+    /// When it may be held; `None` once that is decided.
+    decision_at: Option<Instant>,
+    /// The revision of the last change.
+    pub(super) revision: u64,
+}
+
+/// The suspect parts of a process, by part.
+#[derive(Default)]
+pub struct PartStore {
+    pub(super) parts: HashMap<PartKey, Part>,
+    pub(super) changes: ChangeLog<PartKey>,
+    /// Whether records changed since the crashes were attributed.
+    pub(super) is_stale: bool,
+    /// Groups of which a request must not have all parts.
+    held: Vec<HeldGroup>,
+    /// Parts that became held and were not returned by [`PartStore::drain_held`] yet.
+    newly_held: Vec<PartKey>,
+    /// Parts that became free and were not returned by [`PartStore::drain_released`] yet.
+    newly_released: Vec<PartKey>,
+    /// The time of the next decision.
+    next_decision: Option<Instant>,
+}
+
+impl PartStore {
+    /// Creates an empty store.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
+    /// Returns the latest revision.
+    pub fn revision(&self) -> u64 {
+        self.changes.revision()
+    }
+
+    /// Returns whether a part has a record.
+    pub fn contains(&self, key: PartKey) -> bool {
+        self.parts.contains_key(&key)
+    }
+
+    /// Returns the status of a request by the keys of all parts of its prompt.
+    pub fn status(&self, keys: &[PartKey], now: Instant) -> PartStatus {
+        let has_all = |group: &&HeldGroup| group.parts.iter().all(|part| keys.contains(part));
+        if let Some(group) = self.held.iter().find(has_all) {
+            let part = group.parts[0];
+            return PartStatus::Held {
+                part,
+                trial_due: self.is_trial_due(part, now),
+            };
+        }
+        let known = || keys.iter().filter_map(|key| self.parts.get(key));
+        if known().any(|part| part.decision_at.is_some()) {
+            return PartStatus::Undecided;
+        }
+        let is_suspect = |part: &Part| {
+            part.record.runs.is_empty() && part.record.crashes.len() >= NO_RETRY_CRASHES
+        };
+        match known().any(is_suspect) {
+            true => PartStatus::Suspect,
+            false => PartStatus::Clear,
+        }
+    }
+
+    /// Returns whether a part is in a held group, and a request with the group may run as a trial.
+    pub fn is_trial_due(&self, key: PartKey, now: Instant) -> bool {
+        let Some(part) = self.parts.get(&key).filter(|_| self.is_held(key)) else {
+            return false;
+        };
+        let (trials, passed) = (part.record.trials, part.record.passed_trials);
+        let is_certain = part.record.crashes.len() > EARLY_TRIAL_CRASHES;
+        let failed = (trials.saturating_sub(passed) as usize).max(usize::from(is_certain));
+        let delay = match (failed, passed) {
+            (0, 1..) => Some(PASSED_TRIAL_DELAY),
+            (failed, _) => TRIAL_DELAYS.get(failed).copied(),
+        };
+        let elapsed = now.saturating_duration_since(part.last_crash_or_trial);
+        delay.is_some_and(|delay| elapsed >= delay)
+    }
+
+    /// Returns whether a part is in a held group.
+    pub fn is_held(&self, key: PartKey) -> bool {
+        self.held.iter().any(|group| group.parts.contains(&key))
+    }
+
+    /// Adds the crash of a target where a request with the part was in flight; returns whether it is
+    /// new.
+    pub fn add_crash(&mut self, subject: &PartSubject, crash: PartCrash, now: Instant) -> bool {
+        self.evict_for(subject);
+        let origin = crash.origin(subject);
+        let part = self.part(subject, now);
+        let was_candidate = part.record.is_candidate();
+        if !part.record.add_crash(crash.crash, origin) {
+            return false;
+        }
+        part.last_seen = now;
+        part.last_crash_or_trial = now;
+        self.mark_changed(subject.key);
+        self.schedule_decision(subject.key, was_candidate, now);
+        true
+    }
+
+    /// Adds a completed run of a request with the part, if more of them are needed; returns whether
+    /// it was added.
+    pub fn add_run(&mut self, key: PartKey, run: RunTag) -> bool {
+        let is_held = self.is_held(key);
+        let Some(part) = self.parts.get_mut(&key) else {
+            return false;
+        };
+        if !part.record.add_run(run) {
+            return false;
+        }
+        if is_held && part.record.passed_trials < part.record.trials {
+            part.record.passed_trials += 1;
+        }
+        self.mark_changed(key);
+        true
+    }
+
+    /// Applies the changes since the last call and makes the decisions that are due. Call this
+    /// before the functions that return what is held.
+    pub fn decide_due(&mut self, now: Instant) {
+        let is_due = self.next_decision.is_some_and(|at| at <= now);
+        if is_due {
+            for part in self.parts.values_mut() {
+                part.decision_at = part.decision_at.filter(|at| *at > now);
+            }
+            let all = self.parts.values();
+            self.next_decision = all.filter_map(|part| part.decision_at).min();
+        }
+        if is_due || std::mem::take(&mut self.is_stale) {
+            self.reattribute();
+        }
+    }
+
+    /// Discards the evidence about a part and the others of its group; returns whether there was any.
+    pub fn release(&mut self, key: PartKey) -> bool {
+        let mut keys = self.group_of(key);
+        keys.push(key);
+        let mut was_known = false;
+        for key in keys {
+            let part = self.parts.get_mut(&key);
+            if let Some(part) = part.filter(|part| !part.record.crashes.is_empty()) {
+                part.record.begin_round(BTreeMap::new());
+                part.decision_at = None;
+                self.mark_changed(key);
+                was_known = true;
+            }
+        }
+        was_known
+    }
+
+    /// Discards a crash, since the target still runs; returns the affected parts.
+    pub fn retract_crash(&mut self, crash: CrashKey) -> Vec<PartKey> {
+        let mut affected = Vec::new();
+        for part in self.parts.values_mut() {
+            let mut crashes = part.record.crashes.clone();
+            if crashes.remove(&crash).is_some() {
+                part.record.begin_round(crashes);
+                part.decision_at = None;
+                affected.push(part.record.subject.key);
+            }
+        }
+        affected.sort_unstable();
+        affected.iter().for_each(|key| self.mark_changed(*key));
+        affected
+    }
+
+    /// Returns the crashes that are recorded for any part.
+    pub fn known_crashes(&self) -> HashSet<CrashKey> {
+        let all = self.parts.values();
+        all.flat_map(|part| part.record.crashes.keys().copied())
+            .collect()
+    }
+
+    /// Records that a request with a held part runs as a trial of its group.
+    pub fn record_trial(&mut self, key: PartKey, now: Instant) {
+        for key in self.group_of(key) {
+            if let Some(part) = self.parts.get_mut(&key) {
+                part.record.trials += 1;
+                part.last_seen = now;
+                part.last_crash_or_trial = now;
+                self.mark_changed(key);
+            }
+        }
+    }
+
+    /// Records that a request with a held part was refused, which extends the retention of the
+    /// records of its group.
+    pub fn record_refusal(&mut self, key: PartKey, now: Instant) {
+        for key in self.group_of(key) {
+            if let Some(part) = self.parts.get_mut(&key)
+                && now.saturating_duration_since(part.last_seen) >= REFUSAL_PUBLISH_INTERVAL
+            {
+                part.last_seen = now;
+                self.mark_changed(key);
+            }
+        }
+    }
+
+    /// Merges a record of another process; returns whether it changed or refreshed the record here.
+    pub fn merge(&mut self, received: &PartRecord, now: Instant) -> bool {
+        let key = received.subject.key;
+        let age = Duration::from_millis(received.age_ms);
+        let at = now.checked_sub(age).unwrap_or(now);
+        self.evict_for(&received.subject);
+        let known = self.contains(key);
+        let part = self.part(&received.subject, at);
+        let was_candidate = part.record.is_candidate();
+        let refreshed = at.saturating_duration_since(part.last_seen) >= REFUSAL_PUBLISH_INTERVAL;
+        let changed = part.record.merge(received);
+        part.last_seen = part.last_seen.max(at);
+        if changed {
+            part.last_crash_or_trial = part.last_crash_or_trial.max(at);
+        }
+        if known && !changed && !refreshed {
+            return false;
+        }
+        self.mark_changed(key);
+        self.schedule_decision(key, was_candidate, now);
+        true
+    }
+
+    /// Returns at most `limit` records that changed after a revision, the oldest change first.
+    pub fn changed_after(&self, after: u64, limit: usize, now: Instant) -> PartChanges {
+        let record = |key| Some(self.parts.get(&key)?.to_record(now));
+        self.changes.after(after, limit, record)
+    }
+
+    /// Returns the changed records of interest to every host.
+    pub fn shared_after(&self, after: u64, limit: usize, now: Instant) -> PartChanges {
+        self.changes.after(after, limit, |key| {
+            let part = self.parts.get(&key)?;
+            part.record.is_shared().then(|| part.to_record(now))
+        })
+    }
+
+    /// Returns whether a part is of interest to every host.
+    pub fn is_shared(&self, key: PartKey) -> bool {
+        let part = self.parts.get(&key);
+        part.is_some_and(|part| part.record.is_shared())
+    }
+
+    /// Returns the record of a part, with its present age.
+    pub fn record(&self, key: PartKey, now: Instant) -> Option<PartRecord> {
+        Some(self.parts.get(&key)?.to_record(now))
+    }
+
+    /// Returns the records of parts that became held since the last call.
+    pub fn drain_held(&mut self, now: Instant) -> Vec<PartRecord> {
+        let keys = std::mem::take(&mut self.newly_held);
+        keys.into_iter()
+            .filter_map(|key| self.record(key, now))
+            .collect()
+    }
+
+    /// Returns the parts that are no longer held since the last call.
+    pub fn drain_released(&mut self) -> Vec<PartKey> {
+        std::mem::take(&mut self.newly_released)
+    }
+
+    /// Returns all records, the held ones first.
+    pub fn all_records(&self, now: Instant) -> Vec<PartRecord> {
+        let all = self.parts.values();
+        let mut records: Vec<PartRecord> = all.map(|part| part.to_record(now)).collect();
+        records.sort_by_key(|record| (!self.is_held(record.subject.key), record.subject.key));
+        records
+    }
+
+    /// Returns how many parts are held, and how many have crashes recorded.
+    pub fn counts(&self) -> (usize, usize) {
+        let held: HashSet<&PartKey> = self.held.iter().flat_map(|group| &group.parts).collect();
+        let accused = self.parts.values();
+        let accused = accused.filter(|part| !part.record.crashes.is_empty());
+        (held.len(), accused.count())
+    }
+
+    fn part(&mut self, subject: &PartSubject, at: Instant) -> &mut Part {
+        let fresh = || Part {
+            record: PartRecord::new(subject.clone()),
+            created_at: at,
+            last_seen: at,
+            last_crash_or_trial: at,
+            decision_at: None,
+            revision: 0,
+        };
+        self.parts.entry(subject.key).or_insert_with(fresh)
+    }
+
+    fn group_of(&self, key: PartKey) -> Vec<PartKey> {
+        let mut groups = self.held.iter();
+        let group = groups.find(|group| group.parts.contains(&key));
+        group.map_or_else(Vec::new, |group| group.parts.clone())
+    }
+
+    pub(super) fn mark_changed(&mut self, key: PartKey) {
+        if let Some(part) = self.parts.get_mut(&key) {
+            part.revision = self.changes.record(part.revision, key);
+            self.is_stale = true;
+        }
+    }
+
+    /// Schedules the decision on a part that has now enough crashes to be held.
+    fn schedule_decision(&mut self, key: PartKey, was_candidate: bool, now: Instant) {
+        let part = self.parts.get_mut(&key);
+        if let Some(part) = part.filter(|part| !was_candidate && part.record.is_candidate()) {
+            let at = now + DECISION_DELAY;
+            part.decision_at = Some(at);
+            self.next_decision = Some(self.next_decision.map_or(at, |next| next.min(at)));
+        }
+    }
+
+    /// Attributes all crashes again, which may hold and release parts.
+    fn reattribute(&mut self) {
+        let records = self.parts.values().map(|part| &part.record);
+        let is_decided = |key| {
+            let part = self.parts.get(&key);
+            part.is_some_and(|part| part.decision_at.is_none())
+        };
+        let held = find_causes(records, is_decided);
+        let former = std::mem::replace(&mut self.held, held);
+        let parts_of = |groups: &[HeldGroup]| -> BTreeSet<PartKey> {
+            groups
+                .iter()
+                .flat_map(|group| &group.parts)
+                .copied()
+                .collect()
+        };
+        let (former, held) = (parts_of(&former), parts_of(&self.held));
+        for key in &held {
+            let part = self.parts.get_mut(key);
+            if let Some(part) = part.filter(|part| !part.record.was_held) {
+                part.record.was_held = true;
+                part.revision = self.changes.record(part.revision, *key);
+            }
+        }
+        self.newly_held.extend(held.difference(&former));
+        self.newly_released.extend(former.difference(&held));
+    }
+}
+
+impl Part {
+    /// Returns the account; empty for all accounts.
+    pub(super) fn account(&self) -> &str {
+        self.record.subject.account.as_deref().unwrap_or_default()
+    }
+
+    fn to_record(&self, now: Instant) -> PartRecord {
+        let mut record = self.record.clone();
+        record.age_ms = now.saturating_duration_since(self.last_seen).as_millis() as u64;
+        record
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/quarantine/src/store.rs
+++ b/crates/quarantine/src/store.rs
@@ -6,8 +6,10 @@
 use std::time::{Duration, Instant};
 
 pub use retention::MAX_SUSPECTS;
+pub(crate) use retention::{EVICTION_BATCH, HELD_RETENTION, records_of_largest_account};
 
 use crate::attribution::{Candidate, HOLD_CRASHES, attribute_crashes, unattributed};
+use crate::changes::{ChangeLog, RecordChanges};
 use crate::{CrashKey, RequestKey, RequestStatus, RequestSubject, SuspectRecord};
 
 /// Target crashes after which a request runs once at a time. After one crash, the request is no
@@ -27,7 +29,7 @@
 /// Delay from the last crash of a request to the decision whether it is the cause. By then other
 /// hosts have reported what ran at the target: a message reaches all hosts within 20 ms in a fleet
 /// of 12, and within 0.35 ms per entry host in a large one.
-const DECISION_DELAY: Duration = Duration::from_millis(150);
+pub(crate) const DECISION_DELAY: Duration = Duration::from_millis(150);
 
 /// The requests of an account are confined to a share of the targets once this many of them were
 /// held within [`CONFINE_WINDOW`]. Each request crashes three targets before it is held, so an
@@ -36,7 +38,7 @@
 const CONFINE_WINDOW: Duration = Duration::from_secs(60);
 
 /// Interval at which refusals of a request are published, so that hosts retain its record.
-const REFUSAL_PUBLISH_INTERVAL: Duration = Duration::from_secs(60);
+pub(crate) const REFUSAL_PUBLISH_INTERVAL: Duration = Duration::from_secs(60);
 
 struct Suspect {
     record: SuspectRecord,
@@ -50,21 +52,14 @@
     revision: u64,
 }
 
-/// Records that changed, in the order of their changes.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct SuspectChanges {
-    /// The records.
-    pub records: Vec<SuspectRecord>,
-    /// The revision up to which the reader has seen all changes after merging them.
-    pub revision: u64,
-}
+/// Suspect records that changed, in the order of their changes.
+pub type SuspectChanges = RecordChanges<SuspectRecord>;
 
 /// The suspect records of a process, by request.
 #[derive(Default)]
 pub struct SuspectStore {
     suspects: HashMap<RequestKey, Suspect>,
-    by_revision: BTreeMap<u64, RequestKey>,
-    revision: u64,
+    changes: ChangeLog<RequestKey>,
     /// The request to which each crash is attributed.
     attributed: BTreeMap<CrashKey, RequestKey>,
     /// Requests that became held and were not returned by [`SuspectStore::drain_held`] yet.
@@ -86,7 +81,7 @@
 
     /// Returns the latest revision.
     pub fn revision(&self) -> u64 {
-        self.revision
+        self.changes.revision()
     }
 
     /// Returns the status of a request.
@@ -263,20 +258,10 @@
         now: Instant,
         is_wanted: impl Fn(&SuspectRecord) -> bool,
     ) -> SuspectChanges {
-        let newer = self.by_revision.range(after.saturating_add(1)..);
-        let newer = newer.filter_map(|(revision, key)| Some((*revision, self.suspects.get(key)?)));
-        let wanted = newer.filter(|(_, one)| is_wanted(&one.record)).take(limit);
-        let found: Vec<(u64, &Suspect)> = wanted.collect();
-        let is_last_part = found.len() < limit;
-        let last = found.last().map_or(after, |(revision, _)| *revision);
-        SuspectChanges {
-            records: found.iter().map(|(_, one)| one.to_record(now)).collect(),
-            revision: if is_last_part {
-                self.revision.max(after)
-            } else {
-                last
-            },
-        }
+        self.changes.after(after, limit, |key| {
+            let suspect = self.suspects.get(&key)?;
+            is_wanted(&suspect.record).then(|| suspect.to_record(now))
+        })
     }
 
     /// Returns the record of a request, with its present age.
@@ -344,10 +329,7 @@
         let Some(suspect) = self.suspects.get_mut(&key) else {
             return;
         };
-        self.by_revision.remove(&suspect.revision);
-        self.revision += 1;
-        suspect.revision = self.revision;
-        self.by_revision.insert(self.revision, key);
+        suspect.revision = self.changes.record(suspect.revision, key);
     }
 
     /// Schedules a decision on a request with a new crash, if it has enough crashes to be held.
--- a/crates/quarantine/src/store/retention.rs
+++ b/crates/quarantine/src/store/retention.rs
@@ -13,12 +13,26 @@
 
 /// Number of records that are evicted at a time, so that the search for the weakest evidence is
 /// rare.
-const EVICTION_BATCH: usize = 128;
+pub(crate) const EVICTION_BATCH: usize = 128;
 
 /// How long a record is retained: after the last crash if the request is not held, after the last
 /// refusal if it is. A held request that returns later crashes a few more targets once.
 const SUSPECT_RETENTION: Duration = Duration::from_secs(3_600);
-const HELD_RETENTION: Duration = Duration::from_secs(24 * 3_600);
+pub(crate) const HELD_RETENTION: Duration = Duration::from_secs(24 * 3_600);
+
+/// Returns the records of the account that has the most, or of all accounts that share that number.
+pub(crate) fn records_of_largest_account<'a, T>(
+    all: Vec<&'a T>,
+    account_of: impl Fn(&'a T) -> &'a str,
+) -> Vec<&'a T> {
+    let mut accounts: HashMap<&str, usize> = HashMap::new();
+    for one in &all {
+        *accounts.entry(account_of(one)).or_default() += 1;
+    }
+    let largest = accounts.values().copied().max();
+    let of_largest = |one: &&'a T| accounts.get(account_of(one)).copied() == largest;
+    all.into_iter().filter(of_largest).collect()
+}
 
 impl SuspectStore {
     /// Removes expired records; returns the requests that were held until then.
@@ -46,15 +60,8 @@
         if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&subject.key) {
             return;
         }
-        let mut accounts: HashMap<&str, usize> = HashMap::new();
-        for one in self.suspects.values() {
-            *accounts.entry(&one.record.subject.account).or_default() += 1;
-        }
-        let Some(largest) = accounts.values().copied().max() else {
-            return;
-        };
-        let of_largest = |one: &&Suspect| accounts[one.record.subject.account.as_str()] == largest;
-        let mut candidates: Vec<&Suspect> = self.suspects.values().filter(of_largest).collect();
+        let all: Vec<&Suspect> = self.suspects.values().collect();
+        let mut candidates = records_of_largest_account(all, |one| &one.record.subject.account);
         candidates.sort_by_key(|one| {
             let record = &one.record;
             (
@@ -71,7 +78,7 @@
 
     pub(super) fn forget(&mut self, key: RequestKey) {
         if let Some(suspect) = self.suspects.remove(&key) {
-            self.by_revision.remove(&suspect.revision);
+            self.changes.forget(suspect.revision);
         }
     }
 }
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -97,6 +97,10 @@
     RequestTried = 423, Warn, "A held request is run once, isolated, to test whether it still crashes targets.";
     RequestReleased = 424, Info, "A held request was released, by expiry without new requests or by an operator.";
     AccountsConfined = 425, Error, "Accounts that keep sending new requests which crash targets are confined to a few targets; none: no account is.";
+    PartHeld = 426, Error, "A part of prompts was found to crash the targets that answer on it; every host refuses requests with it.";
+    PartTried = 427, Warn, "A request with a held part of its prompt is run once, to test whether the part still crashes targets.";
+    PartReleased = 428, Info, "A held part of prompts was released, by completed runs, by expiry or by an operator.";
+    PartAccused = 429, Warn, "A target crashed right after it had answered a request with these parts in its prompt.";
     TargetListed = 501, Info, "A target was added to the host list.";
     TargetLeaving = 502, Info, "A target is leaving and gets no new requests.";
     TargetGone = 503, Info, "A target is missing from a complete read of the host list.";
--- a/crates/wire/src/message_version.rs
+++ b/crates/wire/src/message_version.rs
@@ -37,11 +37,15 @@
     /// Adds the origins of streams between entry hosts; otherwise the same as version 6.
     #[display("7")]
     V7,
+    /// Adds records of prompt parts that crash targets between entry hosts and control hosts, and to
+    /// the log; otherwise the same as version 7.
+    #[display("8")]
+    V8,
 }
 
 impl MessageVersion {
     /// The newest version that this build supports.
-    pub const NEWEST: Self = Self::V7;
+    pub const NEWEST: Self = Self::V8;
 
     /// Returns the number that announces this version in the handshake.
     pub const fn number(self) -> u16 {
@@ -53,6 +57,7 @@
             Self::V5 => 5,
             Self::V6 => 6,
             Self::V7 => 7,
+            Self::V8 => 8,
         }
     }
 
@@ -66,6 +71,7 @@
             4 => Self::V4,
             5 => Self::V5,
             6 => Self::V6,
+            7 => Self::V7,
             _ => Self::NEWEST,
         }
     }
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -156,16 +156,18 @@
 }
 
 /// Decodes a message and the tails that follow it; a missing tail has its default value.
-fn decode_with_tails<N, T, U>(bytes: &[u8]) -> Result<(N, T, U), postcard::Error>
+fn decode_with_tails<N, T, U, V>(bytes: &[u8]) -> Result<(N, T, U, V), postcard::Error>
 where
     N: DeserializeOwned,
     T: DeserializeOwned + Default,
     U: DeserializeOwned + Default,
+    V: DeserializeOwned + Default,
 {
     let (message, rest) = postcard::take_from_bytes(bytes)?;
     let (first, rest) = decode_tail(rest)?;
-    let (second, _) = decode_tail(rest)?;
-    Ok((message, first, second))
+    let (second, rest) = decode_tail(rest)?;
+    let (third, _) = decode_tail(rest)?;
+    Ok((message, first, second, third))
 }
 
 /// Decodes one tail; returns its default value if no bytes are left.
@@ -227,12 +229,13 @@
     /// # Errors
     ///
     /// As [`PeerReader::receive`].
-    pub async fn receive_with_tails<N, F, T, U>(&mut self) -> Result<(N, T, U), WireError>
+    pub async fn receive_with_tails<N, F, T, U, V>(&mut self) -> Result<(N, T, U, V), WireError>
     where
         N: Serialize + DeserializeOwned + From<F>,
         F: DeserializeOwned,
         T: DeserializeOwned + Default,
         U: DeserializeOwned + Default,
+        V: DeserializeOwned + Default,
     {
         match self.session.message_version {
             Some(version) if version > MessageVersion::V1 => {
@@ -240,7 +243,7 @@
             }
             _ => {
                 let message = self.receive_versioned::<N, F>().await?;
-                Ok((message, T::default(), U::default()))
+                Ok((message, T::default(), U::default(), V::default()))
             }
         }
     }
