Gateway: read prompt parts from every header that lists them

A prompt whose parts were split over two headers was known by those of the first only, so a part in the second was not seen by the quarantine, and a header that is not text counted as an empty list. Headers are joined now, and one that is not text is refused as bad_request, as malformed parts were before. The table test failed before in these two cases.

--- a/crates/gateway/src/prompt.rs
+++ b/crates/gateway/src/prompt.rs
@@ -85,19 +85,12 @@
     let (input_tokens, max_output_tokens) = tokens.split_once(',').ok_or_else(expected)?;
     let input_tokens = input_tokens.trim().parse().map_err(|_| expected())?;
     let max_output_tokens = max_output_tokens.trim().parse().map_err(|_| expected())?;
-    let parts = header_text(headers, &names.prompt_parts).unwrap_or_default();
-    let parts = parts
-        .split(',')
-        .filter(|part| !part.trim().is_empty())
-        .map(|part| {
-            let (id, tokens) = part.trim().split_once(':')?;
-            Some(PromptPart {
-                id: id.to_owned(),
-                tokens: tokens.parse().ok()?,
-            })
-        })
-        .collect::<Option<Vec<_>>>()
-        .ok_or_else(|| malformed_header(&names.prompt_parts, "ID:TOKENS,..."))?;
+    // A list may be split over several headers of the same name.
+    let lines = headers.get_all(&names.prompt_parts).iter();
+    let lines: Option<Vec<&str>> = lines.map(|line| line.to_str().ok()).collect();
+    let parts = lines.and_then(|lines| lines.into_iter().flat_map(parse_parts).collect());
+    let parts: Vec<PromptPart> =
+        parts.ok_or_else(|| malformed_header(&names.prompt_parts, "ID:TOKENS,..."))?;
     // The last part belongs to this request alone.
     let shared_parts = parts
         .split_last()
@@ -108,3 +101,18 @@
         shared_parts: shared_parts.to_vec(),
     }))
 }
+
+/// Parses one header with parts; yields `None` for a malformed part.
+fn parse_parts(line: &str) -> impl Iterator<Item = Option<PromptPart>> {
+    let parts = line.split(',').map(str::trim);
+    parts.filter(|part| !part.is_empty()).map(|part| {
+        let (id, tokens) = part.split_once(':')?;
+        Some(PromptPart {
+            id: id.to_owned(),
+            tokens: tokens.parse().ok()?,
+        })
+    })
+}
+
+#[cfg(test)]
+mod tests;
