Quarantine: a host without control hosts holds on more evidence

Cause: crashes are attributed to the request that no other one explains, which takes the reports of all hosts. While all control hosts are down, a host sees its own requests only; one that is in flight everywhere stands in each crash, and was held after three.

Change: a process out of contact with all control hosts holds requests and prompt parts after six crashes; when contact is restored, they wait for the reports of the others first.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -330,6 +330,7 @@
         self.directory
             .borrow_mut()
             .apply_update(from, update, Instant::now());
+        self.update_isolation();
         let rollouts_changed = self.refresh_rollouts();
         if entry_hosts_changed {
             self.refresh_entry_hosts();
@@ -377,6 +378,7 @@
     /// Records that the connection to a control host was lost.
     pub fn mark_control_lost(&self, from: SocketAddr) {
         self.directory.borrow_mut().mark_control_lost(from);
+        self.update_isolation();
         self.refresh_rollouts();
         self.refresh_entry_hosts();
         self.targets_changed.notify_one();
--- a/crates/gateway/src/part_suspects.rs
+++ b/crates/gateway/src/part_suspects.rs
@@ -89,6 +89,12 @@
         self.store.borrow().counts()
     }
 
+    /// Sets whether this host is out of contact with all control hosts.
+    pub(crate) fn set_isolated(&self, is_isolated: bool, now: Instant) {
+        let mut store = self.store.borrow_mut();
+        store.set_isolated(is_isolated, now);
+    }
+
     /// Records the crash of a target where a request was in flight, against all parts of its prompt.
     fn add_crash(
         &self,
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -195,6 +195,18 @@
         }
     }
 
+    /// Records whether this host is out of contact with all control hosts, and so learns nothing about
+    /// requests of other hosts.
+    pub(crate) fn update_isolation(&self) {
+        let is_isolated = !self.directory.borrow().is_connected();
+        let now = Instant::now();
+        self.suspects
+            .store
+            .borrow_mut()
+            .set_isolated(is_isolated, now);
+        self.parts.set_isolated(is_isolated, now);
+    }
+
     /// Merges suspect records of another process.
     pub(crate) fn merge_suspects(&self, records: &[SuspectRecord]) {
         let now = Instant::now();
--- a/crates/quarantine/src/attribution.rs
+++ b/crates/quarantine/src/attribution.rs
@@ -15,6 +15,11 @@
 /// and many targets may crash at the same time.
 pub const HOLD_CRASHES: usize = 3;
 
+/// Target crashes after which a process without contact to any control host holds a request or a
+/// part. It does not learn what else ran at the targets, so it cannot tell the cause from what is in
+/// flight everywhere.
+pub(crate) const ISOLATED_HOLD_CRASHES: usize = 6;
+
 /// A request that may be the cause of crashes.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Candidate<'a> {
@@ -25,9 +30,10 @@
 }
 
 /// Returns the request to which each crash is attributed: requests that are held already, and those
-/// that are found to be causes now.
+/// that are found to be causes now, which takes `hold_crashes`.
 pub(crate) fn attribute_crashes(
     mut candidates: Vec<Candidate<'_>>,
+    hold_crashes: usize,
 ) -> BTreeMap<CrashKey, RequestKey> {
     candidates.sort_by_key(|one| {
         let record = one.record;
@@ -43,7 +49,7 @@
         let unattributed_crashes = unattributed(record, &attributed);
         let is_cause = || {
             one.decided
-                && unattributed_crashes.len() >= HOLD_CRASHES
+                && unattributed_crashes.len() >= hold_crashes
                 && !is_explained_by_another(record, &unattributed_crashes, &candidates)
         };
         if record.held || is_cause() {
--- a/crates/quarantine/src/parts/attribution.rs
+++ b/crates/quarantine/src/parts/attribution.rs
@@ -11,6 +11,7 @@
 
 use super::record::RUNS_PER_CRASH;
 use super::{PartKey, PartRecord};
+use crate::attribution::ISOLATED_HOLD_CRASHES;
 use crate::{CrashKey, HOLD_CRASHES};
 
 /// Crashes that have to remain if any one request, or account, is left out.
@@ -29,9 +30,11 @@
 
 /// Returns the groups of parts to which crashes are attributed. `is_decided` says whether all hosts
 /// have had time to report a part; until then, it only prevents others from being found the cause.
+/// `is_isolated` says whether this process learns nothing from others.
 pub(crate) fn find_causes<'a>(
     records: impl Iterator<Item = &'a PartRecord>,
     is_decided: impl Fn(PartKey) -> bool,
+    is_isolated: bool,
 ) -> Vec<HeldGroup> {
     let records: Vec<&PartRecord> = records.collect();
     let mut candidates: Vec<&PartRecord> = records.clone();
@@ -56,9 +59,11 @@
         };
         let own: BTreeSet<CrashKey> = own_crashes(record, remaining).collect();
         let explains_most = own.len() * 2 >= remaining.len();
-        let needed = match explains_most || record.was_held {
-            true => HOLD_CRASHES,
-            false => HOLD_CRASHES_AMONG_OTHERS,
+        let needed = match (record.was_held, is_isolated) {
+            (true, _) => HOLD_CRASHES,
+            (false, true) => ISOLATED_HOLD_CRASHES,
+            (false, false) if explains_most => HOLD_CRASHES,
+            (false, false) => HOLD_CRASHES_AMONG_OTHERS,
         };
         let is_cause = record.outweighs_runs(own.len(), needed)
             && record.independent_crashes(own.iter()) >= INDEPENDENT_CRASHES
--- a/crates/quarantine/src/parts/store.rs
+++ b/crates/quarantine/src/parts/store.rs
@@ -75,6 +75,8 @@
     newly_released: Vec<PartKey>,
     /// The time of the next decision.
     next_decision: Option<Instant>,
+    /// Whether this process is out of contact with all control hosts.
+    is_isolated: bool,
 }
 
 impl PartStore {
@@ -192,6 +194,20 @@
         }
     }
 
+    /// Sets whether this process is out of contact with all control hosts. The parts that it would
+    /// hold after contact is restored wait until other hosts have reported.
+    pub fn set_isolated(&mut self, is_isolated: bool, now: Instant) {
+        let was_isolated = std::mem::replace(&mut self.is_isolated, is_isolated);
+        if was_isolated && !is_isolated {
+            let keys = self.parts.keys().filter(|key| !self.is_held(**key));
+            let keys: Vec<PartKey> = keys.copied().collect();
+            for key in keys {
+                self.schedule_decision(key, false, now);
+            }
+        }
+        self.is_stale |= was_isolated != is_isolated;
+    }
+
     /// Discards the evidence about a part and the others of its group; returns whether there was any.
     pub fn release(&mut self, key: PartKey) -> bool {
         let mut keys = self.group_of(key);
@@ -376,7 +392,7 @@
             let part = self.parts.get(&key);
             part.is_some_and(|part| part.decision_at.is_none())
         };
-        let held = find_causes(records, is_decided);
+        let held = find_causes(records, is_decided, self.is_isolated);
         let former = std::mem::replace(&mut self.held, held);
         let parts_of = |groups: &[HeldGroup]| -> BTreeSet<PartKey> {
             groups
--- a/crates/quarantine/src/parts/store/tests.rs
+++ b/crates/quarantine/src/parts/store/tests.rs
@@ -285,3 +285,27 @@
     assert_eq!(known(&mut store, 11), [false, false, true]);
     assert_eq!(known(&mut store, 25 * 60), [false, false, false]);
 }
+
+/// Guards against a process that cannot learn what else ran at the crashed targets.
+#[test]
+fn a_process_without_contact_needs_more_crashes_until_others_have_reported() {
+    let now = Instant::now();
+    let mut store = PartStore::new();
+    store.set_isolated(true, now);
+    for number in 0..3 {
+        add_crash(&mut store, number, number, "a", &["dead"]);
+    }
+    assert!(!is_held(&mut store, "a", &["dead"]));
+    store.set_isolated(false, now);
+    assert_eq!(
+        store.status(&keys("a", &["dead"]), now),
+        PartStatus::Undecided
+    );
+    assert!(is_held(&mut store, "a", &["dead"]));
+    store.set_isolated(true, now);
+    assert!(is_held(&mut store, "a", &["dead"]));
+    for number in 10..16 {
+        add_crash(&mut store, number, number, "a", &["other"]);
+    }
+    assert!(is_held(&mut store, "a", &["other"]));
+}
--- a/crates/quarantine/src/store.rs
+++ b/crates/quarantine/src/store.rs
@@ -8,7 +8,9 @@
 pub use retention::MAX_SUSPECTS;
 pub(crate) use retention::{EVICTION_BATCH, HELD_RETENTION, records_of_largest_account};
 
-use crate::attribution::{Candidate, HOLD_CRASHES, attribute_crashes, unattributed};
+use crate::attribution::{
+    Candidate, HOLD_CRASHES, ISOLATED_HOLD_CRASHES, attribute_crashes, unattributed,
+};
 use crate::changes::{ChangeLog, RecordChanges};
 use crate::{CrashKey, RequestKey, RequestStatus, RequestSubject, SuspectRecord};
 
@@ -66,6 +68,8 @@
     newly_held: Vec<RequestKey>,
     /// The time of the next decision.
     next_decision: Option<Instant>,
+    /// Whether this process is out of contact with all control hosts.
+    is_isolated: bool,
 }
 
 impl SuspectStore {
@@ -133,6 +137,16 @@
         }
     }
 
+    /// Sets whether this process is out of contact with all control hosts. The requests that it would
+    /// hold after contact is restored wait until other hosts have reported.
+    pub fn set_isolated(&mut self, is_isolated: bool, now: Instant) {
+        if std::mem::replace(&mut self.is_isolated, is_isolated) && !is_isolated {
+            let keys: Vec<RequestKey> = self.suspects.keys().copied().collect();
+            keys.into_iter()
+                .for_each(|key| self.schedule_decision(key, now));
+        }
+    }
+
     /// Discards the crashes of a completed or released request; returns whether there were any.
     pub fn clear_request(&mut self, key: RequestKey) -> bool {
         let suspect = self.suspects.get_mut(&key);
@@ -358,7 +372,11 @@
             record: &one.record,
             decided: one.decision_at.is_none(),
         });
-        self.attributed = attribute_crashes(candidates.collect());
+        let hold_crashes = match self.is_isolated {
+            true => ISOLATED_HOLD_CRASHES,
+            false => HOLD_CRASHES,
+        };
+        self.attributed = attribute_crashes(candidates.collect(), hold_crashes);
         let causes: BTreeSet<RequestKey> = self.attributed.values().copied().collect();
         for key in causes {
             let suspect = self.suspects.get_mut(&key);
--- a/crates/quarantine/src/store/tests.rs
+++ b/crates/quarantine/src/store/tests.rs
@@ -281,3 +281,20 @@
         stores[to].merge(&record, now);
     }
 }
+
+/// Guards against a process that cannot learn what else ran at the crashed targets.
+#[test]
+fn a_process_without_contact_needs_more_crashes_until_others_have_reported() {
+    let (now, popular) = (Instant::now(), subject("a", "/popular"));
+    let mut store = SuspectStore::new();
+    store.set_isolated(true, now);
+    record_crashes(&mut store, &popular, &[1, 2, 3], now);
+    assert_eq!(decided(&mut store, &popular, now), RequestStatus::Suspect);
+    store.set_isolated(false, now);
+    assert_eq!(store.status(popular.key, now), RequestStatus::Undecided);
+    assert_eq!(decided(&mut store, &popular, now), REFUSED);
+    let crashing = subject("a", "/crashing");
+    store.set_isolated(true, now);
+    record_crashes(&mut store, &crashing, &[4, 5, 6, 7, 8, 9], now);
+    assert_eq!(decided(&mut store, &crashing, now), REFUSED);
+}
