Upstream: do not reuse a connection that its target has just closed

Cause: the pool asked the task that drives a connection whether it is closed. On a busy machine that task has not run since the close arrived.

Change: before an idle direct connection is reused, its socket is looked at for an end or for bytes that nobody asked for, which reads nothing.

Evidence: a_connection_that_its_target_has_just_closed_is_not_reused fails without the look and passes with it.

--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Pool of connections to targets. A connection carries one request at a time.
 
 mod send_error;
+mod shared_socket;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -23,6 +24,7 @@
 use tokio::time::{sleep, timeout};
 
 pub(crate) use send_error::{SendError, is_peer_disconnect};
+use shared_socket::SharedSocket;
 
 use crate::message_heads::SendDeadline;
 use crate::send_gate::SendGate;
@@ -59,6 +61,8 @@
     idle_timeout: Duration,
     /// The entry host that opened the connection, if it is another one.
     peer: Option<SocketAddr>,
+    /// The socket of a direct connection.
+    socket: Option<SharedSocket>,
 }
 
 #[derive(Default)]
@@ -248,7 +252,10 @@
     pub(crate) fn has_closed_idle(&self, address: SocketAddr) -> bool {
         let state = self.state.borrow();
         let mut idle = state.idle.get(&address).into_iter().flatten();
-        idle.any(|connection| connection.peer.is_none() && connection.sender.is_closed())
+        idle.any(|connection| {
+            let socket = connection.socket.as_ref();
+            socket.is_some_and(|socket| connection.sender.is_closed() || socket.has_unread_end())
+        })
     }
 
     fn is_usable(&self, address: SocketAddr, connection: &Connection) -> bool {
@@ -295,8 +302,10 @@
             TargetSocket::Direct(socket) => {
                 let _ = socket.set_nodelay(true);
                 detect_dead_peer(&socket);
-                let counted = self.links.count_open();
-                self.start_driver(socket, counted).await
+                let (counted, socket) = (self.links.count_open(), SharedSocket::new(socket));
+                let mut connection = self.start_driver(socket.clone(), counted).await?;
+                connection.socket = Some(socket);
+                Ok(connection)
             }
             TargetSocket::Tunnel(tunnel, peer) => {
                 let mut connection = self.start_driver(tunnel, ()).await?;
@@ -332,6 +341,7 @@
             idle_since: Instant::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             peer: None,
+            socket: None,
         })
     }
 }
@@ -339,7 +349,11 @@
 impl Connection {
     fn is_usable(&self) -> bool {
         let is_fresh = self.idle_since.elapsed() < self.idle_timeout.mul_f64(IDLE_TIMEOUT_SHARE);
-        is_fresh && !self.sender.is_closed() && !self.closer.is_closed()
+        let has_unread_end = || {
+            let socket = self.socket.as_ref();
+            socket.is_some_and(SharedSocket::has_unread_end)
+        };
+        is_fresh && !self.sender.is_closed() && !self.closer.is_closed() && !has_unread_end()
     }
 }
 
@@ -399,3 +413,6 @@
         .or(Some(value))?;
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
+
+#[cfg(test)]
+mod tests;
