Quarantine of prompt parts: bound the work of a mass crash

Each part that was new to a host was looked for in all runs that the host remembers, 512 prompts for each, and each request that waited for stages or a target looked at its parts with every changed record. After the loss of a hall both are thousands of times.

The runs are looked through once for all parts of a crash or a message, and waiting requests wake only when other parts are held. Gauges are also set when the last record is gone.

--- a/crates/gateway/src/part_suspects.rs
+++ b/crates/gateway/src/part_suspects.rs
@@ -1,8 +1,9 @@
 //! The parts of prompts that may crash targets, as far as this host knows them.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use linnet_directory::PartSource;
 use linnet_quarantine::{
@@ -11,7 +12,6 @@
 };
 use linnet_telemetry::EventCode;
 use tokio::sync::watch;
-use tokio::time::timeout;
 
 use crate::caller_request::CallerRequest;
 use crate::completed_runs::{CompletedRun, CompletedRuns};
@@ -27,14 +27,13 @@
 /// Number of earlier completed runs that this host reports of a part with a new record.
 const REPORTED_RUNS: usize = 4;
 
-/// Interval at which a waiting request looks for decisions that became due.
-const DECISION_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Tracks the parts of prompts that may crash targets.
 #[derive(Default)]
 pub(crate) struct PartTracker {
     store: RefCell<PartStore>,
     changes: watch::Sender<u64>,
+    /// Wakes waiting requests when other parts are held than before.
+    held_changes: watch::Sender<u64>,
     completed: RefCell<CompletedRuns>,
 }
 
@@ -51,7 +50,10 @@
         let now = Instant::now();
         let mut store = self.store.borrow_mut();
         store.decide_due(now);
-        store.status(&keys, now)
+        let status = store.status(&keys, now);
+        drop(store);
+        self.notify_changes();
+        status
     }
 
     /// Returns the record of a part, if there is one.
@@ -95,13 +97,14 @@
         store.set_isolated(is_isolated, now);
     }
 
-    /// Records the crash of a target where a request was in flight, against all parts of its prompt.
+    /// Records the crash of a target where a request was in flight, against all parts of its prompt;
+    /// returns those that are new to this host.
     fn add_crash(
         &self,
         crash: CrashKey,
         (request, service, account): (RequestKey, &str, &str),
         prompt: &Prompt,
-    ) {
+    ) -> Vec<PartKey> {
         let now = Instant::now();
         let part_crash = PartCrash {
             crash,
@@ -109,37 +112,47 @@
             account: OriginTag::of_account(account),
         };
         let mut store = self.store.borrow_mut();
+        let mut new = Vec::new();
         for subject in part_subjects(service, account, prompt) {
-            let is_new = !store.contains(subject.key);
-            store.add_crash(&subject, part_crash, now);
-            if is_new {
-                self.report_runs(&mut store, subject.key);
+            if !store.contains(subject.key) {
+                new.push(subject.key);
             }
+            store.add_crash(&subject, part_crash, now);
         }
+        new
     }
 
-    /// Adds the last completed runs with a part that is new to this host.
-    fn report_runs(&self, store: &mut PartStore, key: PartKey) {
-        let completed = self.completed.borrow();
-        let with_part = completed.settled().filter(|run| has_part(run, key));
-        with_part.take(REPORTED_RUNS).for_each(|run| {
-            store.add_run(key, run.tag);
-        });
+    /// Adds the last completed runs with parts that are new to this host.
+    fn report_runs(&self, new: &[PartKey]) {
+        if new.is_empty() {
+            return;
+        }
+        let mut reported: HashMap<PartKey, usize> = new.iter().map(|key| (*key, 0)).collect();
+        let mut store = self.store.borrow_mut();
+        for run in self.completed.borrow().settled() {
+            for key in part_keys(&run.service, &run.account, &run.prompt) {
+                if let Some(count) = reported
+                    .get_mut(&key)
+                    .filter(|count| **count < REPORTED_RUNS)
+                {
+                    store.add_run(key, run.tag);
+                    *count += 1;
+                }
+            }
+        }
     }
 
     /// Merges records of another process.
     fn merge(&self, records: &[PartRecord]) {
         let now = Instant::now();
         let mut store = self.store.borrow_mut();
+        let keys = records.iter().map(|record| record.subject.key);
+        let new: Vec<PartKey> = keys.filter(|key| !store.contains(*key)).collect();
         for record in records {
-            let key = record.subject.key;
-            let is_new = !store.contains(key);
             store.merge(record, now);
-            if is_new {
-                self.report_runs(&mut store, key);
-            }
         }
         drop(store);
+        self.report_runs(&new);
         self.notify_changes();
     }
 
@@ -159,9 +172,14 @@
     }
 
     fn notify_changes(&self) {
-        let revision = self.store.borrow().revision();
-        self.changes
-            .send_if_modified(|published| std::mem::replace(published, revision) != revision);
+        let store = self.store.borrow();
+        let counts = [
+            (&self.changes, store.revision()),
+            (&self.held_changes, store.held_changes()),
+        ];
+        for (sender, count) in counts {
+            sender.send_if_modified(|published| std::mem::replace(published, count) != count);
+        }
     }
 }
 
@@ -196,10 +214,6 @@
     keys.collect()
 }
 
-fn has_part(run: &CompletedRun, key: PartKey) -> bool {
-    part_keys(&run.service, &run.account, &run.prompt).contains(&key)
-}
-
 impl Gateway {
     /// Returns the part records of this host, as a source for the control hosts.
     pub fn part_source(self: &Rc<Self>) -> PartSource {
@@ -223,9 +237,10 @@
         crash: CrashKey,
         interrupted: impl Iterator<Item = (RequestKey, &'a str, &'a Prompt)>,
     ) {
+        let mut new = Vec::new();
         for (request, account, prompt) in interrupted {
-            self.parts
-                .add_crash(crash, (request, service, account), prompt);
+            let origin = (request, service, account);
+            new.extend(self.parts.add_crash(crash, origin, prompt));
         }
         let mut completed = self.parts.completed.borrow_mut();
         let ended = completed.take_unsettled(&chosen.id, chosen.born);
@@ -234,7 +249,7 @@
             // The key of the request is a hash of its body, which is not computed for every run.
             let request = RequestKey::new("", "", [&run.id, ""], b"");
             let origin = (request, run.service.as_str(), run.account.as_str());
-            self.parts.add_crash(crash, origin, &run.prompt);
+            new.extend(self.parts.add_crash(crash, origin, &run.prompt));
             let detail = format!(
                 "parts={} ended_ms={}",
                 run.prompt.describe_parts(),
@@ -242,6 +257,7 @@
             );
             self.record_request_event(EventCode::PartAccused, &run.id, &chosen.id, detail);
         }
+        self.parts.report_runs(&new);
         self.parts.notify_changes();
     }
 
@@ -300,9 +316,6 @@
         let now = Instant::now();
         self.parts.settle_runs(now);
         let mut store = self.parts.store.borrow_mut();
-        if store.is_empty() {
-            return;
-        }
         store.decide_due(now);
         store.expire(now);
         store.decide_due(now);
@@ -325,7 +338,7 @@
 
     /// Waits until a request has a held part, while it waits for something else; returns its refusal.
     pub(crate) async fn refuse_when_held(&self, service: &str, request: &CallerRequest) -> Refusal {
-        let mut changes = self.parts.changes.subscribe();
+        let mut changes = self.parts.held_changes.subscribe();
         loop {
             if let PartStatus::Held {
                 part,
@@ -334,14 +347,8 @@
             {
                 return self.refuse_held_part(part);
             }
-            let is_pending = !self.parts.store.borrow().is_empty();
-            let changed = changes.changed();
-            match is_pending {
-                // Decisions become due without a change of the records.
-                true => drop(timeout(DECISION_INTERVAL, changed).await),
-                // The sender lives as long as the gateway.
-                false => drop(changed.await),
-            }
+            // The sender lives as long as the gateway.
+            let _ = changes.changed().await;
         }
     }
 
--- a/crates/quarantine/src/parts/store.rs
+++ b/crates/quarantine/src/parts/store.rs
@@ -69,6 +69,8 @@
     pub(super) is_stale: bool,
     /// Groups of which a request must not have all parts.
     held: Vec<HeldGroup>,
+    /// Counts the changes of the held groups.
+    held_changes: u64,
     /// Parts that became held and were not returned by [`PartStore::drain_held`] yet.
     newly_held: Vec<PartKey>,
     /// Parts that became free and were not returned by [`PartStore::drain_released`] yet.
@@ -95,6 +97,11 @@
         self.changes.revision()
     }
 
+    /// Returns how often the held groups have changed.
+    pub fn held_changes(&self) -> u64 {
+        self.held_changes
+    }
+
     /// Returns whether a part has a record.
     pub fn contains(&self, key: PartKey) -> bool {
         self.parts.contains_key(&key)
@@ -393,6 +400,7 @@
             part.is_some_and(|part| part.decision_at.is_none())
         };
         let held = find_causes(records, is_decided, self.is_isolated);
+        self.held_changes += u64::from(held != self.held);
         let former = std::mem::replace(&mut self.held, held);
         let parts_of = |groups: &[HeldGroup]| -> BTreeSet<PartKey> {
             groups
