--- a/crates/gateway/src/prompt/tests.rs
+++ b/crates/gateway/src/prompt/tests.rs
@@ -4,8 +4,11 @@
 use crate::RefusalReason;
 use crate::gateway::tests::protocol;
 
+/// The identifiers of the shared parts, or why the prompt is refused.
+type SharedParts = Result<Vec<String>, RefusalReason>;
+
 /// Parses a prompt whose parts are listed in these headers.
-fn parse(lines: &[&[u8]]) -> Result<Vec<String>, RefusalReason> {
+fn parse(lines: &[&[u8]]) -> SharedParts {
     let names = protocol().headers;
     let mut headers = HeaderMap::new();
     headers.insert(&names.tokens, "100,10".parse().unwrap());
@@ -23,7 +26,7 @@
 #[test]
 fn parts_are_read_from_every_header_that_lists_them() {
     let shared = |ids: &[&str]| Ok(ids.iter().map(|id| (*id).to_owned()).collect());
-    let cases: [(&[&[u8]], Result<Vec<String>, RefusalReason>); 12] = [
+    let cases: [(&[&[u8]], SharedParts); 12] = [
         (&[], shared(&[])),
         (&[b""], shared(&[])),
         (&[b" , ,"], shared(&[])),
--- a/crates/quarantine/tests/part_fleet.rs
+++ b/crates/quarantine/tests/part_fleet.rs
@@ -606,11 +606,17 @@
     }
 }
 
+/// Returns a number from the environment.
+fn setting(name: &str, default: u64) -> u64 {
+    std::env::var(name).map_or(default, |value| value.parse().unwrap())
+}
+
+/// `PART_SEEDS` sets the number of seeds of a run by hand.
 #[test]
 fn no_part_is_held_where_targets_crash_for_other_reasons() {
     for hosts in [3, 9] {
         for (name, scenario) in other_scenarios() {
-            for seed in 0..10 {
+            for seed in 0..setting("PART_SEEDS", 10) {
                 let held = play(scenario, hosts, seed).wrongly_held;
                 assert!(
                     held.is_empty(),
@@ -621,13 +627,10 @@
     }
 }
 
-/// Prints, for each scenario, crashes under the part and runs after the time to act.
+/// Prints, for each scenario, crashes under the part and runs after the time to act, for `PART_HOSTS` hosts.
 #[test]
 #[ignore = "takes minutes; run by hand"]
 fn table_of_scenarios() {
-    let setting = |name: &str, default: u64| {
-        std::env::var(name).map_or(default, |value| value.parse().unwrap())
-    };
     let (hosts, seeds) = (setting("PART_HOSTS", 9) as usize, setting("PART_SEEDS", 20));
     let fast = Scenario {
         crashing_per_s: 100,
