Quarantine of prompt parts: three crashes suffice only beside few others

A part that explains less than three quarters of the known crashes of its service needs five, where it was less than half.

--- a/crates/quarantine/src/parts/attribution.rs
+++ b/crates/quarantine/src/parts/attribution.rs
@@ -17,10 +17,13 @@
 /// Crashes that have to remain if any one request, or account, is left out.
 const INDEPENDENT_CRASHES: usize = 2;
 
-/// Crashes after which a part is held while most crashes of the service are not explained by it. A
-/// part that is not the cause is then interrupted now and then by the crashes of others.
+/// Crashes after which a part is held while it does not explain most crashes of the service. A part
+/// that is not the cause is then interrupted now and then by the crashes of others.
 const HOLD_CRASHES_AMONG_OTHERS: usize = 5;
 
+/// Share of the crashes of a service, in percent, that are most of them.
+const MOST_CRASHES_PERCENT: usize = 75;
+
 /// Parts that were found to be the cause of crashes, and cannot be told apart.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct HeldGroup {
@@ -58,7 +61,7 @@
             continue;
         };
         let own: BTreeSet<CrashKey> = own_crashes(record, remaining).collect();
-        let explains_most = own.len() * 2 >= remaining.len();
+        let explains_most = own.len() * 100 >= remaining.len() * MOST_CRASHES_PERCENT;
         let needed = match (record.was_held, is_isolated) {
             (true, _) => HOLD_CRASHES,
             (false, true) => ISOLATED_HOLD_CRASHES,
