--- a/crates/wire/src/handshake/tests.rs
+++ b/crates/wire/src/handshake/tests.rs
@@ -74,7 +74,8 @@
         (4, MessageVersion::V4),
         (5, MessageVersion::V5),
         (6, MessageVersion::V6),
-        (7, MessageVersion::NEWEST),
+        (7, MessageVersion::V7),
+        (8, MessageVersion::NEWEST),
         (u16::MAX, MessageVersion::NEWEST),
     ] {
         let announced = postcard::to_stdvec::<u16>(&number).unwrap();
@@ -132,6 +133,8 @@
         format!("welcome {}", welcome(MessageVersion::V5)),
         format!("hello {}", hello(MessageVersion::V6)),
         format!("welcome {}", welcome(MessageVersion::V6)),
+        format!("hello {}", hello(MessageVersion::V7)),
+        format!("welcome {}", welcome(MessageVersion::V7)),
         format!("hello {}", hello(MessageVersion::NEWEST)),
         format!("welcome {}", welcome(MessageVersion::NEWEST)),
     ];
