Quarantine of prompt parts: runs count sooner, two requests are no evidence

Cause: a run counted as whole after a second, and only if its target had not crashed by then. With three engines of which one or two crash each second, hardly any run did. And of an account that sends two requests again and again, both are in flight at every crash.

Change: runs count after 0.3 s, which is longer than the search for targets that crashed after an answer takes; three different requests (or accounts) have to be in flight at the crashes.

--- a/crates/gateway/src/completed_runs.rs
+++ b/crates/gateway/src/completed_runs.rs
@@ -19,7 +19,7 @@
 const RETENTION: Duration = Duration::from_secs(30);
 
 /// Time from the end of a run until it counts as completed.
-const SETTLE_TIME: Duration = Duration::from_secs(1);
+const SETTLE_TIME: Duration = Duration::from_millis(300);
 
 /// A run whose whole response was received.
 #[derive(Debug, Clone)]
--- a/crates/quarantine/src/parts/attribution.rs
+++ b/crates/quarantine/src/parts/attribution.rs
@@ -2,8 +2,7 @@
 //!
 //! All parts of all prompts in flight at a crash are accused of it. The cause is told from the others
 //! by three rules: requests with a cause seldom complete; a cause explains crashes that no other part
-//! explains; and no single request was in flight at all of them, since then that request may be the
-//! cause. Parts that cannot be told apart, since they always came together, are a group: only
+//! explains; and different requests were in flight at them, since a single one may itself be the cause. Parts that cannot be told apart, since they always came together, are a group: only
 //! requests with all of them are refused.
 
 use std::cmp::Reverse;
@@ -17,6 +16,10 @@
 /// Crashes that have to remain if any one request, or account, is left out.
 const INDEPENDENT_CRASHES: usize = 2;
 
+/// Minimum number of different requests, or accounts, in flight at the crashes. Two popular requests of
+/// one account are in flight everywhere.
+const MIN_ORIGINS: usize = 3;
+
 /// Crashes after which a part is held while it does not explain all known crashes of the service. A
 /// part that is not the cause is then interrupted now and then by the crashes of others.
 const HOLD_CRASHES_AMONG_OTHERS: usize = 5;
@@ -61,8 +64,10 @@
             (false, false) if own.len() == remaining.len() => HOLD_PART_CRASHES,
             (false, false) => HOLD_CRASHES_AMONG_OTHERS,
         };
+        let (independent, origins) = record.independent_crashes(own.iter());
         record.outweighs_runs(own.len(), needed)
-            && record.independent_crashes(own.iter()) >= INDEPENDENT_CRASHES
+            && independent >= INDEPENDENT_CRASHES
+            && origins >= MIN_ORIGINS
             && is_decided(record.subject.key)
     };
     for record in &candidates {
--- a/crates/quarantine/src/parts/record.rs
+++ b/crates/quarantine/src/parts/record.rs
@@ -143,11 +143,11 @@
     }
 
     /// Returns how many of some crashes remain if the requests of one origin are left out, for the
-    /// origin with which fewest remain.
+    /// origin with which fewest remain; and the number of origins.
     pub(crate) fn independent_crashes<'a>(
         &self,
         crashes: impl Iterator<Item = &'a CrashKey>,
-    ) -> usize {
+    ) -> (usize, usize) {
         let mut counts: BTreeMap<OriginTag, usize> = BTreeMap::new();
         let mut total = 0;
         for crash in crashes {
@@ -156,7 +156,9 @@
                 *counts.entry(*origin).or_default() += 1;
             }
         }
-        total - counts.into_values().max().unwrap_or_default()
+        let origins = counts.len();
+        let remaining = total - counts.into_values().max().unwrap_or_default();
+        (remaining, origins)
     }
 
     /// Adds a crash; returns whether it or its origin was new.
--- a/crates/quarantine/src/parts/store/tests.rs
+++ b/crates/quarantine/src/parts/store/tests.rs
@@ -111,6 +111,16 @@
     assert!(!is_held(&mut store, "a", &["all", "few"]));
 }
 
+/// Guards against holding a part of two popular requests, which are in flight at every crash.
+#[test]
+fn crashes_under_two_requests_do_not_hold_their_parts() {
+    let mut store = PartStore::new();
+    for number in 0..6 {
+        add_crash(&mut store, number, number % 2, "a", &["popular"]);
+    }
+    assert!(!is_held(&mut store, "a", &["popular"]));
+}
+
 /// Guards against an account that has parts of other accounts held by what it sends.
 #[test]
 fn crashes_of_one_account_hold_a_part_for_that_account_only() {
