--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod replicas;
 mod rng;
 mod stage_surplus;
+mod stream_cut;
 mod system;
 
 use std::path::{Path, PathBuf};
@@ -26,6 +27,7 @@
     let root = std::env::current_dir().unwrap_or_else(|_| PathBuf::from("."));
     let outcome = match case.as_str() {
         "stage-surplus" => stage_surplus::run(&root, &record, trouble),
+        "stream-cut" => stream_cut::run(&root, &record, trouble),
         _ => Err(format!("no case {case}")),
     };
     match outcome {
