--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod http;
 mod json;
+mod memory;
 mod record;
 mod replicas;
 mod rng;
@@ -26,6 +27,7 @@
     };
     let root = std::env::current_dir().unwrap_or_else(|_| PathBuf::from("."));
     let outcome = match case.as_str() {
+        "memory" => memory::run(&root, &record, trouble),
         "stage-surplus" => stage_surplus::run(&root, &record, trouble),
         "stream-cut" => stream_cut::run(&root, &record, trouble),
         _ => Err(format!("no case {case}")),
