Observability: runs of streams in the log, and counters of resumptions and ends

From the id of a stream, the log named its targets but neither their incarnations nor the events of each run, and metrics counted no resumption. So it could not be told whether a stream that was out of order was broken by its target, by a resumption or by its caller's next request.

- Lines that end a stream, 414 and the new 419 (a run broke off) name target, incarnation, version, and first and last event of the run. 414 also names the target of the run before, 412 each failed resumption, 404 why the stream did not go on.
- 418 names the stream that is taken up and its Last-Event-Id.
- stream_resumptions by outcome and stream_ends by cause.

Texts of callers and targets are cut to 64 letters and one word. No change of logic: the conditions of a resumption are checked in the same order.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -86,6 +86,17 @@
 }
 
 impl AttemptOutcome {
+    /// Describes why the attempt has no usable response, for the log.
+    pub(crate) fn cause(&self) -> String {
+        match self {
+            Self::Complete(response) => format!("status {}", response.status.as_u16()),
+            Self::Streaming(_) => "streaming".to_owned(),
+            Self::NotRun { cause, .. } | Self::MayHaveRun { cause, .. } => cause.clone(),
+            Self::Withheld => "withheld".to_owned(),
+            Self::OverBudget => "over the retry budget".to_owned(),
+        }
+    }
+
     fn unusable(cause: impl Into<String>) -> Self {
         Self::MayHaveRun {
             cause: cause.into(),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -121,6 +121,14 @@
     event_end
 }
 
+/// Returns the id of the first event that has one.
+pub(crate) fn first_event_id(events: &[u8]) -> Option<String> {
+    let lines = events.split(|byte| is_line_end(*byte));
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let id = ids.next()?;
+    Some(String::from_utf8_lossy(id).trim().to_owned())
+}
+
 /// Returns the id of the last event that has one.
 pub(crate) fn last_event_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|byte| is_line_end(*byte));
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -47,6 +47,8 @@
 #[derive(Default)]
 struct RequestTrace {
     target: String,
+    /// Start time of the incarnation of the target.
+    born: u64,
     attempts: u32,
     stages_time: Option<Duration>,
     /// Number of times that its stages were started.
@@ -106,12 +108,13 @@
     let elapsed = request.arrived_at.elapsed();
     let detail = |outcome: &str| {
         format!(
-            "route={} account={} rank={}.{} version={} attempts={} planned_ms={:.0} waits_ms={:.0} stages_ms={} stage_runs={} took_ms={}{}{}{} {outcome}",
+            "route={} account={} rank={}.{} version={} born={} attempts={} planned_ms={:.0} waits_ms={:.0} stages_ms={} stage_runs={} took_ms={}{}{}{} {outcome}",
             request.route.name,
             request.account.as_deref().unwrap_or("-"),
             request.rank.account_priority,
             request.rank.route_priority,
             request.config_version,
+            trace.born,
             trace.attempts,
             trace.plan.total_ms(),
             trace.plan.waits_ms,
@@ -230,6 +233,7 @@
         let (chosen, placement) = next.map_err(|refusal| adjust_refusal(trace, refusal))?;
         gateway.record_stream_origin(request, &service, &chosen);
         trace.target.clone_from(&chosen.id);
+        trace.born = chosen.born;
         trace.placement_facts = placement.as_ref().and_then(Placement::estimate);
         trace.attempts += 1;
         let may_have_run_before = std::mem::replace(&mut trace.may_have_run, true);
@@ -330,8 +334,8 @@
         };
         gateway.metrics.attempts_failed.inc();
         let detail = format!(
-            "service={service} attempt={} cause={failure}",
-            trace.attempts
+            "service={service} born={} attempt={} cause={failure}",
+            chosen.born, trace.attempts
         );
         gateway.record_request_event(EventCode::AttemptFailed, &request.id, &chosen.id, detail);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -62,6 +62,7 @@
 mod stage_call;
 mod stage_client;
 mod stream_origins;
+mod stream_trace;
 mod suspects;
 mod target;
 mod target_crash;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,7 @@
 use crate::body_framing::BodyFraming;
 use crate::retry_budget::RetryCause;
 use crate::stream_origins::OriginSource;
+use crate::stream_trace::{ResumptionOutcome, StreamEnd};
 
 /// Labels of a finished request. They exclude routes and accounts, which would make the number of
 /// series unbounded.
@@ -99,6 +100,20 @@
     pub origin: String,
 }
 
+/// Labels of streams whose run broke off.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ResumptionLabels {
+    /// What became of the stream, such as `resumed` or `no_target`.
+    pub outcome: String,
+}
+
+/// Labels of streams that ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StreamEndLabels {
+    /// Why the stream ended, such as `complete` or `inside_event`.
+    pub cause: String,
+}
+
 /// Labels of requests that were sent to targets.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct SendLabels {
@@ -120,6 +135,8 @@
     pub(crate) retry_slack_granted: Gauge,
     pub(crate) streams_known: Gauge,
     pub(crate) streams_taken_up: Family<OriginLabels, Counter>,
+    pub(crate) stream_resumptions: Family<ResumptionLabels, Counter>,
+    pub(crate) stream_ends: Family<StreamEndLabels, Counter>,
     pub(crate) target_bodies: Family<BodyLabels, Counter>,
     pub(crate) foreign_responses: Family<ForeignLabels, Counter>,
     pub(crate) connections_opened: Gauge,
@@ -178,6 +195,8 @@
             retry_slack_granted: Gauge::default(),
             streams_known: Gauge::default(),
             streams_taken_up: Family::default(),
+            stream_resumptions: Family::default(),
+            stream_ends: Family::default(),
             target_bodies: Family::default(),
             foreign_responses: Family::default(),
             connections_opened: Gauge::default(),
@@ -332,6 +351,16 @@
             "Streams that callers took up, by how the version that began them was found",
             metrics.streams_taken_up.clone(),
         );
+        registry.register(
+            "stream_resumptions",
+            "Runs of streams that broke off, by what became of the stream",
+            metrics.stream_resumptions.clone(),
+        );
+        registry.register(
+            "stream_ends",
+            "Streams that ended towards their callers, by cause",
+            metrics.stream_ends.clone(),
+        );
         registry.register(
             "target_bodies",
             "Bodies of responses of targets, by framing and end",
@@ -522,6 +551,20 @@
         self.streams_taken_up.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_resumption(&self, outcome: ResumptionOutcome) {
+        let labels = ResumptionLabels {
+            outcome: outcome.to_string(),
+        };
+        self.stream_resumptions.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn count_stream_end(&self, end: StreamEnd) {
+        let labels = StreamEndLabels {
+            cause: end.to_string(),
+        };
+        self.stream_ends.get_or_create(&labels).inc();
+    }
+
     /// Records how far the forecast of the stages of a request was from the time that they took.
     pub(crate) fn observe_forecast_error(&self, forecast_ms: f64, took: Duration) {
         let error = took.as_secs_f64() - forecast_ms / 1_000.0;
--- a/crates/gateway/src/metrics/tests.rs
+++ b/crates/gateway/src/metrics/tests.rs
@@ -94,3 +94,58 @@
         ],
     );
 }
+
+/// Guards against names that differ from docs/OPERATIONS.md and against outcomes under one label.
+#[test]
+fn resumptions_and_ends_of_streams_are_told_apart() {
+    let metrics = GatewayMetrics::new();
+    let outcomes = [
+        ResumptionOutcome::Resumed,
+        ResumptionOutcome::NoFurtherEvent,
+        ResumptionOutcome::NoTarget,
+        ResumptionOutcome::Budget,
+        ResumptionOutcome::AttemptsUsed,
+        ResumptionOutcome::NotRepeatable,
+        ResumptionOutcome::MayCrash,
+        ResumptionOutcome::RunPermit,
+        ResumptionOutcome::Failed,
+    ];
+    for outcome in outcomes {
+        metrics.count_resumption(outcome);
+    }
+    let ends = [
+        StreamEnd::Complete,
+        StreamEnd::NoFurtherEvent,
+        StreamEnd::Connection,
+        StreamEnd::InsideEvent,
+        StreamEnd::UnconfirmedClose,
+        StreamEnd::TooLong,
+        StreamEnd::TimedOut,
+        StreamEnd::CallerLeft,
+    ];
+    for end in ends {
+        metrics.count_stream_end(end);
+    }
+    assert_lines(
+        &metrics,
+        &[
+            "linnet_gateway_stream_resumptions_total{outcome=\"resumed\"} 1",
+            "linnet_gateway_stream_resumptions_total{outcome=\"no_further_event\"} 1",
+            "linnet_gateway_stream_resumptions_total{outcome=\"no_target\"} 1",
+            "linnet_gateway_stream_resumptions_total{outcome=\"budget\"} 1",
+            "linnet_gateway_stream_resumptions_total{outcome=\"attempts_used\"} 1",
+            "linnet_gateway_stream_resumptions_total{outcome=\"not_repeatable\"} 1",
+            "linnet_gateway_stream_resumptions_total{outcome=\"may_crash\"} 1",
+            "linnet_gateway_stream_resumptions_total{outcome=\"run_permit\"} 1",
+            "linnet_gateway_stream_resumptions_total{outcome=\"failed\"} 1",
+            "linnet_gateway_stream_ends_total{cause=\"complete\"} 1",
+            "linnet_gateway_stream_ends_total{cause=\"no_further_event\"} 1",
+            "linnet_gateway_stream_ends_total{cause=\"connection\"} 1",
+            "linnet_gateway_stream_ends_total{cause=\"inside_event\"} 1",
+            "linnet_gateway_stream_ends_total{cause=\"unconfirmed_close\"} 1",
+            "linnet_gateway_stream_ends_total{cause=\"too_long\"} 1",
+            "linnet_gateway_stream_ends_total{cause=\"timed_out\"} 1",
+            "linnet_gateway_stream_ends_total{cause=\"caller_left\"} 1",
+        ],
+    );
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,8 @@
 //! Relays a stream of events to the caller, and resumes it at another target if the route allows
 //! that.
 
+mod resumption;
+
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -12,25 +14,24 @@
 use linnet_telemetry::EventCode;
 use tokio::time::timeout;
 
-use crate::attempt::{Attempt, AttemptOutcome, EventStream, send_attempt};
+use crate::attempt::EventStream;
 use crate::body::IncompleteResponse;
 use crate::body_framing::BodyFraming;
 use crate::caller_request::CallerRequest;
-use crate::events::{EventTooLong, last_event_id};
+use crate::events::{EventTooLong, first_event_id, last_event_id};
 use crate::graph::RequestResults;
 use crate::message_heads::build_response;
 use crate::metrics::BodyEnd;
 use crate::prompt::describe_parts;
-use crate::retry_budget::RetryCause;
-use crate::rollouts::ResponseQuality;
-use crate::run_permit::{RunPermits, acquire_run_permits};
+use crate::run_permit::RunPermits;
+use crate::stream_trace::{LogText, StreamEnd};
 use crate::target::ChosenTarget;
 use crate::target_crash::TargetState;
-use crate::target_selection::ExcludedTargets;
-use crate::target_selection::select_or_await_target;
 use crate::upstream::is_peer_disconnect;
 use crate::{Gateway, ResponseBody};
 
+use resumption::ResumeOutcome;
+
 /// State of a relayed stream, with everything that resuming it needs.
 pub(crate) struct StreamRelay {
     gateway: Rc<Gateway>,
@@ -44,6 +45,8 @@
     /// Approximate time when the stream began at its target.
     sent: Instant,
     last_event: Option<String>,
+    /// First event of the present run that has an id.
+    run_first: Option<String>,
     chunks: u64,
     /// Whether the end of the stream has been logged.
     ended: bool,
@@ -56,6 +59,7 @@
     fn drop(&mut self) {
         if !self.ended {
             let outcome = "outcome=the caller left its stream";
+            self.gateway.metrics.count_stream_end(StreamEnd::CallerLeft);
             self.record(EventCode::RequestCancelled, outcome);
         }
     }
@@ -83,6 +87,7 @@
             attempts,
             sent: Instant::now(),
             last_event: None,
+            run_first: None,
             chunks: 0,
             ended: false,
             run_permits: RunPermits::default(),
@@ -99,17 +104,24 @@
         self.chunks += 1;
         if let Some(id) = last_event_id(events) {
             self.last_event = Some(id);
+            if self.run_first.is_none() {
+                self.run_first = first_event_id(events);
+            }
         }
     }
 
     fn record(&self, code: EventCode, outcome: &str) {
         let detail = format!(
-            "route={} account={} parts={} chunks={} last_event={} took_ms={} {outcome}",
+            "route={} account={} parts={} born={} target_version={} attempts={} run_first={} chunks={} last_event={} took_ms={} {outcome}",
             self.request.route.name,
             self.request.account.as_deref().unwrap_or("-"),
             describe_parts(self.request.prompt.as_deref()),
+            self.chosen.born,
+            LogText(&self.chosen.version),
+            self.attempts,
+            LogText(self.run_first.as_deref().unwrap_or_default()),
             self.chunks,
-            self.last_event.as_deref().unwrap_or("-"),
+            LogText(self.last_event.as_deref().unwrap_or_default()),
             self.request.arrived_at.elapsed().as_millis()
         );
         self.gateway
@@ -120,9 +132,10 @@
         self.gateway.metrics.count_body(stream.framing, end);
     }
 
-    /// Logs the end of the stream.
-    fn finish(&mut self, code: EventCode, outcome: &str) {
+    /// Logs and counts the end of the stream.
+    fn finish(&mut self, code: EventCode, end: StreamEnd, outcome: &str) {
         self.ended = true;
+        self.gateway.metrics.count_stream_end(end);
         self.record(code, outcome);
     }
 
@@ -141,92 +154,6 @@
             .probe_after_close(target, &self.request, self.sent)
             .await
     }
-
-    /// Finds another target that resumes the stream.
-    async fn resume(&mut self, cause: &str) -> ResumeOutcome {
-        let (service, target) = (&self.service, &self.chosen.id);
-        self.gateway.record_target_failure(service, target, cause);
-        let route = &self.request.route.name;
-        self.gateway
-            .count_response(service, target, route, ResponseQuality::Failed);
-        while self.request.route.is_repeatable()
-            && self.attempts < self.request.route.max_attempts
-            && !self.gateway.may_crash_again(&self.service, &self.request)
-            && self.acquire_run_permits().await
-            && self.gateway.retry_budget.allow_retry(
-                &self.request,
-                &self.service,
-                RetryCause::Resume,
-            )
-        {
-            self.attempts += 1;
-            self.run_permits.mark_sent();
-            let Some((chosen, outcome)) = self.try_next_target().await else {
-                return ResumeOutcome::Failed;
-            };
-            let resumed = match outcome {
-                AttemptOutcome::Streaming(stream) => ResumeOutcome::Resumed(stream),
-                AttemptOutcome::Complete(response) if response.is_empty_success() => {
-                    ResumeOutcome::Complete
-                }
-                AttemptOutcome::OverBudget => return ResumeOutcome::Failed,
-                _ => continue,
-            };
-            let former = std::mem::replace(&mut self.chosen, chosen);
-            self.sent = Instant::now();
-            let detail = format!(
-                "version={} from_version={} cause={cause}",
-                self.chosen.version, former.version
-            );
-            self.record(EventCode::StreamResumed, &detail);
-            return resumed;
-        }
-        ResumeOutcome::Failed
-    }
-
-    async fn acquire_run_permits(&mut self) -> bool {
-        let (gateway, request) = (&self.gateway, &self.request);
-        let acquired =
-            acquire_run_permits(gateway, &self.service, request, &mut self.run_permits).await;
-        acquired.is_ok()
-    }
-
-    /// Sends the request to another target, which is to resume after the last event; returns `None`
-    /// if no target is available.
-    async fn try_next_target(&mut self) -> Option<(ChosenTarget, AttemptOutcome)> {
-        loop {
-            let (gateway, results) = (&self.gateway, self.results.as_ref());
-            let excluded = ExcludedTargets {
-                tried: &self.tried,
-                rate_limited: false,
-            };
-            let next =
-                select_or_await_target(gateway, &self.service, &self.request, excluded, results)
-                    .await;
-            let (chosen, placement) = next.ok()?;
-            let attempt = Attempt {
-                service: &self.service,
-                chosen: &chosen,
-                placement,
-                results,
-                last_event: self.last_event.as_deref(),
-            };
-            let outcome = send_attempt(gateway, &self.request, attempt, false).await;
-            self.tried.push(chosen.id.clone());
-            if !matches!(outcome, AttemptOutcome::Withheld) {
-                return Some((chosen, outcome));
-            }
-        }
-    }
-}
-
-/// Outcome of an attempt to resume a stream.
-enum ResumeOutcome {
-    /// Another target continues the stream.
-    Resumed(Box<EventStream>),
-    /// The caller has received all events already: another target has no further one.
-    Complete,
-    Failed,
 }
 
 /// The state of a relayed stream.
@@ -272,7 +199,8 @@
             if stream.framing == BodyFraming::Close {
                 relay.probe_target().await;
             }
-            resume_or_abort(relay, stream, "stream ended inside an event").await
+            let cause = "stream ended inside an event";
+            resume_or_abort(relay, stream, StreamEnd::InsideEvent, cause).await
         }
         Ok(Ok(None)) => {
             // A body without framing ends with its connection, and so does one cut by a crash.
@@ -282,7 +210,8 @@
             };
             if state != TargetState::Alive {
                 relay.count_body(&stream, BodyEnd::Broken);
-                return resume_or_abort(relay, stream, state.close_cause()).await;
+                let (end, cause) = (StreamEnd::UnconfirmedClose, state.close_cause());
+                return resume_or_abort(relay, stream, end, cause).await;
             }
             let end = format!("{} outcome=stream ended", describe_body(&stream));
             relay.count_body(&stream, BodyEnd::Clean);
@@ -291,24 +220,25 @@
             relay
                 .gateway
                 .record_complete_run(&relay.service, &relay.request, &relay.chosen);
-            relay.finish(EventCode::RequestFinished, &end);
+            relay.finish(EventCode::RequestFinished, StreamEnd::Complete, &end);
             None
         }
         Ok(Err(error)) => {
-            let end = match &error {
+            let (body_end, end) = match &error {
                 ReadError::Broken(broken) => {
                     if is_peer_disconnect(broken) {
                         relay.probe_target().await;
                     }
-                    BodyEnd::Broken
+                    (BodyEnd::Broken, StreamEnd::Connection)
                 }
-                ReadError::TooLong(_) => BodyEnd::TooLong,
+                ReadError::TooLong(_) => (BodyEnd::TooLong, StreamEnd::TooLong),
             };
-            relay.count_body(&stream, end);
-            resume_or_abort(relay, stream, &error.to_string()).await
+            relay.count_body(&stream, body_end);
+            resume_or_abort(relay, stream, end, &error.to_string()).await
         }
         Err(_) => {
-            relay.finish(EventCode::RequestFailed, "outcome=timed out in its stream");
+            let outcome = "outcome=timed out in its stream";
+            relay.finish(EventCode::RequestFailed, StreamEnd::TimedOut, outcome);
             Some((Err(IncompleteResponse), RelayState::Ended))
         }
     }
@@ -327,25 +257,27 @@
 async fn resume_or_abort(
     mut relay: StreamRelay,
     stream: Box<EventStream>,
+    end: StreamEnd,
     cause: &str,
 ) -> Option<(Result<Bytes, IncompleteResponse>, RelayState)> {
     let body = describe_body(&stream);
     drop(stream);
-    match relay.resume(cause).await {
+    let outcome = relay.resume(cause).await;
+    relay.gateway.metrics.count_resumption(outcome.label());
+    match outcome {
         ResumeOutcome::Resumed(mut stream) => {
             let first = std::mem::take(&mut stream.first);
             relay.record_events(&first);
             Some((Ok(first), RelayState::Reading(relay, stream)))
         }
         ResumeOutcome::Complete => {
-            relay.finish(EventCode::RequestFinished, "outcome=stream ended");
+            let (code, end) = (EventCode::RequestFinished, StreamEnd::NoFurtherEvent);
+            relay.finish(code, end, "outcome=stream ended");
             None
         }
-        ResumeOutcome::Failed => {
-            relay.finish(
-                EventCode::RequestFailed,
-                &format!("{body} outcome=stream cut cause={cause}"),
-            );
+        ResumeOutcome::Failed(reason) => {
+            let outcome = format!("{body} resumption={reason} outcome=stream cut cause={cause}");
+            relay.finish(EventCode::RequestFailed, end, &outcome);
             Some((Err(IncompleteResponse), RelayState::Ended))
         }
     }
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -11,6 +11,7 @@
 
 use crate::caller_request::CallerRequest;
 use crate::protocol::HeaderNames;
+use crate::stream_trace::LogText;
 use crate::target::{ChosenTarget, TargetStore};
 use crate::{Gateway, Refusal, RefusalReason};
 
@@ -174,9 +175,15 @@
         let (source, origin) = self.find_stream_origin(request).await;
         self.metrics.count_taken_up(source);
         let version = origin.as_ref().map_or("-", |origin| &origin.version);
+        let header = |name| {
+            let value = request.headers.get(name);
+            value.map_or("", |value| value.to_str().unwrap_or("?"))
+        };
         let detail = format!(
-            "route={} origin={source} version={version}",
-            request.route.name
+            "route={} origin={source} version={version} resumes={} last_event={}",
+            request.route.name,
+            LogText(header(&names.resumes)),
+            LogText(header(&names.last_event)),
         );
         self.record_request_event(EventCode::StreamTakenUp, &request.id, "", detail);
         let Some(origin) = origin else {
--- /dev/null
+++ b/crates/gateway/src/stream_trace.rs
@@ -0,0 +1,89 @@
+//! What the log and the metrics tell about the runs of streams.
+
+use std::fmt::{self, Display, Formatter, Write};
+
+use derive_more::Display;
+
+/// Maximum length of a text of a caller or target in a line of the log.
+const MAX_TEXT_CHARS: usize = 64;
+
+/// What became of a stream whose run broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) enum ResumptionOutcome {
+    /// Another target goes on.
+    #[display("resumed")]
+    Resumed,
+    /// Another target has no further event.
+    #[display("no_further_event")]
+    NoFurtherEvent,
+    /// No target was available in time.
+    #[display("no_target")]
+    NoTarget,
+    /// The retry budget of the service allowed no further attempt.
+    #[display("budget")]
+    Budget,
+    /// The run that broke off was the last attempt of the route.
+    #[display("attempts_used")]
+    AttemptsUsed,
+    /// The route allows one run only.
+    #[display("not_repeatable")]
+    NotRepeatable,
+    /// The request may crash further targets.
+    #[display("may_crash")]
+    MayCrash,
+    /// The request got no run permit.
+    #[display("run_permit")]
+    RunPermit,
+    /// All further attempts failed.
+    #[display("failed")]
+    Failed,
+}
+
+/// Why a stream ended towards its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) enum StreamEnd {
+    /// Its last run was complete.
+    #[display("complete")]
+    Complete,
+    /// A target that was to resume it had no further event.
+    #[display("no_further_event")]
+    NoFurtherEvent,
+    /// The connection to the target broke.
+    #[display("connection")]
+    Connection,
+    /// The body ended inside an event.
+    #[display("inside_event")]
+    InsideEvent,
+    /// A body without framing ended, and the target is not known to run.
+    #[display("unconfirmed_close")]
+    UnconfirmedClose,
+    /// An event was too long.
+    #[display("too_long")]
+    TooLong,
+    /// The deadline was reached.
+    #[display("timed_out")]
+    TimedOut,
+    /// The caller left.
+    #[display("caller_left")]
+    CallerLeft,
+}
+
+/// A text of a caller or target for the log: one word of bounded length.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LogText<'a>(pub(crate) &'a str);
+
+impl Display for LogText<'_> {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        if self.0.is_empty() {
+            return formatter.write_char('-');
+        }
+        for letter in self.0.chars().take(MAX_TEXT_CHARS) {
+            let is_plain = letter.is_ascii_graphic();
+            formatter.write_char(if is_plain { letter } else { '?' })?;
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -91,6 +91,7 @@
     RequestRepeated = 416, Info, "A request is sent to a target once more, within the retry budget of its service.";
     RetryDenied = 417, Warn, "The retry budget of a service allowed no further attempt, and the request ends.";
     StreamTakenUp = 418, Info, "A caller takes up a stream that broke; the line names the version that began it, or why it is not known.";
+    StreamRunBroken = 419, Warn, "A run of a stream broke off at its target; another target is to go on.";
     RequestAccused = 420, Warn, "A target crashed while this request was running on it.";
     RequestAcquitted = 421, Info, "A request that was accused ran whole, and nothing is held against it any more.";
     RequestHeld = 422, Error, "A request was found to crash the targets that run it; every host refuses it.";
