Streams: events whose ids do not rise are not passed on

What callers saw: events twice, from the beginning, or with one left out, in answers that ended as complete. It happened where a target that was to resume a stream ignored Last-Event-Id, repeated the last event or left one out, where the target of a stream that its caller took up did so, and where one target wrote an event twice or an earlier one again.

Cause: the relay compared the ids of events with nothing.

EventCursor holds the position of the caller, and all events pass it. An event whose id is a number must rise above the last one, and the first event of a resumed run must be the next one if all ids before it were consecutive. A run that begins otherwise is refused as a failed attempt, before any of it is passed on: a target that ignored Last-Event-Id makes another run, whose events do not belong behind those of the first. A run that goes out of order later is broken off there, and resumed or cut. Gaps within a run are allowed, and ids of other forms pass as they are.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use http_body::Body;
 use hyper::body::Incoming;
 use linnet_clock::BootInstant;
@@ -18,6 +18,7 @@
 use crate::Gateway;
 use crate::body_framing::BodyFraming;
 use crate::caller_request::CallerRequest;
+use crate::event_cursor::EventCursor;
 use crate::events::{EventSplitter, has_event_lines, is_event_stream};
 use crate::graph::RequestResults;
 use crate::in_flight::InFlightGuard;
@@ -136,7 +137,10 @@
     /// Counts the prompt at the placer.
     pub(crate) placement: Option<Placement>,
     pub(crate) results: Option<&'a RequestResults>,
-    pub(crate) last_event: Option<&'a str>,
+    /// Position of the caller in the stream.
+    pub(crate) cursor: &'a EventCursor,
+    /// Id of the event after which the target goes on, if this host resumes the stream.
+    pub(crate) last_event: Option<HeaderValue>,
 }
 
 /// Sends a request to a target and waits for a complete response or for the first event.
@@ -229,7 +233,7 @@
     let additions = TargetHeaders {
         expected_target: &chosen.id,
         results: attempt.results.map(|results| results.handles().join(",")),
-        last_event: attempt.last_event,
+        last_event: attempt.last_event.clone(),
         with_priority: request.prompt.is_some(),
     };
     let outgoing = match build_target_request(protocol, request, &additions, time_left) {
@@ -318,6 +322,12 @@
             sent,
         )
         .await;
+        if let Ok((_, _, first, ..)) = &outcome
+            && let Some(disorder) = attempt.cursor.check_run(first)
+        {
+            gateway.metrics.count_body(framing, BodyEnd::Broken);
+            return AttemptOutcome::unusable(disorder.to_string());
+        }
         return match outcome {
             Ok((status, headers, first, rest, splitter, lease)) => {
                 gateway
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -121,20 +121,58 @@
     event_end
 }
 
-/// Returns the id of the first event that has one.
-pub(crate) fn first_event_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| is_line_end(*byte));
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = ids.next()?;
-    Some(String::from_utf8_lossy(id).trim().to_owned())
+/// What the lines of a complete event tell about its place in a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct EventHead<'a> {
+    /// Length of the event, with the blank line at its end.
+    pub(crate) len: usize,
+    /// Value of its last valid `id` line.
+    pub(crate) id: Option<&'a [u8]>,
+    pub(crate) has_data: bool,
+}
+
+/// Parses the first event of `bytes`; returns `None` if no event is complete.
+pub(crate) fn next_event(bytes: &[u8]) -> Option<EventHead<'_>> {
+    let mut event = EventHead {
+        len: 0,
+        id: None,
+        has_data: false,
+    };
+    loop {
+        let rest = &bytes[event.len..];
+        let line_len = rest.iter().position(|byte| is_line_end(*byte))?;
+        let (line, end) = rest.split_at(line_len);
+        event.len += line_len + if end.starts_with(b"\r\n") { 2 } else { 1 };
+        if line.is_empty() {
+            return Some(event);
+        }
+        match split_field(line) {
+            // An id with NUL is ignored, as the format of event streams says.
+            (b"id", value) if !value.contains(&0) => event.id = Some(value),
+            (b"data", _) => event.has_data = true,
+            _ => {}
+        }
+    }
 }
 
-/// Returns the id of the last event that has one.
-pub(crate) fn last_event_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| is_line_end(*byte));
-    let mut ids = lines.rev().filter_map(|line| line.strip_prefix(b"id:"));
-    let id = ids.next()?;
-    Some(String::from_utf8_lossy(id).trim().to_owned())
+/// Splits a line into the name and the value of its field.
+fn split_field(line: &[u8]) -> (&[u8], &[u8]) {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+        return (line, b"");
+    };
+    let (name, value) = (&line[..colon], &line[colon + 1..]);
+    (name, value.strip_prefix(b" ").unwrap_or(value))
+}
+
+/// Returns the id of the first event that has one.
+pub(crate) fn first_event_id(mut events: &[u8]) -> Option<&[u8]> {
+    while let Some(event) = next_event(events) {
+        if event.id.is_some() {
+            return event.id;
+        }
+        events = &events[event.len..];
+    }
+    None
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/events/tests.rs
+++ b/crates/gateway/src/events/tests.rs
@@ -1,5 +1,15 @@
 use super::*;
 
+fn last_event_id(events: &[u8]) -> Option<&[u8]> {
+    let mut rest = events;
+    let heads = std::iter::from_fn(|| {
+        let event = next_event(rest)?;
+        rest = &rest[event.len..];
+        Some(event)
+    });
+    heads.filter_map(|event| event.id).last()
+}
+
 /// Pushes a text in two parts; returns the splitter and the events that it returned.
 fn push_in_two(text: &str, split: usize) -> (EventSplitter, Vec<u8>) {
     let mut splitter = EventSplitter::default();
@@ -25,20 +35,37 @@
     }
 }
 
+/// Guards against a position that differs from the one of the caller, which reads the lines by the
+/// format of event streams.
 #[test]
-fn the_last_event_id_is_found() {
-    let cases: [(&str, Option<&str>); 4] = [
-        ("id: 1\ndata: a\n\nid:2\ndata: b\n\n", Some("2")),
-        ("id: 7\r\ndata: a\r\n\r\n", Some("7")),
-        ("data: no id: 5\n\n", None),
-        ("", None),
+fn the_id_of_an_event_is_that_of_its_last_valid_id_line() {
+    let cases: [(&str, Option<&str>, bool); 14] = [
+        ("id: 1\ndata: a\n\n", Some("1"), true),
+        ("id:2\ndata\n\n", Some("2"), true),
+        ("id: 7\r\ndata: a\r\n\r\n", Some("7"), true),
+        ("id: 7\rdata: a\r\r", Some("7"), true),
+        ("id: 7\n\n", Some("7"), false),
+        ("id:  7 \n\n", Some(" 7 "), false),
+        ("id: 1\nid: 2\ndata: a\n\n", Some("2"), true),
+        ("id: 1\nid: 2\0\ndata: a\n\n", Some("1"), true),
+        ("id\ndata: a\n\n", Some(""), true),
+        ("id:\ndata: a\n\n", Some(""), true),
+        ("weight-versions:2\nid: 3\ndata: a\n\n", Some("3"), true),
+        ("data: no id: 5\nids: 5\n id: 5\n\n", None, true),
+        (": id: 5\n\n", None, false),
+        ("\n", None, false),
     ];
-    for (events, expected) in cases {
-        assert_eq!(
-            last_event_id(events.as_bytes()).as_deref(),
-            expected,
-            "{events:?}"
-        );
+    for (text, id, has_data) in cases {
+        let wanted = EventHead {
+            len: text.len(),
+            id: id.map(str::as_bytes),
+            has_data,
+        };
+        let followed = format!("{text}id: 9\n\n");
+        assert_eq!(next_event(followed.as_bytes()), Some(wanted), "{text:?}");
+    }
+    for text in ["", "id: 1", "id: 1\n", "id: 1\ndata: a\n"] {
+        assert_eq!(next_event(text.as_bytes()), None, "{text:?}");
     }
 }
 
@@ -55,7 +82,7 @@
         for split in 0..=text.len() {
             let (splitter, returned) = push_in_two(&text, split);
             assert_eq!(returned, events.as_bytes(), "{end:?}, split at {split}");
-            assert_eq!(last_event_id(&returned).as_deref(), Some("2"));
+            assert_eq!(last_event_id(&returned), Some(&b"2"[..]));
             assert_eq!(splitter.partial_bytes(), text.len() - events.len());
         }
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,6 +13,7 @@
 use crate::caller_disconnect::CallerDisconnectGuard;
 use crate::caller_request::CallerRequest;
 use crate::engine::PlacementFacts;
+use crate::event_cursor::EventCursor;
 use crate::graph::RequestResults;
 use crate::message_heads::{build_response, refusal_response};
 use crate::prompt::describe_parts;
@@ -205,6 +206,7 @@
     if !has_allowed_targets(gateway, &service, request) {
         return Err(no_target_refusal());
     }
+    let cursor = EventCursor::of_request(request, &gateway.config.protocol.headers);
     let mut results: Option<RequestResults> = None;
     let mut tried: Vec<String> = Vec::new();
     let (mut refusals, mut withheld) = (0, 0);
@@ -242,6 +244,7 @@
             chosen: &chosen,
             placement,
             results: results.as_ref(),
+            cursor: &cursor,
             last_event: None,
         };
         let may_retry =
@@ -282,7 +285,8 @@
             AttemptOutcome::Streaming(stream) => {
                 let relay =
                     StreamRelay::new(gateway, request, service, chosen, results, trace.attempts)
-                        .with_run_permits(run_permits);
+                        .with_run_permits(run_permits)
+                        .with_cursor(cursor);
                 return Ok(relay_stream(relay, stream));
             }
             AttemptOutcome::Complete(response) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod confinement;
 mod coordinator;
 mod engine;
+mod event_cursor;
 mod events;
 mod forward;
 mod gateway;
--- a/crates/gateway/src/message_heads.rs
+++ b/crates/gateway/src/message_heads.rs
@@ -26,7 +26,7 @@
 pub(crate) struct TargetHeaders<'a> {
     pub(crate) expected_target: &'a str,
     pub(crate) results: Option<String>,
-    pub(crate) last_event: Option<&'a str>,
+    pub(crate) last_event: Option<HeaderValue>,
     pub(crate) with_priority: bool,
 }
 
@@ -83,8 +83,8 @@
     if let Some(results) = &additions.results {
         set_header(&mut headers, &names.results, results);
     }
-    if let Some(last_event) = additions.last_event {
-        set_header(&mut headers, &names.last_event, last_event);
+    if let Some(last_event) = &additions.last_event {
+        headers.insert(&names.last_event, last_event.clone());
     }
     if additions.with_priority {
         set_header(
--- a/crates/gateway/src/metrics/tests.rs
+++ b/crates/gateway/src/metrics/tests.rs
@@ -120,6 +120,7 @@
         StreamEnd::InsideEvent,
         StreamEnd::UnconfirmedClose,
         StreamEnd::TooLong,
+        StreamEnd::OutOfOrder,
         StreamEnd::TimedOut,
         StreamEnd::CallerLeft,
     ];
@@ -144,6 +145,7 @@
             "linnet_gateway_stream_ends_total{cause=\"inside_event\"} 1",
             "linnet_gateway_stream_ends_total{cause=\"unconfirmed_close\"} 1",
             "linnet_gateway_stream_ends_total{cause=\"too_long\"} 1",
+            "linnet_gateway_stream_ends_total{cause=\"out_of_order\"} 1",
             "linnet_gateway_stream_ends_total{cause=\"timed_out\"} 1",
             "linnet_gateway_stream_ends_total{cause=\"caller_left\"} 1",
         ],
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,7 +18,8 @@
 use crate::body::IncompleteResponse;
 use crate::body_framing::BodyFraming;
 use crate::caller_request::CallerRequest;
-use crate::events::{EventTooLong, first_event_id, last_event_id};
+use crate::event_cursor::{EventCursor, EventDisorder};
+use crate::events::{EventTooLong, first_event_id};
 use crate::graph::RequestResults;
 use crate::message_heads::build_response;
 use crate::metrics::BodyEnd;
@@ -44,7 +45,10 @@
     attempts: u32,
     /// Approximate time when the stream began at its target.
     sent: Instant,
-    last_event: Option<String>,
+    /// Position of the caller.
+    cursor: EventCursor,
+    /// What ends the present run, once the events before it are passed on.
+    disorder: Option<EventDisorder>,
     /// First event of the present run that has an id.
     run_first: Option<String>,
     chunks: u64,
@@ -86,7 +90,8 @@
             results: results.filter(|_| may_resume),
             attempts,
             sent: Instant::now(),
-            last_event: None,
+            cursor: EventCursor::default(),
+            disorder: None,
             run_first: None,
             chunks: 0,
             ended: false,
@@ -100,14 +105,23 @@
         self
     }
 
-    fn record_events(&mut self, events: &Bytes) {
+    /// Sets the position of the caller, which may take up a stream.
+    pub(crate) fn with_cursor(mut self, cursor: EventCursor) -> Self {
+        self.cursor = cursor;
+        self
+    }
+
+    /// Returns those of the next events that may be passed on. The run ends at the first one that is
+    /// out of order.
+    fn admit_events(&mut self, mut events: Bytes) -> Bytes {
+        let (accepted, disorder) = self.cursor.advance(&events);
+        self.disorder = disorder;
+        events.truncate(accepted);
         self.chunks += 1;
-        if let Some(id) = last_event_id(events) {
-            self.last_event = Some(id);
-            if self.run_first.is_none() {
-                self.run_first = first_event_id(events);
-            }
+        if self.run_first.is_none() {
+            self.run_first = first_event_text(&events);
         }
+        events
     }
 
     fn record(&self, code: EventCode, outcome: &str) {
@@ -121,7 +135,7 @@
             self.attempts,
             LogText(self.run_first.as_deref().unwrap_or_default()),
             self.chunks,
-            LogText(self.last_event.as_deref().unwrap_or_default()),
+            LogText(&self.cursor.last_id()),
             self.request.arrived_at.elapsed().as_millis()
         );
         self.gateway
@@ -177,21 +191,26 @@
 async fn next_chunk(state: RelayState) -> Option<(Result<Bytes, IncompleteResponse>, RelayState)> {
     let (mut relay, mut stream) = match state {
         RelayState::FirstEvents(mut relay, mut stream) => {
-            let first = std::mem::take(&mut stream.first);
-            relay.record_events(&first);
+            let first = relay.admit_events(std::mem::take(&mut stream.first));
             return Some((Ok(first), RelayState::Reading(relay, stream)));
         }
         RelayState::Reading(relay, stream) => (relay, stream),
         RelayState::Ended => return None,
     };
+    if let Some(disorder) = relay.disorder.take() {
+        return end_disordered_run(relay, stream, disorder).await;
+    }
     let deadline = relay
         .request
         .deadline
         .saturating_duration_since(Instant::now());
     match timeout(deadline, read_events(&mut stream)).await {
         Ok(Ok(Some(events))) => {
-            relay.record_events(&events);
-            Some((Ok(events), RelayState::Reading(relay, stream)))
+            let events = relay.admit_events(events);
+            match relay.disorder.take_if(|_| events.is_empty()) {
+                Some(disorder) => end_disordered_run(relay, stream, disorder).await,
+                None => Some((Ok(events), RelayState::Reading(relay, stream))),
+            }
         }
         Ok(Ok(None)) if stream.partial_bytes > 0 => {
             relay.count_body(&stream, BodyEnd::Broken);
@@ -254,6 +273,17 @@
     format!("framing={framing} partial_bytes={partial_bytes}")
 }
 
+/// Ends a run with an event that is out of order, without that event.
+async fn end_disordered_run(
+    relay: StreamRelay,
+    stream: Box<EventStream>,
+    disorder: EventDisorder,
+) -> Option<(Result<Bytes, IncompleteResponse>, RelayState)> {
+    relay.count_body(&stream, BodyEnd::Broken);
+    let cause = disorder.to_string();
+    resume_or_abort(relay, stream, StreamEnd::OutOfOrder, &cause).await
+}
+
 async fn resume_or_abort(
     mut relay: StreamRelay,
     stream: Box<EventStream>,
@@ -266,8 +296,7 @@
     relay.gateway.metrics.count_resumption(outcome.label());
     match outcome {
         ResumeOutcome::Resumed(mut stream) => {
-            let first = std::mem::take(&mut stream.first);
-            relay.record_events(&first);
+            let first = relay.admit_events(std::mem::take(&mut stream.first));
             Some((Ok(first), RelayState::Reading(relay, stream)))
         }
         ResumeOutcome::Complete => {
@@ -283,6 +312,11 @@
     }
 }
 
+/// Returns the id of the first event that has one, for the log.
+fn first_event_text(events: &[u8]) -> Option<String> {
+    first_event_id(events).map(|id| String::from_utf8_lossy(id).into_owned())
+}
+
 /// Why no further event of a stream could be read.
 #[derive(Debug, Display, From)]
 enum ReadError {
--- a/crates/gateway/src/relay/resumption.rs
+++ b/crates/gateway/src/relay/resumption.rs
@@ -4,9 +4,8 @@
 
 use linnet_telemetry::EventCode;
 
-use super::StreamRelay;
+use super::{StreamRelay, first_event_text};
 use crate::attempt::{Attempt, AttemptOutcome, EventStream, send_attempt};
-use crate::events::first_event_id;
 use crate::retry_budget::RetryCause;
 use crate::rollouts::ResponseQuality;
 use crate::run_permit::acquire_run_permits;
@@ -104,7 +103,7 @@
             self.service,
             chosen.born,
             self.attempts,
-            LogText(self.last_event.as_deref().unwrap_or_default()),
+            LogText(&self.cursor.last_id()),
             failure.cause()
         );
         let code = EventCode::AttemptFailed;
@@ -117,9 +116,10 @@
         let former = std::mem::replace(&mut self.chosen, chosen);
         self.sent = Instant::now();
         self.run_first = match resumed {
-            ResumeOutcome::Resumed(stream) => first_event_id(&stream.first),
+            ResumeOutcome::Resumed(stream) => first_event_text(&stream.first),
             ResumeOutcome::Complete | ResumeOutcome::Failed(_) => None,
         };
+        self.cursor.begin_run();
         let detail = format!(
             "version={} from_version={} from={} from_born={} cause={cause}",
             self.chosen.version, former.version, former.id, former.born
@@ -137,6 +137,7 @@
     /// Sends the request to another target, which is to resume after the last event; returns `None`
     /// if no target is available.
     async fn try_next_target(&mut self) -> Option<(ChosenTarget, AttemptOutcome)> {
+        let last_event = self.cursor.position();
         loop {
             let (gateway, results) = (&self.gateway, self.results.as_ref());
             let excluded = ExcludedTargets {
@@ -152,7 +153,8 @@
                 chosen: &chosen,
                 placement,
                 results,
-                last_event: self.last_event.as_deref(),
+                cursor: &self.cursor,
+                last_event: last_event.clone(),
             };
             let outcome = send_attempt(gateway, &self.request, attempt, false).await;
             self.tried.push(chosen.id.clone());
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -111,7 +111,7 @@
 }
 
 /// Returns whether callers may take up the streams of a request.
-fn is_resumable(request: &CallerRequest) -> bool {
+pub(crate) fn is_resumable(request: &CallerRequest) -> bool {
     request.route.kind == RouteKind::Streaming && request.route.is_repeatable()
 }
 
--- a/crates/gateway/src/stream_trace.rs
+++ b/crates/gateway/src/stream_trace.rs
@@ -60,6 +60,9 @@
     /// An event was too long.
     #[display("too_long")]
     TooLong,
+    /// An event was out of order.
+    #[display("out_of_order")]
+    OutOfOrder,
     /// The deadline was reached.
     #[display("timed_out")]
     TimedOut,
