Streams: no resumption if no id names the last event of the caller

What callers saw: events twice in one answer. A stream whose events have no ids, or whose last event has none, an empty one, one with NUL or one that no header can carry, was resumed after an earlier event or from its beginning.

Cause: the position was the last line that began with 'id:'. An event without such a line did not change it, an id that no header can carry was left out of the request without a word, and then the new target began at event 0, or after the Last-Event-Id of the caller's own request.

EventCursor reads the lines of events by the format of event streams (NUL, empty values, lines without a colon) and knows whether an event with data has come since the last id. Then the stream is cut, which the caller sees, and is counted as unknown_position.

--- a/crates/gateway/src/event_cursor.rs
+++ b/crates/gateway/src/event_cursor.rs
@@ -19,6 +19,8 @@
     /// Id of the last event that has one.
     last_id: Vec<u8>,
     numbering: IdNumbering,
+    /// Whether an event without an id came after it, so that no id names the position.
+    has_unnamed: bool,
     /// Whether the next event is the first one of another run.
     begins_run: bool,
 }
@@ -55,6 +57,10 @@
     Gap { last: u64, id: u64 },
 }
 
+/// The position of a caller cannot be named to a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct UnknownPosition;
+
 impl EventCursor {
     /// Creates the cursor of the caller of a request, which may take up a stream.
     pub(crate) fn of_request(request: &CallerRequest, names: &HeaderNames) -> Self {
@@ -74,12 +80,24 @@
         cursor
     }
 
-    /// Returns the id after which another target has to go on.
-    pub(crate) fn position(&self) -> Option<HeaderValue> {
+    /// Returns the id after which another target has to go on; `None` if no event has come.
+    ///
+    /// # Errors
+    ///
+    /// [`UnknownPosition`] if the last event has no id, or one that no header can carry.
+    pub(crate) fn position(&self) -> Result<Option<HeaderValue>, UnknownPosition> {
+        if self.has_unnamed {
+            return Err(UnknownPosition);
+        }
         if self.numbering == IdNumbering::Empty {
-            return None;
+            return Ok(None);
+        }
+        // A header loses the spaces around its value.
+        if self.last_id.trim_ascii().len() != self.last_id.len() {
+            return Err(UnknownPosition);
         }
-        HeaderValue::from_bytes(&self.last_id).ok()
+        let value = HeaderValue::from_bytes(&self.last_id);
+        value.map(Some).map_err(|_| UnknownPosition)
     }
 
     /// Returns the id of the last event that has one, for the log.
@@ -121,6 +139,7 @@
 
     fn accept(&mut self, event: &EventHead<'_>) -> Result<(), EventDisorder> {
         let Some(id) = event.id else {
+            self.has_unnamed |= event.has_data;
             return Ok(());
         };
         if let (IdNumbering::Numbers { last, step }, Some(id)) = (self.numbering, parse_number(id))
@@ -150,6 +169,8 @@
         };
         self.last_id.clear();
         self.last_id.extend_from_slice(id);
+        // An empty id takes the last one back.
+        self.has_unnamed = id.is_empty();
         self.begins_run = false;
     }
 }
--- a/crates/gateway/src/event_cursor/tests.rs
+++ b/crates/gateway/src/event_cursor/tests.rs
@@ -15,6 +15,7 @@
             "unnamed" => "data: a\n\n".to_owned(),
             "comment" => ": a\n\n".to_owned(),
             "event" => "event: a\n\n".to_owned(),
+            "empty" => "id:\ndata: a\n\n".to_owned(),
             id => format!("id: {id}\ndata: a\n\n"),
         })
         .collect()
@@ -133,6 +134,13 @@
         passed: &[&["99999999999999999999", "1"]],
         position: Some("1"),
     },
+    CursorCase {
+        name: "an event without an id at the end",
+        after: "",
+        runs: &[&["0", "unnamed"]],
+        passed: &[&["0", "unnamed"]],
+        position: None,
+    },
     CursorCase {
         name: "an event without an id before one with an id",
         after: "",
@@ -140,6 +148,13 @@
         passed: &[&["0", "unnamed", "1"]],
         position: Some("1"),
     },
+    CursorCase {
+        name: "an empty id",
+        after: "",
+        runs: &[&["0", "empty"]],
+        passed: &[&["0", "empty"]],
+        position: None,
+    },
     CursorCase {
         name: "events that no caller gets",
         after: "",
@@ -147,6 +162,20 @@
         passed: &[&["0", "comment", "event"]],
         position: Some("0"),
     },
+    CursorCase {
+        name: "an id that no header can carry",
+        after: "",
+        runs: &[&["0", "a\u{1}"]],
+        passed: &[&["0", "a\u{1}"]],
+        position: None,
+    },
+    CursorCase {
+        name: "an id that a header changes",
+        after: "",
+        runs: &[&["0", " a"]],
+        passed: &[&["0", " a"]],
+        position: None,
+    },
 ];
 
 /// Guards against events that are passed on twice or out of order, or left out without a break, and
@@ -167,7 +196,7 @@
             assert_eq!(events[..accepted], passed, "{name}, run {run}");
             assert_eq!(disorder.is_some(), accepted < events.len(), "{name}");
         }
-        let position = cursor.position();
+        let position = cursor.position().ok().flatten();
         let position = position.as_ref().map(|id| id.to_str().unwrap());
         assert_eq!(position, case.position, "{name}");
     }
@@ -185,3 +214,13 @@
     let events = text(&["1", "3"]);
     assert_eq!(cursor.advance(events.as_bytes()), (0, Some(disorder)));
 }
+
+/// Guards against a stream without any event that names a position.
+#[test]
+fn a_stream_without_events_goes_on_from_its_beginning() {
+    assert_eq!(EventCursor::default().position(), Ok(None));
+    let unnamed = text(&["unnamed"]);
+    let mut cursor = EventCursor::default();
+    cursor.advance(unnamed.as_bytes());
+    assert_eq!(cursor.position(), Err(UnknownPosition));
+}
--- a/crates/gateway/src/relay/resumption.rs
+++ b/crates/gateway/src/relay/resumption.rs
@@ -86,6 +86,9 @@
         if self.attempts >= self.request.route.max_attempts {
             return Some(ResumptionOutcome::AttemptsUsed);
         }
+        if self.cursor.position().is_err() {
+            return Some(ResumptionOutcome::UnknownPosition);
+        }
         if self.gateway.may_crash_again(&self.service, &self.request) {
             return Some(ResumptionOutcome::MayCrash);
         }
@@ -137,7 +140,7 @@
     /// Sends the request to another target, which is to resume after the last event; returns `None`
     /// if no target is available.
     async fn try_next_target(&mut self) -> Option<(ChosenTarget, AttemptOutcome)> {
-        let last_event = self.cursor.position();
+        let last_event = self.cursor.position().ok()?;
         loop {
             let (gateway, results) = (&self.gateway, self.results.as_ref());
             let excluded = ExcludedTargets {
--- a/crates/gateway/src/stream_trace.rs
+++ b/crates/gateway/src/stream_trace.rs
@@ -28,6 +28,9 @@
     /// The route allows one run only.
     #[display("not_repeatable")]
     NotRepeatable,
+    /// No id names the last event of the caller to another target.
+    #[display("unknown_position")]
+    UnknownPosition,
     /// The request may crash further targets.
     #[display("may_crash")]
     MayCrash,
