Operators' orders that waited in a suspended host are refused instead of executed

Operators saw an evacuation come back that had ended, a hall return to service that was evacuated, or a roll-out of an earlier version begin after a later one: they had sent the order to a control host that was suspended, got no answer, sent it to another host and later the opposite one. The suspended host read the first order when it went on. An evacuation carried the revision that its host had seen, but the host answered 'outdated' by asking again with the newest one; an order to begin a roll-out carried nothing.

A control host now measures its own suspensions on the clock that counts them, also at the moment when an order is read. For a second after one, orders without a number (evacuations, roll-outs and their end, releases of what is held) get 503, and operators send them again. An order is proposed again with newer state only within half a second of its arrival. Configurations are unaffected: their versions order them.

--- a/crates/directory/src/node.rs
+++ b/crates/directory/src/node.rs
@@ -1,6 +1,7 @@
 //! The directory of a control host.
 
 mod commands;
+mod order_admission;
 mod parts;
 mod rate_limits;
 mod rollouts;
@@ -89,6 +90,9 @@
     /// A connected control host runs an earlier build, which could not apply the order.
     #[display("a connected control host runs an earlier build")]
     OutdatedControlHost,
+    /// This host was suspended, and the order may have waited in it while later ones were executed.
+    #[display("this host was suspended; send the order again")]
+    OrderOutdated,
     /// No other control host has acknowledged the withdrawal of the target.
     #[display("not acknowledged by any other control host")]
     NotPropagated,
@@ -171,6 +175,7 @@
         ntex::rt::spawn(parts::load_held_parts(node.clone()));
         ntex::rt::spawn(suspects::persist_held_requests(node.clone()));
         ntex::rt::spawn(rollouts::advance_rollouts(node.clone()));
+        ntex::rt::spawn(order_admission::detect_suspensions(node.clone()));
         node
     }
 
--- a/crates/directory/src/node/commands.rs
+++ b/crates/directory/src/node/commands.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use linnet_clock::BootInstant;
 use linnet_quorum::ProposeError;
 use linnet_telemetry::EventCode;
 use linnet_wire::MessageVersion;
@@ -100,12 +101,17 @@
     ///
     /// # Errors
     ///
-    /// [`DirectoryError::NoQuorum`] leaves open whether the order comes into force.
+    /// [`DirectoryError::OrderOutdated`] changes nothing; [`DirectoryError::NoQuorum`] leaves open
+    /// whether the order comes into force.
     pub async fn order_evacuation(
         &self,
         hall: &str,
         evacuated: bool,
     ) -> Result<(), DirectoryError> {
+        let admitted = self.admit_order().inspect_err(|error| {
+            let detail = format!("hall={hall} evacuated={evacuated} cause={error}");
+            self.record(EventCode::EvacuationFailed, &detail);
+        })?;
         let mut seen_revision = self.evacuations().state_of(hall).revision;
         for _ in 0..MAX_ORDER_ATTEMPTS {
             let order = EvacuationOrder {
@@ -121,8 +127,11 @@
                     self.record(EventCode::EvacuationAccepted, &detail);
                     return Ok(());
                 }
-                // This host had not applied the newest order for the hall yet.
-                Ok(DocumentReply::Evacuation(EvacuationOutcome::Outdated(state))) => {
+                // This host had not applied the newest order for the hall yet, or was suspended
+                // since it received this one.
+                Ok(DocumentReply::Evacuation(EvacuationOutcome::Outdated(state)))
+                    if admitted.is_current(BootInstant::now()) =>
+                {
                     seen_revision = state.revision;
                 }
                 _ => break,
--- a/crates/directory/src/node/parts.rs
+++ b/crates/directory/src/node/parts.rs
@@ -5,7 +5,7 @@
 use linnet_quarantine::{PartKey, PartLine, PartRecord};
 use linnet_telemetry::EventCode;
 
-use super::DirectoryNode;
+use super::{DirectoryError, DirectoryNode};
 
 impl DirectoryNode {
     /// Merges records of suspected parts from another process, and wakes the pushes if others need
@@ -45,14 +45,19 @@
     }
 
     /// Releases a part on an operator's order; returns whether there was a record of it.
-    pub fn release_part(&self, key: PartKey) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// [`DirectoryError::OrderOutdated`] changes nothing.
+    pub fn release_part(&self, key: PartKey) -> Result<bool, DirectoryError> {
+        self.admit_order()?;
         let known = self.lock().parts.release(key);
         if known {
             let detail = format!("key={key} cause=an operator");
             self.record(EventCode::PartReleased, &detail);
             self.notify_subscribers();
         }
-        known
+        Ok(known)
     }
 
     /// Returns the held parts, and all known parts that are in the log in another state.
--- a/crates/directory/src/node/rollouts.rs
+++ b/crates/directory/src/node/rollouts.rs
@@ -56,8 +56,8 @@
     /// # Errors
     ///
     /// [`DirectoryError::InvalidOrder`], [`DirectoryError::UnknownService`],
-    /// [`DirectoryError::RolloutInProgress`] and [`DirectoryError::OutdatedControlHost`] change
-    /// nothing; [`DirectoryError::NoQuorum`] leaves open whether the order comes into force.
+    /// [`DirectoryError::RolloutInProgress`], [`DirectoryError::OrderOutdated`] and
+    /// [`DirectoryError::OutdatedControlHost`] change nothing; [`DirectoryError::NoQuorum`] leaves open whether the order comes into force.
     pub async fn order_rollout(
         &self,
         order: RolloutOrder,
@@ -82,6 +82,7 @@
 
     async fn try_order(&self, order: RolloutOrder) -> Result<RolloutRecord, DirectoryError> {
         order.check().map_err(DirectoryError::InvalidOrder)?;
+        self.admit_order()?;
         let current = self.current_document().ok_or(DirectoryError::NoQuorum)?;
         if !(self.shared.parser.services)(current.body()).contains(&order.service) {
             return Err(DirectoryError::UnknownService(order.service));
@@ -131,8 +132,9 @@
     ///
     /// # Errors
     ///
-    /// [`DirectoryError::NoQuorum`].
+    /// [`DirectoryError::OrderOutdated`], [`DirectoryError::NoQuorum`].
     pub async fn abort_rollout(&self, service: &str) -> Result<bool, DirectoryError> {
+        self.admit_order()?;
         let known = self.rollouts();
         let Some(record) = known.newest(service).filter(|one| one.is_in_progress()) else {
             return Ok(false);
--- a/crates/directory/src/node/state.rs
+++ b/crates/directory/src/node/state.rs
@@ -10,6 +10,7 @@
 use linnet_rollout::{EvidenceStore, ExposureLimit};
 use linnet_wire::MessageVersion;
 
+use super::order_admission::SuspensionMeter;
 use super::suspects::LivenessProbes;
 use crate::{DocumentRequest, EntryHostRecord, LocalEntryHosts, Registry};
 
@@ -32,6 +33,8 @@
 #[derive(Default)]
 pub(crate) struct NodeState {
     pub(crate) registry: Registry,
+    /// Suspensions of this process, after which orders of operators may be outdated.
+    pub(crate) suspensions: SuspensionMeter,
     /// Requests suspected of crashing targets.
     pub(crate) suspects: SuspectStore,
     /// Parts of prompts suspected of crashing targets.
--- a/crates/directory/src/node/suspects.rs
+++ b/crates/directory/src/node/suspects.rs
@@ -9,7 +9,7 @@
 use linnet_wire::MessageVersion;
 use tokio::time::sleep;
 
-use super::{DirectoryNode, NodeState};
+use super::{DirectoryError, DirectoryNode, NodeState};
 
 /// Number of heartbeats after which a target whose crash was reported is known to be running. One
 /// or two may have been sent before the reported crash.
@@ -125,14 +125,19 @@
     }
 
     /// Releases a held request on an operator's order; returns whether there was a record of it.
-    pub fn release_suspect(&self, key: RequestKey) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// [`DirectoryError::OrderOutdated`] changes nothing.
+    pub fn release_suspect(&self, key: RequestKey) -> Result<bool, DirectoryError> {
+        self.admit_order()?;
         let known = self.lock().suspects.clear_request(key);
         if known {
             let detail = format!("key={key} cause=an operator");
             self.record(EventCode::RequestReleased, &detail);
             self.notify_subscribers();
         }
-        known
+        Ok(known)
     }
 
     /// Decides which suspected requests to hold, retracts crashes that were refuted, and removes
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -295,6 +295,7 @@
         DirectoryError::RolloutInProgress(_) => StatusCode::CONFLICT,
         DirectoryError::NoQuorum
         | DirectoryError::NotPropagated
+        | DirectoryError::OrderOutdated
         | DirectoryError::OutdatedControlHost => StatusCode::SERVICE_UNAVAILABLE,
     };
     HttpResponse::text(status, format!("{error}\n"))
--- a/crates/node/src/held_api.rs
+++ b/crates/node/src/held_api.rs
@@ -5,6 +5,7 @@
 use linnet_quarantine::{HELD_PARTS_PATH, HELD_PATH, HeldLine, RequestKey};
 use serde::Serialize;
 
+use crate::control::error_response;
 use crate::http_server::{HttpRequest, HttpResponse};
 
 /// What is held, by its path.
@@ -55,7 +56,10 @@
         HeldKind::Part => node.release_part(key.into()),
     };
     match was_held {
-        true => HttpResponse::json(StatusCode::OK, "{}"),
-        false => HttpResponse::text(StatusCode::NOT_FOUND, "nothing is held against this key\n"),
+        Err(error) => error_response(&error),
+        Ok(true) => HttpResponse::json(StatusCode::OK, "{}"),
+        Ok(false) => {
+            HttpResponse::text(StatusCode::NOT_FOUND, "nothing is held against this key\n")
+        }
     }
 }
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -132,6 +132,7 @@
     EvacuationInForce = 613, Info, "An entry host received the list of evacuated data halls.";
     HoldFailed = 614, Warn, "Held requests could not be committed to the log in time; the commit is retried.";
     HoldKept = 615, Info, "Held requests were committed to the log and survive a complete power loss.";
+    HostResumed = 616, Warn, "A control host was suspended; orders that may have waited meanwhile are refused.";
     ControlFollowed = 620, Info, "A process follows the directory of a control host.";
     ControlLost = 621, Warn, "The connection to the directory of a control host was lost.";
     ClusterFormed = 630, Info, "The control hosts named as seeds formed a cluster.";
