A stop reported by a lost control host does not outlast the restart of the entry host

An entry host that was stopped and started again counted as stopping for up to 15 s at control hosts whose peer had received the announcement and was lost since: 'stopping' of any report overrides, and the reports of a lost control host are kept that long. Others choose no coordinator, issuer of permits or holder of stream origins there meanwhile.

Reports of lost control hosts now only add entry hosts that nobody else reports. The new unit test listed host-0 as stopping before, and does not now; the other 60 tests of the crate pass as before. The record still has no life of its own, so a control host that has fallen silent and is not yet given up has the same effect until it is.

--- a/crates/directory/src/node/state.rs
+++ b/crates/directory/src/node/state.rs
@@ -177,25 +177,37 @@
     fn collect_all(&mut self, now: Instant, local: &LocalEntryHosts) -> Vec<EntryHostRecord> {
         self.remote_entry_hosts
             .retain(|_, remote| remote.lost_until.is_none_or(|until| until > now));
-        let remote = self
-            .remote_entry_hosts
-            .values()
-            .map(|remote| &remote.entry_hosts);
-        let all = std::iter::once(local).chain(remote);
         let mut by_name: BTreeMap<&str, &EntryHostRecord> = BTreeMap::new();
-        for record in all.clone().flat_map(|one| &one.connected) {
+        for record in self.reachable(local).flat_map(|one| &one.connected) {
             let known = by_name.entry(&record.name).or_insert(record);
             // A control host that received the announcement of a stop overrides the others.
             if record.stopping {
                 *known = record;
             }
         }
-        for record in all.flat_map(|one| &one.disconnected) {
+        // An entry host that a lost control host reported may have started again since, so these
+        // reports only add entry hosts that no other control host reports.
+        let lost = self.remote_entry_hosts.values();
+        let lost = lost.filter(|remote| remote.lost_until.is_some());
+        let lost: Vec<&LocalEntryHosts> = lost.map(|remote| &remote.entry_hosts).collect();
+        let former = lost.iter().flat_map(|one| &one.connected);
+        let disconnected = self.reachable(local).chain(lost.iter().copied());
+        for record in former.chain(disconnected.flat_map(|one| &one.disconnected)) {
             by_name.entry(&record.name).or_insert(record);
         }
         by_name.into_values().cloned().collect()
     }
 
+    /// Returns the reports of this control host and of those that it is connected to.
+    fn reachable<'a>(
+        &'a self,
+        local: &'a LocalEntryHosts,
+    ) -> impl Iterator<Item = &'a LocalEntryHosts> {
+        let remote = self.remote_entry_hosts.values();
+        let connected = remote.filter(|remote| remote.lost_until.is_none());
+        std::iter::once(local).chain(connected.map(|remote| &remote.entry_hosts))
+    }
+
     /// Returns whether a subscriber receives the lists of targets and entry hosts from this host.
     pub(crate) fn sends_lists_to(&self, subscriber_id: u64) -> bool {
         let subscriber = self.subscribers.get(&subscriber_id);
--- a/crates/directory/src/node/state/tests.rs
+++ b/crates/directory/src/node/state/tests.rs
@@ -180,3 +180,18 @@
     state.set_remote_entry_hosts(control(0), connected(&[]));
     assert_eq!(names(&state.entry_hosts(now)), ["host-0"]);
 }
+
+/// The former life of an entry host announced its stop to a control host that is cut off since.
+#[test]
+fn entry_host_that_started_again_is_not_stopping_by_the_report_of_a_lost_control_host() {
+    let (mut state, now) = (state(1), Instant::now());
+    let mut stopping = connected(&[0, 5]);
+    stopping
+        .connected
+        .iter_mut()
+        .for_each(|one| one.stopping = true);
+    state.set_remote_entry_hosts(control(0), stopping.clone());
+    state.mark_control_lost(control(0), now);
+    let listed = [record(0), stopping.connected[1].clone()];
+    assert_eq!(state.entry_hosts(now).to_vec(), listed);
+}
