Metrics: hosts tell the number of changes of evacuations

linnet_gateway_evacuation_revision and linnet_control_evacuation_revision rise with each change, so that a host that lags behind can be told from an order that was executed twice. Event 613 names it too.

--- a/crates/directory/src/evacuation.rs
+++ b/crates/directory/src/evacuation.rs
@@ -62,6 +62,11 @@
         evacuated.map(|(hall, _)| hall.as_str())
     }
 
+    /// Returns the sum of the revisions of all halls, which rises with each change of any hall.
+    pub fn total_revision(&self) -> u64 {
+        self.halls.values().map(|state| state.revision).sum()
+    }
+
     /// Applies a committed order.
     pub fn apply(&mut self, order: &EvacuationOrder) -> EvacuationOutcome {
         let known = self.state_of(&order.hall);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -359,8 +359,10 @@
     fn record_evacuations(&self) {
         let view = self.directory.borrow();
         let halls: Vec<&str> = view.evacuations().evacuated_halls().collect();
+        let revision = view.evacuations().total_revision();
         self.metrics.halls_evacuated.set(halls.len() as i64);
-        let detail = format!("halls={}", halls.join(","));
+        self.metrics.evacuation_revision.set(revision as i64);
+        let detail = format!("halls={} revision={revision}", halls.join(","));
         self.record_event(EventCode::EvacuationInForce, &detail);
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -134,6 +134,7 @@
     pub(crate) targets_known: Gauge,
     pub(crate) target_lists: Counter,
     pub(crate) halls_evacuated: Gauge,
+    pub(crate) evacuation_revision: Gauge,
     pub(crate) rollouts_open: Gauge,
     pub(crate) targets_ended: Counter,
     pub(crate) requests_interrupted: Counter,
@@ -192,6 +193,7 @@
             targets_known: Gauge::default(),
             target_lists: Counter::default(),
             halls_evacuated: Gauge::default(),
+            evacuation_revision: Gauge::default(),
             rollouts_open: Gauge::default(),
             targets_ended: Counter::default(),
             requests_interrupted: Counter::default(),
@@ -402,6 +404,11 @@
             "Data halls whose targets get no new work",
             metrics.halls_evacuated.clone(),
         );
+        registry.register(
+            "evacuation_revision",
+            "Changes of evacuations that are in force; rises with each",
+            metrics.evacuation_revision.clone(),
+        );
         registry.register_with_unit(
             "forecast_error",
             "Absolute difference between the forecast and the actual time of the stages of a request",
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -322,7 +322,7 @@
 }
 
 async fn update_gauges(node: DirectoryNode, registry: Arc<Mutex<Registry>>) {
-    let gauges: [(&str, &str, Gauge); 11] = [
+    let gauges: [(&str, &str, Gauge); 12] = [
         ("term", "Term of the replica", Gauge::default()),
         ("commit_index", "Last committed index", Gauge::default()),
         (
@@ -347,6 +347,11 @@
             Gauge::default(),
         ),
         ("halls_evacuated", "Evacuated data halls", Gauge::default()),
+        (
+            "evacuation_revision",
+            "Changes of evacuations that this host has applied; rises with each",
+            Gauge::default(),
+        ),
         (
             "rollouts_open",
             "Services with a roll-out in progress",
@@ -381,6 +386,7 @@
             counts.entry_hosts as i64,
             counts.outdated_entry_hosts as i64,
             node.evacuations().evacuated_halls().count() as i64,
+            node.evacuations().total_revision() as i64,
             node.rollouts().in_progress().count() as i64,
             node.held_count() as i64,
             node.held_part_count() as i64,
