Bind streams to the incarnation that answers on their connection

Callers got events of two software versions in one answer, or over several tries: a target that had restarted under its identity with another version was taken for its former incarnation until its next heartbeat had arrived.

A request whose stream may go on elsewhere, or that continues one, is now sent only on a connection whose process is known. A connection remembers the start time that the target stated on it in its load report, asked before the first such request; the process behind a connection does not change. If that differs from the record, nothing is sent and another target is selected. If the target does not state its start, the age of the connection and of the record decide. A stream that begins at an incarnation that is not proved is served, but goes on nowhere: its holders get an origin to which no route leads, which earlier builds refuse as well. `ProvedIncarnation`, from which versions are bound, is created only by this check.

Targets whose identity changes at each start pay nothing, nor do requests that may not be resumed.

A further test has targets that do not state their start.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::events::{EventSplitter, has_event_lines, is_event_stream};
 use crate::graph::RequestResults;
 use crate::in_flight::InFlightGuard;
+use crate::incarnation::{IncarnationCheck, ProvedIncarnation};
 use crate::message_heads::{TargetHeaders, build_target_request};
 use crate::metrics::BodyEnd;
 use crate::notice::parse_notice;
@@ -108,6 +109,8 @@
     pub(crate) framing: BodyFraming,
     pub(crate) first: Bytes,
     pub(crate) rest: Incoming,
+    /// The incarnation that sends the events, if it is proved.
+    pub(crate) incarnation: Option<ProvedIncarnation>,
     pub(crate) splitter: EventSplitter,
     /// Bytes of an event that was incomplete when the body ended.
     pub(crate) partial_bytes: usize,
@@ -233,13 +236,15 @@
     };
     let sent = Instant::now();
     let sent_at = BootInstant::now();
+    let check = IncarnationCheck::new(gateway, request, attempt.service, chosen);
     let gate = gateway.notices.gate(&chosen.id, SendKind::Work);
     let gate = gate
         .with_permit(permit)
-        .with_sends(&request.sends, &gateway.metrics);
+        .with_sends(&request.sends, &gateway.metrics)
+        .with_incarnation(check.as_ref());
     let (response, lease) = match gateway.upstream.send(chosen.address, outgoing, gate).await {
         Ok(received) => received,
-        Err(SendError::Withheld) => {
+        Err(SendError::Withheld | SendError::Unproved) => {
             in_flight.discard_timing();
             return AttemptOutcome::Withheld;
         }
@@ -273,6 +278,7 @@
             return AttemptOutcome::unusable(error.to_string());
         }
     };
+    let incarnation = check.and_then(IncarnationCheck::into_proved);
     let (head, body) = response.into_parts();
     let notice = parse_notice(protocol, &head);
     gateway.notices.record_response(&chosen.id, notice, sent_at);
@@ -319,6 +325,7 @@
                     headers,
                     first,
                     rest,
+                    incarnation,
                     splitter,
                     partial_bytes: 0,
                     lease,
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -10,10 +10,12 @@
 
 use linnet_quarantine::RequestSubject;
 use linnet_routing::{Account, Route, RouteTable};
+use linnet_streams::StreamOrigin;
 
 use serde::{Deserialize, Serialize};
 
 use crate::allowed_halls::AllowedHalls;
+use crate::incarnation::ProvedIncarnation;
 use crate::open_request::OpenRequestGuard;
 use crate::prompt::{Prompt, parse_prompt};
 use crate::protocol::HeaderNames;
@@ -95,9 +97,21 @@
         })
     }
 
-    /// Lets only targets of a software version run the request from now on.
-    pub(crate) fn bind_version(&self, version: &str) {
-        self.bound_version.get_or_init(|| version.to_owned());
+    /// Lets only targets of the software version of a stream's origin run the request from now on.
+    pub(crate) fn bind_origin(&self, origin: &StreamOrigin) {
+        self.bound_version.get_or_init(|| origin.version.clone());
+    }
+
+    /// Lets only targets of the software version of an incarnation run the request from now on.
+    pub(crate) fn bind_incarnation(&self, incarnation: &ProvedIncarnation) {
+        self.bound_version
+            .get_or_init(|| incarnation.version().to_owned());
+    }
+
+    /// Returns whether another target may go on with the stream of the request: it may run several times,
+    /// and the version that began the stream is known.
+    pub(crate) fn may_resume(&self) -> bool {
+        self.route.is_repeatable() && self.bound_version.get().is_some()
     }
 
     /// Returns whether a target may run the request, by its data hall and its software version.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -228,7 +228,6 @@
         let is_trial = run_permits.is_part_trial();
         let next = unless_held(gateway, &service, request, is_trial, selecting).await;
         let (chosen, placement) = next.map_err(|refusal| adjust_refusal(trace, refusal))?;
-        gateway.record_stream_origin(request, &service, &chosen);
         trace.target.clone_from(&chosen.id);
         trace.placement_facts = placement.as_ref().and_then(Placement::estimate);
         trace.attempts += 1;
@@ -276,6 +275,9 @@
                 ));
             }
             AttemptOutcome::Streaming(stream) => {
+                if let Some(incarnation) = &stream.incarnation {
+                    request.bind_incarnation(incarnation);
+                }
                 let relay =
                     StreamRelay::new(gateway, request, service, chosen, results, trace.attempts)
                         .with_run_permits(run_permits);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -88,6 +88,8 @@
     pub retry_slack: f64,
     /// Length of the window.
     pub retry_window: Duration,
+    /// Interval between heartbeats of a target.
+    pub heartbeat_interval: Duration,
     /// Maximum time that a request waits, shortly after the start of the host, for the first
     /// configuration and the first targets.
     pub max_startup_wait: Duration,
@@ -133,7 +135,7 @@
     /// Wakes the task that recomputes the list of targets.
     targets_changed: Notify,
     /// Wakes requests that wait for the first targets.
-    target_list_updates: watch::Sender<()>,
+    pub(crate) target_list_updates: watch::Sender<()>,
     started_at: Instant,
     /// Metrics of this host.
     pub metrics: GatewayMetrics,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod hall_bytes;
 mod host_load;
 mod in_flight;
+mod incarnation;
 mod message_heads;
 mod message_v1;
 mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::body_framing::BodyFraming;
+use crate::incarnation::IncarnationVerdict;
 use crate::retry_budget::RetryCause;
 use crate::stream_origins::OriginSource;
 
@@ -106,6 +107,13 @@
     pub kind: String,
 }
 
+/// Labels of checks of the incarnation that a connection leads to.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct IncarnationLabels {
+    /// The verdict.
+    pub outcome: String,
+}
+
 /// Metrics of an entry host.
 #[derive(Clone)]
 pub struct GatewayMetrics {
@@ -120,6 +128,7 @@
     pub(crate) retry_slack_granted: Gauge,
     pub(crate) streams_known: Gauge,
     pub(crate) streams_taken_up: Family<OriginLabels, Counter>,
+    pub(crate) target_incarnations: Family<IncarnationLabels, Counter>,
     pub(crate) target_bodies: Family<BodyLabels, Counter>,
     pub(crate) foreign_responses: Family<ForeignLabels, Counter>,
     pub(crate) connections_opened: Gauge,
@@ -178,6 +187,7 @@
             retry_slack_granted: Gauge::default(),
             streams_known: Gauge::default(),
             streams_taken_up: Family::default(),
+            target_incarnations: Family::default(),
             target_bodies: Family::default(),
             foreign_responses: Family::default(),
             connections_opened: Gauge::default(),
@@ -332,6 +342,11 @@
             "Streams that callers took up, by how the version that began them was found",
             metrics.streams_taken_up.clone(),
         );
+        registry.register(
+            "target_incarnations",
+            "Checks of the incarnation that a connection leads to, by outcome",
+            metrics.target_incarnations.clone(),
+        );
         registry.register(
             "target_bodies",
             "Bodies of responses of targets, by framing and end",
@@ -522,6 +537,13 @@
         self.streams_taken_up.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_incarnation(&self, verdict: IncarnationVerdict) {
+        let labels = IncarnationLabels {
+            outcome: verdict.to_string(),
+        };
+        self.target_incarnations.get_or_create(&labels).inc();
+    }
+
     /// Records how far the forecast of the stages of a request was from the time that they took.
     pub(crate) fn observe_forecast_error(&self, forecast_ms: f64, took: Duration) {
         let error = took.as_secs_f64() - forecast_ms / 1_000.0;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -81,10 +81,12 @@
     pub decode_stage_run: fn(&[u8]) -> Option<StageResponse>,
     /// Encodes the body of a release of results.
     pub encode_stage_free: fn(&[String]) -> Vec<u8>,
-    /// Path at which a stage target reports its resources.
+    /// Path at which a target reports its resources and its start.
     pub report_path: &'static str,
     /// Decodes how many bytes a stage target has free for results.
     pub decode_free_bytes: fn(&[u8]) -> Option<u64>,
+    /// Decodes when a target started, in Unix milliseconds; `None` if its report does not say.
+    pub decode_born: fn(&[u8]) -> Option<u64>,
     /// Status of a target whose incarnation is not the one that the request was meant for.
     pub other_target: StatusCode,
     /// Status with which a target refuses a request; the response may carry a `retry-after` time.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -70,8 +70,7 @@
         results: Option<RequestResults>,
         attempts: u32,
     ) -> Self {
-        request.bind_version(&chosen.version);
-        let may_resume = request.route.is_repeatable() && attempts < request.route.max_attempts;
+        let may_resume = request.may_resume() && attempts < request.route.max_attempts;
         Self {
             gateway: gateway.clone(),
             request: request.clone(),
@@ -149,7 +148,7 @@
         let route = &self.request.route.name;
         self.gateway
             .count_response(service, target, route, ResponseQuality::Failed);
-        while self.request.route.is_repeatable()
+        while self.request.may_resume()
             && self.attempts < self.request.route.max_attempts
             && !self.gateway.may_crash_again(&self.service, &self.request)
             && self.acquire_run_permits().await
--- a/crates/gateway/src/send_gate.rs
+++ b/crates/gateway/src/send_gate.rs
@@ -3,6 +3,7 @@
 use http::HeaderValue;
 use linnet_clock::BootInstant;
 
+use crate::incarnation::IncarnationCheck;
 use crate::metrics::GatewayMetrics;
 use crate::notice_store::NoticeStore;
 use crate::request_sends::RequestSends;
@@ -29,6 +30,7 @@
     is_trial: bool,
     /// The sends of the caller's request, if it is one.
     sends: Option<(&'a RequestSends, &'a GatewayMetrics)>,
+    incarnation: Option<&'a IncarnationCheck<'a>>,
 }
 
 impl<'a> SendGate<'a> {
@@ -40,6 +42,7 @@
             permit: SendPermit::UNRESTRICTED,
             is_trial: false,
             sends: None,
+            incarnation: None,
         }
     }
 
@@ -59,6 +62,24 @@
         self
     }
 
+    /// Lets the request be sent only on connections that pass a check.
+    pub(crate) fn with_incarnation(mut self, check: Option<&'a IncarnationCheck<'a>>) -> Self {
+        self.incarnation = check;
+        self
+    }
+
+    /// Returns the check that connections must pass.
+    pub(crate) fn incarnation(&self) -> Option<&'a IncarnationCheck<'a>> {
+        self.incarnation
+    }
+
+    /// Returns whether the target may be asked for a report before the request. It takes no permit under
+    /// a rate limit.
+    pub(crate) fn allows_report(&self) -> bool {
+        let now = BootInstant::now();
+        self.notices.availability(self.target, now) == TargetAvailability::Open
+    }
+
     /// Checks that the bytes may be written now, and counts the request as sent. Called again for
     /// each connection that is tried.
     ///
--- a/crates/gateway/src/serve_pieces/tests/role_cost.rs
+++ b/crates/gateway/src/serve_pieces/tests/role_cost.rs
@@ -116,6 +116,7 @@
         retry_ratio: 0.2,
         retry_slack: 10.0,
         retry_window: Duration::from_secs(10),
+        heartbeat_interval: Duration::from_secs(1),
         max_startup_wait: Duration::ZERO,
         shared_bytes_per_s: f64::MAX,
         target_address_map: Default::default(),
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -10,8 +10,9 @@
 use linnet_telemetry::EventCode;
 
 use crate::caller_request::CallerRequest;
+use crate::incarnation::ProvedIncarnation;
 use crate::protocol::HeaderNames;
-use crate::target::{ChosenTarget, TargetStore};
+use crate::target::TargetStore;
 use crate::{Gateway, Refusal, RefusalReason};
 
 /// Maximum length of the id by which a caller names a stream.
@@ -58,6 +59,9 @@
     /// No host that was reached holds it.
     #[display("not-found")]
     NotFound,
+    /// The incarnation of the target that began it was not proved.
+    #[display("unproved")]
+    Unproved,
     /// The route no longer leads to its service.
     #[display("other-service")]
     OtherService,
@@ -88,8 +92,12 @@
         versions.expire(now);
     }
 
-    /// Returns the version of a service if it has had no other one lately.
+    /// Returns the version of a service if it has had no other one lately, as far as the records of its
+    /// targets are not known to be outdated.
     fn sole_version(&self, store: &TargetStore, service: &str) -> Option<String> {
+        if store.has_outdated_record(service) {
+            return None;
+        }
         let now = BootInstant::now();
         let mut versions = self.versions.borrow_mut();
         for target in store.of_service(service) {
@@ -110,7 +118,7 @@
 }
 
 /// Returns whether callers may take up the streams of a request.
-fn is_resumable(request: &CallerRequest) -> bool {
+pub(crate) fn is_resumable(request: &CallerRequest) -> bool {
     request.route.kind == RouteKind::Streaming && request.route.is_repeatable()
 }
 
@@ -135,21 +143,24 @@
 }
 
 impl Gateway {
-    /// Records the target that is about to run a request, for callers that take up its stream at any
-    /// host. Before the first event another target may take its place.
+    /// Records the incarnation that is about to run a request, for callers that take up its stream at any
+    /// host; if it is not proved, they are refused. Before the first event another one may take its place.
     pub(crate) fn record_stream_origin(
         &self,
         request: &CallerRequest,
         service: &str,
-        chosen: &ChosenTarget,
+        proved: Option<&ProvedIncarnation>,
     ) {
         if !is_resumable(request) || request.id.is_empty() {
             return;
         }
         let stream = stream_key(request, &request.id);
-        let origin = StreamOrigin {
-            service: service.to_owned(),
-            version: chosen.version.clone(),
+        let origin = match proved {
+            Some(incarnation) => StreamOrigin {
+                service: service.to_owned(),
+                version: incarnation.version().to_owned(),
+            },
+            None => StreamOrigin::unknown(),
         };
         let lifetime = request.time_left() + LIFETIME_SLACK;
         self.stream_origins.bind(stream, &origin, lifetime);
@@ -184,7 +195,7 @@
             let detail = "the software version that began the stream is not known";
             return Err(Refusal::new(RefusalReason::NoTarget, detail));
         };
-        request.bind_version(&origin.version);
+        request.bind_origin(&origin);
         Ok(Some(origin.service))
     }
 
@@ -209,6 +220,7 @@
             Some(origin) if services().any(|service| *service == origin.service) => {
                 (source, Some(origin))
             }
+            Some(origin) if origin == StreamOrigin::unknown() => (OriginSource::Unproved, None),
             Some(_) => (OriginSource::OtherService, None),
             None => match self.sole_origin(request) {
                 Some(origin) => (OriginSource::SoleVersion, Some(origin)),
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -8,6 +8,7 @@
 use linnet_directory::TargetRecord;
 
 use crate::cold::SendShare;
+use crate::incarnation::TargetMarks;
 use crate::target_slowness::TargetSlowness;
 
 pub(crate) use store::TargetStore;
@@ -62,6 +63,9 @@
     /// This host's share of the rate of the target while it is cold and no single host paces it for
     /// all.
     share: SendShare,
+    /// When this incarnation was listed first.
+    listed_since: Option<Instant>,
+    pub(crate) marks: TargetMarks,
 }
 
 impl Target {
@@ -82,11 +86,14 @@
             cold_until: None,
             slowness: TargetSlowness::default(),
             share: SendShare::default(),
+            listed_since: None,
+            marks: TargetMarks::default(),
         }
     }
 
     /// Applies a record of the same incarnation.
     fn apply_record(&mut self, record: &TargetRecord, now: Instant) {
+        self.listed_since.get_or_insert(now);
         self.address = record.address;
         self.slots = record.slots.max(1);
         self.version.clone_from(&record.version);
--- a/crates/gateway/src/target_selection.rs
+++ b/crates/gateway/src/target_selection.rs
@@ -8,6 +8,7 @@
 use crate::coordinator::LARGE_RESULT_BYTES;
 use crate::engine::PlacementRequest;
 use crate::graph::RequestResults;
+use crate::incarnation::{await_records, unprovable_targets};
 use crate::prompt::Prompt;
 use crate::service_availability::{
     has_unlimited_target, next_availability, rates_used_up, wait_until_available,
@@ -70,6 +71,9 @@
         if let Some(chosen) = select_target(gateway, service, request, excluded, results).await {
             return Ok(chosen);
         }
+        if await_records(gateway, service, request, excluded.tried).await {
+            continue;
+        }
         let opening = next_availability(gateway, service, request, excluded.tried)
             .ok_or_else(no_target_refusal)?;
         wait_until_available(gateway, service, request, opening).await?;
@@ -141,6 +145,7 @@
             .notices
             .closed_targets(store.ids_of_service(service)),
     );
+    closed.extend(unprovable_targets(store, service, request));
     if excluded.rate_limited && has_unlimited_target(gateway, service, request) {
         let rate_limited = store
             .ids_of_service(service)
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod exchange_id;
+mod incarnation;
 mod send_error;
 mod shared_socket;
 
@@ -33,6 +34,7 @@
 pub(crate) use exchange_id::ForeignCause;
 pub(crate) use send_error::{SendError, is_peer_disconnect};
 
+use crate::incarnation::ConnectionLife;
 use crate::message_heads::SendDeadline;
 use crate::response_body::{MAX_CONTROL_BYTES, read_response_body};
 use crate::send_gate::SendGate;
@@ -54,6 +56,8 @@
     idle: HashMap<SocketAddr, Vec<Connection>>,
     /// When the last direct attempt to connect began that a target accepted.
     accepted: HashMap<SocketAddr, Instant>,
+    /// Targets that are not asked for reports, and until when.
+    unreported: HashMap<SocketAddr, Instant>,
     opened_count: u64,
 }
 
@@ -96,7 +100,11 @@
         mut gate: SendGate<'_>,
     ) -> Result<(Response<Incoming>, ConnectionLease), SendError> {
         let id = self.ids.assign(request.headers_mut());
-        while let Some(mut connection) = self.take_idle(address, &id) {
+        while let Some(idle) = self.take_idle(address, &id) {
+            let checked = self.check_incarnation(address, idle, &gate).await?;
+            let Some(mut connection) = checked else {
+                continue;
+            };
             if let Err(error) = gate.begin_send() {
                 self.keep_idle(address, connection);
                 return Err(error);
@@ -115,7 +123,7 @@
                 },
             }
         }
-        let mut connection = self.connect(address).await?;
+        let mut connection = self.connect_for(address, &gate).await?;
         if let Err(error) = gate.begin_send() {
             self.keep_idle(address, connection);
             return Err(error);
@@ -255,6 +263,7 @@
         let mut state = self.state.borrow_mut();
         state.idle.retain(|address, _| keep(address));
         state.accepted.retain(|address, _| keep(address));
+        state.unreported.retain(|address, _| keep(address));
     }
 
     /// Closes connections that have been idle for too long, or whose path is lost.
@@ -375,6 +384,8 @@
             socket: None,
             last_id: None,
             is_reusable: true,
+            opened: Instant::now(),
+            life: ConnectionLife::Unasked,
         })
     }
 }
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -13,6 +13,7 @@
 
 use super::UpstreamPool;
 use super::shared_socket::SharedSocket;
+use crate::incarnation::ConnectionLife;
 use crate::response_body::{MAX_UNREAD_BYTES, read_response_body};
 
 /// How long the rest of a body that nobody reads may take before its connection is closed.
@@ -43,6 +44,9 @@
     /// Whether its responses have identifiers. Otherwise a late surplus response could not be told from
     /// that to the next request.
     pub(super) is_reusable: bool,
+    pub(super) opened: Instant,
+    /// What the target stated about itself on the connection.
+    pub(super) life: ConnectionLife,
 }
 
 /// A connection in use. If it is dropped before [`ConnectionLease::release`], the connection is
@@ -113,7 +117,7 @@
     }
 }
 
-fn has_close_option(head: &HeaderMap) -> bool {
+pub(super) fn has_close_option(head: &HeaderMap) -> bool {
     let values = head.get_all(http::header::CONNECTION).iter();
     values
         .filter_map(|value| value.to_str().ok())
--- /dev/null
+++ b/crates/gateway/src/upstream/incarnation.rs
@@ -0,0 +1,121 @@
+//! Connections whose process is known to be the incarnation that a request expects.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::Full;
+use tokio::time::timeout;
+
+use super::connection::{Connection, has_close_option};
+use super::exchange_id::IdEcho;
+use super::{SendError, UpstreamPool};
+use crate::incarnation::ConnectionLife;
+use crate::protocol::TargetProtocol;
+use crate::response_body::{MAX_CONTROL_BYTES, read_response_body};
+use crate::send_gate::SendGate;
+
+/// Timeout for the report of a target. A report needs no free slot.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Number of new connections on which a target is asked for one request. Targets close connections after
+/// responses now and then.
+const MAX_REPORTS: u32 = 2;
+
+/// How long a target that gave no report is not asked again.
+const UNREPORTED_TIME: Duration = Duration::from_secs(10);
+
+impl UpstreamPool {
+    /// Opens a connection on which the request of a gate may be sent.
+    pub(super) async fn connect_for(
+        &self,
+        address: SocketAddr,
+        gate: &SendGate<'_>,
+    ) -> Result<Connection, SendError> {
+        for _ in 0..MAX_REPORTS {
+            let connection = self.connect(address).await?;
+            if let Some(connection) = self.check_incarnation(address, connection, gate).await? {
+                return Ok(connection);
+            }
+        }
+        let until = Instant::now() + UNREPORTED_TIME;
+        self.state.borrow_mut().unreported.insert(address, until);
+        if let Some(check) = gate.incarnation() {
+            check.accept_unproved()?;
+        }
+        self.connect(address).await
+    }
+
+    /// Returns a connection if the request of a gate may be sent on it.
+    pub(super) async fn check_incarnation(
+        &self,
+        address: SocketAddr,
+        mut connection: Connection,
+        gate: &SendGate<'_>,
+    ) -> Result<Option<Connection>, SendError> {
+        let Some(check) = gate.incarnation() else {
+            return Ok(Some(connection));
+        };
+        if let Some(protocol) = check.report()
+            && connection.life == ConnectionLife::Unasked
+            && gate.allows_report()
+            && !self.is_unreported(address)
+        {
+            let asked = self.ask_life(address, connection, protocol);
+            let Ok(Some(asked)) = timeout(REPORT_TIMEOUT, asked).await else {
+                return Ok(None);
+            };
+            connection = asked;
+        }
+        match check.accept(connection.life, connection.opened) {
+            Ok(true) => Ok(Some(connection)),
+            Ok(false) => Ok(None),
+            Err(error) => {
+                self.keep_idle(address, connection);
+                Err(error)
+            }
+        }
+    }
+
+    fn is_unreported(&self, address: SocketAddr) -> bool {
+        let until = self.state.borrow().unreported.get(&address).copied();
+        until.is_some_and(|until| until > Instant::now())
+    }
+
+    /// Asks the process at the other end of a connection when it started; returns `None` if the connection
+    /// cannot be used afterwards.
+    async fn ask_life(
+        &self,
+        address: SocketAddr,
+        mut connection: Connection,
+        protocol: &TargetProtocol,
+    ) -> Option<Connection> {
+        let mut request = Request::get(protocol.report_path)
+            .header(header::HOST, address.to_string())
+            .body(Full::new(Bytes::new()))
+            .ok()?;
+        let id = self.ids.assign(request.headers_mut());
+        let response = self.exchange_head(address, &mut connection, request).await;
+        let (head, body) = response.ok()?.into_parts();
+        let body = read_response_body(body, MAX_CONTROL_BYTES).await.ok()?;
+        let echo = self.ids.echo_of(&head.headers, &id);
+        if echo != IdEcho::Same || has_close_option(&head.headers) {
+            return None;
+        }
+        connection.last_id = Some(id);
+        let born = head
+            .status
+            .is_success()
+            .then(|| (protocol.decode_born)(&body));
+        connection.life = match born.flatten() {
+            Some(born) if born > 0 => ConnectionLife::Stated(born),
+            _ => ConnectionLife::Unstated,
+        };
+        connection.sender.ready().await.ok()?;
+        Some(connection)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/upstream/incarnation/tests.rs
@@ -0,0 +1,47 @@
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use super::super::tests::{direct_pool, response_text, start_target};
+use super::*;
+use crate::gateway::tests::{protocol, run};
+
+/// Returns what a target states on a new connection; `None` if the connection cannot be used afterwards.
+async fn ask(responses: fn(usize, &str) -> String) -> Option<ConnectionLife> {
+    let mut protocol = protocol().targets;
+    protocol.decode_born = |body| std::str::from_utf8(body).ok()?.parse().ok();
+    let address = start_target(responses).await;
+    let pool = direct_pool();
+    let connection = pool.connect(address).await.unwrap();
+    assert_eq!(connection.life, ConnectionLife::Unasked);
+    let asked = pool.ask_life(address, connection, &protocol).await;
+    asked.map(|connection| connection.life)
+}
+
+/// Guards against a response that is no report of the process at the other end.
+#[test]
+fn a_connection_learns_its_life_only_from_a_report_that_belongs_to_it() {
+    run(async {
+        let stated = ask(|_, id| response_text(&[id], "17")).await;
+        assert_eq!(stated, Some(ConnectionLife::Stated(17)));
+        for body in ["", "x", "0"] {
+            let responses: fn(usize, &str) -> String = match body {
+                "" => |_, id| response_text(&[id], ""),
+                "x" => |_, id| response_text(&[id], "x"),
+                _ => |_, id| response_text(&[id], "0"),
+            };
+            assert_eq!(
+                ask(responses).await,
+                Some(ConnectionLife::Unstated),
+                "{body}"
+            );
+        }
+        let failed = |_: usize, id: &str| response_text(&[id], "17").replace("200 OK", "404 None");
+        assert_eq!(ask(failed).await, Some(ConnectionLife::Unstated));
+        assert_eq!(ask(|_, _| response_text(&[], "17")).await, None);
+        assert_eq!(ask(|_, _| response_text(&["another"], "17")).await, None);
+        let closed = |_: usize, id: &str| {
+            response_text(&[id], "17")
+                .replace("content-length", "connection: close\r\ncontent-length")
+        };
+        assert_eq!(ask(closed).await, None);
+    });
+}
--- a/crates/gateway/src/upstream/send_error.rs
+++ b/crates/gateway/src/upstream/send_error.rs
@@ -21,6 +21,9 @@
     /// Nothing was written, since the target does not accept requests now.
     #[display("withheld")]
     Withheld,
+    /// Nothing was written, since the incarnation that runs is not known to be the listed one.
+    #[display("unproved incarnation")]
+    Unproved,
     /// Nothing was written, since the retry budget does not allow to send the request again.
     #[display("retry budget used up")]
     OverBudget,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -92,6 +92,7 @@
         retry_ratio: settings.retry.ratio,
         retry_slack: settings.retry.slack,
         retry_window: Duration::from_millis(settings.retry.window_ms),
+        heartbeat_interval: Duration::from_millis(settings.times.heartbeat_ms),
         max_startup_wait: Duration::from_millis(settings.policy.start_patience_ms),
         shared_bytes_per_s: settings.policy.shared_bytes_per_s,
         target_address_map: settings.targets.address_map.clone(),
--- a/crates/streams/src/origin_table.rs
+++ b/crates/streams/src/origin_table.rs
@@ -26,6 +26,17 @@
     pub version: String,
 }
 
+impl StreamOrigin {
+    /// Returns the origin of a stream of which nobody knows what began it. No route leads to its service,
+    /// so that hosts of earlier builds refuse to go on as well.
+    pub fn unknown() -> Self {
+        Self {
+            service: String::new(),
+            version: String::new(),
+        }
+    }
+}
+
 /// An origin of an [`OriginTable`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct OriginKey(u32);
