--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::events::{EventSplitter, has_event_lines, is_event_stream};
 use crate::graph::RequestResults;
 use crate::in_flight::InFlightGuard;
+use crate::incarnation::{IncarnationCheck, ProvedIncarnation};
 use crate::message_heads::{TargetHeaders, build_target_request};
 use crate::metrics::BodyEnd;
 use crate::notice::parse_notice;
@@ -120,6 +121,8 @@
     pub(crate) framing: BodyFraming,
     pub(crate) first: Bytes,
     pub(crate) rest: Incoming,
+    /// The incarnation that sends the events, if it is proved.
+    pub(crate) incarnation: Option<ProvedIncarnation>,
     pub(crate) splitter: EventSplitter,
     /// Bytes of an event that was incomplete when the body ended.
     pub(crate) partial_bytes: usize,
@@ -248,13 +251,15 @@
     };
     let sent = Instant::now();
     let sent_at = BootInstant::now();
+    let check = IncarnationCheck::new(gateway, request, attempt.service, chosen);
     let gate = gateway.notices.gate(&chosen.id, SendKind::Work);
     let gate = gate
         .with_permit(permit)
-        .with_sends(&request.sends, &gateway.metrics);
+        .with_sends(&request.sends, &gateway.metrics)
+        .with_incarnation(check.as_ref());
     let (response, lease) = match gateway.upstream.send(chosen.address, outgoing, gate).await {
         Ok(received) => received,
-        Err(SendError::Withheld) => {
+        Err(SendError::Withheld | SendError::Unproved) => {
             in_flight.discard_timing();
             return AttemptOutcome::Withheld;
         }
@@ -288,6 +293,7 @@
             return AttemptOutcome::unusable(error.to_string());
         }
     };
+    let incarnation = check.and_then(IncarnationCheck::into_proved);
     let (head, body) = response.into_parts();
     let notice = parse_notice(protocol, &head);
     gateway.notices.record_response(&chosen.id, notice, sent_at);
@@ -340,6 +346,7 @@
                     headers,
                     first,
                     rest,
+                    incarnation,
                     splitter,
                     partial_bytes: 0,
                     lease,
--- a/crates/gateway/src/relay/resumption.rs
+++ b/crates/gateway/src/relay/resumption.rs
@@ -83,6 +83,9 @@
         if !self.request.route.is_repeatable() {
             return Some(ResumptionOutcome::NotRepeatable);
         }
+        if !self.request.may_resume() {
+            return Some(ResumptionOutcome::UnknownVersion);
+        }
         if self.attempts >= self.request.route.max_attempts {
             return Some(ResumptionOutcome::AttemptsUsed);
         }
--- a/crates/gateway/src/stream_trace.rs
+++ b/crates/gateway/src/stream_trace.rs
@@ -28,6 +28,9 @@
     /// The route allows one run only.
     #[display("not_repeatable")]
     NotRepeatable,
+    /// It is not known which software version began the stream.
+    #[display("unknown_version")]
+    UnknownVersion,
     /// No id names the last event of the caller to another target.
     #[display("unknown_position")]
     UnknownPosition,
