Wait for the record of a restarted target once, and do without a report that does not come

A stream that goes on waited up to four times for a record, and a target that sends no report delayed each stream by two timeouts. Now it is not asked again for 2 s.

--- a/crates/gateway/src/target_selection.rs
+++ b/crates/gateway/src/target_selection.rs
@@ -67,12 +67,16 @@
     excluded: ExcludedTargets<'_>,
     results: Option<&RequestResults>,
 ) -> Result<(ChosenTarget, Option<Placement>), Refusal> {
+    let mut has_awaited_records = false;
     for _ in 0..MAX_SELECTIONS {
         if let Some(chosen) = select_target(gateway, service, request, excluded, results).await {
             return Ok(chosen);
         }
-        if await_records(gateway, service, request, excluded.tried).await {
-            continue;
+        if !has_awaited_records {
+            has_awaited_records = true;
+            if await_records(gateway, service, request, excluded.tried).await {
+                continue;
+            }
         }
         let opening = next_availability(gateway, service, request, excluded.tried)
             .ok_or_else(no_target_refusal)?;
--- a/crates/gateway/src/upstream/incarnation.rs
+++ b/crates/gateway/src/upstream/incarnation.rs
@@ -24,7 +24,7 @@
 const MAX_REPORTS: u32 = 2;
 
 /// How long a target that gave no report is not asked again.
-const UNREPORTED_TIME: Duration = Duration::from_secs(10);
+const UNREPORTED_TIME: Duration = Duration::from_secs(2);
 
 impl UpstreamPool {
     /// Opens a connection on which the request of a gate may be sent.
@@ -39,8 +39,7 @@
                 return Ok(connection);
             }
         }
-        let until = Instant::now() + UNREPORTED_TIME;
-        self.state.borrow_mut().unreported.insert(address, until);
+        self.set_unreported(address);
         if let Some(check) = gate.incarnation() {
             check.accept_unproved()?;
         }
@@ -63,10 +62,14 @@
             && !self.is_unreported(address)
         {
             let asked = self.ask_life(address, connection, protocol);
-            let Ok(Some(asked)) = timeout(REPORT_TIMEOUT, asked).await else {
-                return Ok(None);
-            };
-            connection = asked;
+            match timeout(REPORT_TIMEOUT, asked).await {
+                Ok(Some(asked)) => connection = asked,
+                Ok(None) => return Ok(None),
+                Err(_) => {
+                    self.set_unreported(address);
+                    return Ok(None);
+                }
+            }
         }
         match check.accept(connection.life, connection.opened) {
             Ok(true) => Ok(Some(connection)),
@@ -78,6 +81,11 @@
         }
     }
 
+    fn set_unreported(&self, address: SocketAddr) {
+        let until = Instant::now() + UNREPORTED_TIME;
+        self.state.borrow_mut().unreported.insert(address, until);
+    }
+
     fn is_unreported(&self, address: SocketAddr) -> bool {
         let until = self.state.borrow().unreported.get(&address).copied();
         until.is_some_and(|until| until > Instant::now())
