A refused attempt gives a stream no version

Callers that took up a stream got events of another software version than the one that began it. The origin of a stream was sent to its holders at each attempt; if an attempt was refused and the message of the one that began the stream was lost on a cut link, a holder kept the version of the refused one and reported it as known (event 418, origin=local).

The origin is now recorded when the first event has arrived, by the attempt that sent it. Before that no caller has an event after which to go on, so nothing needs it; a lost message leaves the origin unknown.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -282,7 +282,9 @@
                 ));
             }
             AttemptOutcome::Streaming(stream) => {
-                if let Some(incarnation) = &stream.incarnation {
+                let incarnation = stream.incarnation.as_ref();
+                gateway.record_stream_origin(request, &service, incarnation);
+                if let Some(incarnation) = incarnation {
                     request.bind_incarnation(incarnation);
                 }
                 let relay =
--- a/crates/gateway/src/incarnation/check.rs
+++ b/crates/gateway/src/incarnation/check.rs
@@ -67,9 +67,8 @@
         (self.listed.born > 0).then_some(&self.gateway.config.protocol.targets)
     }
 
-    /// Decides whether the request may be sent on a connection that was opened at `opened`, and tells
-    /// the hosts that hold origins of streams before it is. Returns `false` if only another connection
-    /// may do.
+    /// Decides whether the request may be sent on a connection that was opened at `opened`. Returns
+    /// `false` if only another connection may do.
     ///
     /// # Errors
     ///
@@ -126,8 +125,6 @@
     fn set_proved(&self, is_proved: bool) {
         let version = self.chosen.version.clone();
         let proved = is_proved.then_some(ProvedIncarnation { version });
-        self.gateway
-            .record_stream_origin(self.request, self.service, proved.as_ref());
         self.proved.replace(proved);
     }
 
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -144,8 +144,8 @@
 }
 
 impl Gateway {
-    /// Records the incarnation that is about to run a request, for callers that take up its stream at any
-    /// host; if it is not proved, they are refused. Before the first event another one may take its place.
+    /// Records the incarnation that has begun the stream of a request, for callers that take it up at any
+    /// host; if it is not proved, they are refused.
     pub(crate) fn record_stream_origin(
         &self,
         request: &CallerRequest,
