A host that has just started takes no version for the sole one

Callers got events of two software versions over two tries: a host that had just started and reached no holder of a stream's origin let the stream go on at the only version that was listed by then (event 418, origin=sole-version). The history of versions asked that no other version was listed within a minute, not that the host had looked for as long as a stream may last.

The history now knows since when it has observed each service, and a version is the sole one only of the time since. A host refuses streams of unknown origin until it has observed their service for the timeout of their route; the refusal says that nothing ran, and other hosts go on with them.

The new case of linnet-streams cannot be written against the code before.

--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -95,7 +95,12 @@
 
     /// Returns the version of a service if it has had no other one lately, as far as the records of its
     /// targets are not known to be outdated.
-    fn sole_version(&self, store: &TargetStore, service: &str) -> Option<String> {
+    fn sole_version(
+        &self,
+        store: &TargetStore,
+        service: &str,
+        lifetime: Duration,
+    ) -> Option<String> {
         if store.has_outdated_record(service) {
             return None;
         }
@@ -104,7 +109,8 @@
         for target in store.of_service(service) {
             versions.record_listed(service, &target.version, now);
         }
-        versions.sole_version(service, now).map(str::to_owned)
+        let sole = versions.sole_version(service, lifetime, now);
+        sole.map(str::to_owned)
     }
 
     /// Removes streams whose time is over.
@@ -242,7 +248,9 @@
             return None;
         };
         let store = self.targets.borrow();
-        let version = self.stream_origins.sole_version(&store, &part.service)?;
+        let lifetime = Duration::from_millis(request.route.timeout_ms);
+        let origins = &self.stream_origins;
+        let version = origins.sole_version(&store, &part.service, lifetime)?;
         Some(StreamOrigin {
             service: part.service.clone(),
             version,
--- a/crates/streams/src/version_history.rs
+++ b/crates/streams/src/version_history.rs
@@ -11,27 +11,50 @@
 /// The software versions of the targets of each service, and when each was last listed.
 #[derive(Default)]
 pub struct VersionHistory {
-    services: HashMap<String, Vec<(String, BootInstant)>>,
+    services: HashMap<String, ServiceVersions>,
+}
+
+/// The versions of one service.
+struct ServiceVersions {
+    /// Since when the service is observed without a gap.
+    since: BootInstant,
+    /// Each version, and when it was last listed.
+    listed: Vec<(String, BootInstant)>,
 }
 
 impl VersionHistory {
     /// Records that a target of a service with a version is listed.
     pub fn record_listed(&mut self, service: &str, version: &str, now: BootInstant) {
         if let Some(versions) = self.services.get_mut(service) {
-            match versions.iter_mut().find(|(known, _)| known == version) {
-                Some((_, listed)) => *listed = now,
-                None => versions.push((version.to_owned(), now)),
+            let mut listed = versions.listed.iter_mut();
+            match listed.find(|(known, _)| known == version) {
+                Some((_, at)) => *at = now,
+                None => versions.listed.push((version.to_owned(), now)),
             }
             return;
         }
-        let versions = vec![(version.to_owned(), now)];
+        let versions = ServiceVersions {
+            since: now,
+            listed: vec![(version.to_owned(), now)],
+        };
         self.services.insert(service.to_owned(), versions);
     }
 
-    /// Returns the version of a service if it has had no other one lately.
-    pub fn sole_version(&self, service: &str, now: BootInstant) -> Option<&str> {
-        let versions = self.services.get(service)?.iter();
-        let mut recent = versions.filter(|(_, listed)| now - *listed < RETENTION);
+    /// Returns the version of a service if it has had no other one lately, as far back as `lifetime`,
+    /// within which a stream that is taken up now began. What was listed before the service was observed
+    /// is not known.
+    pub fn sole_version(
+        &self,
+        service: &str,
+        lifetime: Duration,
+        now: BootInstant,
+    ) -> Option<&str> {
+        let versions = self.services.get(service)?;
+        if now - versions.since < lifetime {
+            return None;
+        }
+        let listed = versions.listed.iter();
+        let mut recent = listed.filter(|(_, at)| now - *at < RETENTION);
         let (version, _) = recent.next()?;
         recent.next().is_none().then_some(version)
     }
@@ -39,8 +62,9 @@
     /// Removes versions that were last listed long ago.
     pub fn expire(&mut self, now: BootInstant) {
         for versions in self.services.values_mut() {
-            versions.retain(|(_, listed)| now - *listed < RETENTION);
+            versions.listed.retain(|(_, at)| now - *at < RETENTION);
         }
-        self.services.retain(|_, versions| !versions.is_empty());
+        self.services
+            .retain(|_, versions| !versions.listed.is_empty());
     }
 }
--- a/crates/streams/tests/origins.rs
+++ b/crates/streams/tests/origins.rs
@@ -70,14 +70,32 @@
 #[test]
 fn a_service_has_a_sole_version_only_if_it_has_had_no_other_lately() {
     let mut history = VersionHistory::default();
-    assert_eq!(history.sole_version("engine", at(0)), None);
+    let second = Duration::from_secs(1);
+    assert_eq!(history.sole_version("engine", second, at(0)), None);
     history.record_listed("engine", "v1", at(0));
     history.record_listed("desk", "v7", at(0));
-    assert_eq!(history.sole_version("engine", at(1)), Some("v1"));
+    assert_eq!(history.sole_version("engine", second, at(1)), Some("v1"));
     history.record_listed("engine", "v2", at(2));
-    assert_eq!(history.sole_version("engine", at(3)), None);
+    assert_eq!(history.sole_version("engine", second, at(3)), None);
     history.record_listed("engine", "v2", at(61));
-    assert_eq!(history.sole_version("engine", at(61)), Some("v2"));
+    assert_eq!(history.sole_version("engine", second, at(61)), Some("v2"));
     history.expire(at(200));
-    assert_eq!(history.sole_version("desk", at(200)), None);
+    assert_eq!(history.sole_version("desk", second, at(200)), None);
+}
+
+/// A host that had just started took the only version listed for the only one that a stream can have.
+#[test]
+fn a_version_is_not_the_sole_one_of_the_time_before_the_service_was_observed() {
+    let mut history = VersionHistory::default();
+    let lifetime = Duration::from_secs(8);
+    history.record_listed("engine", "v1", at(10));
+    for (now, expected) in [(10, None), (17, None), (18, Some("v1"))] {
+        history.record_listed("engine", "v1", at(now));
+        let sole = history.sole_version("engine", lifetime, at(now));
+        assert_eq!(sole, expected, "{now}");
+    }
+    // After a gap in which nothing was listed, it is observed anew.
+    history.expire(at(200));
+    history.record_listed("engine", "v1", at(201));
+    assert_eq!(history.sole_version("engine", lifetime, at(202)), None);
 }
