--- a/crates/gateway/src/incarnation/target_marks.rs
+++ b/crates/gateway/src/incarnation/target_marks.rs
@@ -60,6 +60,38 @@
     }
 }
 
+impl TargetStore {
+    /// Returns when the incarnation of a target was listed first.
+    pub(crate) fn listed_since(&self, service: &str, id: &str) -> Option<Instant> {
+        self.get(service, id)?.listed_since
+    }
+
+    /// Records that a target restarted at the Unix millisecond `born`, unless that incarnation is listed;
+    /// returns whether that was not known.
+    pub(crate) fn mark_outdated(&mut self, service: &str, id: &str, born: u64) -> bool {
+        let target = self.find_mut(service, id);
+        target.is_some_and(|one| one.born < born && one.marks.set_outdated(born))
+    }
+
+    /// Returns whether the listed target is known to have restarted at the Unix millisecond `born`.
+    pub(crate) fn is_known_outdated(&self, service: &str, id: &str, born: u64) -> bool {
+        let target = self.get(service, id);
+        target.is_some_and(|target| target.marks.is_known(born))
+    }
+
+    /// Records that no connection proved which incarnation of a target runs.
+    pub(crate) fn mark_unproved(&mut self, service: &str, id: &str, now: Instant) {
+        if let Some(target) = self.find_mut(service, id) {
+            target.marks.set_unproved(now);
+        }
+    }
+
+    /// Returns whether a target of a service is known to have restarted since its record was written.
+    pub(crate) fn has_outdated_record(&self, service: &str) -> bool {
+        self.of_service(service).any(|one| one.marks.is_outdated())
+    }
+}
+
 impl Gateway {
     /// Records that a target has restarted since its record was written.
     pub(super) fn mark_outdated(&self, service: &str, chosen: &ChosenTarget, born: u64) {
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -64,7 +64,7 @@
     /// all.
     share: SendShare,
     /// When this incarnation was listed first.
-    listed_since: Option<Instant>,
+    pub(crate) listed_since: Option<Instant>,
     pub(crate) marks: TargetMarks,
 }
 
--- a/crates/gateway/src/target/store.rs
+++ b/crates/gateway/src/target/store.rs
@@ -323,36 +323,6 @@
         Some(ChosenTarget::new(target))
     }
 
-    /// Returns when the incarnation of a target was listed first.
-    pub(crate) fn listed_since(&self, service: &str, id: &str) -> Option<Instant> {
-        self.services.get(service)?.get(id)?.listed_since
-    }
-
-    /// Records that a target restarted at the Unix millisecond `born`, unless that incarnation is listed;
-    /// returns whether that was not known.
-    pub(crate) fn mark_outdated(&mut self, service: &str, id: &str, born: u64) -> bool {
-        let target = self.find_mut(service, id);
-        target.is_some_and(|one| one.born < born && one.marks.set_outdated(born))
-    }
-
-    /// Returns whether the listed target is known to have restarted at the Unix millisecond `born`.
-    pub(crate) fn is_known_outdated(&self, service: &str, id: &str, born: u64) -> bool {
-        let target = self.services.get(service).and_then(|one| one.get(id));
-        target.is_some_and(|target| target.marks.is_known(born))
-    }
-
-    /// Records that no connection proved which incarnation of a target runs.
-    pub(crate) fn mark_unproved(&mut self, service: &str, id: &str, now: Instant) {
-        if let Some(target) = self.find_mut(service, id) {
-            target.marks.set_unproved(now);
-        }
-    }
-
-    /// Returns whether a target of a service is known to have restarted since its record was written.
-    pub(crate) fn has_outdated_record(&self, service: &str) -> bool {
-        self.of_service(service).any(|one| one.marks.is_outdated())
-    }
-
     /// Finds a target by ID alone; returns it with its service.
     pub(crate) fn find_by_id(&self, id: &str) -> Option<(&str, &Target)> {
         let mut services = self.services.iter();
@@ -365,6 +335,11 @@
         targets.is_some_and(|targets| targets.contains_key(id))
     }
 
+    /// Returns a target by service and ID.
+    pub(crate) fn get(&self, service: &str, id: &str) -> Option<&Target> {
+        self.services.get(service)?.get(id)
+    }
+
     pub(crate) fn find_mut(&mut self, service: &str, id: &str) -> Option<&mut Target> {
         self.services.get_mut(service)?.get_mut(id)
     }
