--- a/crates/directory/src/follow/acknowledge.rs
+++ b/crates/directory/src/follow/acknowledge.rs
@@ -33,3 +33,6 @@
         acknowledged_sender.send_if_modified(|last| std::mem::replace(last, revision) != revision);
     }
 }
+
+#[cfg(test)]
+mod tests;
