Tests: order of the results of pieces

Unit: responses with too few or too many results, framed or ended by their connection, and responses of another call, without an id or with several ids on a kept connection, are the result of no piece.

Two results of one call swapped by their target cannot be told: results carry no id, and the protocol defines them by their order.

--- a/crates/gateway/src/stage_call/tests.rs
+++ b/crates/gateway/src/stage_call/tests.rs
@@ -205,3 +205,105 @@
         assert_eq!(client.send_call(&call).await, result("third"));
     });
 }
+
+/// A client whose targets respond with handles that commas separate.
+fn batch_client() -> StageTargetClient {
+    let (mut client, _) = client();
+    client.protocol.targets.decode_stage_run = |body| {
+        let text = std::str::from_utf8(body).ok()?;
+        let handles = text.strip_prefix('[')?.strip_suffix(']')?.split(',');
+        Some(handles.map(|handle| Ok(handle.to_owned())).collect())
+    };
+    client
+}
+
+/// A call with pieces of two requests: two and three pieces.
+fn batch_call(address: SocketAddr) -> StageCall {
+    let mut other = part(3, 1);
+    other.work.request = "14da6f38e5b2907c".to_owned();
+    StageCall {
+        target: TARGET.to_owned(),
+        address,
+        parts: vec![part(2, 1), other],
+        timeout_ms: 1_500,
+    }
+}
+
+/// Guards against results that are given to other pieces, since the response has too few or too many.
+#[test]
+fn a_response_without_one_result_for_each_piece_is_the_result_of_none() {
+    run(async {
+        let cases = [
+            ("[a,b,c,d,e]", true),
+            ("[a,b,c,d]", false),
+            ("[a,b,c,d,e,f]", false),
+            ("[a]", false),
+            ("[a,b,c,d,e][", false),
+        ];
+        for (body, is_whole) in cases {
+            for framing in [format!("content-length: {}\r\n", body.len()), String::new()] {
+                let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+                let call = batch_call(listener.local_addr().unwrap());
+                let response = format!("HTTP/1.1 200 OK\r\n{framing}\r\n{body}");
+                ntex::rt::spawn(respond_once(listener, response, AfterResponse::Close));
+                let client = batch_client();
+                let outcome = timeout(STUCK_TIMEOUT, client.send_call(&call)).await;
+                let wanted = ["a", "b", "c", "d", "e"].map(|handle| Ok(handle.to_owned()));
+                let responded = CallOutcome::Responded(wanted.to_vec(), None);
+                let outcome = outcome.unwrap();
+                assert_eq!(
+                    outcome == responded,
+                    is_whole,
+                    "{body} {framing:?}: {outcome:?}"
+                );
+                let has_results = matches!(outcome, CallOutcome::Responded(..));
+                assert_eq!(has_results, is_whole, "{body} {framing:?}: {outcome:?}");
+            }
+        }
+    });
+}
+
+/// Returns a response with other ids, followed by that to the call.
+fn late_response(own: &str, others: &[&str]) -> String {
+    response_text(others, "[a,b,c,d,e]") + &response_text(&[own], "[f,g,h,i,j]")
+}
+
+/// Guards against results of a former call on the connection that are given to the pieces of the next.
+#[test]
+fn a_response_of_another_call_is_the_result_of_no_piece() {
+    run(async {
+        // Each other response is in order, since only a connection that was used has a former call.
+        let address = start_target(|number, id| match number % 6 {
+            1 => late_response(id, &["another-call"]),
+            3 => late_response(id, &[]),
+            5 => late_response(id, &["another-call", id]),
+            _ => response_text(&[id], "[k,l,m,n,o]"),
+        })
+        .await;
+        let client = batch_client();
+        let call = batch_call(address);
+        let own = ["k", "l", "m", "n", "o"].map(|handle| Ok(handle.to_owned()));
+        let own = CallOutcome::Responded(own.to_vec(), None);
+        let mut checked = [0; 6];
+        for number in 0..30 {
+            let opened = client.upstream.opened_count();
+            let outcome = client.send_call(&call).await;
+            let has_former = client.upstream.opened_count() == opened;
+            match number % 2 {
+                0 => assert_eq!(outcome, own, "call {number}"),
+                _ if has_former => {
+                    checked[number % 6] += 1;
+                    let has_results = matches!(outcome, CallOutcome::Responded(..));
+                    assert!(!has_results, "call {number}: {outcome:?}");
+                }
+                _ => {}
+            }
+            // The connection is idle after its task has run.
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert!(
+            [1, 3, 5].iter().all(|case| checked[*case] > 0),
+            "{checked:?}"
+        );
+    });
+}
