--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -31,6 +31,7 @@
 use crate::stage_client::Placement;
 use crate::target::ChosenTarget;
 use crate::target_crash::TargetState;
+use crate::unframed_end::UnframedExchange;
 use crate::upstream::{ConnectionLease, SendError, is_peer_disconnect};
 
 /// Minimum timeout of an attempt after which a repeatable request goes to another target.
@@ -52,6 +53,8 @@
     /// Whether the end of the body is known not to come from a crash of the target. The close of a
     /// connection alone does not tell.
     pub(crate) is_confirmed: bool,
+    /// What tells whether it does, if the body ended with its connection.
+    pub(crate) unframed: Option<UnframedExchange>,
 }
 
 impl CompleteResponse {
@@ -106,6 +109,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) framing: BodyFraming,
+    /// What tells whether the body is complete, if it ends with its connection.
+    pub(crate) unframed: Option<UnframedExchange>,
     pub(crate) first: Bytes,
     pub(crate) rest: Incoming,
     pub(crate) splitter: EventSplitter,
@@ -158,14 +163,15 @@
     });
     let took = sent.elapsed();
     if let AttemptOutcome::Complete(response) = &mut outcome
-        && !response.is_confirmed
+        && let Some(unframed) = response.unframed.take()
     {
         let target = (service, chosen);
-        match gateway.probe_after_close(target, request, sent).await {
+        let state = gateway
+            .judge_unframed_end(target, request, sent, &unframed)
+            .await;
+        match state {
             TargetState::Alive => response.is_confirmed = true,
-            state @ (TargetState::Crashed | TargetState::Unknown) => {
-                outcome = AttemptOutcome::unusable(state.close_cause());
-            }
+            _ => outcome = AttemptOutcome::unusable(state.close_cause()),
         }
     }
     gateway.count_attempt(request, (service, chosen), &outcome, took, facts);
@@ -231,6 +237,7 @@
             };
         }
     };
+    let spare = gateway.upstream.spare_before_send(chosen.address).await;
     let sent = Instant::now();
     let sent_at = BootInstant::now();
     let gate = gateway.notices.gate(&chosen.id, SendKind::Work);
@@ -293,6 +300,11 @@
         return AttemptOutcome::unusable("an answer without the target's seal");
     }
     let framing = BodyFraming::of_response(&head.headers, body.is_end_stream());
+    gateway.upstream.record_framing(chosen.address, framing);
+    let unframed = match framing {
+        BodyFraming::Close => Some(UnframedExchange::new(&lease, spare)),
+        BodyFraming::Length | BodyFraming::Chunks => None,
+    };
     let is_streamed = request.route.kind == RouteKind::Streaming && is_event_stream(&head.headers);
     if is_streamed && head.status.is_success() {
         let resumes = attempt.last_event.is_some()
@@ -316,6 +328,7 @@
                 AttemptOutcome::Streaming(Box::new(EventStream {
                     status,
                     framing,
+                    unframed,
                     headers,
                     first,
                     rest,
@@ -335,6 +348,10 @@
                     broken: true,
                 }
             }
+            Err(AttemptOutcome::Complete(response)) => AttemptOutcome::Complete(CompleteResponse {
+                unframed,
+                ..response
+            }),
             Err(outcome) => outcome,
         };
     }
@@ -356,6 +373,7 @@
                 headers: head.headers,
                 body,
                 is_confirmed: framing != BodyFraming::Close,
+                unframed,
             })
         }
         Err(BodyError::Broken(error)) => {
--- a/crates/gateway/src/attempt/first_event.rs
+++ b/crates/gateway/src/attempt/first_event.rs
@@ -85,6 +85,7 @@
                     headers: head.headers,
                     body: first.freeze(),
                     is_confirmed: framing != BodyFraming::Close,
+                    unframed: None,
                 }));
             }
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -287,6 +287,7 @@
                     headers,
                     body,
                     is_confirmed,
+                    ..
                 } = response;
                 // A server error does not prove that the request ran to its end: a target that
                 // fails a share of its requests responds so without having run them.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -70,6 +70,7 @@
 mod target_selection;
 mod target_slowness;
 mod tunnel;
+mod unframed_end;
 mod upstream;
 mod version_split;
 mod wait_model;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -134,11 +134,15 @@
             .await;
     }
 
-    /// Finds out whether the end of a body without framing came from a crash of the target.
-    async fn probe_after_close(&self) -> TargetState {
+    /// Finds out whether a body is complete. One without framing ends with its connection, and so does one
+    /// that is cut by a crash.
+    async fn judge_end(&self, stream: &EventStream) -> TargetState {
+        let Some(unframed) = &stream.unframed else {
+            return TargetState::Alive;
+        };
         let target = (self.service.as_str(), &self.chosen);
         self.gateway
-            .probe_after_close(target, &self.request, self.sent)
+            .judge_unframed_end(target, &self.request, self.sent, unframed)
             .await
     }
 
@@ -275,11 +279,7 @@
             resume_or_abort(relay, stream, "stream ended inside an event").await
         }
         Ok(Ok(None)) => {
-            // A body without framing ends with its connection, and so does one cut by a crash.
-            let state = match stream.framing {
-                BodyFraming::Close => relay.probe_after_close().await,
-                BodyFraming::Length | BodyFraming::Chunks => TargetState::Alive,
-            };
+            let state = relay.judge_end(&stream).await;
             if state != TargetState::Alive {
                 relay.count_body(&stream, BodyEnd::Broken);
                 return resume_or_abort(relay, stream, state.close_cause()).await;
--- a/crates/gateway/src/target_crash.rs
+++ b/crates/gateway/src/target_crash.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use derive_more::Display;
 use linnet_quarantine::{CrashKey, RequestSubject};
 use linnet_telemetry::EventCode;
 use tokio::sync::oneshot;
@@ -37,13 +38,19 @@
 const CLOSE_PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// What is known of a target whose connection broke.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) enum TargetState {
+    #[display("crashed")]
     Crashed,
-    /// It accepts connections, so it closed the other one itself. Only this proves that a body without
-    /// framing is complete.
+    /// It accepts connections. Only this proves that a body without framing is complete, and only if it is
+    /// the process that began the body.
+    #[display("alive")]
     Alive,
+    /// It accepts connections, but may be another process than the one that began the response.
+    #[display("unproved")]
+    Unproved,
     /// It has left and ended, or does not answer.
+    #[display("unknown")]
     Unknown,
 }
 
@@ -53,6 +60,7 @@
         match self {
             Self::Crashed => "connection closed by a crash of the target",
             Self::Alive => "connection closed by the target",
+            Self::Unproved => "connection closed, and the target may have started again",
             Self::Unknown => "connection closed, and the target is not known to run",
         }
     }
@@ -106,6 +114,28 @@
         state
     }
 
+    /// Counts a request as interrupted if its target, which accepts connections, turns out to have
+    /// started again.
+    pub(crate) fn await_restart(
+        &self,
+        (service, chosen): (&str, &ChosenTarget),
+        request: &CallerRequest,
+        sent: Instant,
+    ) {
+        // The end of a target that was withdrawn is no crash.
+        if !self.targets.borrow().contains(service, &chosen.id) {
+            return;
+        }
+        let unresponsive = UnresponsiveTarget {
+            service: service.to_owned(),
+            chosen: chosen.clone(),
+            interrupted: vec![InterruptedRequest::new(request, sent)],
+            since: Instant::now(),
+        };
+        let mut awaited = self.crash_tracker.unresponsive.borrow_mut();
+        awaited.push(unresponsive);
+    }
+
     /// Finds out whether a target that is no longer listed still runs. Its end is no crash that its
     /// requests could have caused.
     async fn probe_withdrawn(&self, chosen: &ChosenTarget, limit: Duration) -> TargetState {
--- a/crates/gateway/src/target_crash/tracker.rs
+++ b/crates/gateway/src/target_crash/tracker.rs
@@ -79,7 +79,8 @@
     }
 }
 
-/// A target whose connections broke and whose probe timed out.
+/// A target whose connections broke, and that did not answer the probe or may have answered it after a
+/// restart.
 pub(super) struct UnresponsiveTarget {
     pub(super) service: String,
     pub(super) chosen: ChosenTarget,
--- /dev/null
+++ b/crates/gateway/src/unframed_end.rs
@@ -0,0 +1,73 @@
+//! The ends of responses without a length or chunks, whose bodies end with their connections.
+//!
+//! A process that ends closes its connections like one that has sent a whole body. That its address accepts
+//! a connection afterwards does not tell them apart: another process may listen there by then. What does is
+//! another connection to the process that began the response, which stays open.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::time::sleep;
+
+use crate::Gateway;
+use crate::caller_request::CallerRequest;
+use crate::target::ChosenTarget;
+use crate::target_crash::TargetState;
+use crate::upstream::{ConnectionLease, ExchangeKey, SpareConnection};
+
+/// How long after a target accepted a connection the ends of its former ones may still arrive. The system
+/// ends the connections of a process within a millisecond; through another host that takes some more.
+const SETTLE_TIME: Duration = Duration::from_millis(10);
+
+/// A response whose body ends with its connection.
+pub(crate) struct UnframedExchange {
+    address: SocketAddr,
+    exchange: ExchangeKey,
+    /// Stays open until the end of the body has been judged.
+    _spare: Rc<SpareConnection>,
+}
+
+impl UnframedExchange {
+    /// Begins to watch over a response. Its body may end with its head if there was no spare connection
+    /// before.
+    pub(crate) fn new(
+        lease: &ConnectionLease,
+        spare: Option<Rc<SpareConnection>>,
+    ) -> UnframedExchange {
+        let address = lease.address();
+        Self {
+            address,
+            exchange: lease.exchange(),
+            _spare: spare.unwrap_or_else(|| lease.pool().hold_spare(address)),
+        }
+    }
+}
+
+impl Gateway {
+    /// Finds out whether a body that ended with its connection is complete: only if its target is known
+    /// to run on, which is [`TargetState::Alive`].
+    pub(crate) async fn judge_unframed_end(
+        self: &Rc<Self>,
+        target: (&str, &ChosenTarget),
+        request: &CallerRequest,
+        sent: Instant,
+        unframed: &UnframedExchange,
+    ) -> TargetState {
+        let UnframedExchange {
+            address, exchange, ..
+        } = *unframed;
+        let ended_before = self.upstream.next_connection();
+        let has_sibling = || self.upstream.has_sibling(address, exchange, ended_before);
+        let probed = self.probe_after_close(target, request, sent).await;
+        let mut state = probed;
+        if probed == TargetState::Alive {
+            sleep(SETTLE_TIME).await;
+            if !has_sibling() {
+                self.await_restart(target, request, sent);
+                state = TargetState::Unproved;
+            }
+        }
+        state
+    }
+}
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,16 +1,20 @@
 //! Pool of connections to targets. A connection carries one request at a time.
 
 mod connection;
+mod connection_watch;
 mod exchange_id;
+mod life_table;
+mod open;
 mod send_error;
 mod shared_socket;
+mod spare_connection;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::rc::Rc;
-use std::time::Instant;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::response::Parts;
@@ -18,25 +22,24 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
-use hyper::client::conn::http1::Builder;
-use hyper_util::rt::TokioIo;
 use linnet_paths::{RESTORE_INTERVAL, SILENCE_BEFORE_CHECK};
-use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
-use connection::{Connection, DEFAULT_IDLE_TIMEOUT, TUNNEL_IDLE_TIMEOUT};
+use connection::Connection;
+use connection_watch::ConnectionWatch;
 use exchange_id::{ExchangeIds, IdEcho};
-use shared_socket::SharedSocket;
+use life_table::LifeTable;
 
 pub(crate) use connection::ConnectionLease;
 pub(crate) use exchange_id::ForeignCause;
+pub(crate) use life_table::{ConnectionKey, ExchangeKey};
 pub(crate) use send_error::{SendError, is_peer_disconnect};
+pub(crate) use spare_connection::SpareConnection;
 
 use crate::message_heads::SendDeadline;
 use crate::response_body::{MAX_CONTROL_BYTES, read_response_body};
 use crate::send_gate::SendGate;
-use crate::target_links::{ConnectPurpose, LinkError, TargetLinks, TargetSocket, detect_dead_peer};
+use crate::target_links::{ConnectPurpose, TargetLinks, TargetSocket};
 
 /// What an attempt to connect shows about a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,14 +52,31 @@
     Silent,
 }
 
-#[derive(Default)]
 struct PoolState {
     idle: HashMap<SocketAddr, Vec<Connection>>,
+    lives: LifeTable<ConnectionWatch>,
+    /// Connections that are kept open beside responses.
+    spares: HashMap<SocketAddr, Weak<SpareConnection>>,
+    /// How many responses with framing a target has sent since the last one without.
+    framed: HashMap<SocketAddr, u32>,
     /// When the last direct attempt to connect began that a target accepted.
     accepted: HashMap<SocketAddr, Instant>,
     opened_count: u64,
 }
 
+impl Default for PoolState {
+    fn default() -> Self {
+        Self {
+            idle: HashMap::new(),
+            lives: LifeTable::new(ConnectionWatch::is_open, ConnectionWatch::is_exact),
+            spares: HashMap::new(),
+            framed: HashMap::new(),
+            accepted: HashMap::new(),
+            opened_count: 0,
+        }
+    }
+}
+
 /// Idle connections by address. Cheap to clone.
 #[derive(Clone)]
 pub(crate) struct UpstreamPool {
@@ -101,9 +121,11 @@
                 self.keep_idle(address, connection);
                 return Err(error);
             }
+            let sent_before = self.next_connection();
             match self.exchange_head(address, &mut connection, request).await {
                 Ok(response) => {
-                    return self.match_response(address, connection, response, id, &gate);
+                    let received = (connection, sent_before, response);
+                    return self.match_response(address, received, id, &gate);
                 }
                 Err(mut error) => match error.take_message() {
                     // The connection was already closed; the request was never written.
@@ -120,8 +142,12 @@
             self.keep_idle(address, connection);
             return Err(error);
         }
+        let sent_before = self.next_connection();
         match self.exchange_head(address, &mut connection, request).await {
-            Ok(response) => self.match_response(address, connection, response, id, &gate),
+            Ok(response) => {
+                let received = (connection, sent_before, response);
+                self.match_response(address, received, id, &gate)
+            }
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let error = error.into_error();
@@ -139,8 +165,7 @@
     fn match_response(
         &self,
         address: SocketAddr,
-        mut connection: Connection,
-        response: Response<Incoming>,
+        (mut connection, sent_before, response): (Connection, ConnectionKey, Response<Incoming>),
         id: HeaderValue,
         gate: &SendGate<'_>,
     ) -> Result<(Response<Incoming>, ConnectionLease), SendError> {
@@ -158,10 +183,15 @@
             return Err(SendError::Foreign(cause));
         }
         connection.last_id = Some(id);
+        let exchange = ExchangeKey {
+            on: connection.life,
+            sent_before,
+        };
         let lease = ConnectionLease {
             pool: self.clone(),
             address,
             connection,
+            exchange,
         };
         Ok((response, lease))
     }
@@ -221,7 +251,7 @@
             Err(error) if error.is_refused => return ProbeOutcome::Refused,
             Err(_) => return ProbeOutcome::Silent,
         };
-        if let Ok(connection) = self.establish(socket).await {
+        if let Ok(connection) = self.establish(address, socket).await {
             self.keep_idle(address, connection);
         }
         ProbeOutcome::Open
@@ -230,7 +260,7 @@
     /// Finds out whether the path to a silent target is lost.
     async fn check_path(&self, address: SocketAddr) {
         if let Ok(socket) = self.open(address, ConnectPurpose::Request).await
-            && let Ok(connection) = self.establish(socket).await
+            && let Ok(connection) = self.establish(address, socket).await
         {
             self.keep_idle(address, connection);
         }
@@ -242,7 +272,7 @@
             let Some(socket) = self.links.probe_direct(address).await else {
                 return;
             };
-            if let Ok(connection) = self.establish(TargetSocket::Direct(socket)).await {
+            if let Ok(connection) = self.establish(address, TargetSocket::Direct(socket)).await {
                 self.keep_idle(address, connection);
             }
             sleep(RESTORE_INTERVAL).await;
@@ -255,6 +285,8 @@
         let mut state = self.state.borrow_mut();
         state.idle.retain(|address, _| keep(address));
         state.accepted.retain(|address, _| keep(address));
+        state.framed.retain(|address, _| keep(address));
+        state.lives.retain(keep);
     }
 
     /// Closes connections that have been idle for too long, or whose path is lost.
@@ -264,6 +296,23 @@
         }
     }
 
+    /// Returns whether the process that sent a response has kept another connection open.
+    /// Only connections before `ended_before` count.
+    pub(crate) fn has_sibling(
+        &self,
+        address: SocketAddr,
+        exchange: ExchangeKey,
+        ended_before: ConnectionKey,
+    ) -> bool {
+        let lives = &self.state.borrow().lives;
+        lives.has_sibling(address, exchange, ended_before)
+    }
+
+    /// Returns the key of the next connection that is opened.
+    pub(crate) fn next_connection(&self) -> ConnectionKey {
+        self.state.borrow().lives.next_connection()
+    }
+
     /// Returns when the last direct attempt to connect began that a target accepted.
     pub(crate) fn accepted_at(&self, address: SocketAddr) -> Option<Instant> {
         self.state.borrow().accepted.get(&address).copied()
@@ -289,6 +338,17 @@
         state.idle.entry(address).or_default().push(connection);
     }
 
+    /// Returns a connection that has been idle for less than `max_idle`.
+    fn take_recent_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<Connection> {
+        let mut state = self.state.borrow_mut();
+        let idle = state.idle.get_mut(&address)?;
+        let is_recent = |connection: &Connection| {
+            connection.idle_since.elapsed() < max_idle && self.is_usable(address, connection)
+        };
+        let index = idle.iter().rposition(is_recent)?;
+        Some(idle.remove(index))
+    }
+
     /// Returns an idle connection for the request with this identifier. If the last request on a
     /// connection had the same one, a surplus response could not be told from the one that is due.
     fn take_idle(&self, address: SocketAddr, id: &HeaderValue) -> Option<Connection> {
@@ -303,80 +363,6 @@
         }
         None
     }
-
-    /// Connects to a target.
-    async fn open(
-        &self,
-        address: SocketAddr,
-        purpose: ConnectPurpose,
-    ) -> Result<TargetSocket, LinkError> {
-        let began_at = Instant::now();
-        let socket = self.links.connect(address, purpose).await?;
-        if matches!(socket, TargetSocket::Direct(_)) {
-            let mut state = self.state.borrow_mut();
-            state.accepted.insert(address, began_at);
-        }
-        Ok(socket)
-    }
-
-    async fn connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
-        let socket = match self.open(address, ConnectPurpose::Request).await {
-            Ok(socket) => socket,
-            Err(error) if error.is_down => return Err(SendError::NotSent(error.to_string())),
-            Err(error) => return Err(SendError::NoPath(error.to_string())),
-        };
-        self.establish(socket).await
-    }
-
-    async fn establish(&self, socket: TargetSocket) -> Result<Connection, SendError> {
-        match socket {
-            TargetSocket::Direct(socket) => {
-                let _ = socket.set_nodelay(true);
-                detect_dead_peer(&socket);
-                let (counted, socket) = (self.links.count_open(), SharedSocket::new(socket));
-                let mut connection = self.start_driver(socket.clone(), counted).await?;
-                connection.socket = Some(socket);
-                Ok(connection)
-            }
-            TargetSocket::Tunnel(tunnel, peer) => {
-                let mut connection = self.start_driver(tunnel, ()).await?;
-                connection.peer = Some(peer);
-                connection.idle_timeout = TUNNEL_IDLE_TIMEOUT;
-                Ok(connection)
-            }
-        }
-    }
-
-    /// Starts the task that drives a connection; it holds `guard` until the connection is closed.
-    async fn start_driver<T, G>(&self, stream: T, guard: G) -> Result<Connection, SendError>
-    where
-        T: AsyncRead + AsyncWrite + Unpin + 'static,
-        G: 'static,
-    {
-        let (sender, driver) = Builder::new()
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| SendError::NotSent(error.to_string()))?;
-        let (closer, closed) = oneshot::channel::<()>();
-        ntex::rt::spawn(async move {
-            let _guard = guard;
-            tokio::select! {
-                _ = driver => {}
-                _ = closed => {}
-            }
-        });
-        self.state.borrow_mut().opened_count += 1;
-        Ok(Connection {
-            sender,
-            closer,
-            idle_since: Instant::now(),
-            idle_timeout: DEFAULT_IDLE_TIMEOUT,
-            peer: None,
-            socket: None,
-            last_id: None,
-            is_reusable: true,
-        })
-    }
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use super::UpstreamPool;
+use super::life_table::{ConnectionLife, ExchangeKey};
 use super::shared_socket::SharedSocket;
 use crate::response_body::{MAX_UNREAD_BYTES, read_response_body};
 
@@ -43,6 +44,7 @@
     /// Whether its responses have identifiers. Otherwise a late surplus response could not be told from
     /// that to the next request.
     pub(super) is_reusable: bool,
+    pub(super) life: ConnectionLife,
 }
 
 /// A connection in use. If it is dropped before [`ConnectionLease::release`], the connection is
@@ -51,6 +53,7 @@
     pub(super) pool: UpstreamPool,
     pub(super) address: SocketAddr,
     pub(super) connection: Connection,
+    pub(super) exchange: ExchangeKey,
 }
 
 impl Connection {
@@ -70,6 +73,20 @@
         self.connection.is_reusable
     }
 
+    pub(crate) fn pool(&self) -> &UpstreamPool {
+        &self.pool
+    }
+
+    /// Returns the address of the target.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the exchange that the connection is in use for.
+    pub(crate) fn exchange(&self) -> ExchangeKey {
+        self.exchange
+    }
+
     /// Returns the connection to the pool once the rest of a body that nobody reads has arrived, and
     /// closes it if that takes too long or is too much.
     pub(crate) fn release_after(self, body: Incoming, head: HeaderMap) {
@@ -91,6 +108,7 @@
             pool,
             address,
             mut connection,
+            ..
         } = self;
         if has_close_option(head) || !connection.is_reusable {
             return;
--- a/crates/gateway/src/upstream/shared_socket.rs
+++ b/crates/gateway/src/upstream/shared_socket.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 
 use socket2::SockRef;
@@ -19,6 +19,11 @@
         Self(Rc::new(socket))
     }
 
+    /// Returns a reference that does not keep the socket open.
+    pub(super) fn downgrade(&self) -> Weak<TcpStream> {
+        Rc::downgrade(&self.0)
+    }
+
     /// Returns whether the peer has closed or reset the connection, or sent bytes that were not asked
     /// for. The task that drives the connection may not have seen that yet.
     pub(super) fn has_unread_end(&self) -> bool {
--- a/crates/gateway/src/upstream/tests.rs
+++ b/crates/gateway/src/upstream/tests.rs
@@ -6,8 +6,6 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use std::time::Duration;
-
 use super::*;
 use crate::gateway::tests::run;
 use crate::notice_store::NoticeStore;
