--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,7 @@
 use crate::body_framing::BodyFraming;
 use crate::retry_budget::RetryCause;
 use crate::stream_origins::OriginSource;
+use crate::target_crash::TargetState;
 
 /// Labels of a finished request. They exclude routes and accounts, which would make the number of
 /// series unbounded.
@@ -78,6 +79,13 @@
     pub end: &'static str,
 }
 
+/// Labels of bodies that ended with their connections.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct UnframedLabels {
+    /// `alive` if the target is known to run on; otherwise `unproved`, `crashed` or `unknown`.
+    pub verdict: String,
+}
+
 /// Labels of responses that belong to other requests than those in whose place they were received.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ForeignLabels {
@@ -121,6 +129,7 @@
     pub(crate) streams_known: Gauge,
     pub(crate) streams_taken_up: Family<OriginLabels, Counter>,
     pub(crate) target_bodies: Family<BodyLabels, Counter>,
+    pub(crate) unframed_ends: Family<UnframedLabels, Counter>,
     pub(crate) foreign_responses: Family<ForeignLabels, Counter>,
     pub(crate) connections_opened: Gauge,
     pub(crate) stage_targets_examined: Gauge,
@@ -179,6 +188,7 @@
             streams_known: Gauge::default(),
             streams_taken_up: Family::default(),
             target_bodies: Family::default(),
+            unframed_ends: Family::default(),
             foreign_responses: Family::default(),
             connections_opened: Gauge::default(),
             stage_targets_examined: Gauge::default(),
@@ -337,6 +347,11 @@
             "Bodies of responses of targets, by framing and end",
             metrics.target_bodies.clone(),
         );
+        registry.register(
+            "unframed_ends",
+            "Bodies without a length or chunks that ended with their connections, by verdict",
+            metrics.unframed_ends.clone(),
+        );
         registry.register(
             "foreign_responses",
             "Responses of targets that belong to other requests, by cause",
@@ -491,6 +506,13 @@
         self.target_bodies.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_unframed_end(&self, state: TargetState) {
+        let verdict = state.to_string();
+        self.unframed_ends
+            .get_or_create(&UnframedLabels { verdict })
+            .inc();
+    }
+
     pub(crate) fn count_first_send(&self) {
         self.count_send("first".to_owned());
     }
--- a/crates/gateway/src/unframed_end.rs
+++ b/crates/gateway/src/unframed_end.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use linnet_telemetry::EventCode;
 use tokio::time::sleep;
 
 use crate::Gateway;
@@ -57,8 +58,10 @@
         let UnframedExchange {
             address, exchange, ..
         } = *unframed;
+        let ended_at = Instant::now();
         let ended_before = self.upstream.next_connection();
         let has_sibling = || self.upstream.has_sibling(address, exchange, ended_before);
+        let had_sibling = has_sibling();
         let probed = self.probe_after_close(target, request, sent).await;
         let mut state = probed;
         if probed == TargetState::Alive {
@@ -68,6 +71,15 @@
                 state = TargetState::Unproved;
             }
         }
+        self.metrics.count_unframed_end(state);
+        let detail = format!(
+            "address={address} verdict={state} probe={probed} sibling_before={had_sibling} \
+             sibling_after={} took_ms={}",
+            has_sibling(),
+            ended_at.elapsed().as_millis()
+        );
+        let code = EventCode::UnframedEnded;
+        self.record_request_event(code, &request.id, &target.1.id, detail);
         state
     }
 }
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -117,6 +117,7 @@
     PathRestored = 512, Info, "A target can be reached directly again.";
     PathUnknown = 513, Warn, "A target cannot be reached, and too few other entry hosts answered to tell whether it is down.";
     TunnelRefused = 514, Warn, "A connection to a target was not opened for another entry host.";
+    UnframedEnded = 515, Info, "A body without a length or chunks ended with its connection; the line says whether its target is known to run on.";
     RoutingAccepted = 601, Info, "A routing configuration was committed, or a newer one was already stored.";
     RoutingRefused = 602, Warn, "A routing configuration was refused or could not be committed in time.";
     RoutingInForce = 603, Info, "A process put a routing configuration in force.";
