--- a/crates/gateway/src/incarnation.rs
+++ b/crates/gateway/src/incarnation.rs
@@ -5,11 +5,11 @@
 //! only on a connection whose process stated that it is the one that the record names.
 
 mod check;
-mod connection_life;
+mod stated_start;
 mod target_marks;
 
 pub(crate) use check::{IncarnationCheck, ProvedIncarnation};
-pub(crate) use connection_life::{ConnectionLife, IncarnationVerdict};
+pub(crate) use stated_start::{IncarnationVerdict, StatedStart};
 pub(crate) use target_marks::{TargetMarks, await_records, unprovable_targets};
 
 #[cfg(test)]
--- a/crates/gateway/src/incarnation/check.rs
+++ b/crates/gateway/src/incarnation/check.rs
@@ -3,8 +3,8 @@
 use std::cell::RefCell;
 use std::time::Instant;
 
-use super::connection_life::ListedIncarnation;
-use super::{ConnectionLife, IncarnationVerdict};
+use super::stated_start::ListedIncarnation;
+use super::{IncarnationVerdict, StatedStart};
 use crate::Gateway;
 use crate::caller_request::CallerRequest;
 use crate::protocol::TargetProtocol;
@@ -73,7 +73,7 @@
     /// # Errors
     ///
     /// [`SendError::Unproved`] if the request must not be sent to the target now.
-    pub(crate) fn accept(&self, life: ConnectionLife, opened: Instant) -> Result<bool, SendError> {
+    pub(crate) fn accept(&self, life: StatedStart, opened: Instant) -> Result<bool, SendError> {
         if self.listed.born == 0 {
             self.set_proved(true);
             return Ok(true);
@@ -108,8 +108,8 @@
     /// Decides whether the request may be sent to an incarnation that started after the listed one. A
     /// stream may begin there if no other target was available, which is when one is selected although
     /// its record is known to be outdated.
-    fn accept_outdated(&self, life: ConnectionLife) -> Result<(), SendError> {
-        let ConnectionLife::Stated(born) = life else {
+    fn accept_outdated(&self, life: StatedStart) -> Result<(), SendError> {
+        let StatedStart::Stated(born) = life else {
             return self.accept_unproved();
         };
         let targets = self.gateway.targets.borrow();
--- a/crates/gateway/src/incarnation/connection_life.rs
+++ b/crates/gateway/src/incarnation/stated_start.rs
@@ -8,7 +8,7 @@
 
 /// What is known of the process at the other end of a connection.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(crate) enum ConnectionLife {
+pub(crate) enum StatedStart {
     /// It was not asked yet.
     #[default]
     Unasked,
@@ -44,7 +44,7 @@
     pub(crate) since: Instant,
 }
 
-impl ConnectionLife {
+impl StatedStart {
     /// Compares the process at the other end of a connection that was opened at `opened` with a record.
     /// A process that does not state its start is the listed one if both the connection and the record
     /// are older than the heartbeat of a later process could be.
--- a/crates/gateway/src/incarnation/tests.rs
+++ b/crates/gateway/src/incarnation/tests.rs
@@ -4,8 +4,8 @@
 
 use linnet_directory::TargetRecord;
 
-use super::connection_life::ListedIncarnation;
-use super::{ConnectionLife, IncarnationVerdict, TargetMarks};
+use super::stated_start::ListedIncarnation;
+use super::{IncarnationVerdict, StatedStart, TargetMarks};
 use crate::target::tests::{SERVICE, record};
 use crate::target::{ChosenTarget, TargetStore};
 
@@ -17,40 +17,30 @@
     let now = Instant::now() + Duration::from_secs(100);
     let ago = |seconds| now - Duration::from_secs(seconds);
     let cases = [
-        (ConnectionLife::Stated(5), 0, 0, IncarnationVerdict::Proved),
+        (StatedStart::Stated(5), 0, 0, IncarnationVerdict::Proved),
         (
-            ConnectionLife::Stated(6),
+            StatedStart::Stated(6),
             0,
             0,
             IncarnationVerdict::RecordOutdated,
         ),
         (
-            ConnectionLife::Stated(6),
+            StatedStart::Stated(6),
             90,
             90,
             IncarnationVerdict::RecordOutdated,
         ),
         (
-            ConnectionLife::Stated(4),
+            StatedStart::Stated(4),
             90,
             90,
             IncarnationVerdict::ConnectionOutdated,
         ),
-        (ConnectionLife::Unstated, 6, 6, IncarnationVerdict::Proved),
-        (
-            ConnectionLife::Unstated,
-            5,
-            90,
-            IncarnationVerdict::Unproved,
-        ),
-        (
-            ConnectionLife::Unstated,
-            90,
-            5,
-            IncarnationVerdict::Unproved,
-        ),
-        (ConnectionLife::Unasked, 6, 6, IncarnationVerdict::Proved),
-        (ConnectionLife::Unasked, 0, 90, IncarnationVerdict::Unproved),
+        (StatedStart::Unstated, 6, 6, IncarnationVerdict::Proved),
+        (StatedStart::Unstated, 5, 90, IncarnationVerdict::Unproved),
+        (StatedStart::Unstated, 90, 5, IncarnationVerdict::Unproved),
+        (StatedStart::Unasked, 6, 6, IncarnationVerdict::Proved),
+        (StatedStart::Unasked, 0, 90, IncarnationVerdict::Unproved),
     ];
     for (life, opened, listed, expected) in cases {
         let listed = ListedIncarnation {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,7 @@
 use crate::retry_budget::RetryCause;
 use crate::stream_origins::OriginSource;
 use crate::stream_trace::{ResumptionOutcome, StreamEnd};
+use crate::target_crash::TargetState;
 
 /// Labels of a finished request. They exclude routes and accounts, which would make the number of
 /// series unbounded.
@@ -80,6 +81,13 @@
     pub end: &'static str,
 }
 
+/// Labels of bodies that ended with their connections.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct UnframedLabels {
+    /// `alive` if the target is known to run on; otherwise `unproved`, `crashed` or `unknown`.
+    pub verdict: String,
+}
+
 /// Labels of responses that belong to other requests than those in whose place they were received.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ForeignLabels {
@@ -147,6 +155,7 @@
     pub(crate) stream_ends: Family<StreamEndLabels, Counter>,
     pub(crate) target_incarnations: Family<IncarnationLabels, Counter>,
     pub(crate) target_bodies: Family<BodyLabels, Counter>,
+    pub(crate) unframed_ends: Family<UnframedLabels, Counter>,
     pub(crate) foreign_responses: Family<ForeignLabels, Counter>,
     pub(crate) connections_opened: Gauge,
     pub(crate) stage_targets_examined: Gauge,
@@ -209,6 +218,7 @@
             stream_ends: Family::default(),
             target_incarnations: Family::default(),
             target_bodies: Family::default(),
+            unframed_ends: Family::default(),
             foreign_responses: Family::default(),
             connections_opened: Gauge::default(),
             stage_targets_examined: Gauge::default(),
@@ -383,6 +393,11 @@
             "Bodies of responses of targets, by framing and end",
             metrics.target_bodies.clone(),
         );
+        registry.register(
+            "unframed_ends",
+            "Bodies without a length or chunks that ended with their connections, by verdict",
+            metrics.unframed_ends.clone(),
+        );
         registry.register(
             "foreign_responses",
             "Responses of targets that belong to other requests, by cause",
@@ -542,6 +557,13 @@
         self.target_bodies.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_unframed_end(&self, state: TargetState) {
+        let verdict = state.to_string();
+        self.unframed_ends
+            .get_or_create(&UnframedLabels { verdict })
+            .inc();
+    }
+
     pub(crate) fn count_first_send(&self) {
         self.count_send("first".to_owned());
     }
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -12,8 +12,9 @@
 use tokio::time::timeout;
 
 use super::UpstreamPool;
+use super::life_table::{ConnectionLife, ExchangeKey};
 use super::shared_socket::SharedSocket;
-use crate::incarnation::ConnectionLife;
+use crate::incarnation::StatedStart;
 use crate::response_body::{MAX_UNREAD_BYTES, read_response_body};
 
 /// How long the rest of a body that nobody reads may take before its connection is closed.
@@ -46,6 +47,7 @@
     pub(super) is_reusable: bool,
     pub(super) opened: Instant,
     /// What the target stated about itself on the connection.
+    pub(super) stated: StatedStart,
     pub(super) life: ConnectionLife,
 }
 
@@ -55,6 +57,7 @@
     pub(super) pool: UpstreamPool,
     pub(super) address: SocketAddr,
     pub(super) connection: Connection,
+    pub(super) exchange: ExchangeKey,
 }
 
 impl Connection {
@@ -74,6 +77,20 @@
         self.connection.is_reusable
     }
 
+    pub(crate) fn pool(&self) -> &UpstreamPool {
+        &self.pool
+    }
+
+    /// Returns the address of the target.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the exchange that the connection is in use for.
+    pub(crate) fn exchange(&self) -> ExchangeKey {
+        self.exchange
+    }
+
     /// Returns the connection to the pool once the rest of a body that nobody reads has arrived, and
     /// closes it if that takes too long or is too much.
     pub(crate) fn release_after(self, body: Incoming, head: HeaderMap) {
@@ -95,6 +112,7 @@
             pool,
             address,
             mut connection,
+            ..
         } = self;
         if has_close_option(head) || !connection.is_reusable {
             return;
--- a/crates/gateway/src/upstream/incarnation.rs
+++ b/crates/gateway/src/upstream/incarnation.rs
@@ -11,7 +11,7 @@
 use super::connection::{Connection, has_close_option};
 use super::exchange_id::IdEcho;
 use super::{SendError, UpstreamPool};
-use crate::incarnation::ConnectionLife;
+use crate::incarnation::StatedStart;
 use crate::protocol::TargetProtocol;
 use crate::response_body::{MAX_CONTROL_BYTES, read_response_body};
 use crate::send_gate::SendGate;
@@ -57,7 +57,7 @@
             return Ok(Some(connection));
         };
         if let Some(protocol) = check.report()
-            && connection.life == ConnectionLife::Unasked
+            && connection.stated == StatedStart::Unasked
             && gate.allows_report()
             && !self.is_unreported(address)
         {
@@ -71,7 +71,7 @@
                 }
             }
         }
-        match check.accept(connection.life, connection.opened) {
+        match check.accept(connection.stated, connection.opened) {
             Ok(true) => Ok(Some(connection)),
             Ok(false) => Ok(None),
             Err(error) => {
@@ -116,9 +116,9 @@
             .status
             .is_success()
             .then(|| (protocol.decode_born)(&body));
-        connection.life = match born.flatten() {
-            Some(born) if born > 0 => ConnectionLife::Stated(born),
-            _ => ConnectionLife::Unstated,
+        connection.stated = match born.flatten() {
+            Some(born) if born > 0 => StatedStart::Stated(born),
+            _ => StatedStart::Unstated,
         };
         connection.sender.ready().await.ok()?;
         Some(connection)
