Tests of connections beside requests, failing

Hosts open one or two connections beside each request to a target from which they have not seen 32 responses with framing in a row.

- Framing is learnt for each address and host: 64 requests to 64 targets that send a length open 128 connections.
- A target that serves one connection after the other answers at once without a spare connection; beside one, which is opened first, the request gets no response within 2 s.

--- a/crates/gateway/src/upstream/spare_connection.rs
+++ b/crates/gateway/src/upstream/spare_connection.rs
@@ -166,3 +166,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
