Test of versions that are forgotten before their streams, failing

A version counts for 60 s after it was last listed. On a route with a longer timeout a stream that began before can still be taken up, and goes on at the version that came after.

--- a/crates/streams/tests/origins.rs
+++ b/crates/streams/tests/origins.rs
@@ -99,3 +99,20 @@
     history.record_listed("engine", "v1", at(201));
     assert_eq!(history.sole_version("engine", lifetime, at(202)), None);
 }
+
+/// Guards against a stream that began at a version which was last listed longer ago than versions are kept, but
+/// within the time of its route.
+#[test]
+#[ignore = "fails: versions are kept for 60 s, also where streams last longer"]
+fn a_version_is_kept_for_as_long_as_its_streams_may_be_taken_up() {
+    let mut history = VersionHistory::default();
+    let lifetime = Duration::from_secs(180);
+    for now in 0..200 {
+        history.record_listed("engine", "v1", at(now));
+    }
+    for now in 200..270 {
+        history.record_listed("engine", "v2", at(now));
+        history.expire(at(now));
+    }
+    assert_eq!(history.sole_version("engine", lifetime, at(270)), None);
+}
