A sole version is known only of the time for which lists were up to date and are kept

Callers without a known origin could get events of two versions: a host that was cut off from all control hosts took its last list for the present one, and versions were forgotten after 60 s where a route allows longer streams. Both are histories that do not cover the time in which the stream began.

A gap in the lists now begins the observation of all services anew, a host without control hosts knows no sole version, and versions count for as long as the route may take, 10 minutes at most.

Shown in unit tests only.

--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -83,10 +83,13 @@
             .cloned()
     }
 
-    /// Records which versions are listed.
-    pub(crate) fn record_versions(&self, store: &TargetStore) {
+    /// Records which versions are listed; `is_connected` says whether a control host sends lists.
+    pub(crate) fn record_versions(&self, store: &TargetStore, is_connected: bool) {
         let now = BootInstant::now();
         let mut versions = self.versions.borrow_mut();
+        if !is_connected {
+            versions.record_gap(now);
+        }
         for (service, version) in store.service_versions() {
             versions.record_listed(service, version, now);
         }
@@ -256,6 +259,9 @@
         let [part] = request.route.split.as_slice() else {
             return None;
         };
+        if !self.directory.borrow().is_connected() {
+            return None;
+        }
         let store = self.targets.borrow();
         let lifetime = Duration::from_millis(request.route.timeout_ms);
         let origins = &self.stream_origins;
--- a/crates/gateway/src/stream_origins/tests.rs
+++ b/crates/gateway/src/stream_origins/tests.rs
@@ -53,7 +53,6 @@
 
 /// Guards against a host that hears of no target any more and takes the versions that it knows for all.
 #[test]
-#[ignore = "fails: a list counts as up to date however long no control host has sent one"]
 fn a_host_without_control_hosts_knows_no_sole_version() {
     run(async {
         let gateway = idle_gateway(Default::default());
--- a/crates/streams/src/version_history.rs
+++ b/crates/streams/src/version_history.rs
@@ -5,9 +5,13 @@
 
 use linnet_clock::BootInstant;
 
-/// How long a version counts after it was last listed: longer than callers wait for a stream.
+/// How long a version counts at least after it was last listed: longer than callers usually wait for a
+/// stream.
 const RETENTION: Duration = Duration::from_secs(60);
 
+/// How long a version is kept after it was last listed, as origins of streams are.
+const MAX_RETENTION: Duration = Duration::from_secs(600);
+
 /// The software versions of the targets of each service, and when each was last listed.
 #[derive(Default)]
 pub struct VersionHistory {
@@ -40,6 +44,12 @@
         self.services.insert(service.to_owned(), versions);
     }
 
+    /// Records that lists are not up to date: what is listed meanwhile is not known.
+    pub fn record_gap(&mut self, now: BootInstant) {
+        let services = self.services.values_mut();
+        services.for_each(|versions| versions.since = now);
+    }
+
     /// Returns the version of a service if it has had no other one lately, as far back as `lifetime`,
     /// within which a stream that is taken up now began. What was listed before the service was observed
     /// is not known.
@@ -54,7 +64,8 @@
             return None;
         }
         let listed = versions.listed.iter();
-        let mut recent = listed.filter(|(_, at)| now - *at < RETENTION);
+        let retention = RETENTION.max(lifetime);
+        let mut recent = listed.filter(|(_, at)| now - *at < retention);
         let (version, _) = recent.next()?;
         recent.next().is_none().then_some(version)
     }
@@ -62,7 +73,7 @@
     /// Removes versions that were last listed long ago.
     pub fn expire(&mut self, now: BootInstant) {
         for versions in self.services.values_mut() {
-            versions.listed.retain(|(_, at)| now - *at < RETENTION);
+            versions.listed.retain(|(_, at)| now - *at < MAX_RETENTION);
         }
         self.services
             .retain(|_, versions| !versions.listed.is_empty());
