The end of a body is proved only by a connection that took the same way

Read in the code by an independent review: a connection whose path is lost stays open for seconds, since the end of it does not arrive. Beside a response over a tunnel through another host such a direct connection would have proved that a target that had crashed was still running, and a cut response would have looked complete; a tunnel through a frozen host the same beside a direct response.

Only connections that were opened the same way count now. The case of the table of lives that took a tunnel for the proof of a direct response encoded this; it expects the opposite now, and a case with a lost direct connection is new (it failed before by the same rule). Not shown over processes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -56,7 +56,7 @@
     /// connection alone does not tell.
     pub(crate) is_confirmed: bool,
     /// What tells whether it does, if the body ended with its connection.
-    pub(crate) unframed: Option<UnframedExchange>,
+    pub(crate) unframed: Option<Box<UnframedExchange>>,
 }
 
 impl CompleteResponse {
@@ -123,7 +123,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) framing: BodyFraming,
     /// What tells whether the body is complete, if it ends with its connection.
-    pub(crate) unframed: Option<UnframedExchange>,
+    pub(crate) unframed: Option<Box<UnframedExchange>>,
     pub(crate) first: Bytes,
     pub(crate) rest: Incoming,
     /// The incarnation that sends the events, if it is proved.
@@ -323,7 +323,7 @@
     let framing = BodyFraming::of_response(&head.headers, body.is_end_stream());
     gateway.upstream.record_framing(attempt.service, framing);
     let unframed = match framing {
-        BodyFraming::Close => Some(UnframedExchange::new(&lease)),
+        BodyFraming::Close => Some(Box::new(UnframedExchange::new(&lease))),
         BodyFraming::Length | BodyFraming::Chunks => None,
     };
     let is_streamed = request.route.kind == RouteKind::Streaming && is_event_stream(&head.headers);
--- a/crates/gateway/src/upstream/life_table.rs
+++ b/crates/gateway/src/upstream/life_table.rs
@@ -19,6 +19,8 @@
 pub(crate) struct ConnectionLife {
     pub(crate) connection: ConnectionKey,
     pub(crate) life: LifeKey,
+    /// The host through which it was opened; `None` if directly.
+    pub(crate) peer: Option<SocketAddr>,
 }
 
 /// A response on a connection.
@@ -58,7 +60,12 @@
 
     /// Adds a connection that has just been opened. It belongs to the same process as those that are
     /// open after it was accepted.
-    pub(super) fn add(&mut self, address: SocketAddr, watch: W) -> ConnectionLife {
+    pub(super) fn add(
+        &mut self,
+        address: SocketAddr,
+        peer: Option<SocketAddr>,
+        watch: W,
+    ) -> ConnectionLife {
         let key = self.next_key;
         self.next_key += 1;
         let known = self.by_address.entry(address).or_default();
@@ -67,6 +74,7 @@
         let life = ConnectionLife {
             connection: ConnectionKey(key),
             life: open.map_or(LifeKey(key), |open| open.life.life),
+            peer,
         };
         known.push(KnownConnection { life, watch });
         life
@@ -83,6 +91,9 @@
     ///
     /// That is any connection of the same life. It is also any that was opened before the request was
     /// sent: what accepted it ran before and after the response, so nothing else listened meanwhile.
+    ///
+    /// Only connections that were opened the same way count: the end of one whose path is lost does not
+    /// arrive, while that of another has.
     pub(super) fn has_sibling(
         &self,
         address: SocketAddr,
@@ -91,10 +102,15 @@
     ) -> bool {
         let mut known = self.by_address.get(&address).into_iter().flatten();
         known.any(|one| {
-            let ConnectionLife { connection, life } = one.life;
+            let ConnectionLife {
+                connection,
+                life,
+                peer,
+            } = one.life;
             let is_same_process = life == exchange.on.life || connection < exchange.sent_before;
             connection != exchange.on.connection
                 && connection < ended_before
+                && peer == exchange.on.peer
                 && is_same_process
                 && (self.is_open)(&one.watch)
         })
--- a/crates/gateway/src/upstream/life_table/tests.rs
+++ b/crates/gateway/src/upstream/life_table/tests.rs
@@ -30,6 +30,10 @@
     SocketAddr::from(([127, 0, 0, 1], 9_000))
 }
 
+fn other_host() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 2], 9_200))
+}
+
 /// Returns whether the response on connection 0 has a sibling after the steps.
 fn has_sibling(steps: &[Step]) -> bool {
     let mut table = LifeTable::new(|one: &Watch| one.is_open.get(), |one| one.is_exact);
@@ -41,7 +45,8 @@
                 let is_exact = matches!(step, Open(_));
                 let is_open = Rc::new(Cell::new(true));
                 let watch = Watch { is_open, is_exact };
-                opened[number] = Some((table.add(address(), watch.clone()), watch));
+                let peer = (!is_exact).then(other_host);
+                opened[number] = Some((table.add(address(), peer, watch.clone()), watch));
             }
             End(number) => {
                 let (_, watch) = opened[number].as_ref().expect("an opened connection");
@@ -124,9 +129,14 @@
             false,
         ),
         (
-            "a tunnel from before the request",
+            "a tunnel from before the request, whose own end may not have arrived",
             &[OpenTunnel(1), Open(0), Send, End(0)],
-            true,
+            false,
+        ),
+        (
+            "a direct connection whose path is lost, beside a response over a tunnel",
+            &[Open(1), OpenTunnel(0), Send, End(0)],
+            false,
         ),
         (
             "a tunnel for a response over a tunnel",
@@ -153,8 +163,8 @@
 fn connections_to_other_addresses_are_no_siblings() {
     let mut table = LifeTable::new(|_: &()| true, |_| true);
     let other = SocketAddr::from(([127, 0, 0, 1], 9_001));
-    table.add(other, ());
-    let on = table.add(address(), ());
+    table.add(other, None, ());
+    let on = table.add(address(), None, ());
     let next = table.next_connection();
     let exchange = ExchangeKey {
         on,
@@ -166,7 +176,7 @@
 #[test]
 fn an_address_is_forgotten_once_its_connections_have_ended() {
     let mut table = LifeTable::new(Cell::get, |_: &Cell<bool>| true);
-    table.add(address(), Cell::new(true));
+    table.add(address(), None, Cell::new(true));
     table.retain(|_| false);
     assert_eq!(table.by_address.len(), 1);
     table.by_address[&address()][0].watch.set(false);
--- a/crates/gateway/src/upstream/open.rs
+++ b/crates/gateway/src/upstream/open.rs
@@ -53,7 +53,7 @@
                 let (counted, socket) = (self.links.count_open(), SharedSocket::new(socket));
                 let watch = ConnectionWatch::Direct(socket.downgrade());
                 let driver = (socket.clone(), counted);
-                let mut connection = self.start_driver(address, driver, watch).await?;
+                let mut connection = self.start_driver((address, None), driver, watch).await?;
                 connection.socket = Some(socket);
                 Ok(connection)
             }
@@ -61,8 +61,8 @@
                 let driven = Rc::new(());
                 let watch = ConnectionWatch::Tunnel(Rc::downgrade(&driven));
                 let driver = (tunnel, driven);
-                let mut connection = self.start_driver(address, driver, watch).await?;
-                connection.peer = Some(peer);
+                let way = (address, Some(peer));
+                let mut connection = self.start_driver(way, driver, watch).await?;
                 connection.idle_timeout = TUNNEL_IDLE_TIMEOUT;
                 Ok(connection)
             }
@@ -72,7 +72,7 @@
     /// Starts the task that drives a connection; it holds `guard` until the connection is closed.
     async fn start_driver<T, G>(
         &self,
-        address: SocketAddr,
+        (address, peer): (SocketAddr, Option<SocketAddr>),
         (stream, guard): (T, G),
         watch: ConnectionWatch,
     ) -> Result<Connection, SendError>
@@ -99,13 +99,13 @@
             closer,
             idle_since: Instant::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
-            peer: None,
+            peer,
             socket: None,
             last_id: None,
             is_reusable: true,
             opened: Instant::now(),
             stated: StatedStart::Unasked,
-            life: state.lives.add(address, watch),
+            life: state.lives.add(address, peer, watch),
         })
     }
 }
