Observability: the pools of a delayed host, and what connections to targets are opened for

The log told that a host is delayed and not which roles it has, and the number of connections to targets and not their purpose. No decision has changed.

--- a/crates/gateway/src/gateway/maintenance.rs
+++ b/crates/gateway/src/gateway/maintenance.rs
@@ -81,6 +81,10 @@
                 &self.metrics.streams_known,
                 self.stream_origins.len() as i64,
             ),
+            (
+                &self.metrics.pools_coordinated,
+                self.stage_client.coordinated_pools().len() as i64,
+            ),
             (&self.metrics.hosts_known, self.entry_host_count() as i64),
         ];
         for (gauge, value) in gauges {
--- a/crates/gateway/src/host_load.rs
+++ b/crates/gateway/src/host_load.rs
@@ -181,11 +181,12 @@
     let is_due = reported_at.is_none_or(|at| at.elapsed() >= REPORT_INTERVAL);
     let detail = || {
         format!(
-            "processing_ms={} connect_ms={} limit_per_s={} open_requests={}",
+            "processing_ms={} connect_ms={} limit_per_s={} open_requests={} pools={}",
             processing.as_millis(),
             connecting.as_millis(),
             load.limit(),
-            gateway.open_requests()
+            gateway.open_requests(),
+            gateway.stage_client.coordinated_pools().join(",")
         )
     };
     if is_delayed && is_due {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,7 @@
 use crate::stream_origins::OriginSource;
 use crate::stream_trace::{ResumptionOutcome, StreamEnd};
 use crate::target_crash::TargetState;
+use crate::upstream::ConnectionUse;
 
 /// Labels of a finished request. They exclude routes and accounts, which would make the number of
 /// series unbounded.
@@ -137,6 +138,13 @@
     pub outcome: String,
 }
 
+/// Labels of connections to targets.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ConnectionLabels {
+    /// What the connection was opened for, such as `request` or `spare`.
+    pub purpose: String,
+}
+
 /// Metrics of an entry host.
 #[derive(Clone)]
 pub struct GatewayMetrics {
@@ -158,6 +166,8 @@
     pub(crate) unframed_ends: Family<UnframedLabels, Counter>,
     pub(crate) foreign_responses: Family<ForeignLabels, Counter>,
     pub(crate) connections_opened: Gauge,
+    pub(crate) target_connections: Family<ConnectionLabels, Counter>,
+    pub(crate) pools_coordinated: Gauge,
     pub(crate) stage_targets_examined: Gauge,
     pub(crate) requests_open: Gauge,
     pub(crate) processing_delay_ms: Gauge,
@@ -221,6 +231,8 @@
             unframed_ends: Family::default(),
             foreign_responses: Family::default(),
             connections_opened: Gauge::default(),
+            target_connections: Family::default(),
+            pools_coordinated: Gauge::default(),
             stage_targets_examined: Gauge::default(),
             requests_open: Gauge::default(),
             processing_delay_ms: Gauge::default(),
@@ -260,6 +272,16 @@
             tunnels_served: Gauge::default(),
             tunnels_refused: Counter::default(),
         };
+        registry.register(
+            "target_connections",
+            "Connections to targets that this host opened, by purpose",
+            metrics.target_connections.clone(),
+        );
+        registry.register(
+            "pools_coordinated",
+            "Stage pools of which this host ran batches in the last second",
+            metrics.pools_coordinated.clone(),
+        );
         registry.register(
             "targets_ended",
             "Targets that crashed while requests of this host ran on them",
@@ -616,6 +638,13 @@
         self.target_incarnations.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_connection(&self, connection_use: ConnectionUse) {
+        let labels = ConnectionLabels {
+            purpose: connection_use.to_string(),
+        };
+        self.target_connections.get_or_create(&labels).inc();
+    }
+
     /// Records how far the forecast of the stages of a request was from the time that they took.
     pub(crate) fn observe_forecast_error(&self, forecast_ms: f64, took: Duration) {
         let error = took.as_secs_f64() - forecast_ms / 1_000.0;
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -154,7 +154,7 @@
     awaited_pools: HashMap<PoolKey, usize>,
     /// Whether the task runs that opens connections in advance for these pools.
     runs_probes: bool,
-    /// When this host last ran a batch of a pool as coordinator. Only with succession order.
+    /// When this host last ran a batch of a pool as coordinator.
     coordinated_at: HashMap<PoolKey, Instant>,
 }
 
--- a/crates/gateway/src/stage_client/succession.rs
+++ b/crates/gateway/src/stage_client/succession.rs
@@ -156,17 +156,26 @@
         }
     }
 
+    /// Returns the labels of the pools of which this host has run batches lately.
+    pub(crate) fn coordinated_pools(&self) -> Vec<String> {
+        let now = Instant::now();
+        let state = self.state.borrow();
+        let coordinated = state.coordinated_at.iter();
+        let recent = coordinated.filter(|(_, at)| now.duration_since(**at) < COORDINATION_GAP);
+        recent.map(|(pool, _)| pool.label()).collect()
+    }
+
     /// Records that this host runs a batch as coordinator. Writes an event line if it did not
     /// coordinate the pool before and a better host is listed.
     pub(crate) fn record_coordination(&self, pool: &PoolKey) {
-        if !self.follows_succession() {
-            return;
-        }
         let now = Instant::now();
         let former = {
             let mut state = self.state.borrow_mut();
             state.coordinated_at.insert(pool.clone(), now)
         };
+        if !self.follows_succession() {
+            return;
+        }
         let goes_on = former.is_some_and(|at| now.duration_since(at) < COORDINATION_GAP);
         let better = self.better_coordinators(pool);
         let Some(best) = better.first().filter(|_| !goes_on) else {
--- a/crates/gateway/src/target_links.rs
+++ b/crates/gateway/src/target_links.rs
@@ -18,6 +18,7 @@
 
 use crate::host_load::HostLoad;
 use crate::metrics::GatewayMetrics;
+use crate::upstream::ConnectionUse;
 
 pub(crate) use connect::{ConnectPurpose, LinkError, SERVE_CONNECT_TIMEOUT, TargetSocket};
 
@@ -115,6 +116,13 @@
         )
     }
 
+    /// Counts a connection to a target that was opened.
+    pub(crate) fn count_connection(&self, connection_use: ConnectionUse) {
+        if let Some(context) = &self.context {
+            context.metrics.count_connection(connection_use);
+        }
+    }
+
     /// Sets the entry hosts that can open connections for this one.
     pub(crate) fn set_peers(&self, hosts: impl IntoIterator<Item = PeerHost>) {
         self.peers.borrow_mut().set_peers(hosts);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -34,6 +34,7 @@
 pub(crate) use connection::ConnectionLease;
 pub(crate) use exchange_id::ForeignCause;
 pub(crate) use life_table::{ConnectionKey, ExchangeKey};
+pub(crate) use open::ConnectionUse;
 pub(crate) use send_error::{SendError, is_peer_disconnect};
 pub(crate) use spare_connection::SpareConnection;
 
@@ -264,7 +265,10 @@
             Err(error) if error.is_refused => return ProbeOutcome::Refused,
             Err(_) => return ProbeOutcome::Silent,
         };
-        if let Ok(connection) = self.establish(address, socket).await {
+        if let Ok(connection) = self
+            .establish(address, socket, ConnectionUse::CrashCheck)
+            .await
+        {
             self.keep_idle(address, connection);
         }
         ProbeOutcome::Open
@@ -273,7 +277,9 @@
     /// Finds out whether the path to a silent target is lost.
     async fn check_path(&self, address: SocketAddr) {
         if let Ok(socket) = self.open(address, ConnectPurpose::Request).await
-            && let Ok(connection) = self.establish(address, socket).await
+            && let Ok(connection) = self
+                .establish(address, socket, ConnectionUse::PathCheck)
+                .await
         {
             self.keep_idle(address, connection);
         }
@@ -285,7 +291,11 @@
             let Some(socket) = self.links.probe_direct(address).await else {
                 return;
             };
-            if let Ok(connection) = self.establish(address, TargetSocket::Direct(socket)).await {
+            let socket = TargetSocket::Direct(socket);
+            if let Ok(connection) = self
+                .establish(address, socket, ConnectionUse::Restore)
+                .await
+            {
                 self.keep_idle(address, connection);
             }
             sleep(RESTORE_INTERVAL).await;
--- a/crates/gateway/src/upstream/incarnation.rs
+++ b/crates/gateway/src/upstream/incarnation.rs
@@ -10,7 +10,7 @@
 
 use super::connection::{Connection, has_close_option};
 use super::exchange_id::IdEcho;
-use super::{SendError, UpstreamPool};
+use super::{ConnectionUse, SendError, UpstreamPool};
 use crate::incarnation::StatedStart;
 use crate::protocol::TargetProtocol;
 use crate::response_body::{MAX_CONTROL_BYTES, read_response_body};
@@ -34,7 +34,7 @@
         gate: &SendGate<'_>,
     ) -> Result<Connection, SendError> {
         for _ in 0..MAX_REPORTS {
-            let connection = self.connect(address).await?;
+            let connection = self.connect(address, ConnectionUse::Request).await?;
             if let Some(connection) = self.check_incarnation(address, connection, gate).await? {
                 return Ok(connection);
             }
@@ -43,7 +43,7 @@
         if let Some(check) = gate.incarnation() {
             check.accept_unproved()?;
         }
-        self.connect(address).await
+        self.connect(address, ConnectionUse::Request).await
     }
 
     /// Returns a connection if the request of a gate may be sent on it.
--- a/crates/gateway/src/upstream/incarnation/tests.rs
+++ b/crates/gateway/src/upstream/incarnation/tests.rs
@@ -10,7 +10,7 @@
     protocol.decode_born = |body| std::str::from_utf8(body).ok()?.parse().ok();
     let address = start_target(responses).await;
     let pool = direct_pool();
-    let connection = pool.connect(address).await.unwrap();
+    let connection = pool.connect(address, ConnectionUse::Request).await.unwrap();
     assert_eq!(connection.stated, StatedStart::Unasked);
     let asked = pool.ask_life(address, connection, &protocol).await;
     asked.map(|connection| connection.stated)
--- a/crates/gateway/src/upstream/open.rs
+++ b/crates/gateway/src/upstream/open.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use derive_more::Display;
 use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -16,6 +17,26 @@
 use crate::incarnation::StatedStart;
 use crate::target_links::{ConnectPurpose, LinkError, TargetSocket, detect_dead_peer};
 
+/// What a connection to a target is opened for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) enum ConnectionUse {
+    /// A request that found no idle connection.
+    #[display("request")]
+    Request,
+    /// Proof of the end of a body without framing.
+    #[display("spare")]
+    Spare,
+    /// A check whether a target has crashed.
+    #[display("crash_check")]
+    CrashCheck,
+    /// A check whether the path to a silent target is lost.
+    #[display("path_check")]
+    PathCheck,
+    /// A direct attempt to a target whose path was lost.
+    #[display("restore")]
+    Restore,
+}
+
 impl UpstreamPool {
     /// Connects to a target.
     pub(super) async fn open(
@@ -32,20 +53,26 @@
         Ok(socket)
     }
 
-    pub(super) async fn connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
+    pub(super) async fn connect(
+        &self,
+        address: SocketAddr,
+        connection_use: ConnectionUse,
+    ) -> Result<Connection, SendError> {
         let socket = match self.open(address, ConnectPurpose::Request).await {
             Ok(socket) => socket,
             Err(error) if error.is_down => return Err(SendError::NotSent(error.to_string())),
             Err(error) => return Err(SendError::NoPath(error.to_string())),
         };
-        self.establish(address, socket).await
+        self.establish(address, socket, connection_use).await
     }
 
     pub(super) async fn establish(
         &self,
         address: SocketAddr,
         socket: TargetSocket,
+        connection_use: ConnectionUse,
     ) -> Result<Connection, SendError> {
+        self.links.count_connection(connection_use);
         match socket {
             TargetSocket::Direct(socket) => {
                 let _ = socket.set_nodelay(true);
--- a/crates/gateway/src/upstream/spare_connection.rs
+++ b/crates/gateway/src/upstream/spare_connection.rs
@@ -10,8 +10,8 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, timeout};
 
-use super::UpstreamPool;
 use super::connection::Connection;
+use super::{ConnectionUse, UpstreamPool};
 use crate::body_framing::BodyFraming;
 use crate::send_gate::SendGate;
 
@@ -135,7 +135,7 @@
     async fn keep_second_spare(&self, address: SocketAddr) {
         sleep(SECOND_DELAY).await;
         let mut interval = REPLACE_INTERVAL;
-        while let Ok(connection) = self.connect(address).await {
+        while let Ok(connection) = self.connect(address, ConnectionUse::Spare).await {
             let lasted = self.hold_open(address, connection).await;
             interval = next_interval(interval, lasted);
             sleep(interval.saturating_sub(lasted)).await;
@@ -160,7 +160,7 @@
         if let Some(connection) = self.take_recent_idle(address, MAX_IDLE_TIME) {
             return Some(connection);
         }
-        self.connect(address).await.ok()
+        self.connect(address, ConnectionUse::Spare).await.ok()
     }
 }
 
--- a/crates/gateway/src/upstream/tests.rs
+++ b/crates/gateway/src/upstream/tests.rs
@@ -171,7 +171,7 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let pool = direct_pool();
-    let connection = pool.connect(address).await.unwrap();
+    let connection = pool.connect(address, ConnectionUse::Request).await.unwrap();
     pool.keep_idle(address, connection);
     let (accepted, _) = listener.accept().unwrap();
     (pool, address, accepted)
