Hosts with more processor time coordinate pools

Cause: the coordinator of a pool was chosen by a hash of names. A coordinator's work follows from its pool. The pool of branch-portal fell to a host of 0.09 cores, which read the results of calls late and sent the next ones late: its 19 targets idled while the queue grew, the drain rate that it measured fell from 900 to 280 to 590 pieces a second, and admission, which reads that rate, refused. No other host was delayed; 16 hosts of 0.3 cores idled.

Change: entry hosts state their processor capacity (settings, behind all other tails of reports and updates) and rank by weighted rendezvous hashing with its fourth power, as coordinators, placers and senders of delegated calls. While one host states none, as those of an earlier build, all rank by names as before. Equal capacities change nothing.

--- a/crates/directory/src/entry_host_push/tests.rs
+++ b/crates/directory/src/entry_host_push/tests.rs
@@ -8,6 +8,7 @@
         hall: "hall".to_owned(),
         peer: SocketAddr::from(([127, 0, 0, 1], 1_000 + number)),
         stopping: false,
+        capacity: 0,
     };
     (0..count).map(host).collect()
 }
--- a/crates/directory/src/follow/report.rs
+++ b/crates/directory/src/follow/report.rs
@@ -75,18 +75,24 @@
     }
 }
 
-/// Sends a report, followed by counts for roll-outs, rate limits and suspected parts if there are
-/// any.
+/// Sends a report, followed by counts for roll-outs, rate limits, suspected parts and the capacity of
+/// this host if there are any.
 async fn send_report(writer: &mut PeerWriter, report: &SubscriberReport) -> Result<(), WireError> {
     let has_counts = !report.phase_counts.is_empty();
     let (has_rates, has_parts) = (!report.rate_limits.is_empty(), !report.parts.is_empty());
-    if !has_counts && !has_rates && !has_parts {
+    let entry_host = report.entry_host.as_ref();
+    let capacity = entry_host.map_or(0, |host| host.capacity);
+    if !has_counts && !has_rates && !has_parts && capacity == 0 {
         return writer.send(report).await;
     }
     let tail = ReportTail {
         incarnation: report.incarnation,
         phase_counts: report.phase_counts.clone(),
     };
+    if capacity > 0 {
+        let tails = (tail, &report.rate_limits, &report.parts, capacity);
+        return writer.send(&(report, tails)).await;
+    }
     if has_parts {
         let tails = (tail, &report.rate_limits, &report.parts);
         return writer.send(&(report, tails)).await;
--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -63,6 +63,9 @@
     pub peer: SocketAddr,
     /// Whether it is about to stop.
     pub stopping: bool,
+    /// Processor capacity in thousandths of a core; 0 if it states none. Sent behind all other tails.
+    #[serde(skip)]
+    pub capacity: u32,
 }
 
 /// The first message of a subscriber.
@@ -194,6 +197,15 @@
     leaderless: bool,
 }
 
+/// The bytes that follow an update behind the suspected parts: the capacities of the entry hosts in its
+/// lists, in the same order. A list is empty if no host in it states a capacity.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct CapacityTail {
+    all: Vec<u32>,
+    connected: Vec<u32>,
+    disconnected: Vec<u32>,
+}
+
 /// The entry hosts that are or were connected to one control host.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LocalEntryHosts {
@@ -225,6 +237,29 @@
         (tail != UpdateTail::default()).then_some(tail)
     }
 
+    /// Returns the capacities of the entry hosts in the update; `None` if no host states one.
+    pub(crate) fn capacity_tail(&self) -> Option<CapacityTail> {
+        let local = self.local_entry_hosts.as_ref();
+        let tail = CapacityTail {
+            all: stated_capacities(self.entry_hosts.as_deref()),
+            connected: stated_capacities(local.map(|local| local.connected.as_slice())),
+            disconnected: stated_capacities(local.map(|local| local.disconnected.as_slice())),
+        };
+        (tail != CapacityTail::default()).then_some(tail)
+    }
+
+    /// Adds the capacities of the entry hosts in the update.
+    pub(crate) fn with_capacities(mut self, tail: CapacityTail) -> Self {
+        if let Some(all) = &mut self.entry_hosts {
+            set_capacities(all, tail.all);
+        }
+        if let Some(local) = &mut self.local_entry_hosts {
+            set_capacities(&mut local.connected, tail.connected);
+            set_capacities(&mut local.disconnected, tail.disconnected);
+        }
+        self
+    }
+
     /// Adds the content of the tails that followed the update.
     pub(crate) fn with_tails(
         mut self,
@@ -245,6 +280,20 @@
     }
 }
 
+fn stated_capacities(hosts: Option<&[EntryHostRecord]>) -> Vec<u32> {
+    let hosts = hosts.unwrap_or_default();
+    match hosts.iter().any(|host| host.capacity > 0) {
+        true => hosts.iter().map(|host| host.capacity).collect(),
+        false => Vec::new(),
+    }
+}
+
+fn set_capacities(hosts: &mut [EntryHostRecord], capacities: Vec<u32>) {
+    for (host, capacity) in hosts.iter_mut().zip(capacities) {
+        host.capacity = capacity;
+    }
+}
+
 /// A heartbeat that a control host forwards.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ForwardedHeartbeat {
--- a/crates/directory/src/message/tests.rs
+++ b/crates/directory/src/message/tests.rs
@@ -36,6 +36,7 @@
         hall: "hall-1".to_owned(),
         peer: SocketAddr::from(([10, 0, 0, 7], 9_200)),
         stopping: true,
+        capacity: 0,
     }
 }
 
@@ -212,15 +213,40 @@
         sent_age_ms: 300,
         received_age_ms: 200,
     }];
+    let mut sized = full.clone();
+    sized.entry_hosts = Some(vec![entry_host(), entry_host()]);
+    set_capacities(sized.entry_hosts.as_mut().unwrap(), vec![90, 300]);
+    let capacities = sized.capacity_tail().unwrap();
+    let read_sized = DirectoryUpdate {
+        entry_hosts: Some(vec![entry_host(), entry_host()]),
+        ..full.clone()
+    };
+    let read_sized = read_sized.with_capacities(capacities.clone());
+    assert_eq!(read_sized.entry_hosts, sized.entry_hosts);
+    assert_eq!(full.capacity_tail(), None);
     let lines = [
         format!("update tail {}", hex(&tail)),
         format!("report tail {}", hex(&report)),
         format!("rates behind either {}", hex(&rate_limits)),
         format!("parts behind the rates {}", hex(&vec![part_record()])),
+        format!(
+            "capacities behind the parts of updates {}",
+            hex(&capacities)
+        ),
+        format!("capacity behind the parts of reports {}", hex(&300_u32)),
     ];
     insta::assert_snapshot!(lines.join("\n"));
-    // Builds of message version 7 skip the bytes after the second tail.
+    // Builds without capacities skip the bytes after the third tail.
     let parts = vec![part_record()];
+    let tails = (&tail, &rate_limits, &parts, &capacities);
+    let encoded = postcard::to_stdvec(&(&full, tails)).unwrap();
+    let (_, rest): (DirectoryUpdate, _) = postcard::take_from_bytes(&encoded).unwrap();
+    let (_, rest): (UpdateTail, _) = postcard::take_from_bytes(rest).unwrap();
+    let (_, rest): (Vec<RateObservation>, _) = postcard::take_from_bytes(rest).unwrap();
+    let (read, rest): (Vec<PartRecord>, _) = postcard::take_from_bytes(rest).unwrap();
+    assert_eq!(read, parts);
+    assert_eq!(postcard::from_bytes::<CapacityTail>(rest), Ok(capacities));
+    // Builds of message version 7 skip the bytes after the second tail.
     let encoded = postcard::to_stdvec(&(&full, (&tail, &rate_limits, &parts))).unwrap();
     let (_, rest): (DirectoryUpdate, _) = postcard::take_from_bytes(&encoded).unwrap();
     let (_, rest): (UpdateTail, _) = postcard::take_from_bytes(rest).unwrap();
--- a/crates/directory/src/node/state/tests.rs
+++ b/crates/directory/src/node/state/tests.rs
@@ -8,6 +8,7 @@
         hall: "hall".to_owned(),
         peer: SocketAddr::from(([127, 0, 0, 1], 1_000 + number)),
         stopping: false,
+        capacity: 0,
     }
 }
 
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -204,9 +204,12 @@
     reader: &mut PeerReader,
 ) -> Result<SubscriberReport, WireError> {
     let known = reader.message_version();
-    let (mut report, tail, rate_limits, parts) = reader
-        .receive_with_tails::<SubscriberReport, SubscriberReportV1, ReportTail, Vec<RateObservation>, Vec<PartRecord>>()
+    let (mut report, tail, rate_limits, parts, capacity) = reader
+        .receive_with_tails::<SubscriberReport, SubscriberReportV1, ReportTail, Vec<RateObservation>, Vec<PartRecord>, u32>()
         .await?;
+    if let Some(entry_host) = &mut report.entry_host {
+        entry_host.capacity = capacity;
+    }
     report.rate_limits = rate_limits;
     report.parts = parts;
     report.incarnation = tail.incarnation;
@@ -297,6 +300,11 @@
     if message_version == Some(MessageVersion::V1) {
         return writer.send(&DirectoryUpdateV1::from(update.clone())).await;
     }
+    if let Some(capacities) = update.capacity_tail() {
+        let tail = update.tail().unwrap_or_default();
+        let tails = (tail, &update.rate_limits, &update.parts, capacities);
+        return writer.send(&(update, tails)).await;
+    }
     match update.tail() {
         tail if !update.parts.is_empty() => {
             let tails = (tail.unwrap_or_default(), &update.rate_limits, &update.parts);
--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -361,6 +361,7 @@
         hall: "h".to_owned(),
         peer: ([127, 0, 0, 9], 1).into(),
         stopping,
+        capacity: 0,
     };
     let update_with = |stopping| DirectoryUpdate {
         entry_hosts: Some(vec![entry_host(stopping)]),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -96,6 +96,8 @@
     /// Bytes per second of calls to stage targets that this host sends itself; beyond that it
     /// delegates calls to other entry hosts.
     pub shared_bytes_per_s: f64,
+    /// Processor time of this host in thousandths of a core; 0 if it is not known.
+    pub processor_capacity: u32,
     /// The address to connect to in place of the registered one of a target.
     pub target_address_map: BTreeMap<IpAddr, IpAddr>,
     /// The enabled policies for overloaded stage pools.
@@ -150,6 +152,7 @@
             hall: config.hall.clone(),
             peer: config.peer_address,
             stopping: false,
+            capacity: config.processor_capacity,
         };
         let metrics = GatewayMetrics::new();
         let links = TargetLinks::new(TunnelContext {
@@ -184,8 +187,7 @@
         let gateway = Rc::new(Self {
             stage_client: StageClient::new(
                 config.identity.clone(),
-                config.name.clone(),
-                config.hall.clone(),
+                &record,
                 coordinator.clone(),
                 engines.clone(),
                 metrics.clone(),
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -83,6 +83,7 @@
         heartbeat_interval: Duration::from_secs(1),
         max_startup_wait: Duration::ZERO,
         shared_bytes_per_s: 250_000.0,
+        processor_capacity: 0,
         target_address_map: Default::default(),
         overload,
     })
--- a/crates/gateway/src/serve_pieces/tests/role_cost.rs
+++ b/crates/gateway/src/serve_pieces/tests/role_cost.rs
@@ -119,6 +119,7 @@
         heartbeat_interval: Duration::from_secs(1),
         max_startup_wait: Duration::ZERO,
         shared_bytes_per_s: f64::MAX,
+        processor_capacity: 0,
         target_address_map: Default::default(),
         overload: OverloadPolicy::default(),
     })
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -5,6 +5,7 @@
 mod batch_run;
 mod better_host;
 mod guard;
+mod host_rank;
 mod link;
 mod link_state;
 mod partitions;
@@ -18,7 +19,6 @@
 mod unreachable_halls;
 
 use std::cell::{Cell, RefCell};
-use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -39,7 +39,6 @@
 use crate::piece::{ExpectedPieces, PieceFault, PoolLoad};
 use crate::piece_message::PieceRequest;
 use crate::pool_key::{PoolKey, PoolMap};
-use crate::rendezvous;
 use crate::target::TargetStore;
 
 pub(crate) use guard::{Expectation, Placement};
@@ -48,6 +47,7 @@
 pub(crate) use send_permit::SendPermitHost;
 
 use guard::ExpectationHandle;
+use host_rank::{CoordinatorRanking, OwnHost};
 use link::run_link;
 use link_state::{Link, LinkState};
 
@@ -86,33 +86,6 @@
     pub(crate) pool: PoolKey,
 }
 
-/// Returns the rank of a host for a pool; the host with the highest rank is its coordinator.
-fn coordinator_rank(pool: &PoolKey, label: &str, name: &str, hall: &str) -> (bool, u64) {
-    let same_hall = pool.hall() == Some(hall);
-    (same_hall, rendezvous::score(label, name))
-}
-
-/// Returns the hosts that rank before the host `name` as coordinator of a pool, the best first. For
-/// a partition the hosts of its hall come first, since they are the last to lose contact with its
-/// targets. A stopping host coordinates only if there is no other: the others no longer choose it,
-/// and two coordinators of one pool compete for its targets.
-fn better_coordinators<'a>(
-    pool: &PoolKey,
-    name: &str,
-    hall: &str,
-    stopping: bool,
-    hosts: impl Iterator<Item = &'a EntryHostRecord>,
-) -> Vec<&'a EntryHostRecord> {
-    let label = pool.label();
-    let own = coordinator_rank(pool, &label, name, hall);
-    let candidates = hosts.filter(|host| host.name != name && !host.stopping);
-    let ranked =
-        candidates.map(|host| (coordinator_rank(pool, &label, &host.name, &host.hall), host));
-    let mut better: Vec<_> = ranked.filter(|(rank, _)| stopping || *rank > own).collect();
-    better.sort_by_key(|(rank, host)| Reverse((*rank, host.peer)));
-    better.into_iter().map(|(_, host)| host).collect()
-}
-
 /// The entry host that has a role for a pool, such as its coordinator or placer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum HostLocation {
@@ -178,6 +151,8 @@
     identity: PeerIdentity,
     name: String,
     hall: String,
+    /// Processor capacity of this host in thousandths of a core; 0 if it is not known.
+    capacity: u32,
     coordinator: Rc<Coordinator>,
     placer: Rc<RefCell<EnginePlacer>>,
     state: Rc<RefCell<ClientState>>,
@@ -190,16 +165,16 @@
 impl StageClient {
     pub(crate) fn new(
         identity: PeerIdentity,
-        name: String,
-        hall: String,
+        own: &EntryHostRecord,
         coordinator: Rc<Coordinator>,
         placer: Rc<RefCell<EnginePlacer>>,
         metrics: GatewayMetrics,
     ) -> Self {
         let client = Self {
             identity,
-            name,
-            hall,
+            name: own.name.clone(),
+            hall: own.hall.clone(),
+            capacity: own.capacity,
             coordinator: coordinator.clone(),
             placer,
             state: Rc::default(),
@@ -321,16 +296,11 @@
         if let Some(cached) = state.successors.get(pool) {
             return cached.clone();
         }
-        let label = pool.label();
+        let ranking = CoordinatorRanking::new(pool, &state.entry_hosts);
         let others = state.entry_hosts.iter();
         let others = others.filter(|host| host.name != self.name && !host.stopping);
         let mut ranked: Vec<((bool, u64), &str)> = others
-            .map(|host| {
-                (
-                    coordinator_rank(pool, &label, &host.name, &host.hall),
-                    host.name.as_str(),
-                )
-            })
+            .map(|host| (ranking.rank(host), host.name.as_str()))
             .collect();
         ranked.sort_by(|a, b| b.cmp(a));
         let first = ranked.into_iter().take(SUCCESSOR_COUNT);
@@ -367,8 +337,14 @@
         if let Some(cached) = state.better_coordinators.get(pool) {
             return cached.clone();
         }
-        let others = state.entry_hosts.iter();
-        let better = better_coordinators(pool, &self.name, &self.hall, state.stopping, others);
+        let own = OwnHost {
+            name: &self.name,
+            hall: &self.hall,
+            capacity: self.capacity,
+            stopping: state.stopping,
+        };
+        let better =
+            CoordinatorRanking::new(pool, &state.entry_hosts).better_hosts(own, &state.entry_hosts);
         let ranked: Rc<[EntryHostRecord]> = better.into_iter().cloned().collect();
         state
             .better_coordinators
--- /dev/null
+++ b/crates/gateway/src/stage_client/host_rank.rs
@@ -0,0 +1,105 @@
+//! The order in which entry hosts are chosen for the roles of a pool.
+//!
+//! A role takes processor time that its pool determines, whatever host has it. So hosts with more
+//! processor time rank first.
+
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+
+use linnet_directory::EntryHostRecord;
+
+use crate::pool_key::PoolKey;
+use crate::rendezvous::ScoreKey;
+
+/// Exponent of the capacity in the weight of a host. With the capacity itself as weight, fifty small
+/// hosts have as many roles as sixteen that are three times as large. A power has no threshold
+/// between sizes: hosts that differ by a few percent rank almost alike.
+const CAPACITY_EXPONENT: i32 = 4;
+
+/// This host in a ranking.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OwnHost<'a> {
+    pub(super) name: &'a str,
+    pub(super) hall: &'a str,
+    pub(super) capacity: u32,
+    pub(super) stopping: bool,
+}
+
+/// Ranks entry hosts for one label; all hosts with the same list rank them alike.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct HostRanking {
+    key: ScoreKey,
+    by_capacity: bool,
+}
+
+impl HostRanking {
+    /// Creates the ranking of `hosts` for a label. Capacities count only if all hosts state one: those of
+    /// an earlier build do not know them, and hosts that rank differently choose different coordinators.
+    pub(super) fn new(label: &str, hosts: &[EntryHostRecord]) -> Self {
+        Self {
+            key: ScoreKey::new(label),
+            by_capacity: hosts.iter().all(|host| host.capacity > 0),
+        }
+    }
+
+    /// Returns the score of a host; the highest ranks first.
+    pub(super) fn score(self, name: &str, capacity: u32) -> u64 {
+        if !self.by_capacity || capacity == 0 {
+            return self.key.score(name);
+        }
+        let weight = f64::from(capacity).powi(CAPACITY_EXPONENT);
+        // The bits of positive numbers are in their order.
+        self.key.weighted_score(name, weight).to_bits()
+    }
+}
+
+/// Ranks entry hosts as coordinators of one pool. For a partition the hosts of its hall come first,
+/// since they are the last to lose contact with its targets.
+pub(super) struct CoordinatorRanking<'a> {
+    pool: &'a PoolKey,
+    ranking: HostRanking,
+}
+
+impl<'a> CoordinatorRanking<'a> {
+    pub(super) fn new(pool: &'a PoolKey, hosts: &[EntryHostRecord]) -> Self {
+        let ranking = HostRanking::new(&pool.label(), hosts);
+        Self { pool, ranking }
+    }
+
+    /// Returns the rank of a host; the one with the highest rank is the coordinator.
+    pub(super) fn rank(&self, host: &EntryHostRecord) -> (bool, u64) {
+        self.rank_of(&host.name, &host.hall, host.capacity)
+    }
+
+    fn rank_of(&self, name: &str, hall: &str, capacity: u32) -> (bool, u64) {
+        let same_hall = self.pool.hall() == Some(hall);
+        (same_hall, self.ranking.score(name, capacity))
+    }
+
+    /// Returns the hosts that rank before this one, the best first. A stopping host coordinates only if
+    /// there is no other: the others no longer choose it, and two coordinators of one pool compete for
+    /// its targets.
+    pub(super) fn better_hosts<'h>(
+        &self,
+        own: OwnHost<'_>,
+        hosts: &'h [EntryHostRecord],
+    ) -> Vec<&'h EntryHostRecord> {
+        let own_rank = self.rank_of(own.name, own.hall, own.capacity);
+        let candidates = hosts
+            .iter()
+            .filter(|host| host.name != own.name && !host.stopping);
+        let ranked = candidates.map(|host| (self.rank(host), host));
+        let mut better: Vec<((bool, u64), &EntryHostRecord)> = ranked
+            .filter(|(rank, _)| own.stopping || *rank > own_rank)
+            .collect();
+        let order =
+            |(rank, host): &((bool, u64), &EntryHostRecord)| -> Reverse<((bool, u64), SocketAddr)> {
+                Reverse((*rank, host.peer))
+            };
+        better.sort_by_key(order);
+        better.into_iter().map(|(_, host)| host).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/stage_client/sender.rs
+++ b/crates/gateway/src/stage_client/sender.rs
@@ -7,9 +7,9 @@
 use tokio::sync::oneshot;
 
 use super::StageClient;
+use super::host_rank::HostRanking;
 use crate::coordinator::DelegatedCall;
 use crate::piece_message::PieceRequest;
-use crate::rendezvous;
 use crate::stage_call::{CallOutcome, StageCall, StageRelease};
 
 /// Number of candidate senders of a call. Each target has its own first candidate, so normally one
@@ -62,15 +62,16 @@
     fn sender_of(&self, target: &str, hall: &str) -> Option<SocketAddr> {
         let mut ranked: Vec<(u64, Option<SocketAddr>)> = {
             let state = self.state.borrow();
+            let ranking = HostRanking::new(target, &state.entry_hosts);
             let others = state.entry_hosts.iter();
             let same_hall = others
                 .filter(|host| host.hall == hall && host.name != self.name && !host.stopping)
-                .map(|host| (rendezvous::score(target, &host.name), Some(host.peer)));
-            same_hall.collect()
+                .map(|host| (ranking.score(&host.name, host.capacity), Some(host.peer)));
+            let own = (ranking.score(&self.name, self.capacity), None);
+            same_hall
+                .chain((hall == self.hall).then_some(own))
+                .collect()
         };
-        if hall == self.hall {
-            ranked.push((rendezvous::score(target, &self.name), None));
-        }
         ranked.sort_by(|a, b| b.cmp(a));
         for (_, address) in ranked.into_iter().take(MAX_SENDER_CANDIDATES) {
             // `None` stands for this host, which is the best usable candidate.
--- a/crates/gateway/src/stage_client/tests.rs
+++ b/crates/gateway/src/stage_client/tests.rs
@@ -15,13 +15,20 @@
         hall: format!("hall-{}", number % 2),
         peer: SocketAddr::from(([127, 0, 0, 1], 1_000 + number)),
         stopping,
+        capacity: 0,
     }
 }
 
 /// Returns the coordinator of a pool as each of the hosts chooses it.
 fn coordinators(pool: &PoolKey, hosts: &[EntryHostRecord]) -> Vec<SocketAddr> {
     let coordinator = |me: &EntryHostRecord| {
-        let better = better_coordinators(pool, &me.name, &me.hall, me.stopping, hosts.iter());
+        let own = OwnHost {
+            name: &me.name,
+            hall: &me.hall,
+            capacity: me.capacity,
+            stopping: me.stopping,
+        };
+        let better = CoordinatorRanking::new(pool, hosts).better_hosts(own, hosts);
         better.first().map_or(me.peer, |first| first.peer)
     };
     hosts.iter().map(coordinator).collect()
@@ -74,11 +81,13 @@
         keys: linnet_wire::PeerKeyRing::new(vec![linnet_wire::PeerKey::new("key", [7; 32])]),
         clock,
     };
-    let hall = "hall-0".to_owned();
+    let own = EntryHostRecord {
+        name: name.to_owned(),
+        ..host(0, false)
+    };
     StageClient::new(
         identity,
-        name.to_owned(),
-        hall,
+        &own,
         coordinator,
         Rc::default(),
         GatewayMetrics::new(),
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -95,6 +95,7 @@
         heartbeat_interval: Duration::from_millis(settings.times.heartbeat_ms),
         max_startup_wait: Duration::from_millis(settings.policy.start_patience_ms),
         shared_bytes_per_s: settings.policy.shared_bytes_per_s,
+        processor_capacity: settings.processor.capacity(),
         target_address_map: settings.targets.address_map.clone(),
         overload: OverloadPolicy {
             measured_waits: settings.overload.measured_waits,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -34,6 +34,9 @@
     /// Policies for overloaded stage pools; entry hosts only.
     #[serde(default)]
     pub overload: OverloadSettings,
+    /// Processor time of this host; entry hosts only.
+    #[serde(default)]
+    pub processor: ProcessorSettings,
     /// Limits on the requests to a version during its roll-out; control hosts only.
     #[serde(default)]
     pub rollout: RolloutSettings,
@@ -42,6 +45,32 @@
     pub targets: TargetSettings,
 }
 
+/// Processor time of a host. Entry hosts choose those with more of it to coordinate pools.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct ProcessorSettings {
+    /// Share of a core, or a number of cores; 0 if it is not known.
+    pub share: f64,
+    /// Speed of a core, relative to the other hosts.
+    pub speed: f64,
+}
+
+impl Default for ProcessorSettings {
+    fn default() -> Self {
+        Self {
+            share: 0.0,
+            speed: 1.0,
+        }
+    }
+}
+
+impl ProcessorSettings {
+    /// Returns the capacity in thousandths of a core; 0 if it is not known.
+    pub(crate) fn capacity(&self) -> u32 {
+        (self.share * self.speed * 1_000.0).round() as u32
+    }
+}
+
 /// Connections to targets.
 #[derive(Debug, Clone, Default, PartialEq, Deserialize)]
 #[serde(default)]
@@ -304,6 +333,10 @@
             self.policy.shared_bytes_per_s >= 0.0,
             "policy.shared_bytes_per_s: below 0",
         );
+        require(
+            self.processor.share >= 0.0 && self.processor.speed >= 0.0,
+            "processor.share, processor.speed: below 0",
+        );
         let rollout = &self.rollout;
         require(
             rollout.exposure_share > 0.0 && rollout.exposure_share <= 1.0,
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -156,18 +156,20 @@
 }
 
 /// Decodes a message and the tails that follow it; a missing tail has its default value.
-fn decode_with_tails<N, T, U, V>(bytes: &[u8]) -> Result<(N, T, U, V), postcard::Error>
+fn decode_with_tails<N, T, U, V, W>(bytes: &[u8]) -> Result<(N, T, U, V, W), postcard::Error>
 where
     N: DeserializeOwned,
     T: DeserializeOwned + Default,
     U: DeserializeOwned + Default,
     V: DeserializeOwned + Default,
+    W: DeserializeOwned + Default,
 {
     let (message, rest) = postcard::take_from_bytes(bytes)?;
     let (first, rest) = decode_tail(rest)?;
     let (second, rest) = decode_tail(rest)?;
-    let (third, _) = decode_tail(rest)?;
-    Ok((message, first, second, third))
+    let (third, rest) = decode_tail(rest)?;
+    let (fourth, _) = decode_tail(rest)?;
+    Ok((message, first, second, third, fourth))
 }
 
 /// Decodes one tail; returns its default value if no bytes are left.
@@ -222,20 +224,23 @@
         }
     }
 
-    /// Receives a message as [`PeerReader::receive_versioned`] does, with the two optional tails
-    /// that follow it. Builds that support no tail, or only the first, omit the others and ignore
-    /// them when they receive them.
+    /// Receives a message as [`PeerReader::receive_versioned`] does, with the optional tails that
+    /// follow it. Builds that support no tail, or only the first ones, omit the others and ignore them
+    /// when they receive them.
     ///
     /// # Errors
     ///
     /// As [`PeerReader::receive`].
-    pub async fn receive_with_tails<N, F, T, U, V>(&mut self) -> Result<(N, T, U, V), WireError>
+    pub async fn receive_with_tails<N, F, T, U, V, W>(
+        &mut self,
+    ) -> Result<(N, T, U, V, W), WireError>
     where
         N: Serialize + DeserializeOwned + From<F>,
         F: DeserializeOwned,
         T: DeserializeOwned + Default,
         U: DeserializeOwned + Default,
         V: DeserializeOwned + Default,
+        W: DeserializeOwned + Default,
     {
         match self.session.message_version {
             Some(version) if version > MessageVersion::V1 => {
@@ -243,7 +248,13 @@
             }
             _ => {
                 let message = self.receive_versioned::<N, F>().await?;
-                Ok((message, T::default(), U::default(), V::default()))
+                Ok((
+                    message,
+                    T::default(),
+                    U::default(),
+                    V::default(),
+                    W::default(),
+                ))
             }
         }
     }
