Releases of results share connections

What callers saw: nothing by itself.

Cause: stage targets echo no identifier in responses to calls and releases, and a connection whose responses have none is used once, since a surplus response could be taken for that of the next request. So each of some 12 releases a second and target opened a connection.

Change: releases have connections of their own. Their responses decide nothing, so it does not matter to which of them one belongs; what a response states of its target is read only if it is known to be the own one. Calls keep one connection each.

releases_to_a_target_that_echoes_no_identifier_share_a_connection failed before (10 connections for 10 releases, now 1).

--- a/crates/gateway/src/stage_call.rs
+++ b/crates/gateway/src/stage_call.rs
@@ -233,9 +233,12 @@
         let Ok(request) = request else {
             return;
         };
-        let (target, address) = (&release.target, release.address);
-        let response = self.send_control(target, address, request);
-        let _ = timeout(CONTROL_REQUEST_TIMEOUT, response).await;
+        let sent_at = BootInstant::now();
+        let gate = self.notices.gate(&release.target, SendKind::Control);
+        let response = self.upstream.send_release(release.address, request, gate);
+        if let Ok(Ok(Some(head))) = timeout(CONTROL_REQUEST_TIMEOUT, response).await {
+            self.record_notice(&release.target, &head, sent_at);
+        }
     }
 
     /// Queries how much memory a target has free for results, in bytes; `None` if it does not
--- a/crates/gateway/src/stage_call/tests.rs
+++ b/crates/gateway/src/stage_call/tests.rs
@@ -307,3 +307,21 @@
         );
     });
 }
+
+/// Each release of results opened a connection to a target that echoes no identifier.
+#[test]
+fn releases_to_a_target_that_echoes_no_identifier_share_a_connection() {
+    run(async {
+        let (client, _) = client();
+        let address = start_target(|_, _| response_text(&[], "")).await;
+        let release = StageRelease {
+            target: TARGET.to_owned(),
+            address,
+            handles: vec!["h".to_owned()],
+        };
+        for _ in 0..10 {
+            client.send_release(&release).await;
+        }
+        assert_eq!(client.upstream.opened_count(), 1);
+    });
+}
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -6,6 +6,7 @@
 mod incarnation;
 mod life_table;
 mod open;
+mod release_connection;
 mod send_error;
 mod shared_socket;
 mod spare_connection;
@@ -56,6 +57,8 @@
 
 struct PoolState {
     idle: HashMap<SocketAddr, Vec<Connection>>,
+    /// Idle connections that carry releases of results only.
+    release_idle: HashMap<SocketAddr, Vec<Connection>>,
     lives: LifeTable<ConnectionWatch>,
     /// Connections that are kept open beside responses.
     spares: HashMap<SocketAddr, Weak<SpareConnection>>,
@@ -72,6 +75,7 @@
     fn default() -> Self {
         Self {
             idle: HashMap::new(),
+            release_idle: HashMap::new(),
             lives: LifeTable::new(ConnectionWatch::is_open, ConnectionWatch::is_exact),
             spares: HashMap::new(),
             framed: HashMap::new(),
@@ -307,6 +311,7 @@
         self.links.retain(&keep);
         let mut state = self.state.borrow_mut();
         state.idle.retain(|address, _| keep(address));
+        state.release_idle.retain(|address, _| keep(address));
         state.accepted.retain(|address, _| keep(address));
         state.unreported.retain(|address, _| keep(address));
         state.lives.retain(keep);
@@ -314,7 +319,11 @@
 
     /// Closes connections that have been idle for too long, or whose path is lost.
     pub(crate) fn close_expired(&self) {
-        for (address, idle) in &mut self.state.borrow_mut().idle {
+        let mut state = self.state.borrow_mut();
+        let PoolState {
+            idle, release_idle, ..
+        } = &mut *state;
+        for (address, idle) in idle.iter_mut().chain(release_idle) {
             idle.retain(|connection| self.is_usable(*address, connection));
         }
     }
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -156,7 +156,7 @@
         .any(|token| token.trim().eq_ignore_ascii_case("close"))
 }
 
-fn keep_alive_timeout(head: &HeaderMap) -> Option<Duration> {
+pub(super) fn keep_alive_timeout(head: &HeaderMap) -> Option<Duration> {
     let value = head.get("keep-alive")?.to_str().ok()?;
     let seconds = value
         .split(',')
--- a/crates/gateway/src/upstream/open.rs
+++ b/crates/gateway/src/upstream/open.rs
@@ -23,6 +23,9 @@
     /// A request that found no idle connection.
     #[display("request")]
     Request,
+    /// Releases of results.
+    #[display("release")]
+    Release,
     /// Proof of the end of a body without framing.
     #[display("spare")]
     Spare,
--- /dev/null
+++ b/crates/gateway/src/upstream/release_connection.rs
@@ -0,0 +1,107 @@
+//! Connections that carry releases of results and nothing else.
+//!
+//! Targets may echo no identifier in responses to releases. Such a response could be a surplus one to an
+//! earlier request, so its connection cannot carry requests whose responses matter. That of a release
+//! decides nothing, so releases share connections of their own.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::Request;
+use http::response::Parts;
+use http_body_util::Full;
+use tokio::time::timeout;
+
+use super::connection::{Connection, DEFAULT_IDLE_TIMEOUT, has_close_option, keep_alive_timeout};
+use super::exchange_id::IdEcho;
+use super::{ConnectionUse, SendError, UpstreamPool};
+use crate::response_body::{MAX_CONTROL_BYTES, read_response_body};
+use crate::send_gate::SendGate;
+
+/// How long a connection may take to be ready for the next release.
+const READY_TIMEOUT: Duration = Duration::from_millis(200);
+
+impl UpstreamPool {
+    /// Sends a release. Returns the head of the response if it belongs to the request; on a connection
+    /// that was used before, a response without an identifier may belong to an earlier release.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError`] if the target did not respond; the release is not repeated.
+    pub(crate) async fn send_release(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        mut gate: SendGate<'_>,
+    ) -> Result<Option<Parts>, SendError> {
+        let id = self.ids.assign(request.headers_mut());
+        let (mut connection, response) = loop {
+            let idle = self.take_release_idle(address);
+            let was_idle = idle.is_some();
+            let mut connection = match idle {
+                Some(connection) => connection,
+                None => self.connect(address, ConnectionUse::Release).await?,
+            };
+            if let Err(error) = gate.begin_send() {
+                self.keep_release_idle(address, connection);
+                return Err(error);
+            }
+            match self.exchange_head(address, &mut connection, request).await {
+                Ok(response) => break (connection, response),
+                Err(mut error) => match error.take_message() {
+                    // The idle connection was already closed.
+                    Some(unsent) if was_idle => request = unsent,
+                    _ => return Err(SendError::may_have_run(&error.into_error())),
+                },
+            }
+        };
+        let (head, body) = response.into_parts();
+        let is_own = match self.ids.echo_of(&head.headers, &id) {
+            IdEcho::Same => true,
+            IdEcho::Missing => connection.last_id.is_none(),
+            IdEcho::Foreign(cause) => {
+                gate.record_foreign_response(cause, &id);
+                return Err(SendError::Foreign(cause));
+            }
+        };
+        let body = read_response_body(body, MAX_CONTROL_BYTES).await;
+        if body.is_ok() && !has_close_option(&head.headers) {
+            connection.last_id = Some(id);
+            let announced = keep_alive_timeout(&head.headers);
+            connection.idle_timeout = announced.unwrap_or(DEFAULT_IDLE_TIMEOUT);
+            self.keep_release_connection(address, connection).await;
+        }
+        Ok(is_own.then_some(head))
+    }
+
+    /// Keeps a connection once it is ready for the next release.
+    async fn keep_release_connection(&self, address: SocketAddr, mut connection: Connection) {
+        let ready = timeout(READY_TIMEOUT, connection.sender.ready()).await;
+        if matches!(ready, Ok(Ok(()))) {
+            connection.idle_since = Instant::now();
+            self.keep_release_idle(address, connection);
+        }
+    }
+
+    fn keep_release_idle(&self, address: SocketAddr, connection: Connection) {
+        let mut state = self.state.borrow_mut();
+        let idle = state.release_idle.entry(address).or_default();
+        idle.push(connection);
+    }
+
+    /// Returns a connection on which only releases were sent.
+    fn take_release_idle(&self, address: SocketAddr) -> Option<Connection> {
+        let mut state = self.state.borrow_mut();
+        let idle = state.release_idle.get_mut(&address)?;
+        while let Some(connection) = idle.pop() {
+            if self.is_usable(address, &connection) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/upstream/release_connection/tests.rs
@@ -0,0 +1,68 @@
+use std::rc::Rc;
+use std::sync::Arc;
+
+use linnet_telemetry::{EventRecorder, HybridClock};
+use tokio::time::sleep;
+
+use super::*;
+use crate::gateway::tests::run;
+use crate::notice_store::NoticeStore;
+use crate::send_gate::SendKind;
+use crate::upstream::tests::{direct_pool, response_text, start_target};
+
+/// Sends a release; returns whether the head of the response is known to belong to it.
+async fn release(pool: &UpstreamPool, address: SocketAddr) -> Result<bool, SendError> {
+    let recorder = EventRecorder::new("host", Arc::new(HybridClock::new()));
+    let notices = NoticeStore::new(Arc::new(recorder), Rc::default());
+    let request = Request::get("/").body(Full::new(Bytes::new())).unwrap();
+    let gate = notices.gate("t", SendKind::Control);
+    let head = pool.send_release(address, request, gate).await?;
+    Ok(head.is_some())
+}
+
+#[test]
+fn a_response_without_identifier_tells_nothing_on_a_connection_that_was_used_before() {
+    run(async {
+        let address = start_target(|number, id| match number {
+            2 => response_text(&[id], ""),
+            _ => response_text(&[], ""),
+        })
+        .await;
+        let pool = direct_pool();
+        for is_own in [true, false, true, false] {
+            assert_eq!(release(&pool, address).await.unwrap(), is_own);
+        }
+        assert_eq!(pool.opened_count(), 1);
+    });
+}
+
+#[test]
+fn a_request_does_not_use_the_connection_of_releases() {
+    run(async {
+        let address = start_target(|_, _| response_text(&[], "")).await;
+        let pool = direct_pool();
+        release(&pool, address).await.unwrap();
+        let id = http::HeaderValue::from_static("r0");
+        assert!(pool.take_idle(address, &id).is_none());
+        assert!(
+            pool.take_recent_idle(address, Duration::from_secs(1))
+                .is_none()
+        );
+    });
+}
+
+#[test]
+fn a_release_is_sent_on_a_new_connection_if_the_idle_one_is_closed() {
+    run(async {
+        let address = start_target(|_, _| {
+            response_text(&[], "").replace("content-length", "connection: close\r\ncontent-length")
+        })
+        .await;
+        let pool = direct_pool();
+        for opened in 1..=3 {
+            release(&pool, address).await.unwrap();
+            sleep(Duration::from_millis(5)).await;
+            assert_eq!(pool.opened_count(), opened);
+        }
+    });
+}
