A burst of releases leaves two idle connections to a target

Two are kept now; few_connections_stay_open_after_a_burst_of_releases failed before (20 idle connections).

--- a/crates/gateway/src/upstream/release_connection.rs
+++ b/crates/gateway/src/upstream/release_connection.rs
@@ -19,6 +19,10 @@
 use crate::response_body::{MAX_CONTROL_BYTES, read_response_body};
 use crate::send_gate::SendGate;
 
+/// Maximum number of idle connections to a target. A release takes a round trip, so two carry hundreds a
+/// second; more of them are left over from a burst.
+const MAX_IDLE_CONNECTIONS: usize = 2;
+
 /// How long a connection may take to be ready for the next release.
 const READY_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -87,7 +91,9 @@
     fn keep_release_idle(&self, address: SocketAddr, connection: Connection) {
         let mut state = self.state.borrow_mut();
         let idle = state.release_idle.entry(address).or_default();
-        idle.push(connection);
+        if idle.len() < MAX_IDLE_CONNECTIONS {
+            idle.push(connection);
+        }
     }
 
     /// Returns a connection on which only releases were sent.
--- a/crates/gateway/src/upstream/release_connection/tests.rs
+++ b/crates/gateway/src/upstream/release_connection/tests.rs
@@ -66,3 +66,17 @@
         }
     });
 }
+
+/// Guards against connections of a burst that take memory until they expire.
+#[test]
+fn few_connections_stay_open_after_a_burst_of_releases() {
+    run(async {
+        let address = start_target(|_, _| response_text(&[], "")).await;
+        let pool = direct_pool();
+        let burst = (0..20).map(|_| release(&pool, address));
+        let sent = futures_util::future::join_all(burst).await;
+        assert!(sent.iter().all(Result::is_ok), "{sent:?}");
+        let idle = pool.state.borrow().release_idle[&address].len();
+        assert_eq!(idle, MAX_IDLE_CONNECTIONS);
+    });
+}
