--- a/crates/gateway/src/stage_client/host_rank.rs
+++ b/crates/gateway/src/stage_client/host_rank.rs
@@ -4,7 +4,6 @@
 //! processor time rank first.
 
 use std::cmp::Reverse;
-use std::net::SocketAddr;
 
 use linnet_directory::EntryHostRecord;
 
@@ -92,11 +91,7 @@
         let mut better: Vec<((bool, u64), &EntryHostRecord)> = ranked
             .filter(|(rank, _)| own.stopping || *rank > own_rank)
             .collect();
-        let order =
-            |(rank, host): &((bool, u64), &EntryHostRecord)| -> Reverse<((bool, u64), SocketAddr)> {
-                Reverse((*rank, host.peer))
-            };
-        better.sort_by_key(order);
+        better.sort_by_key(|(rank, host)| Reverse((*rank, host.peer)));
         better.into_iter().map(|(_, host)| host).collect()
     }
 }
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -118,3 +118,23 @@
     let default = NodeSettings::parse(REQUIRED, &[]).unwrap();
     assert!(default.targets.address_map.is_empty());
 }
+
+/// Guards against hosts that state a capacity which their settings do not name.
+#[test]
+fn the_processor_capacity_follows_from_share_and_speed() {
+    let cases = [
+        ("", 0),
+        ("[processor]\n", 0),
+        ("[processor]\nshare = 0.09\n", 90),
+        ("[processor]\nshare = 0.3\nspeed = 2\n", 600),
+        ("[processor]\nshare = 4\nspeed = 1.0\n", 4_000),
+    ];
+    for (text, capacity) in cases {
+        let settings = NodeSettings::parse(&format!("{REQUIRED}\n{text}"), &[]).unwrap();
+        assert_eq!(settings.processor.capacity(), capacity, "{text}");
+    }
+    let negative = format!("{REQUIRED}\n[processor]\nshare = -1.0\n");
+    let errors = NodeSettings::parse(&negative, &[]).unwrap();
+    let errors = errors.check(NodeRole::Control);
+    assert!(errors.iter().any(|error| error.starts_with("processor")));
+}
