Connections for releases become idle as all others do

Read again: release_connection.rs had a copy of what a connection is prepared with after a response, without the shorter idle timeout of tunnels. Connection::begin_idle and wait_ready serve both now, and the pool keeps idle connections in one place.

a_tunnel_is_idle_for_a_shorter_time_than_a_direct_connection is new; the copy had no such case. The test of releases on a closed idle connection tested announced closes and has that name; one for real closes is beside it.

--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -21,6 +21,9 @@
 /// How long the rest of a body that nobody reads may take before its connection is closed.
 const UNREAD_BODY_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How long a connection may take to be ready for the next request.
+const READY_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Idle timeout of a connection if the target announces none.
 pub(super) const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -72,6 +75,23 @@
         };
         is_fresh && !self.sender.is_closed() && !self.closer.is_closed() && !has_unread_end()
     }
+
+    /// Starts the idle time after a complete response.
+    pub(super) fn begin_idle(&mut self, head: &HeaderMap) {
+        self.idle_timeout = keep_alive_timeout(head).unwrap_or(DEFAULT_IDLE_TIMEOUT);
+        if self.peer.is_some() {
+            self.idle_timeout = self.idle_timeout.min(TUNNEL_IDLE_TIMEOUT);
+        }
+        self.idle_since = Instant::now();
+    }
+
+    /// Waits until another request can be sent; returns whether one can. That is once the task of the
+    /// connection has seen the end of the response. If the response was sent before the request's body
+    /// was read, it never is.
+    pub(super) async fn wait_ready(&mut self) -> bool {
+        let ready = timeout(READY_TIMEOUT, self.sender.ready()).await;
+        matches!(ready, Ok(Ok(())))
+    }
 }
 
 impl ConnectionLease {
@@ -130,19 +150,10 @@
         if has_close_option(head) || !connection.is_reusable {
             return;
         }
-        connection.idle_timeout = keep_alive_timeout(head).unwrap_or(DEFAULT_IDLE_TIMEOUT);
-        if connection.peer.is_some() {
-            connection.idle_timeout = connection.idle_timeout.min(TUNNEL_IDLE_TIMEOUT);
-        }
-        connection.idle_since = Instant::now();
-        // The connection is ready for another request only once its task has seen the end of the
-        // response. If the response was sent before the request's body was read, it never becomes
-        // ready.
+        connection.begin_idle(head);
         ntex::rt::spawn(async move {
-            let ready = timeout(Duration::from_millis(200), connection.sender.ready()).await;
-            if matches!(ready, Ok(Ok(()))) {
-                let mut state = pool.state.borrow_mut();
-                state.idle.entry(address).or_default().push(connection);
+            if connection.wait_ready().await {
+                pool.keep_idle(address, connection);
             }
         });
     }
@@ -156,7 +167,7 @@
         .any(|token| token.trim().eq_ignore_ascii_case("close"))
 }
 
-pub(super) fn keep_alive_timeout(head: &HeaderMap) -> Option<Duration> {
+fn keep_alive_timeout(head: &HeaderMap) -> Option<Duration> {
     let value = head.get("keep-alive")?.to_str().ok()?;
     let seconds = value
         .split(',')
--- a/crates/gateway/src/upstream/release_connection.rs
+++ b/crates/gateway/src/upstream/release_connection.rs
@@ -5,15 +5,13 @@
 //! decides nothing, so releases share connections of their own.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::Request;
 use http::response::Parts;
 use http_body_util::Full;
-use tokio::time::timeout;
 
-use super::connection::{Connection, DEFAULT_IDLE_TIMEOUT, has_close_option, keep_alive_timeout};
+use super::connection::{Connection, has_close_option};
 use super::exchange_id::IdEcho;
 use super::{ConnectionUse, SendError, UpstreamPool};
 use crate::response_body::{MAX_CONTROL_BYTES, read_response_body};
@@ -23,9 +21,6 @@
 /// second; more of them are left over from a burst.
 const MAX_IDLE_CONNECTIONS: usize = 2;
 
-/// How long a connection may take to be ready for the next release.
-const READY_TIMEOUT: Duration = Duration::from_millis(200);
-
 impl UpstreamPool {
     /// Sends a release. Returns the head of the response if it belongs to the request; on a connection
     /// that was used before, a response without an identifier may belong to an earlier release.
@@ -72,22 +67,14 @@
         let body = read_response_body(body, MAX_CONTROL_BYTES).await;
         if body.is_ok() && !has_close_option(&head.headers) {
             connection.last_id = Some(id);
-            let announced = keep_alive_timeout(&head.headers);
-            connection.idle_timeout = announced.unwrap_or(DEFAULT_IDLE_TIMEOUT);
-            self.keep_release_connection(address, connection).await;
+            connection.begin_idle(&head.headers);
+            if connection.wait_ready().await {
+                self.keep_release_idle(address, connection);
+            }
         }
         Ok(is_own.then_some(head))
     }
 
-    /// Keeps a connection once it is ready for the next release.
-    async fn keep_release_connection(&self, address: SocketAddr, mut connection: Connection) {
-        let ready = timeout(READY_TIMEOUT, connection.sender.ready()).await;
-        if matches!(ready, Ok(Ok(()))) {
-            connection.idle_since = Instant::now();
-            self.keep_release_idle(address, connection);
-        }
-    }
-
     fn keep_release_idle(&self, address: SocketAddr, connection: Connection) {
         let mut state = self.state.borrow_mut();
         let idle = state.release_idle.entry(address).or_default();
--- a/crates/gateway/src/upstream/release_connection/tests.rs
+++ b/crates/gateway/src/upstream/release_connection/tests.rs
@@ -1,14 +1,16 @@
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use linnet_telemetry::{EventRecorder, HybridClock};
+use tokio::io::AsyncWriteExt;
 use tokio::time::sleep;
 
 use super::*;
 use crate::gateway::tests::run;
 use crate::notice_store::NoticeStore;
 use crate::send_gate::SendKind;
-use crate::upstream::tests::{direct_pool, response_text, start_target};
+use crate::upstream::tests::{direct_pool, read_request, response_text, start_target};
 
 /// Sends a release; returns whether the head of the response is known to belong to it.
 async fn release(pool: &UpstreamPool, address: SocketAddr) -> Result<bool, SendError> {
@@ -52,7 +54,7 @@
 }
 
 #[test]
-fn a_release_is_sent_on_a_new_connection_if_the_idle_one_is_closed() {
+fn a_connection_that_its_target_announces_to_close_carries_one_release() {
     run(async {
         let address = start_target(|_, _| {
             response_text(&[], "").replace("content-length", "connection: close\r\ncontent-length")
@@ -80,3 +82,27 @@
         assert_eq!(idle, MAX_IDLE_CONNECTIONS);
     });
 }
+
+#[test]
+fn a_release_is_sent_on_a_new_connection_if_the_idle_one_is_closed() {
+    run(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        ntex::rt::spawn(async move {
+            while let Ok((mut socket, _)) = listener.accept().await {
+                if read_request(&mut socket).await.is_some() {
+                    let response = response_text(&[], "");
+                    let _ = socket.write_all(response.as_bytes()).await;
+                }
+                // Long enough for the connection to be idle.
+                sleep(Duration::from_millis(20)).await;
+            }
+        });
+        let pool = direct_pool();
+        for opened in 1..=3 {
+            release(&pool, address).await.unwrap();
+            sleep(Duration::from_millis(40)).await;
+            assert_eq!(pool.opened_count(), opened);
+        }
+    });
+}
--- a/crates/gateway/src/upstream/tests.rs
+++ b/crates/gateway/src/upstream/tests.rs
@@ -214,3 +214,45 @@
         });
     }
 }
+
+/// Guards against idle tunnels that occupy places at the hosts that help.
+#[test]
+fn a_tunnel_is_idle_for_a_shorter_time_than_a_direct_connection() {
+    run(async {
+        let (pool, address, _accepted) = idle_connection().await;
+        let mut connection = pool.take_recent_idle(address, Duration::MAX).unwrap();
+        let announced = |text: &'static str| {
+            let mut head = http::HeaderMap::new();
+            head.insert("keep-alive", HeaderValue::from_static(text));
+            head
+        };
+        let cases = [
+            (
+                None,
+                http::HeaderMap::new(),
+                connection::DEFAULT_IDLE_TIMEOUT,
+            ),
+            (None, announced("timeout=10"), Duration::from_secs(10)),
+            (
+                Some(address),
+                http::HeaderMap::new(),
+                connection::TUNNEL_IDLE_TIMEOUT,
+            ),
+            (
+                Some(address),
+                announced("timeout=10"),
+                connection::TUNNEL_IDLE_TIMEOUT,
+            ),
+            (
+                Some(address),
+                announced("timeout=1"),
+                Duration::from_secs(1),
+            ),
+        ];
+        for (peer, head, timeout) in cases {
+            connection.peer = peer;
+            connection.begin_idle(&head);
+            assert_eq!(connection.idle_timeout, timeout, "{peer:?} {head:?}");
+        }
+    });
+}
