Rankings take host records; pools are counted without their labels

OwnHost copied four fields of a record that the stage client has, beside two of the client's own. The client keeps the record, and scores and ranks take one. No decision changes: the tests of rankings have the same assertions.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -187,7 +187,7 @@
         let gateway = Rc::new(Self {
             stage_client: StageClient::new(
                 config.identity.clone(),
-                &record,
+                record.clone(),
                 coordinator.clone(),
                 engines.clone(),
                 metrics.clone(),
--- a/crates/gateway/src/gateway/maintenance.rs
+++ b/crates/gateway/src/gateway/maintenance.rs
@@ -83,7 +83,7 @@
             ),
             (
                 &self.metrics.pools_coordinated,
-                self.stage_client.coordinated_pools().len() as i64,
+                self.stage_client.coordinated_pool_count() as i64,
             ),
             (&self.metrics.hosts_known, self.entry_host_count() as i64),
         ];
--- a/crates/gateway/src/host_load.rs
+++ b/crates/gateway/src/host_load.rs
@@ -186,7 +186,7 @@
             connecting.as_millis(),
             load.limit(),
             gateway.open_requests(),
-            gateway.stage_client.coordinated_pools().join(",")
+            gateway.stage_client.coordinated_pool_labels()
         )
     };
     if is_delayed && is_due {
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -47,7 +47,7 @@
 pub(crate) use send_permit::SendPermitHost;
 
 use guard::ExpectationHandle;
-use host_rank::{CoordinatorRanking, OwnHost};
+use host_rank::CoordinatorRanking;
 use link::run_link;
 use link_state::{Link, LinkState};
 
@@ -149,10 +149,8 @@
 #[derive(Clone)]
 pub(crate) struct StageClient {
     identity: PeerIdentity,
-    name: String,
-    hall: String,
-    /// Processor capacity of this host in thousandths of a core; 0 if it is not known.
-    capacity: u32,
+    /// The record of this host when it started.
+    own: EntryHostRecord,
     coordinator: Rc<Coordinator>,
     placer: Rc<RefCell<EnginePlacer>>,
     state: Rc<RefCell<ClientState>>,
@@ -165,16 +163,14 @@
 impl StageClient {
     pub(crate) fn new(
         identity: PeerIdentity,
-        own: &EntryHostRecord,
+        own: EntryHostRecord,
         coordinator: Rc<Coordinator>,
         placer: Rc<RefCell<EnginePlacer>>,
         metrics: GatewayMetrics,
     ) -> Self {
         let client = Self {
             identity,
-            name: own.name.clone(),
-            hall: own.hall.clone(),
-            capacity: own.capacity,
+            own,
             coordinator: coordinator.clone(),
             placer,
             state: Rc::default(),
@@ -255,7 +251,7 @@
         let others = state
             .entry_hosts
             .iter()
-            .filter(|host| host.name != self.name);
+            .filter(|host| host.name != self.own.name);
         others.count() + 1
     }
 
@@ -298,7 +294,7 @@
         }
         let ranking = CoordinatorRanking::new(pool, &state.entry_hosts);
         let others = state.entry_hosts.iter();
-        let others = others.filter(|host| host.name != self.name && !host.stopping);
+        let others = others.filter(|host| host.name != self.own.name && !host.stopping);
         let mut ranked: Vec<((bool, u64), &str)> = others
             .map(|host| (ranking.rank(host), host.name.as_str()))
             .collect();
@@ -337,14 +333,12 @@
         if let Some(cached) = state.better_coordinators.get(pool) {
             return cached.clone();
         }
-        let own = OwnHost {
-            name: &self.name,
-            hall: &self.hall,
-            capacity: self.capacity,
+        let own = EntryHostRecord {
             stopping: state.stopping,
+            ..self.own.clone()
         };
-        let better =
-            CoordinatorRanking::new(pool, &state.entry_hosts).better_hosts(own, &state.entry_hosts);
+        let ranking = CoordinatorRanking::new(pool, &state.entry_hosts);
+        let better = ranking.better_hosts(&own, &state.entry_hosts);
         let ranked: Rc<[EntryHostRecord]> = better.into_iter().cloned().collect();
         state
             .better_coordinators
@@ -525,7 +519,7 @@
     pub(crate) fn report_use(&self, pool: PoolKey, report: UseReport<Rank>) {
         match self.coordinator_of(&pool) {
             HostLocation::Local => {
-                let limits = self.coordinator.apply_use(&self.name, &pool, &report);
+                let limits = self.coordinator.apply_use(&self.own.name, &pool, &report);
                 self.apply_account_limits(&pool, limits);
             }
             HostLocation::Remote(address) => {
--- a/crates/gateway/src/stage_client/host_rank.rs
+++ b/crates/gateway/src/stage_client/host_rank.rs
@@ -15,15 +15,6 @@
 /// between sizes: hosts that differ by a few percent rank almost alike.
 const CAPACITY_EXPONENT: i32 = 4;
 
-/// This host in a ranking.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct OwnHost<'a> {
-    pub(super) name: &'a str,
-    pub(super) hall: &'a str,
-    pub(super) capacity: u32,
-    pub(super) stopping: bool,
-}
-
 /// Ranks entry hosts for one label; all hosts with the same list rank them alike.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct HostRanking {
@@ -42,13 +33,13 @@
     }
 
     /// Returns the score of a host; the highest ranks first.
-    pub(super) fn score(self, name: &str, capacity: u32) -> u64 {
-        if !self.by_capacity || capacity == 0 {
-            return self.key.score(name);
+    pub(super) fn score(self, host: &EntryHostRecord) -> u64 {
+        if !self.by_capacity || host.capacity == 0 {
+            return self.key.score(&host.name);
         }
-        let weight = f64::from(capacity).powi(CAPACITY_EXPONENT);
+        let weight = f64::from(host.capacity).powi(CAPACITY_EXPONENT);
         // The bits of positive numbers are in their order.
-        self.key.weighted_score(name, weight).to_bits()
+        self.key.weighted_score(&host.name, weight).to_bits()
     }
 }
 
@@ -67,23 +58,19 @@
 
     /// Returns the rank of a host; the one with the highest rank is the coordinator.
     pub(super) fn rank(&self, host: &EntryHostRecord) -> (bool, u64) {
-        self.rank_of(&host.name, &host.hall, host.capacity)
-    }
-
-    fn rank_of(&self, name: &str, hall: &str, capacity: u32) -> (bool, u64) {
-        let same_hall = self.pool.hall() == Some(hall);
-        (same_hall, self.ranking.score(name, capacity))
+        let same_hall = self.pool.hall() == Some(host.hall.as_str());
+        (same_hall, self.ranking.score(host))
     }
 
-    /// Returns the hosts that rank before this one, the best first. A stopping host coordinates only if
+    /// Returns the hosts that rank before `own`, the best first. A stopping host coordinates only if
     /// there is no other: the others no longer choose it, and two coordinators of one pool compete for
     /// its targets.
     pub(super) fn better_hosts<'h>(
         &self,
-        own: OwnHost<'_>,
+        own: &EntryHostRecord,
         hosts: &'h [EntryHostRecord],
     ) -> Vec<&'h EntryHostRecord> {
-        let own_rank = self.rank_of(own.name, own.hall, own.capacity);
+        let own_rank = self.rank(own);
         let candidates = hosts
             .iter()
             .filter(|host| host.name != own.name && !host.stopping);
--- a/crates/gateway/src/stage_client/host_rank/tests.rs
+++ b/crates/gateway/src/stage_client/host_rank/tests.rs
@@ -50,7 +50,7 @@
     let stated = hosts(&[90, 300, 300, 0]);
     let ranking = HostRanking::new("pool", &stated);
     for host in &stated {
-        let score = ranking.score(&host.name, host.capacity);
+        let score = ranking.score(host);
         assert_eq!(score, rendezvous::score("pool", &host.name));
     }
 }
@@ -62,7 +62,7 @@
         let ranking = HostRanking::new("pool", hosts);
         let mut names: Vec<(u64, String)> = hosts
             .iter()
-            .map(|host| (ranking.score(&host.name, host.capacity), host.name.clone()))
+            .map(|host| (ranking.score(host), host.name.clone()))
             .collect();
         names.sort();
         names.into_iter().map(|(_, name)| name).collect::<Vec<_>>()
--- a/crates/gateway/src/stage_client/run_permit.rs
+++ b/crates/gateway/src/stage_client/run_permit.rs
@@ -26,13 +26,13 @@
         let mut ranked: Vec<(u64, Option<SocketAddr>)> = {
             let state = self.state.borrow();
             let others = state.entry_hosts.iter();
-            let others = others.filter(|host| host.name != self.name && !host.stopping);
+            let others = others.filter(|host| host.name != self.own.name && !host.stopping);
             let candidates = others.filter(|host| !unreachable.contains(&host.hall));
             let scored =
                 candidates.map(|host| (rendezvous::score(&label, &host.name), Some(host.peer)));
             scored.collect()
         };
-        ranked.push((rendezvous::score(&label, &self.name), None));
+        ranked.push((rendezvous::score(&label, &self.own.name), None));
         ranked.sort_by_key(|candidate| Reverse(*candidate));
         let is_usable = |address: &Option<SocketAddr>| {
             address.is_none_or(|address| {
--- a/crates/gateway/src/stage_client/send_permit.rs
+++ b/crates/gateway/src/stage_client/send_permit.rs
@@ -49,11 +49,11 @@
     fn permit_candidates(&self, target: &str, hall: &str) -> Vec<Option<SocketAddr>> {
         let state = self.state.borrow();
         let others = state.entry_hosts.iter();
-        let others = others.filter(|host| host.name != self.name && !host.stopping);
+        let others = others.filter(|host| host.name != self.own.name && !host.stopping);
         let others = others.map(|host| (host.hall.as_str(), host.name.as_str(), Some(host.peer)));
         let mut known: Vec<(&str, &str, Option<SocketAddr>)> = others.collect();
         if !state.stopping || known.is_empty() {
-            known.push((&self.hall, &self.name, None));
+            known.push((&self.own.hall, &self.own.name, None));
         }
         // Hosts with an older message version issue no send permits.
         let issues_permits = |address: &Option<SocketAddr>| {
@@ -79,7 +79,7 @@
             let others = state
                 .entry_hosts
                 .iter()
-                .filter(|host| host.name != self.name);
+                .filter(|host| host.name != self.own.name);
             others.map(|host| host.peer).collect()
         };
         if others.is_empty()
--- a/crates/gateway/src/stage_client/sender.rs
+++ b/crates/gateway/src/stage_client/sender.rs
@@ -65,11 +65,11 @@
             let ranking = HostRanking::new(target, &state.entry_hosts);
             let others = state.entry_hosts.iter();
             let same_hall = others
-                .filter(|host| host.hall == hall && host.name != self.name && !host.stopping)
-                .map(|host| (ranking.score(&host.name, host.capacity), Some(host.peer)));
-            let own = (ranking.score(&self.name, self.capacity), None);
+                .filter(|host| host.hall == hall && host.name != self.own.name && !host.stopping)
+                .map(|host| (ranking.score(host), Some(host.peer)));
+            let own = (ranking.score(&self.own), None);
             same_hall
-                .chain((hall == self.hall).then_some(own))
+                .chain((hall == self.own.hall).then_some(own))
                 .collect()
         };
         ranked.sort_by(|a, b| b.cmp(a));
--- a/crates/gateway/src/stage_client/stream_origin.rs
+++ b/crates/gateway/src/stage_client/stream_origin.rs
@@ -91,15 +91,15 @@
         let mut ranked: Vec<(u64, String, Option<SocketAddr>)> = {
             let state = self.state.borrow();
             let others = state.entry_hosts.iter();
-            let others = others.filter(|host| host.name != self.name && !host.stopping);
+            let others = others.filter(|host| host.name != self.own.name && !host.stopping);
             let scored = others.map(|host| {
                 let score = rendezvous::score(&label, &host.name);
                 (score, host.hall.clone(), Some(host.peer))
             });
             scored.collect()
         };
-        let own = rendezvous::score(&label, &self.name);
-        ranked.push((own, self.hall.clone(), None));
+        let own = rendezvous::score(&label, &self.own.name);
+        ranked.push((own, self.own.hall.clone(), None));
         ranked.sort_by_key(|(score, ..)| Reverse(*score));
         let mut halls = BTreeSet::new();
         let (first, rest): (Vec<_>, Vec<_>) = ranked
--- a/crates/gateway/src/stage_client/succession.rs
+++ b/crates/gateway/src/stage_client/succession.rs
@@ -1,5 +1,6 @@
 //! Choice of the host that takes a batch, by succession order.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -41,6 +42,18 @@
     }
 }
 
+/// Returns the pools of which this host has run batches lately.
+fn recently_coordinated(
+    coordinated_at: &HashMap<PoolKey, Instant>,
+) -> impl Iterator<Item = &PoolKey> {
+    let now = Instant::now();
+    let recent = move |at: Instant| now.saturating_duration_since(at) < COORDINATION_GAP;
+    let pools = coordinated_at.iter();
+    pools
+        .filter(move |(_, at)| recent(**at))
+        .map(|(pool, _)| pool)
+}
+
 /// Opens connections in advance while batches are awaited.
 async fn run_probes(client: StageClient) {
     loop {
@@ -156,13 +169,17 @@
         }
     }
 
-    /// Returns the labels of the pools of which this host has run batches lately.
-    pub(crate) fn coordinated_pools(&self) -> Vec<String> {
-        let now = Instant::now();
+    /// Returns the number of pools of which this host has run batches lately.
+    pub(crate) fn coordinated_pool_count(&self) -> usize {
+        let state = self.state.borrow();
+        recently_coordinated(&state.coordinated_at).count()
+    }
+
+    /// Returns their labels, for the log.
+    pub(crate) fn coordinated_pool_labels(&self) -> String {
         let state = self.state.borrow();
-        let coordinated = state.coordinated_at.iter();
-        let recent = coordinated.filter(|(_, at)| now.duration_since(**at) < COORDINATION_GAP);
-        recent.map(|(pool, _)| pool.label()).collect()
+        let pools = recently_coordinated(&state.coordinated_at);
+        pools.map(PoolKey::label).collect::<Vec<_>>().join(",")
     }
 
     /// Records that this host runs a batch as coordinator. Writes an event line if it did not
--- a/crates/gateway/src/stage_client/tests.rs
+++ b/crates/gateway/src/stage_client/tests.rs
@@ -22,13 +22,7 @@
 /// Returns the coordinator of a pool as each of the hosts chooses it.
 fn coordinators(pool: &PoolKey, hosts: &[EntryHostRecord]) -> Vec<SocketAddr> {
     let coordinator = |me: &EntryHostRecord| {
-        let own = OwnHost {
-            name: &me.name,
-            hall: &me.hall,
-            capacity: me.capacity,
-            stopping: me.stopping,
-        };
-        let better = CoordinatorRanking::new(pool, hosts).better_hosts(own, hosts);
+        let better = CoordinatorRanking::new(pool, hosts).better_hosts(me, hosts);
         better.first().map_or(me.peer, |first| first.peer)
     };
     hosts.iter().map(coordinator).collect()
@@ -87,7 +81,7 @@
     };
     StageClient::new(
         identity,
-        &own,
+        own,
         coordinator,
         Rc::default(),
         GatewayMetrics::new(),
--- a/crates/gateway/src/stage_client/unreachable_halls.rs
+++ b/crates/gateway/src/stage_client/unreachable_halls.rs
@@ -62,7 +62,7 @@
             let link = state.links.get(&host.peer);
             (host.hall.as_str(), link.map(|link| link.hall_state_at(now)))
         });
-        let unreachable = Rc::new(find_unreachable_halls(&self.hall, hosts));
+        let unreachable = Rc::new(find_unreachable_halls(&self.own.hall, hosts));
         state.unreachable_halls = Some((unreachable.clone(), now));
         unreachable
     }
