--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,7 +13,7 @@
 mod stop;
 
 pub use logging::{LineQueue, flush_logs, start_logging};
-pub use ops::{OperatorKeys, OpsContext, error_body, json_response, ops_routes};
+pub use ops::{OperatorKeys, OpsContext, error_body, json_response, ops_routes, write_traffic};
 pub use peer::{accept_peers, watch_key_file};
 pub use setting::{SettingCheck, SettingError};
 pub use stop::{StopSignals, exit_code};
--- a/crates/daemon/src/ops.rs
+++ b/crates/daemon/src/ops.rs
@@ -88,7 +88,7 @@
 }
 
 /// Appends the counters of the traffic with peers, which precede the registered metrics.
-fn write_traffic(text: &mut String) {
+pub fn write_traffic(text: &mut String) {
     let counters = [
         ("peer_sent_bytes", PEER_TRAFFIC.sent()),
         ("peer_received_bytes", PEER_TRAFFIC.received()),
--- a/crates/node/src/metrics_page.rs
+++ b/crates/node/src/metrics_page.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use http::StatusCode;
+use linnet_daemon::write_traffic;
 use prometheus_client::registry::Registry;
 use tokio::net::TcpListener;
 
@@ -38,6 +39,7 @@
 fn encode_metrics(registry: &Mutex<Registry>) -> HttpResponse {
     let registry = registry.lock().unwrap_or_else(PoisonError::into_inner);
     let mut text = String::new();
+    write_traffic(&mut text);
     match prometheus_client::encoding::text::encode(&mut text, &registry) {
         Ok(()) => HttpResponse {
             status: StatusCode::OK,
