--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -47,6 +47,24 @@
     pub cause: &'static str,
 }
 
+/// What became of a request to the placer of a prompt at another host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PlacerReply {
+    /// It chose an engine, or found none.
+    Answered,
+    /// It did not reply in time.
+    Late,
+    /// The connection to it was lost.
+    Lost,
+}
+
+/// Labels of requests to placers.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PlacerLabels {
+    /// `answered`, `late` or `lost`.
+    pub outcome: &'static str,
+}
+
 /// What admission decided about a request that its caller had sent before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ReturnOutcome {
@@ -168,6 +186,7 @@
     pub(crate) connections_opened: Gauge,
     pub(crate) target_connections: Family<ConnectionLabels, Counter>,
     pub(crate) pools_coordinated: Gauge,
+    pub(crate) placer_replies: Family<PlacerLabels, Counter>,
     pub(crate) stage_targets_examined: Gauge,
     pub(crate) requests_open: Gauge,
     pub(crate) processing_delay_ms: Gauge,
@@ -233,6 +252,7 @@
             connections_opened: Gauge::default(),
             target_connections: Family::default(),
             pools_coordinated: Gauge::default(),
+            placer_replies: Family::default(),
             stage_targets_examined: Gauge::default(),
             requests_open: Gauge::default(),
             processing_delay_ms: Gauge::default(),
@@ -282,6 +302,11 @@
             "Stage pools of which this host ran batches in the last second",
             metrics.pools_coordinated.clone(),
         );
+        registry.register(
+            "placer_replies",
+            "Requests to the placers of prompts at other hosts, by what became of them",
+            metrics.placer_replies.clone(),
+        );
         registry.register(
             "targets_ended",
             "Targets that crashed while requests of this host ran on them",
@@ -661,6 +686,17 @@
         self.retry_after.observe(retry_after.as_secs_f64());
     }
 
+    pub(crate) fn count_placer_reply(&self, reply: PlacerReply) {
+        let outcome = match reply {
+            PlacerReply::Answered => "answered",
+            PlacerReply::Late => "late",
+            PlacerReply::Lost => "lost",
+        };
+        self.placer_replies
+            .get_or_create(&PlacerLabels { outcome })
+            .inc();
+    }
+
     pub(crate) fn count_returned(&self, outcome: ReturnOutcome) {
         let outcome = match outcome {
             ReturnOutcome::AdmittedInTime => "in_time",
--- a/crates/gateway/src/stage_client/place.rs
+++ b/crates/gateway/src/stage_client/place.rs
@@ -10,6 +10,7 @@
 use super::guard::{Placement, PlacementHandle};
 use super::{HostLocation, StageClient};
 use crate::engine::{PlacementFacts, PlacementRequest};
+use crate::metrics::PlacerReply;
 use crate::piece_message::PieceRequest;
 use crate::pool_key::placement_pool_key;
 use crate::target::{ChosenTarget, TargetStore};
@@ -135,6 +136,12 @@
             if let Some(link) = state.links.get_mut(&address) {
                 link.pending_placements.remove(&number);
             }
+            let outcome = match &reply {
+                Ok(Ok(_)) => PlacerReply::Answered,
+                Ok(Err(_)) => PlacerReply::Lost,
+                Err(_) => PlacerReply::Late,
+            };
+            client.metrics.count_placer_reply(outcome);
             reply.ok()?.ok()?
         }
     }
