Delayed hosts leave the roles of pools to others

Cause: a role goes to the host that ranks first by the hash of its name and a capacity that it states once. Nothing moved it from a host that is full for another reason. The same class as: a role is given without regard to what its host can do.

Delays count only while all listed hosts state one, so that hosts of two builds rank alike. Where all are delayed the order is as before.

--- a/crates/directory/src/entry_host_push/tests.rs
+++ b/crates/directory/src/entry_host_push/tests.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 
 use super::*;
+use crate::RoleStatement;
 
 fn hosts(count: u16) -> Arc<[EntryHostRecord]> {
     let host = |number: u16| EntryHostRecord {
@@ -8,7 +9,7 @@
         hall: "hall".to_owned(),
         peer: SocketAddr::from(([127, 0, 0, 1], 1_000 + number)),
         stopping: false,
-        capacity: 0,
+        role: RoleStatement::default(),
     };
     (0..count).map(host).collect()
 }
--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -24,7 +24,7 @@
 
 use crate::change_reports::{PartSource, RateLimitSource, SuspectSource};
 use crate::document_follower::{DocumentFollower, DocumentSink};
-use crate::message::{CapacityTail, UpdateTail};
+use crate::message::{RoleTail, UpdateTail};
 use crate::message_v1::DirectoryUpdateV1;
 use crate::serve::PEER_SILENCE_TIMEOUT;
 use crate::{DirectoryUpdate, EntryHostRecord, SubscriberHello, TargetRecord, TargetState};
@@ -382,13 +382,13 @@
     reader: &mut PeerReader,
 ) -> Result<DirectoryUpdate, WireError> {
     let known = reader.message_version();
-    let (update, tail, rate_limits, parts, capacities) = reader
-        .receive_with_tails::<DirectoryUpdate, DirectoryUpdateV1, UpdateTail, Vec<RateObservation>, Vec<PartRecord>, CapacityTail>(
+    let (update, tail, rate_limits, parts, roles) = reader
+        .receive_with_tails::<DirectoryUpdate, DirectoryUpdateV1, UpdateTail, Vec<RateObservation>, Vec<PartRecord>, RoleTail>(
         )
         .await?;
     let update = update
         .with_tails(tail, rate_limits, parts)
-        .with_capacities(capacities);
+        .with_roles(roles);
     if let (None, Some(message_version)) = (known, reader.message_version()) {
         let detail = format!("peer={} form={message_version}", reader.peer());
         record(&state.config, EventCode::PeerEarlier, address, detail);
--- a/crates/directory/src/follow/report.rs
+++ b/crates/directory/src/follow/report.rs
@@ -16,7 +16,7 @@
 use crate::serve::{
     MAX_PARTS_PER_MESSAGE, MAX_RATE_LIMITS_PER_MESSAGE, MAX_SUSPECTS_PER_MESSAGE, UPDATE_INTERVAL,
 };
-use crate::{EntryHostRecord, SubscriberReport};
+use crate::{EntryHostRecord, RoleStatement, SubscriberReport};
 
 /// Time between two reports during a roll-out. It bounds how long a bad version keeps its share of
 /// requests.
@@ -75,22 +75,23 @@
     }
 }
 
-/// Sends a report, followed by counts for roll-outs, rate limits, suspected parts and the capacity of
-/// this host if there are any.
+/// Sends a report, followed by counts for roll-outs, rate limits, suspected parts and what this
+/// host states for roles if there are any.
 async fn send_report(writer: &mut PeerWriter, report: &SubscriberReport) -> Result<(), WireError> {
     let has_counts = !report.phase_counts.is_empty();
     let (has_rates, has_parts) = (!report.rate_limits.is_empty(), !report.parts.is_empty());
     let entry_host = report.entry_host.as_ref();
-    let capacity = entry_host.map_or(0, |host| host.capacity);
-    if !has_counts && !has_rates && !has_parts && capacity == 0 {
+    let role = entry_host.map_or_else(RoleStatement::default, |host| host.role);
+    let states_role = role != RoleStatement::default();
+    if !has_counts && !has_rates && !has_parts && !states_role {
         return writer.send(report).await;
     }
     let tail = ReportTail {
         incarnation: report.incarnation,
         phase_counts: report.phase_counts.clone(),
     };
-    if capacity > 0 {
-        let tails = (tail, &report.rate_limits, &report.parts, capacity);
+    if states_role {
+        let tails = (tail, &report.rate_limits, &report.parts, role);
         return writer.send(&(report, tails)).await;
     }
     if has_parts {
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -47,8 +47,8 @@
 pub use form::{FormConfig, form_or_join};
 pub use machine::{DocumentMachine, DocumentParser, ServiceNames};
 pub use message::{
-    DirectoryUpdate, DocumentPart, DocumentRequest, EntryHostRecord, LocalEntryHosts,
-    SubscriberHello, SubscriberReport, TargetRecord, TargetState,
+    DirectoryUpdate, DocumentPart, DocumentRequest, EntryHostRecord, HostDelay, LocalEntryHosts,
+    RoleStatement, SubscriberHello, SubscriberReport, TargetRecord, TargetState,
 };
 pub use node::{DirectoryCounts, DirectoryError, DirectoryNode, DirectoryTiming};
 pub use payload::{DocumentPayload, PayloadError, PayloadKey};
--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -63,9 +63,31 @@
     pub peer: SocketAddr,
     /// Whether it is about to stop.
     pub stopping: bool,
-    /// Processor capacity in thousandths of a core; 0 if it states none. Sent behind all other tails.
+    /// What it states for the choice of hosts for roles. Sent behind all other tails.
     #[serde(skip)]
+    pub role: RoleStatement,
+}
+
+/// What an entry host states for the choice of hosts for the roles of pools. Builds that do not know
+/// roles send none, which is read as the default.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RoleStatement {
+    /// Processor capacity in thousandths of a core; 0 if it is not known.
     pub capacity: u32,
+    /// Whether the host delays its work.
+    pub delay: HostDelay,
+}
+
+/// Whether a host delays whatever it does.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum HostDelay {
+    /// The host does not tell.
+    #[default]
+    Unknown,
+    /// It does its work in time.
+    Timely,
+    /// Its work has waited for its processor or its links for some time.
+    Delayed,
 }
 
 /// The first message of a subscriber.
@@ -197,13 +219,13 @@
     leaderless: bool,
 }
 
-/// The bytes that follow an update behind the suspected parts: the capacities of the entry hosts in its
-/// lists, in the same order. A list is empty if no host in it states a capacity.
+/// The bytes that follow an update behind the suspected parts: what the entry hosts in its lists state
+/// for roles, in the same order. A list is empty if no host in it states anything.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct CapacityTail {
-    all: Vec<u32>,
-    connected: Vec<u32>,
-    disconnected: Vec<u32>,
+pub(crate) struct RoleTail {
+    all: Vec<RoleStatement>,
+    connected: Vec<RoleStatement>,
+    disconnected: Vec<RoleStatement>,
 }
 
 /// The entry hosts that are or were connected to one control host.
@@ -237,25 +259,25 @@
         (tail != UpdateTail::default()).then_some(tail)
     }
 
-    /// Returns the capacities of the entry hosts in the update; `None` if no host states one.
-    pub(crate) fn capacity_tail(&self) -> Option<CapacityTail> {
+    /// Returns what the entry hosts in the update state for roles; `None` if none does.
+    pub(crate) fn role_tail(&self) -> Option<RoleTail> {
         let local = self.local_entry_hosts.as_ref();
-        let tail = CapacityTail {
-            all: stated_capacities(self.entry_hosts.as_deref()),
-            connected: stated_capacities(local.map(|local| local.connected.as_slice())),
-            disconnected: stated_capacities(local.map(|local| local.disconnected.as_slice())),
+        let tail = RoleTail {
+            all: role_statements(self.entry_hosts.as_deref()),
+            connected: role_statements(local.map(|local| local.connected.as_slice())),
+            disconnected: role_statements(local.map(|local| local.disconnected.as_slice())),
         };
-        (tail != CapacityTail::default()).then_some(tail)
+        (tail != RoleTail::default()).then_some(tail)
     }
 
-    /// Adds the capacities of the entry hosts in the update.
-    pub(crate) fn with_capacities(mut self, tail: CapacityTail) -> Self {
+    /// Adds what the entry hosts in the update state for roles.
+    pub(crate) fn with_roles(mut self, tail: RoleTail) -> Self {
         if let Some(all) = &mut self.entry_hosts {
-            set_capacities(all, tail.all);
+            set_roles(all, tail.all);
         }
         if let Some(local) = &mut self.local_entry_hosts {
-            set_capacities(&mut local.connected, tail.connected);
-            set_capacities(&mut local.disconnected, tail.disconnected);
+            set_roles(&mut local.connected, tail.connected);
+            set_roles(&mut local.disconnected, tail.disconnected);
         }
         self
     }
@@ -280,17 +302,18 @@
     }
 }
 
-fn stated_capacities(hosts: Option<&[EntryHostRecord]>) -> Vec<u32> {
+fn role_statements(hosts: Option<&[EntryHostRecord]>) -> Vec<RoleStatement> {
     let hosts = hosts.unwrap_or_default();
-    match hosts.iter().any(|host| host.capacity > 0) {
-        true => hosts.iter().map(|host| host.capacity).collect(),
+    let is_stated = |host: &EntryHostRecord| host.role != RoleStatement::default();
+    match hosts.iter().any(is_stated) {
+        true => hosts.iter().map(|host| host.role).collect(),
         false => Vec::new(),
     }
 }
 
-fn set_capacities(hosts: &mut [EntryHostRecord], capacities: Vec<u32>) {
-    for (host, capacity) in hosts.iter_mut().zip(capacities) {
-        host.capacity = capacity;
+fn set_roles(hosts: &mut [EntryHostRecord], roles: Vec<RoleStatement>) {
+    for (host, role) in hosts.iter_mut().zip(roles) {
+        host.role = role;
     }
 }
 
--- a/crates/directory/src/message/tests.rs
+++ b/crates/directory/src/message/tests.rs
@@ -36,7 +36,7 @@
         hall: "hall-1".to_owned(),
         peer: SocketAddr::from(([10, 0, 0, 7], 9_200)),
         stopping: true,
-        capacity: 0,
+        role: RoleStatement::default(),
     }
 }
 
@@ -215,37 +215,36 @@
     }];
     let mut sized = full.clone();
     sized.entry_hosts = Some(vec![entry_host(), entry_host()]);
-    set_capacities(sized.entry_hosts.as_mut().unwrap(), vec![90, 300]);
-    let capacities = sized.capacity_tail().unwrap();
+    let stated = [(90, HostDelay::Timely), (300, HostDelay::Delayed)];
+    let stated = stated.map(|(capacity, delay)| RoleStatement { capacity, delay });
+    set_roles(sized.entry_hosts.as_mut().unwrap(), stated.to_vec());
+    let roles = sized.role_tail().unwrap();
     let read_sized = DirectoryUpdate {
         entry_hosts: Some(vec![entry_host(), entry_host()]),
         ..full.clone()
     };
-    let read_sized = read_sized.with_capacities(capacities.clone());
+    let read_sized = read_sized.with_roles(roles.clone());
     assert_eq!(read_sized.entry_hosts, sized.entry_hosts);
-    assert_eq!(full.capacity_tail(), None);
+    assert_eq!(full.role_tail(), None);
     let lines = [
         format!("update tail {}", hex(&tail)),
         format!("report tail {}", hex(&report)),
         format!("rates behind either {}", hex(&rate_limits)),
         format!("parts behind the rates {}", hex(&vec![part_record()])),
-        format!(
-            "capacities behind the parts of updates {}",
-            hex(&capacities)
-        ),
-        format!("capacity behind the parts of reports {}", hex(&300_u32)),
+        format!("roles behind the parts of updates {}", hex(&roles)),
+        format!("role behind the parts of reports {}", hex(&stated[1])),
     ];
     insta::assert_snapshot!(lines.join("\n"));
-    // Builds without capacities skip the bytes after the third tail.
+    // Builds without roles skip the bytes after the third tail.
     let parts = vec![part_record()];
-    let tails = (&tail, &rate_limits, &parts, &capacities);
+    let tails = (&tail, &rate_limits, &parts, &roles);
     let encoded = postcard::to_stdvec(&(&full, tails)).unwrap();
     let (_, rest): (DirectoryUpdate, _) = postcard::take_from_bytes(&encoded).unwrap();
     let (_, rest): (UpdateTail, _) = postcard::take_from_bytes(rest).unwrap();
     let (_, rest): (Vec<RateObservation>, _) = postcard::take_from_bytes(rest).unwrap();
     let (read, rest): (Vec<PartRecord>, _) = postcard::take_from_bytes(rest).unwrap();
     assert_eq!(read, parts);
-    assert_eq!(postcard::from_bytes::<CapacityTail>(rest), Ok(capacities));
+    assert_eq!(postcard::from_bytes::<RoleTail>(rest), Ok(roles));
     // Builds of message version 7 skip the bytes after the second tail.
     let encoded = postcard::to_stdvec(&(&full, (&tail, &rate_limits, &parts))).unwrap();
     let (_, rest): (DirectoryUpdate, _) = postcard::take_from_bytes(&encoded).unwrap();
--- a/crates/directory/src/node/state/tests.rs
+++ b/crates/directory/src/node/state/tests.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 
 use super::*;
+use crate::RoleStatement;
 
 fn record(number: u16) -> EntryHostRecord {
     EntryHostRecord {
@@ -8,7 +9,7 @@
         hall: "hall".to_owned(),
         peer: SocketAddr::from(([127, 0, 0, 1], 1_000 + number)),
         stopping: false,
-        capacity: 0,
+        role: RoleStatement::default(),
     }
 }
 
--- a/crates/directory/src/serve.rs
+++ b/crates/directory/src/serve.rs
@@ -20,7 +20,7 @@
 use crate::node::SubscriberState;
 use crate::{
     DirectoryNode, DirectoryUpdate, DocumentKey, EntryHostRecord, EvacuationStore, LocalEntryHosts,
-    SubscriberHello, SubscriberReport,
+    RoleStatement, SubscriberHello, SubscriberReport,
 };
 
 use additions::{
@@ -204,11 +204,11 @@
     reader: &mut PeerReader,
 ) -> Result<SubscriberReport, WireError> {
     let known = reader.message_version();
-    let (mut report, tail, rate_limits, parts, capacity) = reader
-        .receive_with_tails::<SubscriberReport, SubscriberReportV1, ReportTail, Vec<RateObservation>, Vec<PartRecord>, u32>()
+    let (mut report, tail, rate_limits, parts, role) = reader
+        .receive_with_tails::<SubscriberReport, SubscriberReportV1, ReportTail, Vec<RateObservation>, Vec<PartRecord>, RoleStatement>()
         .await?;
     if let Some(entry_host) = &mut report.entry_host {
-        entry_host.capacity = capacity;
+        entry_host.role = role;
     }
     report.rate_limits = rate_limits;
     report.parts = parts;
@@ -300,9 +300,9 @@
     if message_version == Some(MessageVersion::V1) {
         return writer.send(&DirectoryUpdateV1::from(update.clone())).await;
     }
-    if let Some(capacities) = update.capacity_tail() {
+    if let Some(roles) = update.role_tail() {
         let tail = update.tail().unwrap_or_default();
-        let tails = (tail, &update.rate_limits, &update.parts, capacities);
+        let tails = (tail, &update.rate_limits, &update.parts, roles);
         return writer.send(&(update, tails)).await;
     }
     match update.tail() {
--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -4,7 +4,7 @@
 
 use linnet_directory::{
     DirectoryUpdate, DirectoryView, Document, EntryHostRecord, Registry, RegistryChange,
-    StoredDocument, TargetChanges, TargetRecord, TargetState,
+    RoleStatement, StoredDocument, TargetChanges, TargetRecord, TargetState,
 };
 
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(6);
@@ -361,7 +361,7 @@
         hall: "h".to_owned(),
         peer: ([127, 0, 0, 9], 1).into(),
         stopping,
-        capacity: 0,
+        role: RoleStatement::default(),
     };
     let update_with = |stopping| DirectoryUpdate {
         entry_hosts: Some(vec![entry_host(stopping)]),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,7 +16,8 @@
 
 use derive_more::Display;
 use linnet_directory::{
-    DirectoryUpdate, DirectoryView, EntryHostRecord, StoredDocument, TargetState,
+    DirectoryUpdate, DirectoryView, EntryHostRecord, HostDelay, RoleStatement, StoredDocument,
+    TargetState,
 };
 use linnet_paths::PeerHost;
 use linnet_retries::BudgetRule;
@@ -152,7 +153,10 @@
             hall: config.hall.clone(),
             peer: config.peer_address,
             stopping: false,
-            capacity: config.processor_capacity,
+            role: RoleStatement {
+                capacity: config.processor_capacity,
+                delay: HostDelay::Timely,
+            },
         };
         let metrics = GatewayMetrics::new();
         let links = TargetLinks::new(TunnelContext {
@@ -327,6 +331,16 @@
         }
     }
 
+    /// States to the other hosts whether this one delays its work, and ranks it for roles accordingly.
+    pub(crate) fn set_delay(&self, delay: HostDelay) {
+        self.stage_client.set_delay(delay);
+        self.entry_host_record.send_modify(|record| {
+            if let Some(record) = record {
+                record.role.delay = delay;
+            }
+        });
+    }
+
     /// Applies an update of the directory.
     pub fn apply_update(&self, from: SocketAddr, update: DirectoryUpdate) {
         self.merge_suspects(&update.suspects);
--- a/crates/gateway/src/host_load.rs
+++ b/crates/gateway/src/host_load.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use linnet_hostload::{ConnectMeter, DelayMeter, RequestShedder, ShedDecision};
+use linnet_directory::HostDelay;
+use linnet_hostload::{ConnectMeter, DelayMeter, RequestShedder, RoleYield, ShedDecision};
 use linnet_telemetry::EventCode;
 use tokio::time::sleep_until;
 
@@ -56,6 +57,7 @@
     processing: RefCell<DelayMeter>,
     connecting: RefCell<ConnectMeter<SocketAddr>>,
     shedder: RefCell<RequestShedder<LoadClass>>,
+    roles: RefCell<RoleYield>,
 }
 
 impl HostLoad {
@@ -86,13 +88,20 @@
         self.shedder.borrow().returned_rate()
     }
 
-    /// Records how late a timer was while `open` requests were in flight.
-    fn record_lateness(&self, lateness: Duration, open: usize) {
+    /// Records how late a timer was while `open` requests were in flight. Returns what the host states
+    /// of its delay from now on, if that changed.
+    fn record_lateness(&self, lateness: Duration, open: usize) -> Option<HostDelay> {
         let now = Instant::now();
         self.processing.borrow_mut().record(lateness, now);
         let connecting = self.connect_delay() / CONNECT_DELAY_DIVISOR;
         let delay = self.processing_delay().max(connecting);
         self.shedder.borrow_mut().update(delay, open, now);
+        let mut roles = self.roles.borrow_mut();
+        let has_changed = roles.update(delay, now);
+        has_changed.then(|| match roles.is_yielded() {
+            true => HostDelay::Delayed,
+            false => HostDelay::Timely,
+        })
     }
 
     /// Records that a request was served.
@@ -158,11 +167,38 @@
         let due = Instant::now() + interval;
         sleep_until(due.into()).await;
         let open = gateway.open_requests();
-        gateway.host_load.record_lateness(due.elapsed(), open);
+        if let Some(delay) = gateway.host_load.record_lateness(due.elapsed(), open) {
+            state_delay(&gateway, delay);
+        }
         report(&gateway, &mut reported_at);
     }
 }
 
+/// States the delay of this host to the others, and writes a line.
+fn state_delay(gateway: &Gateway, delay: HostDelay) {
+    let is_yielded = delay == HostDelay::Delayed;
+    let code = match is_yielded {
+        true => EventCode::RolesYielded,
+        false => EventCode::RolesResumed,
+    };
+    gateway.record_event(code, &delay_detail(gateway));
+    gateway.metrics.roles_yielded.set(i64::from(is_yielded));
+    gateway.set_delay(delay);
+}
+
+/// Returns what a line tells of the delay of this host.
+fn delay_detail(gateway: &Gateway) -> String {
+    let load = &gateway.host_load;
+    format!(
+        "processing_ms={} connect_ms={} limit_per_s={} open_requests={} pools={}",
+        load.processing_delay().as_millis(),
+        load.connect_delay().as_millis(),
+        load.limit(),
+        gateway.open_requests(),
+        gateway.stage_client.coordinated_pool_labels()
+    )
+}
+
 /// Updates the metrics, and writes a line while requests are delayed and once they no longer are.
 fn report(gateway: &Gateway, reported_at: &mut Option<Instant>) {
     let load = &gateway.host_load;
@@ -179,20 +215,10 @@
     metrics.returned_per_s.set(load.returned_rate() as i64);
     let is_delayed = processing.max(connecting) >= REPORTED_DELAY;
     let is_due = reported_at.is_none_or(|at| at.elapsed() >= REPORT_INTERVAL);
-    let detail = || {
-        format!(
-            "processing_ms={} connect_ms={} limit_per_s={} open_requests={} pools={}",
-            processing.as_millis(),
-            connecting.as_millis(),
-            load.limit(),
-            gateway.open_requests(),
-            gateway.stage_client.coordinated_pool_labels()
-        )
-    };
     if is_delayed && is_due {
-        gateway.record_event(EventCode::HostDelayed, &detail());
+        gateway.record_event(EventCode::HostDelayed, &delay_detail(gateway));
         *reported_at = Some(Instant::now());
     } else if !is_delayed && is_due && reported_at.take().is_some() {
-        gateway.record_event(EventCode::HostRecovered, &detail());
+        gateway.record_event(EventCode::HostRecovered, &delay_detail(gateway));
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -187,6 +187,7 @@
     pub(crate) target_connections: Family<ConnectionLabels, Counter>,
     pub(crate) pools_coordinated: Gauge,
     pub(crate) placer_replies: Family<PlacerLabels, Counter>,
+    pub(crate) roles_yielded: Gauge,
     pub(crate) stage_targets_examined: Gauge,
     pub(crate) requests_open: Gauge,
     pub(crate) processing_delay_ms: Gauge,
@@ -253,6 +254,7 @@
             target_connections: Family::default(),
             pools_coordinated: Gauge::default(),
             placer_replies: Family::default(),
+            roles_yielded: Gauge::default(),
             stage_targets_examined: Gauge::default(),
             requests_open: Gauge::default(),
             processing_delay_ms: Gauge::default(),
@@ -307,6 +309,11 @@
             "Requests to the placers of prompts at other hosts, by what became of them",
             metrics.placer_replies.clone(),
         );
+        registry.register(
+            "roles_yielded",
+            "Whether this host leaves the roles of pools to others because it is delayed",
+            metrics.roles_yielded.clone(),
+        );
         registry.register(
             "targets_ended",
             "Targets that crashed while requests of this host ran on them",
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -24,7 +24,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use linnet_directory::EntryHostRecord;
+use linnet_directory::{EntryHostRecord, HostDelay};
 use linnet_forecast::PoolTimes;
 use linnet_shares::{AccountLimit, UseReport};
 use linnet_succession::{BatchRoute, CONNECT_TIMEOUT};
@@ -47,7 +47,7 @@
 pub(crate) use send_permit::SendPermitHost;
 
 use guard::ExpectationHandle;
-use host_rank::CoordinatorRanking;
+use host_rank::{CoordinatorRank, CoordinatorRanking};
 use link::run_link;
 use link_state::{Link, LinkState};
 
@@ -102,6 +102,8 @@
     next_number: u64,
     /// Whether this host is about to stop.
     stopping: bool,
+    /// What this host states of its delay.
+    delay: HostDelay,
     /// The loads that coordinators reported, with the time of the report.
     loads: HashMap<PoolKey, (PoolLoad, Instant)>,
     /// The times that coordinators measured, with the time of the report.
@@ -168,12 +170,16 @@
         placer: Rc<RefCell<EnginePlacer>>,
         metrics: GatewayMetrics,
     ) -> Self {
+        let state = ClientState {
+            delay: own.role.delay,
+            ..ClientState::default()
+        };
         let client = Self {
             identity,
             own,
             coordinator: coordinator.clone(),
             placer,
-            state: Rc::default(),
+            state: Rc::new(RefCell::new(state)),
             account_shares: Rc::default(),
             overload: Rc::default(),
             metrics,
@@ -238,6 +244,21 @@
         state.clear_rankings();
     }
 
+    /// Ranks this host by its delay as coordinator, placer and sender from now on.
+    pub(crate) fn set_delay(&self, delay: HostDelay) {
+        let mut state = self.state.borrow_mut();
+        state.delay = delay;
+        state.clear_rankings();
+    }
+
+    /// Returns the record of this host as it is now.
+    fn own_record(&self, state: &ClientState) -> EntryHostRecord {
+        let mut record = self.own.clone();
+        record.stopping = state.stopping;
+        record.role.delay = state.delay;
+        record
+    }
+
     /// Returns the names of the known entry hosts.
     pub(crate) fn entry_host_names(&self) -> HashSet<String> {
         let state = self.state.borrow();
@@ -295,7 +316,7 @@
         let ranking = CoordinatorRanking::new(pool, &state.entry_hosts);
         let others = state.entry_hosts.iter();
         let others = others.filter(|host| host.name != self.own.name && !host.stopping);
-        let mut ranked: Vec<((bool, u64), &str)> = others
+        let mut ranked: Vec<(CoordinatorRank, &str)> = others
             .map(|host| (ranking.rank(host), host.name.as_str()))
             .collect();
         ranked.sort_by(|a, b| b.cmp(a));
@@ -333,10 +354,7 @@
         if let Some(cached) = state.better_coordinators.get(pool) {
             return cached.clone();
         }
-        let own = EntryHostRecord {
-            stopping: state.stopping,
-            ..self.own.clone()
-        };
+        let own = self.own_record(&state);
         let ranking = CoordinatorRanking::new(pool, &state.entry_hosts);
         let better = ranking.better_hosts(&own, &state.entry_hosts);
         let ranked: Rc<[EntryHostRecord]> = better.into_iter().cloned().collect();
--- a/crates/gateway/src/stage_client/host_rank.rs
+++ b/crates/gateway/src/stage_client/host_rank.rs
@@ -1,11 +1,11 @@
 //! The order in which entry hosts are chosen for the roles of a pool.
 //!
 //! A role takes processor time that its pool determines, whatever host has it. So hosts with more
-//! processor time rank first.
+//! processor time rank first, and hosts that delay their work last.
 
 use std::cmp::Reverse;
 
-use linnet_directory::EntryHostRecord;
+use linnet_directory::{EntryHostRecord, HostDelay};
 
 use crate::pool_key::PoolKey;
 use crate::rendezvous::ScoreKey;
@@ -20,29 +20,42 @@
 pub(super) struct HostRanking {
     key: ScoreKey,
     by_capacity: bool,
+    by_delay: bool,
 }
 
 impl HostRanking {
-    /// Creates the ranking of `hosts` for a label. Capacities count only if all hosts state one: those of
-    /// an earlier build do not know them, and hosts that rank differently choose different coordinators.
+    /// Creates the ranking of `hosts` for a label. Capacities and delays count only if all hosts state
+    /// theirs: an earlier build does not know them, and hosts that rank differently choose different
+    /// coordinators.
     pub(super) fn new(label: &str, hosts: &[EntryHostRecord]) -> Self {
         Self {
             key: ScoreKey::new(label),
-            by_capacity: hosts.iter().all(|host| host.capacity > 0),
+            by_capacity: hosts.iter().all(|host| host.role.capacity > 0),
+            by_delay: hosts
+                .iter()
+                .all(|host| host.role.delay != HostDelay::Unknown),
         }
     }
 
-    /// Returns the score of a host; the highest ranks first.
-    pub(super) fn score(self, host: &EntryHostRecord) -> u64 {
-        if !self.by_capacity || host.capacity == 0 {
+    /// Returns whether a host does its work in time, and its score; the highest pair ranks first.
+    pub(super) fn rank(self, host: &EntryHostRecord) -> (bool, u64) {
+        let is_delayed = self.by_delay && host.role.delay == HostDelay::Delayed;
+        (!is_delayed, self.score(host))
+    }
+
+    fn score(self, host: &EntryHostRecord) -> u64 {
+        if !self.by_capacity || host.role.capacity == 0 {
             return self.key.score(&host.name);
         }
-        let weight = f64::from(host.capacity).powi(CAPACITY_EXPONENT);
+        let weight = f64::from(host.role.capacity).powi(CAPACITY_EXPONENT);
         // The bits of positive numbers are in their order.
         self.key.weighted_score(&host.name, weight).to_bits()
     }
 }
 
+/// Whether a host is in the hall of a partition, and its rank among the hosts of which that is so.
+pub(super) type CoordinatorRank = (bool, (bool, u64));
+
 /// Ranks entry hosts as coordinators of one pool. For a partition the hosts of its hall come first,
 /// since they are the last to lose contact with its targets.
 pub(super) struct CoordinatorRanking<'a> {
@@ -57,9 +70,9 @@
     }
 
     /// Returns the rank of a host; the one with the highest rank is the coordinator.
-    pub(super) fn rank(&self, host: &EntryHostRecord) -> (bool, u64) {
+    pub(super) fn rank(&self, host: &EntryHostRecord) -> CoordinatorRank {
         let same_hall = self.pool.hall() == Some(host.hall.as_str());
-        (same_hall, self.ranking.score(host))
+        (same_hall, self.ranking.rank(host))
     }
 
     /// Returns the hosts that rank before `own`, the best first. A stopping host coordinates only if
@@ -75,7 +88,7 @@
             .iter()
             .filter(|host| host.name != own.name && !host.stopping);
         let ranked = candidates.map(|host| (self.rank(host), host));
-        let mut better: Vec<((bool, u64), &EntryHostRecord)> = ranked
+        let mut better: Vec<(CoordinatorRank, &EntryHostRecord)> = ranked
             .filter(|(rank, _)| own.stopping || *rank > own_rank)
             .collect();
         better.sort_by_key(|(rank, host)| Reverse((*rank, host.peer)));
--- a/crates/gateway/src/stage_client/host_rank/tests.rs
+++ b/crates/gateway/src/stage_client/host_rank/tests.rs
@@ -1,6 +1,9 @@
 use std::collections::BTreeMap;
 
+use linnet_directory::RoleStatement;
+
 use super::*;
+use crate::pool_key::PoolPartition;
 use crate::rendezvous;
 use crate::stage_client::tests::host;
 
@@ -9,7 +12,10 @@
     let numbered = (0..).zip(capacities);
     numbered
         .map(|(number, capacity)| EntryHostRecord {
-            capacity: *capacity,
+            role: RoleStatement {
+                capacity: *capacity,
+                ..RoleStatement::default()
+            },
             ..host(number, false)
         })
         .collect()
@@ -22,7 +28,7 @@
         let pool = PoolKey::whole(&format!("pool-{number}"));
         let ranking = CoordinatorRanking::new(&pool, hosts);
         let first = hosts.iter().max_by_key(|host| ranking.rank(host));
-        *pools.entry(first.unwrap().capacity).or_default() += 1;
+        *pools.entry(first.unwrap().role.capacity).or_default() += 1;
     }
     pools
 }
@@ -69,3 +75,67 @@
     };
     assert_eq!(order(&plain), order(&equal));
 }
+
+/// Returns six hosts, three in each hall, of which those with these numbers are delayed.
+fn hosts_with_delay(delayed: &[usize]) -> Vec<EntryHostRecord> {
+    let mut hosts = hosts(&[100; 6]);
+    for (number, host) in hosts.iter_mut().enumerate() {
+        host.role.delay = match delayed.contains(&number) {
+            true => HostDelay::Delayed,
+            false => HostDelay::Timely,
+        };
+    }
+    hosts
+}
+
+/// Returns the names of the hosts in the order in which they coordinate a pool.
+fn succession(pool: &PoolKey, hosts: &[EntryHostRecord]) -> Vec<String> {
+    let ranking = CoordinatorRanking::new(pool, hosts);
+    let mut ranked: Vec<&EntryHostRecord> = hosts.iter().collect();
+    ranked.sort_by_key(|host| Reverse(ranking.rank(host)));
+    ranked.into_iter().map(|host| host.name.clone()).collect()
+}
+
+#[test]
+fn a_delayed_host_coordinates_only_where_all_are_delayed() {
+    let pool = PoolKey::whole("pool");
+    let timely = succession(&pool, &hosts_with_delay(&[]));
+    let number = |name: &String| name.trim_start_matches("host-").parse::<usize>().unwrap();
+    let first = number(&timely[0]);
+    let mut behind = timely[1..].to_vec();
+    behind.push(timely[0].clone());
+    assert_eq!(succession(&pool, &hosts_with_delay(&[first])), behind);
+    let all: Vec<usize> = (0..6).collect();
+    assert_eq!(succession(&pool, &hosts_with_delay(&all)), timely);
+}
+
+#[test]
+fn delays_do_not_count_while_one_host_states_none() {
+    let pool = PoolKey::whole("pool");
+    let timely = succession(&pool, &hosts_with_delay(&[]));
+    for delayed in 0..6 {
+        let mut hosts = hosts_with_delay(&[delayed]);
+        hosts[(delayed + 1) % 6].role.delay = HostDelay::Unknown;
+        assert_eq!(
+            succession(&pool, &hosts),
+            timely,
+            "host {delayed} is delayed"
+        );
+    }
+}
+
+#[test]
+fn a_partition_stays_in_its_hall_while_its_hosts_are_delayed() {
+    let pool = PoolKey {
+        service: "pool".to_owned(),
+        partition: Some(PoolPartition {
+            hall: "hall-0".to_owned(),
+            index: 0,
+            partition_count: 1,
+        }),
+    };
+    let hosts = hosts_with_delay(&[0, 2, 4]);
+    let first = &succession(&pool, &hosts)[..3];
+    let in_hall = |name: &String| ["host-0", "host-2", "host-4"].contains(&name.as_str());
+    assert!(first.iter().all(in_hall), "{first:?}");
+}
--- a/crates/gateway/src/stage_client/sender.rs
+++ b/crates/gateway/src/stage_client/sender.rs
@@ -60,14 +60,14 @@
     /// Returns `None` if this host sends the calls: it is the sender itself, or no other candidate
     /// is up.
     fn sender_of(&self, target: &str, hall: &str) -> Option<SocketAddr> {
-        let mut ranked: Vec<(u64, Option<SocketAddr>)> = {
+        let mut ranked: Vec<((bool, u64), Option<SocketAddr>)> = {
             let state = self.state.borrow();
             let ranking = HostRanking::new(target, &state.entry_hosts);
             let others = state.entry_hosts.iter();
             let same_hall = others
                 .filter(|host| host.hall == hall && host.name != self.own.name && !host.stopping)
-                .map(|host| (ranking.score(host), Some(host.peer)));
-            let own = (ranking.score(&self.own), None);
+                .map(|host| (ranking.rank(host), Some(host.peer)));
+            let own = (ranking.rank(&self.own_record(&state)), None);
             same_hall
                 .chain((hall == self.own.hall).then_some(own))
                 .collect()
--- a/crates/gateway/src/stage_client/tests.rs
+++ b/crates/gateway/src/stage_client/tests.rs
@@ -2,6 +2,7 @@
 mod returns;
 mod succession;
 
+use linnet_directory::RoleStatement;
 use linnet_telemetry::EventCode;
 use tokio::sync::oneshot;
 
@@ -15,7 +16,7 @@
         hall: format!("hall-{}", number % 2),
         peer: SocketAddr::from(([127, 0, 0, 1], 1_000 + number)),
         stopping,
-        capacity: 0,
+        role: RoleStatement::default(),
     }
 }
 
@@ -114,6 +115,9 @@
     });
     client.set_entry_hosts(stopping.collect());
     assert_eq!(ranked_names(&client), before[2..]);
+    // A delayed host ranks itself by what it states; these hosts state nothing.
+    client.set_delay(HostDelay::Delayed);
+    assert_eq!(ranked_names(&client), before[2..]);
     // A host that is stopping ranks itself after all others.
     client.begin_stop();
     assert_eq!(ranked_names(&client).len(), 37);
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -104,6 +104,8 @@
     PartAccused = 429, Warn, "A target crashed right after it had answered a request with these parts in its prompt.";
     HostDelayed = 430, Warn, "This host delays requests itself, by its processor or its links; the line says by how much.";
     HostRecovered = 431, Info, "This host no longer delays requests.";
+    RolesYielded = 432, Warn, "This host has been delayed for some time; others rank before it for the roles of pools.";
+    RolesResumed = 433, Info, "This host has not been delayed for some time and ranks for roles as before.";
     TargetListed = 501, Info, "A target was added to the host list.";
     TargetLeaving = 502, Info, "A target is leaving and gets no new requests.";
     TargetGone = 503, Info, "A target is missing from a complete read of the host list.";
