Requests that would wait for their host until the deadline are refused at once

What callers saw: an overloaded host admits ten requests a second however late it is.

Cause: admission by rate alone. That ten requests a second are not what delays a host does not make them servable.

Change: a request whose time left is below the forecast of its waits is refused with the Retry-After of overload. The forecast is the standing delay times the waits of a request, which the host learns from requests that are answered or reach their deadline.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -56,6 +56,8 @@
     pub(crate) age: Duration,
     /// Whether it was admitted although it will miss its objective.
     pub(crate) is_late: Cell<bool>,
+    /// The delay of this host when it was admitted.
+    pub(crate) host_delay: Cell<Duration>,
     /// How often it was sent to targets.
     pub(crate) sends: RequestSends,
     /// The only software version whose targets may run it; set once its caller has events of a
@@ -193,6 +195,7 @@
         subject: OnceCell::new(),
         isolated: Cell::new(false),
         age: Duration::ZERO,
+        host_delay: Cell::default(),
         is_late: Cell::new(false),
         sends: RequestSends::default(),
         bound_version: OnceCell::new(),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -100,6 +100,14 @@
     }
 }
 
+/// Returns whether a request shows how long requests take: others ended before they had to wait.
+fn is_answered_or_late(
+    request: &CallerRequest,
+    outcome: &Result<Response<ResponseBody>, Refusal>,
+) -> bool {
+    outcome.is_ok() || request.time_left().is_zero()
+}
+
 fn record_outcome(
     gateway: &Gateway,
     request: &CallerRequest,
@@ -107,6 +115,10 @@
     outcome: &Result<Response<ResponseBody>, Refusal>,
 ) {
     let elapsed = request.arrived_at.elapsed();
+    if is_answered_or_late(request, outcome) {
+        let planned = Duration::from_secs_f64(trace.plan.total_ms() / 1_000.0);
+        gateway.host_load.record_own_time(request, planned);
+    }
     let detail = |outcome: &str| {
         format!(
             "route={} account={} rank={}.{} version={} born={} attempts={} planned_ms={:.0} waits_ms={:.0} stages_ms={} stage_runs={} took_ms={}{}{}{} {outcome}",
--- a/crates/gateway/src/host_load.rs
+++ b/crates/gateway/src/host_load.rs
@@ -1,13 +1,13 @@
 //! Measures the delay that this host itself adds to requests, and refuses requests that it cannot
 //! serve in time. The decisions are those of `linnet_hostload`.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use linnet_directory::HostDelay;
-use linnet_hostload::{ConnectMeter, DelayMeter, RequestShedder, RoleYield, ShedDecision};
+use linnet_hostload::{ConnectMeter, DelayMeter, OwnTime, RequestShedder, RoleYield, ShedDecision};
 use linnet_telemetry::EventCode;
 use tokio::time::sleep_until;
 
@@ -57,6 +57,7 @@
     processing: RefCell<DelayMeter>,
     connecting: RefCell<ConnectMeter<SocketAddr>>,
     shedder: RefCell<RequestShedder<LoadClass>>,
+    own_time: Cell<OwnTime>,
     roles: RefCell<RoleYield>,
 }
 
@@ -109,6 +110,26 @@
         self.shedder.borrow_mut().record_completed();
     }
 
+    /// Records how long a request took that was answered or reached its deadline, without the time
+    /// that its targets were expected to need.
+    pub(crate) fn record_own_time(&self, request: &CallerRequest, planned: Duration) {
+        let time = request.arrived_at.elapsed().saturating_sub(planned);
+        let delay = self.processing_delay().max(request.host_delay.get());
+        let mut own_time = self.own_time.get();
+        own_time.record(time, delay);
+        self.own_time.set(own_time);
+    }
+
+    /// Returns how long a request that arrives now will wait for this host in all.
+    fn forecast_own_time(&self) -> Duration {
+        self.own_time.get().forecast(self.processing_delay())
+    }
+
+    /// Returns whether a request would wait for this host until its deadline.
+    fn is_hopeless(&self, request: &CallerRequest) -> bool {
+        self.forecast_own_time() >= request.time_left()
+    }
+
     /// Decides whether this host processes a request.
     fn decide(&self, request: &CallerRequest) -> ShedDecision {
         let account = account_key(request.account.as_deref());
@@ -125,17 +146,24 @@
     !request.age.is_zero()
 }
 
-/// Refuses a request if this host is overloaded itself and serves others first.
+/// Refuses a request if this host is overloaded itself and serves others first, or if the request would
+/// wait for this host until its deadline.
 pub(crate) fn check_host_load(gateway: &Gateway, request: &CallerRequest) -> Result<(), Refusal> {
     let load = &gateway.host_load;
     let decision = load.decide(request);
-    let refused = decision != ShedDecision::Admitted;
+    let is_hopeless = load.is_hopeless(request);
+    let refused = is_hopeless || decision != ShedDecision::Admitted;
     if refused && gateway.overload.policy().planned_returns {
         let control = &gateway.overload;
         control.record_admission(request.rank, refused, Instant::now());
     }
-    let ShedDecision::Refused { admitted } = decision else {
+    if !refused {
+        request.host_delay.set(load.processing_delay());
         return Ok(());
+    }
+    let admitted = match decision {
+        ShedDecision::Admitted => 1.0,
+        ShedDecision::Refused { admitted } => admitted,
     };
     let draw = fastrand::f64();
     let wait = load
@@ -144,13 +172,14 @@
         .return_wait(was_refused(request), draw);
     gateway.metrics.count_refusal(RefusalCause::Host, wait);
     let detail = format!(
-        "this host is overloaded: processing_ms={} connect_ms={} limit_per_s={} admit_permille={:.0} returned_per_s={:.0} late={}",
+        "this host is overloaded: processing_ms={} connect_ms={} limit_per_s={} admit_permille={:.0} returned_per_s={:.0} late={} own_ms={} hopeless={is_hopeless}",
         load.processing_delay().as_millis(),
         load.connect_delay().as_millis(),
         load.limit(),
         admitted * 1_000.0,
         load.returned_rate(),
-        LoadClass::new(request).is_late
+        LoadClass::new(request).is_late,
+        load.forecast_own_time().as_millis()
     );
     Err(Refusal::new(RefusalReason::Overloaded, detail).with_retry_after(wait))
 }
@@ -222,3 +251,6 @@
         gateway.record_event(EventCode::HostRecovered, &delay_detail(gateway));
     }
 }
+
+#[cfg(test)]
+mod tests;
