--- a/crates/gateway/src/host_load.rs
+++ b/crates/gateway/src/host_load.rs
@@ -151,8 +151,7 @@
 pub(crate) fn check_host_load(gateway: &Gateway, request: &CallerRequest) -> Result<(), Refusal> {
     let load = &gateway.host_load;
     let decision = load.decide(request);
-    let is_hopeless = load.is_hopeless(request);
-    let refused = is_hopeless || decision != ShedDecision::Admitted;
+    let refused = load.is_hopeless(request) || decision != ShedDecision::Admitted;
     if refused && gateway.overload.policy().planned_returns {
         let control = &gateway.overload;
         control.record_admission(request.rank, refused, Instant::now());
@@ -165,6 +164,12 @@
         ShedDecision::Admitted => 1.0,
         ShedDecision::Refused { admitted } => admitted,
     };
+    Err(overload_refusal(gateway, request, admitted))
+}
+
+/// Counts a refusal of a request of which the limit admits a share, and returns it.
+fn overload_refusal(gateway: &Gateway, request: &CallerRequest, admitted: f64) -> Refusal {
+    let load = &gateway.host_load;
     let draw = fastrand::f64();
     let wait = load
         .shedder
@@ -172,16 +177,17 @@
         .return_wait(was_refused(request), draw);
     gateway.metrics.count_refusal(RefusalCause::Host, wait);
     let detail = format!(
-        "this host is overloaded: processing_ms={} connect_ms={} limit_per_s={} admit_permille={:.0} returned_per_s={:.0} late={} own_ms={} hopeless={is_hopeless}",
+        "this host is overloaded: processing_ms={} connect_ms={} limit_per_s={} admit_permille={:.0} returned_per_s={:.0} late={} own_ms={} hopeless={}",
         load.processing_delay().as_millis(),
         load.connect_delay().as_millis(),
         load.limit(),
         admitted * 1_000.0,
         load.returned_rate(),
         LoadClass::new(request).is_late,
-        load.forecast_own_time().as_millis()
+        load.forecast_own_time().as_millis(),
+        load.is_hopeless(request)
     );
-    Err(Refusal::new(RefusalReason::Overloaded, detail).with_retry_after(wait))
+    Refusal::new(RefusalReason::Overloaded, detail).with_retry_after(wait)
 }
 
 /// Measures how late timers of this host are.
