Only planned requests at a delayed host tell how often requests wait for it

Found on reading again: a plain service has no planned time, so all the time of its target counted as waits for the host, and 2 s at a target with a delay of 20 ms counted as 20 waits, the most there are. The host would have refused requests that it can serve. Requests of pipelines at a delay of 50 ms and more are learned from now.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -100,6 +100,13 @@
     }
 }
 
+/// Returns the time that the targets of a request were expected to need; `None` for plain services,
+/// whose times are not estimated.
+fn planned_time(trace: &RequestTrace) -> Option<Duration> {
+    let planned_ms = trace.plan.total_ms();
+    (planned_ms > 0.0).then(|| Duration::from_secs_f64(planned_ms / 1_000.0))
+}
+
 /// Returns whether a request shows how long requests take: others ended before they had to wait.
 fn is_answered_or_late(
     request: &CallerRequest,
@@ -115,8 +122,7 @@
     outcome: &Result<Response<ResponseBody>, Refusal>,
 ) {
     let elapsed = request.arrived_at.elapsed();
-    if is_answered_or_late(request, outcome) {
-        let planned = Duration::from_secs_f64(trace.plan.total_ms() / 1_000.0);
+    if let Some(planned) = planned_time(trace).filter(|_| is_answered_or_late(request, outcome)) {
         gateway.host_load.record_own_time(request, planned);
     }
     let detail = |outcome: &str| {
--- a/crates/hostload/src/own_time.rs
+++ b/crates/hostload/src/own_time.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-/// Delay from which on requests show how often they wait for their host.
-const MIN_DELAY: Duration = Duration::from_millis(15);
+/// Delay from which on requests show how often they wait for their host. With a shorter one most of the
+/// time that was not planned is that of targets.
+const MIN_DELAY: Duration = Duration::from_millis(50);
 
 /// Number of waits of a request before any was measured: when it is read, when its connection is open,
 /// when the response begins, and once for a stage.
--- a/crates/hostload/src/own_time/tests.rs
+++ b/crates/hostload/src/own_time/tests.rs
@@ -14,7 +14,7 @@
         (200, 100, 200..=210),
         (90_000, 300, 1_980..=2_000),
         (0, 300, 100..=110),
-        (60_000, 14, 400..=400),
+        (60_000, 49, 400..=400),
     ];
     for (took, delay, expected) in cases {
         let mut own = OwnTime::new();
