Lines of refusals state the forecast that the decision was made with

The line asked again whether the request is hopeless, after its time left had shrunk, so hopeless=true could stand at a request that the limit refused. It is asked once now. No decision changes.

--- a/crates/gateway/src/host_load.rs
+++ b/crates/gateway/src/host_load.rs
@@ -151,7 +151,8 @@
 pub(crate) fn check_host_load(gateway: &Gateway, request: &CallerRequest) -> Result<(), Refusal> {
     let load = &gateway.host_load;
     let decision = load.decide(request);
-    let refused = load.is_hopeless(request) || decision != ShedDecision::Admitted;
+    let is_hopeless = load.is_hopeless(request);
+    let refused = is_hopeless || decision != ShedDecision::Admitted;
     if refused && gateway.overload.policy().planned_returns {
         let control = &gateway.overload;
         control.record_admission(request.rank, refused, Instant::now());
@@ -164,11 +165,17 @@
         ShedDecision::Admitted => 1.0,
         ShedDecision::Refused { admitted } => admitted,
     };
-    Err(overload_refusal(gateway, request, admitted))
+    Err(overload_refusal(gateway, request, admitted, is_hopeless))
 }
 
-/// Counts a refusal of a request of which the limit admits a share, and returns it.
-fn overload_refusal(gateway: &Gateway, request: &CallerRequest, admitted: f64) -> Refusal {
+/// Counts a refusal and returns it. The limit admits a share of such requests; a hopeless one is refused
+/// whatever it admits.
+fn overload_refusal(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    admitted: f64,
+    is_hopeless: bool,
+) -> Refusal {
     let load = &gateway.host_load;
     let draw = fastrand::f64();
     let wait = load
@@ -177,15 +184,14 @@
         .return_wait(was_refused(request), draw);
     gateway.metrics.count_refusal(RefusalCause::Host, wait);
     let detail = format!(
-        "this host is overloaded: processing_ms={} connect_ms={} limit_per_s={} admit_permille={:.0} returned_per_s={:.0} late={} own_ms={} hopeless={}",
+        "this host is overloaded: processing_ms={} connect_ms={} limit_per_s={} admit_permille={:.0} returned_per_s={:.0} late={} own_ms={} hopeless={is_hopeless}",
         load.processing_delay().as_millis(),
         load.connect_delay().as_millis(),
         load.limit(),
         admitted * 1_000.0,
         load.returned_rate(),
         LoadClass::new(request).is_late,
-        load.forecast_own_time().as_millis(),
-        load.is_hopeless(request)
+        load.forecast_own_time().as_millis()
     );
     Refusal::new(RefusalReason::Overloaded, detail).with_retry_after(wait)
 }
