Requests that end without a complete answer are counted by cause, with the time since SIGTERM

The log and the metrics did not tell a silent target from one that ended, nor a stop from a deadline, and streams that the end of the process cut left no line. Lines 404 now have incomplete=CAUSE and, in a planned stop, since_stop_ms; linnet_gateway_incomplete_answers_total has the same causes. A stream that is open at the end of the grace is cut by the host itself shortly before the process ends, when plain requests are answered, so it leaves its line. No decision changes otherwise.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,6 +23,7 @@
 use crate::graph::RequestResults;
 use crate::in_flight::InFlightGuard;
 use crate::incarnation::{IncarnationCheck, ProvedIncarnation};
+use crate::incomplete_answer::IncompleteCause;
 use crate::message_heads::{TargetHeaders, build_target_request};
 use crate::metrics::BodyEnd;
 use crate::notice::parse_notice;
@@ -86,8 +87,7 @@
     /// The request may have run, and there is no usable response.
     MayHaveRun {
         cause: String,
-        /// Whether the target broke (closed or reset) the connection.
-        broken: bool,
+        kind: IncompleteCause,
     },
 }
 
@@ -104,17 +104,22 @@
     }
 
     fn unusable(cause: impl Into<String>) -> Self {
+        Self::incomplete(IncompleteCause::Unusable, cause)
+    }
+
+    fn incomplete(kind: IncompleteCause, cause: impl Into<String>) -> Self {
         Self::MayHaveRun {
             cause: cause.into(),
-            broken: false,
+            kind,
         }
     }
 
     fn cut_short(what: &str, error: &hyper::Error) -> Self {
-        Self::MayHaveRun {
-            cause: format!("{what} cut short: {error}"),
-            broken: is_peer_disconnect(error),
-        }
+        let kind = match is_peer_disconnect(error) {
+            true => IncompleteCause::Connection,
+            false => IncompleteCause::Unusable,
+        };
+        Self::incomplete(kind, format!("{what} cut short: {error}"))
     }
 }
 
@@ -178,7 +183,8 @@
     let exchange = send_and_receive(gateway, request, attempt, time_left, (in_flight, permit));
     let outcome = timeout(time_limit, exchange).await;
     let mut outcome = outcome.unwrap_or_else(|_| {
-        AttemptOutcome::unusable(format!("no response within {} ms", time_limit.as_millis()))
+        let cause = format!("no response within {} ms", time_limit.as_millis());
+        AttemptOutcome::incomplete(IncompleteCause::Silence, cause)
     });
     let took = sent.elapsed();
     if let AttemptOutcome::Complete(response) = &mut outcome
@@ -190,11 +196,21 @@
             .await;
         match state {
             TargetState::Alive => response.is_confirmed = true,
-            _ => outcome = AttemptOutcome::unusable(state.close_cause()),
+            TargetState::Unknown => {
+                outcome = AttemptOutcome::incomplete(IncompleteCause::Silence, state.close_cause());
+            }
+            TargetState::Crashed | TargetState::Unproved => {
+                outcome =
+                    AttemptOutcome::incomplete(IncompleteCause::TargetEnded, state.close_cause());
+            }
         }
     }
     gateway.count_attempt(request, (service, chosen), &outcome, took, facts);
-    if let AttemptOutcome::MayHaveRun { broken: true, .. } = outcome {
+    if let AttemptOutcome::MayHaveRun {
+        kind: IncompleteCause::Connection,
+        ..
+    } = outcome
+    {
         gateway
             .probe_after_break((service, chosen), request, sent)
             .await;
@@ -295,7 +311,11 @@
             };
         }
         Err(SendError::MayHaveRun { cause, broken }) => {
-            return AttemptOutcome::MayHaveRun { cause, broken };
+            let kind = match broken {
+                true => IncompleteCause::Connection,
+                false => IncompleteCause::Unusable,
+            };
+            return AttemptOutcome::incomplete(kind, cause);
         }
         Err(error @ SendError::Foreign(_)) => {
             return AttemptOutcome::unusable(error.to_string());
@@ -372,10 +392,8 @@
             Err(AttemptOutcome::Complete(response))
                 if !has_event_lines(&response.body) && !response.is_confirmed && !resumes =>
             {
-                AttemptOutcome::MayHaveRun {
-                    cause: "connection closed before the first event".to_owned(),
-                    broken: true,
-                }
+                let cause = "connection closed before the first event";
+                AttemptOutcome::incomplete(IncompleteCause::Connection, cause)
             }
             Err(AttemptOutcome::Complete(response)) => AttemptOutcome::Complete(CompleteResponse {
                 unframed,
@@ -411,7 +429,7 @@
         }
         Err(error @ BodyError::TooLong(_)) => {
             gateway.metrics.count_body(framing, BodyEnd::TooLong);
-            AttemptOutcome::unusable(format!("answer {error}"))
+            AttemptOutcome::incomplete(IncompleteCause::Flood, format!("answer {error}"))
         }
     }
 }
--- a/crates/gateway/src/attempt/first_event.rs
+++ b/crates/gateway/src/attempt/first_event.rs
@@ -12,6 +12,7 @@
 use crate::body_framing::BodyFraming;
 use crate::caller_request::CallerRequest;
 use crate::events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES, has_event_lines};
+use crate::incomplete_answer::IncompleteCause;
 use crate::metrics::BodyEnd;
 use crate::stage_client::Placement;
 use crate::upstream::ConnectionLease;
@@ -46,7 +47,8 @@
                     Ok(events) if first.len() <= MAX_EVENT_BYTES => events.flatten(),
                     Ok(_) | Err(EventTooLong) => {
                         gateway.metrics.count_body(framing, BodyEnd::TooLong);
-                        return Err(AttemptOutcome::unusable(EventTooLong.to_string()));
+                        let cause = EventTooLong.to_string();
+                        return Err(AttemptOutcome::incomplete(IncompleteCause::Flood, cause));
                     }
                 };
                 first.extend_from_slice(&events.unwrap_or_default());
@@ -72,10 +74,12 @@
             }
             None if splitter.partial_bytes() > 0 => {
                 gateway.metrics.count_body(framing, BodyEnd::Broken);
-                return Err(AttemptOutcome::MayHaveRun {
-                    cause: "stream ended inside its first event".to_owned(),
-                    broken: framing == BodyFraming::Close,
-                });
+                let kind = match framing {
+                    BodyFraming::Close => IncompleteCause::Connection,
+                    BodyFraming::Length | BodyFraming::Chunks => IncompleteCause::Unusable,
+                };
+                let cause = "stream ended inside its first event";
+                return Err(AttemptOutcome::incomplete(kind, cause));
             }
             None => {
                 lease.release(&head.headers);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,6 +15,7 @@
 use crate::engine::PlacementFacts;
 use crate::event_cursor::EventCursor;
 use crate::graph::RequestResults;
+use crate::incomplete_answer::IncompleteCause;
 use crate::message_heads::{build_response, refusal_response};
 use crate::part_suspects::AnswerRun;
 use crate::prompt::describe_parts;
@@ -63,6 +64,8 @@
     refusal_facts: String,
     /// Whether a target may have run it.
     may_have_run: bool,
+    /// Why its last attempt has no complete answer.
+    incomplete: IncompleteCause,
 }
 
 /// Processes a request and returns the final response.
@@ -78,10 +81,13 @@
         run_request(&gateway, &request, &mut trace),
     );
     let outcome = tokio::select! {
-        outcome = running => outcome.ok(),
-        () = gateway.wait_for_stop_deadline() => None,
+        outcome = running => outcome.map_err(|_| IncompleteCause::Deadline),
+        () = gateway.wait_for_stop_deadline() => Err(IncompleteCause::Stop),
     };
-    let outcome = outcome.unwrap_or_else(|| Err(timeout_refusal(&trace)));
+    let outcome = outcome.unwrap_or_else(|cause| {
+        trace.incomplete = cause;
+        Err(timeout_refusal(&trace))
+    });
     caller_watch.mark_answered();
     record_outcome(&gateway, &request, &trace, &outcome);
     match outcome {
@@ -173,12 +179,14 @@
             )
         }
         Err(refusal) => {
-            let code = if refusal.reason.promises_not_run() {
-                EventCode::RequestRefused
+            let (code, keys) = if refusal.reason.promises_not_run() {
+                (EventCode::RequestRefused, refusal.log_keys())
             } else {
-                EventCode::RequestFailed
+                let incomplete = gateway.count_incomplete(trace.incomplete);
+                let keys = format!("{incomplete} {}", refusal.log_keys());
+                (EventCode::RequestFailed, keys)
             };
-            (code, refusal.log_keys(), refusal.reason.to_string())
+            (code, keys, refusal.reason.to_string())
         }
     };
     gateway
@@ -354,7 +362,8 @@
                 }
                 cause
             }
-            AttemptOutcome::MayHaveRun { cause, .. } => {
+            AttemptOutcome::MayHaveRun { cause, kind } => {
+                trace.incomplete = kind;
                 gateway.record_target_failure(&service, &chosen.id, &cause);
                 if !may_retry
                     || gateway.may_crash_again(&service, request)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 mod target_health;
 mod target_list;
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -41,6 +41,7 @@
 use crate::send_permit_issuer::SendPermitIssuer;
 use crate::stage_call::StageTargetClient;
 use crate::stage_client::StageClient;
+use crate::stop_time::StopTime;
 use crate::stream_origins::StreamOrigins;
 use crate::suspects::SuspectTracker;
 use crate::target::TargetStore;
@@ -133,9 +134,8 @@
     send_permit_issuer: SendPermitIssuer,
     /// Counts requests that wait until a target accepts requests again.
     pub(crate) waiting_requests: OpenRequestCount,
-    pub(crate) stopping: Cell<bool>,
-    /// When requests still in flight are aborted, because the process is about to stop.
-    stop_deadline: watch::Sender<Option<Instant>>,
+    /// Set once the process is about to stop.
+    stop_time: watch::Sender<Option<StopTime>>,
     pub(crate) open_requests: OpenRequestCount,
     /// Wakes the task that recomputes the list of targets.
     targets_changed: Notify,
@@ -217,8 +217,7 @@
             notices,
             send_permit_issuer: SendPermitIssuer::default(),
             waiting_requests: OpenRequestCount::default(),
-            stopping: Cell::new(false),
-            stop_deadline: watch::Sender::new(None),
+            stop_time: watch::Sender::new(None),
             open_requests: OpenRequestCount::default(),
             targets_changed: Notify::new(),
             target_list_updates: watch::Sender::new(()),
@@ -284,7 +283,7 @@
 
     /// Returns why new callers should not use this host; `None` if it is ready.
     pub fn not_ready(&self) -> Option<NotReady> {
-        if self.stopping.get() {
+        if self.is_stopping() {
             return Some(NotReady::Stopping);
         }
         if self.route_table.borrow().is_some() {
@@ -311,9 +310,10 @@
     /// Begins a planned stop. New callers should use other hosts; requests in flight continue until
     /// `deadline` and are then answered with a refusal.
     pub fn begin_stop(&self, deadline: Instant) {
-        self.stopping.set(true);
         self.stage_client.begin_stop();
-        self.stop_deadline.send_replace(Some(deadline));
+        let began = Instant::now();
+        self.stop_time
+            .send_replace(Some(StopTime { began, deadline }));
         self.entry_host_record.send_modify(|record| {
             if let Some(record) = record {
                 record.stopping = true;
@@ -321,14 +321,24 @@
         });
     }
 
+    /// Returns the times of the planned stop; `None` if the process is not about to stop.
+    pub(crate) fn stop_time(&self) -> Option<StopTime> {
+        *self.stop_time.borrow()
+    }
+
+    /// Returns whether the process is about to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stop_time().is_some()
+    }
+
     /// Resolves when requests in flight have to be aborted.
     pub(crate) async fn wait_for_stop_deadline(&self) {
-        let mut stop_deadline = self.stop_deadline.subscribe();
+        let mut stop_time = self.stop_time.subscribe();
         loop {
-            let at = *stop_deadline.borrow_and_update();
-            match at {
-                Some(at) => return tokio::time::sleep_until(at.into()).await,
-                None if stop_deadline.changed().await.is_err() => return,
+            let stop = *stop_time.borrow_and_update();
+            match stop {
+                Some(stop) => return tokio::time::sleep_until(stop.deadline.into()).await,
+                None if stop_time.changed().await.is_err() => return,
                 None => {}
             }
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,10 +16,10 @@
 use registration::register_all;
 
 pub(crate) use labels::{
-    BodyEnd, BodyLabels, ConnectionLabels, ForeignLabels, IncarnationLabels, OriginLabels,
-    OutcomeLabels, OwnResponseLabels, PlacerLabels, PlacerReply, RefusalCause, RefusalLabels,
-    ResumptionLabels, RetryLabels, ReturnLabels, ReturnOutcome, SendLabels, StreamEndLabels,
-    UnframedLabels,
+    BodyEnd, BodyLabels, ConnectionLabels, ForeignLabels, IncarnationLabels, IncompleteLabels,
+    OriginLabels, OutcomeLabels, OwnResponseLabels, PlacerLabels, PlacerReply, RefusalCause,
+    RefusalLabels, ResumptionLabels, RetryLabels, ReturnLabels, ReturnOutcome, SendLabels,
+    StreamEndLabels, UnframedLabels,
 };
 
 /// Metrics of an entry host.
@@ -39,6 +39,7 @@
     pub(crate) streams_taken_up: Family<OriginLabels, Counter>,
     pub(crate) stream_resumptions: Family<ResumptionLabels, Counter>,
     pub(crate) stream_ends: Family<StreamEndLabels, Counter>,
+    pub(crate) incomplete_answers: Family<IncompleteLabels, Counter>,
     pub(crate) target_incarnations: Family<IncarnationLabels, Counter>,
     pub(crate) target_bodies: Family<BodyLabels, Counter>,
     pub(crate) unframed_ends: Family<UnframedLabels, Counter>,
@@ -107,6 +108,7 @@
             streams_taken_up: Family::default(),
             stream_resumptions: Family::default(),
             stream_ends: Family::default(),
+            incomplete_answers: Family::default(),
             target_incarnations: Family::default(),
             target_bodies: Family::default(),
             unframed_ends: Family::default(),
--- a/crates/gateway/src/metrics/counting.rs
+++ b/crates/gateway/src/metrics/counting.rs
@@ -5,13 +5,14 @@
 use http::StatusCode;
 
 use super::{
-    BodyEnd, BodyLabels, ConnectionLabels, GatewayMetrics, IncarnationLabels, OriginLabels,
-    OutcomeLabels, OwnResponseLabels, PlacerLabels, PlacerReply, RefusalCause, RefusalLabels,
-    ResumptionLabels, RetryLabels, ReturnLabels, ReturnOutcome, SendLabels, StreamEndLabels,
-    UnframedLabels,
+    BodyEnd, BodyLabels, ConnectionLabels, GatewayMetrics, IncarnationLabels, IncompleteLabels,
+    OriginLabels, OutcomeLabels, OwnResponseLabels, PlacerLabels, PlacerReply, RefusalCause,
+    RefusalLabels, ResumptionLabels, RetryLabels, ReturnLabels, ReturnOutcome, SendLabels,
+    StreamEndLabels, UnframedLabels,
 };
 use crate::body_framing::BodyFraming;
 use crate::connection_use::ConnectionUse;
+use crate::incomplete_answer::IncompleteCause;
 use crate::outcome::RefusalReason;
 use crate::retry_cause::RetryCause;
 use crate::stated_start::IncarnationVerdict;
@@ -99,6 +100,13 @@
         self.stream_ends.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_incomplete(&self, cause: IncompleteCause) {
+        let labels = IncompleteLabels {
+            cause: cause.to_string(),
+        };
+        self.incomplete_answers.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn count_incarnation(&self, verdict: IncarnationVerdict) {
         let labels = IncarnationLabels {
             outcome: verdict.to_string(),
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -134,6 +134,13 @@
     pub cause: String,
 }
 
+/// Labels of requests that ended without a complete answer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct IncompleteLabels {
+    /// Why, such as `stop` or `silence`.
+    pub cause: String,
+}
+
 /// Labels of requests that were sent to targets.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct SendLabels {
--- a/crates/gateway/src/metrics/registration.rs
+++ b/crates/gateway/src/metrics/registration.rs
@@ -154,6 +154,11 @@
         "Streams that ended towards their callers, by cause",
         metrics.stream_ends.clone(),
     );
+    registry.register(
+        "incomplete_answers",
+        "Requests that targets may have run and that ended without a complete answer, by cause",
+        metrics.incomplete_answers.clone(),
+    );
     registry.register(
         "target_incarnations",
         "Checks of the incarnation that a connection leads to, by outcome",
--- a/crates/gateway/src/metrics/tests.rs
+++ b/crates/gateway/src/metrics/tests.rs
@@ -3,6 +3,7 @@
 use prometheus_client::encoding::text::encode;
 
 use super::*;
+use crate::incomplete_answer::IncompleteCause;
 use crate::stream_trace::{ResumptionOutcome, StreamEnd};
 
 fn page(metrics: &GatewayMetrics) -> String {
@@ -124,9 +125,11 @@
         StreamEnd::Connection,
         StreamEnd::InsideEvent,
         StreamEnd::UnconfirmedClose,
+        StreamEnd::SilentTarget,
         StreamEnd::TooLong,
         StreamEnd::OutOfOrder,
         StreamEnd::TimedOut,
+        StreamEnd::Stopped,
         StreamEnd::CallerLeft,
     ];
     for end in ends {
@@ -151,10 +154,33 @@
             "linnet_gateway_stream_ends_total{cause=\"connection\"} 1",
             "linnet_gateway_stream_ends_total{cause=\"inside_event\"} 1",
             "linnet_gateway_stream_ends_total{cause=\"unconfirmed_close\"} 1",
+            "linnet_gateway_stream_ends_total{cause=\"silent_target\"} 1",
             "linnet_gateway_stream_ends_total{cause=\"too_long\"} 1",
             "linnet_gateway_stream_ends_total{cause=\"out_of_order\"} 1",
             "linnet_gateway_stream_ends_total{cause=\"timed_out\"} 1",
+            "linnet_gateway_stream_ends_total{cause=\"stopped\"} 1",
             "linnet_gateway_stream_ends_total{cause=\"caller_left\"} 1",
         ],
     );
 }
+
+/// Guards against names that differ from docs/OPERATIONS.md.
+#[test]
+fn requests_without_a_complete_answer_are_told_apart_by_cause() {
+    let metrics = GatewayMetrics::new();
+    let causes = [
+        (IncompleteCause::Stop, "stop"),
+        (IncompleteCause::Deadline, "deadline"),
+        (IncompleteCause::Silence, "silence"),
+        (IncompleteCause::Flood, "flood"),
+        (IncompleteCause::Connection, "connection"),
+        (IncompleteCause::TargetEnded, "target_ended"),
+        (IncompleteCause::Unusable, "unusable"),
+    ];
+    for (cause, _) in causes {
+        metrics.count_incomplete(cause);
+    }
+    let lines = causes
+        .map(|(_, name)| format!("linnet_gateway_incomplete_answers_total{{cause=\"{name}\"}} 1"));
+    assert_lines(&metrics, &lines.each_ref().map(String::as_str));
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -161,6 +161,13 @@
         self.record(code, outcome);
     }
 
+    /// Same as [`StreamRelay::finish`] for a stream that is cut.
+    fn abort(&mut self, end: StreamEnd, outcome: &str) {
+        let incomplete = self.gateway.count_incomplete(end.into());
+        let outcome = format!("{incomplete} {outcome}");
+        self.finish(EventCode::RequestFailed, end, &outcome);
+    }
+
     /// Starts the check whether the target that broke the connection has crashed.
     async fn probe_target(&self) {
         let target = (self.service.as_str(), &self.chosen);
@@ -216,7 +223,14 @@
         .request
         .deadline
         .saturating_duration_since(Instant::now());
-    match timeout(deadline, read_events(&mut stream)).await {
+    let read = tokio::select! {
+        read = timeout(deadline, read_events(&mut stream)) => read,
+        () = relay.gateway.wait_for_stop_deadline() => {
+            relay.abort(StreamEnd::Stopped, "outcome=the host stopped in its stream");
+            return Some((Err(IncompleteResponse), RelayState::Ended));
+        }
+    };
+    match read {
         Ok(Ok(Some(events))) => {
             let events = relay.admit_events(events);
             match relay.disorder.take_if(|_| events.is_empty()) {
@@ -237,7 +251,11 @@
             let state = relay.judge_end(&stream).await;
             if state != TargetState::Alive {
                 relay.count_body(&stream, BodyEnd::Broken);
-                let (end, cause) = (StreamEnd::UnconfirmedClose, state.close_cause());
+                let end = match state {
+                    TargetState::Unknown => StreamEnd::SilentTarget,
+                    _ => StreamEnd::UnconfirmedClose,
+                };
+                let cause = state.close_cause();
                 return resume_or_abort(relay, stream, end, cause).await;
             }
             let end = format!("{} outcome=stream ended", describe_body(&stream));
@@ -267,8 +285,7 @@
             resume_or_abort(relay, stream, end, &error.to_string()).await
         }
         Err(_) => {
-            let outcome = "outcome=timed out in its stream";
-            relay.finish(EventCode::RequestFailed, StreamEnd::TimedOut, outcome);
+            relay.abort(StreamEnd::TimedOut, "outcome=timed out in its stream");
             Some((Err(IncompleteResponse), RelayState::Ended))
         }
     }
@@ -317,7 +334,7 @@
         }
         ResumeOutcome::Failed(reason) => {
             let outcome = format!("{body} resumption={reason} outcome=stream cut cause={cause}");
-            relay.finish(EventCode::RequestFailed, end, &outcome);
+            relay.abort(end, &outcome);
             Some((Err(IncompleteResponse), RelayState::Ended))
         }
     }
--- a/crates/gateway/src/stream_trace.rs
+++ b/crates/gateway/src/stream_trace.rs
@@ -96,6 +96,9 @@
     /// A body without framing ended, and the target is not known to run.
     #[display("unconfirmed_close")]
     UnconfirmedClose,
+    /// A body without framing ended, and the target was silent from then on.
+    #[display("silent_target")]
+    SilentTarget,
     /// An event was too long.
     #[display("too_long")]
     TooLong,
@@ -105,6 +108,9 @@
     /// The deadline was reached.
     #[display("timed_out")]
     TimedOut,
+    /// This host stopped.
+    #[display("stopped")]
+    Stopped,
     /// The caller left.
     #[display("caller_left")]
     CallerLeft,
--- a/crates/gateway/src/tunnel_server.rs
+++ b/crates/gateway/src/tunnel_server.rs
@@ -58,7 +58,7 @@
         return Err(TunnelReply::UnknownTarget);
     }
     // The asking host learns from the directory that this host is about to stop.
-    if gateway.stopping.get() {
+    if gateway.is_stopping() {
         return Err(TunnelReply::Full);
     }
     let links = gateway.upstream.links();
