A whole response without framing is lost while its target accepts no connections

Callers got 502 for plain answers that had arrived whole, also of requests that may run once, and streams that had all their events and were cut at the end. The end of a body without framing was judged by one probe of 300 ms. A target that stands still, or whose accept queue is full, answers no probe, although another connection to the same process stays open; the silence was taken for an end.

The host now probes again while the target is silent and another connection to its process is open, up to the deadline of the request, or up to half of the time left where another target may go on with the stream. The rule for a good end is the same: an answered probe and a connection that is still open after it. A process that ends closes its connections, which ends the wait at once, whoever listens at its address by then.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -191,8 +191,9 @@
         && let Some(unframed) = response.unframed.take()
     {
         let target = (service, chosen);
+        let give_up_at = gateway.limit_by_stop(request.deadline);
         let state = gateway
-            .judge_unframed_end(target, request, sent, &unframed)
+            .judge_unframed_end(target, request, (sent, give_up_at), &unframed)
             .await;
         match state {
             TargetState::Alive => response.is_confirmed = true,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -331,6 +331,11 @@
         self.stop_time().is_some()
     }
 
+    /// Returns the earlier one of a time and of the end of a planned stop.
+    pub(crate) fn limit_by_stop(&self, at: Instant) -> Instant {
+        self.stop_time().map_or(at, |stop| at.min(stop.deadline))
+    }
+
     /// Resolves when requests in flight have to be aborted.
     pub(crate) async fn wait_for_stop_deadline(&self) {
         let mut stop_time = self.stop_time.subscribe();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -114,6 +114,11 @@
         self
     }
 
+    /// Returns whether another target may go on with the stream, if it gets a retry.
+    fn may_resume(&self) -> bool {
+        self.request.may_resume() && self.attempts < self.request.route.max_attempts
+    }
+
     /// Returns those of the next events that may be passed on. The run ends at the first one that is
     /// out of order.
     fn admit_events(&mut self, mut events: Bytes) -> Bytes {
@@ -183,8 +188,14 @@
             return TargetState::Alive;
         };
         let target = (self.service.as_str(), &self.chosen);
+        let mut wait = self.request.time_left();
+        if self.may_resume() {
+            // Another target needs the rest of the time.
+            wait /= 2;
+        }
+        let give_up_at = self.gateway.limit_by_stop(Instant::now() + wait);
         self.gateway
-            .judge_unframed_end(target, &self.request, self.sent, unframed)
+            .judge_unframed_end(target, &self.request, (self.sent, give_up_at), unframed)
             .await
     }
 }
--- a/crates/gateway/src/target_crash.rs
+++ b/crates/gateway/src/target_crash.rs
@@ -29,7 +29,7 @@
 
 pub(crate) use tracker::CrashTracker;
 
-/// How long the end of a body without framing waits for the result of the probe. Only if the target
+/// How long the end of a body without framing waits for the result of one probe. Only if the target
 /// does not accept connections does a probe take longer than a round trip; other hosts are asked then.
 const CLOSE_PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -99,8 +99,7 @@
             interrupted: vec![InterruptedRequest::new(request, sent)],
             since: Instant::now(),
         };
-        let mut awaited = self.crash_tracker.unresponsive.borrow_mut();
-        awaited.push(unresponsive);
+        self.crash_tracker.await_restart(unresponsive);
     }
 
     /// Finds out whether a target that is no longer listed still runs. Its end is no crash that its
@@ -223,10 +222,7 @@
                     interrupted,
                     since: Instant::now(),
                 };
-                self.crash_tracker
-                    .unresponsive
-                    .borrow_mut()
-                    .push(unresponsive);
+                self.crash_tracker.await_restart(unresponsive);
             }
         }
     }
--- a/crates/gateway/src/target_crash/tracker.rs
+++ b/crates/gateway/src/target_crash/tracker.rs
@@ -126,6 +126,21 @@
         state.is_some_and(|state| state.is_up_again(accepted_at))
     }
 
+    /// Awaits the restart of a target that is unresponsive, longer if it is awaited already.
+    pub(super) fn await_restart(&self, target: UnresponsiveTarget) {
+        let mut unresponsive = self.unresponsive.borrow_mut();
+        let known = unresponsive.iter_mut().find(|one| {
+            one.service == target.service && first_crash(&one.chosen) == first_crash(&target.chosen)
+        });
+        match known {
+            Some(known) => {
+                known.interrupted.extend(target.interrupted);
+                known.since = target.since;
+            }
+            None => unresponsive.push(target),
+        }
+    }
+
     /// Removes and returns the unresponsive targets of which a newer incarnation is listed.
     pub(super) fn take_restarted(&self, targets: &TargetStore) -> Vec<UnresponsiveTarget> {
         let mut unresponsive = self.unresponsive.borrow_mut();
--- a/crates/gateway/src/unframed_end.rs
+++ b/crates/gateway/src/unframed_end.rs
@@ -17,6 +17,9 @@
 use crate::target_state::TargetState;
 use crate::upstream::{ConnectionLease, ExchangeKey, SpareConnection};
 
+/// Interval between two probes of a target that is silent.
+const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How long after a target accepted a connection the ends of its former ones may still arrive. The system
 /// ends the connections of a process within a millisecond; through another host that takes some more.
 const SETTLE_TIME: Duration = Duration::from_millis(10);
@@ -45,12 +48,13 @@
 
 impl Gateway {
     /// Finds out whether a body that ended with its connection is complete: only if its target is known
-    /// to run on, which is [`TargetState::Alive`].
+    /// to run on, which is [`TargetState::Alive`]. A target that is silent may still run while another of
+    /// its connections is open, so it is probed again until `give_up_at`.
     pub(crate) async fn judge_unframed_end(
         self: &Rc<Self>,
         target: (&str, &ChosenTarget),
         request: &CallerRequest,
-        sent: Instant,
+        (sent, give_up_at): (Instant, Instant),
         unframed: &UnframedExchange,
     ) -> TargetState {
         let UnframedExchange {
@@ -60,7 +64,13 @@
         let ended_before = self.upstream.next_connection();
         let has_sibling = || self.upstream.has_sibling(address, exchange, ended_before);
         let had_sibling = has_sibling();
-        let probed = self.probe_after_close(target, request, sent).await;
+        let mut probes = 1;
+        let mut probed = self.probe_after_close(target, request, sent).await;
+        while probed == TargetState::Unknown && has_sibling() && Instant::now() < give_up_at {
+            sleep(PROBE_INTERVAL).await;
+            probes += 1;
+            probed = self.probe_after_close(target, request, sent).await;
+        }
         let mut state = probed;
         if probed == TargetState::Alive {
             sleep(SETTLE_TIME).await;
@@ -71,7 +81,7 @@
         }
         self.metrics.count_unframed_end(state);
         let detail = format!(
-            "address={address} verdict={state} probe={probed} sibling_before={had_sibling} \
+            "address={address} verdict={state} probe={probed} probes={probes} sibling_before={had_sibling} \
              sibling_after={} took_ms={}",
             has_sibling(),
             ended_at.elapsed().as_millis()
