An attempt is given up though no other one is granted

Callers got 502 'no response within 1000 ms' for requests that may be repeated, with attempts=1 and seconds of their deadline left, while their target was at work. The attempt was dropped after twice the objective, and only then the budget was asked for a retry, which it refused.

After the time limit the failure of the target is recorded as before, so others avoid it, but the attempt goes on until a retry is reserved and another target accepts requests. A stream that may resume and whose target is silent after its last event waits on in the same way. Nothing is repeated more often: the retry is the same one, asked for before instead of after.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,9 @@
 //! One attempt to run a request at one target.
 
 mod first_event;
+mod retry_wait;
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,6 +16,7 @@
 use tokio::time::timeout;
 
 use first_event::await_first_event;
+use retry_wait::{time_limit, wait_for_retry};
 
 use crate::Gateway;
 use crate::body_framing::BodyFraming;
@@ -38,17 +41,6 @@
 use crate::unframed_end::UnframedExchange;
 use crate::upstream::ConnectionLease;
 
-/// Minimum timeout of an attempt after which a repeatable request goes to another target.
-const MIN_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// A resumable stream moves to another engine if no event has arrived within its remaining time
-/// divided by `SILENT_STREAM_TIME_DIVISOR`. Without this limit, such requests stayed at hung
-/// engines until their deadline, even while another engine was free. An engine that is merely slow
-/// gets at least `SLOW_STREAM_TIMEOUT_FACTOR` times the expected prefill time, since another engine
-/// would have to repeat the prefill.
-const SILENT_STREAM_TIME_DIVISOR: u32 = 2;
-const SLOW_STREAM_TIMEOUT_FACTOR: u32 = 3;
-
 /// A response whose body has ended.
 pub(crate) struct CompleteResponse {
     pub(crate) status: StatusCode,
@@ -158,13 +150,13 @@
 }
 
 /// Sends a request to a target and waits for a complete response or for the first event.
-/// `may_retry` says whether another target may be tried after this one, which shortens the time
-/// limit.
+/// `tried` are the targets before this one if another one may be tried after it; the attempt is then
+/// given up after some time, once another one is granted.
 pub(crate) async fn send_attempt(
     gateway: &Rc<Gateway>,
     request: &CallerRequest,
     attempt: Attempt<'_>,
-    may_retry: bool,
+    tried: Option<&[String]>,
 ) -> AttemptOutcome {
     let mut in_flight = InFlightGuard::new(gateway, attempt.service, &attempt.chosen.id, request);
     let Some(permit) = acquire_permit(gateway, request, &attempt).await else {
@@ -173,39 +165,38 @@
     };
     in_flight.mark_sent();
     let time_left = request.time_left();
-    let time_limit = if may_retry {
-        time_limit(request, &attempt, time_left)
-    } else {
-        time_left
+    let time_limit = match tried {
+        Some(_) => time_limit(request, &attempt, time_left),
+        None => time_left,
     };
     let (service, chosen, sent) = (attempt.service, attempt.chosen, Instant::now());
     let facts = attempt.placement.as_ref().and_then(Placement::estimate);
-    let exchange = send_and_receive(gateway, request, attempt, time_left, (in_flight, permit));
-    let outcome = timeout(time_limit, exchange).await;
-    let mut outcome = outcome.unwrap_or_else(|_| {
-        let cause = format!("no response within {} ms", time_limit.as_millis());
-        AttemptOutcome::incomplete(IncompleteCause::Silence, cause)
+    let mut exchange = pin!(async {
+        let guards = (in_flight, permit);
+        let outcome = send_and_receive(gateway, request, attempt, time_left, guards).await;
+        let took = sent.elapsed();
+        let outcome = confirm_end(gateway, request, (service, chosen), sent, outcome).await;
+        (outcome, took)
     });
-    let took = sent.elapsed();
-    if let AttemptOutcome::Complete(response) = &mut outcome
-        && let Some(unframed) = response.unframed.take()
-    {
-        let target = (service, chosen);
-        let give_up_at = gateway.limit_by_stop(request.deadline);
-        let state = gateway
-            .judge_unframed_end(target, request, (sent, give_up_at), &unframed)
-            .await;
-        match state {
-            TargetState::Alive => response.is_confirmed = true,
-            TargetState::Unknown => {
-                outcome = AttemptOutcome::incomplete(IncompleteCause::Silence, state.close_cause());
-            }
-            TargetState::Crashed | TargetState::Unproved => {
-                outcome =
-                    AttemptOutcome::incomplete(IncompleteCause::TargetEnded, state.close_cause());
-            }
+    let mut ended = timeout(time_limit, &mut exchange).await.ok();
+    if ended.is_none() {
+        let cause = silence_cause(time_limit);
+        gateway.record_target_failure(service, &chosen.id, &cause);
+        if let Some(tried) = tried {
+            ended = tokio::select! {
+                ended = &mut exchange => Some(ended),
+                () = wait_for_retry(gateway, service, request, chosen, tried) => None,
+            };
         }
     }
+    let (outcome, took) = ended.unwrap_or_else(|| {
+        let waited = sent.elapsed();
+        let kind = IncompleteCause::Silence;
+        (
+            AttemptOutcome::incomplete(kind, silence_cause(waited)),
+            waited,
+        )
+    });
     gateway.count_attempt(request, (service, chosen), &outcome, took, facts);
     if let AttemptOutcome::MayHaveRun {
         kind: IncompleteCause::Connection,
@@ -234,19 +225,40 @@
     permit
 }
 
-/// Returns how long to wait for a response, or for the first event of a stream, if another target
-/// may be tried afterwards.
-fn time_limit(request: &CallerRequest, attempt: &Attempt<'_>, time_left: Duration) -> Duration {
-    if request.route.kind != RouteKind::Streaming {
-        let twice_objective = Duration::from_millis(request.route.objective_ms * 2);
-        return twice_objective.clamp(MIN_TIMEOUT, (time_left / 2).max(MIN_TIMEOUT));
-    }
-    let facts = attempt.placement.as_ref().and_then(Placement::estimate);
-    let expected_ms = facts.map_or(0, |facts| u64::from(facts.expected_ms));
-    let slow_timeout = Duration::from_millis(expected_ms) * SLOW_STREAM_TIMEOUT_FACTOR;
-    slow_timeout
-        .max(time_left / SILENT_STREAM_TIME_DIVISOR)
-        .min(time_left)
+fn silence_cause(waited: Duration) -> String {
+    format!("no response within {} ms", waited.as_millis())
+}
+
+/// Finds out whether a response that ended with its connection is complete.
+async fn confirm_end(
+    gateway: &Rc<Gateway>,
+    request: &CallerRequest,
+    (service, chosen): (&str, &ChosenTarget),
+    sent: Instant,
+    mut outcome: AttemptOutcome,
+) -> AttemptOutcome {
+    let AttemptOutcome::Complete(response) = &mut outcome else {
+        return outcome;
+    };
+    let Some(unframed) = response.unframed.take() else {
+        return outcome;
+    };
+    let times = (sent, gateway.limit_by_stop(request.deadline));
+    let state = gateway
+        .judge_unframed_end((service, chosen), request, times, &unframed)
+        .await;
+    let kind = match state {
+        TargetState::Alive => {
+            response.is_confirmed = true;
+            return outcome;
+        }
+        TargetState::Unknown => {
+            gateway.record_target_failure(service, &chosen.id, state.close_cause());
+            IncompleteCause::Silence
+        }
+        TargetState::Crashed | TargetState::Unproved => IncompleteCause::TargetEnded,
+    };
+    AttemptOutcome::incomplete(kind, state.close_cause())
 }
 
 async fn send_and_receive(
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -280,7 +280,8 @@
         };
         let may_retry =
             trace.attempts - refusals < request.route.max_attempts && request.route.is_repeatable();
-        let outcome = send_attempt(gateway, request, attempt, may_retry).await;
+        let earlier = may_retry.then_some(tried.as_slice());
+        let outcome = send_attempt(gateway, request, attempt, earlier).await;
         if !matches!(
             outcome,
             AttemptOutcome::Withheld | AttemptOutcome::OverBudget
@@ -364,7 +365,10 @@
             }
             AttemptOutcome::MayHaveRun { cause, kind } => {
                 trace.incomplete = kind;
-                gateway.record_target_failure(&service, &chosen.id, &cause);
+                // The failure of a silent target is recorded as soon as it is silent for too long.
+                if kind != IncompleteCause::Silence {
+                    gateway.record_target_failure(&service, &chosen.id, &cause);
+                }
                 if !may_retry
                     || gateway.may_crash_again(&service, request)
                     || !budget.allow_retry(request, &service, RetryCause::Failure)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -188,15 +188,20 @@
             return TargetState::Alive;
         };
         let target = (self.service.as_str(), &self.chosen);
-        let mut wait = self.request.time_left();
+        let judge = |give_up_at| {
+            let times = (self.sent, self.gateway.limit_by_stop(give_up_at));
+            self.gateway
+                .judge_unframed_end(target, &self.request, times, unframed)
+        };
         if self.may_resume() {
             // Another target needs the rest of the time.
-            wait /= 2;
+            let half_time = Instant::now() + self.request.time_left() / 2;
+            let state = judge(half_time).await;
+            if state != TargetState::Unknown || self.gateway.retry_budget.has_left(&self.service) {
+                return state;
+            }
         }
-        let give_up_at = self.gateway.limit_by_stop(Instant::now() + wait);
-        self.gateway
-            .judge_unframed_end(target, &self.request, (self.sent, give_up_at), unframed)
-            .await
+        judge(self.request.deadline).await
     }
 }
 
--- a/crates/gateway/src/relay/resumption.rs
+++ b/crates/gateway/src/relay/resumption.rs
@@ -165,7 +165,7 @@
                 cursor: &self.cursor,
                 last_event: last_event.clone(),
             };
-            let outcome = send_attempt(gateway, &self.request, attempt, false).await;
+            let outcome = send_attempt(gateway, &self.request, attempt, None).await;
             self.tried.push(chosen.id.clone());
             if !matches!(outcome, AttemptOutcome::Withheld) {
                 return Some((chosen, outcome));
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -72,6 +72,15 @@
         ledger.record_request(key, BootInstant::now());
     }
 
+    /// Returns whether a retry of a request for a service could be reserved now.
+    pub(crate) fn has_left(&self, service: &str) -> bool {
+        let now = BootInstant::now();
+        let slack = self.slack_share(service, now);
+        let mut ledger = self.ledger.borrow_mut();
+        let key = ledger.service_key(service);
+        ledger.facts(key, slack, now).left > 0
+    }
+
     /// Reserves a retry of a request; returns `None` if the budget does not allow it.
     pub(crate) fn reserve(
         self: &Rc<Self>,
