A target that was silent for all hosts counts as crashed

A caller got 502 'connection closed by a crash of the target' for a whole answer of a sound target, the target was ejected and the request was accused of a crash. A host that has lost its path to a target does not try itself; its peers had answered a moment ago that the target was silent, so they were left out and nobody was asked. That no answer was another one than 'refused' was then true of no answer at all, and remembered silence made the target count as down: the probe said refused.

Without an attempt of this host, a refusal now needs a peer that was refused, and none that found silence. a_target_that_was_silent_for_all_hosts_counts_as_crashed fails on the code before (Refused) and passes now.

--- a/crates/gateway/src/target_links/connect.rs
+++ b/crates/gateway/src/target_links/connect.rs
@@ -340,9 +340,14 @@
         answers: &AskError,
     ) -> LinkError {
         let is_down = answers.verdict == PathVerdict::Down;
-        let was_refused = direct
-            .as_ref()
-            .is_none_or(|error| error.failure == ConnectFailure::Refused);
+        let is_refused = match &direct {
+            Some(error) => error.failure == ConnectFailure::Refused && answers.is_refused,
+            // This host has not tried, so only peers can have been refused.
+            None => {
+                let peers = self.peers.borrow();
+                peers.are_all_refused(target, Instant::now())
+            }
+        };
         let cause = direct.map_or("path lost".to_owned(), |error| error.cause);
         if is_down {
             let mut paths = self.paths.borrow_mut();
@@ -353,7 +358,7 @@
         LinkError {
             cause: format!("{cause}; no other host opened a connection"),
             is_down,
-            is_refused: is_down && was_refused && answers.is_refused,
+            is_refused: is_down && is_refused,
         }
     }
 }
--- a/crates/gateway/src/target_links/tests.rs
+++ b/crates/gateway/src/target_links/tests.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
+use linnet_paths::PeerAnswer;
 use linnet_wire::accept_peer;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -193,6 +194,20 @@
     });
 }
 
+#[test]
+fn a_target_that_was_silent_for_all_hosts_counts_as_crashed() {
+    run(async {
+        let (_listener, target) = listen().await;
+        let peer = closed_address().await;
+        let pool = pool(&[peer]);
+        pool.links().record_lost(target, peer, "test");
+        let mut peers = pool.links().peers.borrow_mut();
+        peers.record(peer, target, PeerAnswer::Silent, Instant::now());
+        drop(peers);
+        assert_eq!(pool.probe(target).await, ProbeOutcome::Silent);
+    });
+}
+
 /// Guards against hosts that keep using tunnels after the partition has ended.
 #[test]
 fn the_path_is_direct_again_once_a_direct_attempt_succeeds() {
--- a/crates/paths/src/peer_table.rs
+++ b/crates/paths/src/peer_table.rs
@@ -186,6 +186,16 @@
         answers.filter(|answer| answer.shows_target_down()).count()
     }
 
+    /// Returns whether all peers that could not reach a target a moment ago were refused, and there is one.
+    pub fn are_all_refused(&self, target: SocketAddr, now: Instant) -> bool {
+        let answers = self.peers.values();
+        let answers = answers.filter_map(|peer| peer.unreached_answer(target, now));
+        let mut answers = answers
+            .filter(|answer| answer.shows_target_down())
+            .peekable();
+        answers.peek().is_some() && answers.all(|answer| answer == PeerAnswer::Refused)
+    }
+
     /// Returns whether any peer may reach a target, as far as their answers tell: it was not asked, was
     /// slow, full or cut off, or has lost its path.
     pub fn may_be_reached(&self, target: SocketAddr, now: Instant) -> bool {
--- a/crates/paths/tests/cases.rs
+++ b/crates/paths/tests/cases.rs
@@ -422,6 +422,33 @@
     assert_eq!(peers.agreeing_count(target(1), now), 0);
 }
 
+/// Guards against a silent target that counts as crashed, since no host was refused.
+#[test]
+fn peers_count_as_refused_only_if_each_of_them_was() {
+    use PeerAnswer::{PathLost, Refused, Silent, TimedOut};
+    let cases: [(&[PeerAnswer], bool); 7] = [
+        (&[], false),
+        (&[Silent], false),
+        (&[Refused], true),
+        (&[Refused, Silent], false),
+        (&[Refused, Refused], true),
+        (&[Refused, PathLost], true),
+        (&[TimedOut], false),
+    ];
+    let now = Instant::now();
+    for (answers, expected) in cases {
+        let mut peers = peers(&ASKING_PEERS);
+        for (number, answer) in answers.iter().enumerate() {
+            peers.record(peer(number as u16), target(0), *answer, now);
+        }
+        assert_eq!(
+            peers.are_all_refused(target(0), now),
+            expected,
+            "{answers:?}"
+        );
+    }
+}
+
 #[test]
 fn a_host_serves_tunnels_in_proportion_to_its_own_connections() {
     let cases = [(0, 32), (10, 72), (56, 256), (1_000, 256)];
