A whole response is lost since its target accepted no second connection

Callers got 502, or a stream without its end, for whole answers without framing that were sent while their target accepted no connections: no connection beside that of the response could be opened, and without one nothing could prove that the target runs on, also when it accepted connections again.

A process that states the start that the list names is the one that began the response, since no other can state it. Where no connection tells, the host now asks for the start as it does before it resumes a stream, and asks again while the target is silent.

--- a/crates/gateway/src/unframed_end.rs
+++ b/crates/gateway/src/unframed_end.rs
@@ -37,7 +37,7 @@
     /// before.
     pub(crate) fn new(lease: &ConnectionLease) -> UnframedExchange {
         let address = lease.address();
-        let spare = lease.spare().cloned();
+        let spare = lease.spare().filter(|spare| !spare.has_failed()).cloned();
         Self {
             address,
             exchange: lease.exchange(),
@@ -64,20 +64,22 @@
         let ended_before = self.upstream.next_connection();
         let has_sibling = || self.upstream.has_sibling(address, exchange, ended_before);
         let had_sibling = has_sibling();
-        let mut probes = 1;
-        let mut probed = self.probe_after_close(target, request, sent).await;
-        while probed == TargetState::Unknown && has_sibling() && Instant::now() < give_up_at {
-            sleep(PROBE_INTERVAL).await;
+        let (mut probes, mut probed, mut state);
+        probes = 0;
+        loop {
             probes += 1;
             probed = self.probe_after_close(target, request, sent).await;
-        }
-        let mut state = probed;
-        if probed == TargetState::Alive {
-            sleep(SETTLE_TIME).await;
-            if !has_sibling() {
-                self.await_restart(target, request, sent);
-                state = TargetState::Unproved;
+            state = self
+                .prove_life(probed, target.1, address, has_sibling)
+                .await;
+            let may_be_proved = has_sibling() || target.1.born > 0;
+            if state != TargetState::Unknown || !may_be_proved || Instant::now() >= give_up_at {
+                break;
             }
+            sleep(PROBE_INTERVAL).await;
+        }
+        if state == TargetState::Unproved {
+            self.await_restart(target, request, sent);
         }
         self.metrics.count_unframed_end(state);
         let detail = format!(
@@ -90,4 +92,33 @@
         self.record_request_event(code, &request.id, &target.1.id, detail);
         state
     }
+
+    /// Finds out whether a target that was probed is the process that began a response: it has another
+    /// connection of that process, or states the same start. Returns [`TargetState::Unknown`] if it does
+    /// not answer.
+    async fn prove_life(
+        &self,
+        probed: TargetState,
+        chosen: &ChosenTarget,
+        address: SocketAddr,
+        has_sibling: impl Fn() -> bool,
+    ) -> TargetState {
+        if probed != TargetState::Alive {
+            return probed;
+        }
+        sleep(SETTLE_TIME).await;
+        if has_sibling() {
+            return TargetState::Alive;
+        }
+        if chosen.born == 0 {
+            return TargetState::Unproved;
+        }
+        let protocol = &self.config.protocol.targets;
+        let asked = self.upstream.has_started_at(address, protocol, chosen.born);
+        match asked.await {
+            Some(true) => TargetState::Alive,
+            Some(false) => TargetState::Unproved,
+            None => TargetState::Unknown,
+        }
+    }
 }
--- a/crates/gateway/src/upstream/incarnation.rs
+++ b/crates/gateway/src/upstream/incarnation.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, header};
+use http::{HeaderMap, Request, header};
 use http_body_util::Full;
 use tokio::time::timeout;
 
@@ -83,6 +83,25 @@
         }
     }
 
+    /// Asks the process that listens at an address whether it started at `born`; returns `None` if it does
+    /// not answer in time. One that does not state its start did not.
+    pub(crate) async fn has_started_at(
+        &self,
+        address: SocketAddr,
+        protocol: &TargetProtocol,
+        born: u64,
+    ) -> Option<bool> {
+        let connecting = self.connect(address, ConnectionUse::CrashCheck);
+        let mut connection = timeout(REPORT_TIMEOUT, connecting).await.ok()?.ok()?;
+        let asked = self.ask_start(address, &mut connection, protocol);
+        let head = timeout(REPORT_TIMEOUT, asked).await.ok()?;
+        let has_started = head.is_some() && connection.stated == StatedStart::Stated(born);
+        if head.is_some_and(|head| !has_close_option(&head)) && connection.wait_ready().await {
+            self.keep_idle(address, connection);
+        }
+        Some(has_started)
+    }
+
     fn set_unreported(&self, address: SocketAddr) {
         let until = Instant::now() + UNREPORTED_TIME;
         self.state.borrow_mut().unreported.insert(address, until);
@@ -101,16 +120,31 @@
         mut connection: Connection,
         protocol: &TargetProtocol,
     ) -> Option<Connection> {
+        let head = self.ask_start(address, &mut connection, protocol).await?;
+        if has_close_option(&head) {
+            return None;
+        }
+        connection.sender.ready().await.ok()?;
+        Some(connection)
+    }
+
+    /// Asks the process at the other end of a connection when it started, and notes what it states; returns
+    /// the headers of its response, or `None` if the response is not that to the question.
+    async fn ask_start(
+        &self,
+        address: SocketAddr,
+        connection: &mut Connection,
+        protocol: &TargetProtocol,
+    ) -> Option<HeaderMap> {
         let mut request = Request::get(protocol.report_path)
             .header(header::HOST, address.to_string())
             .body(Full::new(Bytes::new()))
             .ok()?;
         let id = self.ids.assign(request.headers_mut());
-        let response = self.exchange_head(address, &mut connection, request).await;
+        let response = self.exchange_head(address, connection, request).await;
         let (head, body) = response.ok()?.into_parts();
         let body = read_response_body(body, MAX_CONTROL_BYTES).await.ok()?;
-        let echo = self.ids.echo_of(&head.headers, &id);
-        if echo != IdEcho::Same || has_close_option(&head.headers) {
+        if self.ids.echo_of(&head.headers, &id) != IdEcho::Same {
             return None;
         }
         connection.last_id = Some(id);
@@ -122,8 +156,7 @@
             Some(born) if born > 0 => StatedStart::Stated(born),
             _ => StatedStart::Unstated,
         };
-        connection.sender.ready().await.ok()?;
-        Some(connection)
+        Some(head.headers)
     }
 }
 
--- a/crates/gateway/src/upstream/spare_connection.rs
+++ b/crates/gateway/src/upstream/spare_connection.rs
@@ -46,7 +46,7 @@
 
 impl SpareConnection {
     /// Returns whether the first connection was lost and none could be opened in its place.
-    fn has_failed(&self) -> bool {
+    pub(crate) fn has_failed(&self) -> bool {
         self.is_open.has_changed().is_err()
     }
 }
