A late request is begun in a planned stop and cut

Callers whose requests were read late in the grace of a planned stop got 504 or a broken stream at the end of the grace, also those of requests that may run once. A stopping host forwarded whatever it had read, however little time was left.

Others get 503 at once, with retry-after 0.05 s and connection: close, since other hosts are ready. That is checked when the request is read, while its body arrives, and once more right before it is sent, after queues and stages. One that no target has accepted by the end gets the same answer.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -39,6 +39,8 @@
     pub(crate) rank: Rank,
     pub(crate) config_version: u64,
     pub(crate) arrived_at: Instant,
+    /// When its last byte was read.
+    pub(crate) read_at: Instant,
     /// When it times out, by the caller's deadline or the route's timeout.
     pub(crate) deadline: Instant,
     pub(crate) prompt: Option<Rc<Prompt>>,
@@ -168,6 +170,7 @@
         headers: head.headers,
         body: Bytes::new(),
         arrived_at,
+        read_at: arrived_at,
         deadline: arrived_at + deadline,
         prompt,
         piece_counts,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -18,6 +18,7 @@
 use crate::incomplete_answer::IncompleteCause;
 use crate::message_heads::{build_response, refusal_response};
 use crate::part_suspects::AnswerRun;
+use crate::planned_stop::stop_refusal;
 use crate::prompt::describe_parts;
 use crate::relay::{StreamRelay, relay_stream};
 use crate::retry_cause::RetryCause;
@@ -86,7 +87,7 @@
     };
     let outcome = outcome.unwrap_or_else(|cause| {
         trace.incomplete = cause;
-        Err(timeout_refusal(&trace))
+        Err(timeout_refusal(&trace, cause))
     });
     caller_watch.mark_answered();
     record_outcome(&gateway, &request, &trace, &outcome);
@@ -101,9 +102,11 @@
     }
 }
 
-fn timeout_refusal(trace: &RequestTrace) -> Refusal {
+fn timeout_refusal(trace: &RequestTrace, cause: IncompleteCause) -> Refusal {
     if trace.may_have_run {
         Refusal::new(RefusalReason::TimedOut, "no response before the deadline")
+    } else if cause == IncompleteCause::Stop {
+        stop_refusal("this host stops, and no target has accepted the request")
     } else {
         Refusal::new(
             RefusalReason::Overloaded,
@@ -160,6 +163,7 @@
     let (code, outcome, label) = match outcome {
         Ok(response) if response.status().is_success() => {
             gateway.host_load.record_completed();
+            gateway.record_run_time(request);
             gateway
                 .metrics
                 .first_response
@@ -265,6 +269,9 @@
         let is_trial = run_permits.is_part_trial();
         let next = unless_held(gateway, &service, request, is_trial, selecting).await;
         let (chosen, placement) = next.map_err(|refusal| adjust_refusal(trace, refusal))?;
+        if !trace.may_have_run {
+            gateway.check_stop(request)?;
+        }
         trace.target.clone_from(&chosen.id);
         trace.born = chosen.born;
         trace.placement_facts = placement.as_ref().and_then(Placement::estimate);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -36,12 +37,13 @@
 use crate::open_request::OpenRequestCount;
 use crate::overload::{OverloadControl, OverloadPolicy, report_account_use};
 use crate::part_suspects::PartTracker;
+use crate::planned_stop::StopTime;
 use crate::retry_budget::RetryBudget;
 use crate::rollouts::RolloutTracker;
+use crate::run_times::RunTimes;
 use crate::send_permit_issuer::SendPermitIssuer;
 use crate::stage_call::StageTargetClient;
 use crate::stage_client::StageClient;
-use crate::stop_time::StopTime;
 use crate::stream_origins::StreamOrigins;
 use crate::suspects::SuspectTracker;
 use crate::target::TargetStore;
@@ -134,6 +136,8 @@
     send_permit_issuer: SendPermitIssuer,
     /// Counts requests that wait until a target accepts requests again.
     pub(crate) waiting_requests: OpenRequestCount,
+    /// How long requests take.
+    pub(crate) run_times: RefCell<RunTimes>,
     /// Set once the process is about to stop.
     stop_time: watch::Sender<Option<StopTime>>,
     pub(crate) open_requests: OpenRequestCount,
@@ -217,6 +221,7 @@
             notices,
             send_permit_issuer: SendPermitIssuer::default(),
             waiting_requests: OpenRequestCount::default(),
+            run_times: RefCell::default(),
             stop_time: watch::Sender::new(None),
             open_requests: OpenRequestCount::default(),
             targets_changed: Notify::new(),
@@ -336,19 +341,25 @@
         self.stop_time().map_or(at, |stop| at.min(stop.deadline))
     }
 
-    /// Resolves when requests in flight have to be aborted.
-    pub(crate) async fn wait_for_stop_deadline(&self) {
+    /// Waits until a planned stop begins.
+    pub(crate) async fn wait_for_stop(&self) -> StopTime {
         let mut stop_time = self.stop_time.subscribe();
         loop {
             let stop = *stop_time.borrow_and_update();
             match stop {
-                Some(stop) => return tokio::time::sleep_until(stop.deadline.into()).await,
-                None if stop_time.changed().await.is_err() => return,
+                Some(stop) => return stop,
+                None if stop_time.changed().await.is_err() => pending().await,
                 None => {}
             }
         }
     }
 
+    /// Resolves when requests in flight have to be aborted.
+    pub(crate) async fn wait_for_stop_deadline(&self) {
+        let stop = self.wait_for_stop().await;
+        tokio::time::sleep_until(stop.deadline.into()).await;
+    }
+
     /// States to the other hosts whether this one delays its work, and ranks it for roles accordingly.
     pub(crate) fn set_delay(&self, delay: HostDelay) {
         self.stage_client.set_delay(delay);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -162,6 +162,7 @@
     /// Logs and counts the end of the stream.
     fn finish(&mut self, code: EventCode, end: StreamEnd, outcome: &str) {
         self.ended = true;
+        self.gateway.record_run_time(&self.request);
         self.gateway.metrics.count_stream_end(end);
         self.record(code, outcome);
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, Version};
+use http::{HeaderValue, Request, Response, StatusCode, Version, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
@@ -24,6 +24,7 @@
 use crate::host_load::check_host_load;
 use crate::message_heads::refusal_response;
 use crate::open_request::OpenRequestGuard;
+use crate::planned_stop::stop_refusal;
 use crate::{Gateway, Refusal, RefusalReason, ResponseBody};
 
 /// Minimum size of the head buffer that the HTTP library accepts.
@@ -125,12 +126,22 @@
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
+    let mut response = respond(&gateway, request).await;
+    if gateway.is_stopping() && response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        // The caller is to go on at another host.
+        let headers = response.headers_mut();
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn respond(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
     let open_guard = OpenRequestGuard::new(&gateway.open_requests);
-    match read_request(&gateway, request).await {
-        Ok(mut request) => match check_host_load(&gateway, &request) {
+    match read_request(gateway, request).await {
+        Ok(mut request) => match check_start(gateway, &request) {
             Ok(()) => {
                 request.in_flight_guard = Some(open_guard);
-                forward(gateway, request).await
+                forward(gateway.clone(), request).await
             }
             Err(refusal) => {
                 let keys = format!(
@@ -141,13 +152,19 @@
                     request.rank.route_priority
                 );
                 let priority = request.rank.route_priority;
-                refuse(&gateway, &request.id, (priority, keys), &refusal)
+                refuse(gateway, &request.id, (priority, keys), &refusal)
             }
         },
-        Err((id, refusal)) => refuse(&gateway, &id, (0, String::new()), &refusal),
+        Err((id, refusal)) => refuse(gateway, &id, (0, String::new()), &refusal),
     }
 }
 
+/// Checks that this host can run a request.
+fn check_start(gateway: &Gateway, request: &CallerRequest) -> Result<(), Refusal> {
+    gateway.check_stop(request)?;
+    check_host_load(gateway, request)
+}
+
 /// Records the refusal of a request that was not processed, with the priority of its route and what
 /// the line says of it, and builds its response.
 fn refuse(
@@ -211,9 +228,16 @@
     )
     .map_err(|refusal| (id.clone(), refusal))?;
     request.age = gateway.overload.age_of(&request);
-    request.body = read_body(body, table.config().limits.max_body_bytes, &request)
-        .await
-        .map_err(|refusal| (id, refusal))?;
+    let max_bytes = table.config().limits.max_body_bytes;
+    let read = tokio::select! {
+        biased;
+        read = read_body(body, max_bytes, &request) => read,
+        () = gateway.wait_until_too_late(&request) => {
+            Err(stop_refusal("this host is about to stop, and the body has not arrived"))
+        }
+    };
+    request.body = read.map_err(|refusal| (id, refusal))?;
+    request.read_at = Instant::now();
     Ok(request)
 }
 
