Interim responses without end keep a host from all other requests

Requests of others timed out beside a target that sent interim responses (HTTP 103) without end: the HTTP library parses them in one poll as long as bytes arrive, there was no bound on their number, and one thread serves the whole host.

Connections to targets now let other tasks run after each 128 KiB, and end after 64 interim responses to one request. Such a request fails with incomplete=flood, as one with too long a head does, and the target counts as failed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -330,6 +330,9 @@
             };
             return AttemptOutcome::incomplete(kind, cause);
         }
+        Err(SendError::Flood(cause)) => {
+            return AttemptOutcome::incomplete(IncompleteCause::Flood, cause);
+        }
         Err(error @ SendError::Foreign(_)) => {
             return AttemptOutcome::unusable(error.to_string());
         }
--- a/crates/gateway/src/send_error.rs
+++ b/crates/gateway/src/send_error.rs
@@ -5,6 +5,8 @@
 
 use derive_more::Display;
 
+use crate::upstream::TooManyInterims;
+
 /// Why a response does not belong to the request in whose place it was received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) enum ForeignCause {
@@ -54,6 +56,10 @@
     #[display("response with {_0}")]
     #[error(ignore)]
     Foreign(ForeignCause),
+    /// The target sent more bytes before the response than it may.
+    #[display("send: {_0}")]
+    #[error(ignore)]
+    Flood(String),
     /// The request may have reached the target.
     #[display("send: {cause}")]
     MayHaveRun {
@@ -65,6 +71,9 @@
 
 impl SendError {
     pub(crate) fn may_have_run(error: &hyper::Error) -> Self {
+        if let Some(cause) = flood_cause(error) {
+            return Self::Flood(cause);
+        }
         Self::MayHaveRun {
             cause: error.to_string(),
             broken: is_peer_disconnect(error),
@@ -72,6 +81,16 @@
     }
 }
 
+/// Returns why a target sent too much before a response, if that is the error.
+fn flood_cause(error: &hyper::Error) -> Option<String> {
+    if error.is_parse_too_large() {
+        return Some(error.to_string());
+    }
+    let source: &io::Error = error.source()?.downcast_ref()?;
+    let interims: &TooManyInterims = source.get_ref()?.downcast_ref()?;
+    Some(interims.to_string())
+}
+
 /// Returns whether an error means that the peer closed or reset the connection. A connection that
 /// was closed because the peer was silent says nothing about the target.
 pub(crate) fn is_peer_disconnect(error: &(dyn Error + 'static)) -> bool {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,9 +1,11 @@
 //! Pool of connections to targets. A connection carries one request at a time.
 
+mod bounded_stream;
 mod connection;
 mod connection_watch;
 mod exchange_id;
 mod incarnation;
+mod interim_count;
 mod life_table;
 mod open;
 mod release_connection;
@@ -32,6 +34,7 @@
 use life_table::LifeTable;
 
 pub(crate) use connection::ConnectionLease;
+pub(crate) use interim_count::TooManyInterims;
 pub(crate) use life_table::{ConnectionKey, ExchangeKey};
 pub(crate) use spare_connection::SpareConnection;
 
@@ -241,6 +244,7 @@
         mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
         SendDeadline::refresh(&mut request);
+        connection.interims.begin(&mut request);
         let is_direct = connection.peer.is_none();
         let mut response = pin!(connection.sender.try_send_request(request));
         let result = match timeout(SILENCE_BEFORE_CHECK, &mut response).await {
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use super::interim_count::InterimCount;
 use super::life_table::{ConnectionLife, ExchangeKey};
 use super::shared_socket::SharedSocket;
 use super::{SpareConnection, UpstreamPool};
@@ -50,6 +51,7 @@
     /// that to the next request.
     pub(super) is_reusable: bool,
     pub(super) opened: Instant,
+    pub(super) interims: InterimCount,
     /// What the target stated about itself on the connection.
     pub(super) stated: StatedStart,
     pub(super) life: ConnectionLife,
--- a/crates/gateway/src/upstream/open.rs
+++ b/crates/gateway/src/upstream/open.rs
@@ -10,8 +10,10 @@
 use tokio::sync::oneshot;
 
 use super::UpstreamPool;
+use super::bounded_stream::BoundedStream;
 use super::connection::{Connection, DEFAULT_IDLE_TIMEOUT, TUNNEL_IDLE_TIMEOUT};
 use super::connection_watch::ConnectionWatch;
+use super::interim_count::InterimCount;
 use super::shared_socket::SharedSocket;
 use crate::connection_use::ConnectionUse;
 use crate::dead_peer::detect_dead_peer;
@@ -89,6 +91,8 @@
         T: AsyncRead + AsyncWrite + Unpin + 'static,
         G: 'static,
     {
+        let interims = InterimCount::default();
+        let stream = BoundedStream::new(stream, interims.clone());
         let (sender, driver) = Builder::new()
             .handshake(TokioIo::new(stream))
             .await
@@ -113,6 +117,7 @@
             last_id: None,
             is_reusable: true,
             opened: Instant::now(),
+            interims,
             stated: StatedStart::Unasked,
             life: state.lives.add(address, peer, watch),
         })
