The time that a request may need in a planned stop has a margin, and needs some requests to be known

The longest of the few requests that a host had served was exceeded by the next one. From 16 requests of a route on, 1.5 times the longest one counts; before, the deadline of the request does.

--- a/crates/gateway/src/planned_stop.rs
+++ b/crates/gateway/src/planned_stop.rs
@@ -55,12 +55,11 @@
         }
     }
 
-    /// Returns how long a request may take: as long as one of its route did lately, but not beyond its
-    /// deadline.
+    /// Returns how long a request may take, by those of its route and by its deadline.
     fn time_needed(&self, request: &CallerRequest) -> Duration {
         let time_left = request.time_left();
-        let longest = self.run_times.borrow().longest(&request.route.name);
-        longest.map_or(time_left, |longest| longest.min(time_left))
+        let max_time = self.run_times.borrow().max_time(&request.route.name);
+        max_time.map_or(time_left, |max_time| max_time.min(time_left))
     }
 
     /// Records how long a request took that has ended.
--- a/crates/gateway/src/run_times.rs
+++ b/crates/gateway/src/run_times.rs
@@ -6,6 +6,13 @@
 /// Length of the windows over which the longest time of a route is kept; the last two count.
 const WINDOW: Duration = Duration::from_secs(60);
 
+/// Number of requests of a route from which on their longest time tells how long others may take. The
+/// longest of n times is exceeded by one in n + 1.
+const MIN_REQUESTS: u32 = 16;
+
+/// How much longer than the longest one a request may take.
+const MARGIN: f64 = 1.5;
+
 /// Key of a route in a [`RunTimes`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct RouteKey(usize);
@@ -16,9 +23,10 @@
     window_began: Instant,
     longest: Duration,
     longest_before: Duration,
+    requests: u32,
 }
 
-/// The longest times that requests took lately, by route.
+/// How long requests took lately, by route.
 #[derive(Debug, Default)]
 pub(crate) struct RunTimes {
     keys: HashMap<String, RouteKey>,
@@ -37,11 +45,12 @@
         self.routes[key.0].record(took, now);
     }
 
-    /// Returns the longest time of a route; `None` if no request of it has ended yet.
-    pub(crate) fn longest(&self, route: &str) -> Option<Duration> {
+    /// Returns how long a request of a route may take; `None` if too few have ended to tell.
+    pub(crate) fn max_time(&self, route: &str) -> Option<Duration> {
         let key = self.keys.get(route)?;
         let times = self.routes[key.0];
-        Some(times.longest.max(times.longest_before))
+        let longest = times.longest.max(times.longest_before);
+        (times.requests >= MIN_REQUESTS).then(|| longest.mul_f64(MARGIN))
     }
 }
 
@@ -51,6 +60,7 @@
             window_began: now,
             longest: took,
             longest_before: Duration::ZERO,
+            requests: 1,
         }
     }
 
@@ -60,6 +70,7 @@
             self.window_began = now;
         }
         self.longest = self.longest.max(took);
+        self.requests = self.requests.saturating_add(1);
     }
 }
 
