--- a/crates/gateway/src/run_times.rs
+++ b/crates/gateway/src/run_times.rs
@@ -8,7 +8,7 @@
 
 /// Number of requests of a route from which on their longest time tells how long others may take. The
 /// longest of n times is exceeded by one in n + 1.
-const MIN_REQUESTS: u32 = 16;
+const MIN_REQUESTS: u32 = 32;
 
 /// How much longer than the longest one a request may take.
 const MARGIN: f64 = 1.5;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -39,6 +39,10 @@
 /// still reach the callers.
 const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(500);
 
+/// Maximum share of the grace of a stop that each of these times takes: requests may run for five sixths
+/// of a short one as well.
+const MAX_MARGIN_SHARE: f64 = 0.08;
+
 type AnyError = Box<dyn std::error::Error>;
 
 /// Runs an entry host until a planned stop; must run inside an ntex runtime.
@@ -213,8 +217,10 @@
 ) {
     let started = Instant::now();
     let leave_delay = Duration::from_millis(settings.times.leave_ms);
-    let max_duration = Duration::from_millis(settings.times.stop_ms).saturating_sub(STOP_MARGIN);
-    gateway.begin_stop(started + max_duration.saturating_sub(FINAL_RESPONSE_TIME));
+    let grace = Duration::from_millis(settings.times.stop_ms);
+    let max_duration = grace - STOP_MARGIN.min(grace.mul_f64(MAX_MARGIN_SHARE));
+    let final_time = FINAL_RESPONSE_TIME.min(grace.mul_f64(MAX_MARGIN_SHARE));
+    gateway.begin_stop(started + max_duration - final_time);
     sleep(leave_delay).await;
     closing.send_replace(true);
     // Requests on connections accepted just before may still arrive.
