A large request is broken off while its target reads nothing

A caller got 502 'connection error' after 2.8 s for a request with a large body whose target stood still for 4 s and was sound. The system closes a connection to a target whose data stays unacknowledged for 2.5 s, which finds lost paths. A body that does not fit into the buffers of a connection waits until the target reads, and that counts as unacknowledged too, although the system of the target answers every probe.

For a body over 32 KiB, which a system may not take while its process reads nothing, the time left of the request is the limit on a direct connection. Smaller ones, and connections between requests, keep 2.5 s.

--- a/crates/gateway/src/dead_peer.rs
+++ b/crates/gateway/src/dead_peer.rs
@@ -12,7 +12,20 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How long sent data may stay unacknowledged before the operating system closes the connection.
-const UNACKNOWLEDGED_DATA_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub(crate) const UNACKNOWLEDGED_DATA_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Maximum size of a request that the system of a target acknowledges although the target reads nothing;
+/// below the first receive window of Linux, 64 KiB.
+const MAX_BUFFERED_BYTES: u64 = 32 * 1024;
+
+/// Returns how long the data of a request with a body of `bytes` may stay unacknowledged. A larger one
+/// waits until its target reads, which says nothing about the connection, so only its deadline ends it.
+pub(crate) fn unacknowledged_limit(bytes: u64, time_left: Duration) -> Duration {
+    match bytes <= MAX_BUFFERED_BYTES {
+        true => UNACKNOWLEDGED_DATA_TIMEOUT,
+        false => UNACKNOWLEDGED_DATA_TIMEOUT.max(time_left),
+    }
+}
 
 /// Makes the operating system close a connection whose other end is gone. Without this a connection
 /// across a network partition hangs for minutes.
--- a/crates/gateway/src/message_heads.rs
+++ b/crates/gateway/src/message_heads.rs
@@ -40,6 +40,13 @@
 }
 
 impl SendDeadline {
+    /// Returns the time that is left for a request; zero if it has no deadline.
+    pub(crate) fn time_left<B>(request: &Request<B>) -> Duration {
+        let deadline: Option<&Self> = request.extensions().get();
+        let left = |one: &Self| one.deadline.saturating_duration_since(Instant::now());
+        deadline.map_or(Duration::ZERO, left)
+    }
+
     /// Writes the time that is left now into the header of a request that has a deadline.
     pub(crate) fn refresh<B>(request: &mut Request<B>) {
         let Some(Self { header, deadline }) = request.extensions().get().cloned() else {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -22,6 +22,7 @@
 use bytes::Bytes;
 use http::response::Parts;
 use http::{HeaderName, HeaderValue, Request, Response};
+use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
@@ -39,6 +40,7 @@
 pub(crate) use spare_connection::SpareConnection;
 
 use crate::connection_use::ConnectionUse;
+use crate::dead_peer::unacknowledged_limit;
 use crate::message_heads::SendDeadline;
 use crate::response_body::{MAX_CONTROL_BYTES, read_response_body};
 use crate::send_error::{ForeignCause, SendError};
@@ -245,6 +247,11 @@
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
         SendDeadline::refresh(&mut request);
         connection.interims.begin(&mut request);
+        let (bytes, time_left) = (
+            request.body().size_hint().lower(),
+            SendDeadline::time_left(&request),
+        );
+        connection.set_unacknowledged_limit(unacknowledged_limit(bytes, time_left));
         let is_direct = connection.peer.is_none();
         let mut response = pin!(connection.sender.try_send_request(request));
         let result = match timeout(SILENCE_BEFORE_CHECK, &mut response).await {
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -52,6 +52,8 @@
     pub(super) is_reusable: bool,
     pub(super) opened: Instant,
     pub(super) interims: InterimCount,
+    /// How long sent data may stay unacknowledged.
+    pub(super) unacknowledged_limit: Duration,
     /// What the target stated about itself on the connection.
     pub(super) stated: StatedStart,
     pub(super) life: ConnectionLife,
@@ -78,6 +80,16 @@
         is_fresh && !self.sender.is_closed() && !self.closer.is_closed() && !has_unread_end()
     }
 
+    /// Sets how long sent data may stay unacknowledged, on a direct connection.
+    pub(super) fn set_unacknowledged_limit(&mut self, limit: Duration) {
+        if let Some(socket) = &self.socket
+            && self.unacknowledged_limit != limit
+        {
+            socket.set_unacknowledged_limit(limit);
+            self.unacknowledged_limit = limit;
+        }
+    }
+
     /// Starts the idle time after a complete response.
     pub(super) fn begin_idle(&mut self, head: &HeaderMap) {
         self.idle_timeout = keep_alive_timeout(head).unwrap_or(DEFAULT_IDLE_TIMEOUT);
--- a/crates/gateway/src/upstream/open.rs
+++ b/crates/gateway/src/upstream/open.rs
@@ -16,7 +16,7 @@
 use super::interim_count::InterimCount;
 use super::shared_socket::SharedSocket;
 use crate::connection_use::ConnectionUse;
-use crate::dead_peer::detect_dead_peer;
+use crate::dead_peer::{UNACKNOWLEDGED_DATA_TIMEOUT, detect_dead_peer};
 use crate::send_error::SendError;
 use crate::stated_start::StatedStart;
 use crate::target_links::{ConnectPurpose, LinkError, TargetSocket};
@@ -118,6 +118,7 @@
             is_reusable: true,
             opened: Instant::now(),
             interims,
+            unacknowledged_limit: UNACKNOWLEDGED_DATA_TIMEOUT,
             stated: StatedStart::Unasked,
             life: state.lives.add(address, peer, watch),
         })
--- a/crates/gateway/src/upstream/shared_socket.rs
+++ b/crates/gateway/src/upstream/shared_socket.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -24,6 +25,13 @@
         Rc::downgrade(&self.0)
     }
 
+    /// Sets how long sent data may stay unacknowledged before the operating system closes the connection.
+    pub(super) fn set_unacknowledged_limit(&self, limit: Duration) {
+        if let Err(error) = SockRef::from(&*self.0).set_tcp_user_timeout(Some(limit)) {
+            log::warn!("cannot set how long data for a target may stay unacknowledged: {error}");
+        }
+    }
+
     /// Returns whether the peer has closed or reset the connection, or sent bytes that were not asked
     /// for. The task that drives the connection may not have seen that yet.
     pub(super) fn has_unread_end(&self) -> bool {
