--- a/crates/gateway/src/target_links/tests.rs
+++ b/crates/gateway/src/target_links/tests.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use linnet_paths::PeerAnswer;
+use linnet_paths::{PeerAnswer, PeerTable};
 use linnet_wire::accept_peer;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -201,9 +201,10 @@
         let peer = closed_address().await;
         let pool = pool(&[peer]);
         pool.links().record_lost(target, peer, "test");
-        let mut peers = pool.links().peers.borrow_mut();
-        peers.record(peer, target, PeerAnswer::Silent, Instant::now());
-        drop(peers);
+        let record_silence = |peers: &mut PeerTable| {
+            peers.record(peer, target, PeerAnswer::Silent, Instant::now());
+        };
+        record_silence(&mut pool.links().peers.borrow_mut());
         assert_eq!(pool.probe(target).await, ProbeOutcome::Silent);
     });
 }
--- a/crates/gateway/src/upstream/bounded_stream.rs
+++ b/crates/gateway/src/upstream/bounded_stream.rs
@@ -9,7 +9,7 @@
 use super::interim_count::InterimCount;
 
 /// Maximum number of bytes that are read before other tasks run: one thread serves all connections.
-const READ_BATCH_BYTES: usize = 128 * 1024;
+const READ_BATCH_BYTES: usize = 32 * 1024;
 
 /// Yields to other tasks while bytes keep coming, and fails once too many interim responses have come.
 pub(super) struct BoundedStream<T> {
@@ -41,11 +41,14 @@
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        match &read {
+        let max_bytes = buffer.remaining().min(READ_BATCH_BYTES - self.batch_bytes);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(max_bytes));
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut part);
+        let count = part.filled().len();
+        buffer.advance(count);
+        match read {
             Poll::Pending => self.batch_bytes = 0,
-            Poll::Ready(_) => self.batch_bytes += buffer.filled().len() - before,
+            Poll::Ready(_) => self.batch_bytes += count,
         }
         read
     }
