The end of a planned stop also ends the wait for the end of a stream

The wait was limited by a stop only if that had begun before it; a stream whose target stood still was then cut by the end of the process, without a line. Found by reading; the select is the one that reading events has.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -243,7 +243,7 @@
     let Some(unframed) = response.unframed.take() else {
         return outcome;
     };
-    let times = (sent, gateway.limit_by_stop(request.deadline));
+    let times = (sent, request.deadline);
     let state = gateway
         .judge_unframed_end((service, chosen), request, times, &unframed)
         .await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -336,11 +336,6 @@
         self.stop_time().is_some()
     }
 
-    /// Returns the earlier one of a time and of the end of a planned stop.
-    pub(crate) fn limit_by_stop(&self, at: Instant) -> Instant {
-        self.stop_time().map_or(at, |stop| at.min(stop.deadline))
-    }
-
     /// Waits until a planned stop begins.
     pub(crate) async fn wait_for_stop(&self) -> StopTime {
         let mut stop_time = self.stop_time.subscribe();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -190,7 +190,7 @@
         };
         let target = (self.service.as_str(), &self.chosen);
         let judge = |give_up_at| {
-            let times = (self.sent, self.gateway.limit_by_stop(give_up_at));
+            let times = (self.sent, give_up_at);
             self.gateway
                 .judge_unframed_end(target, &self.request, times, unframed)
         };
@@ -265,7 +265,10 @@
             resume_or_abort(relay, stream, StreamEnd::InsideEvent, cause).await
         }
         Ok(Ok(None)) => {
-            let state = relay.judge_end(&stream).await;
+            let state = tokio::select! {
+                state = relay.judge_end(&stream) => state,
+                () = relay.gateway.wait_for_stop_deadline() => TargetState::Unknown,
+            };
             if state != TargetState::Alive {
                 relay.count_body(&stream, BodyEnd::Broken);
                 let end = match state {
