A large request through another host is broken off while its target reads nothing

Same as on a direct connection: a caller got 502 'connection error' after 3 s for a request with a large body, sent through another host since this one had lost its links, while the target stood still for 4 s. Suspected by the table of timers, shown by the test.

Neither end of a tunnel knows how long its target or its caller may stand still, so unacknowledged data no longer closes the three connections of a tunnel; two unanswered keep-alive probes do, after 3 s, where nothing is being sent. A request that is sent into a lost path through a tunnel now waits for its time limit or deadline.

a_large_request_through_another_host_is_broken_off_while_its_target_reads_nothing fails on the code before (502 after 3.0 s) and passes now; the four tests of lost_links pass.

--- a/crates/gateway/src/dead_peer.rs
+++ b/crates/gateway/src/dead_peer.rs
@@ -11,6 +11,9 @@
 /// Interval between two keep-alive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Number of unanswered keep-alive probes after which a tunnel is closed.
+const KEEPALIVE_RETRIES: u32 = 2;
+
 /// How long sent data may stay unacknowledged before the operating system closes the connection.
 pub(crate) const UNACKNOWLEDGED_DATA_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -32,8 +35,18 @@
 pub(crate) fn detect_dead_peer(socket: &TcpStream) {
     let options = SockRef::from(socket);
     let _ = options.set_tcp_user_timeout(Some(UNACKNOWLEDGED_DATA_TIMEOUT));
-    let keepalive = TcpKeepalive::new()
+    let _ = options.set_tcp_keepalive(&keepalive());
+}
+
+/// Same as [`detect_dead_peer`] for the connections of a tunnel. Whether its ends read is up to the target
+/// and the caller, so unacknowledged data does not close it, only keep-alive probes do.
+pub(crate) fn detect_dead_tunnel(socket: &TcpStream) {
+    let keepalive = keepalive().with_retries(KEEPALIVE_RETRIES);
+    let _ = SockRef::from(socket).set_tcp_keepalive(&keepalive);
+}
+
+fn keepalive() -> TcpKeepalive {
+    TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE_TIME)
-        .with_interval(KEEPALIVE_INTERVAL);
-    let _ = options.set_tcp_keepalive(&keepalive);
+        .with_interval(KEEPALIVE_INTERVAL)
 }
--- a/crates/gateway/src/target_links/connect.rs
+++ b/crates/gateway/src/target_links/connect.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use super::{TargetLinks, TunnelContext};
-use crate::dead_peer::detect_dead_peer;
+use crate::dead_peer::detect_dead_tunnel;
 use crate::rendezvous::ScoreKey;
 use crate::tunnel::{TunnelReply, TunnelStream, open_tunnel};
 
@@ -183,7 +183,7 @@
             Some(failure) => failure,
             None => match self.connect_direct(target, SERVE_CONNECT_TIMEOUT).await {
                 Ok(socket) => {
-                    detect_dead_peer(&socket);
+                    detect_dead_tunnel(&socket);
                     let _ = socket.set_nodelay(true);
                     return Ok(socket);
                 }
--- a/crates/gateway/src/tunnel/open.rs
+++ b/crates/gateway/src/tunnel/open.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 
 use super::{TunnelReply, TunnelRequest, TunnelStream};
-use crate::dead_peer::detect_dead_peer;
+use crate::dead_peer::detect_dead_tunnel;
 
 /// Timeout of one peer: three round trips to it and the time that it waits for the target, at a host
 /// that is busy. Another peer is asked meanwhile.
@@ -28,7 +28,7 @@
     let asked = async {
         let connected = connect_peer(identity, peer).await;
         let (mut reader, mut writer) = connected.map_err(|_| PeerAnswer::Unreachable)?;
-        detect_dead_peer(writer.socket());
+        detect_dead_tunnel(writer.socket());
         // Dropping the tunnel resets the connection, so that the helping host notices it even if
         // bytes are still queued.
         let _ = SockRef::from(writer.socket()).set_linger(Some(Duration::ZERO));
--- a/crates/gateway/src/tunnel_server.rs
+++ b/crates/gateway/src/tunnel_server.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use crate::Gateway;
-use crate::dead_peer::detect_dead_peer;
+use crate::dead_peer::detect_dead_tunnel;
 use crate::target_links::{SERVE_CONNECT_TIMEOUT, ServedTunnel};
 use crate::tunnel::{BACKLOG_FRAMES, MAX_FRAME_BYTES, TunnelFrame, TunnelReply, TunnelRequest};
 
@@ -29,7 +29,7 @@
     mut reader: PeerReader,
     mut writer: PeerWriter,
 ) -> Result<(), WireError> {
-    detect_dead_peer(writer.socket());
+    detect_dead_tunnel(writer.socket());
     let Ok(request) = timeout(SERVE_CONNECT_TIMEOUT, reader.receive::<TunnelRequest>()).await
     else {
         return Ok(());
