Many responses without end take the memory of a host

Each answer was bounded (32 MiB, 1 MiB of events), all of them together were not: 64 floods of seven shapes took an entry host to 548 and 529 MB in a release build, where the smallest hosts have 160 MB.

What a host holds of unfinished answers has one bound, that of the largest answer. From there on an answer that grows beyond an even share is cut, with incomplete=flood; smaller ones go on. Reads of bodies, calls, reports, first events and partial events all count.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -24,6 +24,7 @@
 use crate::event_cursor::EventCursor;
 use crate::events::{EventSplitter, has_event_lines, is_event_stream};
 use crate::graph::RequestResults;
+use crate::held_bytes::HeldShare;
 use crate::in_flight::InFlightGuard;
 use crate::incarnation::{IncarnationCheck, ProvedIncarnation};
 use crate::incomplete_answer::IncompleteCause;
@@ -127,6 +128,8 @@
     /// The incarnation that sends the events, if it is proved.
     pub(crate) incarnation: Option<ProvedIncarnation>,
     pub(crate) splitter: EventSplitter,
+    /// What is held of events that are not complete.
+    pub(crate) held: HeldShare,
     /// Bytes of an event that was incomplete when the body ended.
     pub(crate) partial_bytes: usize,
     pub(crate) lease: ConnectionLease,
@@ -384,7 +387,7 @@
             return AttemptOutcome::unusable(disorder.to_string());
         }
         return match outcome {
-            Ok((status, headers, first, rest, splitter, lease)) => {
+            Ok((status, headers, first, rest, (splitter, held), lease)) => {
                 gateway
                     .targets
                     .borrow_mut()
@@ -398,6 +401,7 @@
                     rest,
                     incarnation,
                     splitter,
+                    held,
                     partial_bytes: 0,
                     lease,
                     _in_flight: in_flight,
@@ -418,7 +422,8 @@
             Err(outcome) => outcome,
         };
     }
-    match read_response_body(body, MAX_RESPONSE_BYTES).await {
+    let held = gateway.upstream.held();
+    match read_response_body(body, MAX_RESPONSE_BYTES, held).await {
         Ok(body) => {
             gateway.metrics.count_body(framing, BodyEnd::Clean);
             lease.release(&head.headers);
@@ -443,7 +448,7 @@
             gateway.metrics.count_body(framing, BodyEnd::Broken);
             AttemptOutcome::cut_short("answer", &error)
         }
-        Err(error @ BodyError::TooLong(_)) => {
+        Err(error @ (BodyError::TooLong(_) | BodyError::ShareExceeded(_))) => {
             gateway.metrics.count_body(framing, BodyEnd::TooLong);
             AttemptOutcome::incomplete(IncompleteCause::Flood, format!("answer {error}"))
         }
--- a/crates/gateway/src/attempt/first_event.rs
+++ b/crates/gateway/src/attempt/first_event.rs
@@ -12,6 +12,7 @@
 use crate::body_framing::BodyFraming;
 use crate::caller_request::CallerRequest;
 use crate::events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES, has_event_lines};
+use crate::held_bytes::HeldShare;
 use crate::incomplete_answer::IncompleteCause;
 use crate::metrics::BodyEnd;
 use crate::stage_client::Placement;
@@ -22,7 +23,7 @@
     HeaderMap,
     Bytes,
     Incoming,
-    EventSplitter,
+    (EventSplitter, HeldShare),
     ConnectionLease,
 );
 
@@ -39,6 +40,7 @@
 ) -> Result<FirstEvent, AttemptOutcome> {
     let mut splitter = EventSplitter::default();
     let mut first = BytesMut::new();
+    let mut held = gateway.upstream.held().begin();
     loop {
         match body.frame().await {
             Some(Ok(frame)) => {
@@ -52,6 +54,11 @@
                     }
                 };
                 first.extend_from_slice(&events.unwrap_or_default());
+                if let Err(error) = held.set(first.len() + splitter.buffered_bytes()) {
+                    gateway.metrics.count_body(framing, BodyEnd::TooLong);
+                    let cause = format!("event {error}");
+                    return Err(AttemptOutcome::incomplete(IncompleteCause::Flood, cause));
+                }
                 // Comments may come before the first event.
                 if !has_event_lines(&first) {
                     continue;
@@ -67,7 +74,8 @@
                         .learn_prefill_speed(unshared_tokens, sent.elapsed());
                 }
                 let first = first.freeze();
-                return Ok((head.status, head.headers, first, body, splitter, lease));
+                let buffered = (splitter, held);
+                return Ok((head.status, head.headers, first, body, buffered, lease));
             }
             Some(Err(error)) => {
                 return Err(AttemptOutcome::cut_short("stream", &error));
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Returns the number of bytes that are buffered.
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Removes and returns the bytes after the last complete event.
     pub(crate) fn take_remainder(&mut self) -> Bytes {
         self.searched = SearchedPart::default();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod gateway;
 mod graph;
 mod hall_bytes;
+mod held_bytes;
 mod host_load;
 mod in_flight;
 mod incarnation;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,6 +21,7 @@
 use crate::event_cursor::{EventCursor, EventDisorder};
 use crate::events::{EventTooLong, first_event_id};
 use crate::graph::RequestResults;
+use crate::held_bytes::ShareExceeded;
 use crate::message_heads::build_response;
 use crate::metrics::BodyEnd;
 use crate::part_suspects::AnswerRun;
@@ -299,7 +300,9 @@
                     }
                     (BodyEnd::Broken, StreamEnd::Connection)
                 }
-                ReadError::TooLong(_) => (BodyEnd::TooLong, StreamEnd::TooLong),
+                ReadError::TooLong(_) | ReadError::ShareExceeded(_) => {
+                    (BodyEnd::TooLong, StreamEnd::TooLong)
+                }
             };
             relay.count_body(&stream, body_end);
             resume_or_abort(relay, stream, end, &error.to_string()).await
@@ -372,6 +375,8 @@
     Broken(hyper::Error),
     #[display("{_0}")]
     TooLong(EventTooLong),
+    #[display("event {_0}")]
+    ShareExceeded(ShareExceeded),
 }
 
 /// Reads until an event is complete; returns `None` at the end of the body. Bytes that only begin an
@@ -381,8 +386,10 @@
         match stream.rest.frame().await {
             Some(Ok(frame)) => {
                 let pushed = frame.data_ref().map(|bytes| stream.splitter.push(bytes));
-                if let Some(events) = pushed.transpose()?.flatten() {
-                    return Ok(Some(events));
+                let events = pushed.transpose()?.flatten();
+                stream.held.set(stream.splitter.buffered_bytes())?;
+                if events.is_some() {
+                    return Ok(events);
                 }
             }
             Some(Err(error)) => return Err(error.into()),
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::held_bytes::{HeldBytes, ShareExceeded};
 use crate::send_error::is_peer_disconnect;
 
 /// Maximum size of a plain response, which is passed on once it is complete.
@@ -30,6 +31,9 @@
     /// The body is larger than the limit in bytes.
     #[display("longer than {_0} bytes")]
     TooLong(usize),
+    /// The host holds too much of unfinished answers.
+    #[display("{_0}")]
+    ShareExceeded(ShareExceeded),
 }
 
 impl BodyError {
@@ -37,7 +41,7 @@
     pub(crate) fn is_peer_disconnect(&self) -> bool {
         match self {
             Self::Broken(error) => is_peer_disconnect(error),
-            Self::TooLong(_) => false,
+            Self::TooLong(_) | Self::ShareExceeded(_) => false,
         }
     }
 }
@@ -50,12 +54,14 @@
 pub(crate) async fn read_response_body(
     mut body: Incoming,
     max_bytes: usize,
+    held: &HeldBytes,
 ) -> Result<Bytes, BodyError> {
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(BodyError::TooLong(max_bytes));
     }
     // The data of small frames is copied, since each frame keeps the buffer that it was read into.
     let mut read = BytesMut::new();
+    let mut share = held.begin();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else {
             continue;
@@ -67,6 +73,9 @@
         if read.is_empty() && body.is_end_stream() {
             return Ok(data);
         }
+        share
+            .set(read.len() + data.len())
+            .map_err(BodyError::ShareExceeded)?;
         read.extend_from_slice(&data);
     }
     Ok(read.freeze())
--- a/crates/gateway/src/stage_call.rs
+++ b/crates/gateway/src/stage_call.rs
@@ -176,7 +176,7 @@
             return outcome;
         }
         let framing = BodyFraming::of_response(&head.headers, body.is_end_stream());
-        let body = match read_response_body(body, MAX_CALL_BYTES).await {
+        let body = match read_response_body(body, MAX_CALL_BYTES, lease.pool().held()).await {
             Ok(body) => body,
             Err(error) if error.is_peer_disconnect() => {
                 return CallOutcome::ConnectionBroken(error.to_string());
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -41,6 +41,7 @@
 
 use crate::connection_use::ConnectionUse;
 use crate::dead_peer::unacknowledged_limit;
+use crate::held_bytes::HeldBytes;
 use crate::message_heads::SendDeadline;
 use crate::response_body::{MAX_CONTROL_BYTES, read_response_body};
 use crate::send_error::{ForeignCause, SendError};
@@ -95,6 +96,7 @@
     state: Rc<RefCell<PoolState>>,
     links: Rc<TargetLinks>,
     ids: Rc<ExchangeIds>,
+    held: HeldBytes,
 }
 
 impl UpstreamPool {
@@ -105,6 +107,7 @@
             state: Rc::default(),
             links: Rc::new(links),
             ids: Rc::new(ExchangeIds::new(id_header)),
+            held: HeldBytes::default(),
         }
     }
 
@@ -113,6 +116,11 @@
         &self.links
     }
 
+    /// Returns what this host holds of unfinished answers of targets.
+    pub(crate) fn held(&self) -> &HeldBytes {
+        &self.held
+    }
+
     /// Returns how many connections have been opened.
     pub(crate) fn opened_count(&self) -> u64 {
         self.state.borrow().opened_count
@@ -226,7 +234,7 @@
     ) -> Result<(Parts, Bytes), SendError> {
         let (response, lease) = self.send(address, request, gate).await?;
         let (head, body) = response.into_parts();
-        let body = read_response_body(body, MAX_CONTROL_BYTES)
+        let body = read_response_body(body, MAX_CONTROL_BYTES, &self.held)
             .await
             .map_err(|error| SendError::MayHaveRun {
                 cause: error.to_string(),
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -144,7 +144,7 @@
         ntex::rt::spawn(async move {
             let drained = timeout(
                 UNREAD_BODY_TIMEOUT,
-                read_response_body(body, MAX_UNREAD_BYTES),
+                read_response_body(body, MAX_UNREAD_BYTES, self.pool.held()),
             )
             .await;
             if matches!(drained, Ok(Ok(_))) {
--- a/crates/gateway/src/upstream/incarnation.rs
+++ b/crates/gateway/src/upstream/incarnation.rs
@@ -143,7 +143,9 @@
         let id = self.ids.assign(request.headers_mut());
         let response = self.exchange_head(address, connection, request).await;
         let (head, body) = response.ok()?.into_parts();
-        let body = read_response_body(body, MAX_CONTROL_BYTES).await.ok()?;
+        let body = read_response_body(body, MAX_CONTROL_BYTES, self.held())
+            .await
+            .ok()?;
         if self.ids.echo_of(&head.headers, &id) != IdEcho::Same {
             return None;
         }
--- a/crates/gateway/src/upstream/release_connection.rs
+++ b/crates/gateway/src/upstream/release_connection.rs
@@ -66,7 +66,7 @@
                 return Err(SendError::Foreign(cause));
             }
         };
-        let body = read_response_body(body, MAX_CONTROL_BYTES).await;
+        let body = read_response_body(body, MAX_CONTROL_BYTES, self.held()).await;
         if body.is_ok() && !has_close_option(&head.headers) {
             connection.last_id = Some(id);
             connection.begin_idle(&head.headers);
