Each request that takes up a stream leaves a line of what it waited for

A stream taken up whose caller left had lines 418 and 405 only: they do not tell whether it waited for its origin, its stages, a target or the first event. Line 434 is written when the request is dropped, whatever ends it.

Each holder is asked and counted, also one that cannot be reached now; what is decided stays as it was.

--- a/crates/ctl/src/logs.rs
+++ b/crates/ctl/src/logs.rs
@@ -46,6 +46,10 @@
         println!("events of configurations at its host, and newer ones that were accepted:");
         history.config_lines.iter().for_each(print_line);
     }
+    if !history.takeup_lines.is_empty() {
+        println!("the same stream under other ids:");
+        history.takeup_lines.iter().for_each(print_line);
+    }
     println!("{}", history.summary);
     Ok(())
 }
--- a/crates/gateway/src/caller_disconnect.rs
+++ b/crates/gateway/src/caller_disconnect.rs
@@ -6,6 +6,7 @@
 
 use crate::Gateway;
 use crate::caller_request::CallerRequest;
+use crate::takeup_trace::{StartOutcome, count_stream_start};
 
 /// Records an event when it is dropped before the request has a response: the HTTP library drops
 /// the future of a request once its caller has closed the connection, which leaves no other trace.
@@ -41,6 +42,7 @@
             self.request.account.as_deref().unwrap_or("-"),
             self.request.arrived_at.elapsed().as_millis(),
         );
+        count_stream_start(&self.gateway, &self.request, StartOutcome::CallerLeft);
         self.gateway
             .metrics
             .count_request("caller_left", self.request.rank.route_priority);
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -19,6 +19,7 @@
 use crate::protocol::HeaderNames;
 use crate::rank::Rank;
 use crate::request_sends::RequestSends;
+use crate::takeup_trace::TakeupTrace;
 use crate::target::Target;
 use crate::{Refusal, RefusalReason};
 
@@ -66,6 +67,8 @@
     /// The only software version whose targets may run it; set once its caller has events of a
     /// stream.
     pub(crate) bound_version: OnceCell<String>,
+    /// What the request waits for, if it takes up a stream.
+    pub(crate) takeup: OnceCell<TakeupTrace>,
 }
 
 impl CallerRequest {
@@ -184,6 +187,7 @@
         sends: RequestSends::default(),
         counted_run: Cell::default(),
         bound_version: OnceCell::new(),
+        takeup: OnceCell::new(),
     })
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -25,6 +25,7 @@
 use crate::run_permit::{RunPermits, acquire_run_permits};
 use crate::service_availability::retry_after;
 use crate::stage_client::Placement;
+use crate::takeup_trace::{StartOutcome, TakeupEnd, TakeupStep, TakeupTrace, count_stream_start};
 use crate::target_selection::{
     ExcludedTargets, no_target_refusal, pick_service, select_or_await_target,
 };
@@ -90,6 +91,7 @@
         Err(timeout_refusal(&trace, cause))
     });
     caller_watch.mark_answered();
+    record_start(&gateway, &request, &outcome);
     record_outcome(&gateway, &request, &trace, &outcome);
     match outcome {
         Ok(response) => response,
@@ -102,6 +104,29 @@
     }
 }
 
+/// Counts whether a stream has begun, and records the end of one that was taken up and did not go on.
+fn record_start(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    outcome: &Result<Response<ResponseBody>, Refusal>,
+) {
+    let is_begun = outcome.as_ref().is_ok_and(|one| one.status().is_success());
+    let start = match is_begun {
+        true => StartOutcome::Begun,
+        false => StartOutcome::NotBegun,
+    };
+    count_stream_start(gateway, request, start);
+    if !is_begun {
+        let is_refused = outcome
+            .as_ref()
+            .is_err_and(|one| one.reason.promises_not_run());
+        request.end_takeup(match is_refused {
+            true => TakeupEnd::Refused,
+            false => TakeupEnd::Failed,
+        });
+    }
+}
+
 fn timeout_refusal(trace: &RequestTrace, cause: IncompleteCause) -> Refusal {
     if trace.may_have_run {
         Refusal::new(RefusalReason::TimedOut, "no response before the deadline")
@@ -232,7 +257,13 @@
     request: &Rc<CallerRequest>,
     trace: &mut RequestTrace,
 ) -> Result<Response<ResponseBody>, Refusal> {
+    if gateway.takes_up_stream(request) {
+        request
+            .takeup
+            .get_or_init(|| TakeupTrace::new(gateway, request));
+    }
     let taken_up = gateway.bind_taken_up_stream(request).await?;
+    request.enter_step(TakeupStep::Permit);
     let service = taken_up.unwrap_or_else(|| pick_service(&request.route).to_owned());
     let budget = &gateway.retry_budget;
     budget.record_request(&service);
@@ -249,16 +280,19 @@
     loop {
         if results.is_none() && !request.route.stages.is_empty() {
             let started = Instant::now();
+            request.enter_step(TakeupStep::Stages);
             let running = run_stages_with_rerun(gateway, &service, request, trace);
             let is_trial = run_permits.is_part_trial();
             let outcome = unless_held(gateway, &service, request, is_trial, running).await;
             results = Some(outcome.map_err(|refusal| adjust_refusal(trace, refusal))?);
             trace.stages_time = Some(started.elapsed());
         }
+        request.enter_step(TakeupStep::Permit);
         // The status of the request may have changed because of its own last run, or at another
         // entry host while its stages ran.
         let acquired = acquire_run_permits(gateway, &service, request, &mut run_permits).await;
         acquired.map_err(|refusal| adjust_refusal(trace, refusal))?;
+        request.enter_step(TakeupStep::Target);
         // Selects the target only now, since targets may have been withdrawn while the stages ran.
         let excluded = ExcludedTargets {
             tried: &tried,
@@ -272,6 +306,7 @@
         if !trace.may_have_run {
             gateway.check_stop(request)?;
         }
+        request.enter_step(TakeupStep::FirstEvent);
         trace.target.clone_from(&chosen.id);
         trace.born = chosen.born;
         trace.placement_facts = placement.as_ref().and_then(Placement::estimate);
@@ -327,6 +362,7 @@
                 if let Some(incarnation) = incarnation {
                     request.bind_incarnation(incarnation);
                 }
+                request.enter_step(TakeupStep::Events);
                 let relay =
                     StreamRelay::new(gateway, request, service, chosen, results, trace.attempts)
                         .with_run_permits(run_permits)
@@ -350,6 +386,7 @@
                     && may_retry
                     && budget.allow_retry(request, &service, RetryCause::Failure);
                 if !retries {
+                    request.end_takeup(TakeupEnd::Complete);
                     return Ok(build_response(status, &headers, ResponseBody::full(body)));
                 }
                 format!("status {}", status.as_u16())
--- a/crates/gateway/src/graph.rs
+++ b/crates/gateway/src/graph.rs
@@ -297,6 +297,10 @@
         },
         piece_count: request.piece_counts[number],
     };
+    if let Some(takeup) = request.takeup.get() {
+        let coordinator = gateway.stage_client.coordinator_of(&batch.pool);
+        takeup.set_stage(number, &batch.pool, coordinator);
+    }
     let FinishedBatch {
         results,
         coordinator: home,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -79,6 +79,7 @@
 mod stream_origins;
 mod stream_trace;
 mod suspects;
+mod takeup_trace;
 mod target;
 mod target_crash;
 mod target_links;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,7 +19,7 @@
     BodyEnd, BodyLabels, ConnectionLabels, ForeignLabels, IncarnationLabels, IncompleteLabels,
     OriginLabels, OutcomeLabels, OwnResponseLabels, PlacerLabels, PlacerReply, RefusalCause,
     RefusalLabels, ResumptionLabels, RetryLabels, ReturnLabels, ReturnOutcome, SendLabels,
-    StreamEndLabels, UnframedLabels,
+    StartLabels, StreamEndLabels, UnframedLabels,
 };
 
 /// Metrics of an entry host.
@@ -37,6 +37,7 @@
     pub(crate) retry_slack_granted: Gauge,
     pub(crate) streams_known: Gauge,
     pub(crate) streams_taken_up: Family<OriginLabels, Counter>,
+    pub(crate) stream_starts: Family<StartLabels, Counter>,
     pub(crate) stream_resumptions: Family<ResumptionLabels, Counter>,
     pub(crate) stream_ends: Family<StreamEndLabels, Counter>,
     pub(crate) incomplete_answers: Family<IncompleteLabels, Counter>,
@@ -106,6 +107,7 @@
             retry_slack_granted: Gauge::default(),
             streams_known: Gauge::default(),
             streams_taken_up: Family::default(),
+            stream_starts: Family::default(),
             stream_resumptions: Family::default(),
             stream_ends: Family::default(),
             incomplete_answers: Family::default(),
--- a/crates/gateway/src/metrics/counting.rs
+++ b/crates/gateway/src/metrics/counting.rs
@@ -8,7 +8,7 @@
     BodyEnd, BodyLabels, ConnectionLabels, GatewayMetrics, IncarnationLabels, IncompleteLabels,
     OriginLabels, OutcomeLabels, OwnResponseLabels, PlacerLabels, PlacerReply, RefusalCause,
     RefusalLabels, ResumptionLabels, RetryLabels, ReturnLabels, ReturnOutcome, SendLabels,
-    StreamEndLabels, UnframedLabels,
+    StartLabels, StreamEndLabels, UnframedLabels,
 };
 use crate::body_framing::BodyFraming;
 use crate::connection_use::ConnectionUse;
@@ -17,6 +17,7 @@
 use crate::retry_cause::RetryCause;
 use crate::stated_start::IncarnationVerdict;
 use crate::stream_trace::{OriginSource, ResumptionOutcome, StreamEnd};
+use crate::takeup_trace::StartOutcome;
 use crate::target_state::TargetState;
 
 impl GatewayMetrics {
@@ -86,6 +87,15 @@
         self.streams_taken_up.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_stream_start(&self, is_taken_up: bool, outcome: StartOutcome) {
+        let kind = if is_taken_up { "taken_up" } else { "new" };
+        let labels = StartLabels {
+            kind: kind.to_owned(),
+            outcome: outcome.to_string(),
+        };
+        self.stream_starts.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn count_resumption(&self, outcome: ResumptionOutcome) {
         let labels = ResumptionLabels {
             outcome: outcome.to_string(),
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -120,6 +120,15 @@
     pub origin: String,
 }
 
+/// Labels of requests for streams that may be taken up.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StartLabels {
+    /// `new` or `taken_up`.
+    pub kind: String,
+    /// `begun`, `not_begun`, or `caller_left` before either was known.
+    pub outcome: String,
+}
+
 /// Labels of streams whose run broke off.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ResumptionLabels {
--- a/crates/gateway/src/metrics/registration.rs
+++ b/crates/gateway/src/metrics/registration.rs
@@ -144,6 +144,11 @@
         "Streams that callers took up, by how the version that began them was found",
         metrics.streams_taken_up.clone(),
     );
+    registry.register(
+        "stream_starts",
+        "Requests for streams that may be taken up, new or taken up, by whether an answer began",
+        metrics.stream_starts.clone(),
+    );
     registry.register(
         "stream_resumptions",
         "Runs of streams that broke off, by what became of the stream",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -29,6 +29,7 @@
 use crate::run_permit::RunPermits;
 use crate::send_error::is_peer_disconnect;
 use crate::stream_trace::{LogText, StreamEnd};
+use crate::takeup_trace::TakeupEnd;
 use crate::target::ChosenTarget;
 use crate::target_state::TargetState;
 use crate::{Gateway, ResponseBody};
@@ -165,6 +166,10 @@
         self.ended = true;
         self.gateway.record_run_time(&self.request);
         self.gateway.metrics.count_stream_end(end);
+        self.request.end_takeup(match code {
+            EventCode::RequestFinished => TakeupEnd::Complete,
+            _ => TakeupEnd::Cut,
+        });
         self.record(code, outcome);
     }
 
--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -24,6 +24,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use derive_more::Display;
 use linnet_directory::{EntryHostRecord, HostDelay};
 use linnet_forecast::PoolTimes;
 use linnet_shares::{AccountLimit, UseReport};
@@ -45,6 +46,7 @@
 pub(crate) use linnet_succession::SILENCE_TIMEOUT;
 pub(crate) use partitions::{KnownLoad, PartitionRequirements};
 pub(crate) use send_permit::SendPermitHost;
+pub(crate) use stream_origin::OriginLookup;
 
 use guard::ExpectationHandle;
 use host_rank::{CoordinatorRank, CoordinatorRanking};
@@ -88,11 +90,13 @@
 }
 
 /// The entry host that has a role for a pool, such as its coordinator or placer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) enum HostLocation {
     /// This host.
+    #[display("local")]
     Local,
     /// Another entry host, by the address of its peer port.
+    #[display("{_0}")]
     Remote(SocketAddr),
 }
 
@@ -332,7 +336,7 @@
     }
 
     /// Returns the coordinator of a pool.
-    fn coordinator_of(&self, pool: &PoolKey) -> HostLocation {
+    pub(crate) fn coordinator_of(&self, pool: &PoolKey) -> HostLocation {
         if self.follows_succession() {
             self.next_host(&mut BatchRoute::new(), pool)
         } else {
--- a/crates/gateway/src/stage_client/stream_origin.rs
+++ b/crates/gateway/src/stage_client/stream_origin.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures_util::future::select_ok;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use linnet_streams::{StreamKey, StreamOrigin};
 use linnet_wire::MessageVersion;
 use tokio::sync::oneshot;
@@ -26,6 +26,24 @@
 /// Timeout for the reply of a holder.
 const FIND_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// What the holders of a stream say of its origin.
+#[derive(Debug, Default)]
+pub(crate) struct OriginLookup {
+    /// The origin, if a holder knows it.
+    pub(crate) origin: Option<StreamOrigin>,
+    /// Number of holders that do not know it.
+    pub(crate) unknown: usize,
+    /// Number of holders that gave no reply.
+    pub(crate) unreached: usize,
+}
+
+/// What one holder of a stream says of its origin.
+enum HolderReply {
+    Found(StreamOrigin),
+    Unknown,
+    Unreached,
+}
+
 impl StageClient {
     /// Sends the origin of a stream to its holders.
     pub(crate) fn send_stream_origin(
@@ -34,7 +52,8 @@
         origin: &StreamOrigin,
         lifetime: Duration,
     ) {
-        for address in self.stream_holders(stream) {
+        let holders = self.stream_holders(stream).into_iter();
+        for address in holders.filter(|address| self.is_reachable(*address)) {
             let request = PieceRequest::BindStream {
                 stream,
                 origin: origin.clone(),
@@ -44,19 +63,29 @@
         }
     }
 
-    /// Asks the holders of a stream for its origin; returns the first one that is known.
-    pub(crate) async fn request_stream_origin(&self, stream: StreamKey) -> Option<StreamOrigin> {
+    /// Asks the holders of a stream for its origin, until one of them knows it.
+    pub(crate) async fn request_stream_origin(&self, stream: StreamKey) -> OriginLookup {
         let holders = self.stream_holders(stream).into_iter();
-        let asked = holders.map(|address| Box::pin(self.ask_holder(address, stream)));
-        let asked: Vec<_> = asked.collect();
-        if asked.is_empty() {
-            return None;
+        let asked = holders.map(|address| self.ask_holder(address, stream));
+        let mut asked: FuturesUnordered<_> = asked.collect();
+        let mut lookup = OriginLookup::default();
+        while let Some(reply) = asked.next().await {
+            match reply {
+                HolderReply::Found(origin) => {
+                    lookup.origin = Some(origin);
+                    break;
+                }
+                HolderReply::Unknown => lookup.unknown += 1,
+                HolderReply::Unreached => lookup.unreached += 1,
+            }
         }
-        let found = select_ok(asked).await;
-        found.ok().map(|(origin, _)| origin)
+        lookup
     }
 
-    async fn ask_holder(&self, address: SocketAddr, stream: StreamKey) -> Result<StreamOrigin, ()> {
+    async fn ask_holder(&self, address: SocketAddr, stream: StreamKey) -> HolderReply {
+        if !self.is_reachable(address) {
+            return HolderReply::Unreached;
+        }
         let number = self.next_number();
         let (done, reply) = oneshot::channel();
         let request = PieceRequest::FindStream { number, stream };
@@ -67,7 +96,16 @@
         if let Some(link) = self.state.borrow_mut().links.get_mut(&address) {
             link.pending_streams.remove(&number);
         }
-        reply.ok().and_then(Result::ok).flatten().ok_or(())
+        match reply {
+            Ok(Ok(Some(origin))) => HolderReply::Found(origin),
+            Ok(Ok(None)) => HolderReply::Unknown,
+            Ok(Err(_)) | Err(_) => HolderReply::Unreached,
+        }
+    }
+
+    /// Returns whether a holder can be sent messages now.
+    fn is_reachable(&self, address: SocketAddr) -> bool {
+        self.connect_or_check(address) && self.supports(address, MessageVersion::V7)
     }
 
     pub(super) fn complete_stream(
@@ -84,8 +122,8 @@
         }
     }
 
-    /// Returns the other hosts that hold the origin of a stream and can be reached: the best one of
-    /// each hall first, since halls are cut off and lost as a whole.
+    /// Returns the other hosts that hold the origin of a stream: the best one of each hall first, since
+    /// halls are cut off and lost as a whole.
     fn stream_holders(&self, stream: StreamKey) -> Vec<SocketAddr> {
         let label = format!("stream-{}", stream.shard(SHARDS));
         let mut ranked: Vec<(u64, String, Option<SocketAddr>)> = {
@@ -106,10 +144,6 @@
             .into_iter()
             .partition(|(_, hall, _)| halls.insert(hall.clone()));
         let holders = first.into_iter().chain(rest).take(HOLDERS);
-        let others = holders.filter_map(|(.., address)| address);
-        let is_usable = |address: &SocketAddr| {
-            self.connect_or_check(*address) && self.supports(*address, MessageVersion::V7)
-        };
-        others.filter(is_usable).collect()
+        holders.filter_map(|(.., address)| address).collect()
     }
 }
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -15,7 +15,9 @@
 use crate::caller_request::{CallerRequest, is_resumable};
 use crate::incarnation::ProvedIncarnation;
 use crate::protocol::HeaderNames;
+use crate::stage_client::OriginLookup;
 use crate::stream_trace::{LogText, OriginSource};
+use crate::takeup_trace::OriginTrace;
 use crate::target::TargetStore;
 use crate::{Gateway, Refusal, RefusalReason};
 
@@ -167,6 +169,12 @@
             .send_stream_origin(stream, origin, lifetime);
     }
 
+    /// Returns whether a request takes up a stream.
+    pub(crate) fn takes_up_stream(&self, request: &CallerRequest) -> bool {
+        let last_event = &self.config.protocol.headers.last_event;
+        is_resumable(request) && request.headers.contains_key(last_event)
+    }
+
     /// Binds a request that takes up a stream to the service and the version that began it. Returns
     /// the service; `None` for a request that takes up no stream.
     ///
@@ -177,11 +185,12 @@
         &self,
         request: &CallerRequest,
     ) -> Result<Option<String>, Refusal> {
-        let names = &self.config.protocol.headers;
-        if !is_resumable(request) || !request.headers.contains_key(&names.last_event) {
+        if !self.takes_up_stream(request) {
             return Ok(None);
         }
-        let (source, origin) = self.find_stream_origin(request).await;
+        let names = &self.config.protocol.headers;
+        let mut lookup = OriginLookup::default();
+        let (source, origin) = self.find_stream_origin(request, &mut lookup).await;
         self.metrics.count_taken_up(source);
         let version = origin.as_ref().map_or("-", |origin| &origin.version);
         let header = |name| {
@@ -189,12 +198,21 @@
             value.map_or("", |value| value.to_str().unwrap_or("?"))
         };
         let detail = format!(
-            "route={} origin={source} version={version} resumes={} last_event={}",
+            "route={} origin={source} unknown_holders={} unreached_holders={} version={version} resumes={} last_event={}",
             request.route.name,
+            lookup.unknown,
+            lookup.unreached,
             LogText(header(&names.resumes)),
             LogText(header(&names.last_event)),
         );
         self.record_request_event(EventCode::StreamTakenUp, &request.id, "", detail);
+        if let Some(takeup) = request.takeup.get() {
+            takeup.set_origin(OriginTrace {
+                source,
+                version: version.to_owned(),
+                resumes: header(&names.resumes).to_owned(),
+            });
+        }
         let Some(origin) = origin else {
             // The same words for all causes: they tell nothing about the streams of others.
             let detail = "the software version that began the stream is not known";
@@ -211,6 +229,7 @@
     async fn find_stream_origin(
         &self,
         request: &CallerRequest,
+        lookup: &mut OriginLookup,
     ) -> (OriginSource, Option<StreamOrigin>) {
         let names = &self.config.protocol.headers;
         let (source, found) = match stream_name(request, names) {
@@ -218,10 +237,13 @@
             StreamName::Malformed => (OriginSource::MalformedName, None),
             StreamName::Named(stream) => match self.stream_origins.find(stream) {
                 Some(origin) => (OriginSource::Local, Some(origin)),
-                None => match self.stage_client.request_stream_origin(stream).await {
-                    Some(origin) => (OriginSource::Peer, Some(origin)),
-                    None => (OriginSource::NotFound, None),
-                },
+                None => {
+                    *lookup = self.stage_client.request_stream_origin(stream).await;
+                    match lookup.origin.take() {
+                        Some(origin) => (OriginSource::Peer, Some(origin)),
+                        None => (OriginSource::NotFound, None),
+                    }
+                }
             },
         };
         let services = || request.route.split.iter().map(|part| &part.service);
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -142,7 +142,7 @@
     }
 
     /// Returns whether other targets are to be preferred, if there are any.
-    fn is_avoided(&self, now: Instant) -> bool {
+    pub(crate) fn is_avoided(&self, now: Instant) -> bool {
         self.is_ejected(now) || self.cooldown_until.is_some_and(|until| until > now)
     }
 }
--- a/crates/gateway/src/target_selection.rs
+++ b/crates/gateway/src/target_selection.rs
@@ -14,6 +14,7 @@
     has_unlimited_target, next_availability, rates_used_up, wait_until_available,
 };
 use crate::stage_client::Placement;
+use crate::takeup_trace::VersionTargets;
 use crate::target::{ChosenTarget, Target, TargetStore};
 use crate::{Gateway, Refusal, RefusalReason};
 
@@ -121,6 +122,10 @@
         .filter(|target| !excluded.tried.contains(&target.id) && !throttled.contains(&target.id))
         .filter(|target| !closed_targets.contains(&target.id))
         .filter(|target| request.allows_target(target));
+    if let Some(takeup) = request.takeup.get() {
+        let open = eligible.clone().count();
+        takeup.set_targets(version_targets(&store, service, request, open));
+    }
     let load = |target: &Target| {
         let other_hall = target.hall != gateway.config.hall;
         target.load(other_hall, now) + LOAD_JITTER * fastrand::f64()
@@ -133,6 +138,29 @@
     Some((best, None))
 }
 
+/// Counts the targets of a service that may go on with the stream of a request; `open` is the number of
+/// those to which it could be sent.
+fn version_targets(
+    store: &TargetStore,
+    service: &str,
+    request: &CallerRequest,
+    open: usize,
+) -> VersionTargets {
+    let now = Instant::now();
+    let allowed = || {
+        let targets = store.of_service(service);
+        targets.filter(|target| request.allows_target(target))
+    };
+    VersionTargets {
+        listed: allowed().count(),
+        open,
+        avoided: allowed().filter(|one| one.is_avoided(now)).count(),
+        unproved: allowed()
+            .filter(|one| !one.marks.may_be_proved(now))
+            .count(),
+    }
+}
+
 /// Returns the targets of a service that a request must not use now: targets that accept nothing
 /// from this host, and targets outside the share of confined accounts if its account is confined,
 /// or within that share if it is not.
--- a/crates/logbook/src/explain.rs
+++ b/crates/logbook/src/explain.rs
@@ -1,12 +1,14 @@
 //! The history of one request from the logs of all processes.
 
 mod refusal_cause;
+mod takeup_chain;
 
 use linnet_telemetry::EventCode;
 
 use crate::LogLine;
 
 use refusal_cause::{config_lines, part_lines};
+use takeup_chain::takeup_lines;
 
 /// Maximum number of lines about the request's targets; the newest lines are retained.
 const MAX_TARGET_LINES: usize = 12;
@@ -28,6 +30,8 @@
     /// If the configuration refused it: what the refusing host knew of configurations, and newer
     /// ones that control hosts had accepted.
     pub config_lines: Vec<LogLine>,
+    /// How the stream was taken up under other ids, before and after this one.
+    pub takeup_lines: Vec<LogLine>,
     /// The outcome and its cause, in one sentence.
     pub summary: String,
 }
@@ -68,6 +72,7 @@
         held_lines,
         part_lines,
         config_lines,
+        takeup_lines: takeup_lines(all, request),
         summary,
     })
 }
--- a/crates/logbook/src/explain/tests.rs
+++ b/crates/logbook/src/explain/tests.rs
@@ -199,3 +199,27 @@
         assert_eq!(told, codes, "{id}");
     }
 }
+
+/// Guards against a stream whose first request leads to none of those that took it up, and the reverse.
+#[test]
+fn each_request_of_a_stream_leads_to_all_others() {
+    const LOG: &str = "\
+2026-09-17T19:28:20.000Z INFO event=403 host=edge-1 request=a1 RequestFinished: outcome=answered
+2026-09-17T19:28:21.000Z INFO event=418 host=edge-2 request=a2 StreamTakenUp: route=r origin=peer resumes=a1
+2026-09-17T19:28:22.000Z INFO event=434 host=edge-2 request=a2 TakeupEnded: resumes=a1 end=cut
+2026-09-17T19:28:23.000Z INFO event=418 host=edge-3 request=a3 StreamTakenUp: route=r origin=peer resumes=a2
+2026-09-17T19:28:24.000Z INFO event=418 host=edge-3 request=b2 StreamTakenUp: route=r origin=peer resumes=-";
+    let lines = read_lines(LOG.as_bytes()).unwrap();
+    let cases = [
+        ("a1", vec!["a2", "a2", "a3"]),
+        ("a2", vec!["a3"]),
+        ("a3", vec!["a2", "a2"]),
+        ("b2", vec![]),
+    ];
+    for (request, others) in cases {
+        let history = explain_request(&lines, request).unwrap();
+        let found = history.takeup_lines.iter();
+        let found: Vec<&str> = found.filter_map(|line| line.request.as_deref()).collect();
+        assert_eq!(found, others, "{request}");
+    }
+}
--- a/crates/telemetry/src/code.rs
+++ b/crates/telemetry/src/code.rs
@@ -106,6 +106,7 @@
     HostRecovered = 431, Info, "This host no longer delays requests.";
     RolesYielded = 432, Warn, "This host has been delayed for some time; others rank before it for the roles of pools.";
     RolesResumed = 433, Info, "This host has not been delayed for some time and ranks for roles as before.";
+    TakeupEnded = 434, Info, "A request that took up a stream ended; the line says what it waited for and how it ended.";
     TargetListed = 501, Info, "A target was added to the host list.";
     TargetLeaving = 502, Info, "A target is leaving and gets no new requests.";
     TargetGone = 503, Info, "A target is missing from a complete read of the host list.";
