The stages of a taken up stream wait behind all newer requests

Cause: the time since the caller's first attempt counted against the objective of the route. The objective is the first event, which the caller has. A stream taken up counted as overdue from its first stage on, and pieces that are overdue go behind all others of their rank; its admission and the shedding of an overloaded host took it for a request that had been refused.

Change: a request that takes up a stream is judged by its deadline, and its smaller deadline is not taken for an age. Its pieces keep their place in the queue, and it is refused at once if the queues outlast its deadline.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -67,6 +67,8 @@
     /// The only software version whose targets may run it; set once its caller has events of a
     /// stream.
     pub(crate) bound_version: OnceCell<String>,
+    /// Whether it takes up a stream.
+    pub(crate) takes_up: bool,
     /// What the request waits for, if it takes up a stream.
     pub(crate) takeup: OnceCell<TakeupTrace>,
 }
@@ -107,8 +109,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns the time until the objective is missed.
+    /// Returns the time until the objective is missed. The objective of a stream is its first event, which
+    /// the caller of one that is taken up has; that one only has to go on before its deadline.
     pub(crate) fn objective_left(&self) -> Duration {
+        if self.takes_up {
+            return self.time_left();
+        }
         let objective = Duration::from_millis(self.route.objective_ms);
         objective.saturating_sub(self.age + self.arrived_at.elapsed())
     }
@@ -116,7 +122,11 @@
 
 /// Returns whether callers may take up the streams of a request.
 pub(crate) fn is_resumable(request: &CallerRequest) -> bool {
-    request.route.kind == RouteKind::Streaming && request.route.is_repeatable()
+    has_resumable_streams(&request.route)
+}
+
+fn has_resumable_streams(route: &Route) -> bool {
+    route.kind == RouteKind::Streaming && route.is_repeatable()
 }
 
 /// Parses the head of a request against the routing configuration.
@@ -149,6 +159,7 @@
     let deadline = parse_deadline(&head.headers, names, route)?;
     let prompt = parse_prompt(&head.headers, names)?.map(Rc::new);
     let piece_counts = parse_piece_counts(&head.headers, names, route)?;
+    let takes_up = has_resumable_streams(route) && head.headers.contains_key(&names.last_event);
     let piece_key = header_text(&head.headers, &names.piece_key)
         .unwrap_or_default()
         .to_owned();
@@ -187,6 +198,7 @@
         sends: RequestSends::default(),
         counted_run: Cell::default(),
         bound_version: OnceCell::new(),
+        takes_up,
         takeup: OnceCell::new(),
     })
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -257,7 +257,7 @@
     request: &Rc<CallerRequest>,
     trace: &mut RequestTrace,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    if gateway.takes_up_stream(request) {
+    if request.takes_up {
         request
             .takeup
             .get_or_init(|| TakeupTrace::new(gateway, request));
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -227,7 +227,9 @@
         arrived_at,
     )
     .map_err(|refusal| (id.clone(), refusal))?;
-    request.age = gateway.overload.age_of(&request);
+    if !request.takes_up {
+        request.age = gateway.overload.age_of(&request);
+    }
     let max_bytes = table.config().limits.max_body_bytes;
     let read = tokio::select! {
         biased;
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -169,12 +169,6 @@
             .send_stream_origin(stream, origin, lifetime);
     }
 
-    /// Returns whether a request takes up a stream.
-    pub(crate) fn takes_up_stream(&self, request: &CallerRequest) -> bool {
-        let last_event = &self.config.protocol.headers.last_event;
-        is_resumable(request) && request.headers.contains_key(last_event)
-    }
-
     /// Binds a request that takes up a stream to the service and the version that began it. Returns
     /// the service; `None` for a request that takes up no stream.
     ///
@@ -185,7 +179,7 @@
         &self,
         request: &CallerRequest,
     ) -> Result<Option<String>, Refusal> {
-        if !self.takes_up_stream(request) {
+        if !request.takes_up {
             return Ok(None);
         }
         let names = &self.config.protocol.headers;
