A taken up stream is refused as unknown while the holders of its origin live

Cause: a holder whose connection is lost was not asked, and a question that was lost with its connection was not asked again, although connections are opened again after 400 ms. No reply counted as a reply that the stream is unknown.

Change: a holder that gave no reply is asked again for up to 1 s and half of the time left, unless it is no longer listed. A question ends with its connection. Holders that say that they do not know the stream are not asked again.

--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -455,7 +455,15 @@
                 let run_permits = std::mem::take(&mut link.pending_run_permits);
                 let send_permits = std::mem::take(&mut link.pending_send_permits);
                 let batches = std::mem::take(&mut link.pending_batches);
-                (batches, placements, calls, run_permits, send_permits)
+                let streams = std::mem::take(&mut link.pending_streams);
+                (
+                    batches,
+                    placements,
+                    calls,
+                    run_permits,
+                    send_permits,
+                    streams,
+                )
             } else {
                 Default::default()
             }
--- a/crates/gateway/src/stage_client/link_state.rs
+++ b/crates/gateway/src/stage_client/link_state.rs
@@ -51,7 +51,8 @@
     pub(super) pending_calls: HashMap<u64, oneshot::Sender<CallOutcome>>,
     pub(super) pending_run_permits: HashMap<u64, oneshot::Sender<RunPermitReply>>,
     pub(super) pending_send_permits: HashMap<u64, oneshot::Sender<SendPermitReply>>,
-    /// Questions for the origin of a stream. They have a timeout of their own.
+    /// Questions for the origin of a stream. They have a timeout of their own, also while the connection
+    /// is up.
     pub(super) pending_streams: HashMap<u64, oneshot::Sender<Option<StreamOrigin>>>,
 }
 
--- a/crates/gateway/src/stage_client/stream_origin.rs
+++ b/crates/gateway/src/stage_client/stream_origin.rs
@@ -4,13 +4,13 @@
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use linnet_streams::{StreamKey, StreamOrigin};
 use linnet_wire::MessageVersion;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::StageClient;
 use crate::piece_message::PieceRequest;
@@ -23,6 +23,9 @@
 /// keeps a connection for this.
 const SHARDS: u8 = 8;
 
+/// Delay before a holder that gave no reply is asked again.
+const ASK_AGAIN_DELAY: Duration = Duration::from_millis(20);
+
 /// Timeout for the reply of a holder.
 const FIND_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -63,10 +66,15 @@
         }
     }
 
-    /// Asks the holders of a stream for its origin, until one of them knows it.
-    pub(crate) async fn request_stream_origin(&self, stream: StreamKey) -> OriginLookup {
+    /// Asks the holders of a stream for its origin, until one of them knows it. Those that give no reply
+    /// are asked again until `give_up_at`.
+    pub(crate) async fn request_stream_origin(
+        &self,
+        stream: StreamKey,
+        give_up_at: Instant,
+    ) -> OriginLookup {
         let holders = self.stream_holders(stream).into_iter();
-        let asked = holders.map(|address| self.ask_holder(address, stream));
+        let asked = holders.map(|address| self.ask_holder_until(address, stream, give_up_at));
         let mut asked: FuturesUnordered<_> = asked.collect();
         let mut lookup = OriginLookup::default();
         while let Some(reply) = asked.next().await {
@@ -82,6 +90,22 @@
         lookup
     }
 
+    async fn ask_holder_until(
+        &self,
+        address: SocketAddr,
+        stream: StreamKey,
+        give_up_at: Instant,
+    ) -> HolderReply {
+        loop {
+            let reply = self.ask_holder(address, stream).await;
+            let is_over = Instant::now() >= give_up_at || !self.is_known(address);
+            if is_over || !matches!(reply, HolderReply::Unreached) {
+                return reply;
+            }
+            sleep(ASK_AGAIN_DELAY).await;
+        }
+    }
+
     async fn ask_holder(&self, address: SocketAddr, stream: StreamKey) -> HolderReply {
         if !self.is_reachable(address) {
             return HolderReply::Unreached;
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -3,7 +3,7 @@
 mod current_lists;
 
 use std::cell::RefCell;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::HeaderMap;
 use linnet_clock::BootInstant;
@@ -27,6 +27,13 @@
 /// How much longer than its request an origin is kept, for a caller whose clock starts later.
 const LIFETIME_SLACK: Duration = Duration::from_secs(2);
 
+/// Longest time for which the holders of an origin are asked. A connection that was lost is opened again
+/// after 400 ms.
+const MAX_FIND_TIME: Duration = Duration::from_secs(1);
+
+/// Fraction of the remaining time of a request that may be spent on asking them.
+const FIND_TIME_FRACTION: f64 = 0.5;
+
 /// The origins of streams, and the versions that services have had lately.
 #[derive(Default)]
 pub(crate) struct StreamOrigins {
@@ -232,7 +239,10 @@
             StreamName::Named(stream) => match self.stream_origins.find(stream) {
                 Some(origin) => (OriginSource::Local, Some(origin)),
                 None => {
-                    *lookup = self.stage_client.request_stream_origin(stream).await;
+                    let longest = request.time_left().mul_f64(FIND_TIME_FRACTION);
+                    let give_up_at = Instant::now() + longest.min(MAX_FIND_TIME);
+                    let found = self.stage_client.request_stream_origin(stream, give_up_at);
+                    *lookup = found.await;
                     match lookup.origin.take() {
                         Some(origin) => (OriginSource::Peer, Some(origin)),
                         None => (OriginSource::NotFound, None),
