A stream that began while connections were lost is known to nobody else

What callers saw: 503 'the software version that began the stream is not known' for as long as the stream could be taken up, although the host that had served it was alive and connected again.

Cause: the origin was not sent to holders whose connection was lost at that moment, and what was queued for them was discarded with the connection. Requests are sent again by those who await a reply; nobody awaits one for an origin.

Change: origins are queued also for a host whose connection is lost, and the newest 1,024 stay queued until it is open again. An origin that was written to a connection right before its reset is still lost.

--- a/crates/gateway/src/stage_client.rs
+++ b/crates/gateway/src/stage_client.rs
@@ -502,6 +502,16 @@
         }
     }
 
+    /// Queues messages again that were not sent before the connection to a host was lost.
+    fn keep_messages(&self, address: SocketAddr, kept: impl IntoIterator<Item = PieceRequest>) {
+        let state = self.state.borrow();
+        if let Some(link) = state.links.get(&address) {
+            kept.into_iter().for_each(|message| {
+                let _ = link.outgoing.send(message);
+            });
+        }
+    }
+
     fn record_received(&self, address: SocketAddr) {
         let mut state = self.state.borrow_mut();
         if let Some(link) = state.links.get_mut(&address) {
--- a/crates/gateway/src/stage_client/link.rs
+++ b/crates/gateway/src/stage_client/link.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use std::collections::VecDeque;
+
 use linnet_telemetry::EventCode;
 use linnet_wire::{MessageVersion, PeerGreeting, PeerReader, PeerWriter, WireError, connect_peer};
 use tokio::sync::mpsc;
@@ -13,6 +15,9 @@
 use crate::peer_queue::write_queued;
 use crate::piece_message::{PieceReply, PieceRequest};
 
+/// Maximum number of origins of streams that are kept for a host whose connection is lost.
+const MAX_KEPT_ORIGINS: usize = 1_024;
+
 /// The reason why a connection ended without an error.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LinkEnd {
@@ -34,9 +39,8 @@
             return;
         }
         client.set_link_state(address, LinkState::Lost);
-        // Discards queued requests. Their reply channels were dropped just now, so the senders try
-        // another host.
-        while queue.try_recv().is_ok() {}
+        let kept = discard_queued(&mut queue);
+        client.keep_messages(address, kept);
         sleep(RECONNECT_DELAY).await;
     }
     let link = {
@@ -47,6 +51,21 @@
     drop(link);
 }
 
+/// Discards queued requests: their reply channels were dropped, so the senders try another host. Returns
+/// the newest origins of streams, which nobody sends again.
+fn discard_queued(queue: &mut mpsc::UnboundedReceiver<PieceRequest>) -> VecDeque<PieceRequest> {
+    let mut kept = VecDeque::new();
+    while let Ok(request) = queue.try_recv() {
+        if matches!(request, PieceRequest::BindStream { .. }) {
+            kept.push_back(request);
+        }
+        if kept.len() > MAX_KEPT_ORIGINS {
+            kept.pop_front();
+        }
+    }
+    kept
+}
+
 async fn run_connection(
     client: &StageClient,
     address: SocketAddr,
--- a/crates/gateway/src/stage_client/stream_origin.rs
+++ b/crates/gateway/src/stage_client/stream_origin.rs
@@ -48,15 +48,19 @@
 }
 
 impl StageClient {
-    /// Sends the origin of a stream to its holders.
+    /// Sends the origin of a stream to its holders; to one whose connection is lost, once it is open
+    /// again.
     pub(crate) fn send_stream_origin(
         &self,
         stream: StreamKey,
         origin: &StreamOrigin,
         lifetime: Duration,
     ) {
-        let holders = self.stream_holders(stream).into_iter();
-        for address in holders.filter(|address| self.is_reachable(*address)) {
+        for address in self.stream_holders(stream) {
+            self.connect_or_check(address);
+            if !self.supports(address, MessageVersion::V7) {
+                continue;
+            }
             let request = PieceRequest::BindStream {
                 stream,
                 origin: origin.clone(),
