A taken up stream is refused while the targets of its version are full for a moment

Cause: a target that refused once was excluded for the rest of the request, and four refusals ended it. A new stream has all targets and is placed by the load of all hosts; one that goes on has the targets of its version only, while all streams of a crashed target come back to them at once.

Change: a target that is full is avoided for its cooldown (40 ms, doubled with each refusal), not excluded. If all targets of the version are, the request waits for the first one, up to half of its time left and within the retry budget; it is refused at once, with that time, if it would wait longer.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -34,7 +34,8 @@
 
 use stages::{may_rerun_stages, record_stages_rerun, run_stages_with_rerun};
 
-/// Maximum number of attempts that targets refuse without running the request.
+/// Maximum number of attempts that targets refuse without running the request, unless it goes on with a
+/// stream: that one waits between them.
 const MAX_REFUSALS: u32 = 4;
 
 /// Minimum `retry-after` time if every target was full.
@@ -394,11 +395,17 @@
             AttemptOutcome::NotRun { cause, inputs_gone } => {
                 refusals += 1;
                 trace.may_have_run = trace.attempts > refusals;
+                let awaits_slot = request.bound_version.get().is_some()
+                    && gateway.targets.borrow().is_full(&service, &chosen.id);
+                if awaits_slot {
+                    // The few other targets of its version may be full as well.
+                    tried.retain(|id| *id != chosen.id);
+                }
                 if inputs_gone && may_rerun_stages(request, trace) {
                     record_stages_rerun(gateway, request, trace, &cause);
                     results = None;
                 }
-                let retries = refusals < MAX_REFUSALS
+                let retries = (awaits_slot || refusals < MAX_REFUSALS)
                     && budget.allow_retry(request, &service, RetryCause::Rejection);
                 if !retries {
                     return Err(not_accepted_refusal(
--- a/crates/gateway/src/service_availability.rs
+++ b/crates/gateway/src/service_availability.rs
@@ -202,6 +202,41 @@
     Ok(())
 }
 
+/// Waits until one of the targets that may go on with a stream accepts requests, if all of them were
+/// full a moment ago. A request that is bound to no version has other targets, or is refused.
+///
+/// # Errors
+///
+/// Returns [`RefusalReason::Overloaded`] with the time after which to retry, if the wait would take
+/// more than its part of the time left.
+pub(crate) async fn wait_for_slot(
+    gateway: &Gateway,
+    service: &str,
+    request: &CallerRequest,
+    tried: &[String],
+) -> Result<(), Refusal> {
+    if request.bound_version.get().is_none() {
+        return Ok(());
+    }
+    let may_run = |target: &Target| request.allows_target(target) && !tried.contains(&target.id);
+    let left = {
+        let store = gateway.targets.borrow();
+        store.cooldown_left(service, may_run, Instant::now())
+    };
+    let Some(wait) = left.filter(|left| !left.is_zero()) else {
+        return Ok(());
+    };
+    let in_time = wait <= request.time_left().mul_f64(MAX_WAIT_FRACTION);
+    if !in_time || gateway.waiting_requests.get() >= MAX_WAITING_REQUESTS {
+        let detail = "every target of the version that began the stream is full";
+        let refusal = Refusal::new(RefusalReason::Overloaded, detail);
+        return Err(refusal.with_retry_after(with_jitter(wait)));
+    }
+    let _waits = OpenRequestGuard::new(&gateway.waiting_requests);
+    sleep(with_jitter(wait)).await;
+    Ok(())
+}
+
 /// Returns after which time a caller should retry: not before a target accepts requests of this
 /// host again.
 pub(crate) fn retry_after(gateway: &Gateway, service: &str, request: &CallerRequest) -> Duration {
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -141,9 +141,15 @@
         self.refusals += 1;
     }
 
+    /// Returns for how long the target is avoided because it refused a request.
+    fn cooldown_left(&self, now: Instant) -> Duration {
+        let until = self.cooldown_until.unwrap_or(now);
+        until.saturating_duration_since(now)
+    }
+
     /// Returns whether other targets are to be preferred, if there are any.
     pub(crate) fn is_avoided(&self, now: Instant) -> bool {
-        self.is_ejected(now) || self.cooldown_until.is_some_and(|until| until > now)
+        self.is_ejected(now) || !self.cooldown_left(now).is_zero()
     }
 }
 
--- a/crates/gateway/src/target/store.rs
+++ b/crates/gateway/src/target/store.rs
@@ -401,6 +401,26 @@
         }
     }
 
+    /// Returns the time until the first of those targets of a service that `may_run` selects is no longer
+    /// avoided because of a refusal; `None` if there are none.
+    pub(crate) fn cooldown_left(
+        &self,
+        service: &str,
+        may_run: impl Fn(&Target) -> bool,
+        now: Instant,
+    ) -> Option<Duration> {
+        let targets = self.of_service(service).filter(|target| may_run(target));
+        targets.map(|target| target.cooldown_left(now)).min()
+    }
+
+    /// Returns whether a target is avoided because it refused a request.
+    pub(crate) fn is_full(&self, service: &str, id: &str) -> bool {
+        let left = self
+            .get(service, id)
+            .map(|one| one.cooldown_left(Instant::now()));
+        left.is_some_and(|left| !left.is_zero())
+    }
+
     /// Returns the targets of a service that are avoided now.
     pub(crate) fn avoided(&self, service: &str, now: Instant) -> impl Iterator<Item = &Target> {
         let targets = self.of_service(service);
--- a/crates/gateway/src/target_selection.rs
+++ b/crates/gateway/src/target_selection.rs
@@ -11,7 +11,7 @@
 use crate::incarnation::{await_records, unprovable_targets};
 use crate::prompt::Prompt;
 use crate::service_availability::{
-    has_unlimited_target, next_availability, rates_used_up, wait_until_available,
+    has_unlimited_target, next_availability, rates_used_up, wait_for_slot, wait_until_available,
 };
 use crate::stage_client::Placement;
 use crate::takeup_trace::VersionTargets;
@@ -69,6 +69,7 @@
     results: Option<&RequestResults>,
 ) -> Result<(ChosenTarget, Option<Placement>), Refusal> {
     let mut has_awaited_records = false;
+    wait_for_slot(gateway, service, request, excluded.tried).await?;
     for _ in 0..MAX_SELECTIONS {
         if let Some(chosen) = select_target(gateway, service, request, excluded, results).await {
             return Ok(chosen);
