Streams are never taken up at targets whose reports have no id

What callers saw: 503 'the software version that began the stream is not known' for every stream that they took up (rig: 0 of 1,592, while 1,722 of 1,740 new ones began), at targets whose heartbeats state a start and whose answer to GET /-/report carries no Attempt-Id.

Cause: the answer was thrown away with its connection, so that no start was ever known and no connection grew old enough to prove it otherwise. Streams began unproved, and could not be taken up.

Change: an answer without an id on a connection on which nothing else was asked belongs to the question. The next answers on that connection need their ids, since a late second answer to the question could take their place.

--- a/crates/gateway/src/upstream/incarnation.rs
+++ b/crates/gateway/src/upstream/incarnation.rs
@@ -146,8 +146,11 @@
         let body = read_response_body(body, MAX_CONTROL_BYTES, self.held())
             .await
             .ok()?;
-        if self.ids.echo_of(&head.headers, &id) != IdEcho::Same {
-            return None;
+        match self.ids.echo_of(&head.headers, &id) {
+            IdEcho::Same => {}
+            // Nothing else was asked on the connection, so the response is that to the question.
+            IdEcho::Missing if connection.last_id.is_none() => {}
+            IdEcho::Missing | IdEcho::Foreign(_) => return None,
         }
         connection.last_id = Some(id);
         let born = head
