A response with an invalid status reaches its caller

What callers saw: answers of targets with status 600, 700 or 999, and 101 without its body, with the target's seal. Status 000, which was reported of another system, does not pass: the HTTP library rejects it, and the caller gets 502.

Cause: only the range that the library accepts (100 to 999) was checked. RFC 9110, 15 calls a status outside 100 to 599 invalid, and clients treat it as 5xx; 101 answers a request to upgrade, which hosts never send.

Change: a response is accepted only with a status from 200 to 599, in the one place through which all exchanges with targets go, and for load reports, releases and the targets of linnet-entry. Otherwise the connection is closed and the request may have run.

--- a/crates/entry/src/adapter/client.rs
+++ b/crates/entry/src/adapter/client.rs
@@ -211,8 +211,9 @@
         cause,
         load: parse_load_report(response),
     };
-    // The HTTP library returns an interim response and does not read the final one.
-    if response.status().is_informational() {
+    // The HTTP library returns an interim response and does not read the final one. Statuses from 600 on are
+    // invalid by RFC 9110, 15.
+    if !(200..600).contains(&response.status().as_u16()) {
         return Err(error(AttemptCause::Malformed));
     }
     if header(response, ATTEMPT_HEADER) != Some(&call.attempt) {
--- a/crates/entry/src/adapter/client/tests.rs
+++ b/crates/entry/src/adapter/client/tests.rs
@@ -104,3 +104,31 @@
         }
     }
 }
+
+/// Guards against an invalid status that is taken for an answer.
+#[ntex::test]
+async fn a_response_with_an_invalid_status_is_no_response() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let script = Rc::new(HeadScript {
+        bytes: RefCell::default(),
+        is_reset: Cell::default(),
+        requests: Cell::default(),
+    });
+    ntex::rt::spawn(break_heads(listener, Rc::clone(&script)));
+    let clients = TargetClients::new().await.unwrap();
+    for status in ["000", "099", "101 Switching Protocols", "600", "999 Odd"] {
+        let head = format!("HTTP/1.1 {status}\r\nx-attempt-id: a-1\r\ncontent-length: 0\r\n\r\n");
+        *script.bytes.borrow_mut() = head.into_bytes();
+        let call = AttemptCall {
+            address,
+            attempt: "a-1".to_owned(),
+            time_left: Duration::from_secs(20),
+            repeatable: false,
+        };
+        let sending = clients.send(&call, Method::GET, "/", "text/plain", Bytes::new());
+        let result = sending.await.map(|response| response.status());
+        let ran = result.as_ref().err().map(AttemptError::ran);
+        assert_eq!(ran, Some(RanState::Unknown), "{status}: {result:?}");
+    }
+}
--- a/crates/gateway/src/send_error.rs
+++ b/crates/gateway/src/send_error.rs
@@ -2,8 +2,10 @@
 
 use std::error::Error;
 use std::io::{self, ErrorKind};
+use std::ops::RangeInclusive;
 
 use derive_more::Display;
+use http::StatusCode;
 
 use crate::upstream::TooManyInterims;
 
@@ -69,6 +71,25 @@
     },
 }
 
+/// Statuses of a final response, by RFC 9110, 15. 101 is final as well, but only answers a request to upgrade,
+/// which hosts never send.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Checks that a response has the status of a final response.
+///
+/// # Errors
+///
+/// [`SendError::MayHaveRun`] if it has not; the connection cannot be used any more.
+pub(crate) fn check_status(status: StatusCode) -> Result<(), SendError> {
+    if FINAL_STATUSES.contains(&status.as_u16()) {
+        return Ok(());
+    }
+    Err(SendError::MayHaveRun {
+        cause: format!("status {} is none of a response", status.as_u16()),
+        broken: false,
+    })
+}
+
 impl SendError {
     pub(crate) fn may_have_run(error: &hyper::Error) -> Self {
         if let Some(cause) = flood_cause(error) {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -44,7 +44,7 @@
 use crate::held_bytes::HeldBytes;
 use crate::message_heads::SendDeadline;
 use crate::response_body::{MAX_CONTROL_BYTES, read_response_body};
-use crate::send_error::{ForeignCause, SendError};
+use crate::send_error::{ForeignCause, SendError, check_status};
 use crate::send_gate::SendGate;
 use crate::target_links::{ConnectPurpose, TargetLinks, TargetSocket};
 
@@ -188,8 +188,8 @@
         }
     }
 
-    /// Checks that a response belongs to the request with this identifier. If it does not, the
-    /// connection is closed, since the response that does may follow on it.
+    /// Checks that a response has a valid status and belongs to the request with this identifier. If not,
+    /// the connection is closed, since the response that does may follow on it.
     fn match_response(
         &self,
         address: SocketAddr,
@@ -197,6 +197,7 @@
         id: HeaderValue,
         gate: &SendGate<'_>,
     ) -> Result<(Response<Incoming>, ConnectionLease), SendError> {
+        check_status(response.status())?;
         let cause = match self.ids.echo_of(response.headers(), &id) {
             IdEcho::Same => None,
             IdEcho::Missing if connection.last_id.is_none() => {
--- a/crates/gateway/src/upstream/incarnation.rs
+++ b/crates/gateway/src/upstream/incarnation.rs
@@ -14,7 +14,7 @@
 use crate::connection_use::ConnectionUse;
 use crate::protocol::TargetProtocol;
 use crate::response_body::{MAX_CONTROL_BYTES, read_response_body};
-use crate::send_error::SendError;
+use crate::send_error::{SendError, check_status};
 use crate::send_gate::SendGate;
 use crate::stated_start::StatedStart;
 
@@ -143,6 +143,7 @@
         let id = self.ids.assign(request.headers_mut());
         let response = self.exchange_head(address, connection, request).await;
         let (head, body) = response.ok()?.into_parts();
+        check_status(head.status).ok()?;
         let body = read_response_body(body, MAX_CONTROL_BYTES, self.held())
             .await
             .ok()?;
--- a/crates/gateway/src/upstream/release_connection.rs
+++ b/crates/gateway/src/upstream/release_connection.rs
@@ -16,7 +16,7 @@
 use super::exchange_id::IdEcho;
 use crate::connection_use::ConnectionUse;
 use crate::response_body::{MAX_CONTROL_BYTES, read_response_body};
-use crate::send_error::SendError;
+use crate::send_error::{SendError, check_status};
 use crate::send_gate::SendGate;
 
 /// Maximum number of idle connections to a target. A release takes a round trip, so two carry hundreds a
@@ -58,6 +58,7 @@
             }
         };
         let (head, body) = response.into_parts();
+        check_status(head.status)?;
         let is_own = match self.ids.echo_of(&head.headers, &id) {
             IdEcho::Same => true,
             IdEcho::Missing => connection.last_id.is_none(),
