A stream is cut while the other targets of its version are full for a moment

What callers saw: a stream that ended without its last events after its target broke off, though another target of its version was full only for some 100 ms.

Cause: a refusal counted as one of the attempts of the route, and the target that refused was not asked again. Neither holds for a stream that has not begun.

Change: an attempt that was refused as not run is no attempt of the route, up to four times; a target that is full is avoided for its cooldown, and the resumption waits for it within the deadline and the retry budget.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -23,7 +23,7 @@
 use crate::relay::{StreamRelay, relay_stream};
 use crate::retry_cause::RetryCause;
 use crate::run_permit::{RunPermits, acquire_run_permits};
-use crate::service_availability::retry_after;
+use crate::service_availability::{MAX_REFUSALS, retry_after};
 use crate::stage_client::Placement;
 use crate::takeup_trace::{StartOutcome, TakeupEnd, TakeupStep, TakeupTrace, count_stream_start};
 use crate::target_selection::{
@@ -34,10 +34,6 @@
 
 use stages::{may_rerun_stages, record_stages_rerun, run_stages_with_rerun};
 
-/// Maximum number of attempts that targets refuse without running the request, unless it goes on with a
-/// stream: that one waits between them.
-const MAX_REFUSALS: u32 = 4;
-
 /// Minimum `retry-after` time if every target was full.
 const MIN_FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
--- a/crates/gateway/src/relay/resumption.rs
+++ b/crates/gateway/src/relay/resumption.rs
@@ -10,6 +10,7 @@
 use crate::retry_cause::RetryCause;
 use crate::rollouts::ResponseQuality;
 use crate::run_permit::acquire_run_permits;
+use crate::service_availability::MAX_REFUSALS;
 use crate::stream_trace::{LogText, ResumptionOutcome};
 use crate::target::ChosenTarget;
 use crate::target_selection::{ExcludedTargets, select_or_await_target};
@@ -46,7 +47,7 @@
         if route.is_repeatable() {
             self.record(EventCode::StreamRunBroken, &format!("cause={cause}"));
         }
-        let mut failed_attempts = 0;
+        let (mut failed_attempts, mut refusals) = (0, 0);
         loop {
             match self.deny_resumption().await {
                 Some(ResumptionOutcome::AttemptsUsed) if failed_attempts > 0 => {
@@ -69,8 +70,15 @@
                     return ResumeOutcome::Failed(ResumptionOutcome::Budget);
                 }
                 failure => {
-                    failed_attempts += 1;
                     self.record_failed_attempt(&chosen, &failure);
+                    let is_refused = matches!(failure, AttemptOutcome::NotRun { .. });
+                    match is_refused && refusals < MAX_REFUSALS {
+                        true => {
+                            self.attempts -= 1;
+                            refusals += u32::from(self.tried.contains(&chosen.id));
+                        }
+                        false => failed_attempts += 1,
+                    }
                     continue;
                 }
             };
@@ -166,7 +174,11 @@
                 last_event: last_event.clone(),
             };
             let outcome = send_attempt(gateway, &self.request, attempt, None).await;
-            self.tried.push(chosen.id.clone());
+            let awaits_slot = matches!(outcome, AttemptOutcome::NotRun { .. })
+                && gateway.targets.borrow().is_full(&self.service, &chosen.id);
+            if !awaits_slot {
+                self.tried.push(chosen.id.clone());
+            }
             if !matches!(outcome, AttemptOutcome::Withheld) {
                 return Some((chosen, outcome));
             }
