--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -68,7 +68,7 @@
     /// stream.
     pub(crate) bound_version: OnceCell<String>,
     /// Whether it takes up a stream.
-    pub(crate) takes_up: bool,
+    pub(crate) takes_up_stream: bool,
     /// What the request waits for, if it takes up a stream.
     pub(crate) takeup: OnceCell<TakeupTrace>,
 }
@@ -112,7 +112,7 @@
     /// Returns the time until the objective is missed. The objective of a stream is its first event, which
     /// the caller of one that is taken up has; that one only has to go on before its deadline.
     pub(crate) fn objective_left(&self) -> Duration {
-        if self.takes_up {
+        if self.takes_up_stream {
             return self.time_left();
         }
         let objective = Duration::from_millis(self.route.objective_ms);
@@ -159,7 +159,8 @@
     let deadline = parse_deadline(&head.headers, names, route)?;
     let prompt = parse_prompt(&head.headers, names)?.map(Rc::new);
     let piece_counts = parse_piece_counts(&head.headers, names, route)?;
-    let takes_up = has_resumable_streams(route) && head.headers.contains_key(&names.last_event);
+    let takes_up_stream =
+        has_resumable_streams(route) && head.headers.contains_key(&names.last_event);
     let piece_key = header_text(&head.headers, &names.piece_key)
         .unwrap_or_default()
         .to_owned();
@@ -198,7 +199,7 @@
         sends: RequestSends::default(),
         counted_run: Cell::default(),
         bound_version: OnceCell::new(),
-        takes_up,
+        takes_up_stream,
         takeup: OnceCell::new(),
     })
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,6 +1,7 @@
 //! Processes one validated request up to its response: stages, attempts, retries and refusals.
 
 mod stages;
+mod stream_start;
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -25,7 +26,7 @@
 use crate::run_permit::{RunPermits, acquire_run_permits};
 use crate::service_availability::{MAX_REFUSALS, retry_after};
 use crate::stage_client::Placement;
-use crate::takeup_trace::{StartOutcome, TakeupEnd, TakeupStep, TakeupTrace, count_stream_start};
+use crate::takeup_trace::{TakeupEnd, TakeupStep, TakeupTrace};
 use crate::target_selection::{
     ExcludedTargets, no_target_refusal, pick_service, select_or_await_target,
 };
@@ -33,6 +34,7 @@
 use crate::{Gateway, Refusal, RefusalReason, ResponseBody};
 
 use stages::{may_rerun_stages, record_stages_rerun, run_stages_with_rerun};
+use stream_start::record_start;
 
 /// Minimum `retry-after` time if every target was full.
 const MIN_FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -101,29 +103,6 @@
     }
 }
 
-/// Counts whether a stream has begun, and records the end of one that was taken up and did not go on.
-fn record_start(
-    gateway: &Gateway,
-    request: &CallerRequest,
-    outcome: &Result<Response<ResponseBody>, Refusal>,
-) {
-    let is_begun = outcome.as_ref().is_ok_and(|one| one.status().is_success());
-    let start = match is_begun {
-        true => StartOutcome::Begun,
-        false => StartOutcome::NotBegun,
-    };
-    count_stream_start(gateway, request, start);
-    if !is_begun {
-        let is_refused = outcome
-            .as_ref()
-            .is_err_and(|one| one.reason.promises_not_run());
-        request.end_takeup(match is_refused {
-            true => TakeupEnd::Refused,
-            false => TakeupEnd::Failed,
-        });
-    }
-}
-
 fn timeout_refusal(trace: &RequestTrace, cause: IncompleteCause) -> Refusal {
     if trace.may_have_run {
         Refusal::new(RefusalReason::TimedOut, "no response before the deadline")
@@ -254,7 +233,7 @@
     request: &Rc<CallerRequest>,
     trace: &mut RequestTrace,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    if request.takes_up {
+    if request.takes_up_stream {
         request
             .takeup
             .get_or_init(|| TakeupTrace::new(gateway, request));
@@ -273,7 +252,7 @@
     let cursor = EventCursor::of_request(request, &gateway.config.protocol.headers);
     let mut results: Option<RequestResults> = None;
     let mut tried: Vec<String> = Vec::new();
-    let (mut refusals, mut withheld) = (0, 0);
+    let (mut refusals, mut waits, mut withheld) = (0, 0, 0);
     loop {
         if results.is_none() && !request.route.stages.is_empty() {
             let started = Instant::now();
@@ -396,12 +375,13 @@
                 if awaits_slot {
                     // The few other targets of its version may be full as well.
                     tried.retain(|id| *id != chosen.id);
+                    waits += 1;
                 }
                 if inputs_gone && may_rerun_stages(request, trace) {
                     record_stages_rerun(gateway, request, trace, &cause);
                     results = None;
                 }
-                let retries = (awaits_slot || refusals < MAX_REFUSALS)
+                let retries = refusals - waits < MAX_REFUSALS
                     && budget.allow_retry(request, &service, RetryCause::Rejection);
                 if !retries {
                     return Err(not_accepted_refusal(
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -227,7 +227,7 @@
         arrived_at,
     )
     .map_err(|refusal| (id.clone(), refusal))?;
-    if !request.takes_up {
+    if !request.takes_up_stream {
         request.age = gateway.overload.age_of(&request);
     }
     let max_bytes = table.config().limits.max_body_bytes;
--- a/crates/gateway/src/service_availability.rs
+++ b/crates/gateway/src/service_availability.rs
@@ -17,8 +17,8 @@
 /// time, while its caller has time to retry.
 const MAX_WAIT_FRACTION: f64 = 0.5;
 
-/// Maximum number of attempts of a request that targets refuse without running it. An attempt after which
-/// the request waits for a slot does not count.
+/// Maximum number of attempts of a request that targets refuse without running it. Those after which the
+/// request waits for a slot do not count.
 pub(crate) const MAX_REFUSALS: u32 = 4;
 
 /// Maximum number of requests that wait at the same time. Each keeps its body in memory.
--- a/crates/gateway/src/stage_client/stream_origin.rs
+++ b/crates/gateway/src/stage_client/stream_origin.rs
@@ -111,9 +111,12 @@
     }
 
     async fn ask_holder(&self, address: SocketAddr, stream: StreamKey) -> HolderReply {
-        if !self.is_reachable(address) {
+        if !self.connect_or_check(address) {
             return HolderReply::Unreached;
         }
+        if !self.supports(address, MessageVersion::V7) {
+            return HolderReply::Unknown;
+        }
         let number = self.next_number();
         let (done, reply) = oneshot::channel();
         let request = PieceRequest::FindStream { number, stream };
@@ -131,11 +134,6 @@
         }
     }
 
-    /// Returns whether a holder can be sent messages now.
-    fn is_reachable(&self, address: SocketAddr) -> bool {
-        self.connect_or_check(address) && self.supports(address, MessageVersion::V7)
-    }
-
     pub(super) fn complete_stream(
         &self,
         address: SocketAddr,
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -186,7 +186,7 @@
         &self,
         request: &CallerRequest,
     ) -> Result<Option<String>, Refusal> {
-        if !request.takes_up {
+        if !request.takes_up_stream {
             return Ok(None);
         }
         let names = &self.config.protocol.headers;
--- a/crates/gateway/src/stream_origins/tests.rs
+++ b/crates/gateway/src/stream_origins/tests.rs
@@ -17,7 +17,7 @@
     request.id = id.to_owned();
     request.route.kind = RouteKind::Streaming;
     request.route.resumable = true;
-    request.takes_up = true;
+    request.takes_up_stream = true;
     let headers = &mut request.headers;
     headers.insert(&names.last_event, HeaderValue::from_static("2"));
     headers.insert(&names.resumes, HeaderValue::from_str(resumes).unwrap());
