--- a/crates/entry/src/adapter/client/tests.rs
+++ b/crates/entry/src/adapter/client/tests.rs
@@ -1,4 +1,5 @@
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -60,11 +61,8 @@
     }
 }
 
-/// Guards against the end of a connection inside a head that is taken for the end of the head, or for
-/// a proof that the request did not run.
-#[ntex::test]
-async fn a_head_that_ends_at_any_byte_is_no_response() {
-    const HINTS: &str = "HTTP/1.1 103 Early Hints\r\nx-attempt-id: a-1\r\n\r\n";
+/// Starts a target that sends what the script says.
+async fn start_breaking_target() -> (SocketAddr, Rc<HeadScript>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let script = Rc::new(HeadScript {
@@ -73,6 +71,15 @@
         requests: Cell::default(),
     });
     ntex::rt::spawn(break_heads(listener, Rc::clone(&script)));
+    (address, script)
+}
+
+/// Guards against the end of a connection inside a head that is taken for the end of the head, or for
+/// a proof that the request did not run.
+#[ntex::test]
+async fn a_head_that_ends_at_any_byte_is_no_response() {
+    const HINTS: &str = "HTTP/1.1 103 Early Hints\r\nx-attempt-id: a-1\r\n\r\n";
+    let (address, script) = start_breaking_target().await;
     let clients = TargetClients::new().await.unwrap();
     let mut sent = 0;
     for interim in ["", "HTTP/1.1 100 Continue\r\n\r\n", HINTS] {
@@ -108,14 +115,7 @@
 /// Guards against an invalid status that is taken for an answer.
 #[ntex::test]
 async fn a_response_with_an_invalid_status_is_no_response() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let script = Rc::new(HeadScript {
-        bytes: RefCell::default(),
-        is_reset: Cell::default(),
-        requests: Cell::default(),
-    });
-    ntex::rt::spawn(break_heads(listener, Rc::clone(&script)));
+    let (address, script) = start_breaking_target().await;
     let clients = TargetClients::new().await.unwrap();
     for status in ["000", "099", "101 Switching Protocols", "600", "999 Odd"] {
         let head = format!("HTTP/1.1 {status}\r\nx-attempt-id: a-1\r\ncontent-length: 0\r\n\r\n");
