--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -5,7 +5,7 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-use crate::http::{call, read_answer, Answer, Request};
+use crate::http::{call, Answer, Request};
 use crate::replica::Replica;
 use crate::system::{System, HEARTBEAT_MS};
 
@@ -91,8 +91,3 @@
     }
     true
 }
-
-/// Reads an answer on a kept connection.
-pub fn read(from: &mut std::io::BufReader<std::net::TcpStream>) -> Option<Answer> {
-    read_answer(from).ok()
-}
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -66,14 +66,6 @@
 /// A complete answer.
 pub struct Answer {
     pub status: u16,
-    pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
-}
-
-impl Answer {
-    pub fn find(&self, name: &str) -> Option<&str> {
-        find(&self.headers, name)
-    }
 }
 
 fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
@@ -133,7 +125,7 @@
     let head = read_head(from)?;
     let mut body = vec![0; head.length().unwrap_or(0)];
     from.read_exact(&mut body)?;
-    Ok(Answer { status: head.status, headers: head.headers, body })
+    Ok(Answer { status: head.status })
 }
 
 /// Opens a connection whose reads and writes have a limit.
--- a/review/stand-ins-2/large_requests.rs
+++ b/review/stand-ins-2/large_requests.rs
@@ -19,8 +19,8 @@
 const BODY_BYTES: usize = 4_000_000;
 
 /// Clients of the machine in calm, and in the burst.
-const CALM_CLIENTS: usize = 30;
-const BURST_CLIENTS: usize = 78;
+const CALM_CLIENTS: usize = 20;
+const BURST_CLIENTS: usize = 52;
 
 const DEADLINE_MS: u64 = 15_000;
 const TIMEOUT_MS: u64 = 20_000;
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -10,6 +10,7 @@
 mod planned_stop;
 mod record;
 mod replica;
+mod slow_readers;
 mod system;
 
 use std::path::PathBuf;
@@ -36,6 +37,7 @@
     record.line(&format!("case={case} trouble={trouble}"));
     let verdict = match case.as_str() {
         "large-requests" => large_requests::run(&record, trouble),
+        "slow-readers" => slow_readers::run(&record, trouble),
         "planned-stop" => planned_stop::run(&record, trouble),
         "left-replica" => left_replica::run(&record, trouble),
         _ => Verdict::NotRun,
--- a/review/stand-ins-2/planned_stop.rs
+++ b/review/stand-ins-2/planned_stop.rs
@@ -32,6 +32,12 @@
 const SOL_SOCKET: i32 = 1;
 const SO_RCVBUF: i32 = 8;
 
+/// Gives a connection the small window of a slow link.
+pub fn set_small_window(socket: i32) {
+    let window: i32 = 64 * 1024;
+    unsafe { setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &window, 4) };
+}
+
 struct Outcome {
     status: u16,
     length: usize,
@@ -122,9 +128,7 @@
 /// Sends a request and reads the answer at the rate of the client's link.
 fn download(entry: std::net::SocketAddr, id: &str) -> std::io::Result<Outcome> {
     let mut socket = connect(entry, Duration::from_secs(10))?;
-    // A link with a small window.
-    let window: i32 = 64 * 1024;
-    unsafe { setsockopt(socket.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &window, 4) };
+    set_small_window(socket.as_raw_fd());
     let began = Instant::now();
     client_request(id, DEADLINE_MS, b"order of treated pine").write(&mut socket)?;
     let mut reader = BufReader::with_capacity(4 * 1024, socket);
--- a/review/stand-ins-2/system.rs
+++ b/review/stand-ins-2/system.rs
@@ -27,7 +27,6 @@
 pub const ZONES: [&str; 3] = ["waco-hall", "temple-hall", "bryan-hall"];
 
 pub const SIGTERM: i32 = 15;
-pub const SIGKILL: i32 = 9;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -35,7 +34,6 @@
 
 /// A process of the system.
 pub struct Host {
-    pub name: String,
     role: &'static str,
     settings: PathBuf,
     log: PathBuf,
@@ -132,7 +130,7 @@
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("settings file");
         let log = self.folder.join(format!("{name}.log"));
-        Host { name: name.to_owned(), role, settings: path, log, child: None }
+        Host { role, settings: path, log, child: None }
     }
 
     pub fn address(&self, last: u8, port: u16) -> SocketAddr {
@@ -156,7 +154,7 @@
         self.folder.join(format!("data-{number}"))
     }
 
-    fn common_settings(&self, last: u8, zone: &str) -> String {
+    fn common_settings(&self, last: u8) -> String {
         let seeds: Vec<String> = (0..3).map(|number| format!("\"{}\"", self.operators(number))).collect();
         let zones: Vec<String> = ZONES.iter().map(|zone| format!("\"{zone}\" = \"tx-central\"\n")).collect();
         format!(
@@ -167,12 +165,11 @@
             seeds.join(","),
             zones.concat()
         )
-        .replace("ZONE", zone)
     }
 
     /// The settings of `deploy/control.toml`.
     fn control_settings(&self, number: usize, first_start: bool) -> String {
-        let common = self.common_settings(10 + number as u8, ZONES[number % 3]);
+        let common = self.common_settings(10 + number as u8);
         let data = format!("data = \"{}\"", self.data(number).display());
         format!(
             "name = \"core-{number}\"\nhall = \"{}\"\n[listen]\noperators = \"{}\"\n{}\n[rollout]\n",
@@ -184,7 +181,7 @@
 
     /// The settings of `deploy/entry.toml`.
     fn entry_settings(&self, number: usize) -> String {
-        let common = self.common_settings(100 + number as u8, ZONES[number % 3]);
+        let common = self.common_settings(100 + number as u8);
         format!(
             "name = \"edge-{number}\"\nhall = \"{}\"\n[listen]\ncallers = \"{}\"\nreadiness = \"{}\"\n{}\n\
              [processor]\nshare = 0.25\nspeed = 1\n\
@@ -236,9 +233,8 @@
         for host in self.controls.iter_mut().chain(&mut self.entries) {
             host.kill();
         }
-        match std::env::var_os("KEEP_LOGS") {
-            Some(to) => copy_logs(&self.folder, Path::new(&to)),
-            None => {}
+        if let Some(to) = std::env::var_os("KEEP_LOGS") {
+            copy_logs(&self.folder, Path::new(&to));
         }
         let _ = fs::remove_dir_all(&self.folder);
     }
