--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod large_requests;
 mod left_replica;
+mod many_connections;
 mod planned_stop;
 mod record;
 mod replica;
@@ -38,6 +39,7 @@
     let verdict = match case.as_str() {
         "large-requests" => large_requests::run(&record, trouble),
         "slow-readers" => slow_readers::run(&record, trouble),
+        "many-connections" => many_connections::run(&record, trouble),
         "planned-stop" => planned_stop::run(&record, trouble),
         "left-replica" => left_replica::run(&record, trouble),
         _ => Verdict::NotRun,
--- a/review/stand-ins-2/system.rs
+++ b/review/stand-ins-2/system.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread::sleep;
@@ -28,8 +29,27 @@
 
 pub const SIGTERM: i32 = 15;
 
+const RLIMIT_NOFILE: i32 = 7;
+
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn getrlimit(resource: i32, limits: *mut [u64; 2]) -> i32;
+    fn setrlimit(resource: i32, limits: *const [u64; 2]) -> i32;
+}
+
+/// Sets how many descriptors this process may have.
+fn limit_descriptors(count: u64) -> std::io::Result<()> {
+    match unsafe { setrlimit(RLIMIT_NOFILE, &[count, count]) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
+/// Lets this process have `count` descriptors, within what it may set itself; returns whether it can.
+pub fn allow_descriptors(count: u64) -> bool {
+    let mut limits = [0; 2];
+    let known = unsafe { getrlimit(RLIMIT_NOFILE, &mut limits) } == 0;
+    known && (limits[0] >= count || (limits[1] >= count && unsafe { setrlimit(RLIMIT_NOFILE, &[count, limits[1]]) } == 0))
 }
 
 /// A process of the system.
@@ -38,13 +58,20 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// Number of descriptors that the process may have; as many as this one if it is `None`.
+    descriptors: Option<u64>,
 }
 
 impl Host {
     pub fn start(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log).expect("log file");
         let errors = log.try_clone().expect("log file");
-        let child = Command::new("target/release/linnet-platform")
+        let mut command = Command::new("target/release/linnet-platform");
+        if let Some(descriptors) = self.descriptors {
+            // The limit is that of the new process only.
+            unsafe { command.pre_exec(move || limit_descriptors(descriptors)) };
+        }
+        let child = command
             .arg(self.role)
             .env("LINNETDALE_SETTINGS", &self.settings)
             .stdin(Stdio::null())
@@ -97,8 +124,13 @@
 }
 
 impl System {
-    /// Starts the processes and waits until the control hosts answer.
+    /// Starts the processes.
     pub fn start(entries: usize) -> Option<Self> {
+        Self::start_with(entries, None)
+    }
+
+    /// Same as [`System::start`], with entry hosts that may have so many descriptors.
+    pub fn start_with(entries: usize, descriptors: Option<u64>) -> Option<Self> {
         let pid = std::process::id();
         let folder = std::env::temp_dir().join(format!("linnet-review-{pid}"));
         fs::create_dir_all(&folder).ok()?;
@@ -111,7 +143,8 @@
         }
         for number in 0..entries {
             let settings = system.entry_settings(number);
-            let host = system.host(&format!("edge-{number}"), "entry", &settings);
+            let mut host = system.host(&format!("edge-{number}"), "entry", &settings);
+            host.descriptors = descriptors;
             system.entries.push(host);
         }
         for host in system.controls.iter_mut().chain(&mut system.entries) {
@@ -130,7 +163,7 @@
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("settings file");
         let log = self.folder.join(format!("{name}.log"));
-        Host { role, settings: path, log, child: None }
+        Host { role, settings: path, log, child: None, descriptors: None }
     }
 
     pub fn address(&self, last: u8, port: u16) -> SocketAddr {
