--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -7,11 +7,11 @@
 mod http;
 mod large_requests;
 mod left_replica;
-mod many_connections;
 mod planned_stop;
 mod record;
 mod replica;
 mod slow_readers;
+mod stale_machine;
 mod system;
 
 use std::path::PathBuf;
@@ -39,7 +39,7 @@
     let verdict = match case.as_str() {
         "large-requests" => large_requests::run(&record, trouble),
         "slow-readers" => slow_readers::run(&record, trouble),
-        "many-connections" => many_connections::run(&record, trouble),
+        "stale-machine" => stale_machine::run(&record, trouble),
         "planned-stop" => planned_stop::run(&record, trouble),
         "left-replica" => left_replica::run(&record, trouble),
         _ => Verdict::NotRun,
