--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -5,8 +5,8 @@
 
 mod fleet;
 mod http;
-mod large_requests;
 mod left_replica;
+mod many_connections;
 mod planned_stop;
 mod record;
 mod replica;
@@ -37,9 +37,9 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     record.line(&format!("case={case} trouble={trouble}"));
     let verdict = match case.as_str() {
-        "large-requests" => large_requests::run(&record, trouble),
         "slow-readers" => slow_readers::run(&record, trouble),
         "stale-machine" => stale_machine::run(&record, trouble),
+        "many-connections" => many_connections::run(&record, trouble),
         "planned-stop" => planned_stop::run(&record, trouble),
         "left-replica" => left_replica::run(&record, trouble),
         _ => Verdict::NotRun,
